--- /dev/null
+++ b/pkg/board/board.go
@@ -0,0 +1,180 @@
+package board
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// Board is the blackboard of one process.
+type Board struct {
+	// Config is the accepted configuration that is in force here. Written by the
+	// configuration controller alone; its revision never goes down.
+	Config Section[config.Head]
+	// Members is the own failure domain's view of its instances.
+	Members Section[Members]
+	// Upstreams is the last known load of the own domain's upstreams.
+	Upstreams Section[Upstreams]
+	// Domains holds the digests of the other failure domains.
+	Domains Section[Domains]
+	// Platform says how the platform's services answer.
+	Platform Section[PlatformHealth]
+}
+
+// InstanceState is what the domain knows of an instance.
+type InstanceState string
+
+// States of an instance.
+const (
+	InstanceLive    InstanceState = "live"
+	InstanceLeaving InstanceState = "leaving"
+	InstanceSilent  InstanceState = "silent"
+	InstanceLeft    InstanceState = "left"
+)
+
+// Members is the membership of one failure domain.
+type Members struct {
+	// Self is this instance's name.
+	Self string
+	// Instances is sorted by name and includes Self.
+	Instances []Instance
+}
+
+// Instance is one entry instance: a gateway and an agent.
+type Instance struct {
+	Name   string
+	Domain string
+	Region string
+	// Incarnation is drawn anew at each start of the instance's gateway, and
+	// grows from start to start (nanoseconds of its clock). Zero: no gateway.
+	Incarnation uint64
+	State       InstanceState
+	Addresses   Addresses
+	// Revision is the lower of its agent's and its gateway's configuration.
+	Revision config.Revision
+	// LastHeard is by this process's clock.
+	LastHeard time.Time
+	// Load is what the instance's gateway last said of itself.
+	Load GatewayLoad
+}
+
+// Addresses of an instance, each an IP number and a port.
+type Addresses struct {
+	// Callers is where callers' HTTP is served.
+	Callers string
+	// Peers is where other gateways' forwarded HTTP requests are served.
+	Peers string
+	// Control is the gateway's net/rpc address.
+	Control string
+	// Mesh is the agent's net/rpc address.
+	Mesh string
+	// Operators is the agent's HTTP address for operators.
+	Operators string
+}
+
+// GatewayLoad is the work that one gateway has in hand.
+type GatewayLoad struct {
+	// InFlight counts requests now at upstreams, by upstream name.
+	InFlight map[string]int
+	// Waiting counts queued requests by model or service name.
+	Waiting map[string]int
+	// Requests and Forwarded count requests since the gateway started: all, and
+	// those sent to another region.
+	Requests, Forwarded uint64
+	// Refused counts refusals since the gateway started.
+	Refused uint64
+	// Successor is the instance to which a leaving gateway handed its
+	// idempotency keys; empty otherwise.
+	Successor string
+}
+
+// UpstreamState is what is known of an upstream.
+type UpstreamState string
+
+// States of an upstream. Leaving from any source wins over an older live mark.
+const (
+	UpstreamLive    UpstreamState = "live"
+	UpstreamLeaving UpstreamState = "leaving"
+	UpstreamSilent  UpstreamState = "silent"
+)
+
+// Upstreams holds the loads of the own domain's upstreams.
+type Upstreams struct {
+	// ByName is keyed by the upstream's name.
+	ByName map[string]UpstreamLoad
+}
+
+// UpstreamLoad is an upstream's last report.
+type UpstreamLoad struct {
+	Name  string
+	State UpstreamState
+	// Running and Queued count requests at the upstream.
+	Running, Queued int
+	// DecodeRate is tokens a second for one stream at the present batch; zero
+	// when the upstream has not said.
+	DecodeRate float64
+	// PrefillRate is prompt tokens a second; zero when not said.
+	PrefillRate float64
+	// Version is the model version that is loaded.
+	Version string
+	// ReportedAt is when the report was made, by this process's clock.
+	ReportedAt time.Time
+	// Prefixes holds hashes of cached prompt prefixes, as hints: late, with gaps.
+	Prefixes []uint64
+}
+
+// Domains holds what is known of the other failure domains.
+type Domains struct {
+	// Remote is sorted by domain name.
+	Remote []DomainDigest
+}
+
+// DomainDigest is the few hundred bytes that one failure domain tells the others.
+type DomainDigest struct {
+	Domain string
+	Region string
+	// Sequence orders the digests of one domain (nanoseconds of the maker's clock).
+	Sequence uint64
+	// HeardAt is when this process's domain received it, by this process's clock.
+	HeardAt time.Time
+	// Nodes and Silent count entry instances; Silent is part of Nodes.
+	Nodes, Silent int
+	// Revisions counts nodes by the configuration in force there, newest first.
+	Revisions []RevisionCount
+	// Pools describes each model's and service's capacity there.
+	Pools []PoolDigest
+	// Entries lists the live instances' addresses.
+	Entries []Instance
+	// Platform says whether the domain sees the platform's key-value service.
+	Platform bool
+}
+
+// RevisionCount counts nodes at one revision.
+type RevisionCount struct {
+	Revision config.Revision
+	Nodes    int
+}
+
+// PoolDigest is the capacity of one model version or service in a domain.
+type PoolDigest struct {
+	// Serves is the model or service.
+	Serves string
+	// Version is the model version; empty for services.
+	Version string
+	// Slots counts the requests that may run at once, Busy those that do,
+	// Waiting those in queues.
+	Slots, Busy, Waiting int
+	// Spare is how many requests the domain offers to take from all others
+	// together, beyond its own reserve.
+	Spare int
+	// DecodeRate and PrefillRate are the pool's mean rates, tokens a second.
+	DecodeRate, PrefillRate float64
+}
+
+// PlatformHealth says how the platform's services answer.
+type PlatformHealth struct {
+	// KeyValue is whether the last call to the key-value service succeeded.
+	KeyValue bool
+	// Since is when that last changed.
+	Since time.Time
+}
--- /dev/null
+++ b/pkg/config/declaration.go
@@ -0,0 +1,187 @@
+// Package config holds what operators declare: the declaration itself, the
+// operations that change it, and the accepted head that every node follows.
+//
+// Guarantees: the order of accepted changes is the order of compare-and-swaps of
+// one head key; a node never takes a lower revision than it has held; applying a
+// change to the same declaration gives the same declaration on every node.
+package config
+
+import "time"
+
+// Declaration is the whole desired state, kept by operators in version control
+// and applied with `lilacweir apply`. Lists are kept sorted by name.
+type Declaration struct {
+	// Regions lists the regions and the failure domains inside each.
+	Regions []Region `yaml:"regions" json:"regions" validate:"required,min=1,dive"`
+	// Models lists the models, their versions and where they may run.
+	Models []Model `yaml:"models" json:"models" validate:"dive"`
+	// Services lists the plain services that stand beside the model engines.
+	Services []Service `yaml:"services,omitempty" json:"services,omitempty" validate:"dive"`
+	// Upstreams lists every back end that requests may be sent to.
+	Upstreams []Upstream `yaml:"upstreams" json:"upstreams" validate:"dive"`
+	// Callers lists who may send requests, and where they may be processed.
+	Callers []Caller `yaml:"callers" json:"callers" validate:"dive"`
+	// Operators lists who may ask and change.
+	Operators []Operator `yaml:"operators" json:"operators" validate:"dive"`
+	// Spill lists which region may send how much work to which other region.
+	Spill []Spill `yaml:"spill,omitempty" json:"spill,omitempty" validate:"dive"`
+	// Policy weighs the measures against each other.
+	Policy Policy `yaml:"policy" json:"policy"`
+}
+
+// Region is a legal and geographic area that data may be bound to.
+type Region struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// Domains names the region's failure domains.
+	Domains []string `yaml:"domains" json:"domains" validate:"required,min=1,dive,name"`
+}
+
+// Model is a model that callers may ask for by name.
+type Model struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// Versions lists the versions and the share of requests for each.
+	Versions []ModelVersion `yaml:"versions" json:"versions" validate:"required,min=1,dive"`
+	// Regions names the regions in which the model may run.
+	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	// MaxTokens is the longest answer in tokens that a request may ask for.
+	MaxTokens int `yaml:"max_tokens,omitempty" json:"max_tokens,omitempty" validate:"gte=0"`
+}
+
+// ModelVersion is one version of a model.
+type ModelVersion struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// Percent is the share of the model's requests that this version serves,
+	// 0 to 100. The percents of one model add up to 100.
+	Percent int `yaml:"percent" json:"percent" validate:"gte=0,lte=100"`
+}
+
+// Service is a plain HTTP service that is reached through a path prefix.
+type Service struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// Prefix is the path prefix, for example "/sleeplog/".
+	Prefix string `yaml:"prefix" json:"prefix" validate:"required,startswith=/,endswith=/"`
+	// Regions names the regions in which the service may run.
+	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	// Routes lists the calls that the service accepts. A call that matches none
+	// is refused.
+	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
+}
+
+// Route is one call of a plain service.
+type Route struct {
+	Method string `yaml:"method" json:"method" validate:"required,oneof=GET HEAD POST PUT PATCH DELETE"`
+	// Path is the path below the service's prefix; a trailing "*" matches any rest.
+	Path string `yaml:"path" json:"path" validate:"required"`
+	// Repeatable says that running the call twice does no harm (it is
+	// idempotent). False is the safe default: the call runs at most once.
+	Repeatable bool `yaml:"repeatable" json:"repeatable"`
+}
+
+// UpstreamKind tells model engines from plain services.
+type UpstreamKind string
+
+// The kinds of upstream.
+const (
+	KindEngine  UpstreamKind = "engine"
+	KindService UpstreamKind = "service"
+)
+
+// Upstream is one back end.
+type Upstream struct {
+	Name string       `yaml:"name" json:"name" validate:"required,name"`
+	Kind UpstreamKind `yaml:"kind" json:"kind" validate:"required,oneof=engine service"`
+	// Serves names the model or the service.
+	Serves string `yaml:"serves" json:"serves" validate:"required,name"`
+	// Version is the model version that the engine is to have loaded.
+	Version string `yaml:"version,omitempty" json:"version,omitempty" validate:"omitempty,name"`
+	// Domain is the failure domain that the upstream stands in.
+	Domain string `yaml:"domain" json:"domain" validate:"required,name"`
+	// Address is the upstream's host:port, an IP number and a port.
+	Address string `yaml:"address" json:"address" validate:"required,hostport"`
+	// Concurrency is how many requests it may run at once.
+	Concurrency int `yaml:"concurrency" json:"concurrency" validate:"gte=1"`
+	// ChecksFencing says that the engine refuses an order with an old fencing number.
+	ChecksFencing bool `yaml:"checks_fencing,omitempty" json:"checks_fencing,omitempty"`
+	// Drained takes the upstream out of service: it gets no new work.
+	Drained bool `yaml:"drained,omitempty" json:"drained,omitempty"`
+}
+
+// Caller is an organisation that sends requests.
+type Caller struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// KeyHash is "sha256:" and the hexadecimal hash of the caller's key.
+	KeyHash string `yaml:"key_hash" json:"key_hash" validate:"required,keyhash"`
+	// Home is the caller's region: the one preferred when several are permitted.
+	Home string `yaml:"home" json:"home" validate:"required,name"`
+	// Regions names the regions in which the caller's data may be processed.
+	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	// Models names the models that the caller may use; empty means all.
+	Models []string `yaml:"models,omitempty" json:"models,omitempty" validate:"dive,name"`
+	// Share is the caller's weight in fair queueing; zero means 1.
+	Share int `yaml:"share,omitempty" json:"share,omitempty" validate:"gte=0,lte=1000"`
+}
+
+// Operator is a person who may ask for state and change the declaration.
+type Operator struct {
+	Name string `yaml:"name" json:"name" validate:"required,name"`
+	// KeyHash is "sha256:" and the hexadecimal hash of the operator's key.
+	KeyHash string `yaml:"key_hash" json:"key_hash" validate:"required,keyhash"`
+}
+
+// Spill permits one region to send part of its work to another.
+type Spill struct {
+	From string `yaml:"from" json:"from" validate:"required,name"`
+	To   string `yaml:"to" json:"to" validate:"required,name,nefield=From"`
+	// Percent caps the share of From's requests that may be sent to To, 0 to 100.
+	Percent int `yaml:"percent" json:"percent" validate:"gte=0,lte=100"`
+}
+
+// Policy weighs the users' measures.
+type Policy struct {
+	// CostWeight moves decisions from tail latency (0) to cost (1).
+	CostWeight float64 `yaml:"cost_weight" json:"cost_weight" validate:"gte=0,lte=1"`
+	// SpillMargin is how much sooner the predicted end elsewhere must be before
+	// work is sent away, for example 300ms.
+	SpillMargin Duration `yaml:"spill_margin,omitempty" json:"spill_margin,omitempty"`
+	// KeyTTL is how long an idempotency key that the system gave out may be
+	// used; zero means DefaultKeyTTL.
+	KeyTTL Duration `yaml:"key_ttl,omitempty" json:"key_ttl,omitempty"`
+	// WeightLoads is how many engines of one failure domain may load weights at
+	// the same time; zero means 1.
+	WeightLoads int `yaml:"weight_loads,omitempty" json:"weight_loads,omitempty" validate:"gte=0"`
+}
+
+// DefaultKeyTTL is how long an idempotency key may be used when the policy is silent.
+const DefaultKeyTTL = 15 * time.Minute
+
+// Duration is a time.Duration that is written like "300ms" in YAML and JSON.
+type Duration time.Duration
+
+// Std returns the standard library's form.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return &DurationError{Text: string(text)}
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// DurationError reports text that is not a duration.
+type DurationError struct {
+	// Text is what was read.
+	Text string
+}
+
+// Error implements error.
+func (e *DurationError) Error() string {
+	return "not a duration like 300ms or 15m: " + e.Text
+}
--- /dev/null
+++ b/pkg/outcome/outcome.go
@@ -0,0 +1,110 @@
+// Package outcome holds the three answers that a request can end with, and the
+// typed refusal that carries every answer that is not complete.
+//
+// Guarantee: NotRun is claimed only where no upstream was sent any byte of the
+// request, or the upstream itself said that it did not start.
+package outcome
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Outcome says what became of a request.
+type Outcome string
+
+// The outcomes of a request, typed end to end.
+const (
+	// Complete: the caller received the whole answer.
+	Complete Outcome = "complete"
+	// NotRun: no upstream started the request.
+	NotRun Outcome = "not-run"
+	// Unknown: the request may have run, in part or as a whole.
+	Unknown Outcome = "unknown"
+)
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// Reasons that callers see. Each is part of the public API.
+const (
+	ReasonNoConfiguration  Reason = "no-configuration"
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonForbiddenRegion  Reason = "forbidden-region"
+	ReasonForbiddenModel   Reason = "forbidden-model"
+	ReasonUnknownModel     Reason = "unknown-model"
+	ReasonUnknownRoute     Reason = "unknown-route"
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonTooLarge         Reason = "too-large"
+	ReasonSlowCaller       Reason = "slow-caller"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonDeadline         Reason = "deadline-unreachable"
+	ReasonNoUpstream       Reason = "no-upstream"
+	ReasonUpstreamFailed   Reason = "upstream-failed"
+	ReasonUpstreamMismatch Reason = "upstream-mismatch"
+	ReasonDraining         Reason = "instance-leaving"
+	ReasonLoop             Reason = "loop"
+	ReasonStaleRevision    Reason = "stale-revision"
+	ReasonKeyInvalid       Reason = "idempotency-key-invalid"
+	ReasonKeyExpired       Reason = "idempotency-key-expired"
+	ReasonKeyInProgress    Reason = "idempotency-key-in-progress"
+	ReasonKeyReused        Reason = "idempotency-key-reused"
+	ReasonKeyOwnerLost     Reason = "idempotency-key-owner-lost"
+	ReasonKeyStoreDown     Reason = "idempotency-key-store-unavailable"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonInternal         Reason = "internal"
+)
+
+// Refusal is the typed end of a request that was not answered completely.
+type Refusal struct {
+	// Outcome is NotRun or Unknown.
+	Outcome Outcome
+	// Reason is the machine-readable cause.
+	Reason Reason
+	// Status is the HTTP status that the caller receives.
+	Status int
+	// RequestID names the request; the API layer fills it in.
+	RequestID string
+	// RetryAfter says when to come back; zero means that coming back with the
+	// same request does not help.
+	RetryAfter time.Duration
+	// Detail is one sentence for a person. It holds no secrets.
+	Detail string
+	// Err is the cause, if another error led here.
+	Err error
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	if r.Err != nil {
+		return fmt.Sprintf("%s: %s: %s: %v", r.Outcome, r.Reason, r.Detail, r.Err)
+	}
+	return fmt.Sprintf("%s: %s: %s", r.Outcome, r.Reason, r.Detail)
+}
+
+// Unwrap returns the cause.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// Refuse returns a NotRun refusal.
+func Refuse(status int, reason Reason, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Outcome: NotRun, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: detail}
+}
+
+// Doubt returns an Unknown refusal.
+func Doubt(status int, reason Reason, retryAfter time.Duration, detail string) *Refusal {
+	return &Refusal{Outcome: Unknown, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: detail}
+}
+
+// Of returns what an error says about its request: Complete for nil, the
+// refusal's outcome where one is wrapped, and Unknown for anything else.
+func Of(err error) Outcome {
+	if err == nil {
+		return Complete
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return refusal.Outcome
+	}
+	return Unknown
+}
