--- /dev/null
+++ b/pkg/logging/logging.go
@@ -0,0 +1,59 @@
+// Package logging writes one line of key=value pairs for each event.
+//
+// Use it as log.Info().Str("request", id).Msg("request-complete"): the message
+// is the event's name, a constant in lower case with hyphens.
+package logging
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// LevelError is a log level that does not exist.
+type LevelError struct {
+	// Level is what was asked for.
+	Level string
+}
+
+// Error implements error.
+func (e *LevelError) Error() string {
+	return fmt.Sprintf("log level %q: expected debug, info, warn or error", e.Level)
+}
+
+// New returns a logger that writes key=value lines to w. An empty level means info.
+func New(w io.Writer, program, instance, level string) (zerolog.Logger, error) {
+	if level == "" {
+		level = zerolog.LevelInfoValue
+	}
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), &LevelError{Level: level}
+	}
+	console := zerolog.ConsoleWriter{
+		Out:             zerolog.SyncWriter(w),
+		NoColor:         true,
+		FormatTimestamp: func(value any) string { return fmt.Sprintf("time=%s", value) },
+		FormatLevel:     func(value any) string { return fmt.Sprintf("level=%s", value) },
+		FormatMessage:   func(value any) string { return fmt.Sprintf("event=%s", value) },
+	}
+	logger := zerolog.New(console).Level(parsed).With().
+		Str("program", program).
+		Str("instance", instance).
+		Logger().
+		Hook(timestamp{})
+	return logger, nil
+}
+
+// timestamp puts the time on each event, in UTC with milliseconds.
+type timestamp struct{}
+
+// timeLayout is RFC 3339 with milliseconds.
+const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+
+// Run implements zerolog.Hook.
+func (timestamp) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
+	event.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeLayout))
+}
