Add the operators' command line and a caller's client

lilacweir run, apply, prompt, check, ask and call. An agent is probed before a line is sent, and a line is sent to one agent once: a lost answer is reported as unknown (exit 2) instead of being sent again through the next agent, since some lines (undo) are not idempotent. Keys come from the environment or a file.

pkg/client is shared by ask and call, the load tool and the scenarios: it learns the instances, streams answers, and says NotRun only when the gateway did or no connection was made.

--- /dev/null
+++ b/pkg/cli/cli_test.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// agentFake answers every line with one reply, and counts the lines.
+type agentFake struct {
+	*httptest.Server
+	lines []string
+}
+
+func newAgent(t *testing.T, verdict, text string) *agentFake {
+	fake := &agentFake{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("/v1/command", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fake.lines = append(fake.lines, r.Header.Get(headerOperator)+" "+r.Header.Get("Authorization")+" "+string(body))
+		w.Header().Set(headerVerdict, verdict)
+		_, _ = io.WriteString(w, text)
+	})
+	fake.Server = httptest.NewServer(mux)
+	t.Cleanup(fake.Close)
+	return fake
+}
+
+func (f *agentFake) address() string { return strings.TrimPrefix(f.URL, "http://") }
+
+func newSession(out *bytes.Buffer) *Session {
+	return &Session{
+		Context: context.Background(), Out: out, Err: io.Discard,
+		Env: func(name string) string { return map[string]string{EnvOperatorKey: "key-eleni"}[name] },
+	}
+}
+
+func TestRunExitCode(t *testing.T) {
+	cases := []struct {
+		verdict, text string
+		want          int
+	}{
+		{"ok", "7 instances", ExitOK},
+		{"accepted", "accepted as 118, in force 7/7", ExitOK},
+		{"accepted", "118 in force 5/7, larisa-hall silent 40 s", ExitUnknown},
+		{"refused", "no such upstream", ExitRefused},
+		{"unknown", "unknown: ask why 12", ExitUnknown},
+		{"", "", ExitRefused},
+	}
+	for _, test := range cases {
+		t.Run(test.verdict+" "+test.text, func(t *testing.T) {
+			is := is.New(t)
+			agent := newAgent(t, test.verdict, test.text)
+			var out bytes.Buffer
+			session := newSession(&out)
+			command := RunCommand{Line: "st", OperatorFlags: OperatorFlags{Server: []string{agent.address()}, Operator: "eleni"}}
+			is.NoErr(command.Run(session))
+			is.Equal(session.Code, test.want)
+			is.Equal(strings.TrimSpace(out.String()), test.text)
+			is.Equal(agent.lines, []string{"eleni Bearer key-eleni st"})
+		})
+	}
+}
+
+func TestRunFallsBackOnlyBeforeSending(t *testing.T) {
+	is := is.New(t)
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(down.Close())
+	good := newAgent(t, "ok", "fine")
+	lossy := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/healthz" {
+			panic(http.ErrAbortHandler) // takes the change, loses the answer
+		}
+	}))
+	defer lossy.Close()
+
+	var out bytes.Buffer
+	session := newSession(&out)
+	command := RunCommand{Line: "undo 118", OperatorFlags: OperatorFlags{Operator: "eleni"}}
+	command.Server = []string{down.Addr().String(), good.address()}
+	is.NoErr(command.Run(session))
+	is.Equal(len(good.lines), 1) // the first did not answer, the second was used
+
+	command.Server = []string{strings.TrimPrefix(lossy.URL, "http://"), good.address()}
+	is.True(command.Run(session) != nil)
+	is.Equal(session.Code, ExitUnknown)
+	is.Equal(len(good.lines), 1) // the change was not sent a second time
+}
+
+func TestSettingsFileAndFlags(t *testing.T) {
+	is := is.New(t)
+	agent := newAgent(t, "ok", "fine")
+	directory := t.TempDir()
+	file := filepath.Join(directory, "operator.yaml")
+	is.NoErr(os.WriteFile(file, []byte("servers: ["+agent.address()+"]\noperator: eleni\n"), 0o600))
+	var out bytes.Buffer
+	command := RunCommand{Line: "st", OperatorFlags: OperatorFlags{Settings: file}}
+	is.NoErr(command.Run(newSession(&out)))
+	is.Equal(len(agent.lines), 1)
+
+	is.NoErr(os.WriteFile(file, []byte("servers: ["+agent.address()+"]\noperatr: eleni\n"), 0o600))
+	is.True(command.Run(newSession(&out)) != nil) // an unknown key is refused
+	is.Equal(len(agent.lines), 1)
+}
--- /dev/null
+++ b/pkg/cli/operate.go
@@ -0,0 +1,135 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/chzyer/readline"
+)
+
+// RunCommand sends one line of the operators' language.
+type RunCommand struct {
+	OperatorFlags
+	Line string `arg:"" help:"The line, for example 'st' or 'drain lilac-nurse-1'."`
+}
+
+// Run implements the command.
+func (c *RunCommand) Run(session *Session) error {
+	server, err := c.connect(session)
+	if err != nil {
+		return err
+	}
+	reply, err := server.Run(session.Context, c.Line)
+	if err != nil {
+		session.Code = ExitUnknown
+		return unanswered(err)
+	}
+	session.show(reply)
+	return nil
+}
+
+// ApplyCommand changes the declaration to what a file says.
+type ApplyCommand struct {
+	OperatorFlags
+	DryRun bool   `help:"Only show the difference."`
+	File   string `arg:"" help:"Declaration file." type:"existingfile"`
+}
+
+// Run implements the command.
+func (c *ApplyCommand) Run(session *Session) error {
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("apply: %w", err)
+	}
+	if err := checkDeclaration(c.File, data); err != nil {
+		return err
+	}
+	server, err := c.connect(session)
+	if err != nil {
+		return err
+	}
+	difference, err := server.Apply(session.Context, data, c.File, true)
+	if err != nil {
+		session.Code = ExitUnknown
+		return fmt.Errorf("difference: %w", err)
+	}
+	session.show(difference)
+	if c.DryRun || difference.Verdict != VerdictOK {
+		return nil
+	}
+	reply, err := server.Apply(session.Context, data, c.File, false)
+	if err != nil {
+		session.Code = ExitUnknown
+		return unanswered(err)
+	}
+	session.show(reply)
+	return nil
+}
+
+// PromptCommand reads lines and sends each.
+type PromptCommand struct {
+	OperatorFlags
+}
+
+// Lines that end the prompt.
+const (
+	lineQuit = "quit"
+	lineExit = "exit"
+)
+
+// Run implements the command. The history is kept for the session only.
+func (c *PromptCommand) Run(session *Session) error {
+	server, err := c.connect(session)
+	if err != nil {
+		return err
+	}
+	reader, err := readline.NewEx(&readline.Config{
+		Prompt: server.Operator + "> ",
+		Stdin:  session.In,
+		Stdout: session.Out,
+		Stderr: session.Err,
+	})
+	if err != nil {
+		return fmt.Errorf("prompt: %w", err)
+	}
+	defer func() { _ = reader.Close() }()
+	for {
+		line, err := reader.Readline()
+		if errors.Is(err, io.EOF) || errors.Is(err, readline.ErrInterrupt) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("prompt: %w", err)
+		}
+		line = strings.TrimSpace(line)
+		if line == lineQuit || line == lineExit {
+			return nil
+		}
+		session.answerLine(server, line)
+	}
+}
+
+// answerLine sends one prompt line; the code of the last line remains.
+func (s *Session) answerLine(server *Server, line string) {
+	if line == "" {
+		return
+	}
+	reply, err := server.Run(s.Context, line)
+	if err != nil {
+		s.Code = ExitUnknown
+		_, _ = fmt.Fprintln(s.Err, unanswered(err))
+		return
+	}
+	s.show(reply)
+}
+
+// unanswered says that the outcome is unknown, unless nothing was sent.
+func unanswered(err error) error {
+	if errors.Is(err, ErrNoServer) {
+		return err
+	}
+	return fmt.Errorf("unknown: %w", err)
+}
--- /dev/null
+++ b/pkg/client/client.go
@@ -0,0 +1,237 @@
+// Package client is a caller of lilacweir: it learns which entry instances to
+// use, sends chat requests and calls of plain services, and tells for each what
+// became of it.
+//
+// Guarantee: NotRun is reported only when the gateway said so, or when no
+// connection was made.
+package client
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Headers between callers and gateways.
+const (
+	HeaderOutcome        = "X-Lilacweir-Outcome"
+	HeaderDomain         = "X-Lilacweir-Domain"
+	HeaderUpstream       = "X-Lilacweir-Upstream"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderDeadline       = "X-Lilacweir-Deadline"
+	HeaderPriority       = "X-Lilacweir-Priority"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// maxAnswer bounds how much of a plain answer is read, in bytes.
+const maxAnswer = 64 << 20
+
+// keyRandomBytes is the random part of an idempotency key.
+const keyRandomBytes = 12
+
+// Client sends requests as one caller. It is safe for concurrent use.
+type Client struct {
+	// Key is the caller's secret key.
+	Key string
+	// HTTP carries the requests; it should have no overall timeout.
+	HTTP *http.Client
+}
+
+// New returns a client with its own connections, dialing with dial; nil dials plainly.
+func New(key string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, DisableCompression: true}
+	return &Client{Key: key, HTTP: &http.Client{Transport: transport}}
+}
+
+// Options are the headers that a caller may set. Zero values are not sent.
+type Options struct {
+	RequestID      string
+	Deadline       time.Duration
+	IdempotencyKey string
+	Priority       string
+}
+
+// Answer says what became of one request.
+type Answer struct {
+	// Outcome is what the caller may rely on.
+	Outcome outcome.Outcome
+	// Status is the HTTP status; zero when there was no answer.
+	Status int
+	// Refusal holds the gateway's typed error, if it gave one.
+	Refusal RefusalBody
+	// RequestID, Domain and Upstream are as the gateway said.
+	RequestID, Domain, Upstream string
+	// Body is the plain answer, or a stream's whole text.
+	Body []byte
+	// Chunks counts a stream's chunks.
+	Chunks int
+	// Err is what went wrong on the way, if anything did.
+	Err error
+}
+
+// RefusalBody is the error that a gateway sends as JSON.
+type RefusalBody struct {
+	Type         outcome.Reason  `json:"type"`
+	Outcome      outcome.Outcome `json:"outcome"`
+	Message      string          `json:"message"`
+	RequestID    string          `json:"request_id"`
+	RetryAfterMS int64           `json:"retry_after_ms"`
+}
+
+// RetryAfter returns when to come back; zero when the gateway did not say.
+func (r RefusalBody) RetryAfter() time.Duration {
+	return time.Duration(r.RetryAfterMS) * time.Millisecond
+}
+
+type refusalEnvelope struct {
+	Error RefusalBody `json:"error"`
+}
+
+// Instance is one entry instance that a caller may use.
+type Instance struct {
+	Instance string `json:"instance"`
+	Domain   string `json:"domain"`
+	Region   string `json:"region"`
+	Address  string `json:"address"`
+}
+
+// Instances is the answer to which entry instances a caller may use.
+type Instances struct {
+	// Instances lists the own failure domain's first.
+	Instances []Instance `json:"instances"`
+	// ValidMS is how long the answer holds, in milliseconds.
+	ValidMS int64 `json:"valid_ms"`
+	// KeyPrefix begins an idempotency key; see NewKey.
+	KeyPrefix string `json:"key_prefix"`
+}
+
+// NewKey returns a new idempotency key under the prefix that a gateway gave out.
+func (i Instances) NewKey() string {
+	random := make([]byte, keyRandomBytes)
+	_, _ = rand.Read(random)
+	return i.KeyPrefix + "." + hex.EncodeToString(random)
+}
+
+// StatusError is an answer with an unexpected HTTP status.
+type StatusError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body)
+}
+
+// Instances asks a gateway which instances to use.
+func (c *Client) Instances(ctx context.Context, gateway string) (Instances, error) {
+	var list Instances
+	answer := c.Call(ctx, gateway, http.MethodGet, "/v1/instances", nil, Options{})
+	if answer.Err != nil {
+		return list, fmt.Errorf("instances from %s: %w", gateway, answer.Err)
+	}
+	if answer.Status != http.StatusOK {
+		return list, &StatusError{URL: gateway + "/v1/instances", Status: answer.Status, Body: string(answer.Body)}
+	}
+	if err := json.Unmarshal(answer.Body, &list); err != nil {
+		return list, fmt.Errorf("instances from %s: %w", gateway, err)
+	}
+	return list, nil
+}
+
+// Call calls a plain service through a gateway.
+func (c *Client) Call(ctx context.Context, gateway, method, path string, body []byte, options Options) *Answer {
+	response, answer := c.send(ctx, gateway, method, path, body, options)
+	if answer.Err != nil {
+		return answer
+	}
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	answer.Body = read
+	if err != nil {
+		answer.Outcome = outcome.Unknown
+		answer.Err = fmt.Errorf("read answer: %w", err)
+		return answer
+	}
+	answer.judge()
+	return answer
+}
+
+// judge settles the outcome of an answer that was read whole.
+func (a *Answer) judge() {
+	if a.Outcome == "" && a.Status < http.StatusBadRequest {
+		a.Outcome = outcome.Complete
+	}
+	var envelope refusalEnvelope
+	if a.Outcome != outcome.Complete && json.Unmarshal(a.Body, &envelope) == nil {
+		a.Refusal = envelope.Error
+	}
+	if a.Outcome == "" {
+		a.Outcome = a.Refusal.Outcome
+	}
+	if a.Outcome == "" {
+		a.Outcome = outcome.Unknown
+	}
+}
+
+// send sends a request and reads the answer's header.
+func (c *Client) send(ctx context.Context, gateway, method, path string, body []byte, options Options) (*http.Response, *Answer) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(string(body)))
+	if err != nil {
+		return nil, &Answer{Outcome: outcome.NotRun, Err: fmt.Errorf("make request: %w", err)}
+	}
+	c.setHeaders(request, options)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return nil, &Answer{Outcome: outcomeOfSend(err), Err: fmt.Errorf("send to %s: %w", gateway, err)}
+	}
+	header := response.Header
+	return response, &Answer{
+		Outcome:   outcome.Outcome(header.Get(HeaderOutcome)),
+		Status:    response.StatusCode,
+		RequestID: header.Get(HeaderRequestID),
+		Domain:    header.Get(HeaderDomain),
+		Upstream:  header.Get(HeaderUpstream),
+	}
+}
+
+func (c *Client) setHeaders(request *http.Request, options Options) {
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	if request.Method != http.MethodGet {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	if options.RequestID != "" {
+		request.Header.Set(HeaderRequestID, options.RequestID)
+	}
+	if options.Deadline > 0 {
+		request.Header.Set(HeaderDeadline, strconv.FormatInt(options.Deadline.Milliseconds(), 10))
+	}
+	if options.IdempotencyKey != "" {
+		request.Header.Set(HeaderIdempotencyKey, options.IdempotencyKey)
+	}
+	if options.Priority != "" {
+		request.Header.Set(HeaderPriority, options.Priority)
+	}
+}
+
+// outcomeOfSend tells a connection that was never made from a request that may
+// have been sent.
+func outcomeOfSend(err error) outcome.Outcome {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return outcome.NotRun
+	}
+	return outcome.Unknown
+}
--- /dev/null
+++ b/pkg/settings/operator.go
@@ -0,0 +1,13 @@
+package settings
+
+// Client is the settings file of the operators' command line.
+type Client struct {
+	// Servers lists operators' addresses of agents; the first that answers is used.
+	Servers []string `yaml:"servers" validate:"required,min=1,dive,hostport"`
+	// Gateways lists callers' addresses, for the commands ask and call.
+	Gateways []string `yaml:"gateways,omitempty" validate:"dive,hostport"`
+	// Operator is the operator's name.
+	Operator string `yaml:"operator" validate:"required,name"`
+	// KeyFile holds the operator's key; empty means the environment holds it.
+	KeyFile string `yaml:"key_file,omitempty"`
+}
