--- /dev/null
+++ b/pkg/control/server.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+)
+
+// Bounds of what another process may send to a Server.
+const (
+	// MaxMessage bounds one request in bytes: a head of a megabyte, uncompressed,
+	// with room to spare.
+	MaxMessage = 16 << 20
+	// handshakeTimeout bounds a TLS handshake.
+	handshakeTimeout = 2 * time.Second
+	// maxConnections bounds open connections; a node of the largest deployment
+	// that is planned for has fewer than a hundred control peers.
+	maxConnections = 1024
+)
+
+// ErrMessageTooLarge: a peer sent a request above MaxMessage.
+var ErrMessageTooLarge = errors.New("control message too large")
+
+// Server serves net/rpc to lilacweir processes: requests are bounded in size,
+// connections in number, and Close ends them all.
+type Server struct {
+	listener net.Listener
+	rpc      *rpc.Server
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+}
+
+// NewServer listens on the address. Register services before calling Serve.
+func NewServer(network *Network, address string) (*Server, error) {
+	listener, err := network.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("control: %w", err)
+	}
+	return &Server{listener: listener, rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Register offers a service's methods under the name.
+func (s *Server) Register(name string, service any) error {
+	if err := s.rpc.RegisterName(name, service); err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	return nil
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || !s.add(conn) {
+			continue
+		}
+		go s.serve(conn)
+	}
+}
+
+// Close stops listening and ends every connection.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	if err := s.listener.Close(); err != nil {
+		return fmt.Errorf("control: %w", err)
+	}
+	return nil
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+	_ = conn.Close()
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer s.remove(conn)
+	if secured, ok := conn.(*tls.Conn); ok {
+		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+		err := secured.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			return
+		}
+	}
+	s.rpc.ServeCodec(newServerCodec(conn))
+}
+
+// serverCodec is net/rpc's gob framing with a bound on each request.
+type serverCodec struct {
+	conn    io.Closer
+	allowed *boundedReader
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	buffer  *bufio.Writer
+}
+
+func newServerCodec(conn io.ReadWriteCloser) *serverCodec {
+	allowed := &boundedReader{reader: bufio.NewReader(conn)}
+	buffer := bufio.NewWriter(conn)
+	return &serverCodec{
+		conn:    conn,
+		allowed: allowed,
+		decoder: gob.NewDecoder(allowed),
+		encoder: gob.NewEncoder(buffer),
+		buffer:  buffer,
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(request *rpc.Request) error {
+	c.allowed.left = MaxMessage
+	return c.decoder.Decode(request)
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error { return c.decoder.Decode(body) }
+
+// WriteResponse implements rpc.ServerCodec. A response that cannot be encoded
+// ends the connection, so that the caller does not wait for it.
+func (c *serverCodec) WriteResponse(response *rpc.Response, body any) error {
+	err := c.encoder.Encode(response)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err == nil {
+		err = c.buffer.Flush()
+	}
+	if err != nil {
+		return errors.Join(err, c.conn.Close())
+	}
+	return nil
+}
+
+// Close implements rpc.ServerCodec.
+func (c *serverCodec) Close() error { return c.conn.Close() }
+
+// boundedReader fails once more than left bytes are read. It implements
+// io.ByteReader so that gob does not buffer past a message.
+type boundedReader struct {
+	reader *bufio.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, ErrMessageTooLarge
+	}
+	if len(p) > r.left {
+		p = p[:r.left]
+	}
+	n, err := r.reader.Read(p)
+	r.left -= n
+	return n, err
+}
+
+// ReadByte implements io.ByteReader.
+func (r *boundedReader) ReadByte() (byte, error) {
+	if r.left <= 0 {
+		return 0, ErrMessageTooLarge
+	}
+	r.left--
+	return r.reader.ReadByte()
+}
