--- a/internal/ci/verdict.go
+++ b/internal/ci/verdict.go
@@ -105,6 +105,6 @@
 	}
 	green := len(v.red) == 0
 	word := map[bool]string{true: "GREEN", false: "RED"}[green]
-	_, _ = fmt.Fprintf(out, "%s: %d tests passed, %d failed, %d findings\n", word, v.passed, v.failed, len(v.red))
+	_, _ = fmt.Fprintf(out, "%d findings\n%s: %d passed, %d failed\n", len(v.red), word, v.passed, v.failed)
 	return green
 }
--- a/internal/ci/verdict_test.go
+++ b/internal/ci/verdict_test.go
@@ -25,7 +25,7 @@
 		green               bool
 		says                string
 	}{
-		{"all pass", "", "", true, "GREEN: 1 tests passed"},
+		{"all pass", "", "", true, "GREEN: 1 passed, 0 failed\n"},
 		{"failure", failingSub, "", false, "RED failed: p:TestB/one\nexpected 1"},
 		{"known failure", failingSub, "p:TestB/one | a cause | issue 5", true, "passed over: p:TestB/one: a cause (issue 5)"},
 		{"other failure beside a known one", failingSub, "p:TestA | a cause | issue 5", false, "RED failed: p:TestB/one"},
