Add idempotency-key claims: keys, owner, copies, handover, coordinator

A key that the system gave out names the gateway incarnation that issued it, and that incarnation alone decides it, from records in memory. A repeat is refused at once while the first run goes on, and answered from the record after it. Without the decider the answer is a copy's, or unknown.

What is copied is the end of an attempt.

--- /dev/null
+++ b/pkg/claim/begin.go
@@ -0,0 +1,180 @@
+package claim
+
+import (
+	"context"
+	"sync"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// begin finds the decider of a key and returns its decision, and who that was
+// (nil: this gateway). Without a decider it answers from a copy, else unknown.
+func (c *Coordinator) begin(ctx context.Context, key Key, claim Claim) (Decision, *Decider) {
+	decision := c.decide(key, claim)
+	if decision.Verdict != VerdictNotMine {
+		return decision, nil
+	}
+	search := &search{coordinator: c, key: key, claim: claim, asked: make(map[string]bool)}
+	search.keep(c.copies.Get(claim))
+	if key.Domain == c.options.Self.Domain {
+		search.inDomain(ctx, decision.Successor)
+	} else {
+		search.elsewhere(ctx)
+	}
+	if search.decided == nil {
+		c.withdraw(ctx, key, claim)
+	}
+	return search.answer()
+}
+
+// decide is the own decision. Where the record still says running, a copy of the
+// end may have come here while the decider could not be reached.
+func (c *Coordinator) decide(key Key, claim Claim) Decision {
+	decision := c.owner.Begin(key, claim)
+	if decision.Verdict != VerdictRefused || decision.Refusal.Reason != outcome.ReasonKeyInProgress {
+		return decision
+	}
+	if held := c.copies.Get(claim); held != nil {
+		return held.answer(claim)
+	}
+	return decision
+}
+
+// withdraw ends an attempt wherever its Begin may have been granted without the
+// answer coming back, so that the key is free for the next. Only the attempt's
+// holder may do so, and it must not begin that attempt again.
+func (c *Coordinator) withdraw(ctx context.Context, key Key, claim Claim) {
+	ctx = context.WithoutCancel(ctx)
+	c.options.Background(func() { c.finish(ctx, key, claim, notRun, nil) })
+}
+
+// search is the asking of other gateways about one claim.
+type search struct {
+	coordinator *Coordinator
+	key         Key
+	claim       Claim
+	asked       map[string]bool
+
+	mu      sync.Mutex
+	copy    *Record
+	decided *Decision
+	decider *Decider
+	// mayReturn says that the decider, or one who may know it, is still listed.
+	mayReturn bool
+}
+
+// inDomain asks the gateways of the own domain: the likely ones one after
+// another, then all others at once.
+func (s *search) inDomain(ctx context.Context, successor *Decider) {
+	first, others := s.coordinator.here(s.key)
+	if successor != nil {
+		first = append([]Decider{*successor}, first...)
+	}
+	s.mayReturn = len(first) > 0
+	for _, decider := range first {
+		if s.follow(ctx, decider) {
+			return
+		}
+	}
+	s.askAll(ctx, others)
+}
+
+// follow asks a decider, and then the successors that it and they name.
+func (s *search) follow(ctx context.Context, decider Decider) bool {
+	next := &decider
+	for next != nil && !s.asked[next.Control] {
+		next = s.ask(ctx, *next, false)
+		if s.decided != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *search) askAll(ctx context.Context, deciders []Decider) {
+	var group sync.WaitGroup
+	for _, decider := range deciders {
+		if s.asked[decider.Control] {
+			continue
+		}
+		s.asked[decider.Control] = true
+		group.Go(func() { s.call(ctx, decider, false) })
+	}
+	group.Wait()
+}
+
+// elsewhere asks entry instances of the key's own domain, which ask theirs.
+func (s *search) elsewhere(ctx context.Context) {
+	s.mayReturn = true
+	for _, relay := range s.coordinator.relays(s.key) {
+		s.ask(ctx, relay, true)
+		if s.decided != nil {
+			return
+		}
+	}
+}
+
+func (s *search) ask(ctx context.Context, decider Decider, relay bool) *Decider {
+	s.asked[decider.Control] = true
+	return s.call(ctx, decider, relay)
+}
+
+// call asks one gateway, and returns the successor that it names.
+func (s *search) call(ctx context.Context, decider Decider, relay bool) *Decider {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(relay))
+	defer cancel()
+	var reply BeginReply
+	args := BeginArgs{Claim: s.claim, Relay: relay}
+	if err := s.coordinator.options.Peers.Call(ctx, decider.Control, MethodBegin, args, &reply); err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keepLocked(reply.Copy)
+	if reply.Decision.Verdict == VerdictNotMine {
+		return reply.Decision.Successor
+	}
+	if s.decided == nil {
+		s.decided, s.decider = &reply.Decision, &decider
+	}
+	return nil
+}
+
+func (s *search) keep(copy *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keepLocked(copy)
+}
+
+// keepLocked prefers a complete copy to any other.
+func (s *search) keepLocked(copy *Record) {
+	if copy != nil && (s.copy == nil || copy.State == StateComplete) {
+		s.copy = copy
+	}
+}
+
+// answer is the decision after all were asked. Only a decider grants; without
+// one the best answer is a copy, then unknown.
+func (s *search) answer() (Decision, *Decider) {
+	switch {
+	case s.decided != nil:
+		return *s.decided, s.decider
+	case s.copy != nil:
+		return s.copy.answer(s.claim), nil
+	case s.mayReturn:
+		return Decision{Verdict: VerdictRefused, Refusal: doubtOwnerLost(RetryOwnerLost)}, nil
+	default:
+		return Decision{Verdict: VerdictRefused, Refusal: doubtOwnerLost(0)}, nil
+	}
+}
+
+// answer is what a copy says about a claim. It never grants.
+func (r *Record) answer(claim Claim) Decision {
+	if r.Fingerprint != claim.Fingerprint {
+		return Decision{Verdict: VerdictRefused, Refusal: doubtReused()}
+	}
+	if r.State == StateComplete {
+		return Decision{Verdict: VerdictRecorded, Recorded: r.recorded()}
+	}
+	return Decision{Verdict: VerdictRefused, Refusal: doubtUnresolved()}
+}
--- /dev/null
+++ b/pkg/claim/coordinator.go
@@ -0,0 +1,147 @@
+package claim
+
+import (
+	"context"
+	"encoding/hex"
+	"io"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Default bounds in time.
+const (
+	// DefaultCallTimeout bounds one call to a gateway of the own domain.
+	DefaultCallTimeout = 500 * time.Millisecond
+	// DefaultRelayTimeout bounds one call to a gateway of another domain, which
+	// may have to ask its own.
+	DefaultRelayTimeout = 1500 * time.Millisecond
+	// DefaultTransferTimeout bounds one try to hand over to a successor.
+	DefaultTransferTimeout = 2 * time.Second
+)
+
+// Peers calls methods of other gateways; control.Clients is one. An error
+// leaves open whether the call took effect.
+type Peers interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Options is what a Coordinator works with.
+type Options struct {
+	// Self is this gateway's incarnation.
+	Self Origin
+	// Clock carries a monotonic reading (see clock.Clock).
+	Clock clock.Clock
+	// Random names attempts and transfers; crypto/rand.Reader outside of tests.
+	Random io.Reader
+	// Peers reaches other gateways.
+	Peers Peers
+	// Members and Domains return the present snapshots; nil while there is none.
+	Members func() *board.Members
+	Domains func() *board.Domains
+	// KeyValue holds the claims of opaque keys.
+	KeyValue platform.KeyValue
+	// TTL is how long a key may be used, asked at each decision.
+	TTL func() time.Duration
+	// Limits bounds the memory.
+	Limits Limits
+	// Background runs work that no caller waits for; nil means a goroutine.
+	Background func(func())
+}
+
+// Coordinator is what the gateway asks: it finds the decider of a key, here or
+// elsewhere. It is safe for concurrent use.
+type Coordinator struct {
+	options Options
+	owner   *Owner
+	copies  *Copies
+	store   *Store
+}
+
+// New returns the coordinator of a fresh incarnation.
+func New(options Options) *Coordinator {
+	if options.Background == nil {
+		options.Background = func(work func()) { go work() }
+	}
+	return &Coordinator{
+		options: options,
+		owner:   NewOwner(options.Self, options.Clock, options.TTL, options.Limits),
+		copies:  NewCopies(options.Clock, options.TTL, 0),
+		store:   NewStore(options.KeyValue, options.Clock, DefaultRetention),
+	}
+}
+
+// Prefix returns the key prefix for callers; ok is false once this gateway has
+// stopped deciding.
+func (c *Coordinator) Prefix() (prefix string, ok bool) { return c.owner.Prefix() }
+
+// Successor names the instance that this gateway's keys were handed to; empty
+// when they were not.
+func (c *Coordinator) Successor() string {
+	if successor, _ := c.owner.Stopped(); successor != nil {
+		return successor.Instance
+	}
+	return ""
+}
+
+// Records counts the records that this gateway decides on.
+func (c *Coordinator) Records() int { return c.owner.Records() }
+
+// Begin asks for the right to run a request. Exactly one of the results is set:
+// a grant, the recorded answer of the earlier run, or a refusal. It never waits
+// for a running request.
+//
+// Call it before any check that can refuse a request as not-run for a passing
+// cause (queues, limits): a repeat of a request that ran must not be told so.
+// An empty Attempt is filled in.
+func (c *Coordinator) Begin(ctx context.Context, claim Claim) (*Grant, *Recorded, *outcome.Refusal) {
+	if claim.Attempt == "" {
+		claim.Attempt = c.newID()
+	}
+	if len(claim.Key) > MaxKeyLength {
+		return nil, nil, refuseInvalid(errKeyLength)
+	}
+	if IsOpaque(claim.Key) {
+		return c.beginOpaque(ctx, claim)
+	}
+	key, err := ParseKey(claim.Key)
+	if err != nil {
+		return nil, nil, refuseInvalid(err)
+	}
+	decision, decider := c.begin(ctx, key, claim)
+	switch decision.Verdict {
+	case VerdictGranted:
+		return &Grant{end: func(ctx context.Context, result Result) {
+			c.finish(ctx, key, claim, result, decider)
+		}}, nil, nil
+	case VerdictRecorded:
+		return nil, decision.Recorded, nil
+	default:
+		return nil, nil, decision.Refusal
+	}
+}
+
+func (c *Coordinator) beginOpaque(ctx context.Context, claim Claim) (*Grant, *Recorded, *outcome.Refusal) {
+	ticket, recorded, refusal := c.store.Begin(ctx, claim)
+	if ticket == nil {
+		return nil, recorded, refusal
+	}
+	return &Grant{end: func(ctx context.Context, result Result) { c.store.Finish(ctx, ticket, result) }}, nil, nil
+}
+
+// idBytes makes IDs of 128 random bits.
+const idBytes = 16
+
+func (c *Coordinator) newID() string {
+	var id [idBytes]byte
+	if _, err := io.ReadFull(c.options.Random, id[:]); err != nil {
+		panic(err) // crypto/rand never fails; a test's source must not either.
+	}
+	return hex.EncodeToString(id[:])
+}
+
+// errKeyLength refuses keys before any work is done on them.
+var errKeyLength = &KeyError{Field: FieldWhole, Offset: MaxKeyLength, Expected: "at most 255 bytes"}
--- /dev/null
+++ b/pkg/claim/copies.go
@@ -0,0 +1,86 @@
+package claim
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// DefaultMaxCopies bounds the copies that one gateway keeps for others.
+const DefaultMaxCopies = 50_000
+
+// copyLifetimes is how many key lifetimes a copy is kept.
+const copyLifetimes = 2
+
+// Copies holds ended attempts that other gateways decided. A copy lets a repeat
+// be answered when the decider is gone; that there is none means nothing.
+// Oldest copies go first when there are too many. It is safe for concurrent use.
+type Copies struct {
+	clock clock.Clock
+	ttl   func() time.Duration
+	max   int
+
+	mu     sync.Mutex
+	byKey  map[identity]*list.Element
+	oldest *list.List
+}
+
+type heldCopy struct {
+	record Record
+	until  time.Time
+}
+
+// NewCopies returns an empty set; max zero means DefaultMaxCopies.
+func NewCopies(now clock.Clock, ttl func() time.Duration, max int) *Copies {
+	if max == 0 {
+		max = DefaultMaxCopies
+	}
+	return &Copies{clock: now, ttl: ttl, max: max, byKey: make(map[identity]*list.Element), oldest: list.New()}
+}
+
+// Put keeps how an attempt ended. A complete one is never replaced.
+func (c *Copies) Put(claim Claim, result Result) {
+	record := Record{Claim: claim}
+	record.finish(result)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if held := c.byKey[claim.identity()]; held != nil {
+		if held.Value.(*heldCopy).record.State == StateComplete {
+			return
+		}
+		c.remove(held)
+	}
+	until := c.clock.Now().Add(copyLifetimes * c.ttl())
+	c.byKey[claim.identity()] = c.oldest.PushBack(&heldCopy{record: record, until: until})
+	c.trim()
+}
+
+// Get returns the copy of a key, or nil.
+func (c *Copies) Get(claim Claim) *Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.trim()
+	held := c.byKey[claim.identity()]
+	if held == nil {
+		return nil
+	}
+	record := held.Value.(*heldCopy).record
+	return &record
+}
+
+func (c *Copies) trim() {
+	now := c.clock.Now()
+	for first := c.oldest.Front(); first != nil; first = c.oldest.Front() {
+		if c.oldest.Len() <= c.max && now.Before(first.Value.(*heldCopy).until) {
+			return
+		}
+		c.remove(first)
+	}
+}
+
+func (c *Copies) remove(held *list.Element) {
+	delete(c.byKey, held.Value.(*heldCopy).record.identity())
+	c.oldest.Remove(held)
+}
--- /dev/null
+++ b/pkg/claim/finish.go
@@ -0,0 +1,127 @@
+package claim
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+var notRun = Result{Outcome: outcome.NotRun}
+
+func timeoutOf(relay bool) time.Duration {
+	if relay {
+		return DefaultRelayTimeout
+	}
+	return DefaultCallTimeout
+}
+
+// finish tells how an attempt ended to the decider that granted it (nil: this
+// gateway, or not known), or else to all that may decide or answer for it.
+func (c *Coordinator) finish(ctx context.Context, key Key, claim Claim, result Result, granted *Decider) {
+	if decided, _ := c.record(key, claim, result); decided {
+		return
+	}
+	abroad := key.Domain != c.options.Self.Domain
+	if granted != nil && c.tell(ctx, *granted, claim, result, abroad) {
+		return
+	}
+	if abroad {
+		c.tellRelays(ctx, key, claim, result)
+		return
+	}
+	c.tellDomain(ctx, key, claim, result)
+}
+
+// record takes in how an attempt ended: as the decider, then with a copy to a
+// peer, or as a copy.
+func (c *Coordinator) record(key Key, claim Claim, result Result) (decided bool, successor *Decider) {
+	result, _ = bounded(result, MaxStoredBody)
+	decision := c.owner.Finish(key, claim, result)
+	if decision.Verdict == VerdictNotMine {
+		c.keepCopy(claim, result)
+		return false, decision.Successor
+	}
+	if result.Outcome != outcome.NotRun {
+		c.options.Background(func() { c.replicate(key, claim, result) })
+	}
+	return true, nil
+}
+
+func (c *Coordinator) keepCopy(claim Claim, result Result) {
+	if result.Outcome != outcome.NotRun {
+		c.copies.Put(claim, result)
+	}
+}
+
+// tell asks one gateway, and the successors that are named, to record how an
+// attempt ended; false when no decider is known to have done so.
+func (c *Coordinator) tell(ctx context.Context, decider Decider, claim Claim, result Result, relay bool) bool {
+	asked := make(map[string]bool)
+	for next := &decider; next != nil && !asked[next.Control]; {
+		asked[next.Control] = true
+		reply, err := c.callFinish(ctx, *next, claim, result, relay)
+		if err != nil {
+			return false
+		}
+		if reply.Decided {
+			return true
+		}
+		next = reply.Successor
+	}
+	return false
+}
+
+func (c *Coordinator) callFinish(ctx context.Context, decider Decider, claim Claim, result Result, relay bool) (FinishReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(relay))
+	defer cancel()
+	var reply FinishReply
+	args := FinishArgs{Claim: claim, Result: result, Relay: relay}
+	err := c.options.Peers.Call(ctx, decider.Control, MethodFinish, args, &reply)
+	return reply, err
+}
+
+// tellDomain tells every gateway of the own domain at once: a decider records
+// it, all others keep a copy.
+func (c *Coordinator) tellDomain(ctx context.Context, key Key, claim Claim, result Result) bool {
+	first, others := c.here(key)
+	results := make([]bool, len(first)+len(others))
+	var group sync.WaitGroup
+	for i, decider := range append(first, others...) {
+		group.Go(func() { results[i] = c.tell(ctx, decider, claim, result, false) })
+	}
+	group.Wait()
+	return slices.Contains(results, true)
+}
+
+func (c *Coordinator) tellRelays(ctx context.Context, key Key, claim Claim, result Result) {
+	for _, relay := range c.relays(key) {
+		if c.tell(ctx, relay, claim, result, true) {
+			return
+		}
+	}
+}
+
+// replicate copies an ended attempt to one peer of the domain, chosen by
+// rendezvous hashing, to answer repeats should this gateway be lost.
+func (c *Coordinator) replicate(key Key, claim Claim, result Result) {
+	_, others := c.here(key)
+	if len(others) == 0 {
+		return
+	}
+	peer := rank(claim.Key, others)[0]
+	_, _ = c.callFinish(context.Background(), peer, claim, result, false)
+}
+
+// rank orders deciders by rendezvous hash for a text, first choice first.
+func rank(text string, deciders []Decider) []Decider {
+	ranked := slices.Clone(deciders)
+	weight := func(d Decider) uint64 { return xxhash.Sum64String(text + "/" + d.Instance) }
+	slices.SortFunc(ranked, func(a, b Decider) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked
+}
--- /dev/null
+++ b/pkg/claim/messages.go
@@ -0,0 +1,41 @@
+package claim
+
+// ServiceName is the net/rpc name under which a gateway serves claims.
+const ServiceName = "Claim"
+
+// The methods of the service.
+const (
+	MethodBegin  = ServiceName + ".Begin"
+	MethodFinish = ServiceName + ".Finish"
+	MethodAdopt  = ServiceName + ".Adopt"
+)
+
+// BeginArgs asks a gateway to decide a claim.
+type BeginArgs struct {
+	Claim Claim
+	// Relay asks an instance that does not decide the key to ask its own failure
+	// domain. It is never set from one instance to another of the same domain.
+	Relay bool
+}
+
+// BeginReply is the answer, and the copy that the asked instance holds when it
+// does not decide the key.
+type BeginReply struct {
+	Decision Decision
+	Copy     *Record
+}
+
+// FinishArgs tells a gateway how an attempt ended. One that decides the key
+// records it; any other keeps a copy.
+type FinishArgs struct {
+	Claim  Claim
+	Result Result
+	// Relay is as in BeginArgs.
+	Relay bool
+}
+
+// FinishReply says whether a decider of the key has recorded it.
+type FinishReply struct {
+	Decided   bool
+	Successor *Decider
+}
--- /dev/null
+++ b/pkg/claim/refusal.go
@@ -0,0 +1,65 @@
+package claim
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// RetryInProgress is when a repeat of a running request should come back.
+const RetryInProgress = 2 * time.Second
+
+// RetryOwnerLost is when to ask again about a key whose decider did not answer.
+const RetryOwnerLost = 5 * time.Second
+
+// RetryFull is when to come back after the table of records was full.
+const RetryFull = 30 * time.Second
+
+func refuseInvalid(err error) *outcome.Refusal {
+	refusal := outcome.Refuse(http.StatusBadRequest, outcome.ReasonKeyInvalid, 0, err.Error())
+	refusal.Err = err
+	return refusal
+}
+
+// refuseFuture is true as not-run: the decider's clock never steps back, so it
+// cannot have granted the key before.
+func refuseFuture() *outcome.Refusal {
+	return outcome.Refuse(http.StatusBadRequest, outcome.ReasonKeyInvalid, 0,
+		"The idempotency key's time is later than the clock of the instance that it names.")
+}
+
+func refuseFull() *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, RetryFull,
+		"The instance that decides this key can keep no more keys for now.")
+}
+
+func doubtExpired() *outcome.Refusal {
+	return outcome.Doubt(http.StatusGone, outcome.ReasonKeyExpired, 0,
+		"The idempotency key is too old: whether its request ran is no longer kept.")
+}
+
+func doubtReused() *outcome.Refusal {
+	return outcome.Doubt(http.StatusUnprocessableEntity, outcome.ReasonKeyReused, 0,
+		"The idempotency key was used before with another request, which may have run.")
+}
+
+func doubtInProgress() *outcome.Refusal {
+	return outcome.Doubt(http.StatusConflict, outcome.ReasonKeyInProgress, RetryInProgress,
+		"A request with this idempotency key is running.")
+}
+
+func doubtUnresolved() *outcome.Refusal {
+	return outcome.Doubt(http.StatusConflict, outcome.ReasonKeyUnresolved, 0,
+		"A request with this idempotency key started, and how it ended is not known.")
+}
+
+func doubtOwnerLost(retryAfter time.Duration) *outcome.Refusal {
+	return outcome.Doubt(http.StatusServiceUnavailable, outcome.ReasonKeyOwnerLost, retryAfter,
+		"The instance that decides this idempotency key does not answer: the request may have run before.")
+}
+
+func doubtStoreDown() *outcome.Refusal {
+	return outcome.Doubt(http.StatusServiceUnavailable, outcome.ReasonKeyStoreDown, RetryOwnerLost,
+		"Idempotency keys not given out by the system need the key-value service, which does not answer.")
+}
--- /dev/null
+++ b/pkg/claim/routing.go
@@ -0,0 +1,94 @@
+package claim
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// maxRelays is how many entry instances of another domain are asked about a key.
+const maxRelays = 2
+
+// here lists the gateways of the own domain to ask about a key, likeliest first:
+// the successor that its owner named, the owner, then all others, since one of
+// them may have adopted the key's origin.
+func (c *Coordinator) here(key Key) (first, others []Decider) {
+	members := c.options.Members()
+	if members == nil {
+		return nil, nil
+	}
+	successor := successorOf(members, key.Origin)
+	for i := range members.Instances {
+		instance := &members.Instances[i]
+		if !c.askable(instance) {
+			continue
+		}
+		decider := deciderOf(instance)
+		switch {
+		case instance.Name == successor:
+			first = append([]Decider{decider}, first...)
+		case decider.Origin == key.Origin:
+			first = append(first, decider)
+		default:
+			others = append(others, decider)
+		}
+	}
+	return first, others
+}
+
+// askable leaves out this instance, those without a gateway, and those that have
+// left. A silent one is asked all the same: silence is only a suspicion.
+func (c *Coordinator) askable(instance *board.Instance) bool {
+	if instance.Name == c.options.Self.Instance || instance.Addresses.Control == "" {
+		return false
+	}
+	return instance.State != board.InstanceLeft && instance.Incarnation != 0
+}
+
+// successorOf returns the instance to which an origin's gateway handed its keys,
+// as far as the membership tells.
+func successorOf(members *board.Members, origin Origin) string {
+	for i := range members.Instances {
+		instance := &members.Instances[i]
+		if instance.Name == origin.Instance && instance.Incarnation == origin.Incarnation {
+			return instance.Load.Successor
+		}
+	}
+	return ""
+}
+
+// relays lists the gateways of another domain that can ask about a key there,
+// the owner first.
+func (c *Coordinator) relays(key Key) []Decider {
+	domains := c.options.Domains()
+	if domains == nil {
+		return nil
+	}
+	for i := range domains.Remote {
+		if domains.Remote[i].Domain == key.Domain {
+			return relaysAmong(domains.Remote[i].Entries, key)
+		}
+	}
+	return nil
+}
+
+func relaysAmong(entries []board.Instance, key Key) []Decider {
+	var relays []Decider
+	for i := range entries {
+		if entries[i].Addresses.Control == "" {
+			continue
+		}
+		decider := deciderOf(&entries[i])
+		if decider.Instance == key.Instance && len(relays) > 0 {
+			relays = append([]Decider{decider}, relays...)
+			continue
+		}
+		relays = append(relays, decider)
+	}
+	return relays[:min(len(relays), maxRelays)]
+}
+
+func deciderOf(instance *board.Instance) Decider {
+	return Decider{
+		Origin:  Origin{Domain: instance.Domain, Instance: instance.Name, Incarnation: instance.Incarnation},
+		Control: instance.Addresses.Control,
+	}
+}
--- /dev/null
+++ b/pkg/claim/service.go
@@ -0,0 +1,74 @@
+package claim
+
+import (
+	"context"
+)
+
+// Service is what a gateway registers with net/rpc under ServiceName.
+type Service struct {
+	coordinator *Coordinator
+}
+
+// Service returns the receiver of other gateways' calls.
+func (c *Coordinator) Service() *Service { return &Service{coordinator: c} }
+
+// Begin decides a claim if this gateway may, or says what it knows.
+func (s *Service) Begin(args BeginArgs, reply *BeginReply) error {
+	key, err := ParseKey(args.Claim.Key)
+	if err != nil {
+		return err
+	}
+	*reply = s.coordinator.serveBegin(key, args)
+	return nil
+}
+
+// Finish records how an attempt ended, as the decider or as a copy.
+func (s *Service) Finish(args FinishArgs, reply *FinishReply) error {
+	key, err := ParseKey(args.Claim.Key)
+	if err != nil {
+		return err
+	}
+	*reply = s.coordinator.serveFinish(key, args)
+	return nil
+}
+
+// Adopt takes over a leaving gateway's keys.
+func (s *Service) Adopt(args Transfer, reply *TransferReply) error {
+	*reply = s.coordinator.owner.Adopt(&args)
+	return nil
+}
+
+func (c *Coordinator) serveBegin(key Key, args BeginArgs) BeginReply {
+	decision := c.decide(key, args.Claim)
+	if decision.Verdict != VerdictNotMine {
+		return BeginReply{Decision: decision}
+	}
+	held := c.copies.Get(args.Claim)
+	if !args.Relay || key.Domain != c.options.Self.Domain {
+		return BeginReply{Decision: decision, Copy: held}
+	}
+	return c.relayBegin(key, args.Claim, held, decision.Successor)
+}
+
+// relayBegin asks the own domain for a gateway of another. It never withdraws:
+// the attempt's holder may be asking another relay at the same time.
+func (c *Coordinator) relayBegin(key Key, claim Claim, held *Record, successor *Decider) BeginReply {
+	ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
+	defer cancel()
+	search := &search{coordinator: c, key: key, claim: claim, asked: make(map[string]bool), copy: held}
+	search.inDomain(ctx, successor)
+	if search.decided == nil {
+		return BeginReply{Copy: search.copy}
+	}
+	return BeginReply{Decision: *search.decided}
+}
+
+func (c *Coordinator) serveFinish(key Key, args FinishArgs) FinishReply {
+	decided, successor := c.record(key, args.Claim, args.Result)
+	if decided || !args.Relay || key.Domain != c.options.Self.Domain {
+		return FinishReply{Decided: decided, Successor: successor}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
+	defer cancel()
+	return FinishReply{Decided: c.tellDomain(ctx, key, args.Claim, args.Result)}
+}
--- /dev/null
+++ b/pkg/claim/table.go
@@ -0,0 +1,185 @@
+package claim
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// shardCount spreads the records of one origin over as many locks.
+const shardCount = 16
+
+// sweepParts is how many sweeps fall into one lifetime of a key.
+const sweepParts = 16
+
+// table holds the records of one origin, and judges their age by the origin's
+// clock alone.
+type table struct {
+	clock  clock.Clock
+	limits Limits
+	// base and baseMillis tie the local monotonic clock to the origin's clock.
+	base       time.Time
+	baseMillis int64
+	// floor is the latest issue time whose records may have been dropped. Keys
+	// issued then or before are expired for ever, whatever the lifetime becomes.
+	floor  atomic.Int64
+	swept  atomic.Int64
+	count  atomic.Int64
+	bodies atomic.Int64
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu      sync.Mutex
+	records map[identity]*Record
+}
+
+func newTable(now clock.Clock, base time.Time, baseMillis, floor int64, limits Limits) *table {
+	t := &table{clock: now, limits: limits, base: base, baseMillis: baseMillis}
+	t.floor.Store(floor)
+	t.swept.Store(baseMillis)
+	for i := range t.shards {
+		t.shards[i].records = make(map[identity]*Record)
+	}
+	return t
+}
+
+// now is the origin's clock in Unix milliseconds. It never steps back.
+func (t *table) now() int64 {
+	return t.baseMillis + t.clock.Now().Sub(t.base).Milliseconds()
+}
+
+func (t *table) shard(id identity) *shard {
+	return &t.shards[xxhash.Sum64String(id.key)%shardCount]
+}
+
+func (t *table) begin(key Key, claim Claim, ttl time.Duration) Decision {
+	now := t.now()
+	t.sweep(now, ttl)
+	part := t.shard(claim.identity())
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	if record := part.records[claim.identity()]; record != nil && key.Issued > t.floor.Load() {
+		return record.decide(claim, now)
+	}
+	if key.Issued <= max(t.floor.Load(), now-ttl.Milliseconds()) {
+		return Decision{Verdict: VerdictRefused, Refusal: doubtExpired()}
+	}
+	if key.Issued > now {
+		return Decision{Verdict: VerdictRefused, Refusal: refuseFuture()}
+	}
+	if t.count.Load() >= int64(t.limits.MaxRecords) {
+		return Decision{Verdict: VerdictRefused, Refusal: refuseFull()}
+	}
+	t.put(part, &Record{Claim: claim, State: StateGranted, Issued: key.Issued, Granted: now})
+	return Decision{Verdict: VerdictGranted}
+}
+
+// decide answers a claim on a key that has a record.
+func (r *Record) decide(claim Claim, now int64) Decision {
+	if r.State == StateFree && r.Attempt != claim.Attempt {
+		r.Claim, r.State, r.Granted = claim, StateGranted, now
+		return Decision{Verdict: VerdictGranted}
+	}
+	if r.Fingerprint != claim.Fingerprint {
+		return Decision{Verdict: VerdictRefused, Refusal: doubtReused()}
+	}
+	switch r.State {
+	case StateGranted:
+		if r.Attempt == claim.Attempt {
+			return Decision{Verdict: VerdictGranted}
+		}
+		return Decision{Verdict: VerdictRefused, Refusal: doubtInProgress()}
+	case StateComplete:
+		return Decision{Verdict: VerdictRecorded, Recorded: r.recorded()}
+	default:
+		return Decision{Verdict: VerdictRefused, Refusal: doubtUnresolved()}
+	}
+}
+
+func (r *Record) recorded() *Recorded {
+	return &Recorded{Result: r.Result, BodyDropped: r.BodyDropped}
+}
+
+// finish records an attempt's end. For an attempt that was never granted here a
+// free record stays behind, which turns down a delayed Begin of that attempt.
+func (t *table) finish(key Key, claim Claim, result Result) {
+	part := t.shard(claim.identity())
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	record := part.records[claim.identity()]
+	if record == nil {
+		t.tombstone(part, key, claim)
+		return
+	}
+	if record.Attempt != claim.Attempt || record.State != StateGranted {
+		return
+	}
+	record.finish(result)
+	t.account(record)
+}
+
+// tombstone keeps a delayed Begin of an ended attempt from being granted.
+func (t *table) tombstone(part *shard, key Key, claim Claim) {
+	if key.Issued <= t.floor.Load() || t.count.Load() >= int64(t.limits.MaxRecords) {
+		return
+	}
+	t.put(part, &Record{Claim: claim, State: StateFree, Issued: key.Issued, Granted: t.now()})
+}
+
+func (t *table) put(part *shard, record *Record) {
+	part.records[record.identity()] = record
+	t.count.Add(1)
+}
+
+// account counts a record's stored body, or drops it when there is no room.
+func (t *table) account(record *Record) {
+	size := int64(len(record.Result.Body))
+	if t.bodies.Add(size) <= int64(t.limits.MaxBodies) {
+		return
+	}
+	t.bodies.Add(-size)
+	record.Result.Body, record.BodyDropped = nil, true
+}
+
+// sweep drops expired records from time to time. It raises the floor first, so
+// that no key whose record is dropped can be granted again.
+func (t *table) sweep(now int64, ttl time.Duration) {
+	last := t.swept.Load()
+	if now-last < ttl.Milliseconds()/sweepParts || !t.swept.CompareAndSwap(last, now) {
+		return
+	}
+	floor := t.raiseFloor(now - ttl.Milliseconds())
+	for i := range t.shards {
+		t.sweepShard(&t.shards[i], floor)
+	}
+}
+
+func (t *table) raiseFloor(floor int64) int64 {
+	for {
+		present := t.floor.Load()
+		if floor <= present {
+			return present
+		}
+		if t.floor.CompareAndSwap(present, floor) {
+			return floor
+		}
+	}
+}
+
+func (t *table) sweepShard(part *shard, floor int64) {
+	part.mu.Lock()
+	defer part.mu.Unlock()
+	for id, record := range part.records {
+		if record.Issued > floor {
+			continue
+		}
+		delete(part.records, id)
+		t.count.Add(-1)
+		t.bodies.Add(-int64(len(record.Result.Body)))
+	}
+}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -51,6 +51,7 @@
 	ReasonKeyInProgress    Reason = "idempotency-key-in-progress"
 	ReasonKeyReused        Reason = "idempotency-key-reused"
 	ReasonKeyOwnerLost     Reason = "idempotency-key-owner-lost"
+	ReasonKeyUnresolved    Reason = "idempotency-key-unresolved"
 	ReasonKeyStoreDown     Reason = "idempotency-key-store-unavailable"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonInternal         Reason = "internal"
