Add open-loop load with histograms, and a caller that follows the instance list

Due times and requests come from a fixed seed; every time counts from when the request was due, so a slow answer hides no wait of the next. Outcomes add up to what was sent; the share answered in another region is counted.

--- /dev/null
+++ b/pkg/client/follower.go
@@ -0,0 +1,152 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// minValidity bounds how often the instance list is read.
+const minValidity = 100 * time.Millisecond
+
+// listTimeout bounds one question for the instance list.
+const listTimeout = time.Second
+
+// Follower is a caller that keeps to the instance list: it uses the instances
+// of its own failure domain in turn, and goes to the next when one did not run
+// the request because it is leaving, has no configuration or cannot be reached.
+type Follower struct {
+	client *Client
+	seeds  []string
+
+	mu      sync.Mutex
+	list    Instances
+	readAt  time.Time
+	next    int
+	started bool
+}
+
+// NewFollower returns a follower that asks the seeds for the first list.
+func NewFollower(client *Client, seeds []string) *Follower {
+	return &Follower{client: client, seeds: seeds}
+}
+
+// Chat sends a chat request to the instances in order.
+func (f *Follower) Chat(ctx context.Context, chat ChatRequest, options Options, onText func(string)) *Answer {
+	return f.try(ctx, func(gateway string) *Answer {
+		return f.client.Chat(ctx, gateway, chat, options, onText)
+	})
+}
+
+// Call calls a plain service through the instances in order.
+func (f *Follower) Call(ctx context.Context, method, path string, body []byte, options Options) *Answer {
+	return f.try(ctx, func(gateway string) *Answer {
+		return f.client.Call(ctx, gateway, method, path, body, options)
+	})
+}
+
+// NewKey returns a new idempotency key.
+func (f *Follower) NewKey(ctx context.Context) (string, error) {
+	if _, err := f.gateways(ctx); err != nil {
+		return "", err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list.NewKey(), nil
+}
+
+func (f *Follower) try(ctx context.Context, send func(gateway string) *Answer) *Answer {
+	gateways, err := f.gateways(ctx)
+	if err != nil {
+		return &Answer{Outcome: outcome.NotRun, Err: err}
+	}
+	var answer *Answer
+	for _, gateway := range gateways {
+		answer = send(gateway)
+		if !elsewhere(answer) || ctx.Err() != nil {
+			return answer
+		}
+		f.expire()
+	}
+	return answer
+}
+
+// elsewhere tells whether the request was not run for a reason that another
+// instance does not share.
+func elsewhere(answer *Answer) bool {
+	if answer.Outcome != outcome.NotRun {
+		return false
+	}
+	switch answer.Refusal.Type {
+	case "", outcome.ReasonDraining, outcome.ReasonNoConfiguration:
+		return true
+	}
+	return false
+}
+
+// expire makes the next request read the list anew.
+func (f *Follower) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.readAt = time.Time{}
+}
+
+// gateways returns the addresses to try, in order.
+func (f *Follower) gateways(ctx context.Context) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	validity := max(time.Duration(f.list.ValidMS)*time.Millisecond, minValidity)
+	if !f.started || time.Since(f.readAt) > validity {
+		if err := f.refresh(ctx); err != nil {
+			return nil, err
+		}
+	}
+	f.next++
+	return rotate(f.list.Instances, f.next), nil
+}
+
+// refresh asks the known instances, then the seeds, for the list.
+func (f *Follower) refresh(ctx context.Context) error {
+	var failure error
+	for _, gateway := range append(rotate(f.list.Instances, f.next), f.seeds...) {
+		list, err := f.ask(ctx, gateway)
+		if err == nil && len(list.Instances) > 0 {
+			f.list, f.readAt, f.started = list, time.Now(), true
+			return nil
+		}
+		failure = err
+	}
+	if f.started {
+		return nil
+	}
+	return fmt.Errorf("no gateway gave the instance list: %w", failure)
+}
+
+func (f *Follower) ask(ctx context.Context, gateway string) (Instances, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.client.Instances(ctx, gateway)
+}
+
+// rotate takes turns among the first instance's failure domain and puts the
+// other failure domains after it.
+func rotate(list []Instance, turn int) []string {
+	var near, far []string
+	for _, instance := range list {
+		if instance.Domain == list[0].Domain {
+			near = append(near, instance.Address)
+		} else {
+			far = append(far, instance.Address)
+		}
+	}
+	if len(near) == 0 {
+		return nil
+	}
+	first := turn % len(near)
+	ordered := append([]string{}, near[first:]...)
+	ordered = append(ordered, near[:first]...)
+	return append(ordered, far...)
+}
--- /dev/null
+++ b/pkg/client/follower_test.go
@@ -0,0 +1,63 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// gatewayFake answers requests as a gateway that may be leaving.
+type gatewayFake struct {
+	list    Instances
+	leaving bool
+	served  int
+}
+
+func (g *gatewayFake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/instances" {
+		_ = json.NewEncoder(w).Encode(g.list)
+		return
+	}
+	if g.leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":{"type":"instance-leaving","outcome":"not-run"}}`))
+		return
+	}
+	g.served++
+	w.Header().Set(HeaderOutcome, string(outcome.Complete))
+}
+
+func TestFollowerLeavesLeavingInstances(t *testing.T) {
+	is := is.New(t)
+	fakes := []*gatewayFake{{}, {}, {}}
+	var list Instances
+	for index, fake := range fakes {
+		server := httptest.NewServer(fake)
+		defer server.Close()
+		domain := map[bool]string{true: "near", false: "far"}[index < 2]
+		list.Instances = append(list.Instances, Instance{Domain: domain, Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	list.ValidMS = 60_000
+	for _, fake := range fakes {
+		fake.list = list
+	}
+	follower := NewFollower(New("k", nil), []string{list.Instances[0].Address})
+	post := func() outcome.Outcome {
+		return follower.Call(context.Background(), http.MethodPost, "/sleeplog/nights", nil, Options{}).Outcome
+	}
+	for range 4 {
+		is.Equal(post(), outcome.Complete)
+	}
+	is.Equal([]int{fakes[0].served, fakes[1].served, fakes[2].served}, []int{2, 2, 0}) // turns within the domain
+
+	fakes[0].leaving, fakes[1].leaving = true, true
+	is.Equal(post(), outcome.Complete)
+	is.Equal(fakes[2].served, 1) // another domain only when its own has none
+}
--- /dev/null
+++ b/pkg/load/report.go
@@ -0,0 +1,164 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Range and precision of the histograms, in microseconds and digits.
+const (
+	lowest  = 1
+	highest = int64(5 * time.Minute / time.Microsecond)
+	digits  = 3
+)
+
+// Tally is what was measured of one kind of request.
+type Tally struct {
+	Item string
+	// Sent counts requests; the outcomes add up to it.
+	Sent, Complete, NotRun, Unknown int
+	// Away counts the answers that came from another region than the caller's home.
+	Away int
+	// Chunks counts stream chunks.
+	Chunks int
+	// FirstToken, BetweenTokens and Whole are in microseconds. FirstToken and
+	// Whole count from the time at which the request was due.
+	FirstToken, BetweenTokens, Whole *hdrhistogram.Histogram
+}
+
+func newTally(item string) *Tally {
+	return &Tally{Item: item, FirstToken: newHistogram(), BetweenTokens: newHistogram(), Whole: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowest, highest, digits)
+}
+
+// merge adds another tally.
+func (t *Tally) merge(other *Tally) {
+	t.Sent += other.Sent
+	t.Complete += other.Complete
+	t.NotRun += other.NotRun
+	t.Unknown += other.Unknown
+	t.Away += other.Away
+	t.Chunks += other.Chunks
+	t.FirstToken.Merge(other.FirstToken)
+	t.BetweenTokens.Merge(other.BetweenTokens)
+	t.Whole.Merge(other.Whole)
+}
+
+// Ending describes a request that did not end complete.
+type Ending struct {
+	Item, Caller, RequestID string
+	Outcome                 outcome.Outcome
+	Reason                  outcome.Reason
+	Err                     error
+}
+
+// maxEndings bounds how many endings a report keeps.
+const maxEndings = 1000
+
+// Report is what was measured of a run.
+type Report struct {
+	mu sync.Mutex
+	// Items holds a tally for each kind of request, in the mix's order.
+	Items []*Tally
+	// ByCaller holds a tally for each caller, in the mix's order.
+	ByCaller []*Tally
+	// Endings describes the requests that did not end complete, the first 1000.
+	Endings []Ending
+	// Elapsed is how long the run took.
+	Elapsed time.Duration
+}
+
+func newReport(mix *Mix) *Report {
+	report := &Report{}
+	for _, item := range mix.Items {
+		report.Items = append(report.Items, newTally(item.Name))
+	}
+	for _, caller := range mix.Callers {
+		report.ByCaller = append(report.ByCaller, newTally(caller.Name))
+	}
+	return report
+}
+
+// Total adds up the items.
+func (r *Report) Total() *Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	total := newTally("total")
+	for _, tally := range r.Items {
+		total.merge(tally)
+	}
+	return total
+}
+
+// sample is what was measured of one request.
+type sample struct {
+	request request
+	answer  *client.Answer
+	away    bool
+	first   time.Duration
+	gaps    []time.Duration
+	whole   time.Duration
+}
+
+func (r *Report) add(one *sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, tally := range r.Items {
+		if tally.Item == one.request.item.Name {
+			tally.add(one)
+		}
+	}
+	for _, tally := range r.ByCaller {
+		if tally.Item == one.request.caller {
+			tally.add(one)
+		}
+	}
+	if one.answer.Outcome != outcome.Complete && len(r.Endings) < maxEndings {
+		r.Endings = append(r.Endings, endingOf(one))
+	}
+}
+
+func endingOf(one *sample) Ending {
+	return Ending{
+		Item: one.request.item.Name, Caller: one.request.caller, RequestID: one.answer.RequestID,
+		Outcome: one.answer.Outcome, Reason: one.answer.Refusal.Type, Err: one.answer.Err,
+	}
+}
+
+func (t *Tally) add(one *sample) {
+	t.Sent++
+	t.Chunks += one.answer.Chunks
+	if one.away {
+		t.Away++
+	}
+	switch one.answer.Outcome {
+	case outcome.Complete:
+		t.Complete++
+	case outcome.NotRun:
+		t.NotRun++
+		return
+	default:
+		t.Unknown++
+		return
+	}
+	record(t.Whole, one.whole)
+	if one.first > 0 {
+		record(t.FirstToken, one.first)
+	}
+	for _, gap := range one.gaps {
+		record(t.BetweenTokens, gap)
+	}
+}
+
+// record puts a duration into a histogram, held to its range.
+func record(histogram *hdrhistogram.Histogram, value time.Duration) {
+	_ = histogram.RecordValue(min(max(value.Microseconds(), lowest), highest))
+}
--- /dev/null
+++ b/pkg/load/run.go
@@ -0,0 +1,122 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Run is one run of load.
+type Run struct {
+	Mix *Mix
+	// Seeds lists gateways by failure domain, to ask for the instance list.
+	Seeds map[string][]string
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
+	// Seed fixes the arrivals and the requests.
+	Seed uint64
+	// Rate is requests a second, Length how long they keep coming.
+	Rate   float64
+	Length time.Duration
+	// Timeout bounds one request.
+	Timeout time.Duration
+	// Dial connects; nil dials plainly.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	followers map[string]*client.Follower
+	homes     map[string]string
+}
+
+// Send sends the load and waits for every answer. When ctx ends, no further
+// request is sent, and those under way are waited for.
+func (r *Run) Send(ctx context.Context) (*Report, error) {
+	if err := r.Mix.check(); err != nil {
+		return nil, fmt.Errorf("mix: %w", err)
+	}
+	r.prepare()
+	report := newReport(r.Mix)
+	source := newRand(r.Seed + 1)
+	begin := time.Now()
+	var running sync.WaitGroup
+	for _, due := range Arrivals(r.Seed, r.Rate, r.Length) {
+		drawn := r.Mix.draw(source)
+		at := begin.Add(due)
+		if !sleepUntil(ctx, at) {
+			break
+		}
+		running.Go(func() { report.add(r.sendOne(drawn, at)) })
+	}
+	running.Wait()
+	report.Elapsed = time.Since(begin)
+	return report, nil
+}
+
+func (r *Run) prepare() {
+	r.followers = make(map[string]*client.Follower)
+	r.homes = make(map[string]string)
+	for _, caller := range r.Mix.Callers {
+		r.followers[caller.Name] = client.NewFollower(client.New(caller.Key, r.Dial), r.Seeds[caller.Domain])
+		r.homes[caller.Name] = caller.Region
+	}
+}
+
+// sendOne sends one request that was due at a time.
+func (r *Run) sendOne(drawn request, due time.Time) *sample {
+	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
+	defer cancel()
+	one := &sample{request: drawn}
+	follower := r.followers[drawn.caller]
+	if drawn.item.Chat != nil {
+		one.chat(ctx, follower, due)
+	} else {
+		one.call(ctx, follower)
+	}
+	one.whole = time.Since(due)
+	region := r.Regions[one.answer.Domain]
+	one.away = region != "" && region != r.homes[drawn.caller]
+	return one
+}
+
+func (s *sample) chat(ctx context.Context, follower *client.Follower, due time.Time) {
+	last := due
+	s.answer = follower.Chat(ctx, s.request.chat, client.Options{}, func(string) {
+		now := time.Now()
+		if s.first == 0 {
+			s.first = now.Sub(due)
+		} else {
+			s.gaps = append(s.gaps, now.Sub(last))
+		}
+		last = now
+	})
+}
+
+func (s *sample) call(ctx context.Context, follower *client.Follower) {
+	call := s.request.item.Call
+	var options client.Options
+	if call.Key {
+		key, err := follower.NewKey(ctx)
+		if err != nil {
+			s.answer = &client.Answer{Outcome: outcome.NotRun, Err: err}
+			return
+		}
+		options.IdempotencyKey = key
+	}
+	s.answer = follower.Call(ctx, call.Method, call.Path, s.request.body, options)
+}
+
+// sleepUntil waits for a time; false when ctx ended first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
