--- /dev/null
+++ b/pkg/platform/rest/client.go
@@ -0,0 +1,147 @@
+// Package rest adapts the platform's directory, instance list and weight store,
+// which speak small JSON protocols over HTTP:
+//
+//	GET    /v1/entries              → {"entries":[DirectoryEntry…]}
+//	PUT    /v1/entries/INSTANCE     ← {"entry":DirectoryEntry,"ttl_ms":n} → 204
+//	DELETE /v1/entries/INSTANCE     → 204
+//	GET    /v1/instances?domain=D   → {"instances":[ListedInstance…]}
+//	POST   /v1/reservations         ← {"model":m,"version":v} → {"wait_ms":n}
+//
+// The types are those of package platform. A reservation with a wait above zero
+// has reserved nothing. Any other status than these is an error whose body is
+// {"error":"…"}.
+//
+// Guarantee: every call ends by its deadline.
+package rest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Paths of the protocols.
+const (
+	PathEntries      = "/v1/entries"
+	PathInstances    = "/v1/instances"
+	PathReservations = "/v1/reservations"
+)
+
+const (
+	// callTimeout bounds each call.
+	callTimeout = 2 * time.Second
+	// maxAnswer bounds an answer that is read, in bytes.
+	maxAnswer = 4 << 20
+)
+
+// Entries is the directory's answer.
+type Entries struct {
+	Entries []platform.DirectoryEntry `json:"entries"`
+}
+
+// Registration puts or renews an entry of the directory.
+type Registration struct {
+	Entry platform.DirectoryEntry `json:"entry"`
+	// TTLMillis is how long the entry lasts, in milliseconds.
+	TTLMillis int64 `json:"ttl_ms"`
+}
+
+// Instances is the instance list's answer.
+type Instances struct {
+	Instances []platform.ListedInstance `json:"instances"`
+}
+
+// ReservationAsk asks to read a version's weights.
+type ReservationAsk struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+// ReservationAnswer says how long to wait before asking again; zero means that
+// the weights may be read now.
+type ReservationAnswer struct {
+	WaitMillis int64 `json:"wait_ms"`
+}
+
+// ErrorAnswer is the body of a failed call.
+type ErrorAnswer struct {
+	Error string `json:"error"`
+}
+
+// Dial connects to a service.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// StatusError is an answer with an unexpected status.
+type StatusError struct {
+	// Status is the HTTP status, Message the service's words.
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Message) }
+
+// client calls one service.
+type client struct {
+	service, address string
+	http             *http.Client
+}
+
+func newClient(service, address string, dial Dial) client {
+	transport := &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return client{service: service, address: address, http: &http.Client{Transport: transport}}
+}
+
+// call sends ask, unless nil, and decodes into answer, unless nil.
+func (c client) call(ctx context.Context, method, path string, ask, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.exchange(ctx, method, path, ask, answer); err != nil {
+		wrapped := fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return &platform.Error{Service: c.service, Call: method + " " + path, Err: wrapped}
+	}
+	return nil
+}
+
+func (c client) exchange(ctx context.Context, method, path string, ask, answer any) error {
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return fmt.Errorf("request: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("request: %w", err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("exchange: %w", err)
+	}
+	defer response.Body.Close()
+	return read(response, answer)
+}
+
+func read(response *http.Response, answer any) error {
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxAnswer))
+	if response.StatusCode >= http.StatusMultipleChoices {
+		var refused ErrorAnswer
+		if err := decoder.Decode(&refused); err != nil {
+			refused.Error = "body not readable"
+		}
+		return &StatusError{Status: response.StatusCode, Message: refused.Error}
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := decoder.Decode(answer); err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/rest/services.go
@@ -0,0 +1,82 @@
+package rest
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Directory is a platform.Directory.
+type Directory struct{ client client }
+
+var _ platform.Directory = (*Directory)(nil)
+
+// NewDirectory returns the directory at address.
+func NewDirectory(address string, dial Dial) *Directory {
+	return &Directory{client: newClient("directory", address, dial)}
+}
+
+// Register implements platform.Directory.
+func (d *Directory) Register(ctx context.Context, entry platform.DirectoryEntry, ttl time.Duration) error {
+	ask := Registration{Entry: entry, TTLMillis: ttl.Milliseconds()}
+	return d.client.call(ctx, http.MethodPut, entryPath(entry.Instance), ask, nil)
+}
+
+// Deregister implements platform.Directory.
+func (d *Directory) Deregister(ctx context.Context, instance string) error {
+	return d.client.call(ctx, http.MethodDelete, entryPath(instance), nil, nil)
+}
+
+// Lookup implements platform.Directory.
+func (d *Directory) Lookup(ctx context.Context) ([]platform.DirectoryEntry, error) {
+	var answer Entries
+	if err := d.client.call(ctx, http.MethodGet, PathEntries, nil, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Entries, nil
+}
+
+func entryPath(instance string) string { return PathEntries + "/" + url.PathEscape(instance) }
+
+// InstanceList is a platform.InstanceList.
+type InstanceList struct{ client client }
+
+var _ platform.InstanceList = (*InstanceList)(nil)
+
+// NewInstanceList returns the instance list at address.
+func NewInstanceList(address string, dial Dial) *InstanceList {
+	return &InstanceList{client: newClient("instance-list", address, dial)}
+}
+
+// List implements platform.InstanceList.
+func (l *InstanceList) List(ctx context.Context, domain string) ([]platform.ListedInstance, error) {
+	var answer Instances
+	path := PathInstances + "?domain=" + url.QueryEscape(domain)
+	if err := l.client.call(ctx, http.MethodGet, path, nil, &answer); err != nil {
+		return nil, err
+	}
+	return answer.Instances, nil
+}
+
+// WeightStore is a platform.WeightStore.
+type WeightStore struct{ client client }
+
+var _ platform.WeightStore = (*WeightStore)(nil)
+
+// NewWeightStore returns the weight store at address.
+func NewWeightStore(address string, dial Dial) *WeightStore {
+	return &WeightStore{client: newClient("weight-store", address, dial)}
+}
+
+// Reserve implements platform.WeightStore.
+func (w *WeightStore) Reserve(ctx context.Context, model, version string) (time.Duration, error) {
+	var answer ReservationAnswer
+	ask := ReservationAsk{Model: model, Version: version}
+	if err := w.client.call(ctx, http.MethodPost, PathReservations, ask, &answer); err != nil {
+		return 0, err
+	}
+	return time.Duration(answer.WaitMillis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/pkg/prefix/prefix.go
@@ -0,0 +1,41 @@
+// Package prefix hashes the beginnings of a prompt, so that gateways and engines
+// name the same cached prefix by the same number.
+package prefix
+
+import "github.com/cespare/xxhash/v2"
+
+// Message is one message of a prompt.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// bytesPerToken is the estimate of one token's length in a prompt.
+const bytesPerToken = 4
+
+// separator ends each field, so that moving bytes between fields changes the hash.
+var separator = []byte{0}
+
+// Hashes returns the cumulative xxhash64 of the messages at the end of each one:
+// element i covers messages 0 to i.
+func Hashes(messages []Message) []uint64 {
+	digest := xxhash.New()
+	hashes := make([]uint64, 0, len(messages))
+	for _, message := range messages {
+		_, _ = digest.WriteString(message.Role)
+		_, _ = digest.Write(separator)
+		_, _ = digest.WriteString(message.Content)
+		_, _ = digest.Write(separator)
+		hashes = append(hashes, digest.Sum64())
+	}
+	return hashes
+}
+
+// Tokens estimates the length of a prompt in tokens, rounded up.
+func Tokens(messages []Message) int {
+	total := 0
+	for _, message := range messages {
+		total += len(message.Content)
+	}
+	return (total + bytesPerToken - 1) / bytesPerToken
+}
--- /dev/null
+++ b/pkg/standin/admin/admin.go
@@ -0,0 +1,120 @@
+// Package admin serves the stand-ins' fault switches and journals over HTTP, and
+// holds the client for them.
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/fleet"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+	"github.com/lilacweir/lilacweir/pkg/standin/kv"
+	"github.com/lilacweir/lilacweir/pkg/standin/link"
+)
+
+// Paths of the API.
+const (
+	// PathCommand takes a Command by POST and answers JSON lines.
+	PathCommand = "/v1/command"
+	// PathJournal answers the journal by GET, JSON lines; ?upstream= narrows it.
+	PathJournal = "/journal"
+	// PathProcessed answers the counts by failure domain and caller by GET.
+	PathProcessed = "/processed"
+	// PathHealth answers 204 by GET.
+	PathHealth = "/healthz"
+)
+
+// Command is a switch to throw or a thing to read.
+type Command struct {
+	Verb string   `json:"verb"`
+	Args []string `json:"args"`
+}
+
+// Failure is the body of a refused command.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// ErrNotHere: the process does not run the stand-in that a command is for.
+var ErrNotHere = errors.New("not run by this process")
+
+// UsageError is a command with wrong arguments.
+type UsageError struct {
+	// Usage says how the command is written.
+	Usage string
+}
+
+// Error implements error.
+func (e *UsageError) Error() string { return "usage: " + e.Usage }
+
+// Switchable is an upstream with fault switches.
+type Switchable interface {
+	// Set throws a switch: a verb and its argument, empty if it has none.
+	Set(verb, argument string) error
+}
+
+// Controls reaches the stand-ins of this process; those that it does not run
+// are nil.
+type Controls struct {
+	Journal   *journal.Journal
+	KeyValue  *kv.Service
+	List      *fleet.List
+	Network   *link.Network
+	Upstreams map[string]Switchable
+}
+
+// New returns controls without any stand-in.
+func New(j *journal.Journal) *Controls {
+	return &Controls{Journal: j, Upstreams: make(map[string]Switchable)}
+}
+
+// Handler serves the controls.
+func (c *Controls) Handler() http.Handler {
+	e := echo.New()
+	e.POST(PathCommand, c.handleCommand)
+	e.GET(PathJournal, func(x echo.Context) error { return lines(x, c.entries(x.QueryParam("upstream"))) })
+	e.GET(PathProcessed, func(x echo.Context) error { return lines(x, c.processed()) })
+	e.GET(PathHealth, func(x echo.Context) error { return x.NoContent(http.StatusNoContent) })
+	return e
+}
+
+func (c *Controls) handleCommand(x echo.Context) error {
+	var command Command
+	if err := x.Bind(&command); err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Error: "expected verb and args"})
+	}
+	answer, err := c.Do(command)
+	if err != nil {
+		return x.JSON(http.StatusBadRequest, Failure{Error: err.Error()})
+	}
+	return lines(x, answer)
+}
+
+// lines writes one JSON value a line.
+func lines(x echo.Context, values []any) error {
+	x.Response().Header().Set("Content-Type", "application/x-ndjson")
+	x.Response().WriteHeader(http.StatusOK)
+	encoder := json.NewEncoder(x.Response())
+	for _, value := range values {
+		if err := encoder.Encode(value); err != nil {
+			return fmt.Errorf("answer: %w", err)
+		}
+	}
+	return nil
+}
+
+func (c *Controls) entries(upstream string) []any { return boxed(c.Journal.Entries(upstream)) }
+
+func (c *Controls) processed() []any { return boxed(c.Journal.Counts()) }
+
+func boxed[T any](values []T) []any {
+	boxes := make([]any, 0, len(values))
+	for _, value := range values {
+		boxes = append(boxes, value)
+	}
+	return boxes
+}
--- /dev/null
+++ b/pkg/standin/engine/cache.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/prefix"
+)
+
+const (
+	// eventLimit bounds the cache events that are kept.
+	eventLimit = 2048
+	// eventGap leaves out every so-manieth event.
+	eventGap = 8
+	// reportedPrefixes bounds the prefixes of a load report.
+	reportedPrefixes = 64
+	// hexadecimal is the base in which prefixes are written.
+	hexadecimal = 16
+)
+
+// cache holds prompt prefixes in limited memory and drops the least recently used.
+type cache struct {
+	clock    clock.Clock
+	capacity int
+	lag      time.Duration
+
+	mu       sync.Mutex
+	used     int
+	order    *list.List
+	byHash   map[uint64]*list.Element
+	sequence int64
+	events   []datedEvent
+}
+
+type cached struct {
+	hash uint64
+	// tokens is the length of the part that this prefix adds to the one before.
+	tokens int
+}
+
+type datedEvent struct {
+	at    time.Time
+	event engineapi.CacheEvent
+}
+
+func newCache(c clock.Clock, capacity int, lag time.Duration) *cache {
+	return &cache{clock: c, capacity: capacity, lag: lag, order: list.New(), byHash: make(map[uint64]*list.Element)}
+}
+
+// admit returns how many tokens of a prompt are not cached, and caches them all.
+func (c *cache) admit(messages []prefix.Message) int {
+	hashes := prefix.Hashes(messages)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	missing, broken := 0, false
+	for i, hash := range hashes {
+		tokens := prefix.Tokens(messages[i : i+1])
+		element, ok := c.byHash[hash]
+		broken = broken || !ok
+		if broken {
+			missing += tokens
+		}
+		if ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.byHash[hash] = c.order.PushFront(cached{hash: hash, tokens: tokens})
+		c.used += tokens
+		c.record(engineapi.CacheStored, hash)
+	}
+	c.evict()
+	return missing
+}
+
+func (c *cache) evict() {
+	for c.used > c.capacity && c.order.Len() > 0 {
+		oldest := c.order.Back()
+		entry := oldest.Value.(cached)
+		c.order.Remove(oldest)
+		delete(c.byHash, entry.hash)
+		c.used -= entry.tokens
+		c.record(engineapi.CacheEvicted, entry.hash)
+	}
+}
+
+func (c *cache) record(kind string, hash uint64) {
+	c.sequence++
+	if c.sequence%eventGap == 0 {
+		return
+	}
+	event := engineapi.CacheEvent{Sequence: c.sequence, Kind: kind, Prefix: strconv.FormatUint(hash, hexadecimal)}
+	c.events = append(c.events, datedEvent{at: c.clock.Now(), event: event})
+	if len(c.events) > eventLimit {
+		c.events = c.events[len(c.events)-eventLimit:]
+	}
+}
+
+// eventsAfter returns the events after a sequence number that are old enough.
+func (c *cache) eventsAfter(sequence int64) []engineapi.CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cutoff := c.clock.Now().Add(-c.lag)
+	found := []engineapi.CacheEvent{}
+	for _, dated := range c.events {
+		if dated.event.Sequence > sequence && !dated.at.After(cutoff) {
+			found = append(found, dated.event)
+		}
+	}
+	return found
+}
+
+// recent returns the most recently used prefixes.
+func (c *cache) recent() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found []string
+	for element := c.order.Front(); element != nil && len(found) < reportedPrefixes; element = element.Next() {
+		found = append(found, strconv.FormatUint(element.Value.(cached).hash, hexadecimal))
+	}
+	return found
+}
+
+// clear empties the cache, as a restart does.
+func (c *cache) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.order.Init()
+	clear(c.byHash)
+	c.used = 0
+}
--- /dev/null
+++ b/pkg/standin/engine/chat.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/prefix"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// defaultTokens is an answer's length when the request does not say.
+const defaultTokens = 32
+
+// finishReason ends every whole answer.
+const finishReason = "stop"
+
+// stream is one request that the engine has taken.
+type stream struct {
+	id     string
+	ask    engineapi.ChatRequest
+	offset int
+	// seed decides the text.
+	seed   uint64
+	rank   int
+	ctx    context.Context
+	cancel context.CancelFunc
+	number int
+	faults faults
+}
+
+func (e *Engine) handleChat(c echo.Context) error {
+	if e.switches.load().leave || e.switches.take(&e.switches.now.refuse) {
+		return notStarted(c)
+	}
+	if e.switches.take(&e.switches.now.fail) {
+		return refuse(c, http.StatusInternalServerError, "failed on purpose")
+	}
+	s, status, problem := e.read(c)
+	if problem != "" {
+		return refuse(c, status, problem)
+	}
+	if !e.accepts() {
+		return notStarted(c)
+	}
+	defer s.cancel()
+	c.Response().Header().Set(engineapi.HeaderRequestID, s.shownID())
+	e.enter(s)
+	defer e.exit(s)
+	return e.serve(c, s)
+}
+
+func notStarted(c echo.Context) error {
+	c.Response().Header().Set(engineapi.HeaderNotStarted, engineapi.HeaderTrue)
+	c.Response().Header().Set("Retry-After", "1")
+	return refuse(c, http.StatusServiceUnavailable, "not started")
+}
+
+// accepts reports whether there is a version loaded and room in the queue.
+func (e *Engine) accepts() bool {
+	e.mu.Lock()
+	loaded := e.orders.Version != ""
+	e.mu.Unlock()
+	_, queued := e.scheduler.load()
+	return loaded && queued <= e.settings.Queue
+}
+
+// read checks a request. A problem comes with its HTTP status.
+func (e *Engine) read(c echo.Context) (s *stream, status int, problem string) {
+	s = &stream{id: c.Request().Header.Get(engineapi.HeaderRequestID), faults: e.switches.load()}
+	if err := c.Bind(&s.ask); err != nil {
+		return nil, http.StatusBadRequest, "body is not a chat request"
+	}
+	if s.ask.Model != e.settings.Serves {
+		return nil, http.StatusNotFound, "no such model here"
+	}
+	if len(s.ask.Messages) == 0 || s.ask.MaxTokens < 0 {
+		return nil, http.StatusBadRequest, "expected messages and max_tokens of at least 0"
+	}
+	if s.ask.MaxTokens == 0 {
+		s.ask.MaxTokens = defaultTokens
+	}
+	known := false
+	if s.rank, known = rank(s.ask.Priority); !known {
+		return nil, http.StatusBadRequest, "expected priority low, normal or high"
+	}
+	if text := c.Request().Header.Get(engineapi.HeaderResumeOffset); text != "" {
+		offset, err := strconv.Atoi(text)
+		if err != nil || offset < 0 {
+			return nil, http.StatusBadRequest, "expected a resume offset of at least 0"
+		}
+		s.offset = offset
+	}
+	if s.offset > 0 && s.faults.noResume {
+		return nil, http.StatusConflict, "cannot resume"
+	}
+	hashes := prefix.Hashes(s.ask.Messages)
+	s.seed = hashes[len(hashes)-1]
+	s.ctx, s.cancel = context.WithCancel(c.Request().Context())
+	return s, 0, ""
+}
+
+func (e *Engine) enter(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[s.id] == nil {
+		e.streams[s.id] = make(map[*stream]struct{})
+	}
+	e.streams[s.id][s] = struct{}{}
+}
+
+func (e *Engine) exit(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.streams[s.id], s)
+	if len(e.streams[s.id]) == 0 {
+		delete(e.streams, s.id)
+	}
+}
+
+// serve waits for a slot and produces the answer.
+func (e *Engine) serve(c echo.Context, s *stream) error {
+	if !e.scheduler.acquire(s.ctx, s.rank) {
+		return notStarted(c)
+	}
+	defer e.scheduler.release()
+	request := c.Request()
+	s.number = e.journal.Add(journal.Entry{
+		Upstream: e.settings.Name, Domain: e.settings.Domain, Kind: journal.KindChat,
+		RequestID: s.id, Caller: request.Header.Get(engineapi.HeaderCaller), Method: request.Method, Path: request.URL.Path,
+		IdempotencyKey: request.Header.Get(engineapi.HeaderIdempotencyKey),
+		Offset:         s.offset, Started: e.clock.Now(), Result: journal.ResultRunning,
+	})
+	result := journal.ResultBroken
+	defer func() { e.finish(s, result) }()
+	if s.ask.Stream {
+		result = e.streamAnswer(c, s)
+	} else {
+		result = e.wholeAnswer(c, s)
+	}
+	unanswered := result != journal.ResultFinished && !c.Response().Committed
+	if result == journal.ResultBroken || unanswered {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+func (e *Engine) finish(s *stream, result string) {
+	e.journal.Update(s.number, func(entry *journal.Entry) {
+		entry.Finished = e.clock.Now()
+		entry.Result = result
+	})
+}
+
+func (e *Engine) wholeAnswer(c echo.Context, s *stream) string {
+	var text strings.Builder
+	result := e.generate(s, func(content string, _ bool) error {
+		text.WriteString(content)
+		return nil
+	})
+	if result != journal.ResultFinished {
+		return result
+	}
+	answer := engineapi.ChatAnswer{
+		ID: s.shownID(), Object: engineapi.ObjectAnswer, Model: s.ask.Model,
+		Choices: []engineapi.AnswerChoice{{
+			Message:      prefix.Message{Role: "assistant", Content: text.String()},
+			FinishReason: finishReason,
+		}},
+		Usage: engineapi.Usage{PromptTokens: prefix.Tokens(s.ask.Messages), CompletionTokens: s.ask.MaxTokens},
+	}
+	if c.JSON(http.StatusOK, answer) != nil {
+		return journal.ResultCancelled
+	}
+	return result
+}
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,159 @@
+// Package engine is a stand-in for a model engine: it batches continuously,
+// caches prompt prefixes in limited memory, honours priorities, resumes and
+// cancels streams, reports load with a lag and cache events late and with gaps,
+// and takes orders with fencing numbers, which it checks or ignores.
+//
+// Guarantee: the text of an answer depends on the prompt alone, so that a resumed
+// answer equals the whole one on any engine.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// Settings of an engine.
+type Settings struct {
+	Name    string `yaml:"name" validate:"required,name"`
+	Domain  string `yaml:"domain" validate:"required,name"`
+	Address string `yaml:"address" validate:"required,hostport"`
+	// Serves is the model, Version the version that is loaded at the start.
+	Serves  string `yaml:"serves" validate:"required,name"`
+	Version string `yaml:"version" validate:"required,name"`
+	// Concurrency is the number of slots in the batch, Queue how many requests
+	// may wait for one.
+	Concurrency int `yaml:"concurrency" validate:"gte=1"`
+	Queue       int `yaml:"queue" validate:"gte=0"`
+	// DecodeRate is tokens a second for a stream that runs alone; each further
+	// stream in the batch makes a token take BatchCost longer, as a share.
+	DecodeRate float64 `yaml:"decode_rate" validate:"gt=0"`
+	BatchCost  float64 `yaml:"batch_cost" validate:"gte=0"`
+	// PrefillRate is prompt tokens a second, one prompt at a time.
+	PrefillRate float64 `yaml:"prefill_rate" validate:"gt=0"`
+	// CacheTokens is the prefix cache's memory.
+	CacheTokens int `yaml:"cache_tokens" validate:"gte=0"`
+	// LoadLag and EventLag are how late load reports and cache events are.
+	LoadLag  time.Duration `yaml:"load_lag" validate:"gt=0"`
+	EventLag time.Duration `yaml:"event_lag" validate:"gte=0"`
+	// LoadTime is how long loading a version takes.
+	LoadTime time.Duration `yaml:"load_time" validate:"gte=0"`
+	// ChecksFencing says that orders with an old fencing number are refused.
+	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
+}
+
+// Engine is the stand-in.
+type Engine struct {
+	settings  Settings
+	clock     clock.Clock
+	journal   *journal.Journal
+	scheduler scheduler
+	cache     *cache
+	switches  switches
+	// prefill has room for the one prompt that is processed at a time.
+	prefill chan struct{}
+
+	mu      sync.Mutex
+	streams map[string]map[*stream]struct{}
+	orders  engineapi.OrderState
+	// report and previous are the last two samples of the load.
+	report, previous sample
+}
+
+type sample struct {
+	at   time.Time
+	load engineapi.Load
+}
+
+// New returns an engine that writes what it processes to the journal.
+func New(settings Settings, c clock.Clock, j *journal.Journal) *Engine {
+	e := &Engine{
+		settings:  settings,
+		clock:     c,
+		journal:   j,
+		scheduler: scheduler{slots: settings.Concurrency},
+		cache:     newCache(c, settings.CacheTokens, settings.EventLag),
+		switches:  switches{now: noFaults()},
+		prefill:   make(chan struct{}, 1),
+		streams:   make(map[string]map[*stream]struct{}),
+		orders:    engineapi.OrderState{Version: settings.Version},
+	}
+	e.report = e.sample()
+	e.previous = e.report
+	return e
+}
+
+// Run samples the load until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	ticker := time.NewTicker(e.settings.LoadLag)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		fresh := e.sample()
+		e.mu.Lock()
+		e.previous, e.report = e.report, fresh
+		e.mu.Unlock()
+	}
+}
+
+// Handler serves the engine's API.
+func (e *Engine) Handler() http.Handler {
+	server := echo.New()
+	server.Use(e.announce)
+	server.POST(engineapi.PathChat, e.handleChat)
+	server.POST(engineapi.PathCancel, e.handleCancel)
+	server.GET(engineapi.PathLoad, e.handleLoad)
+	server.GET(engineapi.PathCacheEvents, e.handleCacheEvents)
+	server.POST(engineapi.PathOrders, e.handleOrder)
+	server.GET(engineapi.PathOrders, e.handleOrderState)
+	return server
+}
+
+// announce marks every answer of a leaving engine.
+func (e *Engine) announce(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if e.switches.load().leave {
+			c.Response().Header().Set(engineapi.HeaderLeaving, engineapi.HeaderTrue)
+		}
+		return next(c)
+	}
+}
+
+// decodeRate is the rate of one stream at the present batch.
+func (e *Engine) decodeRate() float64 {
+	running, _ := e.scheduler.load()
+	others := float64(max(running-1, 0))
+	return e.settings.DecodeRate / (1 + e.settings.BatchCost*others) / e.switches.load().slow
+}
+
+func (e *Engine) sample() sample {
+	running, queued := e.scheduler.load()
+	e.mu.Lock()
+	version := e.orders.Version
+	e.mu.Unlock()
+	now := e.switches.load()
+	if now.lie {
+		running, queued = 0, 0
+	}
+	return sample{at: e.clock.Now(), load: engineapi.Load{
+		Running:     running,
+		Queued:      queued,
+		Concurrency: e.settings.Concurrency,
+		DecodeRate:  e.decodeRate(),
+		PrefillRate: e.settings.PrefillRate / now.slow,
+		Version:     version,
+		Leaving:     now.leave,
+		Prefixes:    e.cache.recent(),
+	}}
+}
--- /dev/null
+++ b/pkg/standin/engine/generate.go
@@ -0,0 +1,154 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/prefix"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// words is the vocabulary of the answers.
+var words = [...]string{"sleep", "night", "rest", "room", "towel", "water", "linen", "early", "late", "steady", "short", "long", "calm", "full", "empty", "refill"}
+
+// mixer spreads the bits of seed and index (the 64-bit golden ratio).
+const mixer = 0x9e3779b97f4a7c15
+
+// Content returns the text of one chunk of the answer to a prompt whose last
+// prefix hash is seed.
+func Content(seed uint64, index int) string {
+	mixed := (seed ^ uint64(index)) * mixer
+	return fmt.Sprintf("%s%d ", words[mixed>>60], index)
+}
+
+// generate produces the chunks of an answer in the engine's time and returns
+// the result for the journal.
+func (e *Engine) generate(s *stream, emit func(content string, last bool) error) string {
+	if !e.runPrefill(s) {
+		return journal.ResultCancelled
+	}
+	due := time.Now()
+	sent := 0
+	for index := s.offset; index < s.ask.MaxTokens; index++ {
+		due = due.Add(time.Duration(float64(time.Second) / e.decodeRate()))
+		if !pause(s.ctx, time.Until(due)) {
+			return journal.ResultCancelled
+		}
+		if result, end := e.strike(s, sent); end {
+			return result
+		}
+		if emit(Content(s.shownSeed(), index), index == s.ask.MaxTokens-1) != nil {
+			return journal.ResultCancelled
+		}
+		sent++
+		e.journal.Update(s.number, func(entry *journal.Entry) { entry.Chunks = sent })
+	}
+	return journal.ResultFinished
+}
+
+// strike brings about the faults that end an answer early.
+func (e *Engine) strike(s *stream, sent int) (result string, end bool) {
+	switch {
+	case sent == s.faults.dieAfter:
+		return journal.ResultBroken, true
+	case sent == s.faults.stall:
+		<-s.ctx.Done()
+		return journal.ResultCancelled, true
+	case s.faults.truncate && s.offset+sent >= s.ask.MaxTokens/2:
+		return journal.ResultTruncated, true
+	}
+	return "", false
+}
+
+// runPrefill processes the part of the prompt that is not cached, and what is
+// skipped of a resumed answer.
+func (e *Engine) runPrefill(s *stream) bool {
+	select {
+	case e.prefill <- struct{}{}:
+	case <-s.ctx.Done():
+		return false
+	}
+	defer func() { <-e.prefill }()
+	missing := e.cache.admit(s.ask.Messages) + s.offset
+	seconds := float64(missing) / e.settings.PrefillRate * e.switches.load().slow
+	return pause(s.ctx, time.Duration(seconds*float64(time.Second)))
+}
+
+// pause waits, and reports whether ctx lasted.
+func pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Engine) streamAnswer(c echo.Context, s *stream) string {
+	response := c.Response()
+	response.Header().Set("Content-Type", "text/event-stream")
+	response.Header().Set("Cache-Control", "no-cache")
+	response.WriteHeader(http.StatusOK)
+	response.Flush()
+	result := e.generate(s, func(content string, last bool) error {
+		return writeEvent(response, chunk(s, content, last))
+	})
+	if result != journal.ResultFinished {
+		return result
+	}
+	if _, err := fmt.Fprintf(response, "data: %s\n\n", engineapi.StreamDone); err != nil {
+		return journal.ResultCancelled
+	}
+	response.Flush()
+	return result
+}
+
+func chunk(s *stream, content string, last bool) engineapi.ChatChunk {
+	choice := engineapi.ChunkChoice{Delta: engineapi.Delta{Content: content}}
+	if last {
+		reason := finishReason
+		choice.FinishReason = &reason
+	}
+	return engineapi.ChatChunk{
+		ID: s.shownID(), Object: engineapi.ObjectChunk, Model: s.ask.Model,
+		Choices: []engineapi.ChunkChoice{choice},
+	}
+}
+
+func writeEvent(response *echo.Response, message engineapi.ChatChunk) error {
+	data, err := json.Marshal(message)
+	if err != nil {
+		return fmt.Errorf("chunk: %w", err)
+	}
+	if _, err := fmt.Fprintf(response, "data: %s\n\n", data); err != nil {
+		return fmt.Errorf("chunk: %w", err)
+	}
+	response.Flush()
+	return nil
+}
+
+// shownID is the request ID in the answer, another one under the cross fault.
+func (s *stream) shownID() string {
+	if s.faults.cross {
+		return "crossed-" + s.id
+	}
+	return s.id
+}
+
+func (s *stream) shownSeed() uint64 {
+	if s.faults.cross {
+		return prefix.Hashes([]prefix.Message{{Role: "user", Content: "another request"}})[0]
+	}
+	return s.seed
+}
--- /dev/null
+++ b/pkg/standin/engine/scheduler.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"context"
+	"sync"
+
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+)
+
+// scheduler hands out the slots of the batch: by priority, then by arrival.
+type scheduler struct {
+	mu      sync.Mutex
+	slots   int
+	running int
+	queue   []*waiter
+	arrived int64
+}
+
+type waiter struct {
+	priority int
+	arrived  int64
+	granted  chan struct{}
+}
+
+// rank orders the priorities; a higher one goes first.
+func rank(priority string) (int, bool) {
+	switch priority {
+	case engineapi.PriorityLow:
+		return 0, true
+	case engineapi.PriorityNormal, "":
+		return 1, true
+	case engineapi.PriorityHigh:
+		return 2, true
+	}
+	return 0, false
+}
+
+// acquire waits for a slot; ok is false when ctx ended first.
+func (s *scheduler) acquire(ctx context.Context, priority int) (ok bool) {
+	w := s.join(priority)
+	select {
+	case <-w.granted:
+		return true
+	case <-ctx.Done():
+	}
+	if s.leave(w) {
+		return false
+	}
+	s.release()
+	return false
+}
+
+func (s *scheduler) join(priority int) *waiter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived++
+	w := &waiter{priority: priority, arrived: s.arrived, granted: make(chan struct{})}
+	s.queue = append(s.queue, w)
+	s.grant()
+	return w
+}
+
+// leave takes a waiter out of the queue; false means that it has a slot already.
+func (s *scheduler) leave(w *waiter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.queue {
+		if other == w {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *scheduler) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.grant()
+}
+
+func (s *scheduler) grant() {
+	for s.running < s.slots && len(s.queue) > 0 {
+		best := 0
+		for i, w := range s.queue {
+			if w.before(s.queue[best]) {
+				best = i
+			}
+		}
+		close(s.queue[best].granted)
+		s.queue = append(s.queue[:best], s.queue[best+1:]...)
+		s.running++
+	}
+}
+
+func (w *waiter) before(other *waiter) bool {
+	if w.priority != other.priority {
+		return w.priority > other.priority
+	}
+	return w.arrived < other.arrived
+}
+
+// load returns how many requests run and wait.
+func (s *scheduler) load() (running, queued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, len(s.queue)
+}
--- /dev/null
+++ b/pkg/standin/kv/handlers.go
@@ -0,0 +1,123 @@
+package kv
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/platform/etcd/wire"
+)
+
+func (s *Service) handleRange(c echo.Context) error {
+	var ask wire.RangeRequest
+	up, err := s.begin(c, &s.counts.Range, s.reads, &ask)
+	if up == nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, s.store.rangeKeys(ask))
+}
+
+func (s *Service) handleTxn(c echo.Context) error {
+	var ask wire.TxnRequest
+	up, err := s.begin(c, &s.counts.Txn, s.writes, &ask)
+	if up == nil {
+		return err
+	}
+	answer, err := s.store.txn(ask)
+	if err != nil {
+		return refuse(c, err)
+	}
+	if !answer.Succeeded {
+		s.count(&s.counts.Conflicts)
+	}
+	return s.answer(c, answer)
+}
+
+func (s *Service) handleGrant(c echo.Context) error {
+	var ask wire.GrantRequest
+	up, err := s.begin(c, &s.counts.Grant, s.writes, &ask)
+	if up == nil {
+		return err
+	}
+	return s.answer(c, s.store.grant(ask.TTL))
+}
+
+func (s *Service) handleKeepAlive(c echo.Context) error {
+	var ask wire.LeaseRequest
+	up, err := s.begin(c, &s.counts.KeepAlive, s.writes, &ask)
+	if up == nil {
+		return err
+	}
+	answer := s.store.keepAlive(ask.ID)
+	return s.answer(c, wire.KeepAliveMessage{Result: &answer})
+}
+
+func (s *Service) handleRevoke(c echo.Context) error {
+	var ask wire.LeaseRequest
+	up, err := s.begin(c, &s.counts.Revoke, s.writes, &ask)
+	if up == nil {
+		return err
+	}
+	answer, err := s.store.revoke(ask.ID)
+	if err != nil {
+		return refuse(c, err)
+	}
+	return s.answer(c, answer)
+}
+
+// handleWatch streams the key's events until the caller goes or the service is
+// switched down, which breaks the stream.
+func (s *Service) handleWatch(c echo.Context) error {
+	var ask wire.WatchRequest
+	up, err := s.begin(c, &s.counts.Watch, s.reads, &ask)
+	if up == nil {
+		return err
+	}
+	out := json.NewEncoder(c.Response())
+	w, revision, err := s.store.watch(string(ask.Create.Key), ask.Create.StartRevision)
+	if err != nil {
+		return out.Encode(cancelled(revision))
+	}
+	defer s.store.unwatch(w)
+	created := wire.WatchResponse{Header: wire.Header{Revision: revision}, Created: true}
+	if err := send(c, out, created); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-w.wake:
+		case <-c.Request().Context().Done():
+			return nil
+		case <-up.Done():
+			panic(http.ErrAbortHandler)
+		}
+		if err := s.sendPending(c, out, w); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *Service) sendPending(c echo.Context, out *json.Encoder, w *watcher) error {
+	events, revision, err := s.store.pending(w)
+	if err != nil {
+		return errors.Join(err, out.Encode(cancelled(revision)))
+	}
+	if len(events) == 0 {
+		return nil
+	}
+	return send(c, out, wire.WatchResponse{Header: wire.Header{Revision: revision}, Events: events})
+}
+
+func send(c echo.Context, out *json.Encoder, message wire.WatchResponse) error {
+	if err := out.Encode(wire.WatchMessage{Result: &message}); err != nil {
+		return err
+	}
+	c.Response().Flush()
+	return nil
+}
+
+func cancelled(compacted int64) wire.WatchMessage {
+	return wire.WatchMessage{Result: &wire.WatchResponse{Canceled: true, CompactRevision: compacted + 1}}
+}
--- /dev/null
+++ b/pkg/standin/link/link.go
@@ -0,0 +1,199 @@
+// Package link is a stand-in for the network between failure domains: a TCP
+// relay with a one-way delay that can be cut in each direction by itself.
+//
+// A cut holds back what is sent, without a sign to either end, and lets it
+// through when the link is healed, as TCP's retransmission does. Closing a
+// connection is held back in the same way. A new connection is accepted, since
+// that is all that a relay can do, but reaches its target only once both
+// directions are open.
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Settings of one relay.
+type Settings struct {
+	// From and To name the two sides: failure domains, or "platform".
+	From string `yaml:"from" validate:"required,name"`
+	To   string `yaml:"to" validate:"required,name"`
+	// Listen is where From's processes connect, Target where that leads.
+	Listen string `yaml:"listen" validate:"required,hostport"`
+	Target string `yaml:"target" validate:"required,hostport"`
+	// Delay is the one-way delay, the same in both directions.
+	Delay time.Duration `yaml:"delay" validate:"gte=0"`
+}
+
+const (
+	// bufferSize is the size of one read, in bytes.
+	bufferSize = 32 << 10
+	// windowSegments bounds what is under way in one direction of a connection.
+	windowSegments = 256
+	// handshakeTrips is how many one-way delays a TCP handshake takes before the
+	// first data can leave.
+	handshakeTrips = 2
+	// dialTimeout bounds the connection to the target.
+	dialTimeout = 2 * time.Second
+)
+
+// ErrNoPath: no relay leads from the one side to the other.
+var ErrNoPath = errors.New("no link between these two")
+
+// Network is a set of relays and the state of each direction between two sides.
+type Network struct {
+	settings []Settings
+
+	mu    sync.Mutex
+	paths map[pair]*path
+}
+
+// pair is a direction.
+type pair struct{ from, to string }
+
+// path is the state of one direction.
+type path struct {
+	mu    sync.Mutex
+	delay time.Duration
+	cut   bool
+	// reset says that a cut closes connections.
+	reset bool
+	// changed is closed at the next change.
+	changed chan struct{}
+}
+
+// New returns a network whose directions are all open.
+func New(settings []Settings) *Network {
+	n := &Network{settings: settings, paths: make(map[pair]*path)}
+	for _, s := range settings {
+		n.ensure(pair{s.From, s.To}, s.Delay)
+		n.ensure(pair{s.To, s.From}, s.Delay)
+	}
+	return n
+}
+
+func (n *Network) ensure(p pair, delay time.Duration) {
+	if n.paths[p] == nil {
+		n.paths[p] = &path{delay: delay, changed: make(chan struct{})}
+	}
+}
+
+func (n *Network) path(from, to string) *path {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paths[pair{from, to}]
+}
+
+// Cut stops one direction; with reset, connections between the two are closed
+// and new ones refused, in place of silence.
+func (n *Network) Cut(from, to string, reset bool) error {
+	return n.set(from, to, func(p *path) { p.cut, p.reset = true, reset })
+}
+
+// Heal opens one direction.
+func (n *Network) Heal(from, to string) error {
+	return n.set(from, to, func(p *path) { p.cut, p.reset = false, false })
+}
+
+// SetDelay sets one direction's delay.
+func (n *Network) SetDelay(from, to string, delay time.Duration) error {
+	return n.set(from, to, func(p *path) { p.delay = delay })
+}
+
+func (n *Network) set(from, to string, change func(*path)) error {
+	p := n.path(from, to)
+	if p == nil {
+		return ErrNoPath
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return nil
+}
+
+// state returns the direction's state and what is closed when that changes.
+func (p *path) state() (delay time.Duration, cut, reset bool, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delay, p.cut, p.reset, p.changed
+}
+
+// passable waits until the direction is open; false means that it was reset or
+// that ctx ended.
+func (p *path) passable(ctx context.Context) bool {
+	for {
+		_, cut, reset, changed := p.state()
+		if reset || ctx.Err() != nil {
+			return false
+		}
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// watchReset ends a connection as soon as the direction is reset.
+func (p *path) watchReset(ctx context.Context, cancel context.CancelFunc) {
+	for {
+		_, _, reset, changed := p.state()
+		if reset {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Listen opens every relay's listener. Close them all when ctx ends.
+func (n *Network) Listen() ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(n.settings))
+	for _, s := range n.settings {
+		listener, err := net.Listen("tcp", s.Listen)
+		if err != nil {
+			for _, open := range listeners {
+				err = errors.Join(err, open.Close())
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+// Serve relays connections of the listeners that Listen returned until ctx ends.
+func (n *Network) Serve(ctx context.Context, listeners []net.Listener) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for i, listener := range listeners {
+		running.Go(func() { n.accept(ctx, n.settings[i], listener) })
+	}
+	<-ctx.Done()
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
+func (n *Network) accept(ctx context.Context, s Settings, listener net.Listener) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		running.Go(func() { n.relay(ctx, s, conn) })
+	}
+}
--- /dev/null
+++ b/pkg/standin/plan/declare.go
@@ -0,0 +1,130 @@
+package plan
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/standin"
+	"github.com/lilacweir/lilacweir/pkg/standin/engine"
+	"github.com/lilacweir/lilacweir/pkg/standin/service"
+)
+
+// keyPrefix begins every caller's and operator's key in a stand-in deployment.
+const keyPrefix = "key-"
+
+// engineQueue is how many requests wait at an engine for each of its slots.
+const engineQueue = 2
+
+func keyHash(name string) string {
+	sum := sha256.Sum256([]byte(keyPrefix + name))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+func (b *builder) declare() {
+	to := &b.plan.Declaration
+	var regions []string
+	for _, region := range b.topology.Regions {
+		declared := config.Region{Name: region.Name}
+		for _, domain := range region.Domains {
+			declared.Domains = append(declared.Domains, domain.Name)
+		}
+		slices.Sort(declared.Domains)
+		to.Regions = append(to.Regions, declared)
+		regions = append(regions, region.Name)
+	}
+	slices.Sort(regions)
+	for _, model := range b.topology.Models {
+		to.Models = append(to.Models, config.Model{Name: model.Name, Versions: model.Versions, Regions: regions, MaxTokens: model.MaxTokens})
+	}
+	for _, one := range b.topology.Services {
+		to.Services = append(to.Services, config.Service{Name: one.Name, Prefix: one.Path, Regions: regions, Routes: one.Routes})
+	}
+	for _, caller := range b.topology.Callers {
+		to.Callers = append(to.Callers, config.Caller{
+			Name: caller.Name, KeyHash: keyHash(caller.Name), Home: caller.Home, Regions: caller.Regions, Share: caller.Share,
+		})
+	}
+	for _, operator := range b.topology.Operators {
+		to.Operators = append(to.Operators, config.Operator{Name: operator, KeyHash: keyHash(operator)})
+	}
+	b.plan.Operator.Operator = b.topology.Operators[0]
+	to.Spill, to.Policy = b.topology.Spill, b.topology.Policy
+	b.sort()
+}
+
+// sort puts the declaration's lists in the order that they are kept in.
+func (b *builder) sort() {
+	to := &b.plan.Declaration
+	slices.SortFunc(to.Regions, func(x, y config.Region) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(to.Models, func(x, y config.Model) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(to.Services, func(x, y config.Service) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(to.Callers, func(x, y config.Caller) int { return strings.Compare(x.Name, y.Name) })
+	slices.SortFunc(to.Operators, func(x, y config.Operator) int { return strings.Compare(x.Name, y.Name) })
+}
+
+func (b *builder) upstreams() {
+	for _, s := range b.sites {
+		next := 0
+		for _, model := range b.topology.Models {
+			for n := 1; n <= model.Engine.PerDomain; n++ {
+				next++
+				name := fmt.Sprintf("%s-%s-%d", model.Engine.Prefix, s.Prefix, n)
+				b.engine(s, model, name, b.address(octetUpstreams+s.number, next, portUpstream), n)
+			}
+		}
+		for _, one := range b.topology.Services {
+			for n := 1; n <= one.PerDomain; n++ {
+				next++
+				name := fmt.Sprintf("%s-%s-%d", one.Prefix, s.Prefix, n)
+				b.service(s, one, name, b.address(octetUpstreams+s.number, next, portUpstream))
+			}
+		}
+	}
+	declared := b.plan.Declaration.Upstreams
+	slices.SortFunc(declared, func(x, y config.Upstream) int { return strings.Compare(x.Name, y.Name) })
+}
+
+// engine adds engine n of a model: it gets the version whose share of the
+// engines it falls into.
+func (b *builder) engine(s site, model Model, name, address string, n int) {
+	e := model.Engine
+	version := versionOf(model, n)
+	b.plan.Standin.Engines = append(b.plan.Standin.Engines, engine.Settings{
+		Name: name, Domain: s.Name, Address: address, Serves: model.Name, Version: version,
+		Concurrency: e.Concurrency, Queue: engineQueue * e.Concurrency,
+		DecodeRate: e.DecodeRate, BatchCost: e.BatchCost, PrefillRate: e.PrefillRate, CacheTokens: e.CacheTokens,
+		LoadLag: e.LoadLag, EventLag: e.EventLag, LoadTime: e.LoadTime, ChecksFencing: e.ChecksFencing,
+	})
+	b.plan.Declaration.Upstreams = append(b.plan.Declaration.Upstreams, config.Upstream{
+		Name: name, Kind: config.KindEngine, Serves: model.Name, Version: version, Domain: s.Name, Address: address,
+		Concurrency: e.Concurrency, ChecksFencing: e.ChecksFencing,
+	})
+	b.list(standin.Listed{Name: name, Domain: s.Name})
+}
+
+// versionOf spreads a domain's engines over the versions by percent.
+func versionOf(model Model, n int) string {
+	const whole = 100
+	reached := 0
+	for _, version := range model.Versions {
+		reached += version.Percent
+		if n*whole <= reached*model.Engine.PerDomain {
+			return version.Name
+		}
+	}
+	return model.Versions[len(model.Versions)-1].Name
+}
+
+func (b *builder) service(s site, one Service, name, address string) {
+	b.plan.Standin.Services = append(b.plan.Standin.Services, service.Settings{
+		Name: name, Domain: s.Name, Address: address, Serves: one.Name, Concurrency: one.Concurrency, Latency: one.Latency,
+	})
+	b.plan.Declaration.Upstreams = append(b.plan.Declaration.Upstreams, config.Upstream{
+		Name: name, Kind: config.KindService, Serves: one.Name, Domain: s.Name, Address: address, Concurrency: one.Concurrency,
+	})
+	b.list(standin.Listed{Name: name, Domain: s.Name})
+}
--- /dev/null
+++ b/pkg/standin/plan/links.go
@@ -0,0 +1,55 @@
+package plan
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/link"
+)
+
+// links adds the relays from a failure domain to the instances of the others and
+// to the platform, and returns what its processes dial in place of the targets.
+func (b *builder) links(from site) map[string]string {
+	via := make(map[string]string)
+	host := 0
+	for _, to := range b.sites {
+		if to.number == from.number {
+			continue
+		}
+		for n := 1; n <= to.Instances; n++ {
+			host++
+			b.linkInstance(from, to, n, host, via)
+		}
+	}
+	for _, port := range []int{portKeyValue, portDirectory, portList, portWeights} {
+		relay := link.Settings{
+			From: from.Name, To: platformSide, Delay: b.topology.Delays.Platform,
+			Listen: b.address(octetLinks+from.number, hostPlatform, port),
+			Target: b.address(octetPlatform, 1, port),
+		}
+		b.link(relay, via)
+	}
+	return via
+}
+
+func (b *builder) linkInstance(from, to site, instance, host int, via map[string]string) {
+	for _, port := range []int{portPeers, portControl, portMesh, portOperators} {
+		relay := link.Settings{
+			From: from.Name, To: to.Name, Delay: b.delay(from, to),
+			Listen: b.address(octetLinks+from.number, host, port),
+			Target: b.address(to.number, instance, port),
+		}
+		b.link(relay, via)
+	}
+}
+
+func (b *builder) link(relay link.Settings, via map[string]string) {
+	b.plan.Standin.Links = append(b.plan.Standin.Links, relay)
+	via[relay.Target] = relay.Listen
+}
+
+func (b *builder) delay(from, to site) time.Duration {
+	if from.region == to.region {
+		return b.topology.Delays.Domains
+	}
+	return b.topology.Delays.Regions
+}
--- /dev/null
+++ b/pkg/standin/plan/plan.go
@@ -0,0 +1,145 @@
+package plan
+
+import (
+	"fmt"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/standin"
+)
+
+// Ports of the processes.
+const (
+	portCallers   = 8080
+	portPeers     = 8081
+	portControl   = 8082
+	portMesh      = 8090
+	portOperators = 8091
+	portUpstream  = 9000
+	portKeyValue  = 2379
+	portDirectory = 2380
+	portList      = 2381
+	portWeights   = 2382
+	portAdmin     = 7000
+)
+
+// Third octets of addresses.
+const (
+	octetPlatform  = 0
+	octetUpstreams = 100
+	octetLinks     = 200
+	// hostPlatform is the fourth octet of a domain's link to the platform.
+	hostPlatform = 250
+)
+
+// platformSide names the platform's end of a link.
+const platformSide = "platform"
+
+// Plan is every file of a deployment.
+type Plan struct {
+	Instances   []settings.Instance
+	Standin     standin.Settings
+	Declaration config.Declaration
+	Operator    OperatorFile
+}
+
+// OperatorFile is what an operator's command line reads.
+type OperatorFile struct {
+	// Servers lists the instances' operator addresses.
+	Servers []string `yaml:"servers"`
+	// Operator is the operator's name.
+	Operator string `yaml:"operator"`
+}
+
+// site is a failure domain with its number, counting from 1.
+type site struct {
+	Domain
+	number int
+	region string
+}
+
+// builder collects a plan.
+type builder struct {
+	topology Topology
+	net      int
+	sites    []site
+	plan     Plan
+}
+
+// Build makes the plan for the second octet net.
+func Build(topology Topology, net int) Plan {
+	b := &builder{topology: topology, net: net}
+	for _, region := range topology.Regions {
+		for _, domain := range region.Domains {
+			b.sites = append(b.sites, site{Domain: domain, number: len(b.sites) + 1, region: region.Name})
+		}
+	}
+	b.platform()
+	for _, s := range b.sites {
+		b.instances(s)
+	}
+	b.declare()
+	b.upstreams()
+	return b.plan
+}
+
+func (b *builder) address(third, fourth, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", b.net, third, fourth, port)
+}
+
+func (b *builder) platform() {
+	p := b.topology.Platform
+	at := func(port int) string { return b.address(octetPlatform, 1, port) }
+	b.plan.Standin.Admin = standin.Admin{Platform: at(portAdmin), Upstreams: at(portAdmin + 1), Links: at(portAdmin + 2)}
+	to := &b.plan.Standin.Platform
+	to.KeyValue.Address = at(portKeyValue)
+	to.KeyValue.WritesPerSecond, to.KeyValue.ReadsPerSecond = p.WritesPerSecond, p.ReadsPerSecond
+	to.Directory.Address = at(portDirectory)
+	to.List.Address, to.List.Lag = at(portList), p.ListLag
+	to.Weights.Address, to.Weights.LoadsPerMinute = at(portWeights), p.LoadsPerMinute
+}
+
+func (b *builder) instances(s site) {
+	via := b.links(s)
+	for n := 1; n <= s.Instances; n++ {
+		name := fmt.Sprintf("%s-%d", s.Prefix, n)
+		at := func(port int) string { return b.address(s.number, n, port) }
+		instance := settings.Instance{
+			Instance: name, Domain: s.Name, Region: s.region,
+			Gateway:  settings.Gateway{Callers: at(portCallers), Peers: at(portPeers), Control: at(portControl)},
+			Agent:    settings.Agent{Mesh: at(portMesh), Operators: at(portOperators)},
+			Platform: b.platformSettings(),
+			Seeds:    b.seeds(),
+			DialVia:  via,
+			Security: settings.Security{PlaintextLoopback: true},
+		}
+		b.plan.Instances = append(b.plan.Instances, instance)
+		b.plan.Operator.Servers = append(b.plan.Operator.Servers, at(portOperators))
+		b.list(standin.Listed{Name: name, Domain: s.Name, Mesh: at(portMesh)})
+	}
+}
+
+func (b *builder) platformSettings() settings.Platform {
+	p := b.plan.Standin.Platform
+	return settings.Platform{
+		KeyValue: []string{p.KeyValue.Address}, Prefix: b.topology.Name + "/",
+		Directory: p.Directory.Address, InstanceList: p.List.Address, WeightStore: p.Weights.Address,
+	}
+}
+
+// seeds names the first two agents of every failure domain.
+func (b *builder) seeds() []settings.Seed {
+	const seedsPerDomain = 2
+	var seeds []settings.Seed
+	for _, s := range b.sites {
+		for n := 1; n <= min(s.Instances, seedsPerDomain); n++ {
+			seeds = append(seeds, settings.Seed{Domain: s.Name, Mesh: b.address(s.number, n, portMesh)})
+		}
+	}
+	return seeds
+}
+
+func (b *builder) list(listed standin.Listed) {
+	to := &b.plan.Standin.Platform.List
+	to.Instances = append(to.Instances, listed)
+}
--- /dev/null
+++ b/pkg/standin/plan/topology.go
@@ -0,0 +1,137 @@
+// Package plan turns a short description of a deployment on loopback into the
+// settings of every process, and into the operators' declaration.
+//
+// Addresses, for the second octet N: entry instance n of failure domain d has
+// 127.N.d.n, the platform 127.N.0.1, upstream m of domain d 127.N.(100+d).m, and
+// the links out of domain d listen on 127.N.(200+d).x. Processes learn targets'
+// real addresses everywhere, and dial links by their dial_via setting.
+package plan
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// Topology describes a deployment.
+type Topology struct {
+	// Name names the deployment; its keys in the key-value service begin with it.
+	Name    string   `yaml:"name" validate:"required,name"`
+	Regions []Region `yaml:"regions" validate:"required,min=1,dive"`
+	Delays  Delays   `yaml:"delays"`
+	// Platform bounds the platform's services.
+	Platform  Platform  `yaml:"platform"`
+	Models    []Model   `yaml:"models" validate:"dive"`
+	Services  []Service `yaml:"services" validate:"dive"`
+	Callers   []Caller  `yaml:"callers" validate:"dive"`
+	Operators []string  `yaml:"operators" validate:"required,min=1,dive,name"`
+	// Spill and Policy go into the declaration as they are.
+	Spill  []config.Spill `yaml:"spill" validate:"dive"`
+	Policy config.Policy  `yaml:"policy"`
+}
+
+// Region is a region with its failure domains.
+type Region struct {
+	Name    string   `yaml:"name" validate:"required,name"`
+	Domains []Domain `yaml:"domains" validate:"required,min=1,dive"`
+}
+
+// Domain is a failure domain with its entry instances, named PREFIX-1 and on.
+type Domain struct {
+	Name      string `yaml:"name" validate:"required,name"`
+	Prefix    string `yaml:"prefix" validate:"required,name"`
+	Instances int    `yaml:"instances" validate:"gte=1,lte=250"`
+}
+
+// Delays are one-way delays.
+type Delays struct {
+	// Regions is between failure domains of different regions, Domains between
+	// those of one region, Platform between any of them and the platform.
+	Regions  time.Duration `yaml:"regions" validate:"gte=0"`
+	Domains  time.Duration `yaml:"domains" validate:"gte=0"`
+	Platform time.Duration `yaml:"platform" validate:"gte=0"`
+}
+
+// Platform bounds the platform's services.
+type Platform struct {
+	WritesPerSecond int           `yaml:"writes_per_second" validate:"gte=1"`
+	ReadsPerSecond  int           `yaml:"reads_per_second" validate:"gte=1"`
+	ListLag         time.Duration `yaml:"list_lag" validate:"gte=0"`
+	LoadsPerMinute  float64       `yaml:"loads_per_minute" validate:"gt=0"`
+}
+
+// Model is a model with its engines, named PREFIX-DOMAINPREFIX-1 and on.
+type Model struct {
+	Name     string                `yaml:"name" validate:"required,name"`
+	Versions []config.ModelVersion `yaml:"versions" validate:"required,min=1,dive"`
+	// MaxTokens is the longest answer, in tokens.
+	MaxTokens int    `yaml:"max_tokens" validate:"gte=0"`
+	Engine    Engine `yaml:"engine"`
+}
+
+// Engine describes the engines of a model, the same in every failure domain.
+type Engine struct {
+	Prefix        string        `yaml:"prefix" validate:"required,name"`
+	PerDomain     int           `yaml:"per_domain" validate:"gte=1,lte=120"`
+	Concurrency   int           `yaml:"concurrency" validate:"gte=1"`
+	DecodeRate    float64       `yaml:"decode_rate" validate:"gt=0"`
+	BatchCost     float64       `yaml:"batch_cost" validate:"gte=0"`
+	PrefillRate   float64       `yaml:"prefill_rate" validate:"gt=0"`
+	CacheTokens   int           `yaml:"cache_tokens" validate:"gte=0"`
+	LoadLag       time.Duration `yaml:"load_lag" validate:"gt=0"`
+	EventLag      time.Duration `yaml:"event_lag" validate:"gte=0"`
+	LoadTime      time.Duration `yaml:"load_time" validate:"gte=0"`
+	ChecksFencing bool          `yaml:"checks_fencing"`
+}
+
+// Service is a plain service with its servers, named PREFIX-DOMAINPREFIX-1 and on.
+type Service struct {
+	Name        string         `yaml:"name" validate:"required,name"`
+	Path        string         `yaml:"path" validate:"required,startswith=/,endswith=/"`
+	Routes      []config.Route `yaml:"routes" validate:"required,min=1,dive"`
+	Prefix      string         `yaml:"prefix" validate:"required,name"`
+	PerDomain   int            `yaml:"per_domain" validate:"gte=1,lte=120"`
+	Concurrency int            `yaml:"concurrency" validate:"gte=1"`
+	Latency     time.Duration  `yaml:"latency" validate:"gte=0"`
+}
+
+// Caller is a caller; its key is "key-" and its name.
+type Caller struct {
+	Name    string   `yaml:"name" validate:"required,name"`
+	Home    string   `yaml:"home" validate:"required,name"`
+	Regions []string `yaml:"regions" validate:"required,min=1,dive,name"`
+	Share   int      `yaml:"share,omitempty" validate:"gte=0,lte=1000"`
+}
+
+// FileError is a file that cannot be read or written.
+type FileError struct {
+	// File is the file, Err the cause.
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *FileError) Error() string { return fmt.Sprintf("%s: %v", e.File, e.Err) }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Err }
+
+// Load reads a topology.
+func Load(file string) (Topology, error) {
+	var topology Topology
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return topology, &FileError{File: file, Err: err}
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data))
+	decoder.KnownFields(true)
+	if err := decoder.Decode(&topology); err != nil {
+		return topology, &FileError{File: file, Err: err}
+	}
+	return topology, nil
+}
--- /dev/null
+++ b/pkg/standin/run.go
@@ -0,0 +1,231 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/standin/admin"
+	"github.com/lilacweir/lilacweir/pkg/standin/engine"
+	"github.com/lilacweir/lilacweir/pkg/standin/fleet"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+	"github.com/lilacweir/lilacweir/pkg/standin/kv"
+	"github.com/lilacweir/lilacweir/pkg/standin/link"
+	"github.com/lilacweir/lilacweir/pkg/standin/service"
+)
+
+// drainTime bounds the end of running requests at a shutdown.
+const drainTime = 2 * time.Second
+
+// ListenError is an address that cannot be listened on.
+type ListenError struct {
+	// Address is the address, Err the cause.
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// SelectionError is a name in a Selection that the settings don't have.
+type SelectionError struct {
+	// Name is the group or upstream.
+	Name string
+}
+
+// Error implements error.
+func (e *SelectionError) Error() string { return fmt.Sprintf("no group or upstream named %q", e.Name) }
+
+// process collects what one process runs before any of it starts.
+type process struct {
+	settings  Settings
+	selection Selection
+	clock     clock.Clock
+	controls  *admin.Controls
+	servers   []server
+	loops     []func(context.Context)
+	links     []net.Listener
+}
+
+type server struct {
+	address string
+	handler http.Handler
+}
+
+// Run runs the selected stand-ins until ctx ends.
+func Run(ctx context.Context, settings Settings, selection Selection, log zerolog.Logger) error {
+	p := &process{settings: settings, selection: selection, clock: clock.System{}, controls: admin.New(journal.New())}
+	if err := p.check(); err != nil {
+		return err
+	}
+	p.addPlatform()
+	p.addUpstreams()
+	if err := p.addLinks(); err != nil {
+		return err
+	}
+	p.add(p.adminAddress(), p.controls.Handler())
+	return p.serve(ctx, log)
+}
+
+func (p *process) runs(group Group) bool {
+	return len(p.selection.Groups) == 0 || slices.Contains(p.selection.Groups, group)
+}
+
+func (p *process) wants(upstream string) bool {
+	return len(p.selection.Upstreams) == 0 || slices.Contains(p.selection.Upstreams, upstream)
+}
+
+func (p *process) check() error {
+	for _, group := range p.selection.Groups {
+		if !slices.Contains([]Group{GroupPlatform, GroupUpstreams, GroupLinks}, group) {
+			return &SelectionError{Name: string(group)}
+		}
+	}
+	for _, name := range p.selection.Upstreams {
+		isEngine := slices.ContainsFunc(p.settings.Engines, func(s engine.Settings) bool { return s.Name == name })
+		isService := slices.ContainsFunc(p.settings.Services, func(s service.Settings) bool { return s.Name == name })
+		if !isEngine && !isService {
+			return &SelectionError{Name: name}
+		}
+	}
+	return nil
+}
+
+func (p *process) adminAddress() string {
+	switch {
+	case p.selection.Admin != "":
+		return p.selection.Admin
+	case p.runs(GroupPlatform):
+		return p.settings.Admin.Platform
+	case p.runs(GroupUpstreams):
+		return p.settings.Admin.Upstreams
+	}
+	return p.settings.Admin.Links
+}
+
+func (p *process) add(address string, handler http.Handler) {
+	p.servers = append(p.servers, server{address: address, handler: handler})
+}
+
+func (p *process) addPlatform() {
+	if !p.runs(GroupPlatform) {
+		return
+	}
+	platform := p.settings.Platform
+	keyValue := kv.New(platform.KeyValue, p.clock)
+	list := fleet.NewList(p.clock, platform.List.Lag, platform.List.listed())
+	p.controls.KeyValue, p.controls.List = keyValue, list
+	p.loops = append(p.loops, keyValue.Run)
+	p.add(platform.KeyValue.Address, keyValue.Handler())
+	p.add(platform.List.Address, list.Handler())
+	p.add(platform.Directory.Address, fleet.NewDirectory(p.clock).Handler())
+	p.add(platform.Weights.Address, fleet.NewWeights(p.clock, platform.Weights.LoadsPerMinute).Handler())
+}
+
+func (p *process) addUpstreams() {
+	if !p.runs(GroupUpstreams) {
+		return
+	}
+	for _, settings := range p.settings.Engines {
+		if !p.wants(settings.Name) {
+			continue
+		}
+		one := engine.New(settings, p.clock, p.controls.Journal)
+		p.controls.Upstreams[settings.Name] = one
+		p.loops = append(p.loops, one.Run)
+		p.add(settings.Address, one.Handler())
+	}
+	for _, settings := range p.settings.Services {
+		if !p.wants(settings.Name) {
+			continue
+		}
+		one := service.New(settings, p.clock, p.controls.Journal)
+		p.controls.Upstreams[settings.Name] = one
+		p.add(settings.Address, one.Handler())
+	}
+}
+
+func (p *process) addLinks() error {
+	if !p.runs(GroupLinks) {
+		return nil
+	}
+	network := link.New(p.settings.Links)
+	listeners, err := network.Listen()
+	if err != nil {
+		return fmt.Errorf("links: %w", err)
+	}
+	p.controls.Network = network
+	p.loops = append(p.loops, func(ctx context.Context) { network.Serve(ctx, listeners) })
+	p.links = listeners
+	return nil
+}
+
+// serve opens every listener before it says that it is ready.
+func (p *process) serve(ctx context.Context, log zerolog.Logger) error {
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	for _, loop := range p.loops {
+		group.Go(func() error { loop(ctx); return nil })
+	}
+	for i, listener := range listeners {
+		one := &http.Server{Handler: p.servers[i].handler, ReadHeaderTimeout: drainTime}
+		group.Go(func() error { return serveOne(one, listener) })
+		group.Go(func() error { return shutdown(ctx, one) })
+	}
+	log.Info().Int("servers", len(p.servers)).Int("links", len(p.links)).Str("admin", p.adminAddress()).Msg("ready")
+	err = group.Wait()
+	log.Info().Msg("stopped")
+	return err
+}
+
+func (p *process) listen() ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(p.servers))
+	for _, one := range p.servers {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			closeAll(append(listeners, p.links...))
+			return nil, &ListenError{Address: one.address, Err: err}
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, listener := range listeners {
+		_ = listener.Close()
+	}
+}
+
+func serveOne(one *http.Server, listener net.Listener) error {
+	if err := one.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// shutdown ends a server's running requests within the drain time, and cuts
+// those that last longer, such as watches.
+func shutdown(ctx context.Context, one *http.Server) error {
+	<-ctx.Done()
+	bounded, cancel := context.WithTimeout(context.Background(), drainTime)
+	defer cancel()
+	if err := one.Shutdown(bounded); err != nil {
+		_ = one.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/standin/service/service.go
@@ -0,0 +1,241 @@
+// Package service is a stand-in for a plain HTTP service. It runs whatever it is
+// asked, and writes each call that ran to the journal.
+//
+// Guarantee: a call is in the journal before any of its answer is sent.
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/standin/fault"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// Settings of a service.
+type Settings struct {
+	Name    string `yaml:"name" validate:"required,name"`
+	Domain  string `yaml:"domain" validate:"required,name"`
+	Address string `yaml:"address" validate:"required,hostport"`
+	// Serves is the service's name in the declaration.
+	Serves string `yaml:"serves" validate:"required,name"`
+	// Concurrency is how many calls run at once; the others wait.
+	Concurrency int `yaml:"concurrency" validate:"gte=1"`
+	// Latency is how long a call runs.
+	Latency time.Duration `yaml:"latency" validate:"gte=0"`
+}
+
+const (
+	// maxBody bounds a call's body, in bytes.
+	maxBody = 32 << 20
+	// maxExport bounds the answer that a caller may ask for, in bytes.
+	maxExport = 64 << 20
+	// exportLine is what an export repeats.
+	exportLine = "22:47 asleep, 06:12 awake, 3 wakings\n"
+)
+
+// Verbs of a service's fault switches.
+const (
+	// verbOK takes every fault away.
+	verbOK = "ok"
+	// verbSlow sets the latency in milliseconds.
+	verbSlow = "slow"
+	// verbFail runs the next N calls and answers 500.
+	verbFail = "fail"
+	// verbRefuse answers the next N calls with 503, not started.
+	verbRefuse = "refuse"
+	// verbDie runs the next N calls and drops the connection.
+	verbDie = "die"
+	// verbStall runs the next N calls and never answers.
+	verbStall = "stall"
+	// verbLeave announces that the service leaves; it takes no new call.
+	verbLeave = "leave"
+)
+
+// Service is the stand-in.
+type Service struct {
+	settings Settings
+	clock    clock.Clock
+	journal  *journal.Journal
+	slots    chan struct{}
+
+	mu     sync.Mutex
+	faults faults
+	runs   int
+}
+
+type faults struct {
+	latency                  time.Duration
+	fail, refuse, die, stall int
+	leave                    bool
+}
+
+// Answer is what a call returns.
+type Answer struct {
+	Service   string `json:"service"`
+	Upstream  string `json:"upstream"`
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	// Bytes is the length of the call's body, Run its number at this upstream.
+	Bytes int64 `json:"bytes"`
+	Run   int   `json:"run"`
+}
+
+// New returns a service that writes what it runs to the journal.
+func New(settings Settings, c clock.Clock, j *journal.Journal) *Service {
+	return &Service{
+		settings: settings, clock: c, journal: j,
+		slots:  make(chan struct{}, settings.Concurrency),
+		faults: faults{latency: settings.Latency},
+	}
+}
+
+// Set throws a switch: a verb and its argument, if it has one.
+func (s *Service) Set(verb, argument string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch verb {
+	case verbOK:
+		s.faults = faults{latency: s.settings.Latency}
+		return nil
+	case verbLeave:
+		s.faults.leave = true
+		return nil
+	case verbSlow:
+		millis := 0
+		if err := fault.Number(&millis, argument); err != nil {
+			return err
+		}
+		s.faults.latency = time.Duration(millis) * time.Millisecond
+		return nil
+	}
+	target := map[string]*int{
+		verbFail: &s.faults.fail, verbRefuse: &s.faults.refuse, verbDie: &s.faults.die, verbStall: &s.faults.stall,
+	}[verb]
+	if target == nil {
+		return &fault.VerbError{Verb: verb}
+	}
+	return fault.Number(target, argument)
+}
+
+// Handler serves every path.
+func (s *Service) Handler() http.Handler {
+	e := echo.New()
+	e.Any("/*", s.handle)
+	return e
+}
+
+// take uses up one of a number of faults, and reports whether there was one.
+func (s *Service) take(counter *int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if *counter == 0 {
+		return false
+	}
+	*counter--
+	return true
+}
+
+func (s *Service) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.leave
+}
+
+func (s *Service) handle(c echo.Context) error {
+	header := c.Response().Header()
+	header.Set(engineapi.HeaderRequestID, c.Request().Header.Get(engineapi.HeaderRequestID))
+	leaving := s.leaving()
+	if leaving {
+		header.Set(engineapi.HeaderLeaving, engineapi.HeaderTrue)
+	}
+	if leaving || s.take(&s.faults.refuse) {
+		return notStarted(c)
+	}
+	read, err := io.Copy(io.Discard, io.LimitReader(c.Request().Body, maxBody+1))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if read > maxBody {
+		return c.JSON(http.StatusRequestEntityTooLarge, engineapi.ErrorAnswer{Error: "body too large"})
+	}
+	ctx := c.Request().Context()
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return notStarted(c)
+	}
+	defer func() { <-s.slots }()
+	return s.run(ctx, c, read)
+}
+
+func notStarted(c echo.Context) error {
+	c.Response().Header().Set(engineapi.HeaderNotStarted, engineapi.HeaderTrue)
+	c.Response().Header().Set("Retry-After", "1")
+	return c.JSON(http.StatusServiceUnavailable, engineapi.ErrorAnswer{Error: "not started"})
+}
+
+// run does the call: its effect is the journal entry, which stands even when
+// the caller goes away.
+func (s *Service) run(ctx context.Context, c echo.Context, bytes int64) error {
+	request := c.Request()
+	number := s.journal.Add(journal.Entry{
+		Upstream: s.settings.Name, Domain: s.settings.Domain, Kind: journal.KindCall,
+		RequestID: request.Header.Get(engineapi.HeaderRequestID), Caller: request.Header.Get(engineapi.HeaderCaller),
+		Method: request.Method, Path: request.URL.Path,
+		IdempotencyKey: request.Header.Get(engineapi.HeaderIdempotencyKey),
+		Started:        s.clock.Now(), Result: journal.ResultRunning,
+	})
+	s.mu.Lock()
+	s.runs++
+	run, latency := s.runs, s.faults.latency
+	s.mu.Unlock()
+	pause(ctx, latency)
+	s.journal.Update(number, func(entry *journal.Entry) {
+		entry.Finished, entry.Result = s.clock.Now(), journal.ResultFinished
+	})
+	switch {
+	case s.take(&s.faults.die):
+		panic(http.ErrAbortHandler)
+	case s.take(&s.faults.stall):
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	case s.take(&s.faults.fail):
+		return c.JSON(http.StatusInternalServerError, engineapi.ErrorAnswer{Error: "failed on purpose"})
+	}
+	return s.answer(c, bytes, run)
+}
+
+// answer sends the call's answer, or so many bytes of an export as were asked for.
+func (s *Service) answer(c echo.Context, bytes int64, run int) error {
+	request := c.Request()
+	if size, err := strconv.Atoi(c.QueryParam("bytes")); err == nil && size > 0 {
+		size = min(size, maxExport)
+		body := strings.NewReader(strings.Repeat(exportLine, size/len(exportLine)+1)[:size])
+		return c.Stream(http.StatusOK, "text/plain", body)
+	}
+	return c.JSON(http.StatusOK, Answer{
+		Service: s.settings.Serves, Upstream: s.settings.Name,
+		RequestID: request.Header.Get(engineapi.HeaderRequestID),
+		Method:    request.Method, Path: request.URL.Path, Bytes: bytes, Run: run,
+	})
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
