--- /dev/null
+++ b/pkg/command/inforce.go
@@ -0,0 +1,120 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+const (
+	// InForceBound is how long a change's answer waits for every instance.
+	InForceBound = 3 * time.Second
+	// silentAfter is how old a domain's digest may be before it is called silent.
+	silentAfter = 5 * time.Second
+)
+
+// spread says how far a revision is in force, as far as instances reported.
+type spread struct {
+	revision    config.Revision
+	have, total int
+	// notes name what is missing, one fact a line.
+	notes []string
+}
+
+// complete tells whether every instance reported the revision.
+func (s *spread) complete() bool { return s.have == s.total && len(s.notes) == 0 }
+
+// line is the first line of an answer: "118 in force 5/7".
+func (s *spread) line() string {
+	return fmt.Sprintf("%d in force %d/%d", s.revision, s.have, s.total)
+}
+
+// spread counts the instances that have the revision or a newer one.
+func (e *Executor) spread(revision config.Revision) *spread {
+	s := &spread{revision: revision}
+	now := e.Clock.Now()
+	s.countOwn(e.Board.Members.Load(), now)
+	heard := s.countRemote(e.Board.Domains.Load(), now)
+	head := e.Board.Config.Load()
+	for _, domain := range slices.Sorted(maps.Keys(domains(head.Declaration))) {
+		if domain != e.Self.Domain && !heard[domain] {
+			s.notes = append(s.notes, domain+" not heard yet")
+		}
+	}
+	return s
+}
+
+func (s *spread) countOwn(members *board.Members, now time.Time) {
+	if members == nil {
+		return
+	}
+	for _, instance := range members.Instances {
+		if instance.State == board.InstanceLeft {
+			continue
+		}
+		s.total++
+		if instance.Revision >= s.revision {
+			s.have++
+		}
+		if instance.State == board.InstanceSilent {
+			s.notes = append(s.notes, instance.Name+" silent "+age(now.Sub(instance.LastHeard)))
+		} else if instance.Revision < s.revision {
+			s.notes = append(s.notes, fmt.Sprintf("%s has %d", instance.Name, instance.Revision))
+		}
+	}
+}
+
+// countRemote adds the other domains' digests and returns which were heard.
+func (s *spread) countRemote(remote *board.Domains, now time.Time) map[string]bool {
+	heard := map[string]bool{}
+	if remote == nil {
+		return heard
+	}
+	for _, digest := range remote.Remote {
+		heard[digest.Domain] = true
+		have := 0
+		for _, count := range digest.Revisions {
+			if count.Revision >= s.revision {
+				have += count.Nodes
+			}
+		}
+		s.total += digest.Nodes
+		s.have += have
+		silence := now.Sub(digest.HeardAt)
+		switch {
+		case silence > silentAfter:
+			s.notes = append(s.notes, digest.Domain+" silent "+age(silence))
+		case have < digest.Nodes:
+			s.notes = append(s.notes, fmt.Sprintf("%s %d/%d", digest.Domain, have, digest.Nodes))
+		}
+	}
+	return heard
+}
+
+// waitInForce waits until the revision is in force everywhere, or for
+// InForceBound, and returns what was true at the end.
+func (e *Executor) waitInForce(ctx context.Context, revision config.Revision) *spread {
+	ctx, cancel := context.WithTimeout(ctx, InForceBound)
+	defer cancel()
+	for {
+		members := e.Board.Members.Changed()
+		remote := e.Board.Domains.Changed()
+		own := e.Board.Config.Changed()
+		s := e.spread(revision)
+		if s.complete() {
+			return s
+		}
+		select {
+		case <-members:
+		case <-remote:
+		case <-own:
+		case <-ctx.Done():
+			return e.spread(revision)
+		}
+	}
+}
--- a/pkg/config/declaration.go
+++ b/pkg/config/declaration.go
@@ -9,20 +9,21 @@
 import "time"
 
 // Declaration is the whole desired state, kept by operators in version control
-// and applied with `lilacweir apply`. Lists are kept sorted by name.
+// and applied with `lilacweir apply`. Lists are kept sorted by name, and an empty
+// list is nil, so that equal declarations are equal values.
 type Declaration struct {
 	// Regions lists the regions and the failure domains inside each.
-	Regions []Region `yaml:"regions" json:"regions" validate:"required,min=1,dive"`
+	Regions []Region `yaml:"regions" json:"regions,omitempty" validate:"required,min=1,dive"`
 	// Models lists the models, their versions and where they may run.
-	Models []Model `yaml:"models" json:"models" validate:"dive"`
+	Models []Model `yaml:"models" json:"models,omitempty" validate:"dive"`
 	// Services lists the plain services that stand beside the model engines.
 	Services []Service `yaml:"services,omitempty" json:"services,omitempty" validate:"dive"`
 	// Upstreams lists every back end that requests may be sent to.
-	Upstreams []Upstream `yaml:"upstreams" json:"upstreams" validate:"dive"`
+	Upstreams []Upstream `yaml:"upstreams" json:"upstreams,omitempty" validate:"dive"`
 	// Callers lists who may send requests, and where they may be processed.
-	Callers []Caller `yaml:"callers" json:"callers" validate:"dive"`
+	Callers []Caller `yaml:"callers" json:"callers,omitempty" validate:"dive"`
 	// Operators lists who may ask and change.
-	Operators []Operator `yaml:"operators" json:"operators" validate:"dive"`
+	Operators []Operator `yaml:"operators" json:"operators,omitempty" validate:"dive"`
 	// Spill lists which region may send how much work to which other region.
 	Spill []Spill `yaml:"spill,omitempty" json:"spill,omitempty" validate:"dive"`
 	// Policy weighs the measures against each other.
@@ -33,16 +34,16 @@
 type Region struct {
 	Name string `yaml:"name" json:"name" validate:"required,name"`
 	// Domains names the region's failure domains.
-	Domains []string `yaml:"domains" json:"domains" validate:"required,min=1,dive,name"`
+	Domains []string `yaml:"domains" json:"domains,omitempty" validate:"required,min=1,dive,name"`
 }
 
 // Model is a model that callers may ask for by name.
 type Model struct {
 	Name string `yaml:"name" json:"name" validate:"required,name"`
 	// Versions lists the versions and the share of requests for each.
-	Versions []ModelVersion `yaml:"versions" json:"versions" validate:"required,min=1,dive"`
+	Versions []ModelVersion `yaml:"versions" json:"versions,omitempty" validate:"required,min=1,dive"`
 	// Regions names the regions in which the model may run.
-	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	Regions []string `yaml:"regions" json:"regions,omitempty" validate:"required,min=1,dive,name"`
 	// MaxTokens is the longest answer in tokens that a request may ask for.
 	MaxTokens int `yaml:"max_tokens,omitempty" json:"max_tokens,omitempty" validate:"gte=0"`
 }
@@ -61,10 +62,10 @@
 	// Prefix is the path prefix, for example "/sleeplog/".
 	Prefix string `yaml:"prefix" json:"prefix" validate:"required,startswith=/,endswith=/"`
 	// Regions names the regions in which the service may run.
-	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	Regions []string `yaml:"regions" json:"regions,omitempty" validate:"required,min=1,dive,name"`
 	// Routes lists the calls that the service accepts. A call that matches none
 	// is refused.
-	Routes []Route `yaml:"routes" json:"routes" validate:"required,min=1,dive"`
+	Routes []Route `yaml:"routes" json:"routes,omitempty" validate:"required,min=1,dive"`
 }
 
 // Route is one call of a plain service.
@@ -114,7 +115,8 @@
 	// Home is the caller's region: the one preferred when several are permitted.
 	Home string `yaml:"home" json:"home" validate:"required,name"`
 	// Regions names the regions in which the caller's data may be processed.
-	Regions []string `yaml:"regions" json:"regions" validate:"required,min=1,dive,name"`
+	// Empty means nowhere: every request of the caller is refused.
+	Regions []string `yaml:"regions" json:"regions,omitempty" validate:"dive,name"`
 	// Models names the models that the caller may use; empty means all.
 	Models []string `yaml:"models,omitempty" json:"models,omitempty" validate:"dive,name"`
 	// Share is the caller's weight in fair queueing; zero means 1.
--- /dev/null
+++ b/pkg/config/encode.go
@@ -0,0 +1,70 @@
+package config
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+)
+
+// MaxEncoded bounds an encoded value, in bytes: the platform's key-value service
+// holds values up to a megabyte.
+const MaxEncoded = 1_000_000
+
+// maxDecoded bounds what an encoded value may unpack to, in bytes.
+const maxDecoded = 32 << 20
+
+// EncodeHead returns the head as compressed JSON. Errors: *SizeError when it is
+// too large for the platform's service, *EncodingError.
+func EncodeHead(head *Head) ([]byte, error) { return encode(head) }
+
+// DecodeHead reads what EncodeHead wrote. The error is an *EncodingError.
+func DecodeHead(data []byte) (*Head, error) {
+	head := new(Head)
+	if err := decode(data, head); err != nil {
+		return nil, err
+	}
+	if head.Declaration == nil {
+		head.Declaration = new(Declaration)
+	}
+	return head, nil
+}
+
+func encode(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if err := json.NewEncoder(writer).Encode(value); err != nil {
+		return nil, &EncodingError{Err: err}
+	}
+	if err := writer.Close(); err != nil {
+		return nil, &EncodingError{Err: err}
+	}
+	if buffer.Len() > MaxEncoded {
+		return nil, &SizeError{Bytes: buffer.Len(), Limit: MaxEncoded}
+	}
+	return buffer.Bytes(), nil
+}
+
+func decode(data []byte, into any) error {
+	reader, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return &EncodingError{Err: err}
+	}
+	bounded := &io.LimitedReader{R: reader, N: maxDecoded}
+	if err := json.NewDecoder(bounded).Decode(into); err != nil {
+		return &EncodingError{Err: err}
+	}
+	return nil
+}
+
+// Sum identifies a declaration: equal declarations have equal sums.
+func Sum(decl *Declaration) (string, error) {
+	data, err := json.Marshal(decl)
+	if err != nil {
+		return "", &EncodingError{Err: err}
+	}
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:]), nil
+}
--- a/pkg/config/head.go
+++ b/pkg/config/head.go
@@ -17,8 +17,23 @@
 	Recent []Change `json:"recent"`
 	// Archived is the revision up to which the audit trail is in segment keys.
 	Archived Revision `json:"archived"`
+	// Voided holds the IDs of changes that were asked about and declared not
+	// accepted, oldest first, VoidedLimit at most: they never can be any more.
+	Voided []VoidedChange `json:"voided,omitempty"`
 }
 
+// VoidedChange records that a change was declared not accepted.
+type VoidedChange struct {
+	// ID is the change's identity.
+	ID string `json:"id"`
+	// At is when, by the declaring instance's clock.
+	At time.Time `json:"at"`
+}
+
+// VoidedLimit is how many voided IDs a head keeps. A proposer gives up within
+// seconds, so the oldest is of no use long before it is dropped.
+const VoidedLimit = 64
+
 // RecentLimit is how many changes a head keeps for duplicate detection, for
 // undo, and until they are archived.
 const RecentLimit = 64
@@ -35,7 +50,8 @@
 	Operator string `json:"operator"`
 	// At is when it was accepted, by the accepting instance's clock.
 	At time.Time `json:"at"`
-	// Line is what the operator typed, or "apply FILE".
+	// Line is what the operator typed, with shortened names written out, or
+	// "apply FILE".
 	Line string `json:"line"`
 	// Ops is what the change does to the declaration.
 	Ops []Op `json:"ops"`
--- /dev/null
+++ b/pkg/config/store.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// HeadKey holds the encoded head.
+const HeadKey = "config/head"
+
+// AuditPrefix starts the keys of the audit trail's segments; the rest is the
+// first revision of the segment in auditDigits digits.
+const AuditPrefix = "config/audit/"
+
+// Bounds of a change.
+const (
+	// ChangeBound is how long a change may take before it is called unknown.
+	ChangeBound = 5 * time.Second
+	// callBound is how long one call of the platform's service may take.
+	callBound = time.Second
+	// firstPause and maxPause bound the pause between two attempts.
+	firstPause = 5 * time.Millisecond
+	maxPause   = 400 * time.Millisecond
+)
+
+// Pause waits, or returns the context's error when that ends first.
+type Pause func(ctx context.Context, wait time.Duration) error
+
+// Store accepts changes and keeps the audit trail in the platform's key-value
+// service. It is safe for concurrent use, by any number of processes.
+//
+// The service's reads must not go back in time for one key: a read that shows a
+// modification revision proves that no write which expected an earlier one can
+// take effect any more.
+type Store struct {
+	kv     platform.KeyValue
+	clock  clock.Clock
+	pause  Pause
+	jitter func() float64
+	// turn lets one change of this process at a time compete for the head.
+	turn chan struct{}
+}
+
+// NewStore returns a store. The jitter function returns numbers in [0,1).
+func NewStore(kv platform.KeyValue, clk clock.Clock, pause Pause, jitter func() float64) *Store {
+	return &Store{kv: kv, clock: clk, pause: pause, jitter: jitter, turn: make(chan struct{}, 1)}
+}
+
+// Stored is the head as it stands in the service.
+type Stored struct {
+	Head *Head
+	// ModRevision is the service's revision of the head key; 0 when it is absent.
+	ModRevision int64
+}
+
+// Read returns the head; one of revision 0 when there is none yet. Errors: the
+// platform's, or *EncodingError.
+func (s *Store) Read(ctx context.Context) (Stored, error) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	entry, ok, err := s.kv.Get(ctx, HeadKey)
+	if err != nil {
+		return Stored{}, fmt.Errorf("read head: %w", err)
+	}
+	if !ok {
+		return Stored{Head: &Head{Declaration: new(Declaration)}}, nil
+	}
+	head, err := DecodeHead(entry.Value)
+	if err != nil {
+		return Stored{}, err
+	}
+	return Stored{Head: head, ModRevision: entry.ModRevision}, nil
+}
+
+// Change proposes a change and returns what became of it, within ChangeBound.
+func (s *Store) Change(ctx context.Context, proposal Proposal) Verdict {
+	ctx, cancel := context.WithTimeout(ctx, ChangeBound)
+	defer cancel()
+	select {
+	case s.turn <- struct{}{}:
+		defer func() { <-s.turn }()
+	case <-ctx.Done():
+		return unreachable(&proposal, false, ctx.Err())
+	}
+	attempt := &attempt{store: s, proposal: &proposal}
+	return attempt.run(ctx)
+}
+
+// attempt is the state of one change while it competes for the head.
+type attempt struct {
+	store    *Store
+	proposal *Proposal
+	// pending is true while a write that was sent may still take effect; it can
+	// do so only over the head of modification revision over.
+	pending bool
+	over    int64
+	// last is the last failure of the service.
+	last error
+}
+
+// run repeats read, decide, write until one of them gives the verdict. Writing
+// again over the same head is harmless after a lost answer: both writes expect
+// the same modification revision, so one of them at most takes effect.
+func (a *attempt) run(ctx context.Context) Verdict {
+	for round := 0; ; round++ {
+		if err := a.wait(ctx, round); err != nil {
+			return unreachable(a.proposal, a.pending, errors.Join(a.last, err))
+		}
+		stored, err := a.store.Read(ctx)
+		if err != nil {
+			a.last = err
+			continue
+		}
+		verdict, done := a.decide(ctx, stored)
+		if done {
+			return verdict
+		}
+	}
+}
+
+func (a *attempt) wait(ctx context.Context, round int) error {
+	if round == 0 {
+		return ctx.Err()
+	}
+	wait := min(firstPause<<min(round, 16), maxPause)
+	return a.store.pause(ctx, time.Duration(float64(wait)*a.store.jitter()))
+}
+
+// decide looks at the head as it stands, and proposes the next one.
+func (a *attempt) decide(ctx context.Context, stored Stored) (Verdict, bool) {
+	if a.pending && stored.ModRevision != a.over {
+		a.pending = false
+	}
+	verdict, done, err := a.store.history(ctx, stored.Head, a.proposal.ID)
+	var tooFar *HistoryError
+	if errors.As(err, &tooFar) {
+		return Verdict{State: Refused, ID: a.proposal.ID, Reason: err}, !a.pending
+	}
+	if err != nil {
+		a.last = err
+		return Verdict{}, false
+	}
+	if done {
+		return verdict, true
+	}
+	next, err := a.store.prepare(stored, a.proposal)
+	if err != nil {
+		return Verdict{State: Refused, ID: a.proposal.ID, Reason: err}, !a.pending
+	}
+	return a.write(ctx, stored, next)
+}
+
+func (a *attempt) write(ctx context.Context, stored Stored, next *prepared) (Verdict, bool) {
+	a.pending = true
+	a.over = stored.ModRevision
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	_, err := a.store.kv.Swap(ctx, next.expect, next.puts)
+	if err != nil {
+		a.last = err
+		return Verdict{}, false
+	}
+	return Verdict{
+		State:    Accepted,
+		ID:       a.proposal.ID,
+		Revision: next.head.Revision,
+		Head:     next.head,
+		Change:   &next.change,
+	}, true
+}
+
+// unreachable is the verdict when the service gave no answer in time: refused
+// when nothing was sent, else unknown.
+func unreachable(proposal *Proposal, sent bool, err error) Verdict {
+	state := Refused
+	if sent {
+		state = Unknown
+	}
+	return Verdict{State: state, ID: proposal.ID, Reason: &UnreachableError{Sent: sent, Err: err}}
+}
--- /dev/null
+++ b/pkg/config/store_test.go
@@ -0,0 +1,180 @@
+package config_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+func TestRaces(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second config.Op
+		want          config.State
+	}{
+		{"different upstreams", drainOp("nurse-1", true), config.Op{SplitVersion: &config.SplitVersion{Model: "lilac-nurse", Version: "v2", Percent: 50}}, config.Accepted},
+		{"different regions of a caller", config.Op{Permit: &config.PermitOp{Caller: "clinic-review", Region: "makedonia", Allowed: true}}, config.Op{Permit: &config.PermitOp{Caller: "residents-app", Region: "thessalia"}}, config.Accepted},
+		{"same upstream", drainOp("nurse-1", true), drainOp("nurse-1", false), config.Refused},
+		{"whole entry", drainOp("nurse-1", true), config.Op{Remove: &config.Remove{Kind: "upstream", Name: "nurse-1"}}, config.Refused},
+		{"same rule", config.Op{SetSpill: &config.Spill{From: "makedonia", To: "thessalia", Percent: 5}}, config.Op{SetSpill: &config.Spill{From: "makedonia", To: "thessalia", Percent: 9}}, config.Refused},
+		{"danger that only both make", drainOp("nurse-1", true), drainOp("nurse-2", true), config.Refused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kv := newFakeKV()
+			ours, theirs := newStore(kv), newStore(kv)
+			bootstrap(t, ours)
+			// The other operator's change lands between our read and our write.
+			kv.before = func() {
+				kv.before = nil
+				verdict := theirs.Change(t.Context(), propose(testID(1, 1), "linh", 1, test.first))
+				is.Equal(verdict.State, config.Accepted)
+			}
+			verdict := ours.Change(t.Context(), propose(testID(1, 2), "eleni", 1, test.second))
+			is.Equal(verdict.State, test.want)
+			stored, err := ours.Read(t.Context())
+			is.NoErr(err)
+			if test.want == config.Accepted {
+				is.Equal(verdict.Revision, config.Revision(3))
+				is.Equal(len(stored.Head.Recent), 3) // neither change is lost
+				return
+			}
+			is.Equal(stored.Head.Revision, config.Revision(2))
+			var conflict *config.ConflictError
+			if errors.As(verdict.Reason, &conflict) {
+				is.Equal(conflict.Obstacle.Operator, "linh")
+				is.Equal(conflict.Obstacle.Revision, config.Revision(2))
+				return
+			}
+			var danger *config.DangerError
+			is.True(errors.As(verdict.Reason, &danger)) // refused for a typed reason
+			is.Equal(danger.Dangers[0].Pool, "lilac-nurse")
+		})
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []fault
+		// deaf is how many reads fail after the first write.
+		deaf   int
+		pauses int
+		want   config.State
+		// later is what Lookup says afterwards.
+		later config.State
+	}{
+		{"write lost once", []fault{lostBefore}, 0, 9, config.Accepted, config.Accepted},
+		{"answer lost once", []fault{lostAfter}, 0, 9, config.Accepted, config.Accepted},
+		{"answer lost, reads fail for a while", []fault{lostAfter}, 3, 9, config.Accepted, config.Accepted},
+		{"answer lost, then nothing", []fault{lostAfter}, 99, 5, config.Unknown, config.Accepted},
+		{"write lost, then nothing", []fault{lostBefore}, 99, 5, config.Unknown, config.Refused},
+		{"delayed, written again", []fault{delayed}, 0, 9, config.Accepted, config.Accepted},
+		{"delayed, then nothing", []fault{delayed}, 99, 5, config.Unknown, config.Refused},
+		{"every write lost", []fault{lostBefore, lostBefore, lostBefore, lostBefore}, 0, 3, config.Unknown, config.Refused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			kv := newFakeKV()
+			bootstrap(t, newStore(kv))
+			kv.faults = test.faults
+			kv.before = func() { kv.before = nil; kv.deaf = test.deaf }
+			id := testID(1, 7)
+			verdict := limitedStore(kv, test.pauses).Change(t.Context(), propose(id, "eleni", 1, drainOp("nurse-1", true)))
+			is.Equal(verdict.State, test.want)
+
+			kv.deaf, kv.faults = 0, nil
+			found, err := newStore(kv).Lookup(t.Context(), id)
+			is.NoErr(err)
+			is.Equal(found.State, test.later)
+			kv.release() // a write that was delayed arrives now
+			again, err := newStore(kv).Lookup(t.Context(), id)
+			is.NoErr(err)
+			is.Equal(again.State, test.later) // the answer never changes
+			repeated := newStore(kv).Change(t.Context(), propose(id, "eleni", 1, drainOp("nurse-1", true)))
+			is.Equal(repeated.State, test.later) // nor does asking for the change again
+			stored, err := newStore(kv).Read(t.Context())
+			is.NoErr(err)
+			is.Equal(count(stored.Head.Recent, id), map[config.State]int{config.Accepted: 1}[test.later])
+		})
+	}
+}
+
+func count(changes []config.Change, id string) int {
+	n := 0
+	for _, change := range changes {
+		if change.ID == id {
+			n++
+		}
+	}
+	return n
+}
+
+func TestNothingSentIsRefused(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	bootstrap(t, newStore(kv))
+	kv.deaf = 99
+	writes := kv.writes
+	verdict := limitedStore(kv, 3).Change(t.Context(), propose(testID(1, 1), "eleni", 1, drainOp("nurse-1", true)))
+	is.Equal(verdict.State, config.Refused)
+	is.Equal(kv.writes, writes)
+	var unreachable *config.UnreachableError
+	is.True(errors.As(verdict.Reason, &unreachable))
+	is.True(!unreachable.Sent)
+}
+
+func TestAuditTrailOutlivesHead(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	store := newStore(kv)
+	bootstrap(t, store)
+	const last = 250
+	for revision := config.Revision(2); revision <= last; revision++ {
+		verdict := store.Change(t.Context(), propose(testID(revision-1, 0), "eleni", revision-1, drainOp("nurse-1", revision%2 == 0)))
+		is.Equal(verdict.State, config.Accepted)
+	}
+	fresh := newStore(kv)
+	stored, err := fresh.Read(t.Context())
+	is.NoErr(err)
+	is.True(len(stored.Head.Recent) <= config.RecentLimit)
+	all, err := fresh.Log(t.Context(), 1000, config.Mentions(""))
+	is.NoErr(err)
+	is.Equal(len(all), last)
+	for i, change := range all {
+		is.Equal(change.Revision, config.Revision(last-i)) // newest first, each once
+	}
+	for _, revision := range []config.Revision{1, 33, 99, 100, 101, 200, last} {
+		change, err := fresh.Revision(t.Context(), revision)
+		is.NoErr(err)
+		is.Equal(change.Revision, revision)
+	}
+	_, err = fresh.Revision(t.Context(), last+1)
+	var absent *config.AbsentError
+	is.True(errors.As(err, &absent))
+	applied, err := fresh.Log(t.Context(), 5, config.Mentions("APPLY"))
+	is.NoErr(err)
+	is.Equal(len(applied), 1)
+	found, err := fresh.Lookup(t.Context(), testID(40, 0))
+	is.NoErr(err)
+	is.Equal(found.Revision, config.Revision(41)) // found in a segment by its ID
+}
+
+func TestStaleOperatorIsRefused(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	store := newStore(kv)
+	bootstrap(t, store)
+	for revision := config.Revision(2); revision <= 80; revision++ {
+		store.Change(t.Context(), propose(testID(revision-1, 0), "eleni", revision-1, drainOp("nurse-1", revision%2 == 0)))
+	}
+	verdict := store.Change(t.Context(), propose(testID(80, 1), "linh", 3, drainOp("nurse-3", false)))
+	is.Equal(verdict.State, config.Refused)
+	var stale *config.StaleError
+	is.True(errors.As(verdict.Reason, &stale))
+}
