--- /dev/null
+++ b/pkg/admission/pool.go
@@ -0,0 +1,176 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+)
+
+// pool is the queue before one set of upstreams that stand in for each other. It
+// is start-time fair queueing: virtual advances by cost over weight.
+type pool struct {
+	capacity, running int
+	virtual           float64
+	flows             map[string]*flow
+	// waiting counts the queued requests, queued adds up their cost, and active
+	// the weights of the callers that they belong to.
+	waiting, queued int
+	active          float64
+	// perCost is the mean time for which a place is held, in seconds for each
+	// unit of cost; holding that for each request.
+	perCost, holding mean
+	swept            time.Time
+}
+
+// First guesses until something has been measured.
+const (
+	firstPerCost = 1.0 / 30
+	firstHolding = 2.0
+)
+
+func newPool() *pool {
+	return &pool{
+		flows:   map[string]*flow{},
+		perCost: mean{value: firstPerCost},
+		holding: mean{value: firstHolding},
+	}
+}
+
+// mean is exponentially weighted.
+type mean struct {
+	value    float64
+	measured bool
+}
+
+// smoothing is the weight of the newest value.
+const smoothing = 0.05
+
+func (m *mean) add(value float64) {
+	if !m.measured {
+		m.value, m.measured = value, true
+		return
+	}
+	m.value += smoothing * (value - m.value)
+}
+
+func (p *pool) flowOf(t *Ticket) *flow {
+	f := p.flows[t.Caller.Name]
+	if f == nil {
+		f = &flow{caller: t.Caller.Name, finish: p.virtual}
+		p.flows[t.Caller.Name] = f
+	}
+	if len(f.entries) == 0 {
+		f.weight = t.weight()
+	}
+	return f
+}
+
+// add puts an entry into its flow.
+func (p *pool) add(e *Entry) {
+	if len(e.flow.entries) == 0 {
+		p.active += e.flow.weight
+	}
+	heap.Push(&e.flow.entries, e)
+	e.flow.cost += e.ticket.cost()
+	p.queued += e.ticket.cost()
+	p.waiting++
+}
+
+// remove takes a waiting entry out of its flow.
+func (p *pool) remove(e *Entry) {
+	heap.Remove(&e.flow.entries, e.index)
+	e.flow.cost -= e.ticket.cost()
+	p.queued -= e.ticket.cost()
+	p.waiting--
+	if len(e.flow.entries) == 0 {
+		p.active -= e.flow.weight
+	}
+}
+
+// forget drops a flow that has nothing waiting and nothing to pay off.
+func (p *pool) forget(f *flow) {
+	if len(f.entries) == 0 && f.finish <= p.virtual {
+		delete(p.flows, f.caller)
+	}
+}
+
+// next returns the flow whose turn it is, or nil.
+func (p *pool) next() *flow {
+	var best *flow
+	for _, f := range p.flows {
+		if len(f.entries) == 0 {
+			p.forget(f)
+			continue
+		}
+		if best == nil || p.precedes(f, best) {
+			best = f
+		}
+	}
+	return best
+}
+
+func (p *pool) precedes(a, b *flow) bool {
+	startA, startB := max(a.finish, p.virtual), max(b.finish, p.virtual)
+	if startA != startB {
+		return startA < startB
+	}
+	return a.entries[0].before(b.entries[0])
+}
+
+// charge gives a place to a request of f.
+func (p *pool) charge(f *flow, cost int) {
+	start := max(f.finish, p.virtual)
+	p.virtual = start
+	f.finish = start + float64(cost)/f.weight
+	p.running++
+}
+
+func (p *pool) finish(e *Entry, now time.Time) {
+	held := now.Sub(e.granted).Seconds()
+	p.running--
+	p.holding.add(held)
+	p.perCost.add(held / float64(e.ticket.cost()))
+}
+
+// rate is how much cost the pool works off in a second.
+func (p *pool) rate() float64 {
+	return float64(max(1, p.capacity)) / max(p.perCost.value, 1e-6)
+}
+
+// predict is how long a request would wait that comes behind ahead, the cost of
+// its own caller's requests.
+func (p *pool) predict(f *flow, ahead int) time.Duration {
+	if p.running < p.capacity && p.waiting == 0 {
+		return 0
+	}
+	active := p.active
+	if len(f.entries) == 0 {
+		active += f.weight
+	}
+	virtual := max(0, f.finish-p.virtual) + float64(ahead)/f.weight
+	others := p.queued - f.cost
+	work := min(virtual*active, float64(others+ahead))
+	next := p.holding.value / float64(max(1, p.capacity))
+	return time.Duration((work/p.rate() + next) * float64(time.Second))
+}
+
+// greediest is the flow with the most waiting work for its weight.
+func (p *pool) greediest() *flow {
+	var worst *flow
+	for _, f := range p.flows {
+		if len(f.entries) == 0 {
+			continue
+		}
+		if worst == nil || heavier(f, worst) {
+			worst = f
+		}
+	}
+	return worst
+}
+
+func heavier(a, b *flow) bool {
+	loadA, loadB := float64(a.cost)/a.weight, float64(b.cost)/b.weight
+	if loadA != loadB {
+		return loadA > loadB
+	}
+	return a.caller < b.caller
+}
--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,225 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Bounds of a queue.
+const (
+	// longestWait is how long a request without a deadline may have to wait.
+	longestWait = 30 * time.Second
+	// queuePerSlot bounds a queue's length, for each place, and leastQueue is the
+	// bound for a pool with few places.
+	queuePerSlot = 16
+	leastQueue   = 64
+	// sweepInterval is how often the queued requests' deadlines are looked at.
+	sweepInterval = 100 * time.Millisecond
+	// patience is by how much a queued request's prediction may be worse than its
+	// deadline permits, since predictions waver.
+	patience = 1.25
+)
+
+// Queue admits requests to the pools of one gateway. It is safe for concurrent use.
+type Queue struct {
+	clock    clock.Clock
+	mu       sync.Mutex
+	pools    map[string]*pool
+	sequence uint64
+}
+
+// NewQueue returns a Queue in which no pool has any capacity yet.
+func NewQueue(c clock.Clock) *Queue {
+	return &Queue{clock: c, pools: map[string]*pool{}}
+}
+
+// SetCapacity sets how many requests of a pool may run at once.
+func (q *Queue) SetCapacity(serves string, slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pool(serves)
+	p.capacity = slots
+	q.advance(p, q.clock.Now())
+}
+
+// Acquire waits until the request may run. Release must then be called once it has
+// ended; later calls do nothing. It returns a refusal, and no release, at once
+// when the deadline cannot be met or the queue is full, and later when that
+// becomes clear or ctx ends.
+func (q *Queue) Acquire(ctx context.Context, t Ticket) (release func(), refusal *outcome.Refusal) {
+	e, refusal := q.Submit(t)
+	if refusal != nil {
+		return nil, refusal
+	}
+	select {
+	case <-e.Ready():
+	case <-ctx.Done():
+		e.Release()
+		if refusal := e.Refusal(); refusal != nil {
+			return nil, refusal
+		}
+		return nil, refuseEnded(ctx)
+	}
+	if refusal := e.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	return e.Release, nil
+}
+
+// Submit is Acquire without the waiting: it returns an Entry that becomes ready,
+// or refuses at once.
+func (q *Queue) Submit(t Ticket) (*Entry, *outcome.Refusal) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	p := q.pool(t.Serves)
+	if p.capacity <= 0 {
+		return nil, refuseNoCapacity()
+	}
+	f := p.flowOf(&t)
+	order := t.order(now)
+	wait := p.predict(f, f.ahead(order))
+	if refusal := refuseLate(wait, t.allowed(now), &t); refusal != nil {
+		p.forget(f)
+		return nil, refusal
+	}
+	if refusal := p.makeRoom(f, wait); refusal != nil {
+		return nil, refusal
+	}
+	q.sequence++
+	e := &Entry{
+		queue: q, pool: p, flow: f, ticket: t, order: order,
+		sequence: q.sequence, ready: make(chan struct{}),
+	}
+	p.add(e)
+	q.advance(p, now)
+	return e, nil
+}
+
+// Predict returns how long a request would wait in the queue now.
+func (q *Queue) Predict(t Ticket) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[t.Serves]
+	if p == nil || p.capacity <= 0 {
+		return longestWait
+	}
+	f := p.flows[t.Caller.Name]
+	if f == nil {
+		f = &flow{weight: t.weight(), finish: p.virtual}
+	}
+	return p.predict(f, f.ahead(t.order(q.clock.Now())))
+}
+
+// Waiting counts queued requests by pool, without pools that have none.
+func (q *Queue) Waiting() map[string]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	counts := map[string]int{}
+	for serves, p := range q.pools {
+		if p.waiting > 0 {
+			counts[serves] = p.waiting
+		}
+	}
+	return counts
+}
+
+// Sweep refuses queued requests whose deadline has become unreachable. It also
+// happens as requests come and end; call it from time to time for queues that have
+// come to a stop.
+func (q *Queue) Sweep() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock.Now()
+	for _, p := range q.pools {
+		q.advance(p, now)
+	}
+}
+
+func (q *Queue) pool(serves string) *pool {
+	p := q.pools[serves]
+	if p == nil {
+		p = newPool()
+		q.pools[serves] = p
+	}
+	return p
+}
+
+// advance grants free places, then refuses what can no longer succeed.
+func (q *Queue) advance(p *pool, now time.Time) {
+	for p.running < p.capacity {
+		f := p.next()
+		if f == nil {
+			break
+		}
+		p.grant(f.entries[0], now)
+	}
+	if now.Sub(p.swept) >= sweepInterval {
+		p.swept = now
+		p.sweep(now)
+	}
+}
+
+// grant gives a place to a waiting entry, unless it is too late for it.
+func (p *pool) grant(e *Entry, now time.Time) {
+	p.remove(e)
+	if e.ticket.allowed(now) < 0 {
+		e.refuse(refuseUnreachable(p.predict(e.flow, 0)))
+		return
+	}
+	p.charge(e.flow, e.ticket.cost())
+	e.state = granted
+	e.granted = now
+	close(e.ready)
+}
+
+// sweep refuses the entries whose predicted wait is more than they can bear.
+func (p *pool) sweep(now time.Time) {
+	for _, f := range p.flows {
+		ahead := 0
+		for _, e := range f.inOrder() {
+			wait := p.predict(f, ahead)
+			if e.bearable(wait, now) {
+				ahead += e.ticket.cost()
+				continue
+			}
+			p.remove(e)
+			e.refuse(refuseUnreachable(wait))
+		}
+		p.forget(f)
+	}
+}
+
+// bearable says whether an entry can still meet its deadline after wait.
+func (e *Entry) bearable(wait time.Duration, now time.Time) bool {
+	allowed := e.ticket.allowed(now)
+	return allowed >= 0 && wait.Seconds() <= patience*allowed.Seconds()
+}
+
+// makeRoom keeps the queue's length bounded: it refuses the newcomer, or the last
+// request of a caller that has more waiting for its share.
+func (p *pool) makeRoom(f *flow, wait time.Duration) *outcome.Refusal {
+	if p.waiting < max(leastQueue, queuePerSlot*p.capacity) {
+		return nil
+	}
+	worst := p.greediest()
+	if worst == f {
+		return refuseFull(wait)
+	}
+	e := worst.last()
+	p.remove(e)
+	e.refuse(refuseFull(p.predict(worst, worst.cost)))
+	return nil
+}
+
+func refuseEnded(ctx context.Context) *outcome.Refusal {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuseUnreachable(0)
+	}
+	return refuseCancelled(ctx.Err())
+}
--- /dev/null
+++ b/pkg/limit/eject.go
@@ -0,0 +1,199 @@
+package limit
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// Parameters of ejection.
+const (
+	// failuresToEject is how many failures in a row eject an upstream.
+	failuresToEject = 3
+	// outlierRatio ejects an upstream whose answers begin that many times later,
+	// against prediction, than the median of its pool.
+	outlierRatio = 5.0
+	// outlierSamples is how many answers that judgement needs.
+	outlierSamples = 10
+	// maxEjectedPart is the largest part of a pool that may be ejected at once.
+	maxEjectedPart = 0.5
+	// firstEjection and longestEjection bound the time until the next probe.
+	firstEjection   = 2 * time.Second
+	longestEjection = 30 * time.Second
+)
+
+// Ejector takes upstreams that fail, or answer far later than their pool, out of
+// use for a while, and tries them again with one request. It is safe for
+// concurrent use.
+type Ejector struct {
+	clock clock.Clock
+	mu    sync.Mutex
+	all   atomic.Pointer[map[string]*health]
+}
+
+// health is guarded by Ejector.mu, but for ejectedUntil and probing.
+type health struct {
+	// ejectedUntil is Unix nanoseconds; zero: not ejected.
+	ejectedUntil atomic.Int64
+	probing      atomic.Bool
+	ejectedAt    time.Time
+	pool         string
+	failures     int
+	ejections    int
+	samples      int
+	lateness     average
+}
+
+// NewEjector returns an Ejector that has ejected nothing.
+func NewEjector(c clock.Clock) *Ejector {
+	e := &Ejector{clock: c}
+	e.all.Store(&map[string]*health{})
+	return e
+}
+
+// SetPool says which upstreams stand in for each other. Upstreams that the pool
+// had before and that are not named are forgotten.
+func (e *Ejector) SetPool(pool string, upstreams []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := maps.Clone(*e.all.Load())
+	maps.DeleteFunc(next, func(name string, h *health) bool {
+		return h.pool == pool && !slices.Contains(upstreams, name)
+	})
+	for _, name := range upstreams {
+		if next[name] == nil {
+			next[name] = &health{}
+		}
+		next[name].pool = pool
+	}
+	e.all.Store(&next)
+}
+
+// Ejected says whether an upstream gets no requests now. Once its time is over it
+// counts as usable until one request, the probe, has been sent.
+func (e *Ejector) Ejected(upstream string) bool {
+	h := (*e.all.Load())[upstream]
+	if h == nil {
+		return false
+	}
+	until := h.ejectedUntil.Load()
+	if until == 0 {
+		return false
+	}
+	return e.clock.Now().UnixNano() < until || h.probing.Load()
+}
+
+// begin claims the probe of an upstream whose time is over; false while ejected.
+func (e *Ejector) begin(upstream string) bool {
+	h := (*e.all.Load())[upstream]
+	if h == nil || h.ejectedUntil.Load() == 0 {
+		return true
+	}
+	if e.clock.Now().UnixNano() < h.ejectedUntil.Load() {
+		return false
+	}
+	return h.probing.CompareAndSwap(false, true)
+}
+
+// finish takes the end of a request at an upstream. A request that started before
+// the upstream was ejected says nothing of its recovery.
+func (e *Ejector) finish(upstream string, result Result, started time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := (*e.all.Load())[upstream]
+	if h == nil {
+		return
+	}
+	if h.ejectedUntil.Load() != 0 && !started.After(h.ejectedAt) {
+		return
+	}
+	switch result {
+	case Succeeded:
+		h.failures = 0
+		h.restore()
+	case Failed:
+		h.failures++
+		e.judgeFailures(h)
+	case Rejected, Abandoned:
+	}
+	h.probing.Store(false)
+}
+
+// restore ends an ejection.
+func (h *health) restore() {
+	if h.ejectedUntil.Load() == 0 {
+		return
+	}
+	h.ejectedUntil.Store(0)
+	h.samples = 0
+	h.lateness.reset()
+	h.ejections = max(0, h.ejections-1)
+}
+
+func (e *Ejector) judgeFailures(h *health) {
+	if h.ejectedUntil.Load() != 0 || h.failures >= failuresToEject {
+		e.eject(h)
+	}
+}
+
+// observe takes how late an answer began, against its prediction.
+func (e *Ejector) observe(upstream string, ratio float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := (*e.all.Load())[upstream]
+	if h == nil {
+		return
+	}
+	h.samples++
+	h.lateness.add(ratio)
+	if h.samples < outlierSamples || h.ejectedUntil.Load() != 0 {
+		return
+	}
+	if median := e.medianLateness(h); median > 0 && h.lateness.value() > outlierRatio*median {
+		e.eject(h)
+	}
+}
+
+// medianLateness is over the other upstreams of the pool; zero when too few are known.
+func (e *Ejector) medianLateness(self *health) float64 {
+	var values []float64
+	for _, h := range *e.all.Load() {
+		if h != self && h.pool == self.pool && h.samples >= outlierSamples {
+			values = append(values, h.lateness.value())
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// eject takes h out of use, unless too many of its pool are.
+func (e *Ejector) eject(h *health) {
+	if h.ejectedUntil.Load() == 0 && !e.mayEject(h.pool) {
+		return
+	}
+	period := min(longestEjection, firstEjection<<min(h.ejections, 4))
+	h.ejections++
+	h.ejectedAt = e.clock.Now()
+	h.ejectedUntil.Store(h.ejectedAt.Add(period).UnixNano())
+}
+
+func (e *Ejector) mayEject(pool string) bool {
+	size, ejected := 0, 0
+	for _, h := range *e.all.Load() {
+		if h.pool != pool {
+			continue
+		}
+		size++
+		if h.ejectedUntil.Load() != 0 {
+			ejected++
+		}
+	}
+	return float64(ejected+1) <= maxEjectedPart*float64(size)
+}
--- /dev/null
+++ b/pkg/limit/flight.go
@@ -0,0 +1,75 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+// Result says how a request at an upstream ended.
+type Result uint8
+
+// Results of a request at an upstream.
+const (
+	// Succeeded: the upstream answered.
+	Succeeded Result = iota
+	// Failed: the upstream broke the connection, erred or timed out.
+	Failed
+	// Rejected: the upstream said that it is too busy and did not start.
+	Rejected
+	// Abandoned: the caller or the gateway gave up; it says nothing of the upstream.
+	Abandoned
+)
+
+// Flight is one request at an upstream. Its methods may be called from several
+// goroutines; only the first call of each counts.
+type Flight struct {
+	tracker  *Tracker
+	entry    *entry
+	upstream string
+	prompt   int
+	expected time.Duration
+	started  time.Time
+	first    sync.Once
+	done     sync.Once
+}
+
+// FirstByte records that the answer has begun.
+func (f *Flight) FirstByte() {
+	f.first.Do(func() {
+		f.entry.prefill.Add(-int64(f.prompt))
+		waited := f.tracker.clock.Now().Sub(f.started)
+		ratio := f.ratio(waited)
+		f.entry.adaptive.observe(ratio, int(f.entry.share.Load()))
+		if f.tracker.ejector != nil && ratio > 0 {
+			f.tracker.ejector.observe(f.upstream, ratio)
+		}
+	})
+}
+
+// Done gives the place back. It must be called once the request has ended,
+// however it ended.
+func (f *Flight) Done(result Result) {
+	f.done.Do(func() {
+		f.first.Do(func() { f.entry.prefill.Add(-int64(f.prompt)) })
+		f.entry.inFlight.Add(-1)
+		now := f.tracker.clock.Now()
+		if result == Succeeded {
+			f.entry.holding.add(now.Sub(f.started).Seconds())
+		}
+		f.entry.adaptive.finish(result, int(f.entry.share.Load()))
+		if f.tracker.ejector != nil {
+			f.tracker.ejector.finish(f.upstream, result, f.started)
+		}
+	})
+}
+
+// ratio is the measured time over the expected one; zero without an expectation.
+func (f *Flight) ratio(waited time.Duration) float64 {
+	if f.expected <= 0 {
+		return 0
+	}
+	return waited.Seconds() / max(f.expected, minExpected).Seconds()
+}
+
+// minExpected keeps the noise of very short answers out of the ratio.
+const minExpected = 50 * time.Millisecond
--- /dev/null
+++ b/pkg/limit/retry.go
@@ -0,0 +1,47 @@
+package limit
+
+import "sync"
+
+// Parameters of the retry budget.
+const (
+	// RetryShare is how many retries each success earns.
+	RetryShare = 0.08
+	// retryBurst is how many retries can be saved up.
+	retryBurst = 10.0
+)
+
+// RetryBudget permits retries in proportion to successes, so that a failing pool
+// is not loaded further by them. The zero value has earned nothing yet.
+type RetryBudget struct {
+	mu     sync.Mutex
+	saved  float64
+	primed bool
+}
+
+// Success records an answered request.
+func (b *RetryBudget) Success() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(retryBurst, b.saved+RetryShare)
+}
+
+// Take asks for one retry; false means that the request must be given up.
+func (b *RetryBudget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.prime()
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
+
+// prime grants one retry to a gateway that has just started.
+func (b *RetryBudget) prime() {
+	if b.primed {
+		return
+	}
+	b.primed = true
+	b.saved++
+}
--- /dev/null
+++ b/pkg/limit/tracker_test.go
@@ -0,0 +1,174 @@
+package limit_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+func TestTrackerHoldsTheShare(t *testing.T) {
+	is := is.New(t)
+	tracker := limit.NewTracker(clock.System{}, nil)
+	tracker.SetShares(map[string]int{"u": 2})
+	first, ok := tracker.Start("u", 100, 0)
+	is.True(ok)
+	second, ok := tracker.Start("u", 50, 0)
+	is.True(ok)
+	_, ok = tracker.Start("u", 1, 0)
+	is.True(!ok) // the share is used up
+	second.FirstByte()
+	is.Equal(tracker.Load("u").Prefill, 100)
+	second.Done(limit.Succeeded)
+	second.Done(limit.Succeeded) // only the first call counts
+	first.Done(limit.Abandoned)
+	inFlight, prefill := tracker.Snapshot()
+	is.Equal(len(inFlight)+len(prefill), 0)
+}
+
+func TestAdaptiveBoundFallsAndRecovers(t *testing.T) {
+	is := is.New(t)
+	tracker := limit.NewTracker(clock.System{}, nil)
+	tracker.SetShares(map[string]int{"u": 10})
+	finish := func(result limit.Result) {
+		flight, ok := tracker.Start("u", 0, 0)
+		is.True(ok)
+		flight.Done(result)
+	}
+	for range 20 {
+		finish(limit.Rejected)
+		is.True(tracker.Load("u").Limit >= 1) // it goes on being tried
+	}
+	is.Equal(tracker.Load("u").Limit, 1)
+	for range 100 {
+		finish(limit.Succeeded)
+	}
+	is.Equal(tracker.Load("u").Limit, 10)
+}
+
+func TestLateAnswersLowerTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := limit.NewTracker(clock.System{}, nil)
+		tracker.SetShares(map[string]int{"u": 10})
+		for range 30 {
+			flight, ok := tracker.Start("u", 0, 100*time.Millisecond)
+			is.True(ok)
+			time.Sleep(time.Second)
+			flight.FirstByte()
+			flight.Done(limit.Abandoned)
+		}
+		is.True(tracker.Load("u").Limit < 10)
+	})
+}
+
+func fail(tracker *limit.Tracker, upstream string, times int) {
+	for range times {
+		if flight, ok := tracker.Start(upstream, 0, 0); ok {
+			flight.Done(limit.Failed)
+		}
+	}
+}
+
+func TestEjectionProbesWithOneRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ejector := limit.NewEjector(clock.System{})
+		ejector.SetPool("p", []string{"a", "b", "c"})
+		tracker := limit.NewTracker(clock.System{}, ejector)
+		fail(tracker, "a", 3)
+		is.True(tracker.Load("a").Ejected)
+		_, ok := tracker.Start("a", 0, 0)
+		is.True(!ok)
+		time.Sleep(3 * time.Second)
+		probe, ok := tracker.Start("a", 0, 0)
+		is.True(ok) // half open: one probe
+		_, ok = tracker.Start("a", 0, 0)
+		is.True(!ok)
+		is.True(tracker.Load("a").Ejected)
+		probe.Done(limit.Failed)
+		time.Sleep(3 * time.Second)
+		is.True(tracker.Load("a").Ejected) // the second ejection lasts longer
+		time.Sleep(3 * time.Second)
+		probe, ok = tracker.Start("a", 0, 0)
+		is.True(ok)
+		probe.Done(limit.Succeeded)
+		is.True(!tracker.Load("a").Ejected)
+	})
+}
+
+func TestLateOutlierIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ejector := limit.NewEjector(clock.System{})
+		ejector.SetPool("p", []string{"a", "b", "c"})
+		tracker := limit.NewTracker(clock.System{}, ejector)
+		answer := func(upstream string, after time.Duration) {
+			if flight, ok := tracker.Start(upstream, 0, 100*time.Millisecond); ok {
+				time.Sleep(after)
+				flight.FirstByte()
+				flight.Done(limit.Succeeded)
+			}
+		}
+		for range 15 {
+			answer("a", 2*time.Second)
+			answer("b", 100*time.Millisecond)
+			answer("c", 120*time.Millisecond)
+		}
+		is.True(tracker.Load("a").Ejected)
+		is.True(!tracker.Load("b").Ejected && !tracker.Load("c").Ejected)
+	})
+}
+
+// Whatever fails, part of each pool stays in use.
+func TestLastUpstreamsAreNeverAllEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		ticking := clock.Func(func() time.Time { return now })
+		ejector := limit.NewEjector(ticking)
+		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "size")]
+		ejector.SetPool("p", names)
+		tracker := limit.NewTracker(ticking, ejector)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			fail(tracker, rapid.SampledFrom(names).Draw(t, "upstream"), 1)
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			usable := 0
+			for _, name := range names {
+				if !tracker.Load(name).Ejected {
+					usable++
+				}
+			}
+			if 2*usable < len(names) || usable == 0 {
+				t.Fatalf("%d of %d usable", usable, len(names))
+			}
+		}
+	})
+}
+
+// Retries stay under a tenth of the requests however many fail.
+func TestRetriesAmplifyLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var budget limit.RetryBudget
+		failing := rapid.IntRange(0, 100).Draw(t, "percent failing")
+		const requests = 2000
+		retries := 0
+		for i := range requests {
+			if i*37%100 >= failing {
+				budget.Success()
+			} else if budget.Take() {
+				retries++
+			}
+		}
+		if amplification := float64(requests+retries) / requests; amplification >= 1.1 {
+			t.Fatalf("amplification %.3f", amplification)
+		}
+		if failing == 5 && retries == 0 {
+			t.Fatal("no retry was permitted although most requests succeed")
+		}
+	})
+}
--- /dev/null
+++ b/pkg/route/ledger.go
@@ -0,0 +1,118 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// SpillState remembers, from table to table, what this gateway has sent away. It
+// is safe for concurrent use.
+type SpillState struct {
+	arrivals atomic.Int64
+	mu       sync.Mutex
+	ledgers  map[ledgerID]*ledger
+	windows  map[string]*window
+}
+
+type ledgerID struct{ domain, pool string }
+
+// NewSpillState returns a SpillState in which nothing has been sent.
+func NewSpillState() *SpillState {
+	return &SpillState{ledgers: map[ledgerID]*ledger{}, windows: map[string]*window{}}
+}
+
+// ledger counts what was sent to one pool of one domain.
+type ledger struct {
+	sequence uint64 // guarded by SpillState.mu
+	// current counts requests sent since the newest digest, previous those sent
+	// between the two newest: the newest digest may not count them yet.
+	current, previous atomic.Int64
+	strongAt          atomic.Int64
+}
+
+func (l *ledger) send()                { l.current.Add(1) }
+func (l *ledger) used() int            { return int(l.current.Load() + l.previous.Load()) }
+func (l *ledger) unconfirmed() int     { return l.used() }
+func (l *ledger) strong(now time.Time) { l.strongAt.Store(now.UnixNano()) }
+func (l *ledger) lastStrong() time.Time {
+	return time.Unix(0, l.strongAt.Load())
+}
+
+// ledger returns the record of a pool, turned over when the digest is a new one.
+func (s *SpillState) ledger(digest *board.DomainDigest, pool string) *ledger {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := ledgerID{digest.Domain, pool}
+	l := s.ledgers[id]
+	if l == nil {
+		l = &ledger{sequence: digest.Sequence}
+		s.ledgers[id] = l
+	}
+	if l.sequence != digest.Sequence {
+		l.sequence = digest.Sequence
+		l.previous.Store(l.current.Swap(0))
+	}
+	return l
+}
+
+// arrived counts a request towards the base of the spill rules' percents.
+func (s *SpillState) arrived() { s.arrivals.Add(1) }
+
+// windowTime is the time over which a spill rule's percent is kept.
+const windowTime = 10 * time.Second
+
+// window counts requests sent to one region in the present and the last period.
+type window struct {
+	started    time.Time
+	base, last int64 // arrivals at the start of this and of the last period
+	sent, was  int64 // sent in this and in the last period
+}
+
+// take uses up one credit of r and one place of the spill rule; false when there
+// is none. Far tells whether the rule applies.
+func (s *SpillState) take(r *remote, far bool, percent int, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.ledger.used() >= r.credit {
+		return false
+	}
+	if far && !s.withinRule(r.digest.Region, percent, now) {
+		return false
+	}
+	r.ledger.send()
+	return true
+}
+
+// withinRule counts one more request to a region if the percent permits it.
+func (s *SpillState) withinRule(region string, percent int, now time.Time) bool {
+	w := s.windows[region]
+	arrivals := s.arrivals.Load()
+	if w == nil {
+		w = &window{started: now}
+		s.windows[region] = w
+	}
+	w.turn(arrivals, now)
+	if 100*(w.sent+w.was+1) > int64(percent)*(arrivals-w.last) {
+		return false
+	}
+	w.sent++
+	return true
+}
+
+// turn begins a new period when the present one is over.
+func (w *window) turn(arrivals int64, now time.Time) {
+	age := now.Sub(w.started)
+	if age < windowTime {
+		return
+	}
+	w.started = now
+	if age >= 2*windowTime {
+		w.last, w.was = arrivals, 0
+	} else {
+		w.last, w.was = w.base, w.sent
+	}
+	w.base, w.sent = arrivals, 0
+}
--- /dev/null
+++ b/pkg/route/local.go
@@ -0,0 +1,190 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// Rates that are assumed of an engine that has not said, tokens a second.
+const (
+	defaultDecodeRate  = 30.0
+	defaultPrefillRate = 4000.0
+)
+
+// reportLife is the age at which a report has lost most (1-1/e) of its weight
+// against the pool's mean.
+const reportLife = 5 * time.Second
+
+// rampTime is how long an upstream that became usable again is taken to have less
+// room than it declares, while its cache fills.
+const rampTime = 10 * time.Second
+
+// candidate is one usable local upstream.
+type candidate struct {
+	upstream *config.Upstream
+	hash     uint64
+	// others and othersPrefill estimate the requests, and prompt tokens not yet
+	// prefilled, that are at the upstream on behalf of others than this gateway.
+	others, othersPrefill float64
+	// age is how old the report was when the table was compiled; negative: none.
+	age                     time.Duration
+	decodeRate, prefillRate float64
+	concurrency             float64
+	share                   int
+	usableSince             time.Time
+}
+
+// meanLoad is the mean over a pool's candidates.
+type meanLoad struct{ others, prefill float64 }
+
+func (t *Table) compileLocals(in *Input) {
+	gateways := liveGateways(in)
+	for i := range in.Head.Declaration.Upstreams {
+		upstream := &in.Head.Declaration.Upstreams[i]
+		if upstream.Domain != in.Domain {
+			continue
+		}
+		report := reportOf(in.Upstreams, upstream.Name)
+		if !usable(upstream, report) {
+			continue
+		}
+		c := newCandidate(upstream, report, in)
+		c.usableSince = t.sinceWhen(upstream.Name, in)
+		c.share = limit.Share(upstream.Name, upstream.Concurrency, in.Self, demands(gateways, upstream))
+		p := t.pool(poolID{upstream.Serves, loadedVersion(upstream, report)})
+		if report != nil {
+			p.addHints(int32(len(p.locals)), report.Prefixes)
+		}
+		p.locals = append(p.locals, c)
+	}
+}
+
+// usable is false for what must get no new work.
+func usable(upstream *config.Upstream, report *board.UpstreamLoad) bool {
+	if upstream.Drained {
+		return false
+	}
+	return report == nil || report.State == board.UpstreamLive || report.State == ""
+}
+
+// loadedVersion is the version that the engine said it has, else the declared one.
+func loadedVersion(upstream *config.Upstream, report *board.UpstreamLoad) string {
+	if upstream.Kind == config.KindService {
+		return ""
+	}
+	if report != nil && report.Version != "" {
+		return report.Version
+	}
+	return upstream.Version
+}
+
+// sinceWhen returns since when an upstream has been usable without a break; what
+// was usable at the start needs no ramp.
+func (t *Table) sinceWhen(name string, in *Input) time.Time {
+	since := in.Now
+	if in.Previous == nil || in.Previous.revision == 0 {
+		since = time.Time{}
+	} else if before, ok := in.Previous.usableSince[name]; ok {
+		since = before
+	}
+	t.usableSince[name] = since
+	return since
+}
+
+func newCandidate(upstream *config.Upstream, report *board.UpstreamLoad, in *Input) candidate {
+	c := candidate{
+		upstream:    upstream,
+		hash:        xxhash.Sum64String(upstream.Name),
+		decodeRate:  defaultDecodeRate,
+		prefillRate: defaultPrefillRate,
+		concurrency: float64(max(1, upstream.Concurrency)),
+		age:         -1,
+	}
+	peers, self := inFlightOf(in, upstream.Name)
+	c.others = float64(peers.requests)
+	c.othersPrefill = float64(peers.prefill)
+	if report == nil || report.ReportedAt.IsZero() {
+		return c
+	}
+	c.age = max(0, in.Now.Sub(report.ReportedAt))
+	c.decodeRate = cmp.Or(report.DecodeRate, c.decodeRate)
+	c.prefillRate = cmp.Or(report.PrefillRate, c.prefillRate)
+	// The report counts this gateway's requests as well: take off those that it
+	// had when it last spoke, about as long ago as the report.
+	reported := float64(report.Running + report.Queued - self.requests)
+	c.others = max(c.others, reported)
+	return c
+}
+
+// work is what one or several gateways have at an upstream.
+type work struct{ requests, prefill int }
+
+// inFlightOf adds up the peers' work at an upstream, and this gateway's own as it
+// last told them.
+func inFlightOf(in *Input, upstream string) (peers, self work) {
+	if in.Members == nil {
+		return peers, self
+	}
+	for i := range in.Members.Instances {
+		instance := &in.Members.Instances[i]
+		sum := &peers
+		if instance.Name == in.Self {
+			sum = &self
+		} else if instance.State == board.InstanceSilent || instance.State == board.InstanceLeft {
+			continue
+		}
+		sum.requests += instance.Load.InFlight[upstream]
+		sum.prefill += instance.Load.Prefill[upstream]
+	}
+	return peers, self
+}
+
+// discounted returns others and their prefill, drawn towards the pool's mean as
+// the report ages.
+func (c *candidate) discounted(mean meanLoad, sinceCompile time.Duration) (others, prefill float64) {
+	if c.age < 0 {
+		return c.others, c.othersPrefill
+	}
+	trust := math.Exp(-float64(c.age+sinceCompile) / float64(reportLife))
+	others = trust*c.others + (1-trust)*mean.others
+	prefill = trust*c.othersPrefill + (1-trust)*mean.prefill
+	return others, prefill
+}
+
+// room is the concurrency that is counted on: less while the upstream's cache
+// fills after a return.
+func (c *candidate) room(now time.Time) float64 {
+	up := now.Sub(c.usableSince)
+	if up >= rampTime {
+		return c.concurrency
+	}
+	const leastRoom = 0.25
+	part := leastRoom + (1-leastRoom)*float64(max(0, up))/float64(rampTime)
+	return max(1, c.concurrency*part)
+}
+
+func (p *pool) finish() {
+	for i := range p.locals {
+		p.mean.others += p.locals[i].others / float64(len(p.locals))
+		p.mean.prefill += p.locals[i].othersPrefill / float64(len(p.locals))
+	}
+	p.groups = groupCandidates(p.locals)
+}
+
+func reportOf(upstreams *board.Upstreams, name string) *board.UpstreamLoad {
+	if upstreams == nil {
+		return nil
+	}
+	report, ok := upstreams.ByName[name]
+	if !ok {
+		return nil
+	}
+	return &report
+}
--- /dev/null
+++ b/pkg/route/pick.go
@@ -0,0 +1,182 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Pick decides where a request goes. It allocates nothing unless it refuses; the
+// refusal is always "not run". A decision to send to another domain uses up
+// credit, so it is taken once for each request that is then sent.
+func (t *Table) Pick(req *Request, load LocalLoad, rnd Rand, now time.Time) (Decision, *outcome.Refusal) {
+	placement, refusal := t.placement(req)
+	if refusal != nil {
+		return Decision{}, refusal
+	}
+	here := t.permitted(req, placement, t.region)
+	if !here && req.Class == ClassDomain {
+		return Decision{}, refuseRegion()
+	}
+	if !here && !t.permittedAnywhere(req, placement) {
+		return Decision{}, refuseRegion()
+	}
+	p := t.choosePool(req, placement, here, now)
+	if p == nil {
+		return Decision{}, refuseNoUpstream()
+	}
+	t.spill.arrived()
+	var local choice
+	if here {
+		local = t.pickLocal(p, req, load, rnd, now)
+	}
+	if req.Class == ClassEntry {
+		if decision, ok := t.sendAway(p, req, placement, here, local, now); ok {
+			return decision, nil
+		}
+	}
+	return t.decideLocal(p, req, here, local, now)
+}
+
+// choice is the best local upstream, if any.
+type choice struct {
+	candidate *candidate
+	estimate  Estimate
+	// full is true when upstreams were ruled out only by this gateway's limit.
+	full bool
+}
+
+func (c choice) total(req *Request) float64 { return c.estimate.Total() + req.Waiting.Seconds() }
+
+func (t *Table) pickLocal(p *pool, req *Request, load LocalLoad, rnd Rand, now time.Time) choice {
+	if len(p.locals) == 0 {
+		return choice{}
+	}
+	favourite := int32(-1)
+	if key, ok := affinityKey(req); ok {
+		favourite = p.favourite(key)
+	}
+	_, holders := p.longestHint(req)
+	sampled := Sampled{Size: len(p.locals), Favourite: favourite, Holders: holders}
+	sample := t.strategy.Picker.Sample(req, sampled, rnd)
+	at := moment{now: now, sinceCompile: now.Sub(t.compiled)}
+	best := t.bestOf(p, req, load, &sample, favourite, at)
+	if best.candidate != nil || sample.count == len(p.locals) {
+		return best
+	}
+	return t.firstUsable(p, req, load, favourite, at, int(rnd.Uint64()%uint64(len(p.locals))))
+}
+
+// bestOf scores the sampled upstreams that pass the filters.
+func (t *Table) bestOf(p *pool, req *Request, load LocalLoad, sample *Sample, favourite int32, at moment) choice {
+	var best choice
+	lowest := 0.0
+	for _, i := range sample.indices[:sample.count] {
+		c := &p.locals[i]
+		own := load.Load(c.upstream.Name)
+		if !t.keep(req, c, own) {
+			best.full = best.full || own.InFlight >= own.Limit
+			continue
+		}
+		estimate := p.estimate(req, i, favourite, own, at)
+		score := t.strategy.Scorer.Score(req, estimate)
+		if best.candidate == nil || score < lowest {
+			best.candidate, best.estimate, lowest = c, estimate, score
+		}
+	}
+	return best
+}
+
+// firstUsable looks through the whole pool when no sampled upstream would do.
+func (t *Table) firstUsable(p *pool, req *Request, load LocalLoad, favourite int32, at moment, start int) choice {
+	var none choice
+	for n := range p.locals {
+		i := int32((start + n) % len(p.locals))
+		c := &p.locals[i]
+		own := load.Load(c.upstream.Name)
+		if t.keep(req, c, own) {
+			return choice{candidate: c, estimate: p.estimate(req, i, favourite, own, at)}
+		}
+		none.full = none.full || own.InFlight >= own.Limit
+	}
+	return none
+}
+
+func (t *Table) keep(req *Request, c *candidate, own limit.Load) bool {
+	for _, filter := range t.strategy.Filters {
+		if !filter.Keep(req, c.upstream.Name, own) {
+			return false
+		}
+	}
+	return true
+}
+
+// decideLocal turns the local choice into a decision or a refusal.
+func (t *Table) decideLocal(p *pool, req *Request, here bool, local choice, now time.Time) (Decision, *outcome.Refusal) {
+	if !here {
+		return Decision{}, refuseNoUpstream()
+	}
+	if local.candidate == nil {
+		if local.full {
+			return Decision{}, refuseFull(p, req)
+		}
+		return Decision{}, refuseNoUpstream()
+	}
+	total := local.total(req)
+	if late := lateBy(req, total, now); late > 0 {
+		return Decision{}, refuseLate(late, local.estimate.Wait+req.Waiting.Seconds())
+	}
+	return Decision{
+		Upstream:   local.candidate.upstream,
+		Pool:       p.key,
+		Version:    p.id.version,
+		FirstToken: seconds(local.estimate.FirstToken()) + req.Waiting,
+		Predicted:  seconds(total),
+	}, nil
+}
+
+// lateBy is how far after the deadline a request of that predicted length ends.
+func lateBy(req *Request, total float64, now time.Time) time.Duration {
+	if req.Deadline.IsZero() {
+		return 0
+	}
+	return seconds(total) - req.Deadline.Sub(now)
+}
+
+// placement returns the regions in which what the request asks for may run.
+func (t *Table) placement(req *Request) ([]string, *outcome.Refusal) {
+	if t.revision == 0 {
+		return nil, refuseNoConfiguration()
+	}
+	if req.Kind == config.KindService {
+		if service := t.services[req.Serves]; service != nil {
+			return service.Regions, nil
+		}
+		return nil, refuseUnknown(req)
+	}
+	model := t.models[req.Serves]
+	if model == nil {
+		return nil, refuseUnknown(req)
+	}
+	if len(req.Caller.Models) > 0 && !slices.Contains(req.Caller.Models, req.Serves) {
+		return nil, refuseModel()
+	}
+	return model.Regions, nil
+}
+
+// permitted says whether the request may be processed in a region.
+func (t *Table) permitted(req *Request, placement []string, region string) bool {
+	return slices.Contains(req.Caller.Regions, region) && slices.Contains(placement, region)
+}
+
+func (t *Table) permittedAnywhere(req *Request, placement []string) bool {
+	for _, region := range req.Caller.Regions {
+		if slices.Contains(placement, region) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/route/remote.go
@@ -0,0 +1,123 @@
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// DigestLife is the age from which another domain's digest no longer counts: it
+// grants no credit and the domain is taken for unreachable.
+const DigestLife = 5 * time.Second
+
+// Link delays, one way, that are assumed where none has been measured.
+const (
+	defaultFarLink  = 55 * time.Millisecond
+	defaultNearLink = time.Millisecond
+)
+
+// remote is a pool as another failure domain has it.
+type remote struct {
+	digest *board.DomainDigest
+	state  board.PoolDigest
+	// link is the one-way delay in seconds.
+	link float64
+	// credit is how many requests this gateway may send on the digest's word.
+	credit int
+	ledger *ledger
+}
+
+func (r *remote) fresh(now time.Time) bool {
+	return now.Sub(r.digest.HeardAt) <= DigestLife && len(r.digest.Entries) > 0
+}
+
+func (t *Table) compileRemotes(in *Input) {
+	if in.Domains == nil {
+		return
+	}
+	gateways := liveGateways(in)
+	for i := range in.Domains.Remote {
+		digest := &in.Domains.Remote[i]
+		if digest.Domain == in.Domain {
+			continue
+		}
+		for _, state := range digest.Pools {
+			if state.Slots <= 0 {
+				continue
+			}
+			p := t.pool(poolID{state.Serves, state.Version})
+			p.remotes = append(p.remotes, remote{
+				digest: digest,
+				state:  state,
+				link:   t.link(in, digest).Seconds(),
+				credit: creditOf(in, digest, state, gateways),
+				ledger: t.spill.ledger(digest, p.key),
+			})
+		}
+	}
+}
+
+func (t *Table) link(in *Input, digest *board.DomainDigest) time.Duration {
+	if measured, ok := in.Links[digest.Domain]; ok {
+		return measured
+	}
+	if digest.Region == t.region {
+		return defaultNearLink
+	}
+	return defaultFarLink
+}
+
+// creditOf splits a domain's spare capacity among the domains that may send, and
+// this domain's part among its gateways. The odd ones go round from digest to
+// digest.
+func creditOf(in *Input, digest *board.DomainDigest, state board.PoolDigest, gateways []board.Instance) int {
+	round := digest.Domain + "/" + state.Serves + "/" + strconv.FormatUint(digest.Sequence, 16)
+	mine := limit.Share(round, state.Spare, in.Domain, senders(in, digest.Domain))
+	demands := make([]limit.Demand, len(gateways))
+	for i := range gateways {
+		demands[i].Name = gateways[i].Name
+	}
+	return limit.Share(round, mine, in.Self, demands)
+}
+
+// senders lists every domain that is declared or heard of, but the receiver.
+func senders(in *Input, receiver string) []limit.Demand {
+	names := []string{in.Domain}
+	for i := range in.Domains.Remote {
+		names = append(names, in.Domains.Remote[i].Domain)
+	}
+	for _, region := range in.Head.Declaration.Regions {
+		names = append(names, region.Domains...)
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	var demands []limit.Demand
+	for _, name := range names {
+		if name != receiver {
+			demands = append(demands, limit.Demand{Name: name})
+		}
+	}
+	return demands
+}
+
+// estimate predicts a request's course in another domain, its caches taken as cold.
+func (r *remote) estimate(req *Request) Estimate {
+	ahead := float64(r.state.Busy + r.state.Waiting + r.ledger.unconfirmed())
+	e := Estimate{Link: 2 * r.link, AtUpstream: ahead}
+	slots := float64(r.state.Slots)
+	if req.Kind == config.KindService {
+		e.Decode = defaultHolding.Seconds()
+		e.Wait = slotWait(ahead, slots, e.Decode)
+		return e
+	}
+	e.EngineSeconds = float64(req.PromptTokens) / cmp.Or(r.state.PrefillRate, defaultPrefillRate)
+	e.Prefill = e.EngineSeconds
+	e.Decode = answerTokens(req) / cmp.Or(r.state.DecodeRate, defaultDecodeRate)
+	e.Wait = slotWait(ahead, slots, e.EngineSeconds+e.Decode)
+	return e
+}
--- /dev/null
+++ b/pkg/route/request.go
@@ -0,0 +1,103 @@
+// Package route decides where a request runs: on an upstream of the own failure
+// domain, in another failure domain, or nowhere.
+//
+// A Table is compiled from the blackboard's sections whenever one changes; Pick is
+// then a function of the request, the table and this gateway's own work in hand.
+//
+// Guarantees: a decision never leaves the regions that the caller and the model or
+// service both permit; a request of ClassDomain is never sent to another domain; a
+// refusal from here is always "not run".
+package route
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// Class is how far a request may still travel. It only ever falls.
+type Class uint8
+
+// Classes of a request.
+const (
+	// ClassEntry: it came from a caller, and may be sent to another domain.
+	ClassEntry Class = iota
+	// ClassDomain: it came from another domain, and must run in this one.
+	ClassDomain
+)
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	// Caller is who sent it. Never nil.
+	Caller *config.Caller
+	// Serves names the model or service, and Kind says which of both it is.
+	Serves string
+	Kind   config.UpstreamKind
+	// Version asks for one model version; empty leaves it to the declared split.
+	Version string
+	// Prefixes holds cumulative hashes of the prompt at each message's end, and
+	// PrefixTokens the estimated prompt tokens up to there. PrefixTokens may be
+	// empty: messages then count as equally long.
+	Prefixes     []uint64
+	PrefixTokens []int
+	// PromptTokens is the estimated length of the prompt, MaxTokens the longest
+	// answer; zero when the request does not say.
+	PromptTokens, MaxTokens int
+	// Deadline is when the answer must be whole; zero means none.
+	Deadline time.Time
+	// Class and Origin say how the request came here; Origin is the sending
+	// failure domain, empty for ClassEntry.
+	Class  Class
+	Origin string
+	// Tried names the upstreams and failure domains that have failed this
+	// request; they are not picked again.
+	Tried []string
+	// Roll is a random number that decides the version split.
+	Roll uint64
+	// Waiting is the predicted wait in this gateway's own queue, if the request
+	// runs in this domain.
+	Waiting time.Duration
+	// Admitted says that the request has left this gateway's queue: upstreams at
+	// which the gateway's limit is reached are then not picked.
+	Admitted bool
+}
+
+// Decision is where a request goes. Exactly one of Upstream and Domain is set.
+type Decision struct {
+	// Upstream is an upstream of the own failure domain.
+	Upstream *config.Upstream
+	// Domain is another failure domain, to one of whose Entries the request goes.
+	Domain *board.DomainDigest
+	// Pool names the pool that was chosen, PoolKey(serves, version). It is the
+	// key of this gateway's queue.
+	Pool string
+	// Version is the model version that was chosen; empty for services.
+	Version string
+	// FirstToken is the predicted time to the first byte, and Predicted the time
+	// to the whole answer, own queue included.
+	FirstToken, Predicted time.Duration
+	// Spilled is true when the request leaves a region that could run it.
+	Spilled bool
+}
+
+// LocalLoad tells this gateway's own, present load. *limit.Tracker implements it.
+type LocalLoad interface {
+	// Load returns what the gateway knows at first hand of an upstream.
+	Load(upstream string) limit.Load
+}
+
+// Rand is a source of random numbers; *math/rand/v2.Rand implements it.
+type Rand interface {
+	// Uint64 returns 64 random bits.
+	Uint64() uint64
+}
+
+// PoolKey names the upstreams that serve one model version, or one service.
+func PoolKey(serves, version string) string {
+	if version == "" {
+		return serves
+	}
+	return serves + "@" + version
+}
--- /dev/null
+++ b/pkg/route/score.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// expectedAnswer is the length in tokens that an answer is taken to have, unless
+// the request asks for less.
+const expectedAnswer = 256
+
+// defaultHolding is how long a service call is taken to last when none has been
+// measured.
+const defaultHolding = 100 * time.Millisecond
+
+// Estimate is what is predicted for a request at one place. Times are in seconds.
+type Estimate struct {
+	// Wait is until the request gets a slot, Prefill until its prompt is worked
+	// off, prompts ahead of it included, Decode until the answer's end.
+	Wait, Prefill, Decode float64
+	// Link is what the way there and back adds.
+	Link float64
+	// EngineSeconds is what the request's uncached prompt costs.
+	EngineSeconds float64
+	// AtUpstream estimates the requests that are there already.
+	AtUpstream float64
+}
+
+// FirstToken is the predicted time to the first byte, in seconds.
+func (e Estimate) FirstToken() float64 { return e.Wait + e.Prefill + e.Link }
+
+// Total is the predicted time to the whole answer, in seconds.
+func (e Estimate) Total() float64 { return e.FirstToken() + e.Decode }
+
+// TimeAndCost scores by predicted time, with the cost of prefill added by weight.
+type TimeAndCost struct {
+	// CostWeight is 0 (latency alone) to 1.
+	CostWeight float64
+}
+
+// costScale is how many seconds of waiting one engine-second weighs at full
+// CostWeight.
+const costScale = 4.0
+
+// Score implements Scorer.
+func (s TimeAndCost) Score(_ *Request, e Estimate) float64 {
+	return e.Total() + s.CostWeight*costScale*e.EngineSeconds
+}
+
+// answerTokens is the answer's expected length.
+func answerTokens(req *Request) float64 {
+	if req.MaxTokens > 0 && req.MaxTokens < expectedAnswer {
+		return float64(req.MaxTokens)
+	}
+	return expectedAnswer
+}
+
+// estimate predicts a request's course at a local upstream.
+func (p *pool) estimate(req *Request, i, favourite int32, own limit.Load, clock moment) Estimate {
+	c := &p.locals[i]
+	others, othersPrefill := c.discounted(p.mean, clock.sinceCompile)
+	e := Estimate{AtUpstream: others + float64(own.InFlight)}
+	room := c.room(clock.now)
+	holding := own.Holding.Seconds()
+	if c.upstream.Kind == config.KindService {
+		if holding == 0 {
+			holding = defaultHolding.Seconds()
+		}
+		e.Wait = slotWait(e.AtUpstream, room, holding)
+		e.Decode = holding
+		return e
+	}
+	uncached := float64(req.PromptTokens) - p.cachedTokens(req, i, favourite)
+	e.EngineSeconds = uncached / c.prefillRate
+	e.Prefill = e.EngineSeconds + (othersPrefill+float64(own.Prefill))/c.prefillRate
+	e.Decode = answerTokens(req) / c.decodeRate
+	if holding == 0 {
+		holding = e.EngineSeconds + e.Decode
+	}
+	e.Wait = slotWait(e.AtUpstream, room, holding)
+	return e
+}
+
+// slotWait is how long a request waits for one of room slots, behind ahead others
+// that each hold a slot for holding seconds.
+func slotWait(ahead, room, holding float64) float64 {
+	over := ahead + 1 - room
+	if over <= 0 {
+		return 0
+	}
+	return over / room * holding
+}
+
+// moment is the time of a decision.
+type moment struct {
+	now          time.Time
+	sinceCompile time.Duration
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/pkg/route/spill.go
@@ -0,0 +1,130 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of sending away.
+const (
+	// defaultMargin is used where the policy declares no spill margin.
+	defaultMargin = 300 * time.Millisecond
+	// keepPart of the margin suffices to go on sending to a domain.
+	keepPart = 0.5
+	// returnTime is how long it takes, once the gain has fallen below the margin,
+	// until all traffic has come back to the local caches.
+	returnTime = 10 * time.Second
+)
+
+// sendAway returns a decision for another domain when that is the better place.
+func (t *Table) sendAway(p *pool, req *Request, placement []string, here bool, local choice, now time.Time) (Decision, bool) {
+	best, estimate := t.bestRemote(p, req, placement, here, now)
+	if best == nil {
+		return Decision{}, false
+	}
+	if here && !t.worthIt(best, req, local, estimate, now) {
+		return Decision{}, false
+	}
+	far := best.digest.Region != t.region
+	if here && !t.spill.take(best, far, t.rules[best.digest.Region], now) {
+		return Decision{}, false
+	}
+	if !here {
+		best.ledger.send()
+	}
+	return Decision{
+		Domain:     best.digest,
+		Pool:       p.key,
+		Version:    p.id.version,
+		FirstToken: seconds(estimate.FirstToken()),
+		Predicted:  seconds(estimate.Total()),
+		Spilled:    here && far,
+	}, true
+}
+
+// bestRemote returns the domain where the request is predicted to end soonest,
+// among those that it may be sent to.
+func (t *Table) bestRemote(p *pool, req *Request, placement []string, here bool, now time.Time) (*remote, Estimate) {
+	var best *remote
+	var lowest Estimate
+	for i := range p.remotes {
+		r := &p.remotes[i]
+		if !t.mayReceive(r, req, placement, here, now) {
+			continue
+		}
+		estimate := r.estimate(req)
+		if lateBy(req, estimate.Total(), now) > 0 {
+			continue
+		}
+		if best == nil || t.remoteScore(req, r, estimate) < t.remoteScore(req, best, lowest) {
+			best, lowest = r, estimate
+		}
+	}
+	return best, lowest
+}
+
+// remoteScore favours the caller's home region by the margin.
+func (t *Table) remoteScore(req *Request, r *remote, e Estimate) float64 {
+	score := TimeAndCost{t.policy.CostWeight}.Score(req, e)
+	if r.digest.Region == req.Caller.Home {
+		score -= t.margin()
+	}
+	return score
+}
+
+// mayReceive applies the filters to another domain. Without a permitted place
+// here, neither spill rules nor credits stand in the way: the request is not work
+// that this region could keep.
+func (t *Table) mayReceive(r *remote, req *Request, placement []string, here bool, now time.Time) bool {
+	if !r.fresh(now) || !t.permitted(req, placement, r.digest.Region) {
+		return false
+	}
+	if slices.Contains(req.Tried, r.digest.Domain) {
+		return false
+	}
+	if !here {
+		return true
+	}
+	if r.digest.Region != t.region && t.rules[r.digest.Region] == 0 {
+		return false
+	}
+	return r.ledger.used() < r.credit
+}
+
+// worthIt says whether the predicted end there beats the one here by the margin,
+// less for a domain that is being sent to already.
+func (t *Table) worthIt(r *remote, req *Request, local choice, there Estimate, now time.Time) bool {
+	if local.candidate == nil || lateBy(req, local.total(req), now) > 0 {
+		return true
+	}
+	score := TimeAndCost{t.policy.CostWeight}
+	gain := score.Score(req, local.estimate) + req.Waiting.Seconds() - score.Score(req, there)
+	margin := t.margin()
+	if gain >= margin {
+		r.ledger.strong(now)
+		return true
+	}
+	if gain < keepPart*margin {
+		return false
+	}
+	return t.stillReturning(r, req, now)
+}
+
+// stillReturning lets a falling part of the requests go on to the other domain for
+// a while, so that local caches fill step by step.
+func (t *Table) stillReturning(r *remote, req *Request, now time.Time) bool {
+	since := now.Sub(r.ledger.lastStrong())
+	if since >= returnTime {
+		return false
+	}
+	part := 1 - float64(since)/float64(returnTime)
+	return float64(mix(req.Roll))/math.MaxUint64 < part
+}
+
+func (t *Table) margin() float64 {
+	if t.policy.SpillMargin > 0 {
+		return t.policy.SpillMargin.Std().Seconds()
+	}
+	return defaultMargin.Seconds()
+}
--- /dev/null
+++ b/pkg/route/strategy.go
@@ -0,0 +1,73 @@
+package route
+
+import "github.com/lilacweir/lilacweir/pkg/limit"
+
+// Filter says whether an upstream may take a request now.
+type Filter interface {
+	// Keep returns false to rule the upstream out.
+	Keep(req *Request, upstream string, own limit.Load) bool
+}
+
+// Scorer ranks upstreams.
+type Scorer interface {
+	// Score returns a cost, in seconds; the lowest wins.
+	Score(req *Request, estimate Estimate) float64
+}
+
+// Picker chooses which of a pool's upstreams are looked at.
+type Picker interface {
+	// Sample returns indices below pool.Size.
+	Sample(req *Request, pool Sampled, rnd Rand) Sample
+}
+
+// Sampled is what a Picker sees of a pool.
+type Sampled struct {
+	// Size is the number of usable upstreams.
+	Size int
+	// Favourite is the upstream that rendezvous hashing gives to the request's
+	// prefix; -1 for none.
+	Favourite int32
+	// Holders are the upstreams that reported the longest cached prefix.
+	Holders []int32
+}
+
+// MaxSample is how many upstreams one decision looks at, at most.
+const MaxSample = 16
+
+// Sample is a small set of upstreams.
+type Sample struct {
+	count   int
+	indices [MaxSample]int32
+}
+
+// Add puts an index into the sample, unless it is there, negative, or the sample
+// is full.
+func (s *Sample) Add(index int32) {
+	if index < 0 || s.count == MaxSample {
+		return
+	}
+	for _, have := range s.indices[:s.count] {
+		if have == index {
+			return
+		}
+	}
+	s.indices[s.count] = index
+	s.count++
+}
+
+// Strategy is how a local upstream is chosen.
+type Strategy struct {
+	Filters []Filter
+	Scorer  Scorer
+	Picker  Picker
+}
+
+// DefaultStrategy is the one that gateways use; costWeight is the declared weight
+// of cost against latency, 0 to 1.
+func DefaultStrategy(costWeight float64) Strategy {
+	return Strategy{
+		Filters: []Filter{NotEjected{}, NotTried{}, BelowLimit{}},
+		Scorer:  TimeAndCost{CostWeight: costWeight},
+		Picker:  AffinityAndChoices{},
+	}
+}
--- /dev/null
+++ b/pkg/route/version.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// choosePool returns the pool for a request: the version that it asks for, or one
+// drawn by the declared shares among those that something usable serves; nil when
+// there is none.
+func (t *Table) choosePool(req *Request, placement []string, here bool, now time.Time) *pool {
+	if req.Kind == config.KindService || req.Version != "" {
+		return t.usablePool(poolID{req.Serves, req.Version}, req, placement, here, now)
+	}
+	versions := t.models[req.Serves].Versions
+	sum := 0
+	for i := range versions {
+		if t.usablePool(poolID{req.Serves, versions[i].Name}, req, placement, here, now) != nil {
+			sum += versions[i].Percent
+		}
+	}
+	if sum == 0 {
+		return nil
+	}
+	point := int(req.Roll % uint64(sum))
+	for i := range versions {
+		p := t.usablePool(poolID{req.Serves, versions[i].Name}, req, placement, here, now)
+		if p == nil {
+			continue
+		}
+		if point < versions[i].Percent {
+			return p
+		}
+		point -= versions[i].Percent
+	}
+	return nil
+}
+
+// usablePool returns the pool when something that the request may use serves it.
+func (t *Table) usablePool(id poolID, req *Request, placement []string, here bool, now time.Time) *pool {
+	p := t.pools[id]
+	if p == nil {
+		return nil
+	}
+	if here && len(p.locals) > 0 {
+		return p
+	}
+	if req.Class == ClassDomain {
+		return nil
+	}
+	for i := range p.remotes {
+		if r := &p.remotes[i]; r.fresh(now) && t.permitted(req, placement, r.digest.Region) {
+			return p
+		}
+	}
+	return nil
+}
