--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -1,26 +1,25 @@
 package cli
 
 import (
-	"bytes"
 	"fmt"
-	"os"
 
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/yamlfile"
 )
 
 // CheckCommand checks a file without starting anything.
 type CheckCommand struct {
-	File string `arg:"" help:"Settings of an instance, client settings, or a declaration." type:"existingfile"`
+	File string `arg:"" help:"Settings of an instance, client settings, or a declaration."`
 }
 
 // Run implements the command.
 func (c *CheckCommand) Run(session *Session) error {
-	data, err := os.ReadFile(c.File)
+	data, err := yamlfile.ReadFile(c.File)
 	if err != nil {
-		return fmt.Errorf("check: %w", err)
+		return err
 	}
 	if err := checkFile(c.File, data); err != nil {
 		return err
@@ -40,36 +39,21 @@
 	_ = yaml.Unmarshal(data, &keys)
 	switch {
 	case keys.Instance != nil:
-		return strictly(file, data, &settings.Instance{})
+		_, err := settings.Parse(file, data)
+		return err
 	case keys.Servers != nil:
-		return strictly(file, data, &settings.Client{})
+		return yamlfile.Decode(file, data, &settings.Client{})
 	default:
-		return checkDeclaration(file, data)
+		_, err := config.Load(file, data)
+		return err
 	}
 }
 
-func checkDeclaration(file string, data []byte) error {
-	return strictly(file, data, &config.Declaration{})
-}
-
 // loadClient reads the command line's settings file.
 func loadClient(file string) (*settings.Client, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
 	var loaded settings.Client
-	if err := strictly(file, data, &loaded); err != nil {
+	if err := yamlfile.Load(file, &loaded); err != nil {
 		return nil, err
 	}
 	return &loaded, nil
 }
-
-func strictly(file string, data []byte, into any) error {
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(into); err != nil {
-		return fmt.Errorf("%s: %w", file, err)
-	}
-	return nil
-}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -50,6 +50,7 @@
 	Run    RunCommand    `cmd:"" help:"Send one line of the operators' language. Exit code: 0 done, 1 refused, 2 unknown or not yet everywhere."`
 	Prompt PromptCommand `cmd:"" help:"Send lines from an interactive prompt with history."`
 	Ask    AskCommand    `cmd:"" help:"Send a chat request as a caller, and print the answer as it arrives."`
+	Wait   WaitCommand   `cmd:"" help:"Wait until gateways serve."`
 	Call   CallCommand   `cmd:"" help:"Call a plain service as a caller."`
 }
 
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -113,3 +113,18 @@
 	is.True(command.Run(newSession(&out)) != nil) // an unknown key is refused
 	is.Equal(len(agent.lines), 1)
 }
+
+func TestCheckNamesEveryFault(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "declaration.yaml")
+	is.NoErr(os.WriteFile(file, []byte("regions: []\nmodel: 3\ncallers:\n  - name: UPPER\n"), 0o600))
+	var out bytes.Buffer
+	err := (&CheckCommand{File: file}).Run(newSession(&out))
+	is.True(err != nil)
+	for _, place := range []string{"regions", "model", "callers"} {
+		is.True(strings.Contains(err.Error(), place)) // all faults in one go
+	}
+	is.NoErr((&CheckCommand{File: "../../deploy/wellness/declaration.yaml"}).Run(newSession(&out)))
+	is.NoErr((&CheckCommand{File: "../../deploy/wellness/kal-1.yaml"}).Run(newSession(&out)))
+	is.NoErr((&CheckCommand{File: "../../deploy/wellness/operator.yaml"}).Run(newSession(&out)))
+}
--- a/pkg/cli/operate.go
+++ b/pkg/cli/operate.go
@@ -4,10 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
 	"github.com/chzyer/readline"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/yamlfile"
 )
 
 // RunCommand sends one line of the operators' language.
@@ -35,16 +37,16 @@
 type ApplyCommand struct {
 	OperatorFlags
 	DryRun bool   `help:"Only show the difference."`
-	File   string `arg:"" help:"Declaration file." type:"existingfile"`
+	File   string `arg:"" help:"Declaration file."`
 }
 
 // Run implements the command.
 func (c *ApplyCommand) Run(session *Session) error {
-	data, err := os.ReadFile(c.File)
+	data, err := yamlfile.ReadFile(c.File)
 	if err != nil {
-		return fmt.Errorf("apply: %w", err)
+		return err
 	}
-	if err := checkDeclaration(c.File, data); err != nil {
+	if _, err := config.Load(c.File, data); err != nil {
 		return err
 	}
 	server, err := c.connect(session)
