--- a/pkg/standin/plan/plan.go
+++ b/pkg/standin/plan/plan.go
@@ -40,15 +40,7 @@
 	Instances   []settings.Instance
 	Standin     standin.Settings
 	Declaration config.Declaration
-	Operator    OperatorFile
-}
-
-// OperatorFile is what an operator's command line reads.
-type OperatorFile struct {
-	// Servers lists the instances' operator addresses.
-	Servers []string `yaml:"servers"`
-	// Operator is the operator's name.
-	Operator string `yaml:"operator"`
+	Operator    settings.Client
 }
 
 // site is a failure domain with its number, counting from 1.
@@ -115,6 +107,7 @@
 		}
 		b.plan.Instances = append(b.plan.Instances, instance)
 		b.plan.Operator.Servers = append(b.plan.Operator.Servers, at(portOperators))
+		b.plan.Operator.Gateways = append(b.plan.Operator.Gateways, at(portCallers))
 		b.list(standin.Listed{Name: name, Domain: s.Name, Mesh: at(portMesh)})
 	}
 }
--- /dev/null
+++ b/pkg/standin/plan/plan_test.go
@@ -0,0 +1,62 @@
+package plan_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/plan"
+)
+
+// deployments are those in the repository, with their second octets.
+var deployments = map[string]int{"wellness": 10, "minibar": 11}
+
+func TestCommittedDeploymentsAreUpToDate(t *testing.T) {
+	for name, net := range deployments {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			committed := filepath.Join("..", "..", "..", "deploy", name)
+			topology, err := plan.Load(filepath.Join(committed, "topology.yaml"))
+			is.NoErr(err)
+			fresh := t.TempDir()
+			is.NoErr(plan.Write(plan.Build(topology, net), fresh))
+			files, err := os.ReadDir(fresh)
+			is.NoErr(err)
+			for _, file := range files {
+				want, err := os.ReadFile(filepath.Join(fresh, file.Name()))
+				is.NoErr(err)
+				got, err := os.ReadFile(filepath.Join(committed, file.Name()))
+				is.NoErr(err)
+				is.Equal(string(got), string(want)) // run `lilacweir-standin plan` again
+			}
+		})
+	}
+}
+
+func TestEveryPathBetweenDomainsIsALink(t *testing.T) {
+	is := is.New(t)
+	topology, err := plan.Load(filepath.Join("..", "..", "..", "deploy", "wellness", "topology.yaml"))
+	is.NoErr(err)
+	built := plan.Build(topology, 77)
+	targets := make(map[string]string)
+	listens := make(map[string]bool)
+	for _, relay := range built.Standin.Links {
+		is.True(!listens[relay.Listen])
+		listens[relay.Listen] = true
+		targets[relay.From+" "+relay.Target] = relay.Listen
+	}
+	for _, one := range built.Instances {
+		for _, other := range built.Instances {
+			for _, address := range []string{other.Gateway.Peers, other.Gateway.Control, other.Agent.Mesh, other.Agent.Operators} {
+				via, linked := one.DialVia[address]
+				is.Equal(linked, one.Domain != other.Domain)
+				is.Equal(via, targets[one.Domain+" "+address])
+			}
+		}
+		for _, address := range append(one.Platform.KeyValue, one.Platform.Directory, one.Platform.InstanceList, one.Platform.WeightStore) {
+			is.True(listens[one.DialVia[address]])
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/service/service_test.go
@@ -0,0 +1,57 @@
+package service_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+	"github.com/lilacweir/lilacweir/pkg/standin/service"
+)
+
+func TestJournalHoldsWhatRan(t *testing.T) {
+	settings := service.Settings{Name: "sleeplog-1", Domain: "hall", Serves: "sleeplog-api", Concurrency: 1}
+	for name, test := range map[string]struct {
+		verb   string
+		status int
+		ran    int
+	}{
+		"healthy": {verb: "ok", status: http.StatusOK, ran: 1},
+		"failing": {verb: "fail", status: http.StatusInternalServerError, ran: 1},
+		"dying":   {verb: "die", status: 0, ran: 1},
+		"refuses": {verb: "refuse", status: http.StatusServiceUnavailable, ran: 0},
+		"leaving": {verb: "leave", status: http.StatusServiceUnavailable, ran: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := journal.New()
+			one := service.New(settings, clock.System{}, j)
+			server := httptest.NewServer(one.Handler())
+			defer server.Close()
+			is.NoErr(one.Set(test.verb, "1"))
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/uploads", strings.NewReader("night"))
+			is.NoErr(err)
+			request.Header.Set(engineapi.HeaderIdempotencyKey, "key-1")
+			request.Header.Set(engineapi.HeaderCaller, "residents-app")
+			status := 0
+			if response, err := http.DefaultClient.Do(request); err == nil {
+				status = response.StatusCode
+				is.NoErr(response.Body.Close())
+				notStarted := response.Header.Get(engineapi.HeaderNotStarted) == "true"
+				is.Equal(notStarted, test.ran == 0) // said exactly when true
+			}
+			is.Equal(status, test.status)
+			entries := j.Entries("sleeplog-1")
+			is.Equal(len(entries), test.ran)
+			for _, entry := range entries {
+				is.Equal(entry.IdempotencyKey, "key-1")
+				is.Equal(entry.Caller, "residents-app")
+			}
+		})
+	}
+}
