--- a/pkg/load/mix.go
+++ b/pkg/load/mix.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/yamlfile"
 )
 
 // Mix says who sends what, and how often.
@@ -71,6 +72,18 @@
 	return fmt.Sprintf("item %s names caller %s, which the mix does not have", e.Item, e.Caller)
 }
 
+// ReadMix reads and checks a mix file.
+func ReadMix(file string) (*Mix, error) {
+	var mix Mix
+	if err := yamlfile.Load(file, &mix); err != nil {
+		return nil, err
+	}
+	if err := mix.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return &mix, nil
+}
+
 // check finds the callers that items name.
 func (m *Mix) check() error {
 	known := make(map[string]bool)
--- a/pkg/load/print.go
+++ b/pkg/load/print.go
@@ -70,6 +70,10 @@
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
+	if r.Cost != nil {
+		_, _ = fmt.Fprintf(out, "upstream runs %d, engine slot time %.1f s, of it wasted %.1f s\n",
+			r.Cost.Runs, r.Cost.Engine.Seconds(), r.Cost.Wasted.Seconds())
+	}
 	return r.writeReasons(out)
 }
 
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -72,6 +72,8 @@
 	ByCaller []*Tally
 	// Endings describes the requests that did not end complete, the first 1000.
 	Endings []Ending
+	// Cost is what upstreams spent; nil when it was not read.
+	Cost *Cost
 	// Elapsed is how long the run took.
 	Elapsed time.Duration
 }
