--- a/cmd/lilacweir-standin/main.go
+++ b/cmd/lilacweir-standin/main.go
@@ -94,7 +94,11 @@
 	if err != nil {
 		return err
 	}
-	return plan.Write(plan.Build(topology, c.Net), c.Out)
+	built, err := plan.Build(topology, c.Net)
+	if err != nil {
+		return err
+	}
+	return plan.Write(built, c.Out)
 }
 
 func main() {
--- a/pkg/engineapi/engineapi.go
+++ b/pkg/engineapi/engineapi.go
@@ -1,6 +1,6 @@
-// Package engineapi holds the messages and headers that model engines and plain
-// services exchange with lilacweir: the chat-completions API with streaming, and
-// the small set of control endpoints beside it.
+// Package engineapi holds the messages that model engines exchange with
+// lilacweir: the chat-completions API with streaming, and the small set of
+// control endpoints beside it. The headers are in package header.
 package engineapi
 
 import "github.com/lilacweir/lilacweir/pkg/prefix"
@@ -14,27 +14,6 @@
 	PathOrders      = "/v1/orders"
 )
 
-// Headers of upstreams.
-const (
-	// HeaderRequestID is echoed by every upstream.
-	HeaderRequestID = "X-Request-Id"
-	// HeaderResumeOffset asks an engine to leave out so many first chunks. An
-	// engine that cannot resume answers 409.
-	HeaderResumeOffset = "X-Resume-Offset"
-	// HeaderNotStarted with the value "true" on a 503 says that nothing was run.
-	HeaderNotStarted = "X-Not-Started"
-	// HeaderLeaving with the value "true" on any answer says that the upstream is
-	// about to leave.
-	HeaderLeaving = "X-Leaving"
-	// HeaderCaller names the caller that the request is processed for.
-	HeaderCaller = "X-Lilacweir-Caller"
-	// HeaderIdempotencyKey carries the caller's idempotency key.
-	HeaderIdempotencyKey = "Idempotency-Key"
-)
-
-// HeaderTrue is the value of a header that marks something.
-const HeaderTrue = "true"
-
 // StreamDone is the data of the event that ends a whole stream.
 const StreamDone = "[DONE]"
 
--- a/pkg/standin/admin/admin.go
+++ b/pkg/standin/admin/admin.go
@@ -10,6 +10,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/standin/fleet"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 	"github.com/lilacweir/lilacweir/pkg/standin/kv"
@@ -96,7 +97,7 @@
 
 // lines writes one JSON value a line.
 func lines(x echo.Context, values []any) error {
-	x.Response().Header().Set("Content-Type", "application/x-ndjson")
+	x.Response().Header().Set(header.ContentType, "application/x-ndjson")
 	x.Response().WriteHeader(http.StatusOK)
 	encoder := json.NewEncoder(x.Response())
 	for _, value := range values {
--- a/pkg/standin/engine/chat.go
+++ b/pkg/standin/engine/chat.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/prefix"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
@@ -48,15 +49,15 @@
 		return notStarted(c)
 	}
 	defer s.cancel()
-	c.Response().Header().Set(engineapi.HeaderRequestID, s.shownID())
+	c.Response().Header().Set(header.RequestID, s.shownID())
 	e.enter(s)
 	defer e.exit(s)
 	return e.serve(c, s)
 }
 
 func notStarted(c echo.Context) error {
-	c.Response().Header().Set(engineapi.HeaderNotStarted, engineapi.HeaderTrue)
-	c.Response().Header().Set("Retry-After", "1")
+	c.Response().Header().Set(header.NotStarted, header.True)
+	c.Response().Header().Set(header.RetryAfter, "1")
 	return refuse(c, http.StatusServiceUnavailable, "not started")
 }
 
@@ -71,7 +72,7 @@
 
 // read checks a request. A problem comes with its HTTP status.
 func (e *Engine) read(c echo.Context) (s *stream, status int, problem string) {
-	s = &stream{id: c.Request().Header.Get(engineapi.HeaderRequestID), faults: e.switches.load()}
+	s = &stream{id: c.Request().Header.Get(header.RequestID), faults: e.switches.load()}
 	if err := c.Bind(&s.ask); err != nil {
 		return nil, http.StatusBadRequest, "body is not a chat request"
 	}
@@ -88,7 +89,7 @@
 	if s.rank, known = rank(s.ask.Priority); !known {
 		return nil, http.StatusBadRequest, "expected priority low, normal or high"
 	}
-	if text := c.Request().Header.Get(engineapi.HeaderResumeOffset); text != "" {
+	if text := c.Request().Header.Get(header.ResumeOffset); text != "" {
 		offset, err := strconv.Atoi(text)
 		if err != nil || offset < 0 {
 			return nil, http.StatusBadRequest, "expected a resume offset of at least 0"
@@ -131,8 +132,8 @@
 	request := c.Request()
 	s.number = e.journal.Add(journal.Entry{
 		Upstream: e.settings.Name, Domain: e.settings.Domain, Kind: journal.KindChat,
-		RequestID: s.id, Caller: request.Header.Get(engineapi.HeaderCaller), Method: request.Method, Path: request.URL.Path,
-		IdempotencyKey: request.Header.Get(engineapi.HeaderIdempotencyKey),
+		RequestID: s.id, Caller: request.Header.Get(header.Caller), Method: request.Method, Path: request.URL.Path,
+		IdempotencyKey: request.Header.Get(header.IdempotencyKey),
 		Offset:         s.offset, Started: e.clock.Now(), Result: journal.ResultRunning,
 	})
 	result := journal.ResultBroken
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -17,6 +17,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
 
@@ -124,7 +125,7 @@
 func (e *Engine) announce(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if e.switches.load().leave {
-			c.Response().Header().Set(engineapi.HeaderLeaving, engineapi.HeaderTrue)
+			c.Response().Header().Set(header.Leaving, header.True)
 		}
 		return next(c)
 	}
--- a/pkg/standin/engine/engine_test.go
+++ b/pkg/standin/engine/engine_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/prefix"
 	"github.com/lilacweir/lilacweir/pkg/standin/engine"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
@@ -85,7 +86,7 @@
 	return engineapi.ChatRequest{Model: "nurse", Messages: messages, MaxTokens: tokens, Stream: true}
 }
 
-func named(id string) map[string]string { return map[string]string{engineapi.HeaderRequestID: id} }
+func named(id string) map[string]string { return map[string]string{header.RequestID: id} }
 
 // waitFor waits until the journal holds a state.
 func (b bench) waitFor(holds func([]journal.Entry) bool) {
@@ -111,7 +112,7 @@
 	is.Equal(status, 0) // the connection broke
 	is.Equal(strings.Count(broken, "\n\n"), 7)
 	headers := named("r1")
-	headers[engineapi.HeaderResumeOffset] = "7"
+	headers[header.ResumeOffset] = "7"
 	status, _, rest := second.post(engineapi.PathChat, ask("how did I sleep", 20), headers)
 	is.Equal(status, http.StatusOK)
 	is.Equal(broken+rest, whole)
@@ -209,12 +210,12 @@
 	is := is.New(t)
 	b := start(t, nil)
 	is.NoErr(b.engine.Set("refuse", "1"))
-	status, header, _ := b.post(engineapi.PathChat, ask("x", 2), named("r1"))
+	status, answered, _ := b.post(engineapi.PathChat, ask("x", 2), named("r1"))
 	is.Equal(status, http.StatusServiceUnavailable)
-	is.Equal(header.Get(engineapi.HeaderNotStarted), "true")
+	is.Equal(answered.Get(header.NotStarted), "true")
 	is.NoErr(b.engine.Set("cross", ""))
-	_, header, answer := b.post(engineapi.PathChat, ask("x", 2), named("r2"))
-	is.True(header.Get(engineapi.HeaderRequestID) != "r2")
+	_, answered, answer := b.post(engineapi.PathChat, ask("x", 2), named("r2"))
+	is.True(answered.Get(header.RequestID) != "r2")
 	is.True(!strings.Contains(answer, `"r2"`))
 	is.NoErr(b.engine.Set("ok", ""))
 	is.NoErr(b.engine.Set("truncate", ""))
@@ -223,9 +224,9 @@
 	is.Equal(strings.Count(answer, "\n\n"), 4)
 	is.True(!strings.Contains(answer, engineapi.StreamDone))
 	is.NoErr(b.engine.Set("leave", ""))
-	status, header, _ = b.post(engineapi.PathChat, ask("x", 2), named("r4"))
+	status, answered, _ = b.post(engineapi.PathChat, ask("x", 2), named("r4"))
 	is.Equal(status, http.StatusServiceUnavailable)
-	is.Equal(header.Get(engineapi.HeaderLeaving), "true")
+	is.Equal(answered.Get(header.Leaving), "true")
 	is.Equal(len(b.journal.Entries("")), 2) // refused requests did not run
 	is.True(b.engine.Set("melt", "") != nil)
 	is.True(b.engine.Set("fail", "many") != nil)
--- a/pkg/standin/engine/generate.go
+++ b/pkg/standin/engine/generate.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/prefix"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
@@ -97,7 +98,7 @@
 
 func (e *Engine) streamAnswer(c echo.Context, s *stream) string {
 	response := c.Response()
-	response.Header().Set("Content-Type", "text/event-stream")
+	response.Header().Set(header.ContentType, "text/event-stream")
 	response.Header().Set("Cache-Control", "no-cache")
 	response.WriteHeader(http.StatusOK)
 	response.Flush()
--- a/pkg/standin/plan/plan.go
+++ b/pkg/standin/plan/plan.go
@@ -58,8 +58,23 @@
 	plan     Plan
 }
 
+// NetError is a second octet that is out of range.
+type NetError struct {
+	// Net is what was given.
+	Net int
+}
+
+// Error implements error.
+func (e *NetError) Error() string { return fmt.Sprintf("net %d: expected 1 to %d", e.Net, maxNet) }
+
+// maxNet is the highest second octet.
+const maxNet = 254
+
 // Build makes the plan for the second octet net.
-func Build(topology Topology, net int) Plan {
+func Build(topology Topology, net int) (Plan, error) {
+	if net < 1 || net > maxNet {
+		return Plan{}, &NetError{Net: net}
+	}
 	b := &builder{topology: topology, net: net}
 	for _, region := range topology.Regions {
 		for _, domain := range region.Domains {
@@ -72,7 +87,7 @@
 	}
 	b.declare()
 	b.upstreams()
-	return b.plan
+	return b.plan, nil
 }
 
 func (b *builder) address(third, fourth, port int) string {
--- a/pkg/standin/plan/plan_test.go
+++ b/pkg/standin/plan/plan_test.go
@@ -21,7 +21,9 @@
 			topology, err := plan.Load(filepath.Join(committed, "topology.yaml"))
 			is.NoErr(err)
 			fresh := t.TempDir()
-			is.NoErr(plan.Write(plan.Build(topology, net), fresh))
+			built, err := plan.Build(topology, net)
+			is.NoErr(err)
+			is.NoErr(plan.Write(built, fresh))
 			files, err := os.ReadDir(fresh)
 			is.NoErr(err)
 			for _, file := range files {
@@ -39,7 +41,8 @@
 	is := is.New(t)
 	topology, err := plan.Load(filepath.Join("..", "..", "..", "deploy", "wellness", "topology.yaml"))
 	is.NoErr(err)
-	built := plan.Build(topology, 77)
+	built, err := plan.Build(topology, 77)
+	is.NoErr(err)
 	targets := make(map[string]string)
 	listens := make(map[string]bool)
 	for _, relay := range built.Standin.Links {
--- a/pkg/standin/plan/topology.go
+++ b/pkg/standin/plan/topology.go
@@ -8,14 +8,11 @@
 package plan
 
 import (
-	"bytes"
 	"fmt"
-	"os"
 	"time"
 
-	"go.yaml.in/yaml/v3"
-
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/yamlfile"
 )
 
 // Topology describes a deployment.
@@ -108,7 +105,7 @@
 	Share   int      `yaml:"share,omitempty" validate:"gte=0,lte=1000"`
 }
 
-// FileError is a file that cannot be read or written.
+// FileError is a file that cannot be written.
 type FileError struct {
 	// File is the file, Err the cause.
 	File string
@@ -121,17 +118,9 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
 
-// Load reads a topology.
+// Load reads a topology; its error names every fault with file, line and key.
 func Load(file string) (Topology, error) {
 	var topology Topology
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return topology, &FileError{File: file, Err: err}
-	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&topology); err != nil {
-		return topology, &FileError{File: file, Err: err}
-	}
-	return topology, nil
+	err := yamlfile.Load(file, &topology)
+	return topology, err
 }
--- a/pkg/standin/service/service.go
+++ b/pkg/standin/service/service.go
@@ -17,6 +17,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/standin/fault"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
@@ -153,11 +154,11 @@
 }
 
 func (s *Service) handle(c echo.Context) error {
-	header := c.Response().Header()
-	header.Set(engineapi.HeaderRequestID, c.Request().Header.Get(engineapi.HeaderRequestID))
+	answered := c.Response().Header()
+	answered.Set(header.RequestID, c.Request().Header.Get(header.RequestID))
 	leaving := s.leaving()
 	if leaving {
-		header.Set(engineapi.HeaderLeaving, engineapi.HeaderTrue)
+		answered.Set(header.Leaving, header.True)
 	}
 	if leaving || s.take(&s.faults.refuse) {
 		return notStarted(c)
@@ -180,8 +181,8 @@
 }
 
 func notStarted(c echo.Context) error {
-	c.Response().Header().Set(engineapi.HeaderNotStarted, engineapi.HeaderTrue)
-	c.Response().Header().Set("Retry-After", "1")
+	c.Response().Header().Set(header.NotStarted, header.True)
+	c.Response().Header().Set(header.RetryAfter, "1")
 	return c.JSON(http.StatusServiceUnavailable, engineapi.ErrorAnswer{Error: "not started"})
 }
 
@@ -191,9 +192,9 @@
 	request := c.Request()
 	number := s.journal.Add(journal.Entry{
 		Upstream: s.settings.Name, Domain: s.settings.Domain, Kind: journal.KindCall,
-		RequestID: request.Header.Get(engineapi.HeaderRequestID), Caller: request.Header.Get(engineapi.HeaderCaller),
+		RequestID: request.Header.Get(header.RequestID), Caller: request.Header.Get(header.Caller),
 		Method: request.Method, Path: request.URL.Path,
-		IdempotencyKey: request.Header.Get(engineapi.HeaderIdempotencyKey),
+		IdempotencyKey: request.Header.Get(header.IdempotencyKey),
 		Started:        s.clock.Now(), Result: journal.ResultRunning,
 	})
 	s.mu.Lock()
@@ -226,7 +227,7 @@
 	}
 	return c.JSON(http.StatusOK, Answer{
 		Service: s.settings.Serves, Upstream: s.settings.Name,
-		RequestID: request.Header.Get(engineapi.HeaderRequestID),
+		RequestID: request.Header.Get(header.RequestID),
 		Method:    request.Method, Path: request.URL.Path, Bytes: bytes, Run: run,
 	})
 }
--- a/pkg/standin/service/service_test.go
+++ b/pkg/standin/service/service_test.go
@@ -9,7 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
-	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 	"github.com/lilacweir/lilacweir/pkg/standin/service"
 )
@@ -36,13 +36,13 @@
 			is.NoErr(one.Set(test.verb, "1"))
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/uploads", strings.NewReader("night"))
 			is.NoErr(err)
-			request.Header.Set(engineapi.HeaderIdempotencyKey, "key-1")
-			request.Header.Set(engineapi.HeaderCaller, "residents-app")
+			request.Header.Set(header.IdempotencyKey, "key-1")
+			request.Header.Set(header.Caller, "residents-app")
 			status := 0
 			if response, err := http.DefaultClient.Do(request); err == nil {
 				status = response.StatusCode
 				is.NoErr(response.Body.Close())
-				notStarted := response.Header.Get(engineapi.HeaderNotStarted) == "true"
+				notStarted := response.Header.Get(header.NotStarted) == "true"
 				is.Equal(notStarted, test.ran == 0) // said exactly when true
 			}
 			is.Equal(status, test.status)
