--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -20,20 +20,10 @@
 	"strings"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
-// Headers between callers and gateways.
-const (
-	HeaderOutcome        = "X-Lilacweir-Outcome"
-	HeaderDomain         = "X-Lilacweir-Domain"
-	HeaderUpstream       = "X-Lilacweir-Upstream"
-	HeaderRequestID      = "X-Request-Id"
-	HeaderDeadline       = "X-Lilacweir-Deadline"
-	HeaderPriority       = "X-Lilacweir-Priority"
-	HeaderIdempotencyKey = "Idempotency-Key"
-)
-
 // maxAnswer bounds how much of a plain answer is read, in bytes.
 const maxAnswer = 64 << 20
 
@@ -197,32 +187,32 @@
 	if err != nil {
 		return nil, &Answer{Outcome: outcomeOfSend(err), Err: fmt.Errorf("send to %s: %w", gateway, err)}
 	}
-	header := response.Header
+	got := response.Header
 	return response, &Answer{
-		Outcome:   outcome.Outcome(header.Get(HeaderOutcome)),
+		Outcome:   outcome.Outcome(got.Get(header.Outcome)),
 		Status:    response.StatusCode,
-		RequestID: header.Get(HeaderRequestID),
-		Domain:    header.Get(HeaderDomain),
-		Upstream:  header.Get(HeaderUpstream),
+		RequestID: got.Get(header.RequestID),
+		Domain:    got.Get(header.Domain),
+		Upstream:  got.Get(header.Upstream),
 	}
 }
 
 func (c *Client) setHeaders(request *http.Request, options Options) {
-	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set(header.Authorization, "Bearer "+c.Key)
 	if request.Method != http.MethodGet {
-		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set(header.ContentType, "application/json")
 	}
 	if options.RequestID != "" {
-		request.Header.Set(HeaderRequestID, options.RequestID)
+		request.Header.Set(header.RequestID, options.RequestID)
 	}
 	if options.Deadline > 0 {
-		request.Header.Set(HeaderDeadline, strconv.FormatInt(options.Deadline.Milliseconds(), 10))
+		request.Header.Set(header.Deadline, strconv.FormatInt(options.Deadline.Milliseconds(), 10))
 	}
 	if options.IdempotencyKey != "" {
-		request.Header.Set(HeaderIdempotencyKey, options.IdempotencyKey)
+		request.Header.Set(header.IdempotencyKey, options.IdempotencyKey)
 	}
 	if options.Priority != "" {
-		request.Header.Set(HeaderPriority, options.Priority)
+		request.Header.Set(header.Priority, options.Priority)
 	}
 }
 
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
@@ -28,7 +29,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-				w.Header().Set(HeaderOutcome, "complete")
+				w.Header().Set(header.Outcome, "complete")
 				_, _ = w.Write([]byte(test.stream))
 			}))
 			defer server.Close()
@@ -56,7 +57,7 @@
 			is := is.New(t)
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				if test.header != "" {
-					w.Header().Set(HeaderOutcome, test.header)
+					w.Header().Set(header.Outcome, test.header)
 				}
 				w.WriteHeader(test.status)
 				_, _ = w.Write([]byte(test.body))
--- a/pkg/client/follower_test.go
+++ b/pkg/client/follower_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
@@ -31,7 +32,7 @@
 		return
 	}
 	g.served++
-	w.Header().Set(HeaderOutcome, string(outcome.Complete))
+	w.Header().Set(header.Outcome, string(outcome.Complete))
 }
 
 func TestFollowerLeavesLeavingInstances(t *testing.T) {
--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
 func testMix() *Mix {
@@ -33,7 +34,7 @@
 			list := client.Instances{Instances: []client.Instance{{Domain: "larisa-hall", Address: *address}}, ValidMS: 60_000, KeyPrefix: "lw1.a"}
 			_ = json.NewEncoder(w).Encode(list)
 		case client.ChatPath:
-			w.Header().Set(client.HeaderDomain, "peristeri-hall")
+			w.Header().Set(header.Domain, "peristeri-hall")
 			const chunk = `data: {"choices":[{"delta":{"content":"x"}}]}` + "\n\n"
 			_, _ = w.Write([]byte(chunk + chunk + "data: [DONE]\n\n"))
 		default:
--- a/pkg/load/run.go
+++ b/pkg/load/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/client"
@@ -28,6 +29,9 @@
 	// Dial connects; nil dials plainly.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// Answered counts the requests that have ended so far.
+	Answered atomic.Int64
+
 	followers map[string]*client.Follower
 	homes     map[string]string
 }
@@ -49,7 +53,10 @@
 		if !sleepUntil(ctx, at) {
 			break
 		}
-		running.Go(func() { report.add(r.sendOne(drawn, at)) })
+		running.Go(func() {
+			report.add(r.sendOne(drawn, at))
+			r.Answered.Add(1)
+		})
 	}
 	running.Wait()
 	report.Elapsed = time.Since(begin)
