--- /dev/null
+++ b/pkg/api/accept.go
@@ -0,0 +1,190 @@
+package api
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/trace"
+)
+
+// requestIDPattern is what callers may choose as a request ID.
+var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}$`)
+
+// identifyRequest takes the caller's request ID, or makes one, and echoes it.
+func (s *Server) identifyRequest(c echo.Context, request *dispatch.Request) *outcome.Refusal {
+	given := c.Request().Header.Get(header.RequestID)
+	request.ID = given
+	if given == "" {
+		request.ID = s.source.NewRequestID()
+	}
+	fits := requestIDPattern.MatchString(strings.Replace(given, trace.ScopeSeparator, "", 1))
+	if given != "" && !fits {
+		request.ID = s.source.NewRequestID()
+	}
+	request.CallerID = request.ID
+	c.Response().Header().Set(header.RequestID, request.ID)
+	if given != "" && !fits {
+		return badRequest("the request ID must be 1 to 100 letters, digits or . _ : -")
+	}
+	return nil
+}
+
+func badRequest(detail string) *outcome.Refusal {
+	return outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, detail)
+}
+
+// fromCaller authenticates a caller by its key.
+func (s *Server) fromCaller(c echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal {
+	caller, refusal := authenticate(c, index)
+	if refusal != nil {
+		return refusal
+	}
+	request.Caller = caller
+	if c.Request().Header.Get(header.RequestID) != "" {
+		request.ID = caller.Name + trace.ScopeSeparator + request.ID
+	}
+	return nil
+}
+
+func authenticate(c echo.Context, index *Configuration) (*config.Caller, *outcome.Refusal) {
+	scheme, key, _ := strings.Cut(c.Request().Header.Get(header.Authorization), " ")
+	if strings.EqualFold(scheme, "Bearer") {
+		if caller, ok := index.CallerByKey(strings.TrimSpace(key)); ok {
+			return caller, nil
+		}
+	}
+	return nil, outcome.Refuse(http.StatusUnauthorized, outcome.ReasonUnauthenticated, 0, "the key is missing or not known")
+}
+
+// fromPeer takes what another domain's gateway says of the request, and refuses
+// to decide by an older configuration than the sender's.
+func (s *Server) fromPeer(c echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal {
+	fields := c.Request().Header
+	request.Origin = fields.Get(header.Origin)
+	if fields.Get(header.Class) != header.ClassDomain || request.Origin == "" || request.Origin == s.domain {
+		return outcome.Refuse(http.StatusLoopDetected, outcome.ReasonLoop, 0, "a forwarded request must come from another failure domain with class domain")
+	}
+	revision, err := strconv.ParseUint(fields.Get(header.Revision), 10, 64)
+	if err != nil {
+		return badRequest("the revision header is not a number")
+	}
+	request.Revision = config.Revision(revision)
+	if request.Revision > index.Revision {
+		return outcome.Refuse(http.StatusConflict, outcome.ReasonStaleRevision, configurationRetry, "this domain has an older configuration than the sender")
+	}
+	caller, ok := index.Caller(fields.Get(header.Caller))
+	if !ok {
+		return outcome.Refuse(http.StatusForbidden, outcome.ReasonUnauthenticated, 0, "the caller is not declared here")
+	}
+	request.Caller = caller
+	request.Version = fields.Get(header.Version)
+	return readOffset(fields, request)
+}
+
+// readOffset takes the number of chunks that the sender already has.
+func readOffset(fields http.Header, request *dispatch.Request) *outcome.Refusal {
+	text := fields.Get(header.ResumeOffset)
+	if text == "" {
+		return nil
+	}
+	offset, err := strconv.Atoi(text)
+	if err != nil || offset < 0 {
+		return badRequest("the resume offset is not a count")
+	}
+	request.Offset = offset
+	return nil
+}
+
+const priorityExpected = "the priority must be low, normal or high"
+
+// maxDeadline bounds what a caller may ask for, so that adding it cannot overflow.
+const maxDeadline = 24 * time.Hour
+
+// readHeader takes the headers that callers and gateways may both set.
+func (s *Server) readHeader(c echo.Context, request *dispatch.Request) *outcome.Refusal {
+	fields := c.Request().Header
+	request.Header = make(http.Header, len(fields))
+	header.PassOn(request.Header, fields)
+	request.Header.Set(header.Caller, request.Caller.Name)
+	request.IdempotencyKey = fields.Get(header.IdempotencyKey)
+	priority, ok := parsePriority(fields.Get(header.Priority))
+	if !ok {
+		return badRequest(priorityExpected)
+	}
+	request.Priority = priority
+	text := fields.Get(header.Deadline)
+	if text == "" {
+		return nil
+	}
+	left, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || left < 0 {
+		return badRequest("the deadline must be milliseconds from now")
+	}
+	wait := min(time.Duration(min(left, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline)
+	request.Deadline = s.now().Add(wait)
+	return nil
+}
+
+// readBody reads the whole body within the bounds. Until release is called, the
+// body counts against the memory for all bodies.
+func (s *Server) readBody(c echo.Context, request *dispatch.Request) (release func(), refusal *outcome.Refusal) {
+	incoming := c.Request()
+	size := incoming.ContentLength
+	if size > s.maxBody {
+		return nil, tooLarge()
+	}
+	if size < 0 {
+		size = s.maxBody
+	}
+	if !s.memory.TryAcquire(size) {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, memoryRetry, "too many request bodies are in hand")
+	}
+	release = func() { s.memory.Release(size) }
+	body, refusal := s.read(c, size)
+	if refusal != nil {
+		release()
+		return nil, refusal
+	}
+	request.Body = body
+	return release, nil
+}
+
+// read reads the body against the clock. The read deadline is lifted afterwards:
+// the connection is then watched for the caller's going away.
+func (s *Server) read(c echo.Context, size int64) ([]byte, *outcome.Refusal) {
+	if size == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(c.Response())
+	// A connection without deadlines (a test's recorder) has no slow client.
+	_ = controller.SetReadDeadline(s.now().Add(bodyTimeout))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.maxBody))
+	var over *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &over):
+		return nil, tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, 0, "the request's body came too slowly")
+	default:
+		return nil, badRequest("the request's body broke off")
+	}
+}
+
+func tooLarge() *outcome.Refusal {
+	return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the request's body is too large")
+}
--- /dev/null
+++ b/pkg/api/chat.go
@@ -0,0 +1,102 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"slices"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/admission"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/prefix"
+)
+
+// chatRequest is the part of a chat completion that routing needs.
+type chatRequest struct {
+	Model               string           `json:"model"`
+	Messages            []prefix.Message `json:"messages"`
+	MaxTokens           int              `json:"max_tokens"`
+	MaxCompletionTokens int              `json:"max_completion_tokens"`
+	Priority            string           `json:"priority"`
+}
+
+// chat describes a chat completion. It may be repeated: an engine keeps nothing.
+func (s *Server) chat(_ echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal {
+	var body chatRequest
+	if err := json.Unmarshal(request.Body, &body); err != nil {
+		return badRequest("the body is not a chat completion: " + err.Error())
+	}
+	if len(body.Messages) == 0 {
+		return badRequest("the body holds no messages")
+	}
+	model, ok := index.Model(body.Model)
+	if !ok {
+		return outcome.Refuse(http.StatusNotFound, outcome.ReasonUnknownModel, 0, "the model is not declared")
+	}
+	if allowed := request.Caller.Models; len(allowed) > 0 && !slices.Contains(allowed, body.Model) {
+		return outcome.Refuse(http.StatusForbidden, outcome.ReasonForbiddenModel, 0, "the caller may not use this model")
+	}
+	request.MaxTokens = max(body.MaxTokens, body.MaxCompletionTokens)
+	if request.MaxTokens < 0 || (model.MaxTokens > 0 && request.MaxTokens > model.MaxTokens) {
+		return badRequest("max_tokens is out of the model's range")
+	}
+	if refusal := prioritize(request, body.Priority); refusal != nil {
+		return refusal
+	}
+	request.Header.Set(header.ContentType, "application/json")
+	request.Serves = body.Model
+	request.Kind = config.KindEngine
+	request.Repeatable = true
+	request.Prefixes = prefix.Hashes(body.Messages)
+	request.PromptTokens = prefix.Tokens(body.Messages)
+	return nil
+}
+
+// prioritize settles the priority: the body's where it has one, which engines
+// read, else the header's, which is then written into the body.
+func prioritize(request *dispatch.Request, inBody string) *outcome.Refusal {
+	if inBody != "" {
+		priority, ok := parsePriority(inBody)
+		if !ok {
+			return badRequest(priorityExpected)
+		}
+		request.Priority = priority
+		return nil
+	}
+	if request.Priority == admission.PriorityNormal {
+		return nil
+	}
+	member := `{"priority":"` + priorityName(request.Priority) + `",`
+	opening := bytes.IndexByte(request.Body, '{')
+	request.Body = slices.Concat([]byte(member), request.Body[opening+1:])
+	return nil
+}
+
+var priorities = map[string]admission.Priority{
+	"":                       admission.PriorityNormal,
+	engineapi.PriorityLow:    admission.PriorityLow,
+	engineapi.PriorityNormal: admission.PriorityNormal,
+	engineapi.PriorityHigh:   admission.PriorityHigh,
+}
+
+func parsePriority(text string) (priority admission.Priority, ok bool) {
+	priority, ok = priorities[text]
+	return priority, ok
+}
+
+func priorityName(priority admission.Priority) string {
+	switch {
+	case priority < admission.PriorityNormal:
+		return engineapi.PriorityLow
+	case priority > admission.PriorityNormal:
+		return engineapi.PriorityHigh
+	default:
+		return engineapi.PriorityNormal
+	}
+}
--- /dev/null
+++ b/pkg/api/server.go
@@ -0,0 +1,223 @@
+// Package api is the HTTP face of a gateway: what callers, and the gateways of
+// other failure domains, may ask, and the bounds that hold for them.
+//
+// Guarantees: a request is passed on only when it was read as a whole, its caller
+// is known and its resource is declared; every refusal has the same JSON form.
+package api
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/telemetry"
+)
+
+// Bounds of what a client of the API may use.
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// bodyTimeout bounds the reading of a request's body.
+	bodyTimeout = 30 * time.Second
+	// idleTimeout ends connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeader bounds the head of a request in bytes.
+	maxHeader = 32 << 10
+	// bodyMemory bounds the bodies of all requests in hand, in bytes.
+	bodyMemory = 256 << 20
+)
+
+// Dispatcher serves accepted requests.
+type Dispatcher interface {
+	Serve(ctx context.Context, request *dispatch.Request, sink *relay.Sink)
+}
+
+// Source is what the API knows of the gateway that it belongs to.
+type Source interface {
+	// Configuration is what is in force; nil when there is none.
+	Configuration() *Configuration
+	// Instances lists where the caller may send requests, best first, and the
+	// beginning of idempotency keys.
+	Instances(caller *config.Caller) Instances
+	// Ready says whether and how the gateway serves.
+	Ready() Readiness
+	// NewRequestID returns a fresh ID.
+	NewRequestID() string
+	// Roll returns a random number.
+	Roll() uint64
+	// Leaving is true when no new requests are taken.
+	Leaving() bool
+}
+
+// Server answers callers and other gateways.
+type Server struct {
+	source     Source
+	dispatcher Dispatcher
+	metrics    *dispatch.Metrics
+	registry   metrics.Registry
+	maxBody    int64
+	memory     *semaphore.Weighted
+	now        func() time.Time
+	// Domain is told to callers as the place where a refusal was made.
+	domain string
+}
+
+// Configuration is one accepted configuration, compiled for lookups.
+type Configuration struct {
+	*config.Index
+	Revision config.Revision
+}
+
+// Options are the parts of a Server.
+type Options struct {
+	Source     Source
+	Dispatcher Dispatcher
+	Metrics    *dispatch.Metrics
+	Registry   metrics.Registry
+	// MaxBody bounds a request's body in bytes.
+	MaxBody int64
+	Now     func() time.Time
+	Domain  string
+}
+
+// NewServer returns a server with the given parts.
+func NewServer(options Options) *Server {
+	return &Server{
+		source:     options.Source,
+		dispatcher: options.Dispatcher,
+		metrics:    options.Metrics,
+		registry:   options.Registry,
+		maxBody:    options.MaxBody,
+		memory:     semaphore.NewWeighted(bodyMemory),
+		now:        options.Now,
+		domain:     options.Domain,
+	}
+}
+
+// Callers returns the HTTP server for callers.
+func (s *Server) Callers() *http.Server {
+	router := s.router()
+	router.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", s.ready)
+	router.GET("/metrics", echo.WrapHandler(telemetry.Handler(s.registry)))
+	router.GET("/v1/instances", s.instances)
+	router.POST(engineapi.PathChat, s.accept(s.fromCaller, s.chat))
+	router.Any("/*", s.accept(s.fromCaller, s.service))
+	return bounded(router)
+}
+
+// Peers returns the HTTP server for the gateways of other failure domains.
+func (s *Server) Peers() *http.Server {
+	router := s.router()
+	router.POST(engineapi.PathChat, s.accept(s.fromPeer, s.chat))
+	router.Any("/*", s.accept(s.fromPeer, s.service))
+	return bounded(router)
+}
+
+func (s *Server) router() *echo.Echo {
+	router := echo.New()
+	router.HTTPErrorHandler = s.handleError
+	return router
+}
+
+func bounded(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+// step adds to a request what one part of the HTTP request says.
+type step func(c echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal
+
+// accept reads a request in the given steps and dispatches it.
+func (s *Server) accept(identify, describe step) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		request := &dispatch.Request{Method: c.Request().Method, URI: c.Request().RequestURI, Roll: s.source.Roll()}
+		index, refusal := s.open(c, request, identify)
+		if refusal != nil {
+			return s.refuse(c, request, refusal)
+		}
+		release, refusal := s.readBody(c, request)
+		if refusal != nil {
+			return s.refuse(c, request, refusal)
+		}
+		defer release()
+		if refusal := describe(c, index, request); refusal != nil {
+			return s.refuse(c, request, refusal)
+		}
+		s.dispatcher.Serve(c.Request().Context(), request, relay.NewSink(c.Response(), s.now))
+		return nil
+	}
+}
+
+// open checks all that can be checked before the body is read.
+func (s *Server) open(c echo.Context, request *dispatch.Request, identify step) (*Configuration, *outcome.Refusal) {
+	if refusal := s.identifyRequest(c, request); refusal != nil {
+		return nil, refusal
+	}
+	if s.source.Leaving() {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, leavingRetry, "this instance is leaving: use another one")
+	}
+	index := s.source.Configuration()
+	if index == nil {
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, configurationRetry, "this instance has no configuration yet")
+	}
+	if refusal := identify(c, index, request); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := s.readHeader(c, request); refusal != nil {
+		return nil, refusal
+	}
+	return index, nil
+}
+
+// Waiting times that refusals suggest.
+const (
+	leavingRetry       = 100 * time.Millisecond
+	configurationRetry = time.Second
+	memoryRetry        = time.Second
+)
+
+// refuse answers with a refusal before the request was dispatched.
+func (s *Server) refuse(c echo.Context, request *dispatch.Request, refusal *outcome.Refusal) error {
+	refusal.RequestID = request.CallerID
+	if repeats(c, request) && refusal.RetryAfter > 0 {
+		refusal.Outcome = outcome.Unknown
+	}
+	s.metrics.Refuse(refusal.Reason)
+	c.Response().Header().Set(header.Domain, s.domain)
+	relay.NewSink(c.Response(), s.now).Refuse(refusal)
+	return nil
+}
+
+// repeats says whether the request may be the repeat of one that ran: then a
+// passing cause, met before its key was asked for, does not mean that it did not.
+func repeats(c echo.Context, request *dispatch.Request) bool {
+	return request.Origin == "" && c.Request().Header.Get(header.IdempotencyKey) != ""
+}
+
+// handleError gives the errors of the HTTP router the form of refusals.
+func (s *Server) handleError(err error, c echo.Context) {
+	refusal := outcome.Refuse(http.StatusInternalServerError, outcome.ReasonInternal, 0, "the request could not be handled")
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		refusal = outcome.Refuse(known.Code, outcome.ReasonUnknownRoute, 0, http.StatusText(known.Code))
+	}
+	if !c.Response().Committed {
+		_ = s.refuse(c, &dispatch.Request{CallerID: s.source.NewRequestID()}, refusal)
+	}
+}
--- /dev/null
+++ b/pkg/dispatch/claim.go
@@ -0,0 +1,100 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/claim"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+)
+
+// finishTimeout bounds the recording of how a claimed request ended.
+const finishTimeout = 3 * time.Second
+
+// claimed serves the request, after claiming its idempotency key where running it
+// twice would do harm. A forwarded request was claimed where it came in.
+func (r *run) claimed(ctx context.Context) *outcome.Refusal {
+	if r.request.Repeatable {
+		return r.serve(ctx)
+	}
+	lasting, cancel := r.outliving(ctx)
+	defer cancel()
+	if r.request.IdempotencyKey == "" || r.request.Origin != "" {
+		return r.serve(lasting)
+	}
+	grant, recorded, refusal := r.Claims.Begin(ctx, claim.Claim{
+		Key:         r.request.IdempotencyKey,
+		Caller:      r.request.Caller.Name,
+		Fingerprint: claim.FingerprintOf(r.request.Method, r.request.URI, r.request.Body),
+	})
+	switch {
+	case refusal != nil:
+		return r.refuse(refusal)
+	case recorded != nil:
+		return r.replay(recorded)
+	}
+	return r.granted(lasting, grant)
+}
+
+// outliving returns a context that does not end when the caller goes away: a
+// request that may not be repeated is better run to its end, so that its repeat
+// finds an answer. Its deadline holds.
+func (r *run) outliving(ctx context.Context) (context.Context, context.CancelFunc) {
+	lasting := context.WithoutCancel(ctx)
+	if r.request.Deadline.IsZero() {
+		return lasting, func() {}
+	}
+	return context.WithDeadline(lasting, r.request.Deadline)
+}
+
+// granted runs the request and records how it ended, in every case.
+func (r *run) granted(ctx context.Context, grant *claim.Grant) *outcome.Refusal {
+	// One byte more than is kept for repeats shows that an answer was longer.
+	r.sink.Copy = &relay.Copy{Limit: claim.MaxStoredBody + 1}
+	result := claim.Result{Outcome: outcome.Unknown}
+	defer func() {
+		finishing, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		grant.Finish(finishing, result)
+	}()
+	refusal := r.serve(ctx)
+	switch {
+	case refusal == nil || r.sink.Whole:
+		result = answerOf(r.sink.Copy)
+	case !r.ran:
+		result.Outcome = outcome.NotRun
+	}
+	return refusal
+}
+
+func answerOf(kept *relay.Copy) claim.Result {
+	result := claim.Result{Outcome: outcome.Complete, Status: kept.Status, Body: kept.Body}
+	if kept.ContentType != "" {
+		result.Header = map[string]string{header.ContentType: kept.ContentType}
+	}
+	return result
+}
+
+// replay answers with what the earlier run answered.
+func (r *run) replay(recorded *claim.Recorded) *outcome.Refusal {
+	if recorded.BodyDropped {
+		return r.refuse(&outcome.Refusal{
+			Outcome: outcome.Complete,
+			Reason:  outcome.ReasonKeyAnswerDropped,
+			Status:  http.StatusConflict,
+			Detail:  "the request ran and was answered completely; its answer was too long to keep",
+		})
+	}
+	fields := r.sink.Header()
+	for name, value := range recorded.Header {
+		fields.Set(name, value)
+	}
+	fields.Set(header.Replayed, header.True)
+	fields.Set(header.Outcome, string(outcome.Complete))
+	// A caller that has gone can ask again.
+	_ = r.sink.Answer(recorded.Status, recorded.Body)
+	return nil
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/lilacweir/lilacweir/pkg/claim"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
@@ -27,18 +28,33 @@
 
 // Router chooses targets by the newest snapshots.
 type Router interface {
-	// Choose picks a target that is not in tried. The choice holds a place at the
-	// target until done is called with the attempt's report.
-	Choose(ctx context.Context, request *Request, tried []string) (Choice, func(relay.Report), *outcome.Refusal)
-	// Permitted checks the choice against the configuration that is in force now.
+	// Route begins the way of one request. End must be called on the result.
+	Route(request *Request) Route
+	// Permitted checks a choice against the configuration that is in force now.
 	Permitted(request *Request, choice *Choice) *outcome.Refusal
 	// Retry asks for one retry of a request that may have run.
 	Retry() bool
 }
 
+// Route is the way of one request through admission and its attempts.
+type Route interface {
+	// Next waits for admission, once, and chooses a target that is not in tried.
+	// The place taken there is given back by calling done.
+	Next(ctx context.Context, tried []string) (choice Choice, done func(relay.Report), refusal *outcome.Refusal)
+	// End gives up what the request holds.
+	End()
+}
+
+// Claims gives the right to run requests that may not be repeated.
+// *claim.Coordinator implements it.
+type Claims interface {
+	Begin(ctx context.Context, asked claim.Claim) (*claim.Grant, *claim.Recorded, *outcome.Refusal)
+}
+
 // Dispatcher serves requests. Its fields are set once, before the first request.
 type Dispatcher struct {
 	Router  Router
+	Claims  Claims
 	Client  *relay.Client
 	Log     zerolog.Logger
 	Trace   *trace.Log
@@ -77,7 +93,7 @@
 		defer cancel()
 		ctx = limited
 	}
-	refusal := r.serve(ctx)
+	refusal := r.claimed(ctx)
 	r.end(refusal)
 	if refusal != nil {
 		sink.Refuse(refusal)
@@ -86,8 +102,10 @@
 
 // serve makes attempts until one succeeds or the request must be given up.
 func (r *run) serve(ctx context.Context) *outcome.Refusal {
+	route := r.Router.Route(r.request)
+	defer route.End()
 	for {
-		choice, done, refusal := r.Router.Choose(ctx, r.request, r.tried)
+		choice, done, refusal := r.next(ctx, route)
 		if refusal != nil {
 			return r.refuse(refusal)
 		}
@@ -104,6 +122,17 @@
 	}
 }
 
+// next chooses a target. A stream that has begun goes back to a target that broke
+// off before when there is no other: its chunks are worth more than a fresh start.
+func (r *run) next(ctx context.Context, route Route) (Choice, func(relay.Report), *outcome.Refusal) {
+	choice, done, refusal := route.Next(ctx, r.tried)
+	if refusal == nil || !r.sink.Begun || len(r.tried) == 0 {
+		return choice, done, refusal
+	}
+	r.tried = nil
+	return route.Next(ctx, nil)
+}
+
 // attempt tries one target.
 func (r *run) attempt(ctx context.Context, choice *Choice, done func(relay.Report)) (relay.Report, *outcome.Refusal) {
 	if refusal := r.Router.Permitted(r.request, choice); refusal != nil {
@@ -207,7 +236,7 @@
 		refusal = r.last.Refusal
 	}
 	whole := *refusal
-	whole.RequestID = r.request.ID
+	whole.RequestID = r.request.CallerID
 	if r.ran {
 		whole.Outcome = outcome.Unknown
 	}
--- a/pkg/dispatch/request.go
+++ b/pkg/dispatch/request.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/admission"
 	"github.com/lilacweir/lilacweir/pkg/config"
 )
 
@@ -17,6 +18,8 @@
 type Request struct {
 	// ID is unique over all callers. Engines echo it.
 	ID string
+	// CallerID is the same as the caller knows it.
+	CallerID string
 	// Caller is as declared when the request was read.
 	Caller *config.Caller
 	// Serves names the model or the service; Kind tells which.
@@ -36,7 +39,7 @@
 	// Repeatable says that running the request twice does no harm.
 	Repeatable bool
 	// Priority is the caller's, within its own share.
-	Priority Priority
+	Priority admission.Priority
 	// Deadline is when the whole answer must be there; zero means none.
 	Deadline time.Time
 	// IdempotencyKey is empty when the caller gave none.
@@ -53,33 +56,3 @@
 	// Roll decides the version split; the same at each attempt.
 	Roll uint64
 }
-
-// Priority orders a caller's own requests.
-type Priority int
-
-// The priorities.
-const (
-	PriorityLow Priority = iota - 1
-	PriorityNormal
-	PriorityHigh
-)
-
-var priorityNames = map[string]Priority{"low": PriorityLow, "": PriorityNormal, "normal": PriorityNormal, "high": PriorityHigh}
-
-// ParsePriority reads the text of the priority header; empty means normal.
-func ParsePriority(text string) (priority Priority, ok bool) {
-	priority, ok = priorityNames[text]
-	return priority, ok
-}
-
-// String returns the text that ParsePriority reads.
-func (p Priority) String() string {
-	switch {
-	case p < PriorityNormal:
-		return "low"
-	case p > PriorityNormal:
-		return "high"
-	default:
-		return "normal"
-	}
-}
--- /dev/null
+++ b/pkg/gateway/bed_test.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/standin/engine"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+	"github.com/lilacweir/lilacweir/pkg/standin/service"
+)
+
+// bed is two failure domains in two regions, with a gateway each, two engines and
+// a service in the north, and one of each in the south.
+type bed struct {
+	t        *testing.T
+	journal  *journal.Journal
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+	head     *config.Head
+	north    *Gateway
+	south    *Gateway
+	// url is where the north's gateway answers callers.
+	url string
+	// southPeers is the door of the south's gateway for the north's.
+	southPeers string
+}
+
+const (
+	residentKey = "key-resident" // may be served in the north alone
+	roamerKey   = "key-roamer"   // may be served in the south alone
+)
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{t: t, journal: journal.New(), engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}}
+	b.declare()
+	b.north = b.newGateway("north-1", "north-a", "north")
+	b.south = b.newGateway("south-1", "south-a", "south")
+	callers, _ := b.north.Handlers()
+	b.url = b.serve(callers)
+	_, peers := b.south.Handlers()
+	b.southPeers = b.serve(peers)
+	b.connect(b.southPeers)
+	b.south.Exchange(control.ExchangeArgs{Head: b.head})
+	return b
+}
+
+func (b *bed) declare() {
+	both := []string{"north", "south"}
+	b.head = &config.Head{Revision: 7, Declaration: &config.Declaration{
+		Regions: []config.Region{{Name: "north", Domains: []string{"north-a"}}, {Name: "south", Domains: []string{"south-a"}}},
+		Models:  []config.Model{{Name: "nurse", Versions: []config.ModelVersion{{Name: "v1", Percent: 100}}, Regions: both}},
+		Services: []config.Service{{Name: "sleeplog", Prefix: "/sleeplog/", Regions: both, Routes: []config.Route{
+			{Method: http.MethodPost, Path: "uploads"},
+			{Method: http.MethodGet, Path: "exports/*", Repeatable: true},
+		}}},
+		Callers: []config.Caller{
+			{Name: "resident", KeyHash: config.HashKey(residentKey), Home: "north", Regions: []string{"north"}},
+			{Name: "roamer", KeyHash: config.HashKey(roamerKey), Home: "south", Regions: []string{"south"}},
+		},
+	}}
+	b.addEngine("nurse-n1", "north-a")
+	b.addEngine("nurse-n2", "north-a")
+	b.addEngine("nurse-s1", "south-a")
+	b.addService("log-n1", "north-a")
+	b.addService("log-s1", "south-a")
+}
+
+func (b *bed) addEngine(name, domain string) {
+	e := engine.New(engine.Settings{
+		Name: name, Domain: domain, Serves: "nurse", Version: "v1", Concurrency: 8, Queue: 64,
+		DecodeRate: 1e5, PrefillRate: 1e7, CacheTokens: 1e6, LoadLag: time.Second,
+	}, clock.System{}, b.journal)
+	b.engines[name] = e
+	b.addUpstream(config.Upstream{Name: name, Kind: config.KindEngine, Serves: "nurse", Version: "v1", Domain: domain, Address: b.serve(e.Handler()), Concurrency: 8})
+}
+
+func (b *bed) addService(name, domain string) {
+	s := service.New(service.Settings{Name: name, Domain: domain, Serves: "sleeplog", Concurrency: 8}, clock.System{}, b.journal)
+	b.services[name] = s
+	b.addUpstream(config.Upstream{Name: name, Kind: config.KindService, Serves: "sleeplog", Domain: domain, Address: b.serve(s.Handler()), Concurrency: 8})
+}
+
+func (b *bed) addUpstream(upstream config.Upstream) {
+	b.head.Declaration.Upstreams = append(b.head.Declaration.Upstreams, upstream)
+}
+
+// serve starts an HTTP server and returns its address.
+func (b *bed) serve(handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	b.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return server.Listener.Addr().String()
+}
+
+func (b *bed) newGateway(name, domain, region string) *Gateway {
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return New(&settings.Instance{
+		Instance: name, Domain: domain, Region: region,
+		Gateway:  settings.Gateway{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Control: "127.0.0.1:0", MaxBody: 1 << 20},
+		Platform: settings.Platform{KeyValue: []string{"127.0.0.1:1"}, Prefix: "test/"},
+	}, network, zerolog.Nop())
+}
+
+// connect gives the north its configuration, and the south's gateway at the given
+// address.
+func (b *bed) connect(southPeers string) {
+	b.north.Exchange(control.ExchangeArgs{Head: b.head, Domains: &board.Domains{Remote: []board.DomainDigest{{
+		Domain: "south-a", Region: "south", Sequence: 1, HeardAt: time.Now(), Nodes: 1,
+		Entries: []board.Instance{{Name: "south-1", Domain: "south-a", Region: "south", State: board.InstanceLive, Addresses: board.Addresses{Peers: southPeers}}},
+		Pools: []board.PoolDigest{
+			{Serves: "nurse", Version: "v1", Slots: 8, Spare: 8},
+			{Serves: "sleeplog", Slots: 8, Spare: 8},
+		},
+	}}}})
+}
+
+// readdress declares an upstream at another address, as a higher revision.
+func (b *bed) readdress(name, address string) {
+	declaration := *b.head.Declaration
+	declaration.Upstreams = append([]config.Upstream(nil), declaration.Upstreams...)
+	for i := range declaration.Upstreams {
+		if declaration.Upstreams[i].Name == name {
+			declaration.Upstreams[i].Address = address
+		}
+	}
+	b.head = &config.Head{Revision: b.head.Revision + 1, Declaration: &declaration}
+	b.north.Exchange(control.ExchangeArgs{Head: b.head})
+	b.south.Exchange(control.ExchangeArgs{Head: b.head})
+}
+
+// answer is what a caller was told.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	outcome string
+	err     error
+}
+
+// send makes one request of a caller.
+func (b *bed) send(ctx context.Context, method, path, key, body string, fields http.Header) answer {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.url+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for name, values := range fields {
+		request.Header[name] = values
+	}
+	request.Header.Set(header.Authorization, "Bearer "+key)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(data), outcome: response.Header.Get(header.Outcome), err: err}
+}
+
+const reviewBody = `{"model":"nurse","messages":[{"role":"user","content":"how did I sleep?"}],"max_tokens":12,"stream":true}`
+
+// ran counts what upstreams ran.
+func (b *bed) ran() int { return len(b.journal.Entries("")) }
+
+// closedAddress is an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// cutter passes connections on to target. It cuts each after so many bytes of the
+// request or of the answer; a negative number means never.
+func cutter(t *testing.T, target string, requestBytes, answerBytes int64) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		running.Wait()
+	})
+	running.Go(func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() { pass(near, target, requestBytes, answerBytes) })
+		}
+	})
+	return listener.Addr().String()
+}
+
+func pass(near net.Conn, target string, requestBytes, answerBytes int64) {
+	defer near.Close()
+	far, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	done := make(chan struct{}, 2)
+	go copyUntil(far, near, requestBytes, done)
+	go copyUntil(near, far, answerBytes, done)
+	<-done
+}
+
+func copyUntil(to io.Writer, from io.Reader, limit int64, done chan<- struct{}) {
+	if limit >= 0 {
+		from = io.LimitReader(from, limit)
+	}
+	_, _ = io.Copy(to, from)
+	done <- struct{}{}
+}
+
+// board2 describes the south as two instances, at two addresses.
+func board2(b *bed, addresses ...string) control.ExchangeArgs {
+	present := b.north.board.Domains.Load().Remote[0]
+	present.HeardAt = time.Now()
+	present.Entries = nil
+	for i, address := range addresses {
+		present.Entries = append(present.Entries, board.Instance{
+			Name: "south-" + string(rune('1'+i)), Domain: "south-a", Region: "south",
+			State: board.InstanceLive, Addresses: board.Addresses{Peers: address},
+		})
+	}
+	return control.ExchangeArgs{Domains: &board.Domains{Remote: []board.DomainDigest{present}}}
+}
--- /dev/null
+++ b/pkg/gateway/exchange.go
@@ -0,0 +1,131 @@
+package gateway
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/api"
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/claim"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// Service is what a gateway serves by net/rpc to its agent and to operators'
+// questions.
+type Service struct{ gateway *Gateway }
+
+func (g *Gateway) register(server *control.Server) error {
+	if err := server.Register(control.GatewayService, &Service{gateway: g}); err != nil {
+		return err
+	}
+	return server.Register(claim.ServiceName, g.claims.Service())
+}
+
+// Exchange takes what the agent has learned and returns what the gateway has.
+func (s *Service) Exchange(args control.ExchangeArgs, reply *control.ExchangeReply) error {
+	*reply = s.gateway.Exchange(args)
+	return nil
+}
+
+// Why tells what the gateway remembers of a request.
+func (s *Service) Why(args control.WhyArgs, reply *control.WhyReply) error {
+	record := s.gateway.trace.Find(args.RequestID)
+	if record == nil {
+		return nil
+	}
+	*reply = control.WhyReply{Found: true, Lines: record.Lines()}
+	return nil
+}
+
+// Exchange is the only writer of the gateway's blackboard. A configuration with
+// a revision that is not higher than the present one is left aside.
+func (g *Gateway) Exchange(args control.ExchangeArgs) control.ExchangeReply {
+	g.exchange.Lock()
+	defer g.exchange.Unlock()
+	g.takeHead(args.Head)
+	storeIfGiven(&g.board.Members, args.Members)
+	storeIfGiven(&g.board.Upstreams, args.Upstreams)
+	storeIfGiven(&g.board.Domains, args.Domains)
+	storeIfGiven(&g.board.Platform, args.Platform)
+	if args.Upstreams != nil {
+		g.marks.review(args.Upstreams)
+	}
+	g.compile()
+	reply := control.ExchangeReply{
+		Incarnation:  g.incarnation,
+		Load:         g.load(),
+		Leaving:      g.phase.Load() != phaseServing,
+		Observations: g.observations(),
+	}
+	if head := g.board.Config.Load(); head != nil {
+		reply.Revision = head.Revision
+		if args.WantHead {
+			reply.Head = head
+		}
+	}
+	g.noteTold(&reply)
+	return reply
+}
+
+// takeHead brings a newer configuration into force. The lookups are in place
+// before the revision is told to anyone.
+func (g *Gateway) takeHead(head *config.Head) {
+	if head == nil || head.Declaration == nil {
+		return
+	}
+	present := g.board.Config.Load()
+	if present != nil && head.Revision <= present.Revision {
+		return
+	}
+	g.config.Store(&api.Configuration{Index: config.NewIndex(head.Declaration), Revision: head.Revision})
+	g.board.Config.Store(head)
+	g.log.Info().Uint64("revision", uint64(head.Revision)).Msg("configuration-in-force")
+}
+
+func storeIfGiven[T any](section *board.Section[T], value *T) {
+	if value != nil {
+		section.Store(value)
+	}
+}
+
+// load is what the gateway says of itself.
+func (g *Gateway) load() board.GatewayLoad {
+	inFlight, prefill := g.tracker.Snapshot()
+	return board.GatewayLoad{
+		InFlight:  inFlight,
+		Prefill:   prefill,
+		Waiting:   waitingByName(g.queue.Waiting()),
+		Successor: g.claims.Successor(),
+		Requests:  uint64(g.metrics.Requests.Count()),
+		Forwarded: uint64(g.metrics.Forwarded.Count()),
+		Refused:   uint64(g.metrics.Refused.Count()),
+	}
+}
+
+// waitingByName adds up the queued requests of a model's versions.
+func waitingByName(byPool map[string]int) map[string]int {
+	byName := make(map[string]int, len(byPool))
+	for pool, waiting := range byPool {
+		byName[route.PoolServes(pool)] += waiting
+	}
+	return byName
+}
+
+// observations tells what was seen of upstreams that should be passed on.
+func (g *Gateway) observations() map[string]control.Observation {
+	seen := make(map[string]control.Observation)
+	for _, name := range g.marks.names() {
+		seen[name] = control.Observation{Leaving: true}
+	}
+	index := g.config.Load()
+	if index == nil {
+		return seen
+	}
+	for _, upstream := range g.board.Config.Load().Declaration.Upstreams {
+		if g.ejector.Ejected(upstream.Name) {
+			observation := seen[upstream.Name]
+			observation.Ejected = true
+			seen[upstream.Name] = observation
+		}
+	}
+	return seen
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,262 @@
+// Package gateway puts the data path of one entry instance together: the
+// blackboard that its agent fills, the routing table compiled from it, and the
+// listeners for callers, other gateways and control calls.
+//
+// Guarantees: the configuration's revision never goes down; requests read
+// snapshots without a lock; a graceful shutdown cuts no request.
+package gateway
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/admission"
+	"github.com/lilacweir/lilacweir/pkg/api"
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/claim"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/route"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/trace"
+)
+
+// traceSize is how many requests Why can tell of.
+const traceSize = 4096
+
+// Gateway is the data path of one entry instance.
+type Gateway struct {
+	settings    *settings.Instance
+	network     *control.Network
+	log         zerolog.Logger
+	clock       clock.Clock
+	incarnation uint64
+
+	board    board.Board
+	exchange sync.Mutex
+	config   atomic.Pointer[api.Configuration]
+	table    atomic.Pointer[route.Table]
+	spill    *route.SpillState
+
+	registry metrics.Registry
+	metrics  *dispatch.Metrics
+	trace    *trace.Log
+	queue    *admission.Queue
+	claims   *claim.Coordinator
+	peers    *control.Clients
+	ejector  *limit.Ejector
+	tracker  *limit.Tracker
+	retries  limit.RetryBudget
+	marks    leavingMarks
+	client   *relay.Client
+
+	phase atomic.Int32
+	// toldLeaving and toldSuccessor are closed once the agent was told so.
+	toldLeaving, toldSuccessor signal
+}
+
+// Phases of a gateway's life.
+const (
+	phaseServing int32 = iota
+	// phaseLeaving: the domain is being told; requests are still taken.
+	phaseLeaving
+	// phaseDraining: new requests are refused, running ones end.
+	phaseDraining
+)
+
+// New returns a gateway that has no configuration yet.
+func New(instance *settings.Instance, network *control.Network, log zerolog.Logger) *Gateway {
+	system := clock.System{}
+	registry := metrics.NewRegistry()
+	ejector := limit.NewEjector(system)
+	g := &Gateway{
+		settings:    instance,
+		network:     network,
+		log:         log,
+		clock:       system,
+		incarnation: uint64(system.Now().UnixNano()),
+		spill:       route.NewSpillState(),
+		registry:    registry,
+		metrics:     dispatch.NewMetrics(registry),
+		trace:       trace.NewLog(traceSize),
+		queue:       admission.NewQueue(system),
+		peers:       control.NewClients(network),
+		ejector:     ejector,
+		tracker:     limit.NewTracker(system, ejector),
+		client:      relay.NewClient(network.DialPlain, network.Dial),
+
+		toldLeaving:   newSignal(),
+		toldSuccessor: newSignal(),
+	}
+	g.claims = claim.New(g.claimOptions())
+	g.compile()
+	return g
+}
+
+// claimOptions says how this gateway decides idempotency keys.
+func (g *Gateway) claimOptions() claim.Options {
+	return claim.Options{
+		Self:    claim.Origin{Domain: g.settings.Domain, Instance: g.settings.Instance, Incarnation: g.incarnation},
+		Clock:   g.clock,
+		Random:  cryptorand.Reader,
+		Peers:   g.peers,
+		Members: g.board.Members.Load,
+		Domains: g.board.Domains.Load,
+		KeyValue: etcd.New(etcd.Options{
+			Endpoints: g.settings.Platform.KeyValue,
+			Prefix:    g.settings.Platform.Prefix,
+			Dial:      g.network.DialPlain,
+		}),
+		TTL: g.keyTTL,
+	}
+}
+
+// keyTTL is how long an idempotency key may be used.
+func (g *Gateway) keyTTL() time.Duration {
+	head := g.board.Config.Load()
+	if head == nil || head.Declaration.Policy.KeyTTL == 0 {
+		return config.DefaultKeyTTL
+	}
+	return head.Declaration.Policy.KeyTTL.Std()
+}
+
+// listeners are the three doors of a gateway.
+type listeners struct {
+	callers, peers net.Listener
+	control        *control.Server
+}
+
+// Run serves until ctx ends, then leaves gracefully. It returns nil after a
+// graceful end.
+func (g *Gateway) Run(ctx context.Context) error {
+	doors, err := g.listen()
+	if err != nil {
+		return err
+	}
+	if err := g.register(doors.control); err != nil {
+		return errors.Join(err, doors.close())
+	}
+	server := g.newServer()
+	callers, peers := server.Callers(), server.Peers()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, failed := errgroup.WithContext(work)
+	group.Go(func() error { return serve(callers, doors.callers) })
+	group.Go(func() error { return serve(peers, doors.peers) })
+	group.Go(func() error { doors.control.Serve(); return nil })
+	group.Go(func() error { g.compileLoop(failed); return nil })
+	g.log.Info().Str("callers", doors.callers.Addr().String()).Msg("ready")
+	select {
+	case <-ctx.Done():
+	case <-failed.Done():
+	}
+	g.leave(callers, peers)
+	stop()
+	err = doors.control.Close()
+	g.peers.Close()
+	g.client.Close()
+	g.log.Info().Msg("stopped")
+	return errors.Join(group.Wait(), err)
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	}
+	return nil
+}
+
+func (g *Gateway) listen() (doors listeners, err error) {
+	addresses := g.settings.Gateway
+	if doors.callers, err = net.Listen("tcp", addresses.Callers); err != nil {
+		return doors, fmt.Errorf("listen for callers: %w", err)
+	}
+	if doors.peers, err = g.network.Listen(addresses.Peers); err != nil {
+		return doors, errors.Join(fmt.Errorf("listen for gateways: %w", err), doors.close())
+	}
+	if doors.control, err = control.NewServer(g.network, addresses.Control); err != nil {
+		return doors, errors.Join(fmt.Errorf("listen for control: %w", err), doors.close())
+	}
+	return doors, nil
+}
+
+func (l listeners) close() error {
+	var failed error
+	for _, listener := range []net.Listener{l.callers, l.peers} {
+		if listener != nil {
+			failed = errors.Join(failed, listener.Close())
+		}
+	}
+	if l.control != nil {
+		failed = errors.Join(failed, l.control.Close())
+	}
+	return failed
+}
+
+func (g *Gateway) newServer() *api.Server {
+	maxBody := g.settings.Gateway.MaxBody
+	if maxBody == 0 {
+		maxBody = settings.DefaultMaxBody
+	}
+	return api.NewServer(api.Options{
+		Source:     g,
+		Dispatcher: g.newDispatcher(),
+		Metrics:    g.metrics,
+		Registry:   g.registry,
+		MaxBody:    maxBody,
+		Now:        g.clock.Now,
+		Domain:     g.settings.Domain,
+	})
+}
+
+func (g *Gateway) newDispatcher() *dispatch.Dispatcher {
+	return &dispatch.Dispatcher{
+		Router:  g,
+		Claims:  g.claims,
+		Client:  g.client,
+		Log:     g.log,
+		Trace:   g.trace,
+		Metrics: g.metrics,
+		Now:     g.clock.Now,
+		Domain:  g.settings.Domain,
+	}
+}
+
+// Handlers returns the HTTP handlers for callers and for other gateways, so that
+// a test or a benchmark can drive the data path without its listeners.
+func (g *Gateway) Handlers() (callers, peers http.Handler) {
+	server := g.newServer()
+	return server.Callers().Handler, server.Peers().Handler
+}
+
+// NewRequestID implements api.Source.
+func (g *Gateway) NewRequestID() string {
+	return g.settings.Instance + "-" + strconv.FormatUint(rand.Uint64(), 36)
+}
+
+// Roll implements api.Source.
+func (g *Gateway) Roll() uint64 { return rand.Uint64() }
+
+// Leaving implements api.Source.
+func (g *Gateway) Leaving() bool { return g.phase.Load() == phaseDraining }
+
+// Configuration implements api.Source.
+func (g *Gateway) Configuration() *api.Configuration { return g.config.Load() }
--- /dev/null
+++ b/pkg/gateway/leave.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+// Times of a graceful shutdown.
+const (
+	// drainPoll is how often the end of running requests is looked for.
+	drainPoll = 20 * time.Millisecond
+	// closeTimeout bounds the closing of connections once requests have ended.
+	closeTimeout = 2 * time.Second
+)
+
+// leave takes the gateway out of service: the domain and callers are told first,
+// while requests are still taken; then new requests are refused as not run, and
+// running ones end.
+func (g *Gateway) leave(servers ...*http.Server) {
+	g.phase.Store(phaseLeaving)
+	g.log.Info().Msg("leaving")
+	g.awaitNotice()
+	g.phase.Store(phaseDraining)
+	g.log.Info().Int64("active", g.metrics.Active.Count()).Msg("draining")
+	g.awaitRequests()
+	g.handOver()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Shutdown(ctx); err != nil {
+			g.log.Warn().Err(err).Msg("requests-cut")
+			_ = server.Close()
+		}
+	}
+}
+
+// awaitNotice waits until the lists that callers hold have run out, and for the
+// agent to have learned of the leaving, if it asks at all.
+func (g *Gateway) awaitNotice() {
+	<-time.After(instancesValid)
+	g.toldLeaving.await(agentTimeout)
+}
+
+// agentTimeout bounds the wait for an agent that may be gone.
+const agentTimeout = 500 * time.Millisecond
+
+// noteTold records what a reply tells the agent.
+func (g *Gateway) noteTold(reply *control.ExchangeReply) {
+	if reply.Leaving {
+		g.toldLeaving.give()
+	}
+	if reply.Load.Successor != "" {
+		g.toldSuccessor.give()
+	}
+}
+
+// signal is given once.
+type signal struct {
+	once  *sync.Once
+	given chan struct{}
+}
+
+func newSignal() signal { return signal{once: new(sync.Once), given: make(chan struct{})} }
+
+func (s signal) give() { s.once.Do(func() { close(s.given) }) }
+
+func (s signal) await(bound time.Duration) {
+	select {
+	case <-s.given:
+	case <-time.After(bound):
+	}
+}
+
+// awaitRequests waits for running requests, up to the bound in the settings.
+func (g *Gateway) awaitRequests() {
+	bound := g.settings.Gateway.Drain
+	if bound == 0 {
+		bound = settings.DefaultDrain
+	}
+	deadline := time.NewTimer(bound)
+	defer deadline.Stop()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for g.metrics.Active.Count() > 0 {
+		select {
+		case <-ticker.C:
+		case <-deadline.C:
+			return
+		}
+	}
+}
+
+// handoverTimeout bounds the passing on of idempotency keys.
+const handoverTimeout = 5 * time.Second
+
+// handOver passes the idempotency keys on to a peer. Without one, repeats are
+// answered from copies, or as unknown.
+func (g *Gateway) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	successor, err := g.claims.Handover(ctx)
+	if err != nil {
+		g.log.Warn().Err(err).Int("records", g.claims.Records()).Msg("keys-not-handed-over")
+		return
+	}
+	g.log.Info().Str("successor", successor.Instance).Msg("keys-handed-over")
+	g.toldSuccessor.await(agentTimeout)
+}
--- /dev/null
+++ b/pkg/gateway/router.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/admission"
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// source is the random source of decisions.
+type source struct{}
+
+// Uint64 implements route.Rand.
+func (source) Uint64() uint64 { return rand.Uint64() }
+
+// placeRetries bounds how often another upstream is picked because the place at
+// the first was taken in between.
+const placeRetries = 3
+
+// placeRetry is suggested when every place is taken.
+const placeRetry = 200 * time.Millisecond
+
+// way is one request on its way; it implements dispatch.Route.
+type way struct {
+	*Gateway
+	request *dispatch.Request
+	// release gives back the place that admission granted; nil before.
+	release func()
+}
+
+// Route implements dispatch.Router.
+func (g *Gateway) Route(request *dispatch.Request) dispatch.Route {
+	return &way{Gateway: g, request: request}
+}
+
+// End implements dispatch.Route.
+func (w *way) End() {
+	if w.release != nil {
+		w.release()
+	}
+}
+
+// Next implements dispatch.Route.
+func (w *way) Next(ctx context.Context, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
+	query := w.query(w.request, tried)
+	if w.release == nil {
+		elsewhere, refusal := w.admit(ctx, &query)
+		if refusal != nil {
+			return dispatch.Choice{}, nil, refusal
+		}
+		if elsewhere != nil {
+			return w.forward(elsewhere, tried)
+		}
+	}
+	query.Admitted = true
+	return w.place(&query, tried)
+}
+
+// admit decides whether the request stays in this domain, and if so waits for its
+// turn. It returns the decision when the request goes elsewhere.
+func (w *way) admit(ctx context.Context, query *route.Request) (*route.Decision, *outcome.Refusal) {
+	decision, refusal := w.pick(query)
+	if refusal != nil || decision.Domain != nil {
+		return &decision, refusal
+	}
+	ticket := w.ticket(&decision)
+	if wait := w.queue.Predict(ticket); wait > 0 {
+		query.Waiting = wait
+		decision, refusal = w.pick(query)
+		query.Waiting = 0
+		if refusal != nil || decision.Domain != nil {
+			return &decision, refusal
+		}
+		ticket = w.ticket(&decision)
+	}
+	release, refusal := w.queue.Acquire(ctx, ticket)
+	w.release = release
+	return nil, refusal
+}
+
+func (w *way) pick(query *route.Request) (route.Decision, *outcome.Refusal) {
+	return w.table.Load().Pick(query, localLoad{w.Gateway}, source{}, w.clock.Now())
+}
+
+func (w *way) ticket(decision *route.Decision) admission.Ticket {
+	return admission.Ticket{
+		Caller:   w.request.Caller,
+		Serves:   decision.Pool,
+		Cost:     admission.Cost(w.request.PromptTokens, w.request.MaxTokens),
+		Priority: w.request.Priority,
+		Deadline: w.request.Deadline,
+		Run:      decision.Predicted,
+	}
+}
+
+// place takes a place at an upstream, or chooses another domain after all.
+func (w *way) place(query *route.Request, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
+	for range placeRetries {
+		decision, refusal := w.pick(query)
+		if refusal != nil {
+			return dispatch.Choice{}, nil, refusal
+		}
+		if decision.Domain != nil {
+			return w.forward(&decision, tried)
+		}
+		flight, ok := w.tracker.Start(decision.Upstream.Name, w.request.PromptTokens, decision.FirstToken)
+		if ok {
+			return w.local(&decision), w.finish(decision.Upstream.Name, flight), nil
+		}
+	}
+	return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, placeRetry, "this gateway's limit is reached at every usable upstream")
+}
+
+// query is the request as decisions see it.
+func (g *Gateway) query(request *dispatch.Request, tried []string) route.Request {
+	query := route.Request{
+		Caller:       request.Caller,
+		Serves:       request.Serves,
+		Kind:         request.Kind,
+		Version:      request.Version,
+		Prefixes:     request.Prefixes,
+		PrefixTokens: request.PrefixTokens,
+		PromptTokens: request.PromptTokens,
+		MaxTokens:    request.MaxTokens,
+		Deadline:     request.Deadline,
+		Origin:       request.Origin,
+		Tried:        g.exhausted(tried),
+		Roll:         request.Roll,
+	}
+	if request.Origin != "" {
+		query.Class = route.ClassDomain
+	}
+	return query
+}
+
+func (g *Gateway) local(decision *route.Decision) dispatch.Choice {
+	upstream := decision.Upstream
+	return dispatch.Choice{
+		Target:   relay.Target{Name: upstream.Name, Address: upstream.Address, Kind: upstream.Kind},
+		Domain:   g.settings.Domain,
+		Region:   g.settings.Region,
+		Version:  decision.Version,
+		Revision: g.table.Load().Revision(),
+	}
+}
+
+// finish returns what an attempt at an upstream reports to.
+func (g *Gateway) finish(upstream string, flight *limit.Flight) func(relay.Report) {
+	return func(report relay.Report) {
+		if report.Leaving {
+			g.marks.mark(upstream, g.clock.Now())
+		}
+		result := resultOf(report.Failure)
+		if result == limit.Succeeded {
+			g.retries.Success()
+		}
+		flight.Done(result)
+	}
+}
+
+func resultOf(failure *relay.Failure) limit.Result {
+	switch {
+	case failure == nil:
+		return limit.Succeeded
+	case failure.CallerGone:
+		return limit.Abandoned
+	case failure.Overload:
+		return limit.Rejected
+	default:
+		return limit.Failed
+	}
+}
+
+// forward chooses an instance of another failure domain.
+func (w *way) forward(decision *route.Decision, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
+	digest := decision.Domain
+	left := entriesLeft(digest, tried)
+	if len(left) == 0 {
+		return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, placeRetry, "no instance of the other domain is left to ask")
+	}
+	entry := left[rand.IntN(len(left))]
+	choice := dispatch.Choice{
+		Target: relay.Target{
+			Name:    targetName(digest.Domain, entry.Name),
+			Address: entry.Addresses.Peers,
+			Kind:    w.request.Kind,
+			Peer:    true,
+		},
+		Domain:   digest.Domain,
+		Region:   digest.Region,
+		Version:  decision.Version,
+		Revision: w.table.Load().Revision(),
+	}
+	return choice, func(relay.Report) {}, nil
+}
+
+// nameSeparator stands between a failure domain and its instance in the names of
+// targets. Declared names do not hold it.
+const nameSeparator = "/"
+
+func targetName(domain, instance string) string { return domain + nameSeparator + instance }
+
+func entriesLeft(digest *board.DomainDigest, tried []string) []board.Instance {
+	var left []board.Instance
+	for _, entry := range digest.Entries {
+		if !slices.Contains(tried, targetName(digest.Domain, entry.Name)) {
+			left = append(left, entry)
+		}
+	}
+	return left
+}
+
+// exhausted returns the tried upstreams, and the failure domains that were tried:
+// a domain counts as tried once two of its instances have failed the request, or
+// all of them.
+func (g *Gateway) exhausted(tried []string) []string {
+	if len(tried) == 0 {
+		return nil
+	}
+	out := slices.Clone(tried)
+	domains := g.board.Domains.Load()
+	if domains == nil {
+		return out
+	}
+	for i := range domains.Remote {
+		digest := &domains.Remote[i]
+		failed := len(digest.Entries) - len(entriesLeft(digest, tried))
+		if failed >= min(maxEntriesTried, len(digest.Entries)) {
+			out = append(out, digest.Domain)
+		}
+	}
+	return out
+}
+
+// maxEntriesTried is how many instances of one domain a request is sent to.
+const maxEntriesTried = 2
+
+// Permitted implements dispatch.Router: caller and placement must both permit the
+// region, by the configuration that is in force now.
+func (g *Gateway) Permitted(request *dispatch.Request, choice *dispatch.Choice) *outcome.Refusal {
+	now := g.config.Load()
+	caller, ok := now.Caller(request.Caller.Name)
+	if !ok {
+		return outcome.Refuse(http.StatusForbidden, outcome.ReasonForbiddenRegion, 0, "the caller is no longer declared")
+	}
+	region := now.Region(choice.Domain)
+	placed := slices.Contains(placement(now.Index, request), region)
+	if region == "" || !placed || !slices.Contains(caller.Regions, region) {
+		return outcome.Refuse(http.StatusForbidden, outcome.ReasonForbiddenRegion, 0, "the request may not be processed in "+strings.TrimSpace(region+" "+choice.Domain))
+	}
+	if choice.Target.Peer {
+		return nil
+	}
+	upstream, ok := now.Upstream(choice.Target.Name)
+	if !ok || upstream.Drained || upstream.Address != choice.Target.Address {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, placeRetry, "the upstream was taken out of service")
+	}
+	return nil
+}
+
+// placement lists the regions in which what the request asks for may run.
+func placement(index *config.Index, request *dispatch.Request) []string {
+	if request.Kind == config.KindEngine {
+		if model, ok := index.Model(request.Serves); ok {
+			return model.Regions
+		}
+		return nil
+	}
+	if service, ok := index.Service(request.Serves); ok {
+		return service.Regions
+	}
+	return nil
+}
+
+// Retry implements dispatch.Router.
+func (g *Gateway) Retry() bool { return g.retries.Take() }
--- /dev/null
+++ b/pkg/gateway/table.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// compileInterval bounds the age of what the table holds of passing time: credits
+// and the trust in reports.
+const compileInterval = 500 * time.Millisecond
+
+// compileLoop compiles the table anew as time passes. Changes of the blackboard
+// are compiled by the exchange that brings them.
+func (g *Gateway) compileLoop(ctx context.Context) {
+	ticker := time.NewTicker(compileInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.exchange.Lock()
+			g.compile()
+			g.exchange.Unlock()
+			g.queue.Sweep()
+		}
+	}
+}
+
+// compile swaps in a table of the present sections. Callers hold g.exchange.
+func (g *Gateway) compile() {
+	table := route.Compile(route.Input{
+		Head:      g.board.Config.Load(),
+		Members:   g.board.Members.Load(),
+		Upstreams: g.board.Upstreams.Load(),
+		Domains:   g.board.Domains.Load(),
+		Self:      g.settings.Instance,
+		Domain:    g.settings.Domain,
+		Region:    g.settings.Region,
+		Spill:     g.spill,
+		Previous:  g.table.Load(),
+		Now:       g.clock.Now(),
+	})
+	g.tracker.SetShares(table.Shares())
+	previous := g.table.Swap(table)
+	g.setCapacities(previous, table)
+}
+
+// setCapacities gives each pool's queue the places that this gateway has there; a
+// pool that is gone has none.
+func (g *Gateway) setCapacities(previous, table *route.Table) {
+	gone := make(map[string]bool)
+	if previous != nil {
+		for _, pool := range previous.Pools() {
+			gone[pool.Key] = true
+		}
+	}
+	for _, pool := range table.Pools() {
+		delete(gone, pool.Key)
+		g.ejector.SetPool(pool.Key, pool.Upstreams)
+		g.queue.SetCapacity(pool.Key, table.Slots(pool, localLoad{g}))
+	}
+	for key := range gone {
+		g.ejector.SetPool(key, nil)
+		g.queue.SetCapacity(key, 0)
+	}
+}
+
+// localLoad is this gateway's own knowledge of upstreams, for the table.
+type localLoad struct{ *Gateway }
+
+// Load implements route.LocalLoad. An upstream that said that it is leaving gets
+// no new work from the next request on.
+func (l localLoad) Load(upstream string) limit.Load {
+	load := l.tracker.Load(upstream)
+	load.Ejected = load.Ejected || l.marks.marked(upstream)
+	return load
+}
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -6,27 +6,31 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
 )
 
 // Headers between callers and gateways.
 const (
-	RequestID      = "X-Request-Id"
+	RequestID      = engineapi.HeaderRequestID
 	Deadline       = "X-Lilacweir-Deadline"
 	Priority       = "X-Lilacweir-Priority"
 	Outcome        = "X-Lilacweir-Outcome"
 	Domain         = "X-Lilacweir-Domain"
 	Upstream       = "X-Lilacweir-Upstream"
-	IdempotencyKey = "Idempotency-Key"
-	Authorization  = "Authorization"
-	RetryAfter     = "Retry-After"
-	ContentType    = "Content-Type"
+	IdempotencyKey = engineapi.HeaderIdempotencyKey
+	// Replayed is "true" on the recorded answer of an earlier run.
+	Replayed      = "Idempotency-Replayed"
+	Authorization = "Authorization"
+	RetryAfter    = "Retry-After"
+	ContentType   = "Content-Type"
 )
 
 // Headers between gateways.
 const (
 	Origin   = "X-Lilacweir-Origin"
 	Class    = "X-Lilacweir-Class"
-	Caller   = "X-Lilacweir-Caller"
+	Caller   = engineapi.HeaderCaller
 	Revision = "X-Lilacweir-Revision"
 	// Version is the model version that the answer must come from.
 	Version = "X-Lilacweir-Version"
@@ -39,15 +43,15 @@
 // Headers between gateways and upstreams.
 const (
 	// ResumeOffset asks an engine to skip that many chunks.
-	ResumeOffset = "X-Resume-Offset"
+	ResumeOffset = engineapi.HeaderResumeOffset
 	// NotStarted is "true" when the upstream did not start the request.
-	NotStarted = "X-Not-Started"
+	NotStarted = engineapi.HeaderNotStarted
 	// Leaving is "true" when the upstream is about to leave.
-	Leaving = "X-Leaving"
+	Leaving = engineapi.HeaderLeaving
 )
 
 // True is the value of a header that is set.
-const True = "true"
+const True = engineapi.HeaderTrue
 
 // ownPrefix starts the names of headers that gateways alone set.
 const ownPrefix = "X-Lilacweir-"
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -53,6 +53,7 @@
 	ReasonKeyOwnerLost     Reason = "idempotency-key-owner-lost"
 	ReasonKeyUnresolved    Reason = "idempotency-key-unresolved"
 	ReasonKeyStoreDown     Reason = "idempotency-key-store-unavailable"
+	ReasonKeyAnswerDropped Reason = "idempotency-key-answer-dropped"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonInternal         Reason = "internal"
 )
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -148,6 +148,7 @@
 		fields.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
 	}
 	a.sink.begin(response.StatusCode)
+	a.sink.Whole = true
 	if len(data) == 0 {
 		return nil
 	}
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -167,11 +167,12 @@
 	return failure
 }
 
-// echoed checks the request ID in the head. Plain services need not echo it.
+// echoed checks the request ID in the head. Plain services need not echo it, nor
+// need an engine that refuses a request as malformed.
 func (a *attempt) echoed(response *http.Response) bool {
 	echo := response.Header.Get(header.RequestID)
 	strict := a.target.Kind == config.KindEngine || a.target.Peer
-	if echo == "" && !strict {
+	if echo == "" && (!strict || response.StatusCode >= http.StatusBadRequest) {
 		return true
 	}
 	return echo == a.call.RequestID
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
@@ -119,8 +121,11 @@
 func (c *Client) cancel(target Target, requestID string) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
-	message := []byte(`{"id":` + strconv.Quote(requestID) + `}`)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+cancelPath, bytes.NewReader(message))
+	message, err := json.Marshal(engineapi.Cancel{ID: requestID})
+	if err != nil {
+		return
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.Address+engineapi.PathCancel, bytes.NewReader(message))
 	if err != nil {
 		return
 	}
@@ -131,6 +136,3 @@
 	}
 	_ = response.Body.Close()
 }
-
-// cancelPath is where engines are told to stop a request.
-const cancelPath = "/v1/cancel"
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
@@ -194,7 +195,7 @@
 	var offsets []string
 	cancels := make(chan struct{}, 3)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == cancelPath {
+		if r.URL.Path == engineapi.PathCancel {
 			cancels <- struct{}{}
 			return
 		}
--- a/pkg/relay/sink.go
+++ b/pkg/relay/sink.go
@@ -38,6 +38,9 @@
 	Chunks int
 	// Copy receives the answer as far as it is kept for repeats; nil for none.
 	Copy *Copy
+	// Whole is true once the upstream's whole answer was received, whether or not
+	// the caller took it.
+	Whole bool
 }
 
 // NewSink returns the sink of one request.
@@ -48,6 +51,16 @@
 // Header returns the header of the answer, for use before it begins.
 func (s *Sink) Header() http.Header { return s.writer.Header() }
 
+// Answer gives a whole answer that was kept from an earlier run.
+func (s *Sink) Answer(status int, body []byte) error {
+	s.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.begin(status)
+	if len(body) == 0 {
+		return nil
+	}
+	return s.put(body)
+}
+
 // begin writes the head of the answer.
 func (s *Sink) begin(status int) {
 	s.extend()
@@ -121,10 +134,3 @@
 	s.begin(refusal.Status)
 	_ = s.put(message)
 }
-
-// Abort breaks the connection to a caller whose answer had begun.
-func (s *Sink) Abort() {
-	if s.Begun {
-		panic(http.ErrAbortHandler)
-	}
-}
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -10,6 +10,7 @@
 package route
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
@@ -99,5 +100,15 @@
 	if version == "" {
 		return serves
 	}
-	return serves + "@" + version
+	return serves + poolSeparator + version
+}
+
+// poolSeparator stands between the name and the version in a PoolKey. Declared
+// names do not hold it.
+const poolSeparator = "@"
+
+// PoolServes returns the model or service that a PoolKey names.
+func PoolServes(key string) string {
+	serves, _, _ := strings.Cut(key, poolSeparator)
+	return serves
 }
