--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -6,19 +6,17 @@
 	"net/http"
 	"net/textproto"
 	"strings"
-
-	"github.com/lilacweir/lilacweir/pkg/engineapi"
 )
 
 // Headers between callers and gateways.
 const (
-	RequestID      = engineapi.HeaderRequestID
+	RequestID      = "X-Request-Id"
 	Deadline       = "X-Lilacweir-Deadline"
 	Priority       = "X-Lilacweir-Priority"
 	Outcome        = "X-Lilacweir-Outcome"
 	Domain         = "X-Lilacweir-Domain"
 	Upstream       = "X-Lilacweir-Upstream"
-	IdempotencyKey = engineapi.HeaderIdempotencyKey
+	IdempotencyKey = "Idempotency-Key"
 	// Replayed is "true" on the recorded answer of an earlier run.
 	Replayed      = "Idempotency-Replayed"
 	Authorization = "Authorization"
@@ -30,7 +28,7 @@
 const (
 	Origin   = "X-Lilacweir-Origin"
 	Class    = "X-Lilacweir-Class"
-	Caller   = engineapi.HeaderCaller
+	Caller   = "X-Lilacweir-Caller"
 	Revision = "X-Lilacweir-Revision"
 	// Version is the model version that the answer must come from.
 	Version = "X-Lilacweir-Version"
@@ -43,15 +41,15 @@
 // Headers between gateways and upstreams.
 const (
 	// ResumeOffset asks an engine to skip that many chunks.
-	ResumeOffset = engineapi.HeaderResumeOffset
+	ResumeOffset = "X-Resume-Offset"
 	// NotStarted is "true" when the upstream did not start the request.
-	NotStarted = engineapi.HeaderNotStarted
+	NotStarted = "X-Not-Started"
 	// Leaving is "true" when the upstream is about to leave.
-	Leaving = engineapi.HeaderLeaving
+	Leaving = "X-Leaving"
 )
 
 // True is the value of a header that is set.
-const True = engineapi.HeaderTrue
+const True = "true"
 
 // ownPrefix starts the names of headers that gateways alone set.
 const ownPrefix = "X-Lilacweir-"
