Apply files over the revision that was seen; prove changes under faults

An instance without configuration takes the operator's word from the file that it is given. A test showed that such a file, sent to an instance that had not yet read an existing configuration, could add an operator of its own to it: the change touched nothing that others had touched. A proposal that saw no revision is now refused on a store that has one.

Compressors are reused, since each one allocates most of a megabyte.

--- /dev/null
+++ b/pkg/command/apply.go
@@ -0,0 +1,115 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// Application is a declaration file that an operator applies.
+type Application struct {
+	Operator string
+	// File is the file's name, for the audit trail and for faults.
+	File string
+	Data []byte
+	// Seen is the revision whose difference the operator saw; 0 means this
+	// instance's now.
+	Seen config.Revision
+	// ID is the change's identity when the operator's program made one.
+	ID string
+	// DryRun shows the difference and changes nothing.
+	DryRun bool
+	// Force accepts a dangerous change.
+	Force bool
+}
+
+// Difference answers a dry run.
+type Difference struct {
+	Reply
+	// Revision is what the difference was made against: the Seen of the
+	// application that follows.
+	Revision config.Revision
+}
+
+// Apply changes the configuration to what a file declares, and changes only what
+// differs between the file and the revision that the operator saw. A dry run's
+// text is as long as the difference; every other reply fits the screen.
+//
+// On a deployment without configuration it makes revision 1. Who asks must then
+// be an operator of the file itself; the caller of Apply checks keys, see Judge.
+func (e *Executor) Apply(ctx context.Context, application Application) Difference {
+	target, err := config.Load(application.File, application.Data)
+	if err != nil {
+		return Difference{Reply: Reply{Verdict: Refused, Text: err.Error()}}
+	}
+	before, seen, err := e.seen(application.Seen)
+	if err != nil {
+		return Difference{Reply: refuse(err)}
+	}
+	ops := config.Diff(before, target)
+	if len(ops) == 0 {
+		return Difference{Reply: reply(OK, fmt.Sprintf("no difference to %d", seen)), Revision: seen}
+	}
+	if application.DryRun {
+		return Difference{Reply: difference(before, target, ops, seen), Revision: seen}
+	}
+	line := "apply " + filepath.Base(application.File)
+	proposal := config.Proposal{
+		ID:       application.ID,
+		Operator: application.Operator,
+		Line:     line,
+		Seen:     seen,
+		Build:    config.Fixed(ops),
+		Force:    application.Force,
+	}
+	return Difference{Reply: e.propose(ctx, proposal), Revision: seen}
+}
+
+// seen returns the declaration at a revision; the empty one when there is no
+// configuration yet.
+func (e *Executor) seen(revision config.Revision) (*config.Declaration, config.Revision, error) {
+	head := e.Board.Config.Load()
+	if head == nil || head.Revision == 0 {
+		return new(config.Declaration), 0, nil
+	}
+	if revision == 0 {
+		return head.Declaration, head.Revision, nil
+	}
+	decl, ok := head.At(revision)
+	if !ok {
+		return nil, 0, &config.StaleError{Seen: revision, Now: head.Revision}
+	}
+	return decl, revision, nil
+}
+
+// difference words what applying would do.
+func difference(before, target *config.Declaration, ops []config.Op, seen config.Revision) Reply {
+	lines := []string{fmt.Sprintf("difference to %d:", seen)}
+	lines = append(lines, config.Describe(before, ops)...)
+	for _, danger := range config.Dangers(before, target) {
+		lines = append(lines, "! "+danger.String())
+	}
+	var rows []string
+	for _, line := range lines {
+		rows = append(rows, wrap(line)...)
+	}
+	return Reply{Verdict: OK, Text: strings.Join(rows, "\n")}
+}
+
+// Judge tells whether the key is the operator's, in constant time: by the
+// configuration in force here, and by the file itself when there is none and
+// the file is to make revision 1.
+func (e *Executor) Judge(operator, key string, file []byte) bool {
+	head := e.Board.Config.Load()
+	if head != nil && head.Revision > 0 {
+		return config.Authenticate(head.Declaration, operator, key)
+	}
+	decl, err := config.Load("declaration", file)
+	if err != nil {
+		return false
+	}
+	return config.Authenticate(decl, operator, key)
+}
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"sync"
 )
 
 // MaxEncoded bounds an encoded value, in bytes: the platform's key-value service
@@ -32,9 +33,14 @@
 	return head, nil
 }
 
+// writers holds compressors for reuse, since each takes most of a megabyte.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 func encode(value any) ([]byte, error) {
 	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
+	writer := writers.Get().(*gzip.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&buffer)
 	if err := json.NewEncoder(writer).Encode(value); err != nil {
 		return nil, &EncodingError{Err: err}
 	}
--- a/pkg/config/prepare.go
+++ b/pkg/config/prepare.go
@@ -41,6 +41,9 @@
 // and the declaration that results. Errors: *ConflictError, *StaleError,
 // *DangerError, *InvalidError, and those of Build and Apply.
 func evaluate(head *Head, proposal *Proposal) (Change, *Declaration, error) {
+	if proposal.Seen == 0 && head.Revision > 0 {
+		return Change{}, nil, &StaleError{Seen: 0, Now: head.Revision}
+	}
 	ops, err := proposal.Build(head.Declaration)
 	if conflict := obstacle(head, proposal, ops, err); conflict != nil {
 		return Change{}, nil, conflict
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -178,3 +178,18 @@
 	var stale *config.StaleError
 	is.True(errors.As(verdict.Reason, &stale))
 }
+
+// A file that is applied to a deployment without configuration proves its
+// operator by itself, so it must not reach one that has a configuration.
+func TestFirstApplyOnlyOnEmptyStore(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	store := newStore(kv)
+	bootstrap(t, store)
+	stranger := config.Operator{Name: "mallory", KeyHash: config.HashKey("mine")}
+	proposal := propose(testID(0, 1), "mallory", 0, config.Op{SetOperator: &stranger})
+	verdict := store.Change(t.Context(), proposal)
+	is.Equal(verdict.State, config.Refused)
+	var stale *config.StaleError
+	is.True(errors.As(verdict.Reason, &stale))
+}
--- a/pkg/yamlfile/decode.go
+++ b/pkg/yamlfile/decode.go
@@ -67,6 +67,7 @@
 		default:
 			seen[name.Value] = true
 			d.value(child, path, target.Field(index))
+			d.lines[path] = name.Line
 		}
 	}
 }
@@ -117,6 +118,7 @@
 		}
 		entry := reflect.New(target.Type().Elem()).Elem()
 		d.value(child, path, entry)
+		d.lines[path] = name.Line
 		result.SetMapIndex(entryKey, entry)
 	}
 	target.Set(result)
--- a/pkg/yamlfile/validate.go
+++ b/pkg/yamlfile/validate.go
@@ -82,10 +82,10 @@
 	}
 }
 
-// faulty tells whether the key or one above it already has a fault.
+// faulty tells whether the key, one above it or the whole file has a fault.
 func (d *Document) faulty(key string) bool {
 	for _, fault := range d.faults {
-		if fault.Key == key || within(key, fault.Key) {
+		if fault.Key == "" || fault.Key == key || within(key, fault.Key) {
 			return true
 		}
 	}
@@ -94,7 +94,7 @@
 
 func within(key, above string) bool {
 	rest, ok := strings.CutPrefix(key, above)
-	return ok && above != "" && (strings.HasPrefix(rest, ".") || strings.HasPrefix(rest, "["))
+	return ok && (strings.HasPrefix(rest, ".") || strings.HasPrefix(rest, "["))
 }
 
 func found(field validator.FieldError) string {
