--- a/pkg/config/declaration.go
+++ b/pkg/config/declaration.go
@@ -71,9 +71,9 @@
 // Route is one call of a plain service.
 type Route struct {
 	Method string `yaml:"method" json:"method" validate:"required,oneof=GET HEAD POST PUT PATCH DELETE"`
-	// Path follows the service's prefix and starts with "/", for example
-	// "/uploads" for "/sleeplog/uploads"; a trailing "*" matches any rest.
-	Path string `yaml:"path" json:"path" validate:"required,startswith=/"`
+	// Path is what follows the service's prefix, for example "uploads" for
+	// "/sleeplog/uploads"; a trailing "*" matches any rest.
+	Path string `yaml:"path" json:"path" validate:"required"`
 	// Repeatable says that running the call twice does no harm (it is
 	// idempotent). False is the safe default: the call runs at most once.
 	Repeatable bool `yaml:"repeatable" json:"repeatable"`
--- a/pkg/config/fake_test.go
+++ b/pkg/config/fake_test.go
@@ -172,7 +172,7 @@
 			Name:    "sleeplog-api",
 			Prefix:  "/sleeplog/",
 			Regions: []string{"makedonia"},
-			Routes:  []config.Route{{Method: "POST", Path: "/uploads"}, {Method: "GET", Path: "/exports/*", Repeatable: true}},
+			Routes:  []config.Route{{Method: "POST", Path: "uploads"}, {Method: "GET", Path: "exports/*", Repeatable: true}},
 		}},
 		Upstreams: []config.Upstream{
 			{Name: "api-1", Kind: "service", Serves: "sleeplog-api", Domain: "kalamaria-hall", Address: "127.0.0.9:9000", Concurrency: 8},
--- a/pkg/config/index.go
+++ b/pkg/config/index.go
@@ -158,9 +158,9 @@
 		return nil, nil
 	}
 	for _, service := range x.prefixes {
-		base := strings.TrimSuffix(service.Prefix, "/")
-		if strings.HasPrefix(urlPath, service.Prefix) {
-			return service, matchRoute(x.routes[service.Name], method, urlPath[len(base):])
+		rest, ok := strings.CutPrefix(urlPath, service.Prefix)
+		if ok {
+			return service, matchRoute(x.routes[service.Name], method, rest)
 		}
 	}
 	return nil, nil
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -151,6 +151,9 @@
 		if star := strings.IndexByte(route.Path, '*'); star >= 0 && star != len(route.Path)-1 {
 			c.add(place+".path", "got "+quote(route.Path), "a * at the end alone")
 		}
+		if strings.HasPrefix(route.Path, "/") {
+			c.add(place+".path", "got "+quote(route.Path), "a path below the prefix, without a leading /")
+		}
 	}
 }
 
