Measure the processor time of streamed chunks, through a gateway and direct

Slices alternate in one run; the time of this process, the gateway and the engine are added up, so the ratio says what relaying a chunk adds.

--- a/cmd/lilacweir-load/main.go
+++ b/cmd/lilacweir-load/main.go
@@ -20,6 +20,7 @@
 	Version  kong.VersionFlag `help:"Print the version."`
 	Run      runCommand       `cmd:"" help:"Send a mix and report times, outcomes, share sent away and cost."`
 	Overhead overheadCommand  `cmd:"" help:"Compare calls through a gateway with direct calls, interleaved in one run."`
+	Chunks   chunksCommand    `cmd:"" help:"Compare the processor time of streamed chunks through a gateway and direct."`
 	Check    checkCommand     `cmd:"" help:"Check a mix without sending anything."`
 }
 
@@ -102,6 +103,30 @@
 	return comparison.Send(ctx).WriteText(os.Stdout)
 }
 
+type chunksCommand struct {
+	Gateway string `short:"g" required:"" help:"Callers' address of the gateway."`
+	Direct  string `required:"" help:"Address of a model engine behind it."`
+	Key     string `required:"" env:"LILACWEIR_CALLER_KEY" help:"Caller's key, from the environment."`
+	Model   string `short:"m" required:"" help:"Model."`
+	Streams int    `default:"8" help:"Streams at once."`
+	Tokens  int    `default:"256" help:"Chunks of each stream."`
+	Slices  int    `default:"5" help:"Slices each way."`
+	PID     []int  `help:"Process IDs of the gateway and the engine."`
+}
+
+// Run implements the command.
+func (c *chunksCommand) Run(ctx context.Context) error {
+	rate := &load.ChunkRate{
+		Gateway: c.Gateway, Direct: c.Direct, Key: c.Key, Model: c.Model,
+		Streams: c.Streams, Tokens: c.Tokens, Slices: c.Slices, Processes: c.PID,
+	}
+	result, err := rate.Send(ctx)
+	if err != nil {
+		return err
+	}
+	return result.WriteText(os.Stdout)
+}
+
 type checkCommand struct {
 	Mix string `arg:"" help:"Mix of requests."`
 }
