--- /dev/null
+++ b/cmd/lilacweir-agent/main.go
@@ -0,0 +1,113 @@
+// Command lilacweir-agent is the control path of an entry instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/lilacweir/lilacweir/pkg/agent"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
+	"github.com/lilacweir/lilacweir/pkg/platform/rest"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/version"
+)
+
+const program = "lilacweir-agent"
+
+// commands are the program's command line.
+type commands struct {
+	Run     runCommand       `cmd:"" help:"Serve until SIGTERM, then leave gracefully."`
+	Check   checkCommand     `cmd:"" help:"Check the settings without starting."`
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+// checkCommand reads the settings and reports all their faults.
+type checkCommand struct {
+	Settings string `arg:"" help:"Settings file of the instance (YAML)."`
+}
+
+// Run implements the command.
+func (c *checkCommand) Run() error {
+	instance, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	if _, err := control.NewNetwork(instance.Security, instance.DialVia); err != nil {
+		return err
+	}
+	fmt.Printf("%s: ok\n", c.Settings)
+	return nil
+}
+
+// runCommand serves.
+type runCommand struct {
+	Settings string `arg:"" help:"Settings file of the instance (YAML)."`
+}
+
+// Run implements the command.
+func (c *runCommand) Run() error {
+	instance, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	options, err := optionsOf(instance)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return agent.New(options).Run(ctx)
+}
+
+// optionsOf wires the platform's adapters. Links to other instances and to the
+// own gateway have a network each, so that their bytes are counted apart.
+func optionsOf(instance *settings.Instance) (agent.Options, error) {
+	log, err := logging.New(os.Stderr, program, instance.Instance, instance.Log.Level)
+	if err != nil {
+		return agent.Options{}, err
+	}
+	mesh, err := control.NewNetwork(instance.Security, instance.DialVia)
+	if err != nil {
+		return agent.Options{}, err
+	}
+	local, err := control.NewNetwork(instance.Security, instance.DialVia)
+	if err != nil {
+		return agent.Options{}, err
+	}
+	options := agent.Options{
+		Settings: instance, Mesh: mesh, Local: local,
+		KeyValue: etcd.New(etcd.Options{
+			Endpoints: instance.Platform.KeyValue, Prefix: instance.Platform.Prefix, Dial: mesh.DialPlain,
+		}),
+		HeadKey:  config.HeadKey,
+		Log:      log,
+		Registry: metrics.NewRegistry(),
+		Epoch:    uint64(time.Now().UnixNano()),
+	}
+	if address := instance.Platform.Directory; address != "" {
+		options.Directory = rest.NewDirectory(address, mesh.DialPlain)
+	}
+	if address := instance.Platform.InstanceList; address != "" {
+		options.List = rest.NewInstanceList(address, mesh.DialPlain)
+	}
+	return options, nil
+}
+
+func main() {
+	var cli commands
+	parsed := kong.Parse(&cli,
+		kong.Name(program),
+		kong.Description("The control path of an entry instance of lilacweir."),
+		kong.Vars{"version": version.String()})
+	parsed.FatalIfErrorf(parsed.Run())
+}
--- /dev/null
+++ b/pkg/agent/agent.go
@@ -0,0 +1,214 @@
+// Package agent is the control path of one entry instance: it follows the
+// accepted configuration, keeps the membership of its failure domain, exchanges
+// load digests with the others, teaches its gateway, and answers operators.
+//
+// Guarantees: the configuration never goes to a lower revision; the platform is
+// called at a bounded rate whether it answers or not; a request in the gateway
+// does not depend on this process.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// Intervals of the controllers.
+const (
+	// TendInterval is how often the sets of jobs are looked at anew and the
+	// blackboard is brought up to date, when nothing wakes it before.
+	TendInterval = 250 * time.Millisecond
+	// RefreshInterval is how often unchanged sections are stored again, so that
+	// their ages are seen by the gateway.
+	RefreshInterval = time.Second
+	// SettleTime is how long a fresh agent listens for others of its domain
+	// before it takes on the platform's watch.
+	SettleTime = 500 * time.Millisecond
+)
+
+// Options is what an agent is made from.
+type Options struct {
+	Settings *settings.Instance
+	// Mesh carries the links to other agents, Local those to the own gateway.
+	Mesh, Local *control.Network
+	KeyValue    platform.KeyValue
+	// HeadKey is the key of the accepted configuration.
+	HeadKey string
+	// Directory and List may be nil: the platform has none.
+	Directory platform.Directory
+	List      platform.InstanceList
+	Log       zerolog.Logger
+	Registry  metrics.Registry
+	// Epoch is drawn at each start and grows (nanoseconds of the clock).
+	Epoch uint64
+}
+
+// Agent is the control path of one entry instance.
+type Agent struct {
+	Options
+	board   board.Board
+	keeper  *spread.Keeper
+	mesh    *mesh
+	clients *control.Clients
+	local   *control.Clients
+	http    *http.Client
+	// executor answers operators.
+	executor *command.Executor
+	started  time.Time
+	gateway  gatewayState
+	calls    calls
+	// published is used by the tend loop alone.
+	published published
+
+	dirty    signal
+	beat     signal
+	exchange signal
+	catchUp  signal
+	wakers   sync.Map
+}
+
+// signal wakes a loop; signals that come together are one.
+type signal chan struct{}
+
+func newSignal() signal { return make(signal, 1) }
+
+func (s signal) raise() {
+	select {
+	case s <- struct{}{}:
+	default:
+	}
+}
+
+// New returns an agent that is not yet running.
+func New(options Options) *Agent {
+	s := options.Settings
+	now := time.Now()
+	a := &Agent{
+		Options:  options,
+		clients:  control.NewClients(options.Mesh),
+		local:    control.NewClients(options.Local),
+		http:     &http.Client{Transport: &http.Transport{DialContext: options.Mesh.DialPlain, MaxIdleConnsPerHost: 1}},
+		started:  now,
+		dirty:    newSignal(),
+		beat:     newSignal(),
+		exchange: newSignal(),
+		catchUp:  newSignal(),
+	}
+	a.calls.register(options.Registry)
+	registerBytes(options.Registry, options.Mesh.Meter(), options.Local.Meter())
+	a.mesh = newMesh(member.Identity{
+		Name: s.Instance, Domain: s.Domain, Region: s.Region, Epoch: options.Epoch,
+		Addresses: board.Addresses{
+			Callers: s.Gateway.Callers, Peers: s.Gateway.Peers, Control: s.Gateway.Control,
+			Mesh: s.Agent.Mesh, Operators: s.Agent.Operators,
+		},
+	}, now)
+	a.mesh.changed = a.dirty.raise
+	a.mesh.behind = a.catchUp.raise
+	a.keeper = spread.NewKeeper(&a.board.Config, a.taken)
+	a.executor = a.newExecutor()
+	a.board.Platform.Store(&board.PlatformHealth{Since: now})
+	return a
+}
+
+// Run serves until ctx ends, then leaves: the domain and the directory are told
+// first, and a gateway that is leaving too is given the time to finish.
+func (a *Agent) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	if err := a.serve(work, group); err != nil {
+		return err
+	}
+	a.Log.Info().Str("mesh", a.Settings.Agent.Mesh).Str("operators", a.Settings.Agent.Operators).Msg("ready")
+	loops := []func(context.Context){a.tend, a.exchangeLoop, a.catchUpLoop, a.watch, a.register, a.listLoop}
+	for _, loop := range loops {
+		group.Go(func() error {
+			loop(work)
+			return nil
+		})
+	}
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.leave(work)
+		case <-work.Done():
+		}
+		stop()
+		return nil
+	})
+	err := group.Wait()
+	a.clients.Close()
+	a.local.Close()
+	a.Log.Info().Msg("stopped")
+	return err
+}
+
+// serve opens the listeners.
+func (a *Agent) serve(ctx context.Context, group *errgroup.Group) error {
+	server, err := control.NewServer(a.Mesh, a.Settings.Agent.Mesh)
+	if err != nil {
+		return &ListenError{Address: a.Settings.Agent.Mesh, Err: err}
+	}
+	services := map[string]any{
+		control.MeshService:     &meshService{a},
+		control.DomainService:   &domainService{a},
+		control.OperatorService: &operatorService{a},
+	}
+	for name, service := range services {
+		if err := server.Register(name, service); err != nil {
+			return &ListenError{Address: a.Settings.Agent.Mesh, Err: err}
+		}
+	}
+	group.Go(func() error {
+		server.Serve()
+		return nil
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return a.serveOperators(ctx, group)
+}
+
+// taken is called by the keeper after each head that was taken.
+func (a *Agent) taken(head *config.Head, source spread.Source) {
+	a.Log.Info().Uint64("revision", uint64(head.Revision)).Str("source", string(source)).Msg("configuration-taken")
+	a.revise()
+	a.exchange.raise()
+	a.dirty.raise()
+	if source != spread.SourceMesh {
+		go a.offerPeers(head)
+	}
+}
+
+// revise works out the configuration in force here and tells the domain.
+func (a *Agent) revise() {
+	agent := a.keeper.Revision()
+	if a.mesh.setRevisions(agent, min(agent, a.gateway.revision()), time.Now()) {
+		a.beat.raise()
+	}
+}
+
+// ListenError is an address that cannot be listened on.
+type ListenError struct {
+	Address string
+	Err     error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/agent/agent_test.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// accepted returns a head whose callers differ from revision to revision.
+func accepted(revision config.Revision) *config.Head {
+	head := &config.Head{Revision: revision, Declaration: &config.Declaration{
+		Callers: []config.Caller{{Name: "residents-app", Home: "region-a", Regions: []string{"region-a"}, Share: int(revision)}},
+	}}
+	if revision > 1 {
+		caller := head.Declaration.Callers[0]
+		head.Recent = []config.Change{{ID: "x", Revision: revision, Ops: []config.Op{{SetCaller: &caller}}}}
+	}
+	return head
+}
+
+func TestSpreadReachesADomainThatIsCutFromThePlatform(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 0, 2, 2, 1)
+	r.store.write(t, accepted(1))
+	r.startAll()
+	for name := range r.nodes {
+		r.wait(name, "revision 1 in force on all", func(a *Agent) bool { return inForce(a, 1) == len(r.nodes) })
+	}
+
+	r.store.setCut("b", true)
+	r.wait("a-1", "b is seen to be cut from the platform", func(a *Agent) bool {
+		d, _ := a.mesh.digest("b")
+		return !d.Platform
+	})
+	r.store.write(t, accepted(2))
+	for name := range r.nodes {
+		r.wait(name, "revision 2 in force on all", func(a *Agent) bool { return inForce(a, 2) == len(r.nodes) })
+	}
+	for _, n := range r.nodes {
+		is.True(!n.gateway.fell) // no gateway was sent a lower revision
+	}
+	is.Equal(r.nodes["b-1"].agent.readiness(time.Now()).State, StateIsolated)
+	is.Equal(r.nodes["a-1"].agent.readiness(time.Now()).State, StateServing)
+
+	r.store.setCut("b", false)
+	r.wait("a-1", "b is seen to be back", func(a *Agent) bool {
+		d, _ := a.mesh.digest("b")
+		return d.Platform
+	})
+}
+
+func TestTwoWatchersOfADomainAndTheirSuccession(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 1, 4)
+	r.store.write(t, accepted(1))
+	r.startAll()
+	for name := range r.nodes {
+		r.wait(name, "four live", func(a *Agent) bool { return live(a) == 4 })
+	}
+	r.wait("a-1", "two watchers", func(*Agent) bool { return r.store.watching("a") == spread.Watchers })
+
+	gone := ""
+	for name, n := range r.nodes {
+		if n.agent.watching() {
+			gone = name
+		}
+	}
+	r.stop(gone)
+	rest := "a-1"
+	if gone == rest {
+		rest = "a-2"
+	}
+	r.wait(rest, "one said goodbye", func(a *Agent) bool { return len(a.board.Members.Load().Instances) == 3 })
+	r.wait(rest, "two watchers again", func(*Agent) bool { return r.store.watching("a") == spread.Watchers })
+	is.True(!r.directory.has(gone))
+}
+
+func TestLeavingGatewayIsMarkedEverywhere(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 2, 2, 1)
+	r.store.write(t, accepted(1))
+	r.startAll()
+	r.wait("a-1", "a-2 is registered", func(*Agent) bool { return r.directory.has("a-2") })
+	r.wait("b-1", "a's entries are known", func(a *Agent) bool {
+		d, _ := a.mesh.digest("a")
+		return len(d.Entries) == 2
+	})
+
+	r.nodes["a-2"].gateway.set(func(reply *control.ExchangeReply) { reply.Leaving = true })
+	r.wait("a-1", "a-2 is leaving", func(a *Agent) bool {
+		return a.mesh.state("a-2", time.Now()) == board.InstanceLeaving
+	})
+	r.wait("b-1", "a-2 is no entry any more", func(a *Agent) bool {
+		d, _ := a.mesh.digest("a")
+		return len(d.Entries) == 1 && d.Entries[0].Name == "a-1"
+	})
+	r.wait("a-2", "a-2 is out of the directory", func(*Agent) bool { return !r.directory.has("a-2") })
+
+	// The gateway was replaced, the agent was not: the instance is back.
+	r.nodes["a-2"].gateway.set(func(reply *control.ExchangeReply) {
+		reply.Leaving = false
+		reply.Incarnation += 1000
+	})
+	r.wait("a-1", "a-2 is live", func(a *Agent) bool {
+		return a.mesh.state("a-2", time.Now()) == board.InstanceLive
+	})
+	r.wait("a-2", "a-2 is in the directory", func(*Agent) bool { return r.directory.has("a-2") })
+	is.Equal(r.nodes["a-1"].agent.readiness(time.Now()).State, StateServing)
+}
+
+func TestRestartedAgentLearnsFromItsGateway(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 3, 1)
+	r.start("a-1")
+	r.wait("a-1", "the gateway is met", func(a *Agent) bool { up, _ := a.gateway.state(); return up })
+	is.Equal(r.nodes["a-1"].agent.readiness(time.Now()).State, StateNoConfiguration)
+	is.True(!r.directory.has("a-1"))
+
+	r.store.write(t, accepted(7))
+	r.wait("a-1", "revision 7 in force", func(a *Agent) bool { return inForce(a, 7) == 1 })
+	r.stop("a-1")
+	r.store.setCut("a", true)
+	r.start("a-1")
+	r.wait("a-1", "revision 7 learned again", func(a *Agent) bool { return inForce(a, 7) == 1 })
+	is.True(!r.nodes["a-1"].gateway.fell)
+}
+
+func live(a *Agent) int {
+	members := a.board.Members.Load()
+	if members == nil {
+		return 0
+	}
+	n := 0
+	for i := range members.Instances {
+		if members.Instances[i].State == board.InstanceLive {
+			n++
+		}
+	}
+	return n
+}
+
+func atRevision(counts []board.RevisionCount, revision config.Revision) int {
+	for _, c := range counts {
+		if c.Revision == revision {
+			return c.Nodes
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/agent/ask.go
@@ -0,0 +1,142 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// Bounds of questions that are passed on.
+const (
+	// AskTimeout bounds a question to another failure domain, WhyTimeout one to a
+	// gateway about a request.
+	AskTimeout = 3 * time.Second
+	WhyTimeout = 2 * time.Second
+	// whyAtOnce bounds the gateways that are asked at the same time.
+	whyAtOnce = 32
+)
+
+// CutOffError: no agent of a failure domain answered.
+type CutOffError struct {
+	Domain string
+	Err    error
+}
+
+// Error implements error.
+func (e *CutOffError) Error() string { return e.Domain + " is cut off from here" }
+
+// Unwrap returns the last cause; nil when no address is known.
+func (e *CutOffError) Unwrap() error { return e.Err }
+
+// newExecutor returns what answers operators' lines.
+func (a *Agent) newExecutor() *command.Executor {
+	pause := func(ctx context.Context, wait time.Duration) error {
+		sleep(ctx, wait)
+		return ctx.Err()
+	}
+	s := a.Settings
+	return &command.Executor{
+		Self:    command.Self{Instance: s.Instance, Domain: s.Domain, Region: s.Region},
+		Board:   &a.board,
+		Changes: config.NewStore(a.KeyValue, clock.System{}, pause, mathrand.Float64),
+		Remote:  &remote{a},
+		Clock:   clock.System{},
+		Random:  rand.Reader,
+		Accepted: func(head *config.Head) {
+			a.keeper.Offer(head, spread.SourceChange)
+		},
+	}
+}
+
+// remote asks other instances.
+type remote struct{ agent *Agent }
+
+// Ask implements command.Remote.
+func (r *remote) Ask(ctx context.Context, domain, operator, line string) (command.Reply, error) {
+	a := r.agent
+	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
+	defer cancel()
+	cut := &CutOffError{Domain: domain}
+	for _, address := range a.addressesOf(domain) {
+		var reply control.AskReply
+		args := control.AskArgs{Operator: operator, Line: line}
+		err := a.clients.Call(ctx, address, control.OperatorService+".Ask", &args, &reply)
+		if err == nil {
+			return command.Reply{Verdict: command.Verdict(reply.Verdict), Text: reply.Text}, nil
+		}
+		cut.Err = err
+	}
+	return command.Reply{}, cut
+}
+
+// Why implements command.Remote. Every gateway is asked, as a request may have
+// passed through several.
+func (r *remote) Why(ctx context.Context, requestID string) ([]string, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, WhyTimeout)
+	defer cancel()
+	var group errgroup.Group
+	group.SetLimit(whyAtOnce)
+	var mu sync.Mutex
+	var lines []string
+	unreached := 0
+	for _, instance := range r.agent.everyInstance() {
+		group.Go(func() error {
+			var reply control.WhyReply
+			args := control.WhyArgs{RequestID: requestID}
+			err := r.agent.clients.Call(ctx, instance.Addresses.Control, control.GatewayService+".Why", args, &reply)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unreached++
+				return nil
+			}
+			for _, line := range reply.Lines {
+				lines = append(lines, fmt.Sprintf("%s %s", instance.Name, line))
+			}
+			return nil
+		})
+	}
+	return lines, unreached, group.Wait()
+}
+
+// everyInstance returns all instances whose addresses are known here.
+func (a *Agent) everyInstance() []board.Instance {
+	var all []board.Instance
+	if members := a.board.Members.Load(); members != nil {
+		for i := range members.Instances {
+			if members.Instances[i].State != board.InstanceLeft && members.Instances[i].Addresses.Control != "" {
+				all = append(all, members.Instances[i])
+			}
+		}
+	}
+	if domains := a.board.Domains.Load(); domains != nil {
+		for i := range domains.Remote {
+			all = append(all, domains.Remote[i].Entries...)
+		}
+	}
+	return all
+}
+
+// operatorService answers operators' questions that another instance passes on.
+type operatorService struct{ agent *Agent }
+
+// Ask answers a question; changes are made where the operator is.
+func (s *operatorService) Ask(args *control.AskArgs, reply *control.AskReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), AskTimeout)
+	defer cancel()
+	answer := s.agent.executor.Execute(ctx, args.Operator, args.Line)
+	reply.Verdict, reply.Text = string(answer.Verdict), answer.Text
+	return nil
+}
--- /dev/null
+++ b/pkg/agent/domains.go
@@ -0,0 +1,223 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/digest"
+	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// Timing between failure domains.
+const (
+	// DigestInterval is how often a remote domain's load is fetched; what is
+	// urgent comes at once, as the asked holds its reply back until then.
+	DigestInterval = time.Second
+	// DigestPerDomain stretches the interval where there are many domains, so that
+	// a node's bytes grow more slowly than their number.
+	DigestPerDomain = 75 * time.Millisecond
+	// DigestSpacing is the shortest time between two fetches of one domain.
+	DigestSpacing = 100 * time.Millisecond
+	// DigestTimeout bounds a fetch beyond the time that the reply is held back.
+	DigestTimeout = 2 * time.Second
+	// DigestRetryMax bounds the wait after failed fetches.
+	DigestRetryMax = 4 * time.Second
+	// MaxHold bounds how long a reply is held back, whatever the asker says.
+	MaxHold = 10 * time.Second
+)
+
+// digestDuties returns the fetches that this instance owns.
+func (a *Agent) digestDuties(workers []string) map[string]duty {
+	wanted := make(map[string]duty)
+	domains := a.remoteDomains()
+	wait := max(DigestInterval, time.Duration(len(domains))*DigestPerDomain)
+	for _, domain := range domains {
+		if member.Owns(member.Key("digest", domain), workers, a.Settings.Instance, 1) {
+			wanted[domain] = func(ctx context.Context) { a.fetchLoop(ctx, domain, wait) }
+		}
+	}
+	return wanted
+}
+
+// remoteDomains are those of the configuration, of the seeds and of the digests.
+func (a *Agent) remoteDomains() []string {
+	seen := map[string]bool{a.Settings.Domain: true}
+	var domains []string
+	add := func(domain string) {
+		if !seen[domain] {
+			seen[domain] = true
+			domains = append(domains, domain)
+		}
+	}
+	for _, seed := range a.Settings.Seeds {
+		add(seed.Domain)
+	}
+	if head := a.keeper.Head(); head != nil {
+		for _, region := range head.Declaration.Regions {
+			for _, domain := range region.Domains {
+				add(domain)
+			}
+		}
+	}
+	if known := a.board.Domains.Load(); known != nil {
+		for i := range known.Remote {
+			add(known.Remote[i].Domain)
+		}
+	}
+	return domains
+}
+
+// fetchLoop fetches one remote domain's digest, from one entry after the other
+// when one does not answer.
+func (a *Agent) fetchLoop(ctx context.Context, domain string, wait time.Duration) {
+	f := &fetcher{agent: a, domain: domain, wait: wait}
+	retry := DigestSpacing
+	for ctx.Err() == nil {
+		if f.fetch(ctx) {
+			retry = DigestSpacing
+			sleep(ctx, DigestSpacing)
+			continue
+		}
+		sleep(ctx, jitter(retry))
+		retry = min(2*retry, DigestRetryMax)
+	}
+}
+
+// fetcher fetches the digests of one remote domain.
+type fetcher struct {
+	agent  *Agent
+	domain string
+	wait   time.Duration
+	next   int
+	seen   uint64
+	whole  bool
+	failed int
+}
+
+func (f *fetcher) fetch(ctx context.Context) bool {
+	a := f.agent
+	addresses := a.addressesOf(f.domain)
+	if len(addresses) == 0 {
+		return false
+	}
+	address := addresses[f.next%len(addresses)]
+	ctx, cancel := context.WithTimeout(ctx, f.wait+DigestTimeout)
+	defer cancel()
+	known, _ := a.mesh.digest(f.domain)
+	args := control.DigestArgs{
+		Domain: a.Settings.Domain, Revision: a.keeper.Revision(), Whole: f.whole,
+		EntriesSum: digest.EntriesSum(known.Entries), Seen: f.seen, Wait: f.wait,
+	}
+	var reply control.DigestReply
+	err := a.clients.Call(ctx, address, control.DomainService+".Digest", &args, &reply)
+	count(a.calls.digests, a.calls.digestsFailed, err)
+	if err != nil || reply.Digest.Domain != f.domain {
+		f.miss(addresses)
+		return false
+	}
+	f.failed = 0
+	f.seen = reply.Seen
+	f.whole = a.takeUpdate(reply.Update, spread.SourceDomain) != nil
+	if a.mesh.setDigest(reply.Digest, reply.EntriesSum, time.Now()) {
+		a.beat.raise()
+	}
+	return true
+}
+
+// miss turns to the domain's next entry, and tells the own domain once all of
+// them were tried.
+func (f *fetcher) miss(addresses []string) {
+	f.next++
+	f.failed++
+	f.seen = 0
+	if f.failed >= min(len(addresses), digestTries) {
+		f.agent.mesh.setUnreachable(f.domain)
+	}
+}
+
+// digestTries is how many entries of a domain must fail for it to count as cut off.
+const digestTries = 2
+
+// addressesOf returns the agents of a remote domain: those of its last digest,
+// then the seeds.
+func (a *Agent) addressesOf(domain string) []string {
+	seen := make(map[string]bool)
+	var addresses []string
+	add := func(address string) {
+		if address != "" && !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	known, _ := a.mesh.digest(domain)
+	for i := range known.Entries {
+		add(known.Entries[i].Addresses.Mesh)
+	}
+	for _, seed := range a.Settings.Seeds {
+		if seed.Domain == domain {
+			add(seed.Mesh)
+		}
+	}
+	return addresses
+}
+
+// domainService answers agents of other failure domains.
+type domainService struct{ agent *Agent }
+
+// Digest returns the own domain's digest: at once when there is something urgent
+// that the asker has not seen, else when the asker's wait is over.
+func (s *domainService) Digest(args *control.DigestArgs, reply *control.DigestReply) error {
+	a := s.agent
+	limit := time.NewTimer(min(args.Wait, MaxHold))
+	defer limit.Stop()
+	for over := false; ; {
+		members, head, health := a.board.Members.Changed(), a.board.Config.Changed(), a.board.Platform.Changed()
+		own := a.ownDigest()
+		seen := digest.UrgentSum(&own)
+		if over || seen != args.Seen || a.keeper.Revision() > args.Revision {
+			return a.fillDigest(args, reply, own, seen)
+		}
+		select {
+		case <-members:
+		case <-head:
+		case <-health:
+		case <-limit.C:
+			over = true
+		}
+	}
+}
+
+func (a *Agent) fillDigest(args *control.DigestArgs, reply *control.DigestReply, own board.DomainDigest, seen uint64) error {
+	reply.Seen = seen
+	reply.EntriesSum = digest.EntriesSum(own.Entries)
+	if reply.EntriesSum == args.EntriesSum {
+		own.Entries = nil
+	}
+	reply.Digest = own
+	head := a.keeper.Head()
+	if head == nil || head.Revision <= args.Revision {
+		return nil
+	}
+	update, err := updateFor(head, args.Revision, args.Whole)
+	if err != nil {
+		return err
+	}
+	reply.Revision, reply.Update = head.Revision, update
+	return nil
+}
+
+// ownDigest is the own domain's digest now.
+func (a *Agent) ownDigest() board.DomainDigest {
+	health := a.board.Platform.Load()
+	return digest.Build(digest.Input{
+		Domain: a.Settings.Domain, Region: a.Settings.Region,
+		Sequence:  uint64(time.Now().UnixNano()),
+		Members:   a.board.Members.Load(),
+		Upstreams: a.board.Upstreams.Load(),
+		Head:      a.keeper.Head(),
+		Platform:  health != nil && health.KeyValue,
+	})
+}
--- /dev/null
+++ b/pkg/agent/duties.go
@@ -0,0 +1,43 @@
+package agent
+
+import (
+	"context"
+	"sync"
+)
+
+// duty is a loop that runs until its context ends.
+type duty func(ctx context.Context)
+
+// duties runs a changing set of named loops. It is used from one goroutine.
+type duties struct {
+	running map[string]context.CancelFunc
+	group   sync.WaitGroup
+}
+
+func newDuties() *duties { return &duties{running: make(map[string]context.CancelFunc)} }
+
+// sync starts the wanted loops that do not run and ends those that are not wanted.
+func (d *duties) sync(ctx context.Context, wanted map[string]duty) {
+	for name, cancel := range d.running {
+		if _, ok := wanted[name]; !ok {
+			cancel()
+			delete(d.running, name)
+		}
+	}
+	for name, run := range wanted {
+		if _, ok := d.running[name]; ok {
+			continue
+		}
+		own, cancel := context.WithCancel(ctx)
+		d.running[name] = cancel
+		d.group.Go(func() { run(own) })
+	}
+}
+
+// stop ends all loops and waits for them.
+func (d *duties) stop() {
+	for _, cancel := range d.running {
+		cancel()
+	}
+	d.group.Wait()
+}
--- /dev/null
+++ b/pkg/agent/exchange.go
@@ -0,0 +1,190 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// Timing of the link to the own gateway.
+const (
+	// ExchangeInterval is the longest time between two exchanges, ExchangeSpacing
+	// the shortest.
+	ExchangeInterval = 400 * time.Millisecond
+	ExchangeSpacing  = 20 * time.Millisecond
+	// ExchangeTimeout bounds one exchange.
+	ExchangeTimeout = time.Second
+	// GatewayLost is how long the gateway may be out of reach before the instance
+	// counts as one without a gateway.
+	GatewayLost = 2 * time.Second
+)
+
+// gatewayState is what the gateway said last. Safe for concurrent use.
+type gatewayState struct {
+	mu      sync.Mutex
+	reached time.Time
+	up      bool
+	reply   control.ExchangeReply
+	sent    sentSections
+	marked  map[string]bool
+}
+
+// sentSections are the snapshots that the gateway's incarnation has got.
+type sentSections struct {
+	incarnation uint64
+	members     *board.Members
+	upstreams   *board.Upstreams
+	domains     *board.Domains
+	platform    *board.PlatformHealth
+}
+
+func (g *gatewayState) revision() config.Revision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.up {
+		return 0
+	}
+	return g.reply.Revision
+}
+
+// state returns whether the gateway is up, and its last reply.
+func (g *gatewayState) state() (bool, control.ExchangeReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.up, g.reply
+}
+
+// exchangeLoop teaches the gateway and learns from it.
+func (a *Agent) exchangeLoop(ctx context.Context) {
+	for {
+		a.exchangeOnce(ctx)
+		if !sleep(ctx, ExchangeSpacing) {
+			return
+		}
+		timer := time.NewTimer(ExchangeInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-a.exchange:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (a *Agent) exchangeOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
+	defer cancel()
+	args, sections := a.exchangeArgs()
+	var reply control.ExchangeReply
+	err := a.local.Call(ctx, a.Settings.Gateway.Control, control.GatewayService+".Exchange", args, &reply)
+	if err != nil {
+		a.gatewayFailed(err)
+		return
+	}
+	a.gatewayAnswered(reply, sections)
+}
+
+// exchangeArgs holds what the gateway is not known to have.
+func (a *Agent) exchangeArgs() (*control.ExchangeArgs, sentSections) {
+	up, reply := a.gateway.state()
+	a.gateway.mu.Lock()
+	sent := a.gateway.sent
+	a.gateway.mu.Unlock()
+	now := sentSections{
+		members:   a.board.Members.Load(),
+		upstreams: a.board.Upstreams.Load(),
+		domains:   a.board.Domains.Load(),
+		platform:  a.board.Platform.Load(),
+	}
+	args := &control.ExchangeArgs{WantHead: reply.Revision > a.keeper.Revision() || a.keeper.Head() == nil}
+	if head := a.keeper.Head(); head != nil && (!up || head.Revision > reply.Revision) {
+		args.Head = head
+	}
+	args.Members = unlessSame(now.members, sent.members)
+	args.Upstreams = unlessSame(now.upstreams, sent.upstreams)
+	args.Domains = unlessSame(now.domains, sent.domains)
+	args.Platform = unlessSame(now.platform, sent.platform)
+	return args, now
+}
+
+func unlessSame[T any](now, sent *T) *T {
+	if now == sent {
+		return nil
+	}
+	return now
+}
+
+func (a *Agent) gatewayAnswered(reply control.ExchangeReply, sections sentSections) {
+	a.gateway.mu.Lock()
+	before, was := a.gateway.reply, a.gateway.up
+	sections.incarnation = reply.Incarnation
+	renewed := a.gateway.sent.incarnation != reply.Incarnation
+	if renewed {
+		// What was left out of this exchange belonged to another incarnation.
+		sections = sentSections{incarnation: reply.Incarnation}
+	}
+	a.gateway.sent = sections
+	a.gateway.reply, a.gateway.up, a.gateway.reached = reply, true, time.Now()
+	a.gateway.mu.Unlock()
+	if renewed {
+		a.Log.Info().Uint64("incarnation", reply.Incarnation).Msg("gateway-met")
+		a.exchange.raise()
+	}
+	a.keeper.Offer(reply.Head, spread.SourceGateway)
+	a.revise()
+	if a.mesh.setGateway(reply.Incarnation, reply.Leaving, time.Now()) {
+		a.beat.raise()
+	}
+	var earlier *board.GatewayLoad
+	if was && !renewed {
+		earlier = &before.Load
+	}
+	a.mesh.setLoad(reply.Load, earlier)
+	a.observe(reply.Observations)
+	if reply.Revision < a.keeper.Revision() {
+		a.exchange.raise()
+	}
+}
+
+// observe turns the gateway's observations into leaving marks.
+func (a *Agent) observe(seen map[string]control.Observation) {
+	if a.gateway.marked == nil {
+		a.gateway.marked = make(map[string]bool)
+	}
+	for name, observation := range seen {
+		if observation.Leaving {
+			a.gateway.marked[name] = true
+			a.mesh.setMark(name, true)
+		}
+	}
+	for name := range a.gateway.marked {
+		if !seen[name].Leaving {
+			delete(a.gateway.marked, name)
+			a.mesh.setMark(name, false)
+		}
+	}
+}
+
+func (a *Agent) gatewayFailed(err error) {
+	a.gateway.mu.Lock()
+	lost := a.gateway.up && time.Since(a.gateway.reached) > GatewayLost
+	if lost {
+		a.gateway.up = false
+		a.gateway.sent = sentSections{}
+	}
+	a.gateway.mu.Unlock()
+	if !lost {
+		return
+	}
+	a.Log.Warn().Err(err).Msg("gateway-lost")
+	a.mesh.setGateway(0, false, time.Now())
+	a.revise()
+	a.beat.raise()
+}
--- /dev/null
+++ b/pkg/agent/mesh.go
@@ -0,0 +1,336 @@
+package agent
+
+import (
+	"fmt"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/digest"
+	"github.com/lilacweir/lilacweir/pkg/member"
+)
+
+// MarkHold is how long a leaving mark on an upstream outlives the last word of
+// the instance that set it.
+const MarkHold = 30 * time.Second
+
+// mesh is what this instance knows and tells in its failure domain. Every
+// method takes the time, and none does input or output.
+type mesh struct {
+	mu        sync.Mutex
+	self      member.Identity
+	agent     config.Revision
+	inForce   config.Revision
+	view      *member.View
+	remote    *digest.Table
+	own       *journal
+	links     map[string]*link
+	upstreams map[string]*upstreamEntry
+	digests   map[string]*digestEntry
+	marks     map[string]map[string]bool
+	list      *control.ListFact
+	platform  map[string]control.PlatformFact
+	stopping  bool
+	changed   func()
+	behind    func()
+}
+
+// link is what two instances have told each other.
+type link struct {
+	epoch     uint64
+	have      uint64
+	theirHave uint64
+	heard     time.Time
+	revision  config.Revision
+	viewSum   uint64
+}
+
+// upstreamEntry is the last report of an upstream and who made it.
+type upstreamEntry struct {
+	from string
+	load board.UpstreamLoad
+}
+
+// digestEntry is who shared a remote domain's digest last.
+type digestEntry struct {
+	from      string
+	reachable bool
+	digest    board.DomainDigest
+}
+
+func newMesh(self member.Identity, now time.Time) *mesh {
+	m := &mesh{
+		self:      self,
+		view:      member.NewView(self, now),
+		remote:    digest.NewTable(self.Domain),
+		own:       newJournal(),
+		links:     make(map[string]*link),
+		upstreams: make(map[string]*upstreamEntry),
+		digests:   make(map[string]*digestEntry),
+		marks:     make(map[string]map[string]bool),
+		platform:  make(map[string]control.PlatformFact),
+		changed:   func() {},
+		behind:    func() {},
+	}
+	m.tellIdentity()
+	return m
+}
+
+func (m *mesh) tellIdentity() {
+	id := m.self
+	m.own.set(keyIdentity, func(f *control.Facts) { f.Identity = &id })
+}
+
+// compose makes the heartbeat for a peer; an empty name is a peer not yet met.
+func (m *mesh) compose(to string, now time.Time) control.Beat {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.link(to)
+	beat := control.Beat{
+		From: m.self.Name, Epoch: m.self.Epoch,
+		Revision: m.agent, InForce: m.inForce,
+		ViewSum: m.viewSum(now), UpTo: m.own.change,
+		Facts:     m.own.since(l.theirHave),
+		HaveEpoch: l.epoch, Have: l.have,
+	}
+	if l.viewSum != beat.ViewSum {
+		beat.Peers = m.view.Peers(now)
+	}
+	return beat
+}
+
+// receive takes a peer's heartbeat and returns whether the sender may be
+// answered: it is of this domain, and not of an epoch that is over.
+func (m *mesh) receive(b *control.Beat, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.From == "" || b.From == m.self.Name {
+		return false
+	}
+	if id := b.Facts.Identity; id != nil && (id.Name != b.From || id.Domain != m.self.Domain) {
+		return false
+	}
+	if b.Epoch < m.view.Epoch(b.From) {
+		return false
+	}
+	before := m.view.State(b.From, now)
+	l := m.link(b.From)
+	if l.epoch != b.Epoch {
+		*l = link{epoch: b.Epoch}
+	}
+	news := false
+	if b.Facts.Identity != nil {
+		news = m.view.Identify(*b.Facts.Identity, now)
+	}
+	if m.view.Epoch(b.From) != b.Epoch {
+		// Its identity has not come yet: have stays 0, so it is sent next time.
+		return true
+	}
+	l.heard, l.revision = now, b.Revision
+	l.viewSum = b.ViewSum
+	l.theirHave = 0
+	if b.HaveEpoch == m.self.Epoch {
+		l.theirHave = b.Have
+	}
+	l.have = max(l.have, b.UpTo)
+	m.view.Heard(b.From, b.Epoch, b.InForce, now)
+	news = m.applyFacts(b, now) || news
+	for _, peer := range b.Peers {
+		m.view.Propose(peer, now)
+	}
+	m.confirm(b.From, now)
+	if news || before != m.view.State(b.From, now) {
+		m.changed()
+	}
+	if b.Revision > m.agent {
+		m.behind()
+	}
+	return true
+}
+
+func (m *mesh) applyFacts(b *control.Beat, now time.Time) bool {
+	f := &b.Facts
+	news := false
+	if f.Load != nil {
+		m.view.Load(b.From, b.Epoch, *f.Load)
+		news = true
+	}
+	for _, fact := range f.Upstreams {
+		fact.Load.ReportedAt = now.Add(-fact.Age)
+		m.upstreams[fact.Load.Name] = &upstreamEntry{from: b.From, load: fact.Load}
+		news = true
+	}
+	for _, mark := range f.Marks {
+		m.mark(b.From, mark.Upstream, mark.Leaving)
+		news = true
+	}
+	for i := range f.Digests {
+		news = m.takeDigest(b.From, &f.Digests[i], now) || news
+	}
+	if f.Platform != nil {
+		m.platform[b.From] = *f.Platform
+		news = true
+	}
+	if f.List != nil {
+		m.takeList(f.List, now)
+		news = true
+	}
+	return news
+}
+
+// confirm keeps alive what a peer vouches for: it says nothing while nothing changes.
+func (m *mesh) confirm(from string, now time.Time) {
+	for domain, entry := range m.digests {
+		if entry.from == from && entry.reachable {
+			m.remote.Confirm(domain, now)
+		}
+	}
+	for _, entry := range m.upstreams {
+		if entry.from == from && entry.load.State != board.UpstreamSilent {
+			entry.load.ReportedAt = now
+		}
+	}
+}
+
+func (m *mesh) mark(from, upstream string, leaving bool) {
+	if !leaving {
+		delete(m.marks[from], upstream)
+		return
+	}
+	if m.marks[from] == nil {
+		m.marks[from] = make(map[string]bool)
+	}
+	m.marks[from][upstream] = true
+}
+
+func (m *mesh) takeList(list *control.ListFact, now time.Time) {
+	m.list = list
+	listed := make([]member.Listed, 0, len(list.Lines))
+	for _, line := range list.Lines {
+		if line.Mesh == "" || line.Domain != m.self.Domain {
+			continue
+		}
+		peer := member.Peer{Name: line.Name, Mesh: line.Mesh}
+		listed = append(listed, member.Listed{Peer: peer, Leaving: line.Leaving})
+	}
+	m.view.List(listed, now)
+}
+
+// goodbye takes a peer's goodbye.
+func (m *mesh) goodbye(name string, epoch uint64, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view.Goodbye(name, epoch, now) {
+		m.changed()
+	}
+}
+
+func (m *mesh) link(name string) *link {
+	l, ok := m.links[name]
+	if !ok {
+		l = &link{}
+		m.links[name] = l
+	}
+	return l
+}
+
+// viewSum is a hash of the instances that may be spoken to, self included.
+func (m *mesh) viewSum(now time.Time) uint64 {
+	peers := append(m.view.Peers(now), member.Peer{Name: m.self.Name, Mesh: m.self.Addresses.Mesh, Epoch: m.self.Epoch})
+	var sum uint64
+	for _, peer := range peers {
+		// A sum does not depend on the order, which differs between instances.
+		sum += xxhash.Sum64String(fmt.Sprintf("%s %s", peer.Name, peer.Mesh))
+	}
+	return sum
+}
+
+// setRevisions notes the configuration here; it returns whether that is news.
+func (m *mesh) setRevisions(agent, inForce config.Revision, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.agent == agent && m.inForce == inForce {
+		return false
+	}
+	m.agent, m.inForce = agent, inForce
+	m.view.Heard(m.self.Name, m.self.Epoch, inForce, now)
+	m.changed()
+	return true
+}
+
+// setGateway notes the own gateway's incarnation and whether it is leaving.
+func (m *mesh) setGateway(incarnation uint64, leaving bool, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leaving = leaving || m.stopping
+	if m.self.Incarnation == incarnation && m.self.Leaving == leaving {
+		return false
+	}
+	m.self.Incarnation, m.self.Leaving = incarnation, leaving
+	m.view.Identify(m.self, now)
+	m.tellIdentity()
+	m.changed()
+	return true
+}
+
+// leaving marks this instance as leaving for good.
+func (m *mesh) leaving(now time.Time) {
+	m.mu.Lock()
+	incarnation := m.self.Incarnation
+	m.stopping = true
+	m.mu.Unlock()
+	m.setGateway(incarnation, true, now)
+}
+
+// setLoad notes the own gateway's load.
+func (m *mesh) setLoad(load board.GatewayLoad, before *board.GatewayLoad) {
+	if before != nil && reflect.DeepEqual(load, *before) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Load(m.self.Name, m.self.Epoch, load)
+	m.own.set(keyLoad, func(f *control.Facts) { f.Load = &load })
+	m.changed()
+}
+
+// setMark notes that this instance saw, or no longer sees, an upstream leaving.
+func (m *mesh) setMark(upstream string, leaving bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.marks[m.self.Name][upstream] == leaving {
+		return
+	}
+	m.mark(m.self.Name, upstream, leaving)
+	fact := control.MarkFact{Upstream: upstream, Leaving: leaving}
+	m.own.set("mark/"+upstream, func(f *control.Facts) { f.Marks = append(f.Marks, fact) })
+	m.changed()
+}
+
+// setUpstream notes a poll of an upstream that this instance owns.
+func (m *mesh) setUpstream(load board.UpstreamLoad) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, ok := m.upstreams[load.Name]
+	m.upstreams[load.Name] = &upstreamEntry{from: m.self.Name, load: load}
+	if ok && before.from == m.self.Name && sameLoad(before.load, load) {
+		return
+	}
+	made := load.ReportedAt
+	fact := load
+	fact.ReportedAt = time.Time{}
+	m.own.set("upstream/"+load.Name, func(f *control.Facts) {
+		f.Upstreams = append(f.Upstreams, control.UpstreamFact{Load: fact, Age: max(time.Since(made), 0)})
+	})
+	m.changed()
+}
+
+func sameLoad(a, b board.UpstreamLoad) bool {
+	a.ReportedAt, b.ReportedAt = time.Time{}, time.Time{}
+	return reflect.DeepEqual(a, b)
+}
--- /dev/null
+++ b/pkg/agent/mesh_digest.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/digest"
+)
+
+// noEntries is the hash of a digest without entries.
+var noEntries = digest.EntriesSum(nil)
+
+// withEntries makes a digest whose domain has no entries say so: an empty list
+// does not survive the wire.
+func withEntries(d board.DomainDigest, entriesSum uint64) board.DomainDigest {
+	if len(d.Entries) > 0 {
+		return d
+	}
+	d.Entries = nil
+	if entriesSum == noEntries {
+		d.Entries = []board.Instance{}
+	}
+	return d
+}
+
+// digest returns a remote domain's last digest.
+func (m *mesh) digest(domain string) (board.DomainDigest, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.remote.Get(domain)
+}
+
+// takeDigest takes a digest that a peer fetched and shares.
+func (m *mesh) takeDigest(from string, fact *control.DigestFact, now time.Time) bool {
+	m.digests[fact.Digest.Domain] = &digestEntry{from: from, reachable: fact.Reachable}
+	if !fact.Reachable {
+		return true
+	}
+	return m.remote.Merge(withEntries(fact.Digest, fact.EntriesSum), now.Add(-fact.Age))
+}
+
+// setDigest notes a fetch of a remote domain's digest that this instance owns.
+// What is shared with the domain is only what differs enough to matter; it says
+// whether something urgent is among it.
+func (m *mesh) setDigest(d board.DomainDigest, entriesSum uint64, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remote.Merge(withEntries(d, entriesSum), now)
+	current, _ := m.remote.Get(d.Domain)
+	before, ok := m.digests[d.Domain]
+	mine := ok && before.from == m.self.Name
+	if mine && before.reachable && !digest.Differs(&before.digest, &current) {
+		return false
+	}
+	urgent := !mine || !before.reachable || digest.UrgentSum(&before.digest) != digest.UrgentSum(&current)
+	m.digests[d.Domain] = &digestEntry{from: m.self.Name, reachable: true, digest: current}
+	sum := digest.EntriesSum(current.Entries)
+	if !mine || digest.EntriesSum(before.digest.Entries) != sum {
+		m.share("entries/", current, sum, now)
+	}
+	current.Entries = nil
+	m.share("digest/", current, sum, now)
+	m.changed()
+	return urgent
+}
+
+// share tells the domain a digest. Entries go under a key of their own, so that
+// they travel again only when they have changed.
+func (m *mesh) share(kind string, d board.DomainDigest, entriesSum uint64, heard time.Time) {
+	d.HeardAt = time.Time{}
+	m.own.set(kind+d.Domain, func(f *control.Facts) {
+		fact := control.DigestFact{Digest: d, Age: max(time.Since(heard), 0), EntriesSum: entriesSum, Reachable: true}
+		f.Digests = append(f.Digests, fact)
+	})
+}
+
+// setUnreachable notes that a remote domain does not answer this instance, whose
+// job it is to ask: from now on its digest ages.
+func (m *mesh) setUnreachable(domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, ok := m.digests[domain]
+	if ok && before.from == m.self.Name && !before.reachable {
+		return
+	}
+	m.digests[domain] = &digestEntry{from: m.self.Name}
+	m.own.remove("entries/" + domain)
+	m.own.set("digest/"+domain, func(f *control.Facts) {
+		f.Digests = append(f.Digests, control.DigestFact{Digest: board.DomainDigest{Domain: domain}})
+	})
+	m.changed()
+}
--- /dev/null
+++ b/pkg/agent/operators.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/telemetry"
+)
+
+// Bounds of the operators' HTTP.
+const (
+	headerTimeout = 5 * time.Second
+	// requestTimeout bounds reading a request; an answer may wait for a change to
+	// be in force.
+	requestTimeout = 30 * time.Second
+	maxHeader      = 16 << 10
+	closeTimeout   = 2 * time.Second
+)
+
+// serveOperators opens the operators' HTTP.
+func (a *Agent) serveOperators(ctx context.Context, group *errgroup.Group) error {
+	address := a.Settings.Agent.Operators
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return &ListenError{Address: address, Err: err}
+	}
+	server := &http.Server{
+		Handler:           a.operatorRoutes(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return &ListenError{Address: address, Err: err}
+	})
+	context.AfterFunc(ctx, func() {
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if err := server.Shutdown(ending); err != nil {
+			_ = server.Close()
+		}
+	})
+	return nil
+}
+
+func (a *Agent) operatorRoutes() http.Handler {
+	router := echo.New()
+	router.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", a.serveReadiness)
+	router.GET("/metrics", echo.WrapHandler(telemetry.Handler(a.Registry)))
+	router.POST("/v1/command", a.serveCommand)
+	router.POST("/v1/apply", a.serveApply)
+	router.GET("/v1/declaration", a.serveDeclaration)
+	return router
+}
+
+// Readiness is the body of /readyz.
+type Readiness struct {
+	// State is serving, isolated, no-configuration or leaving.
+	State    string          `json:"state"`
+	Revision config.Revision `json:"revision"`
+	// Platform is whether the domain reaches the key-value service.
+	Platform bool `json:"platform"`
+	// Gateway is whether the own gateway answers.
+	Gateway bool `json:"gateway"`
+	// SilentDomains are the failure domains that cannot be heard.
+	SilentDomains []string `json:"silent_domains"`
+	// SilentInstances are the instances of the own domain that cannot be heard.
+	SilentInstances []string `json:"silent_instances"`
+}
+
+// States of readiness.
+const (
+	StateServing         = "serving"
+	StateIsolated        = "isolated"
+	StateNoConfiguration = "no-configuration"
+	StateLeaving         = "leaving"
+)
+
+func (a *Agent) serveReadiness(c echo.Context) error {
+	readiness := a.readiness(time.Now())
+	status := http.StatusOK
+	if readiness.State == StateNoConfiguration || readiness.State == StateLeaving {
+		status = http.StatusServiceUnavailable
+	}
+	return c.JSON(status, readiness)
+}
+
+func (a *Agent) readiness(now time.Time) Readiness {
+	up, _ := a.gateway.state()
+	r := Readiness{
+		State:           StateServing,
+		Revision:        a.keeper.Revision(),
+		Platform:        a.board.Platform.Load().KeyValue,
+		Gateway:         up,
+		SilentDomains:   a.silentDomains(now),
+		SilentInstances: a.silentInstances(),
+	}
+	switch {
+	case a.mesh.state(a.Settings.Instance, now) == board.InstanceLeaving:
+		r.State = StateLeaving
+	case r.Revision == 0:
+		r.State = StateNoConfiguration
+	case !r.Platform || len(r.SilentDomains) > 0:
+		r.State = StateIsolated
+	}
+	return r
+}
+
+// DomainSilentAfter is the age of its digest at which a remote domain counts as
+// one that cannot be heard.
+const DomainSilentAfter = 5 * time.Second
+
+func (a *Agent) silentDomains(now time.Time) []string {
+	silent := []string{}
+	for _, domain := range a.remoteDomains() {
+		d, ok := a.mesh.digest(domain)
+		if !ok || now.Sub(d.HeardAt) > DomainSilentAfter {
+			silent = append(silent, domain)
+		}
+	}
+	return silent
+}
+
+func (a *Agent) silentInstances() []string {
+	silent := []string{}
+	if members := a.board.Members.Load(); members != nil {
+		for i := range members.Instances {
+			if members.Instances[i].State == board.InstanceSilent {
+				silent = append(silent, members.Instances[i].Name)
+			}
+		}
+	}
+	return silent
+}
--- /dev/null
+++ b/pkg/agent/rig_test.go
@@ -0,0 +1,324 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+const (
+	testKey  = "head"
+	testWait = 30 * time.Second
+)
+
+// store is the platform's key-value service for one key, with a cut link for
+// each failure domain.
+type kvStore struct {
+	mu       sync.Mutex
+	entry    platform.Entry
+	cut      map[string]bool
+	watchers map[*kvWatch]bool
+	reads    int
+}
+
+type kvWatch struct {
+	domain string
+	stream chan platform.Entry
+}
+
+func newStore() *kvStore {
+	return &kvStore{cut: make(map[string]bool), watchers: make(map[*kvWatch]bool)}
+}
+
+// write accepts a head.
+func (s *kvStore) write(t *testing.T, head *config.Head) {
+	data, err := config.EncodeHead(head)
+	is.New(t).NoErr(err)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entry = platform.Entry{Key: testKey, Value: data, ModRevision: s.entry.ModRevision + 1}
+	for watch := range s.watchers {
+		watch.stream <- s.entry
+	}
+}
+
+// setCut cuts or heals a domain's link to the service.
+func (s *kvStore) setCut(domain string, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[domain] = cut
+	for watch := range s.watchers {
+		if cut && watch.domain == domain {
+			close(watch.stream)
+			delete(s.watchers, watch)
+		}
+	}
+}
+
+func (s *kvStore) watching(domain string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for watch := range s.watchers {
+		if watch.domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// kvView is the service as one domain reaches it.
+type kvView struct {
+	platform.KeyValue
+	store  *kvStore
+	domain string
+}
+
+func (v *kvView) Get(context.Context, string) (platform.Entry, bool, error) {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	v.store.reads++
+	if v.store.cut[v.domain] {
+		return platform.Entry{}, false, platform.ErrUnavailable
+	}
+	return v.store.entry, v.store.entry.ModRevision > 0, nil
+}
+
+func (v *kvView) Watch(ctx context.Context, _ string, after int64) (<-chan platform.Entry, error) {
+	s := v.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut[v.domain] {
+		return nil, platform.ErrUnavailable
+	}
+	watch := &kvWatch{domain: v.domain, stream: make(chan platform.Entry, 16)}
+	s.watchers[watch] = true
+	if s.entry.ModRevision > after {
+		watch.stream <- s.entry
+	}
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.watchers, watch)
+	})
+	return watch.stream, nil
+}
+
+// fakeGateway is an instance's gateway as its agent sees it.
+type fakeGateway struct {
+	mu      sync.Mutex
+	head    *config.Head
+	reply   control.ExchangeReply
+	members int
+	fell    bool
+}
+
+// Exchange is Gateway.Exchange.
+func (g *fakeGateway) Exchange(args *control.ExchangeArgs, reply *control.ExchangeReply) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if args.Head != nil {
+		if args.Head.Revision < g.reply.Revision {
+			g.fell = true
+		}
+		g.head, g.reply.Revision = args.Head, max(args.Head.Revision, g.reply.Revision)
+	}
+	if args.Members != nil {
+		g.members = len(args.Members.Instances)
+	}
+	*reply = g.reply
+	if args.WantHead {
+		reply.Head = g.head
+	}
+	return nil
+}
+
+func (g *fakeGateway) set(change func(*control.ExchangeReply)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(&g.reply)
+}
+
+// fakeDirectory is the platform's directory.
+type fakeDirectory struct {
+	mu      sync.Mutex
+	entries map[string]platform.DirectoryEntry
+}
+
+func (d *fakeDirectory) Register(_ context.Context, entry platform.DirectoryEntry, _ time.Duration) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.entries[entry.Instance] = entry
+	return nil
+}
+
+func (d *fakeDirectory) Deregister(_ context.Context, instance string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.entries, instance)
+	return nil
+}
+
+func (d *fakeDirectory) Lookup(context.Context) ([]platform.DirectoryEntry, error) { return nil, nil }
+
+func (d *fakeDirectory) has(instance string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.entries[instance]
+	return ok
+}
+
+// rig runs agents of several failure domains over loopback TCP.
+type rig struct {
+	t         *testing.T
+	store     *kvStore
+	directory *fakeDirectory
+	prefix    string
+	seeds     []settings.Seed
+	names     map[string][]string
+	nodes     map[string]*node
+	epoch     uint64
+}
+
+// node is one entry instance of a rig.
+type node struct {
+	settings settings.Instance
+	gateway  *fakeGateway
+	agent    *Agent
+	cancel   context.CancelFunc
+	ended    chan error
+}
+
+// newRig lays out domains "a", "b", … with the given counts of instances; each
+// test has addresses of its own.
+func newRig(t *testing.T, test int, counts ...int) *rig {
+	r := &rig{
+		t: t, store: newStore(), directory: &fakeDirectory{entries: make(map[string]platform.DirectoryEntry)},
+		prefix: fmt.Sprintf("127.%d.%d", 130+os.Getpid()%100, 10*test),
+		names:  make(map[string][]string), nodes: make(map[string]*node),
+	}
+	for d, count := range counts {
+		domain := string(rune('a' + d))
+		for n := range count {
+			name := fmt.Sprintf("%s-%d", domain, n+1)
+			r.names[domain] = append(r.names[domain], name)
+			address := fmt.Sprintf("127.%d.%d.%d", 130+os.Getpid()%100, 10*test+d, n+1)
+			r.seeds = append(r.seeds, settings.Seed{Domain: domain, Mesh: address + ":8090"})
+			r.nodes[name] = &node{
+				gateway: &fakeGateway{},
+				settings: settings.Instance{
+					Instance: name, Domain: domain, Region: "region-" + domain,
+					Gateway: settings.Gateway{
+						Callers: address + ":8080", Peers: address + ":8081", Control: address + ":8082",
+					},
+					Agent:    settings.Agent{Mesh: address + ":8090", Operators: address + ":8091"},
+					Security: settings.Security{PlaintextLoopback: true},
+				},
+			}
+		}
+	}
+	for _, n := range r.nodes {
+		n.settings.Seeds = r.seeds
+		r.startGateway(n)
+	}
+	return r
+}
+
+func (r *rig) network(n *node) *control.Network {
+	network, err := control.NewNetwork(n.settings.Security, nil)
+	is.New(r.t).NoErr(err)
+	return network
+}
+
+func (r *rig) startGateway(n *node) {
+	server, err := control.NewServer(r.network(n), n.settings.Gateway.Control)
+	is.New(r.t).NoErr(err)
+	is.New(r.t).NoErr(server.Register(control.GatewayService, n.gateway))
+	go server.Serve()
+	r.t.Cleanup(func() { _ = server.Close() })
+	r.epoch++
+	n.gateway.reply.Incarnation = r.epoch
+}
+
+// start starts an instance's agent.
+func (r *rig) start(names ...string) {
+	for _, name := range names {
+		n := r.nodes[name]
+		r.epoch++
+		n.agent = New(Options{
+			Settings: &n.settings, Mesh: r.network(n), Local: r.network(n),
+			KeyValue: &kvView{store: r.store, domain: n.settings.Domain}, HeadKey: testKey,
+			Directory: r.directory, Log: zerolog.Nop(), Registry: metrics.NewRegistry(), Epoch: r.epoch,
+		})
+		ctx, cancel := context.WithCancel(r.t.Context())
+		ended := make(chan error, 1)
+		n.cancel, n.ended = cancel, ended
+		go func() { ended <- n.agent.Run(ctx) }()
+		r.t.Cleanup(func() { r.stop(name) })
+	}
+}
+
+func (r *rig) startAll() {
+	for _, names := range r.names {
+		r.start(names...)
+	}
+}
+
+// stop stops an agent as SIGTERM does.
+func (r *rig) stop(name string) {
+	n := r.nodes[name]
+	if n.cancel == nil {
+		return
+	}
+	n.cancel()
+	n.cancel = nil
+	is.New(r.t).NoErr(<-n.ended)
+}
+
+// wait waits until the condition holds, looking at it whenever the agent's
+// blackboard changes, which it does once a second at least.
+func (r *rig) wait(name, what string, holds func(a *Agent) bool) {
+	r.t.Helper()
+	a := r.nodes[name].agent
+	limit := time.After(testWait)
+	for {
+		members, domains, head := a.board.Members.Changed(), a.board.Domains.Changed(), a.board.Config.Changed()
+		platform := a.board.Platform.Changed()
+		if holds(a) {
+			return
+		}
+		select {
+		case <-members:
+		case <-domains:
+		case <-head:
+		case <-platform:
+		case <-limit:
+			r.t.Fatalf("%s: %s: not within %s", name, what, testWait)
+		}
+	}
+}
+
+// inForce counts the nodes of the whole system that an agent knows to have the
+// revision in force.
+func inForce(a *Agent, revision config.Revision) int {
+	own := a.ownDigest()
+	total := atRevision(own.Revisions, revision)
+	if domains := a.board.Domains.Load(); domains != nil {
+		for i := range domains.Remote {
+			total += atRevision(domains.Remote[i].Revisions, revision)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/pkg/agent/serve_command.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// Headers of the operators' HTTP.
+const (
+	// HeaderOperator names who asks; the key comes as a bearer token.
+	HeaderOperator = "X-Lilacweir-Operator"
+	// HeaderVerdict is ok, accepted, refused or unknown.
+	HeaderVerdict = "X-Lilacweir-Verdict"
+	// HeaderRevision is the revision that a difference was made against.
+	HeaderRevision = "X-Lilacweir-Revision"
+)
+
+// Bounds of what operators send, in bytes.
+const (
+	maxLine        = 4 << 10
+	maxDeclaration = 8 << 20
+)
+
+const bearer = "Bearer "
+
+// serveCommand answers POST /v1/command. The change's identity may come as the
+// query's "id", the revision that the operator saw as "seen".
+func (a *Agent) serveCommand(c echo.Context) error {
+	body, err := readBounded(c, maxLine)
+	if err != nil {
+		return refuse(c, http.StatusRequestEntityTooLarge, "the line is too long")
+	}
+	operator, ok := a.operator(c, nil)
+	if !ok {
+		return refuse(c, http.StatusUnauthorized, a.unauthenticated())
+	}
+	seen, err := revisionOf(c.QueryParam("seen"))
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, "seen: expected a revision number")
+	}
+	reply := a.executor.ExecuteRequest(c.Request().Context(), command.Request{
+		Operator: operator, Line: strings.TrimSpace(string(body)), ID: c.QueryParam("id"), Seen: seen,
+	})
+	a.Log.Info().Str("operator", operator).Str("verdict", string(reply.Verdict)).Msg("command")
+	return answer(c, reply)
+}
+
+// serveApply answers POST /v1/apply: the body is the declaration's YAML.
+func (a *Agent) serveApply(c echo.Context) error {
+	body, err := readBounded(c, maxDeclaration)
+	if err != nil {
+		return refuse(c, http.StatusRequestEntityTooLarge, "the declaration is too large")
+	}
+	operator, ok := a.operator(c, body)
+	if !ok {
+		return refuse(c, http.StatusUnauthorized, a.unauthenticated())
+	}
+	seen, err := revisionOf(c.QueryParam("seen"))
+	if err != nil {
+		return refuse(c, http.StatusBadRequest, "seen: expected a revision number")
+	}
+	difference := a.executor.Apply(c.Request().Context(), command.Application{
+		Operator: operator, File: fileName(c.QueryParam("file")), Data: body, Seen: seen,
+		ID: c.QueryParam("id"), DryRun: c.QueryParam("dry") == "1", Force: c.QueryParam("force") == "1",
+	})
+	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(uint64(difference.Revision), 10))
+	a.Log.Info().Str("operator", operator).Str("verdict", string(difference.Verdict)).Msg("apply")
+	return answer(c, difference.Reply)
+}
+
+// serveDeclaration answers GET /v1/declaration with the declaration in force here.
+func (a *Agent) serveDeclaration(c echo.Context) error {
+	if _, ok := a.operator(c, nil); !ok {
+		return refuse(c, http.StatusUnauthorized, a.unauthenticated())
+	}
+	head := a.keeper.Head()
+	if head == nil {
+		return refuse(c, http.StatusServiceUnavailable, "no configuration here")
+	}
+	data, err := yaml.Marshal(head.Declaration)
+	if err != nil {
+		return err
+	}
+	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(uint64(head.Revision), 10))
+	return c.Blob(http.StatusOK, "application/yaml", data)
+}
+
+// operator returns who asks, when the key is right: by the configuration in
+// force here, or by the file that is to make revision 1.
+func (a *Agent) operator(c echo.Context, file []byte) (string, bool) {
+	name := c.Request().Header.Get(HeaderOperator)
+	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearer)
+	if !ok || name == "" {
+		return "", false
+	}
+	return name, a.executor.Judge(name, key, file)
+}
+
+// unauthenticated says why no key can be right here, or that this one is not.
+func (a *Agent) unauthenticated() string {
+	if a.keeper.Head() == nil {
+		return "no configuration here, so no operator is known\nfirst: lilacweir apply FILE"
+	}
+	return "operator or key not known"
+}
+
+func revisionOf(text string) (config.Revision, error) {
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	return config.Revision(number), err
+}
+
+func fileName(name string) string {
+	if name == "" {
+		return "declaration.yaml"
+	}
+	return name
+}
+
+// readBounded reads a body of at most limit bytes.
+func readBounded(c echo.Context, limit int64) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+}
+
+func refuse(c echo.Context, status int, text string) error {
+	c.Response().Header().Set(HeaderVerdict, string(command.Refused))
+	return c.String(status, text+"\n")
+}
+
+func answer(c echo.Context, reply command.Reply) error {
+	c.Response().Header().Set(HeaderVerdict, string(reply.Verdict))
+	return c.String(http.StatusOK, reply.Text+"\n")
+}
--- /dev/null
+++ b/pkg/agent/tend.go
@@ -0,0 +1,188 @@
+package agent
+
+import (
+	"context"
+	"maps"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+// Timing of the end.
+const (
+	// LeaveTimeout bounds what is said when leaving.
+	LeaveTimeout = time.Second
+	// GatewayNotice is how long a stopping agent waits to see whether its gateway
+	// is stopping too.
+	GatewayNotice = 2 * time.Second
+)
+
+// tend keeps the blackboard up to date and the sets of jobs right.
+func (a *Agent) tend(ctx context.Context) {
+	jobs := newDuties()
+	defer jobs.stop()
+	ticker := time.NewTicker(TendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.beat:
+			a.wakePeers()
+			continue
+		case <-a.dirty:
+		case <-ticker.C:
+		}
+		now := time.Now()
+		a.publish(now)
+		workers := a.mesh.workers(now)
+		wanted := make(map[string]duty)
+		addDuties(wanted, "beat ", a.beatDuties(now))
+		addDuties(wanted, "digest ", a.digestDuties(workers))
+		addDuties(wanted, "poll ", a.pollDuties(workers))
+		jobs.sync(ctx, wanted)
+	}
+}
+
+func addDuties(all map[string]duty, kind string, some map[string]duty) {
+	for name, run := range some {
+		all[kind+name] = run
+	}
+}
+
+// publish writes the sections that have changed, and tells the gateway.
+func (a *Agent) publish(now time.Time) {
+	a.publishPlatform(now)
+	members, upstreams, domains := a.mesh.snapshot(now, a.ownUpstreams())
+	changed := store(&a.board.Members, members, sameMembers, a.stale(now, &a.published.members))
+	changed = store(&a.board.Upstreams, upstreams, sameUpstreams, a.stale(now, &a.published.upstreams)) || changed
+	changed = store(&a.board.Domains, domains, sameDomains, a.stale(now, &a.published.domains)) || changed
+	if changed {
+		a.exchange.raise()
+	}
+}
+
+// published is when each section was stored last.
+type published struct{ members, upstreams, domains time.Time }
+
+// stale says whether a section is due to be stored even when nothing but its
+// ages changed.
+func (a *Agent) stale(now time.Time, last *time.Time) func(stored bool) bool {
+	return func(stored bool) bool {
+		if stored {
+			*last = now
+		}
+		return now.Sub(*last) >= RefreshInterval
+	}
+}
+
+// store swaps a section when its content changed, or when it is due; it says
+// whether the content changed.
+func store[T any](section *board.Section[T], value *T, same func(a, b *T) bool, due func(stored bool) bool) bool {
+	before := section.Load()
+	changed := before == nil || !same(before, value)
+	if changed || due(false) {
+		section.Store(value)
+		due(true)
+	}
+	return changed
+}
+
+func sameMembers(a, b *board.Members) bool {
+	if len(a.Instances) != len(b.Instances) {
+		return false
+	}
+	for i := range a.Instances {
+		x, y := a.Instances[i], b.Instances[i]
+		x.LastHeard, y.LastHeard = time.Time{}, time.Time{}
+		if !reflect.DeepEqual(x, y) {
+			return false
+		}
+	}
+	return true
+}
+
+func sameUpstreams(a, b *board.Upstreams) bool { return maps.EqualFunc(a.ByName, b.ByName, sameLoad) }
+
+func sameDomains(a, b *board.Domains) bool {
+	if len(a.Remote) != len(b.Remote) {
+		return false
+	}
+	for i := range a.Remote {
+		x, y := &a.Remote[i], &b.Remote[i]
+		if x.Domain != y.Domain || x.Sequence != y.Sequence {
+			return false
+		}
+	}
+	return true
+}
+
+// ownUpstreams names the upstreams of the own domain.
+func (a *Agent) ownUpstreams() []string {
+	head := a.keeper.Head()
+	if head == nil {
+		return nil
+	}
+	var names []string
+	for i := range head.Declaration.Upstreams {
+		if head.Declaration.Upstreams[i].Domain == a.Settings.Domain {
+			names = append(names, head.Declaration.Upstreams[i].Name)
+		}
+	}
+	return names
+}
+
+// leave takes the instance out: it is marked as leaving everywhere, a gateway
+// that is leaving too is given the time to end its streams, and then the domain
+// is told goodbye.
+func (a *Agent) leave(ctx context.Context) {
+	a.Log.Info().Msg("leaving")
+	a.mesh.leaving(time.Now())
+	a.wakePeers()
+	if a.Directory != nil {
+		if err := a.tellDirectory(ctx, false); err != nil {
+			a.Log.Warn().Err(err).Msg("deregistration-failed")
+		}
+	}
+	a.awaitGateway(ctx)
+	a.sayGoodbye(ctx)
+}
+
+// drainLimit is how long the gateway may take to end its streams.
+func (a *Agent) drainLimit() time.Duration {
+	if drain := a.Settings.Gateway.Drain; drain > 0 {
+		return drain
+	}
+	return settings.DefaultDrain
+}
+
+// awaitGateway waits while the own gateway is leaving.
+func (a *Agent) awaitGateway(ctx context.Context) {
+	notice := time.Now().Add(GatewayNotice)
+	limit := time.Now().Add(a.drainLimit())
+	for time.Now().Before(limit) && sleep(ctx, ReadinessCheck) {
+		up, reply := a.gateway.state()
+		if !up || (!reply.Leaving && time.Now().After(notice)) {
+			return
+		}
+	}
+}
+
+func (a *Agent) sayGoodbye(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, LeaveTimeout)
+	defer cancel()
+	args := &control.Goodbye{From: a.Settings.Instance, Epoch: a.Epoch}
+	var group sync.WaitGroup
+	for _, peer := range a.mesh.peers(time.Now()) {
+		group.Go(func() {
+			if err := a.clients.Call(ctx, peer.Mesh, control.MeshService+".Goodbye", args, new(control.OfferReply)); err != nil {
+				a.Log.Debug().Err(err).Msg("goodbye-failed")
+			}
+		})
+	}
+	group.Wait()
+}
--- a/pkg/command/history.go
+++ b/pkg/command/history.go
@@ -106,9 +106,7 @@
 		fmt.Sprintf("seen %d, %s", change.Seen, change.ID),
 	}
 	for _, op := range change.Ops {
-		if text := op.String(); text != change.Line {
-			lines = append(lines, text)
-		}
+		lines = append(lines, op.String())
 	}
 	return reply(OK, lines...)
 }
--- /dev/null
+++ b/pkg/control/meter.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// Meter counts the bytes that a Network's connections carry, TLS included and
+// TCP headers not. The zero value is ready for use.
+type Meter struct{ sent, received atomic.Int64 }
+
+// Sent returns the bytes written so far.
+func (m *Meter) Sent() int64 { return m.sent.Load() }
+
+// Received returns the bytes read so far.
+func (m *Meter) Received() int64 { return m.received.Load() }
+
+// Meter returns the counts of all connections that the network made or accepted.
+func (n *Network) Meter() *Meter { return &n.meter }
+
+func (m *Meter) conn(conn net.Conn) net.Conn { return &meteredConn{Conn: conn, meter: m} }
+
+func (m *Meter) listener(listener net.Listener) net.Listener {
+	return &meteredListener{Listener: listener, meter: m}
+}
+
+type meteredConn struct {
+	net.Conn
+	meter *Meter
+}
+
+// Read implements net.Conn.
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.meter.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.meter.sent.Add(int64(n))
+	return n, err
+}
+
+type meteredListener struct {
+	net.Listener
+	meter *Meter
+}
+
+// Accept implements net.Listener.
+func (l *meteredListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.conn(conn), nil
+}
--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -55,6 +55,7 @@
 	via    map[string]string
 	client *tls.Config
 	server *tls.Config
+	meter  Meter
 }
 
 // NewNetwork reads the certificates that the settings name.
@@ -98,7 +99,11 @@
 // DialPlain connects without TLS, for the platform and upstreams.
 func (n *Network) DialPlain(ctx context.Context, _, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: DialTimeout}
-	return dialer.DialContext(ctx, "tcp", n.Translate(address))
+	conn, err := dialer.DialContext(ctx, "tcp", n.Translate(address))
+	if err != nil {
+		return nil, err
+	}
+	return n.meter.conn(conn), nil
 }
 
 // Dial connects to another lilacweir process.
@@ -122,9 +127,13 @@
 
 // Listen listens for other lilacweir processes.
 func (n *Network) Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil || n.server == nil {
-		return listener, err
+	plain, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	listener := n.meter.listener(plain)
+	if n.server == nil {
+		return listener, nil
 	}
 	return tls.NewListener(listener, n.server), nil
 }
--- /dev/null
+++ b/pkg/member/rank.go
@@ -0,0 +1,78 @@
+// Package member decides what one instance knows of the other instances of its
+// failure domain: who is live, leaving, silent or gone, and which of them owns
+// a shared job.
+//
+// Guarantees: a leaving mark wins over an older live mark; a silent instance
+// stays counted until it said goodbye or the platform's list has long been
+// without it. The package does no input or output; the caller gives the time.
+package member
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Key hashes the name of a shared job for Rank and Owns.
+func Key(job, subject string) uint64 {
+	return xxhash.Sum64String(job + "/" + subject)
+}
+
+// Rank orders the names by rendezvous hashing: the first owns the job, the
+// second takes over when the first is gone, and the loss of one name moves only
+// that name's jobs. Every process that knows the same names gets the same order.
+func Rank(key uint64, names []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	scores := make([]scored, len(names))
+	for i, name := range names {
+		scores[i] = scored{name: name, score: score(key, name)}
+	}
+	sort.Slice(scores, func(i, j int) bool {
+		if scores[i].score != scores[j].score {
+			return scores[i].score > scores[j].score
+		}
+		return scores[i].name < scores[j].name
+	})
+	ranked := make([]string, len(names))
+	for i, s := range scores {
+		ranked[i] = s.name
+	}
+	return ranked
+}
+
+// Owns says whether self is among the first n of the ranking.
+func Owns(key uint64, names []string, self string, n int) bool {
+	own := score(key, self)
+	ahead := 0
+	present := false
+	for _, name := range names {
+		if name == self {
+			present = true
+			continue
+		}
+		s := score(key, name)
+		if s > own || (s == own && name < self) {
+			ahead++
+		}
+	}
+	return present && ahead < n
+}
+
+// The finaliser of splitmix64 spreads the combined hashes evenly.
+const (
+	mixShift1 = 30
+	mixShift2 = 27
+	mixShift3 = 31
+	mixFactor = 0xbf58476d1ce4e5b9
+	mixAgain  = 0x94d049bb133111eb
+)
+
+func score(key uint64, name string) uint64 {
+	x := key ^ xxhash.Sum64String(name)
+	x = (x ^ (x >> mixShift1)) * mixFactor
+	x = (x ^ (x >> mixShift2)) * mixAgain
+	return x ^ (x >> mixShift3)
+}
--- /dev/null
+++ b/pkg/spread/spread_test.go
@@ -0,0 +1,213 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+func head(revision config.Revision) *config.Head {
+	return &config.Head{Revision: revision, Declaration: &config.Declaration{}}
+}
+
+// Heads that arrive from the watch, the peers and the gateway, in any order and
+// at once, leave the highest in force, and none that was seen on the way is lower
+// than the one before.
+func TestRevisionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		section := new(board.Section[config.Head])
+		keeper := NewKeeper(section, func(*config.Head, Source) {})
+		sources := rapid.SliceOfN(rapid.SliceOfN(rapid.Uint64Range(1, 20), 0, 10), 1, 4).Draw(t, "sources")
+		highest := config.Revision(0)
+		for _, revisions := range sources {
+			for _, revision := range revisions {
+				highest = max(highest, config.Revision(revision))
+			}
+		}
+		var senders, reader sync.WaitGroup
+		var done, fell atomic.Bool
+		reader.Go(func() {
+			last := config.Revision(0)
+			for !done.Load() {
+				now := keeper.Revision()
+				if now < last {
+					fell.Store(true)
+				}
+				last = now
+			}
+		})
+		for _, revisions := range sources {
+			senders.Go(func() {
+				for _, revision := range revisions {
+					before := keeper.Revision()
+					taken := keeper.Offer(head(config.Revision(revision)), SourceMesh)
+					if taken && config.Revision(revision) <= before {
+						fell.Store(true)
+					}
+				}
+			})
+		}
+		senders.Wait()
+		done.Store(true)
+		reader.Wait()
+		if fell.Load() {
+			t.Fatal("the revision fell")
+		}
+		if keeper.Revision() != highest {
+			t.Fatalf("revision %d in the end, want %d", keeper.Revision(), highest)
+		}
+	})
+}
+
+func TestOfferRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	keeper := NewKeeper(new(board.Section[config.Head]), func(*config.Head, Source) {})
+	is.True(!keeper.Offer(nil, SourceGateway))
+	is.True(!keeper.Offer(&config.Head{Revision: 3}, SourceGateway)) // without a declaration
+	is.Equal(keeper.Revision(), config.Revision(0))
+}
+
+// service is a key-value service with one key, which counts what it is asked.
+type service struct {
+	platform.KeyValue
+	mu       sync.Mutex
+	down     bool
+	value    string
+	revision int64
+	streams  []chan platform.Entry
+	gets     int
+	watches  int
+}
+
+func (s *service) Get(context.Context, string) (platform.Entry, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gets++
+	if s.down {
+		return platform.Entry{}, false, platform.ErrUnavailable
+	}
+	return platform.Entry{Value: []byte(s.value), ModRevision: s.revision}, s.revision > 0, nil
+}
+
+func (s *service) Watch(context.Context, string, int64) (<-chan platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches++
+	if s.down {
+		return nil, platform.ErrUnavailable
+	}
+	stream := make(chan platform.Entry, 1)
+	s.streams = append(s.streams, stream)
+	return stream, nil
+}
+
+func (s *service) write(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = value
+	s.revision++
+	for _, stream := range s.streams {
+		stream <- platform.Entry{Value: []byte(value), ModRevision: s.revision}
+	}
+}
+
+// fail breaks all streams; up or down says what later calls meet.
+func (s *service) fail(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	for _, stream := range s.streams {
+		close(stream)
+	}
+	s.streams = nil
+}
+
+func (s *service) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gets + s.watches
+}
+
+var errNotAHead = errors.New("not a head")
+
+func decode(data []byte) (*config.Head, error) {
+	n, err := strconv.Atoi(string(data))
+	if err != nil {
+		return nil, errNotAHead
+	}
+	return head(config.Revision(n)), nil
+}
+
+func newWatcher(s *service, keeper *Keeper, duty *atomic.Bool, faults *atomic.Int64) *Watcher {
+	return &Watcher{
+		KeyValue: s, Key: "head", Decode: decode, Keeper: keeper,
+		OnDuty:   duty.Load,
+		OnResult: func(error) {},
+		OnFault:  func(error) { faults.Add(1) },
+		Clock:    clock.System{},
+		Rand:     func() float64 { return 0 },
+	}
+}
+
+func TestWatcherFollowsAndCountsItsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &service{}
+		s.write("1")
+		keeper := NewKeeper(new(board.Section[config.Head]), func(*config.Head, Source) {})
+		var duty atomic.Bool
+		var faults atomic.Int64
+		ctx, cancel := context.WithCancel(t.Context())
+		go newWatcher(s, keeper, &duty, &faults).Run(ctx)
+		time.Sleep(10 * time.Second)
+		is.Equal(s.calls(), 0) // not on duty: not a call
+
+		duty.Store(true)
+		time.Sleep(DutyCheck)
+		synctest.Wait()
+		is.Equal(keeper.Revision(), config.Revision(1))
+		s.write("2")
+		synctest.Wait()
+		is.Equal(keeper.Revision(), config.Revision(2)) // at once, by the watch
+		s.write("nonsense")
+		synctest.Wait()
+		is.Equal(keeper.Revision(), config.Revision(2))
+		is.Equal(faults.Load(), int64(1))
+		is.Equal(s.calls(), 2) // one read, one waiting watch
+
+		s.fail(true)
+		before := s.calls()
+		time.Sleep(time.Hour)
+		asked := s.calls() - before
+		// A watcher that waits between half of RetryMax and RetryMax, and no longer.
+		is.True(asked <= int(time.Hour/(RetryMax/2))+10)
+		is.True(asked >= int(time.Hour/RetryMax))
+
+		s.fail(false)
+		s.write("3")
+		time.Sleep(RetryMax)
+		synctest.Wait()
+		is.Equal(keeper.Revision(), config.Revision(3)) // back by itself
+
+		duty.Store(false)
+		time.Sleep(DutyCheck)
+		before = s.calls()
+		time.Sleep(time.Hour)
+		is.Equal(s.calls(), before) // gave the duty up
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/pkg/spread/watcher.go
@@ -0,0 +1,159 @@
+package spread
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Watchers is how many instances of a failure domain watch the head key: the
+// second covers the first while its silence is being noticed.
+const Watchers = 2
+
+// Timing of the watch.
+const (
+	// RetryMin and RetryMax bound the wait after a failed call. With two watchers
+	// a domain makes some three calls in ten seconds during an outage.
+	RetryMin = 250 * time.Millisecond
+	RetryMax = 8 * time.Second
+	// StableAfter is how long a watch must have stood for its break to count as
+	// a first failure again.
+	StableAfter = 10 * time.Second
+	// ReadTimeout bounds one read of the head.
+	ReadTimeout = 3 * time.Second
+	// DutyCheck is how often an instance looks whether it is a watcher.
+	DutyCheck = 500 * time.Millisecond
+)
+
+// ErrWatchEnded: the watch's stream ended.
+var ErrWatchEnded = errors.New("watch ended")
+
+// Watcher follows the head key while it is on duty.
+type Watcher struct {
+	// KeyValue is the platform's service and Key the head's key.
+	KeyValue platform.KeyValue
+	Key      string
+	// Decode reads a head.
+	Decode func([]byte) (*config.Head, error)
+	// Keeper takes the heads.
+	Keeper *Keeper
+	// OnDuty says whether this instance is one of its domain's watchers.
+	OnDuty func() bool
+	// OnResult is told of each call's success or failure, and OnFault of a value
+	// that is not a head.
+	OnResult func(err error)
+	OnFault  func(err error)
+	Clock    clock.Clock
+	// Rand gives the jitter, from 0 up to 1.
+	Rand func() float64
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	wait := RetryMin
+	for ctx.Err() == nil {
+		if !w.OnDuty() {
+			pause(ctx, DutyCheck)
+			continue
+		}
+		started := w.Clock.Now()
+		err := w.follow(ctx)
+		if err == nil {
+			continue
+		}
+		if w.Clock.Now().Sub(started) >= StableAfter {
+			wait = RetryMin
+		}
+		pause(ctx, w.jitter(wait))
+		wait = min(wait*2, RetryMax)
+	}
+}
+
+// jitter returns a wait between half and the whole of its bound.
+func (w *Watcher) jitter(bound time.Duration) time.Duration {
+	half := bound / 2
+	return half + time.Duration(w.Rand()*float64(half))
+}
+
+// follow reads the head and then watches it, while on duty. It returns nil when
+// the duty or ctx ended.
+func (w *Watcher) follow(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	after, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	changes, err := w.KeyValue.Watch(ctx, w.Key, after)
+	w.report(ctx, err)
+	if err != nil {
+		return err
+	}
+	return w.receive(ctx, changes)
+}
+
+func (w *Watcher) receive(ctx context.Context, changes <-chan platform.Entry) error {
+	duty := time.NewTicker(DutyCheck)
+	defer duty.Stop()
+	for {
+		select {
+		case entry, open := <-changes:
+			if !open {
+				// No fault in itself: an adapter ends a watch that has long been
+				// quiet, and the read that follows tells.
+				return ErrWatchEnded
+			}
+			w.take(entry.Value)
+		case <-duty.C:
+			if !w.OnDuty() {
+				return nil
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// read gets the head and returns the key's modification revision.
+func (w *Watcher) read(ctx context.Context) (int64, error) {
+	bounded, cancel := context.WithTimeout(ctx, ReadTimeout)
+	defer cancel()
+	entry, ok, err := w.KeyValue.Get(bounded, w.Key)
+	w.report(ctx, err)
+	if err != nil || !ok {
+		return 0, err
+	}
+	w.take(entry.Value)
+	return entry.ModRevision, nil
+}
+
+func (w *Watcher) take(value []byte) {
+	if len(value) == 0 {
+		return
+	}
+	head, err := w.Decode(value)
+	if err != nil {
+		w.OnFault(err)
+		return
+	}
+	w.Keeper.Offer(head, SourcePlatform)
+}
+
+func (w *Watcher) report(ctx context.Context, err error) {
+	if ctx.Err() == nil {
+		w.OnResult(err)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
