Count requests from their first byte, free unused body memory, notice hung engines

A request whose body was still being read when the gateway began to drain was not counted as running and could be cut after two seconds; a body of unknown length held eight megabytes of the bound to its end; an upstream that never answered was never ejected when callers' deadlines passed first. A choice that was drained in between is now picked anew. go test -race -count=3 ./pkg/gateway ./pkg/relay: ok.

--- a/pkg/api/accept.go
+++ b/pkg/api/accept.go
@@ -19,18 +19,19 @@
 	"github.com/lilacweir/lilacweir/pkg/trace"
 )
 
-// requestIDPattern is what callers may choose as a request ID.
-var requestIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}$`)
+// What may be given as a request ID. Gateways pass on the IDs that callers chose
+// with the caller's name in front.
+var (
+	callerIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}$`)
+	peerIDPattern   = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}(` + trace.ScopeSeparator + `[A-Za-z0-9._:-]{1,100})?$`)
+)
 
-// identifyRequest takes the caller's request ID, or makes one, and echoes it.
-func (s *Server) identifyRequest(c echo.Context, request *dispatch.Request) *outcome.Refusal {
+// identifyRequest takes the given request ID, or makes one, and echoes it.
+func (s *Server) identifyRequest(c echo.Context, request *dispatch.Request, pattern *regexp.Regexp) *outcome.Refusal {
 	given := c.Request().Header.Get(header.RequestID)
+	fits := pattern.MatchString(given)
 	request.ID = given
-	if given == "" {
-		request.ID = s.source.NewRequestID()
-	}
-	fits := requestIDPattern.MatchString(strings.Replace(given, trace.ScopeSeparator, "", 1))
-	if given != "" && !fits {
+	if !fits {
 		request.ID = s.source.NewRequestID()
 	}
 	request.CallerID = request.ID
@@ -151,14 +152,15 @@
 	if !s.memory.TryAcquire(size) {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, memoryRetry, "too many request bodies are in hand")
 	}
-	release = func() { s.memory.Release(size) }
 	body, refusal := s.read(c, size)
 	if refusal != nil {
-		release()
+		s.memory.Release(size)
 		return nil, refusal
 	}
+	used := int64(len(body))
+	s.memory.Release(size - used)
 	request.Body = body
-	return release, nil
+	return func() { s.memory.Release(used) }, nil
 }
 
 // read reads the body against the clock. The read deadline is lifted afterwards:
--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"regexp"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -112,16 +113,16 @@
 	router.GET("/readyz", s.ready)
 	router.GET("/metrics", echo.WrapHandler(telemetry.Handler(s.registry)))
 	router.GET("/v1/instances", s.instances)
-	router.POST(engineapi.PathChat, s.accept(s.fromCaller, s.chat))
-	router.Any("/*", s.accept(s.fromCaller, s.service))
+	router.POST(engineapi.PathChat, s.accept(s.callersDoor(), s.chat))
+	router.Any("/*", s.accept(s.callersDoor(), s.service))
 	return bounded(router)
 }
 
 // Peers returns the HTTP server for the gateways of other failure domains.
 func (s *Server) Peers() *http.Server {
 	router := s.router()
-	router.POST(engineapi.PathChat, s.accept(s.fromPeer, s.chat))
-	router.Any("/*", s.accept(s.fromPeer, s.service))
+	router.POST(engineapi.PathChat, s.accept(s.peersDoor(), s.chat))
+	router.Any("/*", s.accept(s.peersDoor(), s.service))
 	return bounded(router)
 }
 
@@ -135,6 +136,7 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      relay.WriteTimeout, // moved on while an answer is passed on
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 	}
@@ -143,11 +145,23 @@
 // step adds to a request what one part of the HTTP request says.
 type step func(c echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal
 
-// accept reads a request in the given steps and dispatches it.
-func (s *Server) accept(identify, describe step) echo.HandlerFunc {
+// door is what tells callers' requests from those of other gateways.
+type door struct {
+	ids      *regexp.Regexp
+	identify step
+}
+
+func (s *Server) callersDoor() door { return door{ids: callerIDPattern, identify: s.fromCaller} }
+
+func (s *Server) peersDoor() door { return door{ids: peerIDPattern, identify: s.fromPeer} }
+
+// accept reads a request and dispatches it.
+func (s *Server) accept(from door, describe step) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		s.metrics.Active.Inc(1)
+		defer s.metrics.Active.Dec(1)
 		request := &dispatch.Request{Method: c.Request().Method, URI: c.Request().RequestURI, Roll: s.source.Roll()}
-		index, refusal := s.open(c, request, identify)
+		index, refusal := s.open(c, request, from)
 		if refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
@@ -165,8 +179,8 @@
 }
 
 // open checks all that can be checked before the body is read.
-func (s *Server) open(c echo.Context, request *dispatch.Request, identify step) (*Configuration, *outcome.Refusal) {
-	if refusal := s.identifyRequest(c, request); refusal != nil {
+func (s *Server) open(c echo.Context, request *dispatch.Request, from door) (*Configuration, *outcome.Refusal) {
+	if refusal := s.identifyRequest(c, request, from.ids); refusal != nil {
 		return nil, refusal
 	}
 	if s.source.Leaving() {
@@ -176,7 +190,7 @@
 	if index == nil {
 		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, configurationRetry, "this instance has no configuration yet")
 	}
-	if refusal := identify(c, index, request); refusal != nil {
+	if refusal := from.identify(c, index, request); refusal != nil {
 		return nil, refusal
 	}
 	if refusal := s.readHeader(c, request); refusal != nil {
--- a/pkg/dispatch/claim.go
+++ b/pkg/dispatch/claim.go
@@ -18,12 +18,12 @@
 // twice would do harm. A forwarded request was claimed where it came in.
 func (r *run) claimed(ctx context.Context) *outcome.Refusal {
 	if r.request.Repeatable {
-		return r.serve(ctx)
+		return r.serve(ctx, ctx)
 	}
 	lasting, cancel := r.outliving(ctx)
 	defer cancel()
 	if r.request.IdempotencyKey == "" || r.request.Origin != "" {
-		return r.serve(lasting)
+		return r.serve(ctx, lasting)
 	}
 	grant, recorded, refusal := r.Claims.Begin(ctx, claim.Claim{
 		Key:         r.request.IdempotencyKey,
@@ -36,7 +36,7 @@
 	case recorded != nil:
 		return r.replay(recorded)
 	}
-	return r.granted(lasting, grant)
+	return r.granted(ctx, lasting, grant)
 }
 
 // outliving returns a context that does not end when the caller goes away: a
@@ -51,7 +51,7 @@
 }
 
 // granted runs the request and records how it ended, in every case.
-func (r *run) granted(ctx context.Context, grant *claim.Grant) *outcome.Refusal {
+func (r *run) granted(ctx, work context.Context, grant *claim.Grant) *outcome.Refusal {
 	// One byte more than is kept for repeats shows that an answer was longer.
 	r.sink.Copy = &relay.Copy{Limit: claim.MaxStoredBody + 1}
 	result := claim.Result{Outcome: outcome.Unknown}
@@ -60,7 +60,7 @@
 		defer cancel()
 		grant.Finish(finishing, result)
 	}()
-	refusal := r.serve(ctx)
+	refusal := r.serve(ctx, work)
 	switch {
 	case refusal == nil || r.sink.Whole:
 		result = answerOf(r.sink.Copy)
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -24,6 +24,8 @@
 	Version string
 	// Revision is the configuration by which the choice was made.
 	Revision config.Revision
+	// Begun is called when the answer begins; nil for none.
+	Begun func()
 }
 
 // Router chooses targets by the newest snapshots.
@@ -87,7 +89,7 @@
 	start := d.Now()
 	r := &run{Dispatcher: d, request: request, sink: sink, start: start, record: d.Trace.Begin(request.ID, start)}
 	r.note(trace.Event{Kind: trace.Arrived, Subject: request.Caller.Name})
-	d.Metrics.begin()
+	d.Metrics.Requests.Inc(1)
 	if !request.Deadline.IsZero() {
 		limited, cancel := context.WithDeadline(ctx, request.Deadline)
 		defer cancel()
@@ -100,8 +102,9 @@
 	}
 }
 
-// serve makes attempts until one succeeds or the request must be given up.
-func (r *run) serve(ctx context.Context) *outcome.Refusal {
+// serve makes attempts until one succeeds or the request must be given up. Waiting
+// ends with ctx; an attempt, once it is made, ends with work.
+func (r *run) serve(ctx, work context.Context) *outcome.Refusal {
 	route := r.Router.Route(r.request)
 	defer route.End()
 	for {
@@ -109,10 +112,7 @@
 		if refusal != nil {
 			return r.refuse(refusal)
 		}
-		report, refusal := r.attempt(ctx, &choice, done)
-		if refusal != nil {
-			return r.refuse(refusal)
-		}
+		report := r.attempt(work, &choice, done)
 		if report.Failure == nil {
 			return nil
 		}
@@ -134,14 +134,9 @@
 }
 
 // attempt tries one target.
-func (r *run) attempt(ctx context.Context, choice *Choice, done func(relay.Report)) (relay.Report, *outcome.Refusal) {
-	if refusal := r.Router.Permitted(r.request, choice); refusal != nil {
-		done(relay.Report{Failure: &relay.Failure{Refusal: refusal, CallerGone: true}})
-		return relay.Report{}, refusal
-	}
-	r.announce(choice)
+func (r *run) attempt(ctx context.Context, choice *Choice, done func(relay.Report)) relay.Report {
 	chunks := r.sink.Chunks
-	report := r.Client.Do(ctx, choice.Target, r.call(choice), r.sink)
+	report := r.send(ctx, choice)
 	done(report)
 	r.attempts++
 	r.tried = append(r.tried, choice.Target.Name)
@@ -151,7 +146,16 @@
 	if report.Failure != nil {
 		r.failed(choice, report.Failure)
 	}
-	return report, nil
+	return report
+}
+
+// send makes the attempt if it is still permitted.
+func (r *run) send(ctx context.Context, choice *Choice) relay.Report {
+	if refusal := r.Router.Permitted(r.request, choice); refusal != nil {
+		return relay.Report{Failure: &relay.Failure{Refusal: refusal, Unsent: true}}
+	}
+	r.announce(choice)
+	return r.Client.Do(ctx, choice.Target, r.call(choice), r.sink)
 }
 
 // announce notes an attempt, and tells the caller where it goes.
@@ -189,6 +193,7 @@
 		Body:      r.request.Body,
 		Once:      !r.request.Repeatable,
 		Offset:    r.request.Offset,
+		Begun:     choice.Begun,
 	}
 	if choice.Target.Peer {
 		call.Header = r.peerHeader(choice)
@@ -218,6 +223,8 @@
 	switch {
 	case failure.CallerGone, r.attempts >= maxAttempts:
 		return false
+	case failure.Unsent && failure.Refusal.Reason != outcome.ReasonNoUpstream:
+		return false
 	case r.sink.Begun && !r.sink.Stream:
 		return false
 	case r.ran && !r.request.Repeatable:
--- a/pkg/dispatch/metrics.go
+++ b/pkg/dispatch/metrics.go
@@ -11,7 +11,7 @@
 // Metrics counts what becomes of requests.
 type Metrics struct {
 	registry metrics.Registry
-	// Requests counts requests of known callers, Active those in hand.
+	// Requests counts accepted requests, Active those in hand, accepted or not.
 	Requests, Active metrics.Counter
 	// Refused counts requests that did not end in a whole answer.
 	Refused metrics.Counter
@@ -38,13 +38,7 @@
 	}
 }
 
-func (m *Metrics) begin() {
-	m.Requests.Inc(1)
-	m.Active.Inc(1)
-}
-
 func (m *Metrics) end(took time.Duration, reason outcome.Reason) {
-	m.Active.Dec(1)
 	m.latency.Update(took)
 	if reason != "" {
 		m.Refuse(reason)
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -116,7 +116,9 @@
 		}
 		flight, ok := w.tracker.Start(decision.Upstream.Name, w.request.PromptTokens, decision.FirstToken)
 		if ok {
-			return w.local(&decision), w.finish(decision.Upstream.Name, flight), nil
+			choice := w.local(&decision)
+			choice.Begun = flight.FirstByte
+			return choice, w.finish(&decision, flight), nil
 		}
 	}
 	return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, placeRetry, "this gateway's limit is reached at every usable upstream")
@@ -156,12 +158,19 @@
 }
 
 // finish returns what an attempt at an upstream reports to.
-func (g *Gateway) finish(upstream string, flight *limit.Flight) func(relay.Report) {
+func (g *Gateway) finish(decision *route.Decision, flight *limit.Flight) func(relay.Report) {
+	started := g.clock.Now()
+	expected := decision.FirstToken
+	upstream := decision.Upstream.Name
 	return func(report relay.Report) {
+		now := g.clock.Now()
 		if report.Leaving {
-			g.marks.mark(upstream, g.clock.Now())
+			g.marks.mark(upstream, now)
 		}
 		result := resultOf(report.Failure)
+		if result == limit.Abandoned && report.Status == 0 && now.Sub(started) > max(hungAfter, hungFactor*expected) {
+			result = limit.Failed
+		}
 		if result == limit.Succeeded {
 			g.retries.Success()
 		}
@@ -169,11 +178,18 @@
 	}
 }
 
+// An upstream counts as failed when it had not begun to answer after hungAfter,
+// and hungFactor times the predicted time, whoever gave up then.
+const (
+	hungAfter  = 3 * time.Second
+	hungFactor = 4
+)
+
 func resultOf(failure *relay.Failure) limit.Result {
 	switch {
 	case failure == nil:
 		return limit.Succeeded
-	case failure.CallerGone:
+	case failure.CallerGone, failure.Unsent:
 		return limit.Abandoned
 	case failure.Overload:
 		return limit.Rejected
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -38,9 +38,14 @@
 func (a *attempt) stream(response *http.Response, buffer []byte) *Failure {
 	id := []byte(a.call.RequestID)
 	fill := 0
+	begun := false
 	for {
 		n, err := response.Body.Read(buffer[fill:])
 		a.timer.Reset(a.client.idle)
+		if n > 0 && !begun {
+			begun = true
+			a.begun()
+		}
 		fill += n
 		length, chunks, next := scan(buffer[:fill], id)
 		if failure := a.deliver(response, buffer[:length], chunks); failure != nil {
@@ -102,6 +107,7 @@
 	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return a.fail(outcome.Unknown, outcome.ReasonUpstreamFailed, "the upstream does not say where its answer ends", nil)
 	}
+	a.begun()
 	fill, err := a.hold(response.Body, buffer)
 	if err == nil {
 		return a.long(response, buffer)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -31,6 +31,13 @@
 	report Report
 }
 
+// begun tells that the answer's first part has come.
+func (a *attempt) begun() {
+	if a.call.Begun != nil {
+		a.call.Begun()
+	}
+}
+
 // errIdle is the cancel cause of an attempt whose target fell silent.
 type errIdle struct{}
 
@@ -162,7 +169,8 @@
 	if !ok {
 		return a.fail(outcome.Unknown, outcome.ReasonUpstreamFailed, "another gateway broke off its refusal", err)
 	}
-	failure := &Failure{Refusal: refusal, Overload: refusal.Outcome == outcome.NotRun}
+	overload := refusal.Reason == outcome.ReasonOverloaded || refusal.Reason == outcome.ReasonDeadline
+	failure := &Failure{Refusal: refusal, Overload: overload}
 	a.blameCaller(failure)
 	return failure
 }
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -40,6 +40,8 @@
 	Once bool
 	// Offset counts chunks that the caller already had when the request came in.
 	Offset int
+	// Begun is called when the answer's first part has come; nil for none.
+	Begun func()
 }
 
 // Failure is an attempt that did not end in a whole answer.
@@ -54,6 +56,8 @@
 	// Overload is true when the receiver refused for lack of capacity, which is
 	// no sign of its being broken.
 	Overload bool
+	// Unsent is true when the attempt was not made at all.
+	Unsent bool
 }
 
 // Report is the end of one attempt.
