--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -213,6 +213,10 @@
 		refusal.Outcome = outcome.Unknown
 	}
 	s.metrics.Refuse(refusal.Reason)
+	if c.Request().ContentLength != 0 && request.Body == nil {
+		// The rest of the body is not waited for.
+		c.Response().Header().Set("Connection", "close")
+	}
 	c.Response().Header().Set(header.Domain, s.domain)
 	relay.NewSink(c.Response(), s.now).Refuse(refusal)
 	return nil
