Keep the mark of a dropped body when a claim's answer is recorded

Cause: Coordinator.record dropped a body longer than MaxStoredBody and with it the sign that it had been longer, so a repeat got an empty answer with status 200. Found by the gateway's TestLongAnswerOfAKeyIsNotGivenAgainInPart, which failed first (200, 0 bytes instead of 409) and passes now (-count=5).

--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -113,3 +113,11 @@
 	}
 	return result, false
 }
+
+// cut bounds the memory and the bytes that a long body takes on its way to where
+// it is recorded. What is left is still too long to keep, so that the record says
+// that the body was dropped.
+func cut(result Result) Result {
+	result.Body = result.Body[:min(len(result.Body), MaxStoredBody+1)]
+	return result
+}
