--- a/pkg/gateway/bed_test.go
+++ b/pkg/gateway/bed_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/standin/engine"
@@ -250,3 +251,12 @@
 	}
 	return control.ExchangeArgs{Domains: &board.Domains{Remote: []board.DomainDigest{present}}}
 }
+
+// requestOf is a chat request of a caller as the API hands it over.
+func (g *Gateway) requestOf(t *testing.T, caller string) *dispatch.Request {
+	known, ok := g.config.Load().Caller(caller)
+	if !ok {
+		t.Fatal("no caller " + caller)
+	}
+	return &dispatch.Request{ID: "r", CallerID: "r", Caller: known, Serves: "nurse", Kind: config.KindEngine, Repeatable: true}
+}
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,285 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/api"
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	ctx := testContext(t)
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			t.Fatal("never came about: " + what)
+		}
+	}
+}
+
+func refusalIn(t *testing.T, got answer) relay.RefusalError {
+	t.Helper()
+	var body relay.RefusalBody
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil {
+		t.Fatalf("no refusal: %v: %q", err, got.body)
+	}
+	return body.Error
+}
+
+func TestRevisionNeverGoesDown(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	older := &config.Head{Revision: 6, Declaration: &config.Declaration{}}
+	reply := b.north.Exchange(control.ExchangeArgs{Head: older, WantHead: true})
+	is.Equal(reply.Revision, config.Revision(7))
+	is.Equal(reply.Head, b.head) // an agent that was restarted learns it again
+	same := &config.Head{Revision: 7, Declaration: &config.Declaration{}}
+	is.Equal(b.north.Exchange(control.ExchangeArgs{Head: same, WantHead: true}).Head, b.head)
+	is.Equal(b.send(testContext(t), upload.method, upload.path, residentKey, "x", nil).status, http.StatusOK)
+}
+
+func TestWithoutConfigurationNothingRuns(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	fresh := b.newGateway("north-2", "north-a", "north")
+	callers, _ := fresh.Handlers()
+	b.url = b.serve(callers)
+	got := b.send(testContext(t), upload.method, upload.path, residentKey, "x", nil)
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.outcome, notRun)
+	is.Equal(refusalIn(t, got).Type, outcome.ReasonNoConfiguration)
+	is.Equal(b.ran(), 0)
+	is.Equal(b.send(testContext(t), http.MethodGet, "/readyz", "", "", nil).status, http.StatusServiceUnavailable)
+	is.Equal(b.send(testContext(t), http.MethodGet, "/healthz", "", "", nil).status, http.StatusOK)
+}
+
+func TestKeyedRequestRunsOnceAndIsAnsweredAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	var list api.Instances
+	is.NoErr(json.Unmarshal([]byte(b.send(testContext(t), http.MethodGet, "/v1/instances", residentKey, "", nil).body), &list))
+	is.Equal(list.Instances[0].Instance, "north-1")
+	is.Equal(len(list.Instances), 1) // the south is not permitted
+	fields := http.Header{header.IdempotencyKey: {list.KeyPrefix + ".0123456789abcdef"}}
+	first := b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, fields)
+	again := b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, fields)
+	is.Equal(first.status, http.StatusOK)
+	is.Equal(again.status, http.StatusOK)
+	is.Equal(again.body, first.body)
+	is.Equal(again.header.Get(header.Replayed), header.True)
+	other := b.send(testContext(t), upload.method, upload.path, residentKey, "another night", fields)
+	is.Equal(other.outcome, unknown)
+	is.Equal(b.ran(), 1)
+}
+
+func TestLostAnswerIsUnknownWhenAskedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	prefix, _ := b.north.claims.Prefix()
+	fields := http.Header{header.IdempotencyKey: {prefix + ".0123456789abcdef"}}
+	b.set("log-n1", "die", "1")
+	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, fields)), unknown)
+	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, fields)), unknown)
+	is.Equal(b.ran(), 1)
+	b.set("log-n1", "refuse", "1")
+	unused := http.Header{header.IdempotencyKey: {prefix + ".fedcba9876543210"}}
+	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, unused)), notRun)
+	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, unused)), complete)
+	is.Equal(b.ran(), 2)
+}
+
+func TestLongAnswerOfAKeyIsNotGivenAgainInPart(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	prefix, _ := b.north.claims.Prefix()
+	fields := http.Header{header.IdempotencyKey: {prefix + ".0123456789abcdef"}}
+	path := upload.path + "?bytes=200000"
+	first := b.send(testContext(t), upload.method, path, residentKey, upload.body, fields)
+	is.Equal(len(first.body), 200000)
+	again := b.send(testContext(t), upload.method, path, residentKey, upload.body, fields)
+	is.Equal(again.status, http.StatusConflict)
+	is.Equal(again.outcome, complete)
+	is.Equal(b.ran(), 1)
+}
+
+func TestLeavingUpstreamGetsNoNewWorkAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.set("nurse-n1", "leave", "")
+	for range 20 {
+		is.Equal(b.told(b.send(testContext(t), review.method, review.path, residentKey, review.body, nil)), complete)
+	}
+	reply := b.north.Exchange(control.ExchangeArgs{})
+	is.True(reply.Observations["nurse-n1"].Leaving || len(b.journal.Entries("nurse-n1")) == 0)
+	is.Equal(len(b.journal.Entries("nurse-n1")), 0)
+	b.north.marks.mark("nurse-n2", time.Now())
+	stale := &board.Upstreams{ByName: map[string]board.UpstreamLoad{"nurse-n2": {State: board.UpstreamLive, ReportedAt: time.Now()}}}
+	b.north.Exchange(control.ExchangeArgs{Upstreams: stale})
+	is.True(b.north.marks.marked("nurse-n2")) // an older live mark does not win
+	stale.ByName["nurse-n2"] = board.UpstreamLoad{State: board.UpstreamLive, ReportedAt: time.Now().Add(2 * markLife)}
+	b.north.Exchange(control.ExchangeArgs{Upstreams: stale})
+	is.True(!b.north.marks.marked("nurse-n2")) // it came back
+}
+
+func TestPermissionIsCheckedAgainBeforeTheUpstream(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	request := b.north.requestOf(t, "resident")
+	way := b.north.Route(request)
+	defer way.End()
+	choice, done, refusal := way.Next(testContext(t), nil)
+	is.True(refusal == nil)
+	defer done(relay.Report{})
+	is.True(b.north.Permitted(request, &choice) == nil)
+	declaration := *b.head.Declaration
+	declaration.Callers = []config.Caller{{Name: "resident", KeyHash: config.HashKey(residentKey), Home: "south", Regions: []string{"south"}}}
+	b.north.Exchange(control.ExchangeArgs{Head: &config.Head{Revision: 8, Declaration: &declaration}})
+	is.Equal(b.north.Permitted(request, &choice).Outcome, outcome.NotRun)
+	forwarded := b.send(testContext(t), review.method, review.path, residentKey, review.body, nil)
+	is.Equal(forwarded.outcome, notRun) // the south's configuration is older
+	is.Equal(refusalIn(t, forwarded).Type, outcome.ReasonStaleRevision)
+	is.Equal(b.ran(), 0)
+}
+
+func TestCallerGoneCancelsTheEngine(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.set("nurse-n1", "stall", "2")
+	b.set("nurse-n2", "stall", "2")
+	ctx, leave := context.WithCancel(testContext(t))
+	request, err := http.NewRequestWithContext(ctx, review.method, "http://"+b.url+review.path, strings.NewReader(reviewBody))
+	is.NoErr(err)
+	request.Header.Set(header.Authorization, "Bearer "+residentKey)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	is.NoErr(err)
+	leave()
+	eventually(t, "the engine's stream is cancelled", func() bool {
+		entries := b.journal.Entries("")
+		return len(entries) == 1 && entries[0].Result == journal.ResultCancelled
+	})
+}
+
+func TestWhyFitsAPhone(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.set("nurse-n1", "die-after", "3")
+	b.set("nurse-n2", "die-after", "9")
+	b.send(testContext(t), review.method, review.path, residentKey, review.body, http.Header{header.RequestID: {"r7"}})
+	var reply control.WhyReply
+	is.NoErr((&Service{gateway: b.north}).Why(control.WhyArgs{RequestID: "r7"}, &reply))
+	is.True(reply.Found)
+	text := strings.Join(reply.Lines, "\n")
+	for _, part := range []string{"arrived resident", "sent nurse-n", "failed nurse-n", "resumed nurse-n", "ended complete"} {
+		is.True(strings.Contains(text, part)) // one line an event
+	}
+	for _, line := range reply.Lines {
+		is.True(len(line) <= 40)
+	}
+}
+
+// TestGracefulShutdown follows the list of instances, as callers do, while a
+// gateway leaves with a stream under way.
+func TestGracefulShutdown(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	gateway := b.north
+	gateway.settings.Gateway = settings.Gateway{Callers: closedAddress(t), Peers: closedAddress(t), Control: closedAddress(t), MaxBody: 1 << 20}
+	gateway.log = zerolog.Nop()
+	b.url = gateway.settings.Gateway.Callers
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- gateway.Run(ctx) }()
+	eventually(t, "the gateway answers", func() bool {
+		return b.send(testContext(t), http.MethodGet, "/healthz", "", "", nil).status == http.StatusOK
+	})
+	b.set("nurse-n1", "slow", "3000")
+	b.set("nurse-n2", "slow", "3000")
+	long := make(chan answer, 1)
+	body := strings.Replace(reviewBody, `:12,`, `:100,`, 1)
+	go func() { long <- b.send(testContext(t), review.method, review.path, residentKey, body, nil) }()
+	eventually(t, "the stream runs", func() bool { return b.ran() == 1 })
+	stop()
+	eventually(t, "the list leaves it out", func() bool {
+		got := b.send(testContext(t), http.MethodGet, "/v1/instances", residentKey, "", nil)
+		return strings.Contains(got.body, `"instances":[]`)
+	})
+	late := b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, nil)
+	is.Equal(late.status, http.StatusOK) // lists that callers hold are still good
+	eventually(t, "new requests are refused", func() bool {
+		got := b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, nil)
+		return got.status == http.StatusServiceUnavailable && got.outcome == notRun && got.header.Get(header.RetryAfter) != ""
+	})
+	is.Equal(b.told(<-long), complete)
+	is.NoErr(<-ended)
+}
+
+func TestForwardedRequestIsNotForwardedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	request, err := http.NewRequest(review.method, "http://"+b.southPeers+review.path, strings.NewReader(reviewBody))
+	is.NoErr(err)
+	for name, value := range map[string]string{header.Origin: "north-a", header.Class: header.ClassDomain, header.Caller: "resident", header.Revision: "7"} {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	is.NoErr(err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(response.Header.Get(header.Outcome), notRun)
+	is.True(strings.Contains(string(body), "forbidden-region")) // checked at the receiver
+	is.Equal(b.ran(), 0)
+}
+
+func TestManyCallersEachGetTheirOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	results := make(chan string)
+	const callers = 40
+	for i := range callers {
+		go func() {
+			body := fmt.Sprintf(`{"model":"nurse","messages":[{"role":"user","content":"night %d"}],"max_tokens":20,"stream":true}`, i)
+			got := b.send(testContext(t), review.method, review.path, residentKey, body, http.Header{header.RequestID: {fmt.Sprint("n", i)}})
+			if b.told(got) != complete || strings.Count(got.body, fmt.Sprintf(`"id":"resident~n%d"`, i)) != 20 {
+				results <- got.body
+				return
+			}
+			results <- ""
+		}()
+	}
+	for range callers {
+		is.Equal(<-results, "")
+	}
+}
