--- /dev/null
+++ b/pkg/command/apply_test.go
@@ -0,0 +1,94 @@
+package command_test
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// file writes a declaration as YAML after a change to it.
+func file(t *testing.T, edit func(*config.Declaration)) []byte {
+	t.Helper()
+	decl := declaration()
+	edit(decl)
+	data, err := yaml.Marshal(decl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestApplyShowsThenChangesOnlyTheDifference(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		application := command.Application{Operator: "eleni", File: "deploy/d.yaml", DryRun: true, Data: file(t, func(d *config.Declaration) {
+			d.Upstreams[1].Concurrency = 16
+			d.Callers[1].Share = 2
+			d.Policy.CostWeight = 0.5
+		})}
+		shown := r.executor.Apply(t.Context(), application)
+		is.Equal(shown.Text, "difference to 117:\n~ upstream nurse-1 concurrency: 8 -> 16\n~ caller residents-app share: none -> 2\n~ policy cost_weight: 0 -> 0.5")
+		is.Equal(shown.Revision, config.Revision(117))
+
+		// Another operator drains nurse-2 before the file is applied: that stays.
+		exchange{"drain nurse-2", command.Accepted, []string{"118 in force 7/7"}}.run(t, r)
+		application.DryRun, application.Seen = false, shown.Revision
+		is.Equal(r.executor.Apply(t.Context(), application).Text, "119 in force 7/7")
+		now := r.board.Config.Load().Declaration
+		is.True(now.Upstreams[2].Drained)
+		is.Equal(now.Upstreams[1].Concurrency, 16)
+		exchange{"log 1", command.OK, []string{"119 eleni apply d.yaml"}}.run(t, r)
+
+		// The same file once more, seen at 117, is in its own way.
+		repeated := r.executor.Apply(t.Context(), application)
+		is.Equal(repeated.Text, "refused, nothing changed\nin the way: 119 by eleni\napply d.yaml")
+
+		application.Seen = 0
+		application.DryRun = true
+		again := r.executor.Apply(t.Context(), application)
+		is.Equal(again.Text, "difference to 119:\n~ upstream nurse-2 drained: true -> none")
+	})
+}
+
+func TestApplyRefusesDangerAndFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		application := command.Application{Operator: "eleni", File: "d.yaml", DryRun: true, Data: file(t, func(d *config.Declaration) {
+			d.Upstreams = d.Upstreams[:3]
+		})}
+		is.Equal(r.executor.Apply(t.Context(), application).Text, "difference to 117:\n- upstream nurse-3\n! leaves larisa-hall no lilac-nurse")
+		application.DryRun = false
+		is.Equal(r.executor.Apply(t.Context(), application).Verdict, command.Refused)
+		application.Force = true
+		is.Equal(r.executor.Apply(t.Context(), application).Text, "118 in force 7/7")
+
+		application.Data = []byte("regions: 5\n")
+		faults := r.executor.Apply(t.Context(), application)
+		is.Equal(faults.Verdict, command.Refused)
+		is.Equal(faults.Text, "d.yaml:1: regions: got \"5\", expected a list\nd.yaml:1: operators: missing, expected at least one operator")
+	})
+}
+
+func TestFirstApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		delete(r.kv.entries, config.HeadKey)
+		r.board.Config.Store(nil)
+		data := file(t, func(*config.Declaration) {})
+		is.True(r.executor.Judge("eleni", "key-eleni", data))
+		is.True(!r.executor.Judge("eleni", "key-linh", data))
+		is.True(!r.executor.Judge("linh", "key-linh", data))
+		first := r.executor.Apply(t.Context(), command.Application{Operator: "eleni", File: "d.yaml", Data: data})
+		is.Equal(first.Text, "1 in force 7/7")
+		is.True(!r.executor.Judge("eleni", "key-linh", data)) // from now on the configuration decides
+		exchange{"undo 1", command.Refused, []string{"1 is the first and cannot be undone"}}.run(t, r)
+	})
+}
--- a/pkg/command/history.go
+++ b/pkg/command/history.go
@@ -106,7 +106,9 @@
 		fmt.Sprintf("seen %d, %s", change.Seen, change.ID),
 	}
 	for _, op := range change.Ops {
-		lines = append(lines, op.String())
+		if text := op.String(); text != change.Line {
+			lines = append(lines, text)
+		}
 	}
 	return reply(OK, lines...)
 }
--- a/pkg/command/parse.go
+++ b/pkg/command/parse.go
@@ -60,7 +60,7 @@
 // Parse reads a line. The error is a *SyntaxError.
 func Parse(text string) (*Line, error) {
 	if len(text) > MaxLine {
-		return nil, &SyntaxError{Column: MaxLine + 1, Problem: "line is too long"}
+		return nil, &SyntaxError{Column: columnOf(text, MaxLine), Problem: "line is too long"}
 	}
 	if !utf8.ValidString(text) {
 		return nil, &SyntaxError{Column: 1, Problem: "not UTF-8 text"}
--- /dev/null
+++ b/pkg/command/rig_test.go
@@ -0,0 +1,214 @@
+package command_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// memoryKV is a key-value service in memory; down makes every call fail, and
+// loseAnswers makes it after the write.
+type memoryKV struct {
+	platform.KeyValue
+	mu                sync.Mutex
+	entries           map[string]platform.Entry
+	revision          int64
+	down, loseAnswers bool
+}
+
+var errDown = &platform.Error{Service: "key-value", Call: "any", Err: platform.ErrUnavailable}
+
+func (m *memoryKV) Get(_ context.Context, key string) (platform.Entry, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return platform.Entry{}, false, errDown
+	}
+	entry, ok := m.entries[key]
+	return entry, ok, nil
+}
+
+func (m *memoryKV) Range(_ context.Context, prefix string, _ int) ([]platform.Entry, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, false, errDown
+	}
+	var found []platform.Entry
+	for key, entry := range m.entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, entry)
+		}
+	}
+	return found, false, nil
+}
+
+func (m *memoryKV) Swap(_ context.Context, expect map[string]int64, puts []platform.Put) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, errDown
+	}
+	for key, revision := range expect {
+		if m.entries[key].ModRevision != revision {
+			return 0, &platform.Error{Service: "key-value", Call: "txn", Err: platform.ErrConflict}
+		}
+	}
+	m.revision++
+	for _, put := range puts {
+		m.entries[put.Key] = platform.Entry{Key: put.Key, Value: put.Value, ModRevision: m.revision}
+	}
+	if m.loseAnswers {
+		m.down = true
+		return 0, errDown
+	}
+	return m.revision, nil
+}
+
+// counter is a random source that gives 7s first, then 8s, and so on.
+type counter struct{ next byte }
+
+func (c *counter) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 7 + c.next
+	}
+	c.next++
+	return len(p), nil
+}
+
+// otherDomains answers for the other instances.
+type otherDomains struct{ down bool }
+
+func (o *otherDomains) Ask(_ context.Context, domain, operator, line string) (command.Reply, error) {
+	if o.down {
+		return command.Reply{}, errDown
+	}
+	return command.Reply{Verdict: command.OK, Text: domain + " answers " + operator + ": " + line}, nil
+}
+
+func (o *otherDomains) Why(_ context.Context, id string) ([]string, int, error) {
+	if id == "kal-1-77" {
+		return []string{"residents-app lilac-nurse", "at nurse-1, complete in 812 ms"}, 1, nil
+	}
+	return nil, 2, nil
+}
+
+// rig is one instance of three domains with its platform.
+type rig struct {
+	kv       *memoryKV
+	store    *config.Store
+	board    *board.Board
+	remote   *otherDomains
+	executor *command.Executor
+}
+
+// newRig starts with revision 117 in force on all seven instances, by the
+// synctest clock.
+func newRig(t testing.TB) *rig {
+	t.Helper()
+	r := &rig{kv: &memoryKV{entries: map[string]platform.Entry{}}, board: new(board.Board), remote: new(otherDomains)}
+	pause := func(ctx context.Context, wait time.Duration) error {
+		select {
+		case <-time.After(wait):
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.store = config.NewStore(r.kv, clock.System{}, pause, func() float64 { return 1 })
+	r.executor = &command.Executor{
+		Self:     command.Self{Instance: "kal-1", Domain: "kalamaria-hall", Region: "makedonia"},
+		Board:    r.board,
+		Changes:  r.store,
+		Remote:   r.remote,
+		Clock:    clock.System{},
+		Random:   new(counter),
+		Accepted: r.spread,
+	}
+	r.seed(t)
+	return r
+}
+
+// seed stores the first head and fills the board.
+func (r *rig) seed(t testing.TB) {
+	t.Helper()
+	head := &config.Head{Revision: 117, Declaration: declaration(), Archived: 117}
+	encoded, err := config.EncodeHead(head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.kv.revision = 9
+	r.kv.entries[config.HeadKey] = platform.Entry{Key: config.HeadKey, Value: encoded, ModRevision: 9}
+	r.board.Upstreams.Store(&board.Upstreams{ByName: map[string]board.UpstreamLoad{
+		"nurse-1": {Name: "nurse-1", State: board.UpstreamLive, Running: 3, Queued: 1, DecodeRate: 41, Version: "v1", ReportedAt: time.Now().Add(-2 * time.Second)},
+		"nurse-2": {Name: "nurse-2", State: board.UpstreamLive, Running: 1},
+	}})
+	r.board.Platform.Store(&board.PlatformHealth{KeyValue: true})
+	r.spread(head)
+}
+
+// spread puts a head in force on every instance.
+func (r *rig) spread(head *config.Head) {
+	r.board.Config.Store(head)
+	r.members(head.Revision)
+	r.domains(head.Revision, 2, 0)
+}
+
+func (r *rig) members(revision config.Revision) {
+	var instances []board.Instance
+	for _, name := range []string{"kal-1", "kal-2", "kal-3"} {
+		instances = append(instances, board.Instance{Name: name, Domain: "kalamaria-hall", State: board.InstanceLive, Revision: revision, LastHeard: time.Now()})
+	}
+	r.board.Members.Store(&board.Members{Self: "kal-1", Instances: instances})
+}
+
+// domains sets what the other domains told: larisa-hall has so many of its two
+// instances at the revision, and was heard that long ago.
+func (r *rig) domains(revision config.Revision, larisa int, silence time.Duration) {
+	pool := []board.PoolDigest{{Serves: "lilac-nurse", Version: "v1", Slots: 16, Busy: 2, Waiting: 1}}
+	r.board.Domains.Store(&board.Domains{Remote: []board.DomainDigest{
+		{Domain: "larisa-hall", Region: "thessalia", HeardAt: time.Now().Add(-silence), Nodes: 2, Platform: true, Pools: pool,
+			Revisions: []board.RevisionCount{{Revision: revision, Nodes: larisa}, {Revision: 1, Nodes: 2 - larisa}}},
+		{Domain: "peristeri-hall", Region: "attiki", HeardAt: time.Now(), Nodes: 2, Platform: true, Pools: pool,
+			Revisions: []board.RevisionCount{{Revision: revision, Nodes: 2}}},
+	}})
+}
+
+func declaration() *config.Declaration {
+	hash := func(name string) string { return config.HashKey("key-" + name) }
+	return &config.Declaration{
+		Regions: []config.Region{
+			{Name: "attiki", Domains: []string{"peristeri-hall"}},
+			{Name: "makedonia", Domains: []string{"kalamaria-hall"}},
+			{Name: "thessalia", Domains: []string{"larisa-hall"}},
+		},
+		Models: []config.Model{{
+			Name:     "lilac-nurse",
+			Versions: []config.ModelVersion{{Name: "v1", Percent: 100}, {Name: "v2", Percent: 0}},
+			Regions:  []string{"attiki", "makedonia", "thessalia"},
+		}},
+		Services: []config.Service{{
+			Name: "sleeplog-api", Prefix: "/sleeplog/", Regions: []string{"makedonia"},
+			Routes: []config.Route{{Method: "POST", Path: "uploads"}},
+		}},
+		Upstreams: []config.Upstream{
+			{Name: "api-1", Kind: "service", Serves: "sleeplog-api", Domain: "kalamaria-hall", Address: "127.0.0.9:9000", Concurrency: 8},
+			{Name: "nurse-1", Kind: "engine", Serves: "lilac-nurse", Version: "v1", Domain: "kalamaria-hall", Address: "127.0.0.1:9000", Concurrency: 8},
+			{Name: "nurse-2", Kind: "engine", Serves: "lilac-nurse", Version: "v1", Domain: "kalamaria-hall", Address: "127.0.0.2:9000", Concurrency: 8},
+			{Name: "nurse-3", Kind: "engine", Serves: "lilac-nurse", Version: "v1", Domain: "larisa-hall", Address: "127.0.0.3:9000", Concurrency: 8},
+		},
+		Callers: []config.Caller{
+			{Name: "clinic-review", KeyHash: hash("clinic-review"), Home: "thessalia", Regions: []string{"thessalia"}},
+			{Name: "residents-app", KeyHash: hash("residents-app"), Home: "makedonia", Regions: []string{"attiki", "makedonia"}, Models: []string{"lilac-nurse"}},
+		},
+		Operators: []config.Operator{{Name: "eleni", KeyHash: hash("eleni")}},
+	}
+}
