Add orders to engines: one order-giver for each failure domain

Weighed: the lease's own fencing number for every order of a tenure, against a number for each order made from it. With the first, an order of the same holder that the network delays is taken after a newer one (TestDisturbedHolder, case 'delayed by the network', fails with it), so every order has its own number. The lease is checked after the connection stands, as the last thing before the bytes leave; a new holder waits a lease and the flight for engines that ignore fencing numbers. What remains is a pause after the check that outlasts that wait: a test shows it, and that the next reading mends it.

--- /dev/null
+++ b/pkg/order/order_test.go
@@ -0,0 +1,213 @@
+package order
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// settle is longer than any takeover: a lease that ends, a new one, the wait for
+// orders of the old one, and the rounds between.
+const settle = 3*LeaseTTL + 10*interval
+
+func declared(version string, checks bool, engines ...string) *config.Declaration {
+	declaration := &config.Declaration{}
+	for _, name := range engines {
+		declaration.Upstreams = append(declaration.Upstreams, config.Upstream{
+			Name: name, Kind: config.KindEngine, Serves: "lilac-nurse", Version: version,
+			Domain: "larisa-hall", ChecksFencing: checks,
+		})
+	}
+	return declaration
+}
+
+// scene is two candidates before one engine that has v1 as declared; the first
+// holds the lease.
+type scene struct {
+	service       *fakeService
+	engine        *fakeEngine
+	source        *fakeSource
+	first, second *process
+	checks        bool
+}
+
+func open(t *testing.T, checks bool) *scene {
+	s := &scene{service: newFakeService(), engine: &fakeEngine{checks: checks, state: State{Version: "v1"}}, checks: checks}
+	engines := map[string]*fakeEngine{"nurse-1": s.engine}
+	s.source = &fakeSource{engines: engines, declaration: declared("v1", checks, "nurse-1")}
+	s.first = startProcess(t.Context(), "lar-1", s.service, engines, s.source)
+	time.Sleep(settle + interval/2) // between two looks of the first
+	s.second = startProcess(t.Context(), "lar-2", s.service, engines, s.source)
+	return s
+}
+
+func (s *scene) close() {
+	s.first.stop()
+	s.second.stop()
+}
+
+func (s *scene) declare(version string) { s.source.declare(declared(version, s.checks, "nurse-1")) }
+
+// took reports whether the engine carried out an order for a version.
+func (s *scene) took(version string) bool {
+	return slices.ContainsFunc(s.engine.taken, func(load Load) bool { return load.Version == version })
+}
+
+func TestDisturbedHolder(t *testing.T) {
+	const long = 10 * LeaseTTL
+	for name, test := range map[string]struct {
+		checks bool
+		faults callFaults
+		// took says that the disturbed order is carried out, which is backwards
+		// when a newer one was before it.
+		took, backwards bool
+	}{
+		"checking, paused before the permit": {checks: true, faults: callFaults{pauseAfterRead: long}},
+		"ignoring, paused before the permit": {checks: false, faults: callFaults{pauseAfterRead: long}},
+		"checking, paused after the permit":  {checks: true, faults: callFaults{pauseAfterPermit: long}},
+		"ignoring, paused past the lease":    {checks: false, faults: callFaults{pauseAfterPermit: LeaseTTL + 5*time.Second}, took: true},
+		"checking, delayed by the network":   {checks: true, faults: callFaults{late: long}, took: true}, // sent again at once
+		"ignoring, paused past the lease and the wait": {
+			// Nothing can stop this order; the next reading mends it.
+			checks: false, faults: callFaults{pauseAfterPermit: long}, took: true, backwards: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := open(t, test.checks)
+				defer s.close()
+				s.first.engines.set(func(f *callFaults) { *f = test.faults })
+				s.declare("v2")
+				time.Sleep(2 * interval) // the fault has struck
+				s.declare("v3")
+				time.Sleep(long + settle)
+				is.Equal(s.engine.read().Version, "v3")
+				is.Equal(s.took("v2"), test.took)
+				is.Equal(s.engine.backwards() != nil, test.backwards)
+			})
+		})
+	}
+}
+
+func TestNoOrderWithoutALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := open(t, true)
+		defer s.close()
+		is.True(s.first.controller.Holding())
+		s.service.setDown(true)
+		time.Sleep(settle)
+		is.True(!s.first.controller.Holding())
+		s.declare("v2")
+		time.Sleep(settle)
+		is.Equal(s.engine.read().Version, "v1")
+		s.service.setDown(false)
+		time.Sleep(settle)
+		is.Equal(s.engine.read().Version, "v2")
+	})
+}
+
+func TestHolderFindsItsClaimAfterALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := newFakeService()
+		service.loseAnswers = 1
+		only := startProcess(t.Context(), "lar-1", service, nil, &fakeSource{})
+		defer only.stop()
+		time.Sleep(3 * interval)
+		is.True(only.controller.Holding())
+		is.Equal(service.lastID, platform.LeaseID(1))
+	})
+}
+
+func TestLoadsAreStaggered(t *testing.T) {
+	names := []string{"nurse-1", "nurse-2", "nurse-3", "nurse-4"}
+	engines := declared("v2", true, names...).Upstreams
+	old := State{Version: "v1"}
+	for name, test := range map[string]struct {
+		states map[string]State
+		doubt  map[string]bool
+		loads  int
+		want   []string
+	}{
+		"one at a time by default": {states: map[string]State{"nurse-1": old, "nurse-2": old}, want: []string{"nurse-1"}},
+		"two":                      {states: map[string]State{"nurse-1": old, "nurse-2": old, "nurse-3": old}, loads: 2, want: []string{"nurse-1", "nurse-2"}},
+		"one loads already":        {states: map[string]State{"nurse-1": {Version: "v1", Loading: "v2"}, "nurse-2": old}},
+		"the wrong one is loading": {states: map[string]State{"nurse-1": old, "nurse-2": {Loading: "v0"}}, want: []string{"nurse-2"}},
+		"in doubt counts":          {states: map[string]State{"nurse-2": old}, doubt: map[string]bool{"nurse-1": true}},
+		"unread is left alone":     {states: map[string]State{}},
+		"as declared":              {states: map[string]State{"nurse-1": {Version: "v2"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got []string
+			for _, engine := range plan(engines, test.states, test.doubt, test.loads) {
+				got = append(got, engine.Name)
+			}
+			is.Equal(got, test.want)
+		})
+	}
+}
+
+// TestOldOrdersNeverFollowNewerOnes disturbs two candidates, the service and the
+// declaration at random. Checking engines never go backwards; ignoring ones do
+// not when no pause after a permit outlasts the new holder's wait, and the
+// network delivers within the flight. All end as declared.
+func TestOldOrdersNeverFollowNewerOnes(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		checks := rapid.Bool().Draw(draw, "checks")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 6), 1, 12).Draw(draw, "steps")
+		lengths := rapid.SliceOfN(rapid.Int64Range(0, int64(20*LeaseTTL)), len(steps), len(steps)).Draw(draw, "lengths")
+		var failure error
+		synctest.Test(t, func(t *testing.T) { failure = disturb(t, checks, steps, lengths) })
+		if failure != nil {
+			draw.Fatal(failure)
+		}
+	})
+}
+
+func disturb(t *testing.T, checks bool, steps []int, lengths []int64) error {
+	s := open(t, checks)
+	version := ""
+	for i, step := range steps {
+		length := time.Duration(lengths[i])
+		one := []*process{s.first, s.second}[i%2]
+		bounded, late := length, length
+		if !checks {
+			bounded, late = length%LeaseTTL, 0
+		}
+		switch step {
+		case 0:
+			one.pause.begin(length)
+		case 1:
+			one.engines.set(func(f *callFaults) { f.pauseAfterRead = length })
+		case 2:
+			one.engines.set(func(f *callFaults) { f.pauseAfterPermit = bounded })
+		case 3:
+			one.engines.set(func(f *callFaults) { f.late = late })
+		case 4:
+			s.service.setDown(true)
+		case 5:
+			s.service.loseNext()
+		}
+		version = fmt.Sprintf("v%d", i+2)
+		s.declare(version)
+		time.Sleep(length/2 + interval)
+		s.service.setDown(false)
+	}
+	time.Sleep(20*LeaseTTL + 2*settle)
+	s.close()
+	if got := s.engine.read().Version; got != version {
+		return fmt.Errorf("engine has %s, declared is %s: %w", got, version, ErrNoLease)
+	}
+	return s.engine.backwards()
+}
--- /dev/null
+++ b/pkg/order/tally.go
@@ -0,0 +1,46 @@
+package order
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// doubtTime is how long an order without a clear answer, to an engine that can't
+// be read, counts as a load that goes on.
+const doubtTime = time.Minute
+
+// tally is what the loop of give remembers of one tenure.
+type tally struct {
+	lease    platform.LeaseID
+	revision int64
+	// sent counts the orders.
+	sent int64
+	// doubt holds when an engine was sent an order, until it is read again.
+	doubt map[string]time.Time
+	// confirmed holds the versions that engines were read to have.
+	confirmed map[string]string
+	// wait is until when the weight store is busy.
+	wait time.Time
+}
+
+func newTally(held *tenure) tally {
+	return tally{
+		lease:     held.lease,
+		revision:  held.revision,
+		doubt:     make(map[string]time.Time),
+		confirmed: make(map[string]string),
+	}
+}
+
+// fence returns the fencing number of the last order sent.
+func (t *tally) fence() int64 { return t.revision<<sequenceBits | t.sent }
+
+// recentDoubt returns the engines that may be loading without saying so.
+func (t *tally) recentDoubt(now time.Time) map[string]bool {
+	recent := make(map[string]bool, len(t.doubt))
+	for name, sent := range t.doubt {
+		recent[name] = now.Sub(sent) < doubtTime
+	}
+	return recent
+}
