--- a/cmd/lilacweir-load/main.go
+++ b/cmd/lilacweir-load/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/lilacweir/lilacweir/pkg/cli"
 	"github.com/lilacweir/lilacweir/pkg/load"
 	"github.com/lilacweir/lilacweir/pkg/version"
 )
@@ -87,7 +88,6 @@
 type overheadCommand struct {
 	Gateway string        `short:"g" required:"" help:"Callers' address of the gateway."`
 	Direct  string        `required:"" help:"Address of the plain service that the gateway would call."`
-	Key     string        `required:"" env:"LILACWEIR_CALLER_KEY" help:"Caller's key, from the environment."`
 	Path    string        `required:"" help:"Path through the gateway, with the service's prefix, of a GET call."`
 	Rate    float64       `short:"r" default:"200" help:"Requests a second, direct and through the gateway together."`
 	For     time.Duration `default:"30s" help:"How long requests keep coming."`
@@ -97,7 +97,7 @@
 // Run implements the command.
 func (c *overheadCommand) Run(ctx context.Context) error {
 	comparison := &load.Comparison{
-		Gateway: c.Gateway, Direct: c.Direct, Key: c.Key, Path: c.Path,
+		Gateway: c.Gateway, Direct: c.Direct, Key: os.Getenv(cli.EnvCallerKey), Path: c.Path,
 		Seed: c.Seed, Rate: c.Rate, Length: c.For,
 	}
 	return comparison.Send(ctx).WriteText(os.Stdout)
@@ -106,7 +106,6 @@
 type chunksCommand struct {
 	Gateway string `short:"g" required:"" help:"Callers' address of the gateway."`
 	Direct  string `required:"" help:"Address of a model engine behind it."`
-	Key     string `required:"" env:"LILACWEIR_CALLER_KEY" help:"Caller's key, from the environment."`
 	Model   string `short:"m" required:"" help:"Model."`
 	Streams int    `default:"8" help:"Streams at once."`
 	Tokens  int    `default:"256" help:"Chunks of each stream."`
@@ -117,7 +116,7 @@
 // Run implements the command.
 func (c *chunksCommand) Run(ctx context.Context) error {
 	rate := &load.ChunkRate{
-		Gateway: c.Gateway, Direct: c.Direct, Key: c.Key, Model: c.Model,
+		Gateway: c.Gateway, Direct: c.Direct, Key: os.Getenv(cli.EnvCallerKey), Model: c.Model,
 		Streams: c.Streams, Tokens: c.Tokens, Slices: c.Slices, Processes: c.PID,
 	}
 	result, err := rate.Send(ctx)
