Log a caller's name as a pair

Cause: zerolog keeps the field "caller" for places in the code and prints it without its key ("level=info residents-app > event=..."). Ruled out: the field's value; any other key was right. The new test failed before and passes now.

--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -23,6 +23,12 @@
 	return fmt.Sprintf("log level %q: expected debug, info, warn or error", e.Level)
 }
 
+// sourceField is zerolog's name for a place in the code, which nothing here logs.
+// Its default, "caller", is what a request's sender is called.
+const sourceField = "source"
+
+func init() { zerolog.CallerFieldName = sourceField }
+
 // New returns a logger that writes key=value lines to w. An empty level means info.
 func New(w io.Writer, program, instance, level string) (zerolog.Logger, error) {
 	if level == "" {
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -29,3 +29,13 @@
 	is.True(errors.As(err, &levelError))
 	is.Equal(levelError.Level, "loud")
 }
+
+func TestCallerIsAPairToo(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log, err := logging.New(&out, "gateway", "kal-1", "")
+	is.NoErr(err)
+	log.Info().Str("caller", "residents-app").Msg("request-ended")
+	line := regexp.MustCompile(`^time=\S+Z level=info event=request-ended caller=residents-app instance=kal-1 program=gateway\n$`)
+	is.True(line.Match(out.Bytes())) // the name of a caller is a pair like any other
+}
