--- a/pkg/standin/service/service.go
+++ b/pkg/standin/service/service.go
@@ -129,9 +129,14 @@
 	return fault.Number(target, argument)
 }
 
+// PathHealth answers whether the service serves. It is no call: it neither runs
+// nor uses up a fault.
+const PathHealth = "/healthz"
+
 // Handler serves every path.
 func (s *Service) Handler() http.Handler {
 	e := echo.New()
+	e.GET(PathHealth, s.health)
 	e.Any("/*", s.handle)
 	return e
 }
@@ -153,6 +158,14 @@
 	return s.faults.leave
 }
 
+func (s *Service) health(c echo.Context) error {
+	if s.leaving() {
+		c.Response().Header().Set(header.Leaving, header.True)
+		return notStarted(c)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
 func (s *Service) handle(c echo.Context) error {
 	answered := c.Response().Header()
 	answered.Set(header.RequestID, c.Request().Header.Get(header.RequestID))
--- a/pkg/standin/service/service_test.go
+++ b/pkg/standin/service/service_test.go
@@ -55,3 +55,23 @@
 		})
 	}
 }
+
+func TestHealthIsNoCall(t *testing.T) {
+	is := is.New(t)
+	j := journal.New()
+	one := service.New(service.Settings{Name: "sleeplog-1", Concurrency: 1}, clock.System{}, j)
+	server := httptest.NewServer(one.Handler())
+	defer server.Close()
+	ask := func(path string) *http.Response {
+		response, err := http.Get(server.URL + path)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response
+	}
+	is.NoErr(one.Set("refuse", "1"))
+	is.Equal(ask("/healthz").StatusCode, http.StatusOK)
+	is.Equal(len(j.Entries("")), 0)                                   // it is not in the journal
+	is.Equal(ask("/calls").StatusCode, http.StatusServiceUnavailable) // it used up no fault
+	is.NoErr(one.Set("leave", ""))
+	is.Equal(ask("/healthz").Header.Get(header.Leaving), header.True)
+}
