--- /dev/null
+++ b/test/scenario/deployment_test.go
@@ -0,0 +1,228 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/load"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+// Loopback nets for tests: 127.N.0.0/16. The nets of the checked-in
+// deployments lie below.
+const (
+	firstNet = 20
+	lastNet  = 250
+	// holderPort is held on 127.N.255.254 by the test that uses net N.
+	holderPort = 7999
+)
+
+// pollEvery and pollBound are the pace and the bound of waiting on a condition.
+const (
+	pollEvery = 50 * time.Millisecond
+	pollBound = 20 * time.Second
+)
+
+var (
+	errNoNet     = errors.New("no free loopback net")
+	errNoProcess = errors.New("no such process")
+	errNotReady  = errors.New("did not become ready")
+)
+
+// deployment is one running deployment on its own loopback net.
+type deployment struct {
+	name      string
+	number    int
+	directory string
+	holder    net.Listener
+	instances map[string]*settings.Instance
+	processes map[string]*process
+	loads     map[string]*backgroundLoad
+}
+
+// plan reserves a net and writes the settings of all processes.
+func plan(name, directory string) (*deployment, error) {
+	deploymentSlots <- struct{}{}
+	number, holder, err := reserveNet()
+	if err != nil {
+		<-deploymentSlots
+		return nil, err
+	}
+	d := &deployment{
+		name: name, number: number, holder: holder, directory: directory,
+		processes: make(map[string]*process), loads: make(map[string]*backgroundLoad),
+	}
+	topology := filepath.Join("..", "..", "deploy", name, "topology.yaml")
+	command := exec.Command(d.binary("lilacweir-standin"), "plan", topology, "--net", fmt.Sprint(number), "--out", directory)
+	if output, err := command.CombinedOutput(); err != nil {
+		d.close()
+		return nil, fmt.Errorf("plan: %w\n%s", err, output)
+	}
+	if err := d.readSettings(); err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func reserveNet() (int, net.Listener, error) {
+	for number := firstNet; number <= lastNet; number++ {
+		holder, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", number, holderPort))
+		if err == nil {
+			return number, holder, nil
+		}
+	}
+	return 0, nil, errNoNet
+}
+
+func (d *deployment) binary(program string) string { return filepath.Join(binaries, program) }
+
+func (d *deployment) file(name string) string { return filepath.Join(d.directory, name) }
+
+func (d *deployment) admin() string { return fmt.Sprintf("127.%d.0.1:7000", d.number) }
+
+// readSettings makes a process for each program of each instance.
+func (d *deployment) readSettings() error {
+	instances, err := load.ReadInstances(d.directory)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	d.instances = instances
+	d.add("standin", "lilacweir-standin", "standin.yaml")
+	for name := range instances {
+		d.add(name+"/gateway", "lilacweir-gateway", name+".yaml")
+		d.add(name+"/agent", "lilacweir-agent", name+".yaml")
+	}
+	return nil
+}
+
+func (d *deployment) add(name, program, settingsFile string) {
+	d.processes[name] = &process{
+		name: name, program: program, args: []string{"run", d.file(settingsFile)},
+		log: d.file(strings.ReplaceAll(name, "/", "-") + ".log"),
+	}
+}
+
+// find returns the processes that a name stands for: one program, both of an
+// instance, all of a failure domain's instances, or "all" for every instance's.
+func (d *deployment) find(name string) ([]*process, error) {
+	var found []*process
+	for key, candidate := range d.processes {
+		owner, _, _ := strings.Cut(key, "/")
+		instance := d.instances[owner]
+		inDomain := instance != nil && (instance.Domain == name || name == "all")
+		if key == name || owner == name || inDomain {
+			found = append(found, candidate)
+		}
+	}
+	if len(found) == 0 {
+		return nil, fmt.Errorf("%s: %w", name, errNoProcess)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].name < found[j].name })
+	return found, nil
+}
+
+// start starts processes and waits until each answers.
+func (d *deployment) start(name string) error {
+	found, err := d.find(name)
+	if err != nil {
+		return err
+	}
+	for _, one := range found {
+		if err := one.start(); err != nil {
+			return err
+		}
+	}
+	for _, one := range found {
+		if err := d.awaitAnswer(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// health is the address at which a process answers for its health.
+func (d *deployment) health(one *process) string {
+	owner, program, _ := strings.Cut(one.name, "/")
+	switch program {
+	case "gateway":
+		return "http://" + d.instances[owner].Gateway.Callers + "/healthz"
+	case "agent":
+		return "http://" + d.instances[owner].Agent.Operators + "/healthz"
+	default:
+		return "http://" + d.admin() + "/healthz"
+	}
+}
+
+func (d *deployment) awaitAnswer(one *process) error {
+	url := d.health(one)
+	return poll(pollBound, func() error {
+		if !one.running() {
+			return fmt.Errorf("%s: %w: %w", one.name, errNotRunning, one.failure)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return fmt.Errorf("%s: %w", one.name, err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return fmt.Errorf("%s: %w: %w", one.name, errNotReady, err)
+		}
+		return response.Body.Close()
+	})
+}
+
+// poll repeats a condition until it holds, and returns its last failure.
+func poll(bound time.Duration, condition func() error) error {
+	deadline := time.After(bound)
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-deadline:
+			return err
+		case <-tick.C:
+		}
+	}
+}
+
+// close ends what still runs and gives the net back.
+func (d *deployment) close() {
+	for _, one := range d.loads {
+		one.cancel()
+	}
+	for _, one := range d.processes {
+		_ = one.kill()
+	}
+	_ = d.holder.Close()
+	<-deploymentSlots
+}
+
+// showLogs returns the end of each process's log, for a failed script.
+func (d *deployment) showLogs() string {
+	const tail = 3000
+	var text strings.Builder
+	for _, one := range d.processes {
+		data, _ := os.ReadFile(one.log)
+		if len(data) > tail {
+			data = data[len(data)-tail:]
+		}
+		fmt.Fprintf(&text, "--- %s\n%s", one.name, data)
+	}
+	return text.String()
+}
--- /dev/null
+++ b/test/scenario/observe_test.go
@@ -0,0 +1,179 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// healthBound bounds one question for an instance's health.
+const healthBound = 2 * time.Second
+
+// ready says what an instance's gateway tells of its readiness: ready INSTANCE.
+func ready(d *deployment, args []string) (string, error) {
+	if len(args) != 1 || d.instances[args[0]] == nil {
+		return "", errUsage
+	}
+	return get("http://" + d.instances[args[0]].Gateway.Callers + "/readyz")
+}
+
+func get(url string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), healthBound)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return "", fmt.Errorf("get: %w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", fmt.Errorf("get: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", fmt.Errorf("get: %w", err)
+	}
+	return string(body), nil
+}
+
+// allServing checks that every instance says that it serves.
+func (d *deployment) allServing() error {
+	for name := range d.instances {
+		text, err := ready(d, []string{name})
+		if err != nil {
+			return err
+		}
+		if !strings.Contains(text, `"serving"`) {
+			return fmt.Errorf("%s: %w: %s", name, errNotReady, text)
+		}
+	}
+	return nil
+}
+
+// ran counts what ran at all upstreams, or at one: ran [UPSTREAM]. It says the
+// runs of each call, and how many idempotency keys ran more than once.
+func ran(d *deployment, args []string) (string, error) {
+	text, err := control(d, append([]string{"journal"}, args...))
+	if err != nil {
+		return text, err
+	}
+	calls := make(map[string]int)
+	keys := make(map[string]int)
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var entry journal.Entry
+		if err := decoder.Decode(&entry); err != nil {
+			return text, fmt.Errorf("journal: %w", err)
+		}
+		calls[strings.TrimSpace(entry.Kind+" "+entry.Method+" "+entry.Path)]++
+		if entry.IdempotencyKey != "" {
+			keys[entry.IdempotencyKey]++
+		}
+	}
+	return summary(calls, keys), nil
+}
+
+func summary(calls, keys map[string]int) string {
+	repeated := 0
+	for _, runs := range keys {
+		if runs > 1 {
+			repeated++
+		}
+	}
+	parts := []string{fmt.Sprintf("keys=%d repeated=%d", len(keys), repeated)}
+	for call, runs := range calls {
+		parts = append(parts, fmt.Sprintf("%s=%d", call, runs))
+	}
+	sort.Strings(parts[1:])
+	return strings.Join(parts, "\n")
+}
+
+// outside counts what upstreams processed for callers that are not permitted in
+// the upstream's region, by the declaration that was planned.
+func outside(d *deployment, _ []string) (string, error) {
+	text, err := control(d, []string{"processed"})
+	if err != nil {
+		return text, err
+	}
+	permitted, err := d.permittedDomains()
+	if err != nil {
+		return text, err
+	}
+	inside, wrong := 0, 0
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var count journal.Count
+		if err := decoder.Decode(&count); err != nil {
+			return text, fmt.Errorf("processed: %w", err)
+		}
+		if permitted[count.Caller][count.Domain] {
+			inside += count.Count
+		} else {
+			wrong += count.Count
+		}
+	}
+	return fmt.Sprintf("inside=%d outside=%d\n%s", inside, wrong, text), nil
+}
+
+// permittedDomains gives the failure domains that each caller may be served in.
+func (d *deployment) permittedDomains() (map[string]map[string]bool, error) {
+	data, err := os.ReadFile(d.file("declaration.yaml"))
+	if err != nil {
+		return nil, fmt.Errorf("declaration: %w", err)
+	}
+	var declaration config.Declaration
+	if err := yaml.Unmarshal(data, &declaration); err != nil {
+		return nil, fmt.Errorf("declaration: %w", err)
+	}
+	domains := make(map[string][]string)
+	for _, region := range declaration.Regions {
+		domains[region.Name] = region.Domains
+	}
+	permitted := make(map[string]map[string]bool)
+	for _, caller := range declaration.Callers {
+		permitted[caller.Name] = make(map[string]bool)
+		for _, region := range caller.Regions {
+			for _, domain := range domains[region] {
+				permitted[caller.Name][domain] = true
+			}
+		}
+	}
+	return permitted, nil
+}
+
+// logged counts the lines of a process's log that match: logged PROCESS REGEXP.
+func logged(d *deployment, args []string) (string, error) {
+	const count = 2
+	if len(args) != count {
+		return "", errUsage
+	}
+	found, err := d.find(args[0])
+	if err != nil {
+		return "", err
+	}
+	pattern, err := regexp.Compile("(?m)" + args[1])
+	if err != nil {
+		return "", fmt.Errorf("logged: %w", err)
+	}
+	total := 0
+	for _, one := range found {
+		data, err := os.ReadFile(one.log)
+		if err != nil {
+			return "", fmt.Errorf("logged: %w", err)
+		}
+		total += len(pattern.FindAll(data, -1))
+	}
+	return fmt.Sprintf("lines=%d", total), nil
+}
--- /dev/null
+++ b/test/scenario/verbs_test.go
@@ -0,0 +1,327 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// verb does one thing to a deployment and returns what it has to say.
+type verb func(d *deployment, args []string) (string, error)
+
+var (
+	errUsage       = errors.New("wrong arguments")
+	errNotComplete = errors.New("the answer is not complete")
+	errNoMatch     = errors.New("no match")
+	errNoPlan      = errors.New("no deployment yet")
+	errSucceeded   = errors.New("succeeded against expectation")
+)
+
+// table lists the verbs. kill and stop are words of testscript, hence sigkill
+// and sigterm.
+func table() map[string]verb {
+	return map[string]verb{
+		"start":   each(func(d *deployment, name string) error { return d.start(name) }),
+		"sigkill": each(onProcesses((*process).kill)),
+		"sigterm": each(onProcesses((*process).stop)),
+		"freeze":  each(onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) })),
+		"thaw":    each(onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) })),
+		"replace": each(replace),
+		"ctl":     control,
+		"run":     operate,
+		"apply":   applyFile,
+		"race":    race,
+		"ask":     ask,
+		"call":    call,
+		"ready":   ready,
+		"ran":     ran,
+		"outside": outside,
+		"logged":  logged,
+		"send":    send,
+		"sending": sending,
+		"sent":    sent,
+		"hop":     hop,
+	}
+}
+
+// verbs returns the commands that scripts use: the table's, plan and deploy
+// which make the deployment, and expect.
+func verbs() map[string]func(*testscript.TestScript, bool, []string) {
+	commands := map[string]func(*testscript.TestScript, bool, []string){
+		"plan":   func(ts *testscript.TestScript, _ bool, args []string) { planFor(ts, args) },
+		"deploy": func(ts *testscript.TestScript, _ bool, args []string) { deploy(ts, args) },
+		"expect": expect,
+	}
+	for name, run := range table() {
+		commands[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			text, err := run(current(ts), args)
+			_, _ = fmt.Fprintln(ts.Stdout(), text)
+			ts.Logf("%s", text)
+			if neg && err == nil {
+				err = errSucceeded
+			} else if neg {
+				err = nil
+			}
+			ts.Check(err)
+		}
+	}
+	return commands
+}
+
+// deployments holds each script's deployment by the script's work directory.
+var deployments sync.Map
+
+func current(ts *testscript.TestScript) *deployment {
+	found, ok := deployments.Load(ts.Getenv("WORK"))
+	if !ok {
+		ts.Check(errNoPlan)
+	}
+	return found.(*deployment)
+}
+
+func planFor(ts *testscript.TestScript, args []string) *deployment {
+	if len(args) != 1 {
+		ts.Check(errUsage)
+	}
+	work := ts.Getenv("WORK")
+	d, err := plan(args[0], work)
+	ts.Check(err)
+	deployments.Store(work, d)
+	ts.Defer(func() {
+		deployments.Delete(work)
+		d.close()
+		ts.Logf("%s", d.showLogs())
+	})
+	return d
+}
+
+// deploy plans, starts everything, applies the declaration and waits until it
+// is in force everywhere.
+func deploy(ts *testscript.TestScript, args []string) {
+	d := planFor(ts, args)
+	ts.Check(d.start("standin"))
+	ts.Check(d.start("all"))
+	ts.Check(poll(pollBound, func() error {
+		_, err := applyFile(d, []string{d.file("declaration.yaml")})
+		return err
+	}))
+	ts.Check(poll(pollBound, func() error { return d.allServing() }))
+}
+
+// expect repeats a verb until what it says matches: expect REGEXP VERB ARGS.
+// With !, until it does not.
+func expect(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 || table()[args[1]] == nil {
+		ts.Check(errUsage)
+	}
+	pattern, err := regexp.Compile("(?m)" + args[0])
+	ts.Check(err)
+	d := current(ts)
+	ts.Check(poll(pollBound, func() error {
+		text, err := table()[args[1]](d, args[2:])
+		if pattern.MatchString(text) != neg {
+			return nil
+		}
+		return fmt.Errorf("%w: want %s (not: %t), have: %s (%v)", errNoMatch, args[0], neg, text, err)
+	}))
+}
+
+// each applies an action to every name given.
+func each(action func(d *deployment, name string) error) verb {
+	return func(d *deployment, args []string) (string, error) {
+		for _, name := range args {
+			if err := action(d, name); err != nil {
+				return "", err
+			}
+		}
+		return "", nil
+	}
+}
+
+func onProcesses(action func(*process) error) func(*deployment, string) error {
+	return func(d *deployment, name string) error {
+		found, err := d.find(name)
+		if err != nil {
+			return err
+		}
+		return together(found, action)
+	}
+}
+
+// together acts on all processes at once.
+func together(found []*process, action func(*process) error) error {
+	failures := make([]error, len(found))
+	var running sync.WaitGroup
+	for index, one := range found {
+		running.Go(func() { failures[index] = action(one) })
+	}
+	running.Wait()
+	return errors.Join(failures...)
+}
+
+func replace(d *deployment, name string) error {
+	if err := onProcesses((*process).kill)(d, name); err != nil {
+		return err
+	}
+	return d.start(name)
+}
+
+// control asks the stand-in's admin: ctl VERB ARGS.
+func control(d *deployment, args []string) (string, error) {
+	return d.exec(append([]string{"lilacweir-standin", "ctl", d.admin()}, args...)...)
+}
+
+// operate sends an operator's line: run [INSTANCE:] LINE.
+func operate(d *deployment, args []string) (string, error) {
+	line := strings.Join(args, " ")
+	if name, rest, found := strings.Cut(line, ": "); found && d.instances[name] != nil {
+		server := d.instances[name].Agent.Operators
+		return d.exec("lilacweir", "run", "-c", d.file("operator.yaml"), "--server", server, rest)
+	}
+	return d.exec("lilacweir", "run", "-c", d.file("operator.yaml"), line)
+}
+
+func applyFile(d *deployment, args []string) (string, error) {
+	if len(args) != 1 {
+		return "", errUsage
+	}
+	file := args[0]
+	if !strings.HasPrefix(file, "/") {
+		file = d.file(file)
+	}
+	return d.exec("lilacweir", "apply", "-c", d.file("operator.yaml"), file)
+}
+
+// race sends lines through different instances at once: race INSTANCE LINE INSTANCE LINE.
+func race(d *deployment, args []string) (string, error) {
+	const pair = 2
+	replies := make([]string, len(args)/pair)
+	var running sync.WaitGroup
+	for index := range replies {
+		running.Go(func() {
+			text, err := operate(d, []string{args[pair*index] + ":", args[pair*index+1]})
+			replies[index] = fmt.Sprintf("%s\n%v", text, err)
+		})
+	}
+	running.Wait()
+	return strings.Join(replies, "\n"), nil
+}
+
+// exec runs one of the short-lived programs with the operator's key.
+func (d *deployment) exec(args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), exitBound)
+	defer cancel()
+	command := exec.CommandContext(ctx, d.binary(args[0]), args[1:]...)
+	command.Env = append(os.Environ(), "LILACWEIR_KEY="+d.operatorKey())
+	output, err := command.CombinedOutput()
+	text := strings.TrimSpace(string(output))
+	if err != nil {
+		return text, fmt.Errorf("%s: %w\n%s", strings.Join(args, " "), err, text)
+	}
+	return text, nil
+}
+
+// operatorKey is the key of the deployment's operator; see the key rule of
+// deployments of stand-ins.
+func (d *deployment) operatorKey() string {
+	return map[string]string{"wellness": "key-eleni", "minibar": "key-linh"}[d.name]
+}
+
+// hop sends a chat request as another gateway would: hop INSTANCE DOMAIN CLASS
+// CALLER REVISION MODEL. It is for forged and replayed headers.
+func hop(d *deployment, args []string) (string, error) {
+	const count = 6
+	if len(args) != count || d.instances[args[0]] == nil {
+		return "", errUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askBound)
+	defer cancel()
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":2,"stream":true,"messages":[{"role":"user","content":"hop"}]}`, args[5])
+	url := "http://" + d.instances[args[0]].Gateway.Peers + client.ChatPath
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return "", fmt.Errorf("hop: %w", err)
+	}
+	request.Header.Set(header.ContentType, "application/json")
+	request.Header.Set(header.Origin, args[1])
+	request.Header.Set(header.Class, args[2])
+	request.Header.Set(header.Caller, args[3])
+	request.Header.Set(header.Revision, args[4])
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", fmt.Errorf("hop: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return fmt.Sprintf("status=%d outcome=%s body=%s", response.StatusCode, response.Header.Get(header.Outcome), answer), err
+}
+
+// askBound bounds a request of a script.
+const askBound = 30 * time.Second
+
+// ask sends a chat request: ask CALLER INSTANCE MODEL TOKENS PROMPT.
+func ask(d *deployment, args []string) (string, error) {
+	const count = 5
+	if len(args) != count || d.instances[args[1]] == nil {
+		return "", errUsage
+	}
+	var tokens int
+	if _, err := fmt.Sscan(args[3], &tokens); err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askBound)
+	defer cancel()
+	caller := client.New("key-"+args[0], nil)
+	chat := client.ChatRequest{Model: args[2], MaxTokens: tokens, Messages: []client.Message{{Role: "user", Content: args[4]}}}
+	return describe(caller.Chat(ctx, d.instances[args[1]].Gateway.Callers, chat, client.Options{}, nil))
+}
+
+// call calls a plain service: call CALLER INSTANCE METHOD PATH [BODY [KEY]].
+// KEY "new" asks the instance for a key's beginning.
+func call(d *deployment, args []string) (string, error) {
+	const least = 4
+	if len(args) < least || d.instances[args[1]] == nil {
+		return "", errUsage
+	}
+	args = append(args, "", "")
+	ctx, cancel := context.WithTimeout(context.Background(), askBound)
+	defer cancel()
+	caller := client.New("key-"+args[0], nil)
+	gateway := d.instances[args[1]].Gateway.Callers
+	options := client.Options{IdempotencyKey: args[5]}
+	if args[5] == "new" {
+		list, err := caller.Instances(ctx, gateway)
+		if err != nil {
+			return "", err
+		}
+		options.IdempotencyKey = list.NewKey()
+	}
+	answer := caller.Call(ctx, gateway, args[2], args[3], []byte(args[4]), options)
+	text, err := describe(answer)
+	return text + " key=" + options.IdempotencyKey, err
+}
+
+func describe(answer *client.Answer) (string, error) {
+	text := fmt.Sprintf("outcome=%s status=%d reason=%s domain=%s upstream=%s request=%s chunks=%d retry-after=%s body=%s",
+		answer.Outcome, answer.Status, answer.Refusal.Type, answer.Domain, answer.Upstream,
+		answer.RequestID, answer.Chunks, answer.Refusal.RetryAfter(), answer.Body)
+	if answer.Outcome != outcome.Complete {
+		return text, fmt.Errorf("%w: %s: %v", errNotComplete, text, answer.Err)
+	}
+	return text, nil
+}
