Answer a passed-on question where it arrives

Two instances that hold different revisions, each of which takes the other's domain for an upstream's place, passed a question to and fro without end: a test showed that the receiver asked on. A passed-on line is now answered from what is known there, and a passed-on change is refused.

--- a/pkg/command/executor.go
+++ b/pkg/command/executor.go
@@ -57,6 +57,10 @@
 	ID string
 	// Seen is the revision that the operator saw; 0 means this instance's.
 	Seen config.Revision
+	// PassedOn is true when another instance passes on the line. It is answered
+	// from here, and changes nothing: two instances that hold different revisions
+	// would otherwise pass it to and fro.
+	PassedOn bool
 }
 
 // Execute answers a line.
@@ -79,9 +83,19 @@
 	if line.asks() {
 		return e.answer(ctx, request, line)
 	}
+	if request.PassedOn {
+		return refuse(&PassedOnError{})
+	}
 	return e.change(ctx, request, line)
 }
 
+// PassedOnError refuses a change that another instance passes on: a change is
+// proposed by the instance that knows its operator.
+type PassedOnError struct{}
+
+// Error implements error.
+func (*PassedOnError) Error() string { return "only questions are passed on" }
+
 // asks tells questions from changes.
 func (l *Line) asks() bool {
 	return l.Status != nil || l.Pools != nil || l.Who != nil || l.Log != nil || l.Why != nil || l.Help != nil
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -158,6 +158,18 @@
 	})
 }
 
+func TestPassedOnLinesEndHere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		passedOn := command.Request{Operator: "eleni", Line: "up nurse-3", PassedOn: true}
+		is.Equal(r.executor.ExecuteRequest(t.Context(), passedOn).Text, "nurse-3 at larisa-hall\nserves lilac-nurse v1\nbut its domain passed this on")
+		passedOn.Line = "drain nurse-1"
+		is.Equal(r.executor.ExecuteRequest(t.Context(), passedOn).Verdict, command.Refused)
+		is.Equal(r.board.Config.Load().Revision, config.Revision(117))
+	})
+}
+
 func TestNoConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
