--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -98,6 +99,38 @@
 	is.Equal(len(good.lines), 1) // the change was not sent a second time
 }
 
+// After a lost answer the change is asked about by its identity, and never sent
+// a second time.
+func TestLostAnswerIsAskedFor(t *testing.T) {
+	is := is.New(t)
+	lossy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/healthz":
+		case "/readyz":
+			_, _ = io.WriteString(w, `{"state":"serving","revision":117}`)
+		default:
+			panic(http.ErrAbortHandler) // takes the change, loses the answer
+		}
+	}))
+	defer lossy.Close()
+	good := newAgent(t, "accepted", "accepted as 118\n118 in force 7/7")
+	var out bytes.Buffer
+	session := newSession(&out)
+	command := RunCommand{Line: "undo 117", OperatorFlags: OperatorFlags{Operator: "eleni"}}
+	command.Server = []string{strings.TrimPrefix(lossy.URL, "http://"), good.address()}
+	is.NoErr(command.Run(session))
+	is.Equal(session.Code, ExitOK)
+	is.Equal(len(good.lines), 1)
+	is.True(strings.HasPrefix(good.lines[0], "eleni Bearer key-eleni why c117-"))
+
+	command.Server = command.Server[:1]
+	err := command.Run(session)
+	var lost *LostError
+	is.True(errors.As(err, &lost)) // nobody could be asked
+	is.True(strings.HasPrefix(lost.ID, "c117-"))
+	is.Equal(session.Code, ExitUnknown)
+}
+
 func TestSettingsFileAndFlags(t *testing.T) {
 	is := is.New(t)
 	agent := newAgent(t, "ok", "fine")
--- a/pkg/cli/operate.go
+++ b/pkg/cli/operate.go
@@ -37,6 +37,7 @@
 type ApplyCommand struct {
 	OperatorFlags
 	DryRun bool   `help:"Only show the difference."`
+	Force  bool   `help:"Accept a dangerous change, which the difference marks with an exclamation mark."`
 	File   string `arg:"" help:"Declaration file."`
 }
 
@@ -53,7 +54,8 @@
 	if err != nil {
 		return err
 	}
-	difference, err := server.Apply(session.Context, data, c.File, true)
+	application := Application{Declaration: data, File: c.File, Dry: true, Force: c.Force}
+	difference, err := server.Apply(session.Context, application)
 	if err != nil {
 		session.Code = ExitUnknown
 		return fmt.Errorf("difference: %w", err)
@@ -62,7 +64,9 @@
 	if c.DryRun || difference.Verdict != VerdictOK {
 		return nil
 	}
-	reply, err := server.Apply(session.Context, data, c.File, false)
+	application.Dry = false
+	application.Seen = difference.Revision
+	reply, err := server.Apply(session.Context, application)
 	if err != nil {
 		session.Code = ExitUnknown
 		return unanswered(err)
--- a/pkg/cli/server.go
+++ b/pkg/cli/server.go
@@ -3,11 +3,15 @@
 // requests as a caller.
 //
 // Guarantee: a change is sent to one agent once. Another agent is tried only
-// while nothing has been sent; after that, silence is reported as unknown.
+// while nothing has been sent; after that, the agents are asked what became of the
+// change, and silence is reported as unknown.
 package cli
 
 import (
+	"bytes"
 	"context"
+	"crypto/rand"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,12 +20,22 @@
 	"regexp"
 	"strings"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/command"
+	"github.com/lilacweir/lilacweir/pkg/config"
 )
 
 // Headers between operators and agents.
 const (
 	headerOperator = "X-Lilacweir-Operator"
 	headerVerdict  = "X-Lilacweir-Verdict"
+	headerRevision = "X-Lilacweir-Revision"
+)
+
+// Paths of the operators' HTTP.
+const (
+	pathCommand = "/v1/command"
+	pathApply   = "/v1/apply"
 )
 
 // Bounds of the calls to agents.
@@ -49,6 +63,8 @@
 type Reply struct {
 	Text    string
 	Verdict Verdict
+	// Revision is what a difference was made against; empty otherwise.
+	Revision string
 }
 
 // inForce reads how many instances follow a change.
@@ -70,37 +86,132 @@
 	HTTP      *http.Client
 }
 
-// Run sends one line of the operators' language.
-func (s *Server) Run(ctx context.Context, line string) (Reply, error) {
-	return s.post(ctx, "/v1/command", "text/plain", []byte(line))
+// LostError says that an answer was lost after a change was sent, and that
+// nobody could be asked what became of it.
+type LostError struct {
+	// ID is the change's identity; empty when the server made none known.
+	ID string
+	// Address is where the change was sent.
+	Address string
+	Err     error
 }
 
-// Apply sends a declaration; dry asks only for the difference.
-func (s *Server) Apply(ctx context.Context, declaration []byte, file string, dry bool) (Reply, error) {
-	query := url.Values{"file": {file}}
-	if dry {
-		query.Set("dry", "1")
+// Error implements error; it says how to ask again.
+func (e *LostError) Error() string {
+	if e.ID == "" {
+		return fmt.Sprintf("%s gave no answer, ask `log` whether it took effect: %v", e.Address, e.Err)
 	}
-	return s.post(ctx, "/v1/apply?"+query.Encode(), "application/yaml", declaration)
+	return fmt.Sprintf("%s gave no answer, ask later: why %s: %v", e.Address, e.ID, e.Err)
 }
 
-func (s *Server) post(ctx context.Context, path, contentType string, body []byte) (Reply, error) {
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// Run sends one line of the operators' language. When the answer to a change is
+// lost, it asks the servers what became of the change, and returns that.
+func (s *Server) Run(ctx context.Context, line string) (Reply, error) {
 	address, err := s.answering(ctx)
 	if err != nil {
 		return Reply{Verdict: VerdictUnknown}, err
 	}
+	query := url.Values{}
+	parsed, err := command.Parse(line)
+	if err == nil && parsed.Changes() {
+		query.Set("id", s.identity(ctx, address))
+	}
+	return s.send(ctx, address, pathCommand, query, []byte(line))
+}
+
+// Application is a declaration that is applied.
+type Application struct {
+	Declaration []byte
+	// File is the file's name.
+	File string
+	// Dry asks only for the difference.
+	Dry bool
+	// Seen is the revision of the difference that was shown; "" for none.
+	Seen string
+	// Force accepts a dangerous change.
+	Force bool
+}
+
+// Apply sends a declaration. A lost answer is treated as by Run.
+func (s *Server) Apply(ctx context.Context, application Application) (Reply, error) {
+	address, err := s.answering(ctx)
+	if err != nil {
+		return Reply{Verdict: VerdictUnknown}, err
+	}
+	query := url.Values{"file": {application.File}}
+	if application.Force {
+		query.Set("force", "1")
+	}
+	if application.Dry {
+		query.Set("dry", "1")
+	} else {
+		query.Set("seen", application.Seen)
+		query.Set("id", s.identity(ctx, address))
+	}
+	return s.send(ctx, address, pathApply, query, application.Declaration)
+}
+
+// identity makes the identity of a change; "" when the server does not say which
+// revision it has, after which the server makes one itself.
+func (s *Server) identity(ctx context.Context, address string) string {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var ready struct {
+		Revision config.Revision `json:"revision"`
+	}
+	response, err := s.get(ctx, address, "/readyz")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReply)).Decode(&ready); err != nil {
+		return ""
+	}
+	id, err := config.NewID(ready.Revision, rand.Reader)
+	if err != nil {
+		return ""
+	}
+	return id
+}
+
+// send posts to one server. When no answer comes to a change that has an
+// identity, the servers are asked what became of it.
+func (s *Server) send(ctx context.Context, address, path string, query url.Values, body []byte) (Reply, error) {
+	reply, err := s.post(ctx, address, path+"?"+query.Encode(), body)
+	if err == nil {
+		return reply, nil
+	}
+	lost := &LostError{ID: query.Get("id"), Address: address, Err: err}
+	if lost.ID == "" {
+		return Reply{Verdict: VerdictUnknown}, lost
+	}
+	for _, other := range s.Addresses {
+		if s.probe(ctx, other) != nil {
+			continue
+		}
+		reply, err := s.post(ctx, other, pathCommand, []byte("why "+lost.ID))
+		if err == nil {
+			return reply, nil
+		}
+	}
+	return Reply{Verdict: VerdictUnknown}, lost
+}
+
+func (s *Server) post(ctx context.Context, address, path string, body []byte) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, strings.NewReader(string(body)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("make request: %w", err)
 	}
-	request.Header.Set("Content-Type", contentType)
 	request.Header.Set("Authorization", "Bearer "+s.Key)
 	request.Header.Set(headerOperator, s.Operator)
 	response, err := s.HTTP.Do(request)
 	if err != nil {
-		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("%s gave no answer, ask `log` whether it took effect: %w", address, err)
+		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("post: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	return readReply(response)
@@ -118,7 +229,11 @@
 	if verdict == "" {
 		verdict = VerdictUnknown
 	}
-	return Reply{Text: strings.TrimRight(string(text), "\n"), Verdict: verdict}, nil
+	return Reply{
+		Text:     strings.TrimRight(string(text), "\n"),
+		Verdict:  verdict,
+		Revision: response.Header.Get(headerRevision),
+	}, nil
 }
 
 // answering returns the first server that answers a probe.
@@ -137,14 +252,22 @@
 func (s *Server) probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
+	response, err := s.get(ctx, address, "/healthz")
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReply))
+	return response.Body.Close()
+}
+
+func (s *Server) get(ctx context.Context, address, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return fmt.Errorf("make probe: %w", err)
+		return nil, fmt.Errorf("make request: %w", err)
 	}
 	response, err := s.HTTP.Do(request)
 	if err != nil {
-		return fmt.Errorf("probe: %w", err)
+		return nil, fmt.Errorf("get: %w", err)
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxReply))
-	return response.Body.Close()
+	return response, nil
 }
--- a/pkg/command/apply.go
+++ b/pkg/command/apply.go
@@ -18,6 +18,8 @@
 	// Seen is the revision whose difference the operator saw; 0 means this
 	// instance's now.
 	Seen config.Revision
+	// First says that the operator saw that there was no configuration.
+	First bool
 	// ID is the change's identity when the operator's program made one.
 	ID string
 	// DryRun shows the difference and changes nothing.
@@ -45,7 +47,7 @@
 	if err != nil {
 		return Difference{Reply: Reply{Verdict: Refused, Text: err.Error()}}
 	}
-	before, seen, err := e.seen(application.Seen)
+	before, seen, err := e.seen(application)
 	if err != nil {
 		return Difference{Reply: refuse(err)}
 	}
@@ -68,21 +70,21 @@
 	return Difference{Reply: e.propose(ctx, proposal), Revision: seen}
 }
 
-// seen returns the declaration at a revision; the empty one when there is no
+// seen returns the declaration that the operator saw; the empty one when there is no
 // configuration yet.
-func (e *Executor) seen(revision config.Revision) (*config.Declaration, config.Revision, error) {
+func (e *Executor) seen(application Application) (*config.Declaration, config.Revision, error) {
 	head := e.Board.Config.Load()
 	if head == nil || head.Revision == 0 {
 		return new(config.Declaration), 0, nil
 	}
-	if revision == 0 {
+	if application.Seen == 0 && !application.First {
 		return head.Declaration, head.Revision, nil
 	}
-	decl, ok := head.At(revision)
-	if !ok {
-		return nil, 0, &config.StaleError{Seen: revision, Now: head.Revision}
+	decl, ok := head.At(application.Seen)
+	if !ok || application.First {
+		return nil, 0, &config.StaleError{Seen: application.Seen, Now: head.Revision}
 	}
-	return decl, revision, nil
+	return decl, application.Seen, nil
 }
 
 // difference words what applying would do.
--- a/pkg/command/apply_test.go
+++ b/pkg/command/apply_test.go
@@ -89,6 +89,12 @@
 		first := r.executor.Apply(t.Context(), command.Application{Operator: "eleni", File: "d.yaml", Data: data})
 		is.Equal(first.Text, "1 in force 7/7")
 		is.True(!r.executor.Judge("eleni", "key-linh", data)) // from now on the configuration decides
+
+		// Another operator, who had also seen that there was none, comes too late.
+		late := r.executor.Apply(t.Context(), command.Application{Operator: "eleni", File: "e.yaml", First: true, Data: file(t, func(d *config.Declaration) {
+			d.Policy.CostWeight = 1
+		})})
+		is.Equal(late.Text, "0 is too old to compare, now 1")
 		exchange{"undo 1", command.Refused, []string{"1 is the first and cannot be undone"}}.run(t, r)
 	})
 }
--- a/pkg/command/executor.go
+++ b/pkg/command/executor.go
@@ -101,6 +101,9 @@
 	return l.Status != nil || l.Pools != nil || l.Who != nil || l.Log != nil || l.Why != nil || l.Help != nil
 }
 
+// Changes tells changes from questions.
+func (l *Line) Changes() bool { return !l.asks() }
+
 func (e *Executor) answer(ctx context.Context, request Request, line *Line) Reply {
 	switch {
 	case line.Status != nil:
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -99,8 +99,8 @@
 			{"sp larisa>larisa-hall 20%", command.Refused, []string{"refused, nothing changed", "the result would be invalid:", `spill[1].to: got "thessalia", expected`, "another value than from"}},
 			{"ver lilac v2 10%", command.Refused, []string{"refused, nothing changed", "it leaves lilac-nurse v2 no upstream", "to do it:", "ver lilac-nurse v2 10% !"}},
 			{"why 118", command.OK, []string{"118 01-01 00:00 by eleni", "spill thessalia>attiki 20%", "seen 117, c117-0s3ge1o7"}},
-			{"why c117-0s3ge1o7", command.OK, []string{"accepted as 118", "118 in force 7/7"}},
-			{"why c117-00000000", command.OK, []string{"not accepted, and never will be"}},
+			{"why c117-0s3ge1o7", command.Accepted, []string{"accepted as 118", "118 in force 7/7"}},
+			{"why c117-00000000", command.Refused, []string{"not accepted, and never will be"}},
 		}},
 	}
 	for _, test := range tests {
@@ -154,7 +154,7 @@
 		exchange{"why c117-1040g208", command.Unknown, []string{"still unknown, ask again:", "why c117-1040g208"}}.run(t, r)
 		r.kv.down, r.kv.loseAnswers = false, false
 		r.domains(117, 2, 0)
-		exchange{"why c117-1040g208", command.OK, []string{"accepted as 118", "118 in force 0/7", "kal-1 has 117", "kal-2 has 117", "kal-3 has 117", "larisa-hall 0/2", "peristeri-hall 0/2"}}.run(t, r)
+		exchange{"why c117-1040g208", command.Accepted, []string{"accepted as 118", "118 in force 0/7", "kal-1 has 117", "kal-2 has 117", "kal-3 has 117", "larisa-hall 0/2", "peristeri-hall 0/2"}}.run(t, r)
 	})
 }
 
--- a/pkg/command/history.go
+++ b/pkg/command/history.go
@@ -83,11 +83,11 @@
 	case err != nil || verdict.State == config.Unknown:
 		return reply(Unknown, "still unknown, ask again:", "why "+id)
 	case verdict.State == config.Refused:
-		return reply(OK, "not accepted, and never will be")
+		return reply(Refused, "not accepted, and never will be")
 	default:
 		s := e.spread(verdict.Revision)
 		lines := append([]string{fmt.Sprintf("accepted as %d", verdict.Revision), s.line()}, s.notes...)
-		return reply(OK, lines...)
+		return reply(Accepted, lines...)
 	}
 }
 
