--- a/pkg/agent/serve_command.go
+++ b/pkg/agent/serve_command.go
@@ -70,7 +70,7 @@
 	difference := a.executor.Apply(c.Request().Context(), command.Application{
 		Operator: operator, File: fileName(c.QueryParam("file")), Data: body, Seen: seen,
 		First: c.QueryParam("seen") == "0",
-		ID: c.QueryParam("id"), DryRun: c.QueryParam("dry") == "1", Force: c.QueryParam("force") == "1",
+		ID:    c.QueryParam("id"), DryRun: c.QueryParam("dry") == "1", Force: c.QueryParam("force") == "1",
 	})
 	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(uint64(difference.Revision), 10))
 	a.Log.Info().Str("operator", operator).Str("verdict", string(difference.Verdict)).Msg("apply")
