--- a/pkg/command/change.go
+++ b/pkg/command/change.go
@@ -263,7 +263,14 @@
 		return intent{}, err
 	}
 	ops := []config.Op{{SplitVersion: &config.SplitVersion{Model: model.Name, Version: version, Percent: percent}}}
-	return intent{line: ops[0].String(), build: config.Fixed(ops)}, nil
+	build := func(decl *config.Declaration) ([]config.Op, error) {
+		after, _, err := config.Apply(decl, ops)
+		if err == nil && len(config.Diff(decl, after)) == 0 {
+			return ops, &config.NothingToDoError{Detail: "it is so"}
+		}
+		return ops, err
+	}
+	return intent{line: ops[0].String(), build: build}, nil
 }
 
 func (e *Executor) undo(ctx context.Context, line *Undo) (intent, error) {
--- a/pkg/command/history.go
+++ b/pkg/command/history.go
@@ -122,7 +122,7 @@
 		lines = append(lines, "nobody remembers "+clip(id))
 	}
 	if unreached > 0 {
-		lines = append([]string{fmt.Sprintf("%d instances gave no answer", unreached)}, lines...)
+		lines = append([]string{instances(unreached) + " gave no answer"}, lines...)
 	}
 	return reply(OK, lines...)
 }
--- a/pkg/command/reply.go
+++ b/pkg/command/reply.go
@@ -100,3 +100,11 @@
 		return fmt.Sprintf("%d h", int(span.Hours()))
 	}
 }
+
+// instances writes a number of instances.
+func instances(count int) string {
+	if count == 1 {
+		return "1 instance"
+	}
+	return fmt.Sprintf("%d instances", count)
+}
--- a/pkg/command/rig_test.go
+++ b/pkg/command/rig_test.go
@@ -103,16 +103,24 @@
 
 // rig is one instance of three domains with its platform.
 type rig struct {
-	kv       *memoryKV
-	store    *config.Store
-	board    *board.Board
-	remote   *otherDomains
+	kv     *memoryKV
+	store  *config.Store
+	board  *board.Board
+	remote *otherDomains
+	// cut is true while larisa-hall cannot be heard.
+	cut      bool
 	executor *command.Executor
 }
 
 // newRig starts with revision 117 in force on all seven instances, by the
 // synctest clock.
 func newRig(t testing.TB) *rig {
+	t.Helper()
+	return rigOf(t, declaration())
+}
+
+// rigOf starts with revision 117 of a declaration.
+func rigOf(t testing.TB, decl *config.Declaration) *rig {
 	t.Helper()
 	r := &rig{kv: &memoryKV{entries: map[string]platform.Entry{}}, board: new(board.Board), remote: new(otherDomains)}
 	pause := func(ctx context.Context, wait time.Duration) error {
@@ -133,14 +141,14 @@
 		Random:   new(counter),
 		Accepted: r.spread,
 	}
-	r.seed(t)
+	r.seed(t, decl)
 	return r
 }
 
 // seed stores the first head and fills the board.
-func (r *rig) seed(t testing.TB) {
+func (r *rig) seed(t testing.TB, decl *config.Declaration) {
 	t.Helper()
-	head := &config.Head{Revision: 117, Declaration: declaration(), Archived: 117}
+	head := &config.Head{Revision: 117, Declaration: decl, Archived: 117}
 	encoded, err := config.EncodeHead(head)
 	if err != nil {
 		t.Fatal(err)
@@ -151,7 +159,7 @@
 		"nurse-1": {Name: "nurse-1", State: board.UpstreamLive, Running: 3, Queued: 1, DecodeRate: 41, Version: "v1", ReportedAt: time.Now().Add(-2 * time.Second)},
 		"nurse-2": {Name: "nurse-2", State: board.UpstreamLive, Running: 1},
 	}})
-	r.board.Platform.Store(&board.PlatformHealth{KeyValue: true})
+	r.board.Platform.Store(platformSilent(0))
 	r.spread(head)
 }
 
@@ -176,7 +184,7 @@
 	pool := []board.PoolDigest{{Serves: "lilac-nurse", Version: "v1", Slots: 16, Busy: 2, Waiting: 1}}
 	r.board.Domains.Store(&board.Domains{Remote: []board.DomainDigest{
 		{Domain: "larisa-hall", Region: "thessalia", HeardAt: time.Now().Add(-silence), Nodes: 2, Platform: true, Pools: pool,
-			Revisions: []board.RevisionCount{{Revision: revision, Nodes: larisa}, {Revision: 1, Nodes: 2 - larisa}}},
+			Revisions: []board.RevisionCount{{Revision: revision, Nodes: larisa}, {Revision: revision - 1, Nodes: 2 - larisa}}},
 		{Domain: "peristeri-hall", Region: "attiki", HeardAt: time.Now(), Nodes: 2, Platform: true, Pools: pool,
 			Revisions: []board.RevisionCount{{Revision: revision, Nodes: 2}}},
 	}})
@@ -212,3 +220,18 @@
 		Operators: []config.Operator{{Name: "eleni", KeyHash: hash("eleni")}},
 	}
 }
+
+// platformSilent is the health of a platform that has been silent that long;
+// zero means that it answers.
+func platformSilent(silence time.Duration) *board.PlatformHealth {
+	return &board.PlatformHealth{KeyValue: silence == 0, Since: time.Now().Add(-silence)}
+}
+
+// stored is the head in the key-value service.
+func (r *rig) stored() *config.Head {
+	head, err := config.DecodeHead(r.kv.entries[config.HeadKey].Value)
+	if err != nil {
+		panic(err)
+	}
+	return head
+}
--- a/pkg/command/status.go
+++ b/pkg/command/status.go
@@ -127,8 +127,11 @@
 	if silence := e.Clock.Now().Sub(digest.HeardAt); silence > silentAfter {
 		lines = append(lines, "silent "+age(silence)+"; before that:")
 	}
-	lines = append(lines, fmt.Sprintf("%d instances, %d silent", digest.Nodes, digest.Silent))
+	lines = append(lines, fmt.Sprintf("%s, %d silent", instances(digest.Nodes), digest.Silent))
 	for _, count := range digest.Revisions {
+		if count.Nodes == 0 {
+			continue
+		}
 		lines = append(lines, fmt.Sprintf("%d in force %d/%d", count.Revision, count.Nodes, digest.Nodes))
 	}
 	if !digest.Platform {
@@ -204,7 +207,8 @@
 	return answer
 }
 
-// pool words one pool, a domain a line.
+// pool words one pool, a domain a line: how many upstreams are not drained, and
+// how busy they are.
 func (e *Executor) pool(decl *config.Declaration, name string) Reply {
 	counts := map[string]int{}
 	drained := map[string]int{}
@@ -220,10 +224,7 @@
 	}
 	lines := []string{name}
 	for _, domain := range slices.Sorted(maps.Keys(counts)) {
-		text := fmt.Sprintf("%s %d up", domain, counts[domain]-drained[domain])
-		if drained[domain] > 0 {
-			text += fmt.Sprintf(" %d drained", drained[domain])
-		}
+		text := fmt.Sprintf("%s %d/%d up", domain, counts[domain]-drained[domain], counts[domain])
 		if load := e.domainLoad(domain, name); load != nil {
 			text += fmt.Sprintf(", %d/%d, %d wait", load.busy, load.slots, load.waiting)
 		}
