--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -43,7 +43,6 @@
 		NoColor:         true,
 		FormatTimestamp: func(value any) string { return fmt.Sprintf("time=%s", value) },
 		FormatLevel:     func(value any) string { return fmt.Sprintf("level=%s", value) },
-		FormatCaller:    optional("caller"),
 		FormatMessage:   func(value any) string { return fmt.Sprintf("event=%s", value) },
 	}
 	logger := zerolog.New(console).Level(parsed).With().
@@ -54,16 +53,6 @@
 	return logger, nil
 }
 
-// optional formats a part that not every event has.
-func optional(name string) zerolog.Formatter {
-	return func(value any) string {
-		if value == nil {
-			return ""
-		}
-		return fmt.Sprintf("%s=%s", name, value)
-	}
-}
-
 // timestamp puts the time on each event, in UTC with milliseconds.
 type timestamp struct{}
 
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -22,16 +22,6 @@
 	is.True(line.Match(out.Bytes())) // one line, pairs only
 }
 
-// zerolog's console writer gives the name "caller" a form of its own.
-func TestCallerIsAPairLikeOthers(t *testing.T) {
-	is := is.New(t)
-	var out bytes.Buffer
-	log, err := logging.New(&out, "gateway", "kal-1", "")
-	is.NoErr(err)
-	log.Info().Str("caller", "clinic").Msg("request-ended")
-	is.True(regexp.MustCompile(`^time=\S+Z level=info caller=clinic event=request-ended instance=kal-1 program=gateway\n$`).Match(out.Bytes()))
-}
-
 func TestNewRefusesUnknownLevel(t *testing.T) {
 	is := is.New(t)
 	_, err := logging.New(&bytes.Buffer{}, "gateway", "kal-1", "loud")
