Keep what a newer version stored; count domains that were never heard

Each began with a test that failed: an instance of an older version accepted a change and dropped a field that it did not know; now it follows such a head but refuses to write it. A domain that was never heard was left out of the count, so a change looked in force everywhere; it counts as one instance that lacks it. Thirty missing domains pushed the pools off the screen; six lines name them and the rest is counted. A key that was put in place of its hash was repeated in the fault; now it is not.

--- a/pkg/command/change.go
+++ b/pkg/command/change.go
@@ -105,7 +105,7 @@
 			e.Accepted(verdict.Head)
 		}
 		s := e.waitInForce(ctx, verdict.Revision)
-		return reply(Accepted, append([]string{s.line()}, s.notes...)...)
+		return reply(Accepted, s.lines()...)
 	case config.Unknown:
 		return reply(Unknown, "unknown: the platform gave no answer", "ask later:", "why "+verdict.ID)
 	default:
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -1,6 +1,7 @@
 package command_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -158,6 +159,29 @@
 	})
 }
 
+// A domain that was never heard has at least one instance, so the count must not
+// look complete.
+func TestUnheardDomainIsMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		r.board.Domains.Store(nil)
+		exchange{"st", command.OK, []string{"117 in force 3/5", "larisa-hall not heard yet", "peristeri-hall not heard yet", "lilac-nurse 4/16 busy, 1 wait", "sleeplog-api 0/8 busy, 0 wait"}}.run(t, r)
+	})
+}
+
+// Many missing domains leave room for the pools.
+func TestManyMissingDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		decl := declaration()
+		for i := range 30 {
+			decl.Regions[1].Domains = append(decl.Regions[1].Domains, fmt.Sprintf("makedonia-%02d", i))
+		}
+		r.board.Config.Store(&config.Head{Revision: 117, Declaration: decl})
+		exchange{"st", command.OK, []string{"117 in force 7/37", "makedonia-00 not heard yet", "makedonia-01 not heard yet", "makedonia-02 not heard yet", "makedonia-03 not heard yet", "makedonia-04 not heard yet", "and 25 more", "lilac-nurse 8/48 busy, 3 wait", "sleeplog-api 0/8 busy, 0 wait"}}.run(t, r)
+	})
+}
+
 func TestPassedOnLinesEndHere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/pkg/command/history.go
+++ b/pkg/command/history.go
@@ -86,7 +86,7 @@
 		return reply(Refused, "not accepted, and never will be")
 	default:
 		s := e.spread(verdict.Revision)
-		lines := append([]string{fmt.Sprintf("accepted as %d", verdict.Revision), s.line()}, s.notes...)
+		lines := append([]string{fmt.Sprintf("accepted as %d", verdict.Revision)}, s.lines()...)
 		return reply(Accepted, lines...)
 	}
 }
--- a/pkg/command/inforce.go
+++ b/pkg/command/inforce.go
@@ -43,12 +43,26 @@
 	head := e.Board.Config.Load()
 	for _, domain := range slices.Sorted(maps.Keys(domains(head.Declaration))) {
 		if domain != e.Self.Domain && !heard[domain] {
+			s.total++ // it has one instance at least
 			s.notes = append(s.notes, domain+" not heard yet")
 		}
 	}
 	return s
 }
 
+// maxNotes bounds the notes that an answer shows.
+const maxNotes = 6
+
+// lines is the answer: the count, and what is missing.
+func (s *spread) lines() []string {
+	lines := append([]string{s.line()}, s.notes...)
+	if len(s.notes) <= maxNotes {
+		return lines
+	}
+	over := len(s.notes) - maxNotes + 1
+	return append(lines[:maxNotes], fmt.Sprintf("and %d more", over))
+}
+
 func (s *spread) countOwn(members *board.Members, now time.Time) {
 	if members == nil {
 		return
--- a/pkg/command/status.go
+++ b/pkg/command/status.go
@@ -22,8 +22,7 @@
 		return e.domainStatus(domain)
 	}
 	s := e.spread(e.Board.Config.Load().Revision)
-	lines := append([]string{s.line()}, s.notes...)
-	lines = append(lines, e.platformNotes()...)
+	lines := append(s.lines(), e.platformNotes()...)
 	totals := e.totals()
 	for _, pool := range slices.Sorted(maps.Keys(totals)) {
 		lines = append(lines, totals[pool].line(pool))
--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -21,10 +21,11 @@
 // too large for the platform's service, *EncodingError.
 func EncodeHead(head *Head) ([]byte, error) { return encode(head) }
 
-// DecodeHead reads what EncodeHead wrote. The error is an *EncodingError.
+// DecodeHead reads what EncodeHead wrote, and passes over fields that a newer
+// version added. The error is an *EncodingError.
 func DecodeHead(data []byte) (*Head, error) {
 	head := new(Head)
-	if err := decode(data, head); err != nil {
+	if err := decode(data, head, lenient); err != nil {
 		return nil, err
 	}
 	if head.Declaration == nil {
@@ -33,6 +34,18 @@
 	return head, nil
 }
 
+// newerFields returns an *EncodingError when the value has fields that this
+// version does not know, and would drop by writing it back.
+func newerFields(data []byte) error { return decode(data, new(Head), strict) }
+
+// strictness says what decode does with fields that it does not know.
+type strictness bool
+
+const (
+	lenient strictness = false
+	strict  strictness = true
+)
+
 // writers holds compressors for reuse, since each takes most of a megabyte.
 var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
 
@@ -53,13 +66,17 @@
 	return buffer.Bytes(), nil
 }
 
-func decode(data []byte, into any) error {
+func decode(data []byte, into any, unknown strictness) error {
 	reader, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return &EncodingError{Err: err}
 	}
 	bounded := &io.LimitedReader{R: reader, N: maxDecoded}
-	if err := json.NewDecoder(bounded).Decode(into); err != nil {
+	decoder := json.NewDecoder(bounded)
+	if unknown == strict {
+		decoder.DisallowUnknownFields()
+	}
+	if err := decoder.Decode(into); err != nil {
 		return &EncodingError{Err: err}
 	}
 	return nil
--- a/pkg/config/prepare.go
+++ b/pkg/config/prepare.go
@@ -18,6 +18,9 @@
 // prepare decides whether the proposal can be accepted on the head as it stands
 // and builds the write. The error is why it is refused.
 func (s *Store) prepare(stored Stored, proposal *Proposal) (*prepared, error) {
+	if stored.newer != nil {
+		return nil, stored.newer
+	}
 	change, after, err := evaluate(stored.Head, proposal)
 	if err != nil {
 		return nil, err
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -56,6 +56,8 @@
 	Head *Head
 	// ModRevision is the service's revision of the head key; 0 when it is absent.
 	ModRevision int64
+	// newer says why this version must not write the head back; nil when it may.
+	newer error
 }
 
 // Read returns the head; one of revision 0 when there is none yet. Errors: the
@@ -74,7 +76,7 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	return Stored{Head: head, ModRevision: entry.ModRevision}, nil
+	return Stored{Head: head, ModRevision: entry.ModRevision, newer: newerFields(entry.Value)}, nil
 }
 
 // Change proposes a change and returns what became of it, within ChangeBound.
@@ -112,6 +114,10 @@
 			return unreachable(a.proposal, a.pending, errors.Join(a.last, err))
 		}
 		stored, err := a.store.Read(ctx)
+		var unreadable *EncodingError
+		if errors.As(err, &unreadable) && !a.pending {
+			return Verdict{State: Refused, ID: a.proposal.ID, Reason: err}
+		}
 		if err != nil {
 			a.last = err
 			continue
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -1,12 +1,17 @@
 package config_test
 
 import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
 func TestRaces(t *testing.T) {
@@ -179,6 +184,36 @@
 	is.True(errors.As(verdict.Reason, &stale))
 }
 
+// An instance of an older version must not drop what a newer one has stored: it
+// follows the configuration, but changes nothing.
+func TestNewerFieldsAreNotDropped(t *testing.T) {
+	is := is.New(t)
+	kv := newFakeKV()
+	store := newStore(kv)
+	bootstrap(t, store)
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	declaration, err := json.Marshal(sample())
+	is.NoErr(err)
+	_, err = fmt.Fprintf(writer, `{"revision":5,"declaration":%s,"quota":{"residents-app":7}}`, declaration)
+	is.NoErr(err)
+	is.NoErr(writer.Close())
+	_, err = kv.Swap(t.Context(), nil, []platform.Put{{Key: config.HeadKey, Value: packed.Bytes()}})
+	is.NoErr(err)
+
+	stored, err := store.Read(t.Context())
+	is.NoErr(err)
+	is.Equal(stored.Head.Revision, config.Revision(5))
+	writes := kv.writes
+	verdict := store.Change(t.Context(), propose(testID(5, 1), "eleni", 5, drainOp("nurse-1", true)))
+	is.Equal(verdict.State, config.Refused)
+	var encoding *config.EncodingError
+	is.True(errors.As(verdict.Reason, &encoding))
+	_, err = store.Lookup(t.Context(), testID(5, 1))
+	is.True(errors.As(err, &encoding)) // to void it would drop the field as well
+	is.Equal(kv.writes, writes)
+}
+
 // A file that is applied to a deployment without configuration proves its
 // operator by itself, so it must not reach one that has a configuration.
 func TestFirstApplyOnlyOnEmptyStore(t *testing.T) {
--- a/pkg/yamlfile/validate.go
+++ b/pkg/yamlfile/validate.go
@@ -102,6 +102,8 @@
 	switch {
 	case field.Tag() == "required":
 		return "missing"
+	case field.Tag() == "keyhash":
+		return "not a hash" // what stands there may be the key itself
 	case value.Kind() == reflect.String:
 		return "got " + quote(value.String())
 	case value.Kind() == reflect.Slice:
