Notice a silent link between gateways within four seconds

Cause: a cut that holds packets back gives no sign; a forwarded request hung for the sixty seconds that an upstream is allowed. The receiver of a forwarded request now gives a sign each second (interim responses before the answer, comments inside a stream), so the sender can tell a cut link from a long run. Weighed: a shorter bound for all answers (cuts long runs), TCP keep-alive (a relay or a proxy answers it). A repeatable request whose only target broke off may go back to it, within the retry budget. go test -race -count=5 ./pkg/relay ./pkg/api ./pkg/gateway: ok, in virtual time: silent peer given up at 4 s, a run of a minute waited for.

--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -173,7 +173,11 @@
 		if refusal := describe(c, index, request); refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
-		s.dispatcher.Serve(c.Request().Context(), request, relay.NewSink(c.Response(), s.now))
+		sink := relay.NewSink(c.Response().Writer, s.now) // echo takes an interim response for the final one
+		if request.Origin != "" {
+			defer sink.KeepAlive()()
+		}
+		s.dispatcher.Serve(c.Request().Context(), request, sink)
 		return nil
 	}
 }
--- a/pkg/dispatch/claim.go
+++ b/pkg/dispatch/claim.go
@@ -88,12 +88,13 @@
 			Detail:  "the request ran and was answered completely; its answer was too long to keep",
 		})
 	}
-	fields := r.sink.Header()
-	for name, value := range recorded.Header {
-		fields.Set(name, value)
-	}
-	fields.Set(header.Replayed, header.True)
-	fields.Set(header.Outcome, string(outcome.Complete))
+	r.sink.Head(func(fields http.Header) {
+		for name, value := range recorded.Header {
+			fields.Set(name, value)
+		}
+		fields.Set(header.Replayed, header.True)
+		fields.Set(header.Outcome, string(outcome.Complete))
+	})
 	// A caller that has gone can ask again.
 	_ = r.sink.Answer(recorded.Status, recorded.Body)
 	return nil
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -122,11 +122,12 @@
 	}
 }
 
-// next chooses a target. A stream that has begun goes back to a target that broke
-// off before when there is no other: its chunks are worth more than a fresh start.
+// next chooses a target. A repeatable request goes back to a target that broke off
+// before when there is no other: a stream's chunks are worth more than a fresh
+// start, and other requests have paid for their retry from the budget.
 func (r *run) next(ctx context.Context, route Route) (Choice, func(relay.Report), *outcome.Refusal) {
 	choice, done, refusal := route.Next(ctx, r.tried)
-	if refusal == nil || !r.sink.Begun || len(r.tried) == 0 {
+	if refusal == nil || !r.ran || len(r.tried) == 0 {
 		return choice, done, refusal
 	}
 	r.tried = nil
@@ -178,9 +179,10 @@
 	if r.sink.Begun {
 		return
 	}
-	fields := r.sink.Header()
-	fields.Set(header.Domain, choice.Domain)
-	fields.Set(header.Upstream, choice.Target.Name)
+	r.sink.Head(func(fields http.Header) {
+		fields.Set(header.Domain, choice.Domain)
+		fields.Set(header.Upstream, choice.Target.Name)
+	})
 }
 
 // call is what is sent to the choice.
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -29,6 +29,7 @@
 	buffer := buffers.Get().(*[bufferSize]byte)
 	defer buffers.Put(buffer)
 	if a.checked(response) && isStream(response) {
+		a.heard(a.patience)
 		return a.stream(response, buffer[:])
 	}
 	return a.whole(response, buffer[:])
@@ -41,7 +42,7 @@
 	begun := false
 	for {
 		n, err := response.Body.Read(buffer[fill:])
-		a.timer.Reset(a.client.idle)
+		a.heard(a.patience)
 		if n > 0 && !begun {
 			begun = true
 			a.begun()
@@ -70,7 +71,7 @@
 		return nil
 	}
 	if !a.sink.Begun {
-		a.head(response)
+		a.sink.Head(func(fields http.Header) { a.head(fields, response) })
 		a.sink.Stream = true
 		a.sink.begin(response.StatusCode)
 	}
@@ -132,7 +133,7 @@
 		var n int
 		n, err = body.Read(buffer[fill:])
 		fill += n
-		a.timer.Reset(a.client.idle)
+		a.heard(a.client.idle)
 	}
 	return fill, err
 }
@@ -144,15 +145,15 @@
 
 // short passes on an answer that was held until it was whole.
 func (a *attempt) short(response *http.Response, data []byte) *Failure {
-	a.head(response)
-	fields := a.sink.Header()
-	fields.Set(header.Outcome, string(outcome.Complete))
-	switch {
-	case response.Request.Method != http.MethodHead:
-		fields.Set("Content-Length", strconv.Itoa(len(data)))
-	case response.ContentLength > 0:
-		fields.Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
+	length := int64(len(data))
+	if response.Request.Method == http.MethodHead {
+		length = response.ContentLength
+	}
+	a.sink.Head(func(fields http.Header) {
+		a.head(fields, response)
+		fields.Set(header.Outcome, string(outcome.Complete))
+		setLength(fields, length)
+	})
 	a.sink.begin(response.StatusCode)
 	a.sink.Whole = true
 	if len(data) == 0 {
@@ -167,10 +168,10 @@
 // long passes on an answer that is longer than the buffer. Its first bytes are
 // in the buffer.
 func (a *attempt) long(response *http.Response, buffer []byte) *Failure {
-	a.head(response)
-	if response.ContentLength >= 0 {
-		a.sink.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
+	a.sink.Head(func(fields http.Header) {
+		a.head(fields, response)
+		setLength(fields, response.ContentLength)
+	})
 	a.sink.begin(response.StatusCode)
 	n, err := len(buffer), error(nil)
 	for {
@@ -184,7 +185,7 @@
 			return a.broken(err)
 		}
 		n, err = response.Body.Read(buffer)
-		a.timer.Reset(a.client.idle)
+		a.heard(a.client.idle)
 	}
 }
 
@@ -199,8 +200,7 @@
 }
 
 // head copies the answer's end-to-end headers.
-func (a *attempt) head(response *http.Response) {
-	fields := a.sink.Header()
+func (a *attempt) head(fields http.Header, response *http.Response) {
 	header.PassOn(fields, response.Header)
 	if a.target.Peer {
 		copyField(fields, response.Header, header.Domain)
@@ -208,6 +208,13 @@
 	}
 }
 
+// setLength states the body's length where it is known.
+func setLength(fields http.Header, length int64) {
+	if length >= 0 {
+		fields.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+}
+
 func copyField(to, from http.Header, name string) {
 	if values, ok := from[name]; ok {
 		to[name] = values
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"time"
 
@@ -28,7 +29,10 @@
 	ctx    context.Context
 	flight flight
 	timer  *time.Timer
-	report Report
+	// patience is how long the target may be silent when it would give signs of
+	// life: until the head of its answer, and inside a stream.
+	patience time.Duration
+	report   Report
 }
 
 // begun tells that the answer's first part has come.
@@ -50,7 +54,10 @@
 func (c *Client) Do(ctx context.Context, target Target, call *Call, sink *Sink) Report {
 	work, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{client: c, target: target, call: call, sink: sink, ctx: ctx}
+	a := &attempt{client: c, target: target, call: call, sink: sink, ctx: ctx, patience: c.idle}
+	if target.Peer {
+		a.patience = c.silence
+	}
 	a.timer = time.AfterFunc(c.idle, func() { cancel(errIdle{}) })
 	defer a.timer.Stop()
 	a.report.Failure = a.run(work)
@@ -69,7 +76,11 @@
 }
 
 func (a *attempt) run(ctx context.Context) *Failure {
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.flight.gotConn})
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        a.flight.gotConn,
+		WroteRequest:   func(httptrace.WroteRequestInfo) { a.heard(a.patience) },
+		Got1xxResponse: a.gotInterim,
+	})
 	request := a.client.request(traced, a.target, a.call, a.call.Offset+a.sink.Chunks)
 	if request == nil {
 		return a.fail(outcome.NotRun, outcome.ReasonBadRequest, "the request cannot be sent on", nil)
@@ -83,13 +94,21 @@
 	a.report.Status = response.StatusCode
 	a.report.FirstByte = a.sink.now().Sub(started)
 	a.report.Leaving = response.Header.Get(header.Leaving) == header.True
-	a.timer.Reset(a.client.idle)
+	a.heard(a.client.idle)
 	if failure := a.judge(response); failure != nil {
 		return failure
 	}
 	return a.answer(response)
 }
 
+// heard puts off the end of the attempt.
+func (a *attempt) heard(patience time.Duration) { a.timer.Reset(patience) }
+
+func (a *attempt) gotInterim(int, textproto.MIMEHeader) error {
+	a.heard(a.patience)
+	return nil
+}
+
 // noAnswer classifies an attempt that got no head of an answer.
 func (a *attempt) noAnswer(err error) *Failure {
 	if a.flight.settle() {
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -21,8 +21,10 @@
 // can put its outcome in doubt.
 type Client struct {
 	upstreams, peers transports
-	idle             time.Duration
-	cancels          chan struct{}
+	// idle and silence end an attempt whose target says nothing: an upstream's,
+	// and a peer's that would give signs of life.
+	idle, silence time.Duration
+	cancels       chan struct{}
 }
 
 // transports are the two ways to reach one kind of target.
@@ -35,6 +37,7 @@
 		upstreams: newTransports(upstreams),
 		peers:     newTransports(peers),
 		idle:      idleTimeout,
+		silence:   peerSilence,
 		cancels:   make(chan struct{}, maxCancels),
 	}
 }
--- /dev/null
+++ b/pkg/relay/keepalive_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// pipes is a listener whose connections are made in memory, in the test's time.
+type pipes struct {
+	conns chan net.Conn
+	done  chan struct{}
+}
+
+func newPipes() *pipes { return &pipes{conns: make(chan net.Conn), done: make(chan struct{})} }
+
+func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	p.conns <- far
+	return near, nil
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.done); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// askPeer forwards one request to a gateway that serves it so, in virtual time.
+func askPeer(kind config.UpstreamKind, serve func(ctx context.Context, sink *Sink)) (Report, *httptest.ResponseRecorder, time.Duration) {
+	listener := newPipes()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
+		serve(r.Context(), NewSink(w, time.Now))
+	})}
+	go func() { _ = server.Serve(listener) }()
+	client := NewClient(listener.dial, listener.dial)
+	recorder := httptest.NewRecorder()
+	start := time.Now()
+	report := client.Do(context.Background(), Target{Name: "peer", Address: "peer:1", Kind: kind, Peer: true}, testCall(false), NewSink(recorder, time.Now))
+	took := time.Since(start)
+	client.Close()
+	_ = server.Close()
+	return report, recorder, took
+}
+
+func TestSilentGatewayIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report, _, took := askPeer(config.KindService, func(ctx context.Context, _ *Sink) { <-ctx.Done() })
+		is.Equal(report.Failure.Refusal.Outcome, outcome.Unknown)
+		is.Equal(took, peerSilence)
+	})
+}
+
+func TestWorkingGatewayIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report, recorder, took := askPeer(config.KindService, func(_ context.Context, sink *Sink) {
+			defer sink.KeepAlive()()
+			time.Sleep(time.Minute)
+			_ = sink.Answer(http.StatusOK, []byte("late but whole"))
+		})
+		is.True(report.Failure == nil)
+		is.Equal(recorder.Body.String(), "late but whole")
+		is.Equal(took, time.Minute)
+	})
+}
+
+func TestSlowStreamOfAGatewayIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report, recorder, _ := askPeer(config.KindEngine, func(_ context.Context, sink *Sink) {
+			defer sink.KeepAlive()()
+			sink.Head(func(fields http.Header) { fields.Set(header.ContentType, streamType) })
+			sink.Stream = true
+			sink.begin(http.StatusOK)
+			for i := range 3 {
+				_ = sink.write([]byte(chunkOf(testID, i)))
+				time.Sleep(20 * time.Second)
+			}
+			_ = sink.write([]byte(doneEvent))
+		})
+		is.True(report.Failure == nil)
+		is.Equal(len(recorder.Body.String()) > len(wholeStream(testID, 0, 3)), true)
+	})
+}
--- a/pkg/relay/sink.go
+++ b/pkg/relay/sink.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/header"
@@ -24,12 +25,16 @@
 func (e *CallerError) Unwrap() error { return e.Err }
 
 // Sink is the caller's side of a request: it takes the answer, across attempts.
-// It is used by one goroutine at a time.
+// It is used by one goroutine at a time, beside its own keep-alive.
 type Sink struct {
+	// mu guards the writer and its header against the keep-alive.
+	mu         sync.Mutex
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	now        func() time.Time
 	renewAt    time.Time
+	// quiet is true when nothing was written since the last keep-alive.
+	quiet bool
 	// Begun is true once the head of the answer was written.
 	Begun bool
 	// Stream is true when the answer is a stream of events.
@@ -48,12 +53,16 @@
 	return &Sink{writer: w, controller: http.NewResponseController(w), now: now}
 }
 
-// Header returns the header of the answer, for use before it begins.
-func (s *Sink) Header() http.Header { return s.writer.Header() }
+// Head changes the header of the answer, before it begins.
+func (s *Sink) Head(change func(fields http.Header)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.writer.Header())
+}
 
 // Answer gives a whole answer that was kept from an earlier run.
 func (s *Sink) Answer(status int, body []byte) error {
-	s.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.Head(func(fields http.Header) { fields.Set("Content-Length", strconv.Itoa(len(body))) })
 	s.begin(status)
 	if len(body) == 0 {
 		return nil
@@ -63,17 +72,21 @@
 
 // begin writes the head of the answer.
 func (s *Sink) begin(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.extend()
 	s.Begun = true
 	s.writer.WriteHeader(status)
 	if s.Copy != nil {
-		s.Copy.begin(status, s.Header().Get(header.ContentType))
+		s.Copy.begin(status, s.writer.Header().Get(header.ContentType))
 	}
 }
 
 // write passes bytes on and flushes them.
 func (s *Sink) write(p []byte) error {
-	if err := s.put(p); err != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.putLocked(p); err != nil {
 		return err
 	}
 	if err := s.controller.Flush(); err != nil {
@@ -84,7 +97,14 @@
 
 // put passes bytes on without flushing them.
 func (s *Sink) put(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putLocked(p)
+}
+
+func (s *Sink) putLocked(p []byte) error {
 	s.extend()
+	s.quiet = false
 	if s.Copy != nil {
 		s.Copy.add(p)
 	}
@@ -123,14 +143,15 @@
 }
 
 func (s *Sink) refuseWhole(refusal *outcome.Refusal, message []byte) {
-	fields := s.Header()
-	fields.Set(header.ContentType, "application/json")
-	fields.Set(header.RequestID, refusal.RequestID)
-	fields.Set(header.Outcome, string(refusal.Outcome))
-	if refusal.RetryAfter > 0 {
-		seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
-		fields.Set(header.RetryAfter, strconv.FormatInt(int64(seconds), 10))
-	}
+	s.Head(func(fields http.Header) {
+		fields.Set(header.ContentType, "application/json")
+		fields.Set(header.RequestID, refusal.RequestID)
+		fields.Set(header.Outcome, string(refusal.Outcome))
+		if refusal.RetryAfter > 0 {
+			seconds := (refusal.RetryAfter + time.Second - 1) / time.Second
+			fields.Set(header.RetryAfter, strconv.FormatInt(int64(seconds), 10))
+		}
+	})
 	s.begin(refusal.Status)
 	_ = s.put(message)
 }
