Test claims under crashes, freezes, handovers, lost and delayed calls, outages

Calls are lost before or after they took effect, or come late; views are stale; a handover is interrupted between its tries. Directed tests cover what chance reaches seldom.

Two deciders in a broken build copied an end to each other without end: only the first Finish is copied now.

--- a/pkg/claim/coordinator.go
+++ b/pkg/claim/coordinator.go
@@ -50,6 +50,8 @@
 	Limits Limits
 	// Background runs work that no caller waits for; nil means a goroutine.
 	Background func(func())
+	// Sleep waits between tries until ctx ends; nil means the machine's timer.
+	Sleep func(ctx context.Context, pause time.Duration) error
 }
 
 // Coordinator is what the gateway asks: it finds the decider of a key, here or
@@ -66,6 +68,9 @@
 	if options.Background == nil {
 		options.Background = func(work func()) { go work() }
 	}
+	if options.Sleep == nil {
+		options.Sleep = sleep
+	}
 	return &Coordinator{
 		options: options,
 		owner:   NewOwner(options.Self, options.Clock, options.TTL, options.Limits),
@@ -145,3 +150,14 @@
 
 // errKeyLength refuses keys before any work is done on them.
 var errKeyLength = &KeyError{Field: FieldWhole, Offset: MaxKeyLength, Expected: "at most 255 bytes"}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/pkg/claim/coordinator_test.go
@@ -0,0 +1,223 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// issued returns a fresh key of an instance.
+func (w *world) issued(instance string) string {
+	prefix, _ := w.processes[instance].coordinator.Prefix()
+	return prefix + "." + randomPart
+}
+
+func (w *world) begin(instance, key string) (*Grant, string) {
+	claim := Claim{Key: key, Caller: propertyCaller}
+	grant, recorded, refusal := w.processes[instance].coordinator.Begin(context.Background(), claim)
+	switch {
+	case grant != nil:
+		return grant, "granted"
+	case recorded != nil:
+		return nil, "recorded " + string(recorded.Body)
+	default:
+		return nil, string(refusal.Outcome) + " " + string(refusal.Reason)
+	}
+}
+
+func (w *world) crash(instance string) {
+	w.processes[instance].dead = true
+	w.start(instance)
+	w.refreshAll()
+}
+
+// TestRepeatThroughOthers: a key of a1 is used first through one instance, then
+// something happens, then it is repeated through another.
+func TestRepeatThroughOthers(t *testing.T) {
+	finish := func(g *Grant) { g.Finish(context.Background(), answered) }
+	cases := []struct {
+		name, first, second string
+		between             func(w *world, grant *Grant)
+		want                string
+	}{
+		{"running, same domain", "a2", "a3", func(*world, *Grant) {}, "unknown idempotency-key-in-progress"},
+		{"running, other domain", "a2", "b1", func(*world, *Grant) {}, "unknown idempotency-key-in-progress"},
+		{"complete, same domain", "a2", "a3", func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"complete, other domain", "b2", "b1", func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"abandoned", "b2", "a3", func(_ *world, g *Grant) { g.Abandon(context.Background()) }, "granted"},
+		{"owner crashed while running", "a2", "a3", func(w *world, _ *Grant) { w.crash("a1") }, "unknown idempotency-key-owner-lost"},
+		{"owner crashed after the end", "a2", "b1", func(w *world, g *Grant) { finish(g); w.crash("a1") }, "recorded stored"},
+		{"owner crashed before the end", "a2", "b1", func(w *world, g *Grant) { w.crash("a1"); finish(g) }, "recorded stored"},
+		{"owner crashed before the end, run elsewhere", "b1", "a3", func(w *world, g *Grant) { w.crash("a1"); finish(g) }, "recorded stored"},
+		{"owner left while running", "a2", "a3", func(w *world, _ *Grant) { w.leave("a1") }, "unknown idempotency-key-in-progress"},
+		{"owner left before the end", "b2", "b1", func(w *world, g *Grant) { w.leave("a1"); finish(g) }, "recorded stored"},
+		{"owner frozen before the end", "a2", "a3", func(w *world, g *Grant) {
+			w.processes["a1"].frozen = true
+			finish(g)
+		}, "recorded stored"},
+		{"owner frozen before the end and thawed", "a2", "a1", func(w *world, g *Grant) {
+			w.processes["a1"].frozen = true
+			finish(g)
+			w.processes["a1"].thaw()
+		}, "recorded stored"},
+		{"holder crashed", "a2", "a3", func(w *world, _ *Grant) { w.crash("a2") }, "unknown idempotency-key-in-progress"},
+		{"left twice", "a2", "a3", func(w *world, g *Grant) {
+			finish(g)
+			w.leave("a1")
+			successor := w.processes["a1"].coordinator.Successor()
+			w.leave(successor)
+		}, "recorded stored"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			key := w.issued("a1")
+			grant, got := w.begin(c.first, key)
+			is.Equal(got, "granted")
+			c.between(w, grant)
+			_, got = w.begin(c.second, key)
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// leave hands over an instance's keys, and shows it to all.
+func (w *world) leave(instance string) {
+	p := w.processes[instance]
+	p.leaving = true
+	_, _ = p.coordinator.Handover(context.Background())
+	w.refreshAll()
+}
+
+// A grant whose answer was lost is withdrawn, so that the next attempt may run.
+func TestLostGrantIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	key := w.issued("a1")
+	w.fates["a2>a1"] = []fault{faultReplyLost}
+	_, got := w.begin("a2", key)
+	is.Equal(got, "unknown idempotency-key-owner-lost")
+	_, got = w.begin("a3", key)
+	is.Equal(got, "granted")
+}
+
+// A gateway that asks for one of another domain must not withdraw the attempt:
+// its holder may get the grant by another way, and run.
+func TestRelayDoesNotWithdraw(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	key := w.issued("a1")
+	holder := w.processes["b1"]
+	entries := holder.domains.Remote[0].Entries
+	holder.domains.Remote[0].Entries = entries[1:] // has not heard of a1
+	w.fates["a2>a1"] = []fault{faultRequestLost, faultDelayed}
+	_, got := w.begin("b1", key) // a2 does not reach a1, but a3 does
+	is.Equal(got, "granted")
+	for _, deliver := range w.delayed {
+		deliver()
+	}
+	_, got = w.begin("b2", key)
+	is.Equal(got, "unknown idempotency-key-in-progress")
+}
+
+func TestOpaqueKey(t *testing.T) {
+	finish := func(g *Grant) { g.Finish(context.Background(), answered) }
+	cases := []struct {
+		name    string
+		before  func(kv *fakeKeyValue)
+		first   string
+		between func(w *world, grant *Grant)
+		want    string
+	}{
+		{"running", func(*fakeKeyValue) {}, "granted", func(*world, *Grant) {}, "unknown idempotency-key-in-progress"},
+		{"complete", func(*fakeKeyValue) {}, "granted", func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"abandoned", func(*fakeKeyValue) {}, "granted", func(_ *world, g *Grant) { g.Abandon(context.Background()) }, "granted"},
+		{"claim's answer lost", func(kv *fakeKeyValue) { kv.loseAnswers = 1 }, "granted",
+			func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"claim's write lost", func(kv *fakeKeyValue) { kv.loseWrites = 1 }, "granted",
+			func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"end's answer lost", func(*fakeKeyValue) {}, "granted",
+			func(w *world, g *Grant) { w.keyValue.loseAnswers = 1; finish(g) }, "recorded stored"},
+		{"end's write lost", func(*fakeKeyValue) {}, "granted",
+			func(w *world, g *Grant) { w.keyValue.loseWrites = 1; finish(g) }, "unknown idempotency-key-in-progress"},
+		{"holder crashed", func(*fakeKeyValue) {}, "granted", func(w *world, _ *Grant) { w.crash("a1") },
+			"unknown idempotency-key-in-progress"},
+		{"service down at the repeat", func(*fakeKeyValue) {}, "granted", func(w *world, g *Grant) {
+			finish(g)
+			w.keyValue.down = true
+		}, "unknown idempotency-key-store-unavailable"},
+		{"service down at first", func(kv *fakeKeyValue) { kv.down = true }, "unknown idempotency-key-store-unavailable",
+			func(w *world, _ *Grant) { w.keyValue.down = false }, "granted"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1)
+			c.before(w.keyValue)
+			grant, got := w.begin("a1", "order-77")
+			is.Equal(got, c.first)
+			c.between(w, grant)
+			_, got = w.begin("b1", "order-77")
+			is.Equal(got, c.want)
+		})
+	}
+}
+
+// A claim that took so long to write that the service forgets it too early is
+// given back.
+func TestSlowOpaqueClaimIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{}
+	keyValue := &slowKeyValue{fakeKeyValue: newFakeKeyValue(), clock: clock}
+	store := NewStore(keyValue, clock, DefaultRetention)
+	ticket, _, refusal := store.Begin(context.Background(), Claim{Key: "k", Caller: "desk", Attempt: "a"})
+	is.Equal(ticket, nil)
+	is.Equal(refusal.Outcome, outcome.Unknown)
+	is.Equal(len(keyValue.entries), 0)
+}
+
+// slowKeyValue takes ten minutes to write.
+type slowKeyValue struct {
+	*fakeKeyValue
+	clock *fakeClock
+}
+
+func (s *slowKeyValue) Swap(ctx context.Context, expect map[string]int64, puts []platform.Put) (int64, error) {
+	s.clock.advance(10 * time.Minute)
+	return s.fakeKeyValue.Swap(ctx, expect, puts)
+}
+
+func TestCopiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := &fakeClock{}
+	copies := NewCopies(clock, fixedTTL, 2)
+	claims := []Claim{{Key: "1"}, {Key: "2"}, {Key: "3"}}
+	for _, claim := range claims {
+		copies.Put(claim, answered)
+	}
+	is.True(copies.Get(claims[0]) == nil) // the oldest made room
+	copies.Put(claims[2], Result{Outcome: outcome.Unknown})
+	is.Equal(copies.Get(claims[2]).State, StateComplete) // a complete copy stays
+	clock.advance(copyLifetimes * testTTL)
+	is.True(copies.Get(claims[2]) == nil)
+}
+
+// Without a view of the membership nothing is granted for keys of others.
+func TestNoMembershipNoGrant(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	key := w.issued("a1")
+	w.processes["a2"].members = nil
+	w.processes["b1"].domains = &board.Domains{}
+	for _, instance := range []string{"a2", "b1"} {
+		_, got := w.begin(instance, key)
+		is.Equal(got, "unknown idempotency-key-owner-lost")
+	}
+}
--- a/pkg/claim/finish.go
+++ b/pkg/claim/finish.go
@@ -42,12 +42,12 @@
 // peer, or as a copy.
 func (c *Coordinator) record(key Key, claim Claim, result Result) (decided bool, successor *Decider) {
 	result = cut(result)
-	decision := c.owner.Finish(key, claim, result)
-	if decision.Verdict == VerdictNotMine {
+	ended := c.owner.Finish(key, claim, result)
+	if !ended.Decided {
 		c.keepCopy(claim, result)
-		return false, decision.Successor
+		return false, ended.Successor
 	}
-	if result.Outcome != outcome.NotRun {
+	if ended.Changed && result.Outcome != outcome.NotRun {
 		c.options.Background(func() { c.replicate(key, claim, result) })
 	}
 	return true, nil
--- /dev/null
+++ b/pkg/claim/handover_test.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func ownerAt(clock *fakeClock, instance string, incarnation uint64) *Owner {
+	return NewOwner(Origin{Domain: "hn-a", Instance: instance, Incarnation: incarnation}, clock, fixedTTL, Limits{})
+}
+
+func asDecider(o *Owner) Decider { return Decider{Origin: o.self, Control: o.self.Instance} }
+
+// handoverPair is a leaving owner with a running and a complete key, and a peer.
+type handoverPair struct {
+	clock              *fakeClock
+	old, next          *Owner
+	running, complete  Key
+	runningAs, finalAs Claim
+}
+
+func newHandoverPair() *handoverPair {
+	p := &handoverPair{clock: &fakeClock{}}
+	p.old, p.next = ownerAt(p.clock, "hn-1", 7), ownerAt(p.clock, "hn-2", 3)
+	p.running, p.complete = keyAt(p.old.self, epoch, randomPart), keyAt(p.old.self, epoch, randomPart+"1")
+	p.runningAs, p.finalAs = claimOf(p.running, "desk", "a"), claimOf(p.complete, "desk", "b")
+	p.old.Begin(p.running, p.runningAs)
+	p.old.Begin(p.complete, p.finalAs)
+	p.old.Finish(p.complete, p.finalAs, answered)
+	return p
+}
+
+func TestHandoverMovesRecordsAndAuthority(t *testing.T) {
+	is := is.New(t)
+	p := newHandoverPair()
+	transfer, err := p.old.Export("t", asDecider(p.next))
+	is.NoErr(err)
+	moved := p.old.Begin(p.complete, claimOf(p.complete, "desk", "c"))
+	is.Equal(moved.Verdict, VerdictNotMine)
+	is.Equal(moved.Successor.Origin, p.next.self)
+	_, issuing := p.old.Prefix()
+	is.True(!issuing) // no new keys for an origin that decides no more
+	is.Equal(p.next.Begin(p.complete, claimOf(p.complete, "desk", "c")).Verdict, VerdictNotMine)
+	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
+	is.Equal(verdictOf(p.next.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
+	is.Equal(verdictOf(p.next.Begin(p.running, claimOf(p.running, "desk", "c"))), "unknown idempotency-key-in-progress")
+	is.True(p.next.Finish(p.running, p.runningAs, answered).Changed)
+	is.Equal(verdictOf(p.next.Begin(p.running, claimOf(p.running, "desk", "d"))), "recorded")
+	unused := keyAt(p.old.self, epoch, randomPart+"2")
+	is.Equal(verdictOf(p.next.Begin(unused, claimOf(unused, "desk", "e"))), "granted")
+	p.clock.advance(testTTL)
+	is.Equal(verdictOf(p.next.Begin(p.complete, claimOf(p.complete, "desk", "f"))), "unknown idempotency-key-expired")
+}
+
+// A successor that adopted, ran keys and was restarted at the same address must
+// not be taken for one that never adopted.
+func TestRestartedSuccessorProvesNothing(t *testing.T) {
+	is := is.New(t)
+	p := newHandoverPair()
+	transfer, err := p.old.Export("t", asDecider(p.next))
+	is.NoErr(err)
+	p.next.Adopt(transfer) // the answer is lost
+	restarted, third := ownerAt(p.clock, "hn-2", 4), ownerAt(p.clock, "hn-3", 1)
+	reply := restarted.Adopt(transfer)
+	is.Equal(reply.Fault, FaultAddressee)
+	is.True(!p.old.Refused(transfer, reply))
+	_, err = p.old.Export("u", asDecider(third))
+	is.True(errors.Is(err, ErrHandedOver))
+}
+
+// A successor that adopted and left in its turn answers a repeated transfer as
+// it did the first time.
+func TestRepeatedTransferIsAnsweredAlike(t *testing.T) {
+	is := is.New(t)
+	p := newHandoverPair()
+	transfer, err := p.old.Export("t", asDecider(p.next))
+	is.NoErr(err)
+	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
+	third := ownerAt(p.clock, "hn-3", 1)
+	onward, err := p.next.Export("u", asDecider(third))
+	is.NoErr(err)
+	is.Equal(third.Adopt(onward).Fault, FaultNone)
+	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
+	is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
+	is.Equal(verdictOf(third.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
+}
+
+func TestTransferRefused(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(p *handoverPair, transfer *Transfer)
+		want  TransferFault
+	}{
+		{"record missing", func(_ *handoverPair, t *Transfer) { t.Tables[0].Records = t.Tables[0].Records[1:] }, FaultIncomplete},
+		{"table missing", func(_ *handoverPair, t *Transfer) { t.Tables = nil }, FaultIncomplete},
+		{"record altered", func(_ *handoverPair, t *Transfer) { t.Tables[0].Records[0].State = StateFree }, FaultIncomplete},
+		{"floor altered", func(_ *handoverPair, t *Transfer) { t.Tables[0].Floor++ }, FaultIncomplete},
+		{"successor leaving", func(p *handoverPair, _ *Transfer) { _, _ = p.next.Export("x", asDecider(p.old)) }, FaultLeaving},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newHandoverPair()
+			transfer, err := p.old.Export("t", asDecider(p.next))
+			is.NoErr(err)
+			c.spoil(p, transfer)
+			reply := p.next.Adopt(transfer)
+			is.Equal(reply.Fault, c.want)
+			is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
+			is.True(p.old.Refused(transfer, reply)) // the successor itself refused for good
+			is.Equal(p.old.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
+			third := ownerAt(p.clock, "hn-3", 1)
+			again, err := p.old.Export("u", asDecider(third))
+			is.NoErr(err)
+			is.Equal(third.Adopt(again).Fault, FaultNone)
+			is.Equal(p.next.Adopt(transfer).Fault, c.want) // a late duplicate changes nothing
+			is.Equal(verdictOf(third.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
+		})
+	}
+}
+
+func TestNoPeerNoHandover(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	for _, name := range []string{"a2", "a3"} {
+		w.processes[name].dead = true
+	}
+	w.refreshAll()
+	_, err := w.processes["a1"].coordinator.Handover(context.Background())
+	is.True(errors.Is(err, ErrNoSuccessor))
+	_, issuing := w.processes["a1"].coordinator.Prefix()
+	is.True(issuing) // with no one to hand over to it goes on deciding
+}
+
+func TestSuccessorForgetsExpiredOrigin(t *testing.T) {
+	is := is.New(t)
+	p := newHandoverPair()
+	transfer, err := p.old.Export("t", asDecider(p.next))
+	is.NoErr(err)
+	p.next.Adopt(transfer)
+	is.Equal(p.next.Records(), 2)
+	p.clock.advance(testTTL + time.Second)
+	third := ownerAt(p.clock, "hn-3", 1)
+	onward, err := third.Export("u", asDecider(p.next))
+	is.NoErr(err)
+	is.Equal(p.next.Adopt(onward).Fault, FaultNone)
+	is.Equal(p.next.Records(), 0)
+	is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
+}
--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -68,10 +68,8 @@
 		if err == nil {
 			return false, &TransferError{Successor: successor.Origin, Fault: reply.Fault}
 		}
-		select {
-		case <-time.After(retryTransfer):
-		case <-ctx.Done():
-			return false, fmt.Errorf("hand over idempotency keys to %s: %w", successor.Instance, errors.Join(ctx.Err(), err))
+		if stop := c.options.Sleep(ctx, retryTransfer); stop != nil {
+			return false, fmt.Errorf("hand over idempotency keys to %s: %w", successor.Instance, errors.Join(stop, err))
 		}
 	}
 }
--- a/pkg/claim/owner.go
+++ b/pkg/claim/owner.go
@@ -124,17 +124,25 @@
 	return records.begin(key, claim, o.ttl())
 }
 
-// Finish records what became of a granted attempt. Repeating it changes
-// nothing. With VerdictNotMine nothing was recorded.
-func (o *Owner) Finish(key Key, claim Claim, result Result) Decision {
+// Ended says what became of a Finish.
+type Ended struct {
+	// Decided is true when this owner decides the key; otherwise nothing was
+	// recorded, and Successor is as in Decision.
+	Decided   bool
+	Successor *Decider
+	// Changed is true for the first Finish of a granted attempt.
+	Changed bool
+}
+
+// Finish records what became of a granted attempt. Repeating it changes nothing.
+func (o *Owner) Finish(key Key, claim Claim, result Result) Ended {
 	o.gate.RLock()
 	defer o.gate.RUnlock()
 	records, successor := o.decides(key.Origin)
 	if records == nil {
-		return Decision{Verdict: VerdictNotMine, Successor: successor}
+		return Ended{Successor: successor}
 	}
-	records.finish(key, claim, result)
-	return Decision{Verdict: VerdictRecorded}
+	return Ended{Decided: true, Changed: records.finish(key, claim, result)}
 }
 
 // decides returns the records of an origin that this owner decides, else nil
--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -107,20 +107,21 @@
 
 // finish records an attempt's end. For an attempt that was never granted here a
 // free record stays behind, which turns down a delayed Begin of that attempt.
-func (t *table) finish(key Key, claim Claim, result Result) {
+func (t *table) finish(key Key, claim Claim, result Result) (changed bool) {
 	part := t.shard(claim.identity())
 	part.mu.Lock()
 	defer part.mu.Unlock()
 	record := part.records[claim.identity()]
 	if record == nil {
 		t.tombstone(part, key, claim)
-		return
+		return false
 	}
 	if record.Attempt != claim.Attempt || record.State != StateGranted {
-		return
+		return false
 	}
 	record.finish(result)
 	t.account(record)
+	return true
 }
 
 // tombstone keeps a delayed Begin of an ended attempt from being granted.
--- /dev/null
+++ b/pkg/claim/world_test.go
@@ -0,0 +1,243 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// fault is what the network does to a call.
+type fault uint64
+
+const (
+	faultNone fault = iota
+	faultRequestLost
+	faultReplyLost
+	faultDelayed
+	faultKinds
+)
+
+var errNetwork = errors.New("no answer")
+
+// world is a handful of gateways on a network that loses and delays calls.
+type world struct {
+	clock    fakeClock
+	random   *rand.ChaCha8
+	keyValue *fakeKeyValue
+
+	mu        sync.Mutex
+	processes map[string]*process // by instance name, the present incarnation
+	births    uint64
+	// faulty makes calls fail as chosen by seed, the link and a counter.
+	faulty bool
+	// fates are those of the next calls on a link, before chance decides.
+	fates   map[string][]fault
+	seed    uint64
+	counter map[string]uint64
+	delayed []func()
+	// pause is what happens between two tries of a handover.
+	pause func()
+}
+
+// process is one incarnation of a gateway.
+type process struct {
+	world        *world
+	self         Origin
+	coordinator  *Coordinator
+	frozen, dead bool
+	leaving      bool
+	inbox        []func()
+	members      *board.Members
+	domains      *board.Domains
+}
+
+var deployment = map[string]string{"a1": "a", "a2": "a", "a3": "a", "b1": "b", "b2": "b"}
+
+var instanceNames = []string{"a1", "a2", "a3", "b1", "b2"}
+
+func newWorld(seed byte) *world {
+	w := &world{processes: make(map[string]*process), counter: make(map[string]uint64), fates: make(map[string][]fault), pause: func() {}}
+	w.random = rand.NewChaCha8([32]byte{seed})
+	w.keyValue = newFakeKeyValue()
+	for _, name := range instanceNames {
+		w.start(name)
+	}
+	w.refreshAll()
+	return w
+}
+
+func (w *world) start(name string) *process {
+	w.births++
+	p := &process{world: w, self: Origin{Domain: deployment[name], Instance: name, Incarnation: w.births}}
+	p.coordinator = New(Options{
+		Self: p.self, Clock: &w.clock, Random: w.random, Peers: p, KeyValue: w.keyValue, TTL: fixedTTL,
+		Members:    func() *board.Members { return p.members },
+		Domains:    func() *board.Domains { return p.domains },
+		Background: func(work func()) { work() },
+		Sleep:      p.sleepOnce(),
+	})
+	w.processes[name] = p
+	p.refresh()
+	return p
+}
+
+// sleepOnce lets each handover try twice and then give up. What happens during
+// the pause is up to the world.
+func (p *process) sleepOnce() func(context.Context, time.Duration) error {
+	slept := 0
+	return func(context.Context, time.Duration) error {
+		p.world.pause()
+		slept++
+		if slept%2 == 0 || p.dead {
+			return context.DeadlineExceeded
+		}
+		return nil
+	}
+}
+
+func (w *world) refreshAll() {
+	for _, name := range instanceNames {
+		w.processes[name].refresh()
+	}
+}
+
+// refresh shows a process the present membership; until the next it is stale.
+func (p *process) refresh() {
+	members, digest := &board.Members{Self: p.self.Instance}, board.DomainDigest{}
+	for _, name := range instanceNames {
+		other := p.world.processes[name]
+		if other == nil {
+			continue
+		}
+		if deployment[name] == p.self.Domain {
+			members.Instances = append(members.Instances, other.instance())
+			continue
+		}
+		digest.Domain = deployment[name]
+		digest.Entries = append(digest.Entries, other.instance())
+	}
+	p.members, p.domains = members, &board.Domains{Remote: []board.DomainDigest{digest}}
+}
+
+func (p *process) instance() board.Instance {
+	instance := board.Instance{
+		Name: p.self.Instance, Domain: p.self.Domain, Incarnation: p.self.Incarnation,
+		State: board.InstanceLive, Addresses: board.Addresses{Control: p.self.Instance},
+	}
+	instance.Load.Successor = p.coordinator.Successor()
+	switch {
+	case p.leaving:
+		instance.State = board.InstanceLeaving
+	case p.dead || p.frozen:
+		instance.State = board.InstanceSilent
+	}
+	return instance
+}
+
+// Call implements Peers. Arguments and replies pass through gob, as in net/rpc.
+func (p *process) Call(_ context.Context, address, method string, args, reply any) error {
+	w := p.world
+	w.mu.Lock()
+	target := w.processes[address]
+	chosen := w.choose(p.self.Instance + ">" + address)
+	w.mu.Unlock()
+	message := encode(args)
+	deliver := func() []byte { return target.serve(method, message) }
+	switch {
+	case target.dead || chosen == faultRequestLost:
+		return errNetwork
+	case target.frozen:
+		w.mu.Lock()
+		target.inbox = append(target.inbox, func() { deliver() })
+		w.mu.Unlock()
+		return errNetwork
+	case chosen == faultDelayed:
+		w.mu.Lock()
+		w.delayed = append(w.delayed, func() { deliver() })
+		w.mu.Unlock()
+		return errNetwork
+	}
+	answer := deliver()
+	if answer == nil || chosen == faultReplyLost {
+		return errNetwork
+	}
+	decode(answer, reply)
+	return nil
+}
+
+// choose draws the fate of the next call on a link; about half go wrong.
+func (w *world) choose(link string) fault {
+	if fates := w.fates[link]; len(fates) > 0 {
+		w.fates[link] = fates[1:]
+		return fates[0]
+	}
+	if !w.faulty {
+		return faultNone
+	}
+	w.counter[link]++
+	drawn := xxhash.Sum64String(fmt.Sprint(w.seed, link, w.counter[link]))
+	if drawn%2 == 0 {
+		return faultNone
+	}
+	return fault(drawn / 2 % uint64(faultKinds))
+}
+
+func (p *process) serve(method string, message []byte) []byte {
+	if p.dead {
+		return nil
+	}
+	service := p.coordinator.Service()
+	switch method {
+	case MethodBegin:
+		return serveAs(service.Begin, message)
+	case MethodFinish:
+		return serveAs(service.Finish, message)
+	case MethodAdopt:
+		return serveAs(service.Adopt, message)
+	default:
+		panic(method)
+	}
+}
+
+func serveAs[A, R any](handle func(A, *R) error, message []byte) []byte {
+	var args A
+	var reply R
+	decode(message, &args)
+	if handle(args, &reply) != nil {
+		return nil
+	}
+	return encode(reply)
+}
+
+func encode(value any) []byte {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
+	}
+	return buffer.Bytes()
+}
+
+func decode(message []byte, value any) {
+	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(value); err != nil {
+		panic(err)
+	}
+}
+
+// thaw lets a frozen process handle what has reached it in the meantime.
+func (p *process) thaw() {
+	p.frozen = false
+	inbox := p.inbox
+	p.inbox = nil
+	for _, deliver := range inbox {
+		deliver()
+	}
+}
