Wire orders into the agent; reset connections of orders that end early

The agent takes part in its domain's order-giving with two candidates by rendezvous hash, and gives the lease back as soon as it is told to stop. Without a lease a candidate looks every 2.5 s, so a domain makes about one call of the key-value service each 1.25 s for orders.

--- a/cmd/lilacweir-agent/main.go
+++ b/cmd/lilacweir-agent/main.go
@@ -16,6 +16,7 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/order/orderhttp"
 	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
 	"github.com/lilacweir/lilacweir/pkg/platform/rest"
 	"github.com/lilacweir/lilacweir/pkg/settings"
@@ -89,6 +90,7 @@
 		KeyValue: etcd.New(etcd.Options{
 			Endpoints: instance.Platform.KeyValue, Prefix: instance.Platform.Prefix, Dial: mesh.DialPlain,
 		}),
+		Engines:  orderhttp.New(mesh.DialPlain),
 		HeadKey:  config.HeadKey,
 		Log:      log,
 		Registry: metrics.NewRegistry(),
@@ -100,6 +102,9 @@
 	if address := instance.Platform.InstanceList; address != "" {
 		options.List = rest.NewInstanceList(address, mesh.DialPlain)
 	}
+	if address := instance.Platform.WeightStore; address != "" {
+		options.Weights = rest.NewWeightStore(address, mesh.DialPlain)
+	}
 	return options, nil
 }
 
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/order"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/spread"
@@ -51,8 +52,12 @@
 	// Directory and List may be nil: the platform has none.
 	Directory platform.Directory
 	List      platform.InstanceList
-	Log       zerolog.Logger
-	Registry  metrics.Registry
+	// Engines carries orders to engines; nil means that none are given. Weights
+	// may be nil: the platform has no weight store.
+	Engines  order.Engines
+	Weights  platform.WeightStore
+	Log      zerolog.Logger
+	Registry metrics.Registry
 	// Epoch is drawn at each start and grows (nanoseconds of the clock).
 	Epoch uint64
 }
@@ -142,6 +147,10 @@
 			return nil
 		})
 	}
+	group.Go(func() error {
+		a.giveOrders(ctx) // a leaving instance gives the lease back at once
+		return nil
+	})
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/pkg/control/meter.go
+++ b/pkg/control/meter.go
@@ -1,10 +1,14 @@
 package control
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 )
 
+// ErrNotTCP: the connection is not a TCP connection.
+var ErrNotTCP = errors.New("not a TCP connection")
+
 // Meter counts the bytes that a Network's connections carry, TLS included and
 // TCP headers not. The zero value is ready for use.
 type Meter struct{ sent, received atomic.Int64 }
@@ -29,6 +33,15 @@
 	meter *Meter
 }
 
+// SetLinger sets what closing does with unsent data; see net.TCPConn.
+func (c *meteredConn) SetLinger(seconds int) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return ErrNotTCP
+	}
+	return tcp.SetLinger(seconds)
+}
+
 // Read implements net.Conn.
 func (c *meteredConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/pkg/order/controller.go
+++ b/pkg/order/controller.go
@@ -60,9 +60,10 @@
 type Controller struct {
 	Dependencies
 	tenure atomic.Pointer[tenure]
-	// claim is the last attempt at the lease whose answer was lost; it belongs to
-	// the loop of hold.
+	// claim is the last attempt at the lease whose answer was lost, look when to
+	// look at the key again; they belong to the loop of hold.
 	claim *claim
+	look  time.Time
 
 	// The rest belongs to the loop of give.
 	last tally
--- a/pkg/order/hold.go
+++ b/pkg/order/hold.go
@@ -27,6 +27,10 @@
 	now := c.Clock.Now()
 	switch {
 	case held == nil:
+		if now.Before(c.look) {
+			return
+		}
+		c.look = now.Add(lookInterval)
 		c.acquire(ctx)
 	case held.expired(now):
 		c.drop(held, "expired")
--- a/pkg/order/tenure.go
+++ b/pkg/order/tenure.go
@@ -25,6 +25,9 @@
 	LeaseTTL = 10 * time.Second
 	// renewInterval is how often the lease is renewed.
 	renewInterval = LeaseTTL / 4
+	// lookInterval is how often a candidate without the lease looks whether it is
+	// free.
+	lookInterval = LeaseTTL / 4
 	// FlightMargin bounds the time from the check of the lease to the order's
 	// effect, and the drift between clocks during a lease.
 	FlightMargin = time.Second
