Prove that verdicts of changes never contradict each other

Proposers that give up, writes that arrive late and askers run at once; what Lookup has said stays true. With the voiding write taken out, or with a silent write called refused, the test fails at its first tries.

--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -205,3 +205,50 @@
 	is.NoErr(err)
 	is.Equal(after.Models[0].Versions, []config.ModelVersion{{Name: "v1", Percent: 1}, {Name: "v2", Percent: 50}, {Name: "v3", Percent: 49}})
 }
+
+// While proposers give up at any point and delayed writes arrive at any point,
+// what Lookup has once said of a change stays true, and a proposer's own verdict
+// never says otherwise.
+func TestVerdictsNeverContradict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kv := newFakeKV()
+		store := newStore(kv)
+		store.Change(context.Background(), config.Proposal{ID: "c0-00000000", Operator: "eleni", Line: "apply", Build: config.Fixed(config.Diff(&config.Declaration{}, sample()))})
+		kv.faults = rapid.SliceOfN(rapid.SampledFrom([]fault{works, lostBefore, lostAfter, delayed, delayed}), 4, 12).Draw(t, "faults")
+		patience := rapid.SliceOfN(rapid.IntRange(0, 3), 3, 3).Draw(t, "patience")
+		proposed := make([]config.Verdict, len(patience))
+		asked := make([]config.Verdict, len(patience))
+		var group sync.WaitGroup
+		for i, pauses := range patience {
+			id := testID(1, i+1)
+			group.Go(func() {
+				caller := config.Caller{Name: fmt.Sprintf("caller-%d", i), KeyHash: config.HashKey(fmt.Sprint(i)), Home: "makedonia", Regions: []string{"makedonia"}}
+				proposed[i] = limitedStore(kv, pauses).Change(context.Background(), propose(id, "eleni", 1, config.Op{SetCaller: &caller}))
+			})
+			group.Go(func() { asked[i], _ = newStore(kv).Lookup(context.Background(), id) })
+			group.Go(kv.release)
+		}
+		group.Wait()
+		kv.release()
+		kv.faults = nil
+		for i := range patience {
+			final, err := newStore(kv).Lookup(context.Background(), testID(1, i+1))
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored, err := store.Read(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, there := stored.Head.Declaration.Caller(fmt.Sprintf("caller-%d", i))
+			if there != (final.State == config.Accepted) || count(stored.Head.Recent, testID(1, i+1)) > 1 {
+				t.Fatalf("change %d is %s, there %v", i, final.State, there)
+			}
+			for _, earlier := range []config.Verdict{proposed[i], asked[i]} {
+				if earlier.State != config.Unknown && (earlier.State != final.State || earlier.Revision != final.Revision) {
+					t.Fatalf("change %d: said %s %d, then %s %d", i, earlier.State, earlier.Revision, final.State, final.Revision)
+				}
+			}
+		}
+	})
+}
