Open silent watches anew in the adapter, and watch keys across compaction

A watch that fell silent was closed after 15 s and its owner read the whole head again: a change lost on a dead connection came too late for 'within seconds', and a shorter bound would have carried the head (up to a megabyte) every few seconds for nothing. And a key that had not changed for longer than the service keeps history could be read but never watched: the service answers that the revision is compacted, each time.

Now the adapter opens a silent watch anew after 4 s, from the revision that it had reached, and closes the channel only when that fails; where the history is gone it asks, without the value, whether the key changed. Ruled out: progress notifications, whose interval is the service's to choose, ten minutes by default.

TestSilentWatchIsClosed held the old behaviour. TestSilentWatchIsOpenedAnew is stricter: each change comes exactly once although its connection is dead, and the channel closes when the service can't be reached. TestWatchAndCompaction is new; the stand-in can forget its history.

--- a/pkg/platform/etcd/client.go
+++ b/pkg/platform/etcd/client.go
@@ -26,9 +26,9 @@
 const (
 	// DefaultCallTimeout bounds each call that is not a watch.
 	DefaultCallTimeout = 2 * time.Second
-	// DefaultWatchIdle is how long a watch may be silent before it is closed, so
-	// that its owner reads the key again: a cut link gives no other sign.
-	DefaultWatchIdle = 15 * time.Second
+	// DefaultWatchIdle is how long a watch may be silent before it is opened anew:
+	// a connection that was cut without a sign looks the same.
+	DefaultWatchIdle = 4 * time.Second
 	// maxAnswer bounds an answer that is read, in bytes: a value of a megabyte in
 	// base64 and a transaction's worth of room.
 	maxAnswer = 8 << 20
--- a/pkg/platform/etcd/watch.go
+++ b/pkg/platform/etcd/watch.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/platform"
@@ -11,56 +14,118 @@
 )
 
 // Watch implements platform.KeyValue. A removed key is sent as an entry with
-// neither value nor CreateRevision. The channel also closes after
-// Options.WatchIdle without a message: read the key, and watch again.
+// neither value nor CreateRevision.
+//
+// After Options.WatchIdle without a message the watch is opened anew, from where
+// it was: a change that was lost on a dead connection comes then. The channel
+// closes when that fails, so a service that can't be reached is noticed within
+// WatchIdle and CallTimeout. A key that did not change since the revision can be
+// watched although the service has compacted its history meanwhile.
 func (c *Client) Watch(ctx context.Context, key string, after int64) (<-chan platform.Entry, error) {
-	ask := wire.WatchRequest{Create: wire.WatchCreate{Key: c.full(key), StartRevision: after + 1}}
+	w := &watch{client: c, key: c.full(key), next: after + 1, entries: make(chan platform.Entry)}
+	first, err := w.open(ctx)
+	if err != nil {
+		return nil, &platform.Error{Service: service, Call: "watch", Err: classify(err)}
+	}
+	go w.follow(ctx, first)
+	return w.entries, nil
+}
+
+// watch is one key's watch over the streams that carry it.
+type watch struct {
+	client  *Client
+	key     []byte
+	entries chan platform.Entry
+	// next is the first revision that has not been passed on.
+	next int64
+}
+
+// stream is one open request of a watch.
+type stream struct {
+	response *http.Response
+	decoder  *json.Decoder
+	cancel   context.CancelFunc
+}
+
+func (s *stream) close() {
+	s.cancel()
+	_ = s.response.Body.Close()
+}
+
+// open opens a stream from the next revision on. When the service has compacted
+// that away, it asks whether the key changed since.
+func (w *watch) open(ctx context.Context) (*stream, error) {
+	opened, err := w.openAt(ctx)
+	var status *StatusError
+	if !errors.As(err, &status) || status.Code != wire.CodeOutOfRange {
+		return opened, err
+	}
+	revision, unchanged, probeErr := w.probe(ctx)
+	if probeErr != nil {
+		return nil, probeErr
+	}
+	if !unchanged {
+		return nil, err
+	}
+	w.next = revision + 1
+	return w.openAt(ctx)
+}
+
+// probe returns the service's revision, and whether the key is as it was.
+func (w *watch) probe(ctx context.Context) (revision int64, unchanged bool, err error) {
+	ask := wire.RangeRequest{Key: w.key, KeysOnly: true}
+	var answer wire.RangeResponse
+	if err := w.client.call(ctx, "watch", wire.PathRange, false, ask, &answer); err != nil {
+		return 0, false, err
+	}
+	if len(answer.KVs) == 0 {
+		return answer.Header.Revision, w.next == 1, nil
+	}
+	return answer.Header.Revision, answer.KVs[0].ModRevision < w.next, nil
+}
+
+// openAt opens a stream and waits until the service says that it stands.
+func (w *watch) openAt(ctx context.Context) (*stream, error) {
+	ask := wire.WatchRequest{Create: wire.WatchCreate{Key: w.key, StartRevision: w.next}}
 	body, err := json.Marshal(ask)
 	if err != nil {
-		return nil, &platform.Error{Service: service, Call: "watch", Err: err}
+		return nil, fmt.Errorf("request: %w", err)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	opening := time.AfterFunc(c.options.CallTimeout, cancel)
-	stream, err := c.open(ctx, body)
+	opening := time.AfterFunc(w.client.options.CallTimeout, cancel)
+	opened, err := w.client.begin(ctx, body)
 	if err != nil {
 		cancel()
-		return nil, &platform.Error{Service: service, Call: "watch", Err: classify(err)}
+		return nil, err
 	}
+	opened.cancel = cancel
 	if !opening.Stop() {
-		cancel()
-		_ = stream.response.Body.Close()
-		return nil, &platform.Error{Service: service, Call: "watch", Err: platform.ErrUnavailable}
+		opened.close()
+		return nil, context.DeadlineExceeded
 	}
-	entries := make(chan platform.Entry)
-	go c.follow(ctx, cancel, stream, entries)
-	return entries, nil
-}
-
-// stream is an open watch.
-type stream struct {
-	response *http.Response
-	decoder  *json.Decoder
+	return opened, nil
 }
 
-// open starts a watch and waits until the service says that it stands.
-func (c *Client) open(ctx context.Context, body []byte) (*stream, error) {
+// begin posts a watch and reads its first message. After a failure the next
+// endpoint is preferred.
+func (c *Client) begin(ctx context.Context, body []byte) (*stream, error) {
 	index := int(c.preferred.Load())
 	response, err := c.post(ctx, index, wire.PathWatch, body)
 	if err != nil {
 		c.preferred.CompareAndSwap(int64(index), int64((index+1)%len(c.options.Endpoints)))
 		return nil, err
 	}
-	opened := &stream{response: response, decoder: json.NewDecoder(response.Body)}
+	begun := &stream{response: response, decoder: json.NewDecoder(response.Body)}
 	var first wire.WatchMessage
-	if err := opened.decoder.Decode(&first); err != nil {
+	if err := begun.decoder.Decode(&first); err != nil {
 		_ = response.Body.Close()
-		return nil, err
+		return nil, fmt.Errorf("answer: %w", err)
 	}
 	if err := messageError(first); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
-	return opened, nil
+	return begun, nil
 }
 
 func messageError(message wire.WatchMessage) error {
@@ -77,39 +142,55 @@
 	return nil
 }
 
-// follow passes the events on until the stream or ctx ends.
-func (c *Client) follow(ctx context.Context, cancel context.CancelFunc, s *stream, entries chan<- platform.Entry) {
-	defer close(entries)
-	defer s.response.Body.Close()
-	defer cancel()
-	idle := time.AfterFunc(c.options.WatchIdle, cancel)
-	defer idle.Stop()
+// follow passes the events of one stream after the other on.
+func (w *watch) follow(ctx context.Context, current *stream) {
+	defer close(w.entries)
+	for w.drain(ctx, current) {
+		var err error
+		if current, err = w.open(ctx); err != nil {
+			return
+		}
+	}
+}
+
+// drain passes a stream's events on until it ends; silent says that it was given
+// up for its silence.
+func (w *watch) drain(ctx context.Context, current *stream) (silent bool) {
+	defer current.close()
+	var idle atomic.Bool
+	timer := time.AfterFunc(w.client.options.WatchIdle, func() {
+		idle.Store(true)
+		current.cancel()
+	})
+	defer timer.Stop()
 	for {
 		var message wire.WatchMessage
-		if err := s.decoder.Decode(&message); err != nil {
-			return
+		if err := current.decoder.Decode(&message); err != nil {
+			return idle.Load() && ctx.Err() == nil
 		}
-		idle.Reset(c.options.WatchIdle)
+		timer.Stop()
 		if messageError(message) != nil || message.Result == nil {
-			return
+			return false
 		}
-		if !c.send(ctx, message.Result.Events, entries) {
-			return
+		if !w.send(ctx, message.Result.Events) {
+			return false
 		}
+		timer.Reset(w.client.options.WatchIdle)
 	}
 }
 
-func (c *Client) send(ctx context.Context, events []wire.Event, entries chan<- platform.Entry) bool {
+func (w *watch) send(ctx context.Context, events []wire.Event) bool {
 	for _, event := range events {
-		entry := c.entry(event.KV)
+		entry := w.client.entry(event.KV)
 		if event.Type == wire.EventDelete {
 			entry.Value, entry.CreateRevision = nil, 0
 		}
 		select {
-		case entries <- entry:
+		case w.entries <- entry:
 		case <-ctx.Done():
 			return false
 		}
+		w.next = event.KV.ModRevision + 1
 	}
 	return true
 }
--- a/pkg/platform/etcd/wire/wire.go
+++ b/pkg/platform/etcd/wire/wire.go
@@ -50,6 +50,8 @@
 	Key      []byte `json:"key"`
 	RangeEnd []byte `json:"range_end,omitempty"`
 	Limit    int64  `json:"limit,string,omitempty"`
+	// KeysOnly leaves the values out of the answer.
+	KeysOnly bool `json:"keys_only,omitempty"`
 }
 
 // RangeResponse answers RangeRequest, in key order.
--- a/pkg/standin/admin/command.go
+++ b/pkg/standin/admin/command.go
@@ -19,7 +19,7 @@
 const Usage = `cut FROM TO [both] [reset]   stop a direction; reset closes connections
 heal FROM TO [both]          open it again
 delay FROM TO MS [both]      set the one-way delay
-kv down | up | slow MS | lose-answers N | counts
+kv down | up | slow MS | lose-answers N | compact | counts
 list lag MS | leaving NAME | staying NAME | remove NAME | add NAME DOMAIN [MESH]
 engine NAME ok | slow X | fail N | refuse N | die-after K | stall K | cross | truncate | leave | lie | no-resume | forget
 service NAME ok | slow MS | fail N | refuse N | die N | stall N | leave
@@ -111,10 +111,12 @@
 			return nil, err
 		}
 		c.KeyValue.LoseAnswers(number)
+	case "compact":
+		c.KeyValue.Compact()
 	case "counts":
 		return []any{c.KeyValue.Counts()}, nil
 	default:
-		return nil, &UsageError{Usage: "kv down | up | slow MS | lose-answers N | counts"}
+		return nil, &UsageError{Usage: "kv down | up | slow MS | lose-answers N | compact | counts"}
 	}
 	return nil, nil
 }
--- a/pkg/standin/kv/service.go
+++ b/pkg/standin/kv/service.go
@@ -120,6 +120,9 @@
 	s.lose = n
 }
 
+// Compact forgets the history, so that a watch can't begin in the past.
+func (s *Service) Compact() { s.store.compact() }
+
 // Counts returns the counters.
 func (s *Service) Counts() Counts {
 	watching := s.store.watching()
--- a/pkg/standin/kv/store.go
+++ b/pkg/standin/kv/store.go
@@ -68,9 +68,13 @@
 	s.expire()
 	found := make([]wire.KeyValue, 0, 1)
 	for _, kv := range s.keys {
-		if covers(ask, kv.Key) {
-			found = append(found, kv)
+		if !covers(ask, kv.Key) {
+			continue
+		}
+		if ask.KeysOnly {
+			kv.Value = nil
 		}
+		found = append(found, kv)
 	}
 	sort.Slice(found, func(i, j int) bool { return bytes.Compare(found[i].Key, found[j].Key) < 0 })
 	answer := wire.RangeResponse{Header: wire.Header{Revision: s.revision}, Count: int64(len(found))}
@@ -263,6 +267,14 @@
 	return w, s.revision, nil
 }
 
+// compact forgets the history.
+func (s *store) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.compacted = s.revision
+}
+
 func (s *store) unwatch(w *watcher) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
