List only instances that have a configuration; repeat under a key elsewhere

Cause: in a rolling replacement under load, 1 of 436 requests ended unknown (no-configuration): a gateway that had just started was listed to callers before its configuration came, since liveness alone counted. Ruled out: callers that held an old list (it runs out before a gateway goes). Now an instance is listed, here and in digests, once it has a configuration.

The caller's client also gave up on an unknown end that its key let it repeat; it now repeats under the key at another instance. Each of the three tests failed before.

--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -58,6 +58,12 @@
 	Load GatewayLoad
 }
 
+// Serves says whether callers and peers may be sent to the instance: it is live,
+// its gateway runs and has a configuration.
+func (i *Instance) Serves() bool {
+	return i.State == InstanceLive && i.Incarnation != 0 && i.Revision != 0
+}
+
 // Addresses of an instance, each an IP number and a port.
 type Addresses struct {
 	// Callers is where callers' HTTP is served.
--- a/pkg/client/follower.go
+++ b/pkg/client/follower.go
@@ -16,8 +16,9 @@
 const listTimeout = time.Second
 
 // Follower is a caller that keeps to the instance list: it uses the instances
-// of its own failure domain in turn, and goes to the next when one did not run
-// the request because it is leaving, has no configuration or cannot be reached.
+// of its own failure domain in turn, and goes to the next when one is leaving,
+// has no configuration or cannot be reached, provided that the request was not
+// run or has an idempotency key.
 type Follower struct {
 	client *Client
 	seeds  []string
@@ -36,14 +37,14 @@
 
 // Chat sends a chat request to the instances in order.
 func (f *Follower) Chat(ctx context.Context, chat ChatRequest, options Options, onText func(string)) *Answer {
-	return f.try(ctx, func(gateway string) *Answer {
+	return f.try(ctx, options, func(gateway string) *Answer {
 		return f.client.Chat(ctx, gateway, chat, options, onText)
 	})
 }
 
 // Call calls a plain service through the instances in order.
 func (f *Follower) Call(ctx context.Context, method, path string, body []byte, options Options) *Answer {
-	return f.try(ctx, func(gateway string) *Answer {
+	return f.try(ctx, options, func(gateway string) *Answer {
 		return f.client.Call(ctx, gateway, method, path, body, options)
 	})
 }
@@ -58,7 +59,7 @@
 	return f.list.NewKey(), nil
 }
 
-func (f *Follower) try(ctx context.Context, send func(gateway string) *Answer) *Answer {
+func (f *Follower) try(ctx context.Context, options Options, send func(gateway string) *Answer) *Answer {
 	gateways, err := f.gateways(ctx)
 	if err != nil {
 		return &Answer{Outcome: outcome.NotRun, Err: err}
@@ -66,7 +67,7 @@
 	var answer *Answer
 	for _, gateway := range gateways {
 		answer = send(gateway)
-		if !elsewhere(answer) || ctx.Err() != nil {
+		if !elsewhere(answer, options) || ctx.Err() != nil {
 			return answer
 		}
 		f.expire()
@@ -74,17 +75,19 @@
 	return answer
 }
 
-// elsewhere tells whether the request was not run for a reason that another
-// instance does not share.
-func elsewhere(answer *Answer) bool {
-	if answer.Outcome != outcome.NotRun {
+// elsewhere tells whether to send the request to another instance: it was not
+// run, or its key lets it be repeated, and the cause is one that another instance
+// may not share.
+func elsewhere(answer *Answer, options Options) bool {
+	repeatable := answer.Outcome == outcome.Unknown && options.IdempotencyKey != ""
+	if answer.Outcome != outcome.NotRun && !repeatable {
 		return false
 	}
 	switch answer.Refusal.Type {
-	case "", outcome.ReasonDraining, outcome.ReasonNoConfiguration:
+	case outcome.ReasonDraining, outcome.ReasonNoConfiguration:
 		return true
 	}
-	return false
+	return answer.Status == 0
 }
 
 // expire makes the next request read the list anew.
--- a/pkg/client/follower_test.go
+++ b/pkg/client/follower_test.go
@@ -18,6 +18,7 @@
 type gatewayFake struct {
 	list    Instances
 	leaving bool
+	fresh   bool
 	served  int
 }
 
@@ -31,6 +32,11 @@
 		_, _ = w.Write([]byte(`{"error":{"type":"instance-leaving","outcome":"not-run"}}`))
 		return
 	}
+	if g.fresh {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":{"type":"no-configuration","outcome":"unknown"}}`))
+		return
+	}
 	g.served++
 	w.Header().Set(header.Outcome, string(outcome.Complete))
 }
@@ -62,3 +68,23 @@
 	is.Equal(post(), outcome.Complete)
 	is.Equal(fakes[2].served, 1) // another domain only when its own has none
 }
+
+func TestFollowerRepeatsUnderItsKeyOnly(t *testing.T) {
+	is := is.New(t)
+	fakes := []*gatewayFake{{fresh: true}, {}}
+	var list Instances
+	for _, fake := range fakes {
+		server := httptest.NewServer(fake)
+		defer server.Close()
+		list.Instances = append(list.Instances, Instance{Address: strings.TrimPrefix(server.URL, "http://")})
+	}
+	list.ValidMS = 60_000
+	fakes[0].list, fakes[1].list = list, list
+	for _, key := range []string{"", "key-1"} {
+		follower := NewFollower(New("k", nil), []string{list.Instances[0].Address})
+		follower.next = 1 // the fresh instance comes first
+		answer := follower.Call(context.Background(), http.MethodPost, "/sleeplog/uploads", nil, Options{IdempotencyKey: key})
+		is.Equal(answer.Outcome == outcome.Complete, key != "") // an unknown end is repeated under a key alone
+	}
+	is.Equal(fakes[1].served, 1)
+}
--- a/pkg/digest/build.go
+++ b/pkg/digest/build.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		counts[instance.Revision]++
-		if instance.State == board.InstanceLive && instance.Incarnation != 0 {
+		if instance.Serves() {
 			d.Entries = append(d.Entries, entryOf(instance))
 		}
 	}
--- a/pkg/digest/digest_test.go
+++ b/pkg/digest/digest_test.go
@@ -100,11 +100,12 @@
 		node("lar-3", board.InstanceLeaving, 1, 118),
 		node("lar-4", board.InstanceSilent, 1, 117),
 		node("lar-5", board.InstanceLeft, 1, 110),
+		node("lar-6", board.InstanceLive, 1, 0), // just started, without configuration
 	))
-	is.Equal(d.Nodes, 4)
+	is.Equal(d.Nodes, 5)
 	is.Equal(d.Silent, 1)
-	is.Equal(d.Revisions, []board.RevisionCount{{Revision: 118, Nodes: 2}, {Revision: 0, Nodes: 1}})
-	is.Equal(len(d.Entries), 1) // callers and peers are sent to live gateways only
+	is.Equal(d.Revisions, []board.RevisionCount{{Revision: 118, Nodes: 2}, {Revision: 0, Nodes: 2}})
+	is.Equal(len(d.Entries), 1) // callers and peers are sent to live gateways with a configuration only
 	is.Equal(d.Entries[0].Name, "lar-1")
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -82,6 +82,22 @@
 	is.Equal(b.send(testContext(t), http.MethodGet, "/healthz", "", "", nil).status, http.StatusOK)
 }
 
+func TestInstancesNamesThoseThatServe(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.north.Exchange(control.ExchangeArgs{Members: &board.Members{Instances: []board.Instance{
+		{Name: "north-2", State: board.InstanceLive, Incarnation: 1, Revision: 7},
+		{Name: "north-3", State: board.InstanceLive, Incarnation: 1}, // just started, without configuration
+		{Name: "north-4", State: board.InstanceLeaving, Incarnation: 1, Revision: 7},
+		{Name: "north-5", State: board.InstanceLive, Revision: 7}, // without a gateway
+	}}})
+	var names []string
+	for _, entry := range b.north.Instances(&config.Caller{}).Instances {
+		names = append(names, entry.Instance)
+	}
+	is.Equal(names, []string{"north-1", "north-2"})
+}
+
 func TestKeyedRequestRunsOnceAndIsAnsweredAgain(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t)
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -47,7 +47,7 @@
 		return list
 	}
 	for _, instance := range members.Instances {
-		if instance.Name == self.Instance || instance.State != board.InstanceLive || instance.Incarnation == 0 {
+		if instance.Name == self.Instance || !instance.Serves() {
 			continue
 		}
 		list = append(list, platform.DirectoryEntry{
