Send nothing over a link that has shown itself cut, until a probe gets through

Cause: a digest stays fresh when a third domain passes it on, so requests went on being forwarded over a cut link; each that may not be repeated ended unknown after four seconds. A gateway of another domain that gave no answer at all now gets nothing until its health page answered; the others of its domain are probed at once. Requests are then refused as not run. TestCutLinkIsNotTriedAgainUntilItHeals; -race -count=2 ok.

--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -109,7 +109,7 @@
 // Callers returns the HTTP server for callers.
 func (s *Server) Callers() *http.Server {
 	router := s.router()
-	router.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	router.GET(relay.HealthPath, healthy)
 	router.GET("/readyz", s.ready)
 	router.GET("/metrics", echo.WrapHandler(telemetry.Handler(s.registry)))
 	router.GET("/v1/instances", s.instances)
@@ -121,11 +121,14 @@
 // Peers returns the HTTP server for the gateways of other failure domains.
 func (s *Server) Peers() *http.Server {
 	router := s.router()
+	router.GET(relay.HealthPath, healthy)
 	router.POST(engineapi.PathChat, s.accept(s.peersDoor(), s.chat))
 	router.Any("/*", s.accept(s.peersDoor(), s.service))
 	return bounded(router)
 }
 
+func healthy(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
+
 func (s *Server) router() *echo.Echo {
 	router := echo.New()
 	router.HTTPErrorHandler = s.handleError
--- a/pkg/gateway/bed_test.go
+++ b/pkg/gateway/bed_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,11 +117,13 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	return New(&settings.Instance{
+	gateway := New(&settings.Instance{
 		Instance: name, Domain: domain, Region: region,
 		Gateway:  settings.Gateway{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Control: "127.0.0.1:0", MaxBody: 1 << 20},
 		Platform: settings.Platform{KeyValue: []string{"127.0.0.1:1"}, Prefix: "test/"},
 	}, network, zerolog.Nop())
+	b.t.Cleanup(gateway.halt)
+	return gateway
 }
 
 // connect gives the north its configuration, and the south's gateway at the given
@@ -260,3 +263,32 @@
 	}
 	return &dispatch.Request{ID: "r", CallerID: "r", Caller: known, Serves: "nurse", Kind: config.KindEngine, Repeatable: true}
 }
+
+// switchedLink passes connections on to target, or breaks them off while cut.
+type switchedLink struct {
+	address string
+	cut     atomic.Bool
+}
+
+func newSwitchedLink(t *testing.T, target string) *switchedLink {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	link := &switchedLink{address: listener.Addr().String()}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			requestBytes := int64(-1)
+			if link.cut.Load() {
+				requestBytes = 1
+			}
+			go pass(near, target, requestBytes, -1)
+		}
+	}()
+	return link
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -66,8 +66,13 @@
 	tracker  *limit.Tracker
 	retries  limit.RetryBudget
 	marks    leavingMarks
+	suspects *suspects
 	client   *relay.Client
 
+	// running ends when the gateway stops, by calling halt.
+	running context.Context
+	halt    context.CancelFunc
+
 	phase atomic.Int32
 	// toldLeaving and toldSuccessor are closed once the agent was told so.
 	toldLeaving, toldSuccessor signal
@@ -106,6 +111,8 @@
 		toldLeaving:   newSignal(),
 		toldSuccessor: newSignal(),
 	}
+	g.running, g.halt = context.WithCancel(context.Background())
+	g.suspects = newSuspects(g.running, g.client.Probe)
 	g.claims = claim.New(g.claimOptions())
 	g.compile()
 	return g
@@ -156,9 +163,8 @@
 	}
 	server := g.newServer()
 	callers, peers := server.Callers(), server.Peers()
-	work, stop := context.WithCancel(context.Background())
-	defer stop()
-	group, failed := errgroup.WithContext(work)
+	defer g.halt()
+	group, failed := errgroup.WithContext(g.running)
 	group.Go(func() error { return serve(callers, doors.callers) })
 	group.Go(func() error { return serve(peers, doors.peers) })
 	group.Go(func() error { doors.control.Serve(); return nil })
@@ -169,7 +175,7 @@
 	case <-failed.Done():
 	}
 	g.leave(callers, peers)
-	stop()
+	g.halt()
 	err = doors.control.Close()
 	g.peers.Close()
 	g.client.Close()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -299,3 +299,22 @@
 		is.Equal(<-results, "")
 	}
 }
+
+// A domain whose link is cut gets no request that may not be repeated, once one has
+// shown it: the next is refused as not run, until a probe gets through.
+func TestCutLinkIsNotTriedAgainUntilItHeals(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	link := newSwitchedLink(t, b.southPeers)
+	b.connect(link.address)
+	link.cut.Store(true)
+	send := func() string {
+		return b.told(b.send(testContext(t), upload.method, upload.path, roamerKey, upload.body, nil))
+	}
+	is.Equal(send(), unknown)
+	is.Equal(send(), notRun)
+	is.Equal(b.ran(), 0)
+	link.cut.Store(false)
+	eventually(t, "the link is used again", func() bool { return send() == complete })
+	is.Equal(b.ran(), 1)
+}
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/admission"
-	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/limit"
@@ -137,7 +136,7 @@
 		MaxTokens:    request.MaxTokens,
 		Deadline:     request.Deadline,
 		Origin:       request.Origin,
-		Tried:        g.exhausted(tried),
+		Tried:        g.suspects.exhausted(g.board.Domains.Load(), tried),
 		Roll:         request.Roll,
 	}
 	if request.Origin != "" {
@@ -201,7 +200,7 @@
 // forward chooses an instance of another failure domain.
 func (w *way) forward(decision *route.Decision, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
 	digest := decision.Domain
-	left := entriesLeft(digest, tried)
+	left := w.suspects.entriesLeft(digest, tried)
 	if len(left) == 0 {
 		return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, placeRetry, "no instance of the other domain is left to ask")
 	}
@@ -218,7 +217,18 @@
 		Version:  decision.Version,
 		Revision: w.table.Load().Revision(),
 	}
-	return choice, func(relay.Report) {}, nil
+	done := func(report relay.Report) {
+		if unanswered(&report) {
+			w.suspects.failed(choice.Target.Name, digest)
+		}
+	}
+	return choice, done, nil
+}
+
+// unanswered says whether an attempt failed without a word from the other side.
+func unanswered(report *relay.Report) bool {
+	failure := report.Failure
+	return failure != nil && !failure.Unsent && !failure.CallerGone && report.Status == 0
 }
 
 // nameSeparator stands between a failure domain and its instance in the names of
@@ -227,41 +237,6 @@
 
 func targetName(domain, instance string) string { return domain + nameSeparator + instance }
 
-func entriesLeft(digest *board.DomainDigest, tried []string) []board.Instance {
-	var left []board.Instance
-	for _, entry := range digest.Entries {
-		if !slices.Contains(tried, targetName(digest.Domain, entry.Name)) {
-			left = append(left, entry)
-		}
-	}
-	return left
-}
-
-// exhausted returns the tried upstreams, and the failure domains that were tried:
-// a domain counts as tried once two of its instances have failed the request, or
-// all of them.
-func (g *Gateway) exhausted(tried []string) []string {
-	if len(tried) == 0 {
-		return nil
-	}
-	out := slices.Clone(tried)
-	domains := g.board.Domains.Load()
-	if domains == nil {
-		return out
-	}
-	for i := range domains.Remote {
-		digest := &domains.Remote[i]
-		failed := len(digest.Entries) - len(entriesLeft(digest, tried))
-		if failed >= min(maxEntriesTried, len(digest.Entries)) {
-			out = append(out, digest.Domain)
-		}
-	}
-	return out
-}
-
-// maxEntriesTried is how many instances of one domain a request is sent to.
-const maxEntriesTried = 2
-
 // Permitted implements dispatch.Router: caller and placement must both permit the
 // region, by the configuration that is in force now.
 func (g *Gateway) Permitted(request *dispatch.Request, choice *dispatch.Choice) *outcome.Refusal {
--- /dev/null
+++ b/pkg/gateway/suspects.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// Times of looking for a way to other domains' gateways.
+const (
+	// probeTimeout bounds one probe: several round trips between regions.
+	probeTimeout = time.Second
+	// probeInterval is the pause between the probes of one gateway.
+	probeInterval = 500 * time.Millisecond
+)
+
+// suspects holds the gateways of other domains that did not answer from here. They
+// get no requests until a probe has reached them: a digest can be fresh although
+// the link to its domain is cut, when a third domain passes it on, and a request
+// that may not be repeated must not serve as the probe.
+type suspects struct {
+	mu sync.Mutex
+	// names maps target names to whether the gateway is known to be out of reach
+	// (true) or is only being probed (false).
+	names map[string]bool
+	// out is a copy of names for requests, which take no lock; nil when empty.
+	out   atomic.Pointer[map[string]bool]
+	probe func(ctx context.Context, address string) error
+	// running is done when the gateway stops.
+	running context.Context
+}
+
+func newSuspects(running context.Context, probe func(context.Context, string) error) *suspects {
+	return &suspects{names: make(map[string]bool), probe: probe, running: running}
+}
+
+// unreachable says whether a gateway gets no requests now.
+func (s *suspects) unreachable(target string) bool {
+	out := s.out.Load()
+	return out != nil && (*out)[target]
+}
+
+// publish makes names visible to requests. Callers hold s.mu.
+func (s *suspects) publish() {
+	if len(s.names) == 0 {
+		s.out.Store(nil)
+		return
+	}
+	names := maps.Clone(s.names)
+	s.out.Store(&names)
+}
+
+// failed marks a gateway that did not answer, and probes the others of its domain.
+func (s *suspects) failed(target string, digest *board.DomainDigest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, entry := range digest.Entries {
+		name := targetName(digest.Domain, entry.Name)
+		_, probing := s.names[name]
+		s.names[name] = s.names[name] || name == target
+		if !probing {
+			go s.watch(name, entry.Addresses.Peers)
+		}
+	}
+	s.publish()
+}
+
+// watch probes a gateway until it answers.
+func (s *suspects) watch(name, address string) {
+	for !s.reached(address) {
+		s.set(name)
+		select {
+		case <-time.After(probeInterval):
+		case <-s.running.Done():
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.names, name)
+	s.publish()
+}
+
+func (s *suspects) set(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.names[name] = true
+	s.publish()
+}
+
+func (s *suspects) reached(address string) bool {
+	ctx, cancel := context.WithTimeout(s.running, probeTimeout)
+	defer cancel()
+	return s.probe(ctx, address) == nil
+}
+
+// entriesLeft returns the instances of a domain that a request may be sent to.
+func (s *suspects) entriesLeft(digest *board.DomainDigest, tried []string) []board.Instance {
+	var left []board.Instance
+	for _, entry := range digest.Entries {
+		name := targetName(digest.Domain, entry.Name)
+		if !slices.Contains(tried, name) && !s.unreachable(name) {
+			left = append(left, entry)
+		}
+	}
+	return left
+}
+
+// exhausted returns the tried targets, and the failure domains that cannot be
+// tried: two of their instances have failed the request, or none is left.
+func (s *suspects) exhausted(domains *board.Domains, tried []string) []string {
+	if domains == nil || (len(tried) == 0 && s.out.Load() == nil) {
+		return tried
+	}
+	out := tried
+	for i := range domains.Remote {
+		digest := &domains.Remote[i]
+		failed := 0
+		for _, entry := range digest.Entries {
+			if slices.Contains(tried, targetName(digest.Domain, entry.Name)) {
+				failed++
+			}
+		}
+		if failed >= maxEntriesTried || len(s.entriesLeft(digest, tried)) == 0 {
+			out = append(slices.Clip(out), digest.Domain)
+		}
+	}
+	return out
+}
+
+// maxEntriesTried is how many instances of one domain a request is sent to.
+const maxEntriesTried = 2
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -107,6 +108,23 @@
 // Close implements io.Closer.
 func (body) Close() error { return nil }
 
+// Probe asks the gateway at an address whether it is alive.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+HealthPath, nil)
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", address, err)
+	}
+	response, err := c.peers.once.RoundTrip(request)
+	if err != nil {
+		return fmt.Errorf("probe %s: %w", address, err)
+	}
+	_ = response.Body.Close()
+	return nil
+}
+
+// HealthPath is where a gateway says that it is alive.
+const HealthPath = "/healthz"
+
 // Cancel tells an engine, in the background, to stop working on a request. When
 // many cancels are under way it is left out: the broken connection says the same.
 func (c *Client) Cancel(target Target, requestID string) {
