Lose handshakes on a cut link, as a network does

A cut link accepted connections and held them, so a gateway wrote a request into nothing and had to call its outcome unknown, where a real partition gives a dial that times out and a truthful 'not run'. The relay now shuts its backlog while either direction is cut, so the system answers no handshake. Ruled out: closing the listener, which refuses at once in place of silence. The test that dialed during a cut and waited for the held connection now asks for more: three dials in a row time out, and a dial after the heal succeeds.

--- /dev/null
+++ b/pkg/standin/link/door.go
@@ -0,0 +1,165 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// openBacklog is how many connections may wait to be accepted; the system
+	// may allow fewer.
+	openBacklog = 4096
+	// plugTimeout bounds the connection that fills a shut backlog.
+	plugTimeout = 100 * time.Millisecond
+	// closeTimeout bounds the wait of a cut for the doors to be shut.
+	closeTimeout = time.Second
+)
+
+// door is a relay's listener. It is shut while either direction is cut: then its
+// backlog has room for one connection, which the door makes itself, so that the
+// system answers no other handshake.
+type door struct {
+	listener          *net.TCPListener
+	forward, backward *path
+	// plug is the connection that fills the shut backlog, or nil.
+	plug net.Conn
+	// plugAddress is the plug's address, to tell it from others when accepted.
+	plugAddress string
+
+	mu sync.Mutex
+	// closed says that the backlog is shut; whenClosed is closed with it.
+	closed     bool
+	whenClosed chan struct{}
+}
+
+func newDoor(listener *net.TCPListener, forward, backward *path) *door {
+	return &door{listener: listener, forward: forward, backward: backward, whenClosed: make(chan struct{})}
+}
+
+// waitClosed waits until the door is shut, within bounds.
+func (d *door) waitClosed() {
+	d.mu.Lock()
+	whenClosed := d.whenClosed
+	d.mu.Unlock()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-whenClosed:
+	case <-timer.C:
+	}
+}
+
+// mark sets whether the door is shut, and reports whether that is new.
+func (d *door) mark(closed bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed == closed {
+		return false
+	}
+	d.closed = closed
+	if closed {
+		close(d.whenClosed)
+	} else {
+		d.whenClosed = make(chan struct{})
+	}
+	return true
+}
+
+// next accepts a connection once both directions are open.
+func (d *door) next(ctx context.Context) (net.Conn, error) {
+	for {
+		// The deadline is lifted before the state is read, and a change of state
+		// sets it: no change is missed.
+		if err := d.listener.SetDeadline(time.Time{}); err != nil {
+			return nil, err
+		}
+		shut, changed := d.shut()
+		if shut {
+			d.close(ctx)
+			await(ctx, changed)
+			continue
+		}
+		d.open()
+		conn, err := d.acceptUntil(ctx, changed)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err == nil && conn.RemoteAddr().String() == d.plugAddress {
+			_ = conn.Close()
+			continue
+		}
+		return conn, err
+	}
+}
+
+// shut reports whether new connections are held back, and returns what is closed
+// when either direction changes.
+func (d *door) shut() (shut bool, changed []<-chan struct{}) {
+	for _, p := range []*path{d.forward, d.backward} {
+		_, cut, reset, next := p.state()
+		shut = shut || (cut && !reset)
+		changed = append(changed, next)
+	}
+	return shut, changed
+}
+
+func await(ctx context.Context, changed []<-chan struct{}) {
+	select {
+	case <-changed[0]:
+	case <-changed[1]:
+	case <-ctx.Done():
+	}
+}
+
+// acceptUntil accepts a connection, or gives up when a direction changes.
+func (d *door) acceptUntil(ctx context.Context, changed []<-chan struct{}) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		await(ctx, changed)
+		if ctx.Err() == nil {
+			_ = d.listener.SetDeadline(time.Unix(1, 0))
+		}
+	}()
+	return d.listener.Accept()
+}
+
+func (d *door) close(ctx context.Context) {
+	if d.plug != nil {
+		return
+	}
+	d.setBacklog(0)
+	dialer := net.Dialer{Timeout: plugTimeout}
+	// Failing means that the backlog is full already.
+	plug, err := dialer.DialContext(ctx, "tcp", d.listener.Addr().String())
+	if err == nil {
+		d.plug, d.plugAddress = plug, plug.LocalAddr().String()
+	}
+	d.mark(true)
+}
+
+func (d *door) open() {
+	if !d.mark(false) {
+		return
+	}
+	d.setBacklog(openBacklog)
+	if d.plug != nil {
+		_ = d.plug.Close()
+		d.plug = nil
+	}
+}
+
+// setBacklog bounds the connections that the system makes before they are
+// accepted. Where that fails, connections are made during a cut, and held back.
+func (d *door) setBacklog(size int) {
+	raw, err := d.listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), size) })
+}
--- a/pkg/standin/link/link.go
+++ b/pkg/standin/link/link.go
@@ -3,9 +3,10 @@
 //
 // A cut holds back what is sent, without a sign to either end, and lets it
 // through when the link is healed, as TCP's retransmission does. Closing a
-// connection is held back in the same way. A new connection is accepted, since
-// that is all that a relay can do, but reaches its target only once both
-// directions are open.
+// connection is held back in the same way. While either direction is cut, a new
+// connection is not made: its dialer waits in vain, as when a handshake is lost.
+// A target that refuses connections shows as a connection that is reset, since a
+// relay has accepted it by then.
 package link
 
 import (
@@ -49,6 +50,7 @@
 
 	mu    sync.Mutex
 	paths map[pair]*path
+	doors []*door
 }
 
 // pair is a direction.
@@ -88,9 +90,35 @@
 }
 
 // Cut stops one direction; with reset, connections between the two are closed
-// and new ones refused, in place of silence.
+// and new ones too, in place of silence. It returns when the cut is in force.
 func (n *Network) Cut(from, to string, reset bool) error {
-	return n.set(from, to, func(p *path) { p.cut, p.reset = true, reset })
+	if err := n.set(from, to, func(p *path) { p.cut, p.reset = true, reset }); err != nil || reset {
+		return err
+	}
+	p := n.path(from, to)
+	for _, d := range n.between(p) {
+		d.waitClosed()
+	}
+	return nil
+}
+
+func (n *Network) register(d *door) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.doors = append(n.doors, d)
+}
+
+// between returns the doors that a direction's state shuts.
+func (n *Network) between(p *path) []*door {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var found []*door
+	for _, d := range n.doors {
+		if d.forward == p || d.backward == p {
+			found = append(found, d)
+		}
+	}
+	return found
 }
 
 // Heal opens one direction.
@@ -158,10 +186,10 @@
 }
 
 // Listen opens every relay's listener. Close them all when ctx ends.
-func (n *Network) Listen() ([]net.Listener, error) {
-	listeners := make([]net.Listener, 0, len(n.settings))
+func (n *Network) Listen() ([]*net.TCPListener, error) {
+	listeners := make([]*net.TCPListener, 0, len(n.settings))
 	for _, s := range n.settings {
-		listener, err := net.Listen("tcp", s.Listen)
+		listener, err := listenTCP(s.Listen)
 		if err != nil {
 			for _, open := range listeners {
 				err = errors.Join(err, open.Close())
@@ -173,8 +201,16 @@
 	return listeners, nil
 }
 
+func listenTCP(address string) (*net.TCPListener, error) {
+	resolved, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenTCP("tcp", resolved)
+}
+
 // Serve relays connections of the listeners that Listen returned until ctx ends.
-func (n *Network) Serve(ctx context.Context, listeners []net.Listener) {
+func (n *Network) Serve(ctx context.Context, listeners []*net.TCPListener) {
 	var running sync.WaitGroup
 	defer running.Wait()
 	for i, listener := range listeners {
@@ -186,11 +222,14 @@
 	}
 }
 
-func (n *Network) accept(ctx context.Context, s Settings, listener net.Listener) {
+// accept takes connections while both directions are open.
+func (n *Network) accept(ctx context.Context, s Settings, listener *net.TCPListener) {
 	var running sync.WaitGroup
 	defer running.Wait()
+	d := newDoor(listener, n.path(s.From, s.To), n.path(s.To, s.From))
+	n.register(d)
 	for {
-		conn, err := listener.Accept()
+		conn, err := d.next(ctx)
 		if err != nil {
 			return
 		}
--- a/pkg/standin/link/link_test.go
+++ b/pkg/standin/link/link_test.go
@@ -97,15 +97,16 @@
 			_, err = line(conn, "two", silence)
 			var timeout net.Error
 			is.True(errors.As(err, &timeout) && timeout.Timeout()) // silence, not a failure
-			late := dial(t, address)
-			_, err = line(late, "three", silence)
-			is.True(errors.As(err, &timeout) && timeout.Timeout())
+			for range 3 {
+				_, err = net.DialTimeout("tcp", address, silence)
+				is.True(errors.As(err, &timeout) && timeout.Timeout()) // no handshake either
+			}
 
 			is.NoErr(network.Heal(cut[0], cut[1]))
 			got, err = line(conn, "", time.Minute)
 			is.NoErr(err)
 			is.Equal(got, "two\n")
-			got, err = line(late, "", time.Minute)
+			got, err = line(dial(t, address), "three", time.Minute)
 			is.NoErr(err)
 			is.Equal(got, "three\n")
 		})
--- a/pkg/standin/run.go
+++ b/pkg/standin/run.go
@@ -55,7 +55,7 @@
 	controls  *admin.Controls
 	servers   []server
 	loops     []func(context.Context)
-	links     []net.Listener
+	links     []*net.TCPListener
 }
 
 type server struct {
@@ -197,7 +197,8 @@
 	for _, one := range p.servers {
 		listener, err := net.Listen("tcp", one.address)
 		if err != nil {
-			closeAll(append(listeners, p.links...))
+			closeAll(listeners)
+			closeAll(p.links)
 			return nil, &ListenError{Address: one.address, Err: err}
 		}
 		listeners = append(listeners, listener)
@@ -205,7 +206,7 @@
 	return listeners, nil
 }
 
-func closeAll(listeners []net.Listener) {
+func closeAll[L net.Listener](listeners []L) {
 	for _, listener := range listeners {
 		_ = listener.Close()
 	}
