--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -219,16 +219,20 @@
 	}
 	done := func(report relay.Report) {
 		if unanswered(&report) {
-			w.suspects.failed(choice.Target.Name, digest)
+			w.suspects.failed(choice.Target.Name, digest, report.Silent)
 		}
 	}
 	return choice, done, nil
 }
 
-// unanswered says whether an attempt failed without a word from the other side.
+// unanswered says whether an attempt failed without a word from the other side,
+// or fell silent.
 func unanswered(report *relay.Report) bool {
 	failure := report.Failure
-	return failure != nil && !failure.Unsent && !failure.CallerGone && report.Status == 0
+	if failure == nil || failure.Unsent || failure.CallerGone {
+		return false
+	}
+	return report.Silent || report.Status == 0
 }
 
 // nameSeparator stands between a failure domain and its instance in the names of
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -25,24 +25,37 @@
 // that may not be repeated must not serve as the probe.
 type suspects struct {
 	mu sync.Mutex
-	// names maps target names to whether the gateway is known to be out of reach
-	// (true) or is only being probed (false).
-	names map[string]bool
+	// names maps target names to what is thought of them.
+	names map[string]suspicion
 	// out is a copy of names for requests, which take no lock; nil when empty.
-	out   atomic.Pointer[map[string]bool]
+	out   atomic.Pointer[map[string]suspicion]
 	probe func(ctx context.Context, address string) error
 	// running is done when the gateway stops.
 	running context.Context
 }
 
+// suspicion is what is thought of a gateway that is being probed.
+type suspicion int
+
+const (
+	// doubted: another gateway of its domain fell silent. Only requests that were
+	// tried there already are sent.
+	doubted suspicion = iota + 1
+	// unreachable: it did not answer.
+	unreachable
+)
+
 func newSuspects(running context.Context, probe func(context.Context, string) error) *suspects {
-	return &suspects{names: make(map[string]bool), probe: probe, running: running}
+	return &suspects{names: make(map[string]suspicion), probe: probe, running: running}
 }
 
-// unreachable says whether a gateway gets no requests now.
-func (s *suspects) unreachable(target string) bool {
+// of returns what is thought of a gateway; zero when nothing speaks against it.
+func (s *suspects) of(target string) suspicion {
 	out := s.out.Load()
-	return out != nil && (*out)[target]
+	if out == nil {
+		return 0
+	}
+	return (*out)[target]
 }
 
 // publish makes names visible to requests. Callers hold s.mu.
@@ -55,21 +68,33 @@
 	s.out.Store(&names)
 }
 
-// failed marks a gateway that did not answer, and probes the others of its domain.
-func (s *suspects) failed(target string, digest *board.DomainDigest) {
+// failed marks a gateway that did not answer. One that fell silent casts doubt on
+// its whole domain: the link may be cut.
+func (s *suspects) failed(target string, digest *board.DomainDigest, silent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, entry := range digest.Entries {
 		name := targetName(digest.Domain, entry.Name)
-		_, probing := s.names[name]
-		s.names[name] = s.names[name] || name == target
-		if !probing {
-			go s.watch(name, entry.Addresses.Peers)
+		switch {
+		case name == target:
+			s.suspect(name, entry.Addresses.Peers, unreachable)
+		case silent:
+			s.suspect(name, entry.Addresses.Peers, doubted)
 		}
 	}
 	s.publish()
 }
 
+// suspect raises what is thought against a gateway, and sees that it is probed.
+// Callers hold s.mu.
+func (s *suspects) suspect(name, address string, level suspicion) {
+	before := s.names[name]
+	s.names[name] = max(before, level)
+	if before == 0 {
+		go s.watch(name, address)
+	}
+}
+
 // watch probes a gateway until it answers.
 func (s *suspects) watch(name, address string) {
 	for !s.reached(address) {
@@ -89,7 +114,7 @@
 func (s *suspects) set(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.names[name] = true
+	s.names[name] = unreachable
 	s.publish()
 }
 
@@ -104,7 +129,9 @@
 	var left []board.Instance
 	for _, entry := range digest.Entries {
 		name := targetName(digest.Domain, entry.Name)
-		if !slices.Contains(tried, name) && !s.unreachable(name) {
+		thought := s.of(name)
+		out := thought == unreachable || (thought == doubted && len(tried) == 0)
+		if !out && !slices.Contains(tried, name) {
 			left = append(left, entry)
 		}
 	}
