Compare a prompt's changes with what its operator saw; one silence, one place for headers

A change that was typed at the prompt was compared with what the instance had when it arrived, so a change that somebody made while its operator was reading could be overwritten without a word. Replies now carry the instance's revision, and the prompt sends back the one that was seen last.

A failure domain counted as silent after 5 s in two places and after 10 s in a third; the one bound of 5 s lies in pkg/board. The operators' headers stood in two packages; they lie in pkg/header. A file's difference has a line a fact.

--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -119,15 +119,11 @@
 	return r
 }
 
-// DomainSilentAfter is the age of its digest at which a remote domain counts as
-// one that cannot be heard.
-const DomainSilentAfter = 5 * time.Second
-
 func (a *Agent) silentDomains(now time.Time) []string {
 	silent := []string{}
 	for _, domain := range a.remoteDomains() {
 		d, ok := a.mesh.digest(domain)
-		if !ok || now.Sub(d.HeardAt) > DomainSilentAfter {
+		if !ok || now.Sub(d.HeardAt) > board.DomainSilentAfter {
 			silent = append(silent, domain)
 		}
 	}
--- a/pkg/agent/serve_command.go
+++ b/pkg/agent/serve_command.go
@@ -11,16 +11,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
-)
-
-// Headers of the operators' HTTP.
-const (
-	// HeaderOperator names who asks; the key comes as a bearer token.
-	HeaderOperator = "X-Lilacweir-Operator"
-	// HeaderVerdict is ok, accepted, refused or unknown.
-	HeaderVerdict = "X-Lilacweir-Verdict"
-	// HeaderRevision is the revision that a difference was made against.
-	HeaderRevision = "X-Lilacweir-Revision"
+	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
 // Bounds of what operators send, in bytes.
@@ -49,6 +40,7 @@
 	reply := a.executor.ExecuteRequest(c.Request().Context(), command.Request{
 		Operator: operator, Line: strings.TrimSpace(string(body)), ID: c.QueryParam("id"), Seen: seen,
 	})
+	c.Response().Header().Set(header.Revision, strconv.FormatUint(uint64(a.keeper.Revision()), 10))
 	a.Log.Info().Str("operator", operator).Str("verdict", string(reply.Verdict)).Msg("command")
 	return answer(c, reply)
 }
@@ -72,7 +64,7 @@
 		First: c.QueryParam("seen") == "0",
 		ID:    c.QueryParam("id"), DryRun: c.QueryParam("dry") == "1", Force: c.QueryParam("force") == "1",
 	})
-	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(uint64(difference.Revision), 10))
+	c.Response().Header().Set(header.Revision, strconv.FormatUint(uint64(difference.Revision), 10))
 	a.Log.Info().Str("operator", operator).Str("verdict", string(difference.Verdict)).Msg("apply")
 	return answer(c, difference.Reply)
 }
@@ -90,14 +82,14 @@
 	if err != nil {
 		return err
 	}
-	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(uint64(head.Revision), 10))
+	c.Response().Header().Set(header.Revision, strconv.FormatUint(uint64(head.Revision), 10))
 	return c.Blob(http.StatusOK, "application/yaml", data)
 }
 
 // operator returns who asks, when the key is right: by the configuration in
 // force here, or by the file that is to make revision 1.
 func (a *Agent) operator(c echo.Context, file []byte) (string, bool) {
-	name := c.Request().Header.Get(HeaderOperator)
+	name := c.Request().Header.Get(header.Operator)
 	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearer)
 	if !ok || name == "" {
 		return "", false
@@ -134,11 +126,11 @@
 }
 
 func refuse(c echo.Context, status int, text string) error {
-	c.Response().Header().Set(HeaderVerdict, string(command.Refused))
+	c.Response().Header().Set(header.Verdict, string(command.Refused))
 	return c.String(status, text+"\n")
 }
 
 func answer(c echo.Context, reply command.Reply) error {
-	c.Response().Header().Set(HeaderVerdict, string(reply.Verdict))
+	c.Response().Header().Set(header.Verdict, string(reply.Verdict))
 	return c.String(http.StatusOK, reply.Text+"\n")
 }
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -132,6 +132,10 @@
 	Prefixes []uint64
 }
 
+// DomainSilentAfter is the age of its digest at which a failure domain counts as
+// one that cannot be heard, wherever that is shown.
+const DomainSilentAfter = 5 * time.Second
+
 // Domains holds what is known of the other failure domains.
 type Domains struct {
 	// Remote is sorted by domain name.
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -14,12 +14,18 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
 // agentFake answers every line with one reply, and counts the lines.
 type agentFake struct {
 	*httptest.Server
 	lines []string
+	// seen is what each line said that its operator had seen; revision is what
+	// the agent says that it has.
+	seen     []string
+	revision string
 }
 
 func newAgent(t *testing.T, verdict, text string) *agentFake {
@@ -28,8 +34,10 @@
 	mux.HandleFunc("/healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("/v1/command", func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		fake.lines = append(fake.lines, r.Header.Get(headerOperator)+" "+r.Header.Get("Authorization")+" "+string(body))
-		w.Header().Set(headerVerdict, verdict)
+		fake.seen = append(fake.seen, r.URL.Query().Get("seen"))
+		w.Header().Set(header.Revision, fake.revision)
+		fake.lines = append(fake.lines, r.Header.Get(header.Operator)+" "+r.Header.Get("Authorization")+" "+string(body))
+		w.Header().Set(header.Verdict, verdict)
 		_, _ = io.WriteString(w, text)
 	})
 	fake.Server = httptest.NewServer(mux)
@@ -131,6 +139,22 @@
 	is.Equal(session.Code, ExitUnknown)
 }
 
+// A change that is typed at the prompt is compared with what was accepted since
+// the reply that the operator saw last.
+func TestPromptSaysWhatWasSeen(t *testing.T) {
+	is := is.New(t)
+	agent := newAgent(t, "ok", "fine")
+	session := newSession(new(bytes.Buffer))
+	server := &Server{Addresses: []string{agent.address()}, Operator: "eleni", Key: "key-eleni", HTTP: http.DefaultClient}
+	session.answerLine(server, "drain nurse-1")
+	agent.revision = "117"
+	session.answerLine(server, "st")
+	agent.revision = "118" // somebody else's change, which this operator has not seen
+	session.answerLine(server, "drain nurse-1")
+	session.answerLine(server, "drain nurse-1")
+	is.Equal(agent.seen, []string{"", "", "117", "118"})
+}
+
 func TestSettingsFileAndFlags(t *testing.T) {
 	is := is.New(t)
 	agent := newAgent(t, "ok", "fine")
--- a/pkg/cli/operate.go
+++ b/pkg/cli/operate.go
@@ -129,6 +129,7 @@
 		_, _ = fmt.Fprintln(s.Err, unanswered(err))
 		return
 	}
+	server.Seen = reply.Revision
 	s.show(reply)
 }
 
--- a/pkg/cli/server.go
+++ b/pkg/cli/server.go
@@ -23,13 +23,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
-)
-
-// Headers between operators and agents.
-const (
-	headerOperator = "X-Lilacweir-Operator"
-	headerVerdict  = "X-Lilacweir-Verdict"
-	headerRevision = "X-Lilacweir-Revision"
+	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
 // Paths of the operators' HTTP.
@@ -63,7 +57,8 @@
 type Reply struct {
 	Text    string
 	Verdict Verdict
-	// Revision is what a difference was made against; empty otherwise.
+	// Revision is what a difference was made against, or which revision the agent
+	// had when it answered a line; empty when it did not say.
 	Revision string
 }
 
@@ -84,6 +79,9 @@
 	Operator  string
 	Key       string
 	HTTP      *http.Client
+	// Seen is the revision of the last reply that the operator saw; changes are
+	// compared with what was accepted since. Empty means the agent's present one.
+	Seen string
 }
 
 // LostError says that an answer was lost after a change was sent, and that
@@ -118,6 +116,7 @@
 	parsed, err := command.Parse(line)
 	if err == nil && parsed.Changes() {
 		query.Set("id", s.identity(ctx, address))
+		query.Set("seen", s.Seen)
 	}
 	return s.send(ctx, address, pathCommand, query, []byte(line))
 }
@@ -208,7 +207,7 @@
 		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("make request: %w", err)
 	}
 	request.Header.Set("Authorization", "Bearer "+s.Key)
-	request.Header.Set(headerOperator, s.Operator)
+	request.Header.Set(header.Operator, s.Operator)
 	response, err := s.HTTP.Do(request)
 	if err != nil {
 		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("post: %w", err)
@@ -222,7 +221,7 @@
 	if err != nil {
 		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("read reply: %w", err)
 	}
-	verdict := Verdict(response.Header.Get(headerVerdict))
+	verdict := Verdict(response.Header.Get(header.Verdict))
 	if verdict == "" && response.StatusCode < http.StatusInternalServerError {
 		verdict = VerdictRefused
 	}
@@ -232,7 +231,7 @@
 	return Reply{
 		Text:     strings.TrimRight(string(text), "\n"),
 		Verdict:  verdict,
-		Revision: response.Header.Get(headerRevision),
+		Revision: response.Header.Get(header.Revision),
 	}, nil
 }
 
--- a/pkg/command/apply.go
+++ b/pkg/command/apply.go
@@ -38,7 +38,8 @@
 
 // Apply changes the configuration to what a file declares, and changes only what
 // differs between the file and the revision that the operator saw. A dry run's
-// text is as long as the difference; every other reply fits the screen.
+// text has a line for each fact, as files are applied at a computer; every other
+// reply fits a phone's screen.
 //
 // On a deployment without configuration it makes revision 1. Who asks must then
 // be an operator of the file itself; the caller of Apply checks keys, see Judge.
@@ -94,11 +95,7 @@
 	for _, danger := range config.Dangers(before, target) {
 		lines = append(lines, "! "+danger.String())
 	}
-	var rows []string
-	for _, line := range lines {
-		rows = append(rows, wrap(line)...)
-	}
-	return Reply{Verdict: OK, Text: strings.Join(rows, "\n")}
+	return Reply{Verdict: OK, Text: strings.Join(lines, "\n")}
 }
 
 // Judge tells whether the key is the operator's, in constant time: by the
--- a/pkg/command/inforce.go
+++ b/pkg/command/inforce.go
@@ -11,12 +11,8 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 )
 
-const (
-	// InForceBound is how long a change's answer waits for every instance.
-	InForceBound = 3 * time.Second
-	// silentAfter is how old a domain's digest may be before it is called silent.
-	silentAfter = 5 * time.Second
-)
+// InForceBound is how long a change's answer waits for every instance.
+const InForceBound = 3 * time.Second
 
 // spread says how far a revision is in force, as far as instances reported.
 type spread struct {
@@ -101,7 +97,7 @@
 		s.have += have
 		silence := now.Sub(digest.HeardAt)
 		switch {
-		case silence > silentAfter:
+		case silence > board.DomainSilentAfter:
 			s.notes = append(s.notes, digest.Domain+" silent "+age(silence))
 		case have < digest.Nodes:
 			s.notes = append(s.notes, fmt.Sprintf("%s %d/%d", digest.Domain, have, digest.Nodes))
--- a/pkg/command/status.go
+++ b/pkg/command/status.go
@@ -123,7 +123,7 @@
 	if digest == nil {
 		return reply(OK, append(lines, "not heard yet from here")...)
 	}
-	if silence := e.Clock.Now().Sub(digest.HeardAt); silence > silentAfter {
+	if silence := e.Clock.Now().Sub(digest.HeardAt); silence > board.DomainSilentAfter {
 		lines = append(lines, "silent "+age(silence)+"; before that:")
 	}
 	lines = append(lines, fmt.Sprintf("%s, %d silent", instances(digest.Nodes), digest.Silent))
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -15,8 +15,6 @@
 	// instancesValid is how long a caller may keep the list of instances. A
 	// leaving gateway goes on serving for as long.
 	instancesValid = 2 * time.Second
-	// silentAfter is the age of a digest at which its domain counts as silent.
-	silentAfter = 10 * time.Second
 )
 
 // Instances implements api.Source: the own failure domain first, then the domains
@@ -115,7 +113,7 @@
 	silent := []string{}
 	for _, region := range g.board.Config.Load().Declaration.Regions {
 		for _, domain := range region.Domains {
-			if domain != g.settings.Domain && g.clock.Now().Sub(heard[domain]) > silentAfter {
+			if domain != g.settings.Domain && g.clock.Now().Sub(heard[domain]) > board.DomainSilentAfter {
 				silent = append(silent, domain)
 			}
 		}
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -38,6 +38,15 @@
 // of its own failure domain and never forwards it again.
 const ClassDomain = "domain"
 
+// Headers between operators and agents; Revision says which revision the answer
+// comes from.
+const (
+	// Operator names who asks; the key comes as a bearer token.
+	Operator = "X-Lilacweir-Operator"
+	// Verdict is ok, accepted, refused or unknown.
+	Verdict = "X-Lilacweir-Verdict"
+)
+
 // Headers between gateways and upstreams.
 const (
 	// ResumeOffset asks an engine to skip that many chunks.
