--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -93,10 +93,14 @@
 }
 
 func (w *way) ticket(decision *route.Decision) admission.Ticket {
+	answer := w.request.MaxTokens
+	if answer == 0 && w.request.Kind == config.KindEngine {
+		answer = route.ExpectedAnswer
+	}
 	return admission.Ticket{
 		Caller:   w.request.Caller,
 		Serves:   decision.Pool,
-		Cost:     admission.Cost(w.request.PromptTokens, w.request.MaxTokens),
+		Cost:     admission.Cost(w.request.PromptTokens, answer),
 		Priority: w.request.Priority,
 		Deadline: w.request.Deadline,
 		Run:      decision.Predicted,
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -7,9 +7,9 @@
 	"github.com/lilacweir/lilacweir/pkg/limit"
 )
 
-// expectedAnswer is the length in tokens that an answer is taken to have, unless
+// ExpectedAnswer is the length in tokens that an answer is taken to have, unless
 // the request asks for less.
-const expectedAnswer = 256
+const ExpectedAnswer = 256
 
 // defaultHolding is how long a service call is taken to last when none has been
 // measured.
@@ -51,10 +51,10 @@
 
 // answerTokens is the answer's expected length.
 func answerTokens(req *Request) float64 {
-	if req.MaxTokens > 0 && req.MaxTokens < expectedAnswer {
+	if req.MaxTokens > 0 && req.MaxTokens < ExpectedAnswer {
 		return float64(req.MaxTokens)
 	}
-	return expectedAnswer
+	return ExpectedAnswer
 }
 
 // estimate predicts a request's course at a local upstream.
