Hand idempotency keys over in parts, and count what callers are told

A handover was one call. The records now go in parts of about 1 MiB, which give no authority; the one call that does so carries their number and checksum. New with it: a successor that does not answer while the parts are sent cannot have adopted, so the next peer is asked (TestSilentPeerIsPassedOver, TestManyRecordsGoInParts).

TestUnknownAnswers sends 1,000 requests around a crash, a freeze, a rolling replacement and an outage, repeats each through another instance, and counts the answers of designs (a) and (d); it fails on a second run or a false answer.

--- /dev/null
+++ b/pkg/claim/experiment_test.go
@@ -0,0 +1,203 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// experimentKeys is how many requests each experiment sends, once and again.
+const experimentKeys = 1000
+
+// experiment sends requests around an event and then repeats each through
+// another instance. By chance six of ten requests end before the event, two are
+// running when it comes, and two come after it, half of these with a key from
+// before.
+type experiment struct {
+	world  *world
+	dice   *rand.Rand
+	opaque bool
+	trials []*trial
+	// unknownFirst counts first tries that were told unknown, unknownRepeat
+	// repeats; falseAnswers is what must not be: a second run, a not-run after a
+	// run, a recorded answer without one.
+	unknownFirst, unknownRepeat, recorded, granted, falseAnswers int
+}
+
+// trial is one request that may not be repeated.
+type trial struct {
+	phase  int
+	key    string
+	holder *process
+	grant  *Grant
+	ran    int
+	first  string
+}
+
+// The phases of a trial, of ten parts.
+const (
+	phases         = 10
+	phaseRunning   = 6
+	phaseKeyed     = 8
+	phaseUnstarted = 9
+)
+
+// any draws an instance that serves callers.
+func (e *experiment) any() *process {
+	for {
+		p := e.world.processes[instanceNames[e.dice.IntN(len(instanceNames))]]
+		if !p.dead && !p.frozen && !p.leaving {
+			return p
+		}
+	}
+}
+
+func (e *experiment) issue(t *trial, number int) {
+	t.key = fmt.Sprintf("order-%d", number)
+	if e.opaque {
+		return
+	}
+	prefix, _ := e.any().coordinator.Prefix()
+	t.key = fmt.Sprintf("%s.%016x", prefix, number)
+}
+
+// send begins a request through an instance and runs it when that is granted.
+func (e *experiment) send(t *trial) (told string) {
+	through := e.any()
+	grant, recorded, refusal := through.coordinator.Begin(context.Background(), Claim{Key: t.key, Caller: propertyCaller})
+	switch {
+	case grant != nil:
+		t.grant, t.holder = grant, through
+		t.ran++
+		return "granted"
+	case recorded != nil:
+		return "recorded"
+	default:
+		return string(refusal.Outcome)
+	}
+}
+
+// end finishes a running request, unless its gateway is gone.
+func (t *trial) end() {
+	if t.grant != nil && !t.holder.dead && !t.holder.frozen {
+		t.grant.Finish(context.Background(), answered)
+	}
+}
+
+func (e *experiment) run(event func(e *experiment)) {
+	for i := range experimentKeys {
+		t := &trial{phase: e.dice.IntN(phases)}
+		e.trials = append(e.trials, t)
+		if t.phase < phaseUnstarted {
+			e.issue(t, i)
+		}
+		if t.phase < phaseKeyed {
+			t.first = e.send(t)
+		}
+		if t.phase < phaseRunning {
+			t.end()
+		}
+	}
+	event(e)
+	for i, t := range e.trials {
+		if t.phase == phaseUnstarted {
+			e.issue(t, i)
+		}
+		if t.phase >= phaseKeyed {
+			t.first = e.send(t)
+		}
+		t.end()
+	}
+	for _, t := range e.trials {
+		e.count(t, e.send(t))
+	}
+}
+
+func (e *experiment) count(t *trial, repeat string) {
+	if t.first == string(outcome.Unknown) {
+		e.unknownFirst++
+	}
+	switch repeat {
+	case string(outcome.Unknown):
+		e.unknownRepeat++
+	case "recorded":
+		e.recorded++
+	case "granted":
+		e.granted++
+	}
+	notRunWrongly := repeat == string(outcome.NotRun) && t.ran > 0
+	if t.ran > 1 || notRunWrongly || repeat == "recorded" && t.ran != 1 {
+		e.falseAnswers++
+	}
+}
+
+// rollingReplacement ends each instance gracefully: its running requests end,
+// its keys are handed over, and a new process takes its place.
+func rollingReplacement(e *experiment) {
+	for _, name := range instanceNames {
+		leaving := e.world.processes[name]
+		for _, t := range e.trials {
+			if t.holder == leaving {
+				t.end()
+			}
+		}
+		e.world.leave(name)
+		e.world.crash(name)
+	}
+}
+
+func crashEach(e *experiment) {
+	for _, name := range instanceNames {
+		e.world.crash(name)
+	}
+}
+
+func outage(e *experiment) { e.world.keyValue.down = true }
+
+func crashOne(e *experiment) { e.world.crash("a1") }
+
+func freezeOne(e *experiment) {
+	e.world.processes["a1"].frozen = true
+	e.world.refreshAll()
+}
+
+func both(one, other func(*experiment)) func(*experiment) {
+	return func(e *experiment) { one(e); other(e) }
+}
+
+// TestUnknownAnswers counts what callers are told under designs (a), a claim in
+// the key-value service, and (d), the issuing incarnation as the only decider.
+// docs/design/idempotency.md holds the table.
+func TestUnknownAnswers(t *testing.T) {
+	events := []struct {
+		name   string
+		during func(e *experiment)
+	}{
+		{"nothing", func(*experiment) {}},
+		{"one of 5 instances crashes", crashOne},
+		{"one of 5 instances is frozen", freezeOne},
+		{"rolling replacement of all 5", rollingReplacement},
+		{"all 5 crash, one by one", crashEach},
+		{"outage of the service", outage},
+		{"outage, and one crashes", both(outage, crashOne)},
+		{"outage, and rolling replacement", both(outage, rollingReplacement)},
+	}
+	for _, opaque := range []bool{true, false} {
+		design := map[bool]string{true: "a", false: "d"}[opaque]
+		for _, event := range events {
+			t.Run(design+" "+event.name, func(t *testing.T) {
+				is := is.New(t)
+				e := &experiment{world: newWorld(1), opaque: opaque, dice: rand.New(rand.NewPCG(1, 1))}
+				e.run(event.during)
+				t.Logf("| %s | %s | %d | %d | %d | %d | %d |", design, event.name,
+					e.unknownFirst, e.unknownRepeat, e.recorded, e.granted, e.world.keyValue.writes)
+				is.Equal(e.falseAnswers, 0)
+			})
+		}
+	}
+}
--- a/pkg/claim/handover.go
+++ b/pkg/claim/handover.go
@@ -1,12 +1,6 @@
 package claim
 
-import (
-	"encoding/binary"
-	"errors"
-	"io"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "errors"
 
 // ErrHandedOver: the owner's authority may already be with a successor.
 var ErrHandedOver = errors.New("authority over idempotency keys was handed over")
@@ -29,28 +23,44 @@
 	FaultDuplicate TransferFault = "already-decided"
 )
 
-// Transfer carries all records and the authority of a leaving owner to exactly
-// one incarnation.
+// Transfer passes the authority of a leaving owner to exactly one incarnation.
+// The records have gone there before, in parts.
 type Transfer struct {
 	// ID is random. A repeat with the same ID changes nothing.
 	ID string
 	// From is the leaving owner, Successor the only one who may adopt.
 	From, Successor Origin
 	Tables          []TableExport
-	// Records counts the records of all tables, and Sum is their checksum.
-	Records int
-	Sum     uint64
+	// Parts counts the parts that hold all records, and Sum is the checksum of
+	// the tables and parts.
+	Parts int
+	Sum   uint64
 }
 
-// TableExport is all that is known of one origin's keys.
+// TableExport is what is known of one origin's keys besides the records.
 type TableExport struct {
 	Origin Origin
 	// Now is the origin's clock when the owner had stopped deciding, and Floor
 	// the issue time up to which records may be missing; both Unix milliseconds.
 	Now, Floor int64
-	Records    []Record
 }
 
+// Part is a piece of a transfer's records. It gives no authority.
+type Part struct {
+	// Transfer is the transfer's ID.
+	Transfer string
+	// From and Successor are the transfer's.
+	From, Successor Origin
+	// Index counts the parts from zero.
+	Index int
+	// Origin is that of all Records.
+	Origin  Origin
+	Records []Record
+}
+
+// partSize is about how many bytes a part takes on the wire at most.
+const partSize = 1 << 20
+
 // TransferReply answers a transfer.
 type TransferReply struct {
 	// By is the incarnation that answers.
@@ -62,32 +72,51 @@
 // Export stops all deciding for good and returns what the successor needs. A
 // second call is refused with ErrHandedOver, unless the first successor itself
 // has refused (see Refused).
-func (o *Owner) Export(id string, successor Decider) (*Transfer, error) {
+func (o *Owner) Export(id string, successor Decider) (*Transfer, []Part, error) {
 	o.gate.Lock()
 	defer o.gate.Unlock()
 	if o.outstanding != "" {
-		return nil, ErrHandedOver
+		return nil, nil, ErrHandedOver
 	}
 	o.stopped = true
 	o.outstanding = id
 	o.successor = &successor
 	transfer := &Transfer{ID: id, From: o.self, Successor: successor.Origin}
+	var parts []Part
 	for origin, records := range o.tables {
-		export := records.export(origin)
-		transfer.Records += len(export.Records)
-		transfer.Tables = append(transfer.Tables, export)
+		transfer.Tables = append(transfer.Tables, TableExport{Origin: origin, Now: records.now(), Floor: records.floor.Load()})
+		parts = append(parts, split(origin, records.all())...)
+	}
+	if len(parts) == 0 {
+		parts = []Part{{Origin: o.self}} // shows whether the successor answers
+	}
+	for i := range parts {
+		parts[i].Transfer, parts[i].Index = id, i
+		parts[i].From, parts[i].Successor = o.self, successor.Origin
 	}
-	transfer.Sum = transfer.checksum()
-	return transfer, nil
+	transfer.Parts = len(parts)
+	transfer.Sum = transfer.checksum(parts)
+	return transfer, parts, nil
 }
 
 // Refused takes in a reply to a transfer. It returns true when the named
 // successor itself refused and will refuse for ever, so that another may be
 // asked. Any other incarnation's refusal proves nothing.
 func (o *Owner) Refused(transfer *Transfer, reply TransferReply) bool {
+	if reply.Fault == FaultNone || reply.By != transfer.Successor {
+		return false
+	}
+	return o.release(transfer)
+}
+
+// Unsent says that a transfer was never sent to its successor, so that another
+// may be asked.
+func (o *Owner) Unsent(transfer *Transfer) { o.release(transfer) }
+
+func (o *Owner) release(transfer *Transfer) bool {
 	o.gate.Lock()
 	defer o.gate.Unlock()
-	if reply.Fault == FaultNone || reply.By != transfer.Successor || o.outstanding != transfer.ID {
+	if o.outstanding != transfer.ID {
 		return false
 	}
 	o.outstanding = ""
@@ -102,6 +131,26 @@
 	return o.successor, o.stopped
 }
 
+// Stage keeps a part until its transfer comes. Only the parts of one transfer
+// from each owner are kept: the latest.
+func (o *Owner) Stage(part Part) {
+	o.gate.Lock()
+	defer o.gate.Unlock()
+	o.dropStale()
+	if part.Successor != o.self || o.stopped {
+		return
+	}
+	if _, decided := o.transfers[part.Transfer]; decided {
+		return
+	}
+	stage := o.staged[part.From]
+	if stage == nil || stage.transfer != part.Transfer {
+		stage = &staging{transfer: part.Transfer, parts: make(map[int]Part), began: o.clock.Now()}
+		o.staged[part.From] = stage
+	}
+	stage.parts[part.Index] = part
+}
+
 // Adopt takes over the origins of a transfer, or refuses. The answer to one
 // transfer never changes, so that a late or repeated one does no harm.
 func (o *Owner) Adopt(transfer *Transfer) TransferReply {
@@ -113,38 +162,54 @@
 	if earlier, ok := o.transfers[transfer.ID]; ok {
 		return earlier
 	}
-	reply := TransferReply{By: o.self, Fault: o.faultOf(transfer)}
+	parts := o.unstage(transfer)
+	reply := TransferReply{By: o.self, Fault: o.faultOf(transfer, parts)}
 	o.transfers[transfer.ID] = reply
 	if reply.Fault == FaultNone {
-		o.adopt(transfer)
+		o.adopt(transfer, parts)
 	}
 	return reply
 }
 
-func (o *Owner) faultOf(transfer *Transfer) TransferFault {
+// unstage returns the parts of a transfer that have come, in order.
+func (o *Owner) unstage(transfer *Transfer) []Part {
+	held := o.staged[transfer.From]
+	if held == nil || held.transfer != transfer.ID {
+		return nil
+	}
+	delete(o.staged, transfer.From)
+	var parts []Part
+	for i := range transfer.Parts {
+		if part, ok := held.parts[i]; ok {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+func (o *Owner) faultOf(transfer *Transfer, parts []Part) TransferFault {
 	if o.stopped {
 		return FaultLeaving
 	}
-	count := 0
 	for _, export := range transfer.Tables {
 		if o.tables[export.Origin] != nil {
 			return FaultDuplicate
 		}
-		count += len(export.Records)
 	}
-	if count != transfer.Records || transfer.checksum() != transfer.Sum {
+	if len(parts) != transfer.Parts || transfer.checksum(parts) != transfer.Sum {
 		return FaultIncomplete
 	}
 	return FaultNone
 }
 
-func (o *Owner) adopt(transfer *Transfer) {
+func (o *Owner) adopt(transfer *Transfer, parts []Part) {
 	o.dropExpired()
 	received := o.clock.Now()
 	for _, export := range transfer.Tables {
-		records := newTable(o.clock, received, export.Now, export.Floor, o.limits)
-		records.load(export.Records)
-		o.tables[export.Origin] = records
+		o.tables[export.Origin] = newTable(o.clock, received, export.Now, export.Floor, o.limits)
+	}
+	for _, part := range parts {
+		o.tables[part.Origin].load(part.Records)
 	}
 }
 
@@ -159,17 +224,18 @@
 	}
 }
 
-func (t *table) export(origin Origin) TableExport {
-	export := TableExport{Origin: origin, Now: t.now(), Floor: t.floor.Load()}
+// all returns a copy of every record.
+func (t *table) all() []Record {
+	records := make([]Record, 0, t.count.Load())
 	for i := range t.shards {
 		part := &t.shards[i]
 		part.mu.Lock()
 		for _, record := range part.records {
-			export.Records = append(export.Records, *record)
+			records = append(records, *record)
 		}
 		part.mu.Unlock()
 	}
-	return export
+	return records
 }
 
 func (t *table) load(records []Record) {
@@ -179,37 +245,3 @@
 		t.account(&record)
 	}
 }
-
-// checksum covers who is transferred and every record.
-func (t *Transfer) checksum() uint64 {
-	digest := xxhash.New()
-	hashText(digest, t.ID, t.From.String(), t.Successor.String())
-	for _, export := range t.Tables {
-		hashText(digest, export.Origin.String())
-		hashNumber(digest, uint64(export.Now), uint64(export.Floor))
-		for i := range export.Records {
-			export.Records[i].hash(digest)
-		}
-	}
-	return digest.Sum64()
-}
-
-func (r *Record) hash(digest io.Writer) {
-	hashText(digest, r.Key, r.Caller, r.Attempt, string(r.Fingerprint[:]), string(r.Result.Body))
-	hashNumber(digest, uint64(r.State), uint64(r.Issued), uint64(r.Granted), uint64(r.Result.Status))
-}
-
-func hashText(digest io.Writer, texts ...string) {
-	for _, text := range texts {
-		hashNumber(digest, uint64(len(text)))
-		_, _ = io.WriteString(digest, text)
-	}
-}
-
-func hashNumber(digest io.Writer, numbers ...uint64) {
-	for _, number := range numbers {
-		var bytes [8]byte
-		binary.BigEndian.PutUint64(bytes[:], number)
-		_, _ = digest.Write(bytes[:])
-	}
-}
--- a/pkg/claim/handover_test.go
+++ b/pkg/claim/handover_test.go
@@ -1,18 +1,31 @@
 package claim
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
 func ownerAt(clock *fakeClock, instance string, incarnation uint64) *Owner {
 	return NewOwner(Origin{Domain: "hn-a", Instance: instance, Incarnation: incarnation}, clock, fixedTTL, Limits{})
 }
 
+// adoptAll sends a whole transfer.
+func (o *Owner) adoptAll(transfer *Transfer, parts []Part) TransferFault {
+	for _, part := range parts {
+		o.Stage(part)
+	}
+	return o.Adopt(transfer).Fault
+}
+
 func asDecider(o *Owner) Decider { return Decider{Origin: o.self, Control: o.self.Instance} }
 
 // handoverPair is a leaving owner with a running and a complete key, and a peer.
@@ -37,7 +50,7 @@
 func TestHandoverMovesRecordsAndAuthority(t *testing.T) {
 	is := is.New(t)
 	p := newHandoverPair()
-	transfer, err := p.old.Export("t", asDecider(p.next))
+	transfer, parts, err := p.old.Export("t", asDecider(p.next))
 	is.NoErr(err)
 	moved := p.old.Begin(p.complete, claimOf(p.complete, "desk", "c"))
 	is.Equal(moved.Verdict, VerdictNotMine)
@@ -45,7 +58,7 @@
 	_, issuing := p.old.Prefix()
 	is.True(!issuing) // no new keys for an origin that decides no more
 	is.Equal(p.next.Begin(p.complete, claimOf(p.complete, "desk", "c")).Verdict, VerdictNotMine)
-	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone)
 	is.Equal(verdictOf(p.next.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
 	is.Equal(verdictOf(p.next.Begin(p.running, claimOf(p.running, "desk", "c"))), "unknown idempotency-key-in-progress")
 	is.True(p.next.Finish(p.running, p.runningAs, answered).Changed)
@@ -61,14 +74,14 @@
 func TestRestartedSuccessorProvesNothing(t *testing.T) {
 	is := is.New(t)
 	p := newHandoverPair()
-	transfer, err := p.old.Export("t", asDecider(p.next))
+	transfer, parts, err := p.old.Export("t", asDecider(p.next))
 	is.NoErr(err)
-	p.next.Adopt(transfer) // the answer is lost
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone) // the answer is lost
 	restarted, third := ownerAt(p.clock, "hn-2", 4), ownerAt(p.clock, "hn-3", 1)
 	reply := restarted.Adopt(transfer)
 	is.Equal(reply.Fault, FaultAddressee)
 	is.True(!p.old.Refused(transfer, reply))
-	_, err = p.old.Export("u", asDecider(third))
+	_, _, err = p.old.Export("u", asDecider(third))
 	is.True(errors.Is(err, ErrHandedOver))
 }
 
@@ -77,13 +90,13 @@
 func TestRepeatedTransferIsAnsweredAlike(t *testing.T) {
 	is := is.New(t)
 	p := newHandoverPair()
-	transfer, err := p.old.Export("t", asDecider(p.next))
+	transfer, parts, err := p.old.Export("t", asDecider(p.next))
 	is.NoErr(err)
-	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone)
 	third := ownerAt(p.clock, "hn-3", 1)
-	onward, err := p.next.Export("u", asDecider(third))
+	onward, parts, err := p.next.Export("u", asDecider(third))
 	is.NoErr(err)
-	is.Equal(third.Adopt(onward).Fault, FaultNone)
+	is.Equal(third.adoptAll(onward, parts), FaultNone)
 	is.Equal(p.next.Adopt(transfer).Fault, FaultNone)
 	is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
 	is.Equal(verdictOf(third.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
@@ -92,37 +105,79 @@
 func TestTransferRefused(t *testing.T) {
 	cases := []struct {
 		name  string
-		spoil func(p *handoverPair, transfer *Transfer)
+		spoil func(p *handoverPair, transfer *Transfer, parts []Part)
 		want  TransferFault
 	}{
-		{"record missing", func(_ *handoverPair, t *Transfer) { t.Tables[0].Records = t.Tables[0].Records[1:] }, FaultIncomplete},
-		{"table missing", func(_ *handoverPair, t *Transfer) { t.Tables = nil }, FaultIncomplete},
-		{"record altered", func(_ *handoverPair, t *Transfer) { t.Tables[0].Records[0].State = StateFree }, FaultIncomplete},
-		{"floor altered", func(_ *handoverPair, t *Transfer) { t.Tables[0].Floor++ }, FaultIncomplete},
-		{"successor leaving", func(p *handoverPair, _ *Transfer) { _, _ = p.next.Export("x", asDecider(p.old)) }, FaultLeaving},
+		{"record missing", func(_ *handoverPair, _ *Transfer, parts []Part) { parts[0].Records = parts[0].Records[1:] }, FaultIncomplete},
+		{"part missing", func(_ *handoverPair, _ *Transfer, parts []Part) { parts[0].Transfer = "s" }, FaultIncomplete},
+		{"record altered", func(_ *handoverPair, _ *Transfer, parts []Part) { parts[0].Records[0].State = StateFree }, FaultIncomplete},
+		{"floor altered", func(_ *handoverPair, t *Transfer, _ []Part) { t.Tables[0].Floor++ }, FaultIncomplete},
+		{"successor leaving", func(p *handoverPair, _ *Transfer, _ []Part) { _, _, _ = p.next.Export("x", asDecider(p.old)) }, FaultLeaving},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			p := newHandoverPair()
-			transfer, err := p.old.Export("t", asDecider(p.next))
+			transfer, parts, err := p.old.Export("t", asDecider(p.next))
 			is.NoErr(err)
-			c.spoil(p, transfer)
+			c.spoil(p, transfer, parts)
+			is.Equal(p.next.adoptAll(transfer, parts), c.want)
 			reply := p.next.Adopt(transfer)
-			is.Equal(reply.Fault, c.want)
 			is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
 			is.True(p.old.Refused(transfer, reply)) // the successor itself refused for good
 			is.Equal(p.old.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
 			third := ownerAt(p.clock, "hn-3", 1)
-			again, err := p.old.Export("u", asDecider(third))
+			again, parts, err := p.old.Export("u", asDecider(third))
 			is.NoErr(err)
-			is.Equal(third.Adopt(again).Fault, FaultNone)
+			is.Equal(third.adoptAll(again, parts), FaultNone)
 			is.Equal(p.next.Adopt(transfer).Fault, c.want) // a late duplicate changes nothing
 			is.Equal(verdictOf(third.Begin(p.complete, claimOf(p.complete, "desk", "c"))), "recorded")
 		})
 	}
 }
 
+// A successor that does not answer while the records are sent cannot have got
+// the authority: the next one is asked.
+func TestSilentPeerIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	first := w.processes["a1"].coordinator.candidates()[0].Instance
+	w.fates["a1>"+first] = []fault{faultReplyLost}
+	successor, err := w.processes["a1"].coordinator.Handover(context.Background())
+	is.NoErr(err)
+	is.True(successor.Instance != first)
+	key := keyAt(w.processes["a1"].self, epoch, randomPart)
+	is.Equal(verdictOf(w.processes[successor.Instance].coordinator.owner.Begin(key, claimOf(key, "desk", "a"))), "granted")
+}
+
+// Records beyond one message go in parts.
+func TestManyRecordsGoInParts(t *testing.T) {
+	is := is.New(t)
+	p := newHandoverPair()
+	const records = 100
+	for i := range records {
+		key := keyAt(p.old.self, epoch, fmt.Sprintf("%016x", i))
+		p.old.Begin(key, claimOf(key, "desk", "a"))
+		p.old.Finish(key, claimOf(key, "desk", "a"), Result{Outcome: outcome.Complete, Body: make([]byte, MaxStoredBody)})
+	}
+	transfer, parts, err := p.old.Export("t", asDecider(p.next))
+	is.NoErr(err)
+	is.True(len(parts) > 1)
+	for _, part := range parts {
+		is.True(gobSize(part) < 2*partSize)
+	}
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone)
+	is.Equal(p.next.Records(), records+2)
+}
+
+func gobSize(value any) int {
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		panic(err)
+	}
+	return buffer.Len()
+}
+
 func TestNoPeerNoHandover(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1)
@@ -139,15 +194,15 @@
 func TestSuccessorForgetsExpiredOrigin(t *testing.T) {
 	is := is.New(t)
 	p := newHandoverPair()
-	transfer, err := p.old.Export("t", asDecider(p.next))
+	transfer, parts, err := p.old.Export("t", asDecider(p.next))
 	is.NoErr(err)
-	p.next.Adopt(transfer)
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone)
 	is.Equal(p.next.Records(), 2)
 	p.clock.advance(testTTL + time.Second)
 	third := ownerAt(p.clock, "hn-3", 1)
-	onward, err := third.Export("u", asDecider(p.next))
+	onward, parts, err := third.Export("u", asDecider(p.next))
 	is.NoErr(err)
-	is.Equal(p.next.Adopt(onward).Fault, FaultNone)
+	is.Equal(p.next.adoptAll(onward, parts), FaultNone)
 	is.Equal(p.next.Records(), 0)
 	is.Equal(p.next.Begin(p.complete, p.finalAs).Verdict, VerdictNotMine)
 }
--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -13,18 +13,18 @@
 var ErrNoSuccessor = errors.New("no successor for idempotency keys")
 
 // Handover stops deciding and passes all records and the authority over them to
-// one live peer. It keeps trying that peer until ctx ends, and turns to another
-// only when the first itself refused. While there is no live peer at all it
+// one live peer. Once the authority was sent it keeps trying that peer until ctx
+// ends, and turns to another only when the first itself refused. While there is no live peer at all it
 // does not stop deciding and returns ErrNoSuccessor. After any other error no
 // one may decide these keys: repeats are answered from copies, or unknown.
 func (c *Coordinator) Handover(ctx context.Context) (Decider, error) {
 	candidates := c.candidates()
 	for _, candidate := range candidates {
-		transfer, err := c.owner.Export(c.newID(), candidate)
+		transfer, parts, err := c.owner.Export(c.newID(), candidate)
 		if err != nil {
 			return Decider{}, err
 		}
-		adopted, err := c.transfer(ctx, candidate, transfer)
+		adopted, err := c.transfer(ctx, candidate, transfer, parts)
 		if err != nil {
 			return candidate, err
 		}
@@ -54,19 +54,21 @@
 	return rank(c.options.Self.String(), live)
 }
 
-// transfer sends until the successor answers or ctx ends. False means that the
-// successor itself refused for good.
-func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer) (bool, error) {
-	for {
-		reply, err := c.callAdopt(ctx, successor, transfer)
-		if err == nil && reply.By == transfer.Successor && reply.Fault == FaultNone {
-			return true, nil
-		}
-		if err == nil && c.owner.Refused(transfer, reply) {
+// transfer stages the records and then sends the authority until the successor
+// answers or ctx ends. False means that this successor has not adopted and never
+// will: it refused itself, or the authority was not sent to it.
+func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer, parts []Part) (bool, error) {
+	for i := range parts {
+		if c.callSuccessor(ctx, successor, MethodStage, &parts[i], &StageReply{}) != nil {
+			c.owner.Unsent(transfer)
 			return false, nil
 		}
+	}
+	for {
+		var reply TransferReply
+		err := c.callSuccessor(ctx, successor, MethodAdopt, transfer, &reply)
 		if err == nil {
-			return false, &TransferError{Successor: successor.Origin, Fault: reply.Fault}
+			return c.adopted(transfer, reply)
 		}
 		if stop := c.options.Sleep(ctx, retryTransfer); stop != nil {
 			return false, fmt.Errorf("hand over idempotency keys to %s: %w", successor.Instance, errors.Join(stop, err))
@@ -74,12 +76,20 @@
 	}
 }
 
-func (c *Coordinator) callAdopt(ctx context.Context, successor Decider, transfer *Transfer) (TransferReply, error) {
+func (c *Coordinator) adopted(transfer *Transfer, reply TransferReply) (bool, error) {
+	if reply.By == transfer.Successor && reply.Fault == FaultNone {
+		return true, nil
+	}
+	if c.owner.Refused(transfer, reply) {
+		return false, nil
+	}
+	return false, &TransferError{Successor: transfer.Successor, Fault: reply.Fault}
+}
+
+func (c *Coordinator) callSuccessor(ctx context.Context, successor Decider, method string, args, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, DefaultTransferTimeout)
 	defer cancel()
-	var reply TransferReply
-	err := c.options.Peers.Call(ctx, successor.Control, MethodAdopt, transfer, &reply)
-	return reply, err
+	return c.options.Peers.Call(ctx, successor.Control, method, args, reply)
 }
 
 // TransferError is a successor that is no longer the incarnation that was
--- a/pkg/claim/messages.go
+++ b/pkg/claim/messages.go
@@ -7,6 +7,7 @@
 const (
 	MethodBegin  = ServiceName + ".Begin"
 	MethodFinish = ServiceName + ".Finish"
+	MethodStage  = ServiceName + ".Stage"
 	MethodAdopt  = ServiceName + ".Adopt"
 )
 
@@ -39,3 +40,6 @@
 	Decided   bool
 	Successor *Decider
 }
+
+// StageReply answers a part: it was received.
+type StageReply struct{}
--- a/pkg/claim/owner.go
+++ b/pkg/claim/owner.go
@@ -83,6 +83,7 @@
 	// outstanding is the transfer that may have been adopted; empty: none.
 	outstanding string
 	transfers   map[string]TransferReply
+	staged      map[Origin]*staging
 }
 
 // NewOwner returns the decider of a fresh incarnation's keys. ttl is asked at
@@ -98,6 +99,7 @@
 		limits:    limits,
 		tables:    map[Origin]*table{self: own},
 		transfers: make(map[string]TransferReply),
+		staged:    make(map[Origin]*staging),
 	}
 }
 
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -32,6 +32,12 @@
 	return nil
 }
 
+// Stage takes a part of a leaving gateway's records.
+func (s *Service) Stage(args Part, _ *StageReply) error {
+	s.coordinator.owner.Stage(args)
+	return nil
+}
+
 // Adopt takes over a leaving gateway's keys.
 func (s *Service) Adopt(args Transfer, reply *TransferReply) error {
 	*reply = s.coordinator.owner.Adopt(&args)
--- a/pkg/claim/world_test.go
+++ b/pkg/claim/world_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 	delayed []func()
 	// pause is what happens between two tries of a handover.
 	pause func()
+	wires map[reflect.Type]*wire
 }
 
 // process is one incarnation of a gateway.
@@ -65,7 +67,7 @@
 var instanceNames = []string{"a1", "a2", "a3", "b1", "b2"}
 
 func newWorld(seed byte) *world {
-	w := &world{processes: make(map[string]*process), counter: make(map[string]uint64), fates: make(map[string][]fault), pause: func() {}}
+	w := &world{processes: make(map[string]*process), wires: make(map[reflect.Type]*wire), counter: make(map[string]uint64), fates: make(map[string][]fault), pause: func() {}}
 	w.random = rand.NewChaCha8([32]byte{seed})
 	w.keyValue = newFakeKeyValue()
 	for _, name := range instanceNames {
@@ -150,27 +152,27 @@
 	target := w.processes[address]
 	chosen := w.choose(p.self.Instance + ">" + address)
 	w.mu.Unlock()
-	message := encode(args)
-	deliver := func() []byte { return target.serve(method, message) }
+	deliver := target.prepare(method, args)
+	later := func() { deliver(reflect.New(reflect.TypeOf(reply).Elem()).Interface()) }
 	switch {
 	case target.dead || chosen == faultRequestLost:
 		return errNetwork
 	case target.frozen:
 		w.mu.Lock()
-		target.inbox = append(target.inbox, func() { deliver() })
+		target.inbox = append(target.inbox, later)
 		w.mu.Unlock()
 		return errNetwork
 	case chosen == faultDelayed:
 		w.mu.Lock()
-		w.delayed = append(w.delayed, func() { deliver() })
+		w.delayed = append(w.delayed, later)
 		w.mu.Unlock()
 		return errNetwork
-	}
-	answer := deliver()
-	if answer == nil || chosen == faultReplyLost {
+	case chosen == faultReplyLost:
+		later()
+		return errNetwork
+	case !deliver(reply):
 		return errNetwork
 	}
-	decode(answer, reply)
 	return nil
 }
 
@@ -191,43 +193,55 @@
 	return fault(drawn / 2 % uint64(faultKinds))
 }
 
-func (p *process) serve(method string, message []byte) []byte {
-	if p.dead {
-		return nil
-	}
+// prepare returns the serving of a message by this process, which gives the
+// reply to take, or false when the process is gone.
+func (p *process) prepare(method string, args any) func(reply any) bool {
 	service := p.coordinator.Service()
 	switch method {
 	case MethodBegin:
-		return serveAs(service.Begin, message)
+		return serveAs(p, service.Begin, args)
 	case MethodFinish:
-		return serveAs(service.Finish, message)
+		return serveAs(p, service.Finish, args)
+	case MethodStage:
+		return serveAs(p, service.Stage, args)
 	case MethodAdopt:
-		return serveAs(service.Adopt, message)
+		return serveAs(p, service.Adopt, args)
 	default:
 		panic(method)
 	}
 }
 
-func serveAs[A, R any](handle func(A, *R) error, message []byte) []byte {
+func serveAs[A, R any](p *process, handle func(A, *R) error, message any) func(reply any) bool {
 	var args A
-	var reply R
-	decode(message, &args)
-	if handle(args, &reply) != nil {
-		return nil
+	p.world.carry(message, &args)
+	return func(reply any) bool {
+		var answer R
+		if p.dead || handle(args, &answer) != nil {
+			return false
+		}
+		p.world.carry(answer, reply)
+		return true
 	}
-	return encode(reply)
 }
 
-func encode(value any) []byte {
-	var buffer bytes.Buffer
-	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
-		panic(err)
-	}
-	return buffer.Bytes()
+// wire carries values of one type as net/rpc does: by gob.
+type wire struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+	decoder *gob.Decoder
 }
 
-func decode(message []byte, value any) {
-	if err := gob.NewDecoder(bytes.NewReader(message)).Decode(value); err != nil {
+func (w *world) carry(value, to any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	kind := reflect.TypeOf(to)
+	line := w.wires[kind]
+	if line == nil {
+		line = &wire{}
+		line.encoder, line.decoder = gob.NewEncoder(&line.buffer), gob.NewDecoder(&line.buffer)
+		w.wires[kind] = line
+	}
+	if err := errors.Join(line.encoder.Encode(value), line.decoder.Decode(to)); err != nil {
 		panic(err)
 	}
 }
