--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -81,6 +81,23 @@
 	is.True(!r.directory.has(gone))
 }
 
+func TestTwoCandidatesForOrders(t *testing.T) {
+	r := newRig(t, 4, 4)
+	r.startAll()
+	for name := range r.nodes {
+		r.wait(name, "four live", func(a *Agent) bool { return live(a) == 4 })
+	}
+	r.wait("a-1", "two candidates", func(*Agent) bool {
+		candidates := 0
+		for _, n := range r.nodes {
+			if (orderSource{n.agent}).Candidate() {
+				candidates++
+			}
+		}
+		return candidates == orderCandidates
+	})
+}
+
 func TestLeavingGatewayIsMarkedEverywhere(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 2, 2, 1)
