Say what a forced change took away; leave a repeated ID open in silence

A change with a trailing ! was accepted without a word on what it did, which can differ from what the operator was shown when others changed something meanwhile; the reply now names it. A proposal whose ID was sent before is called unknown, not refused, when the platform gives no answer at all: the earlier one may have been accepted.

--- a/pkg/agent/serve_command.go
+++ b/pkg/agent/serve_command.go
@@ -23,7 +23,8 @@
 const bearer = "Bearer "
 
 // serveCommand answers POST /v1/command. The change's identity may come as the
-// query's "id", the revision that the operator saw as "seen".
+// query's "id", the revision that the operator saw as "seen"; "again=1" says that
+// the same id was sent before.
 func (a *Agent) serveCommand(c echo.Context) error {
 	body, err := readBounded(c, maxLine)
 	if err != nil {
@@ -39,6 +40,7 @@
 	}
 	reply := a.executor.ExecuteRequest(c.Request().Context(), command.Request{
 		Operator: operator, Line: strings.TrimSpace(string(body)), ID: c.QueryParam("id"), Seen: seen,
+		Repeated: c.QueryParam("again") == "1",
 	})
 	c.Response().Header().Set(header.Revision, strconv.FormatUint(uint64(a.keeper.Revision()), 10))
 	a.Log.Info().Str("operator", operator).Str("verdict", string(reply.Verdict)).Msg("command")
--- a/pkg/command/apply_test.go
+++ b/pkg/command/apply_test.go
@@ -67,7 +67,7 @@
 		application.DryRun = false
 		is.Equal(r.executor.Apply(t.Context(), application).Verdict, command.Refused)
 		application.Force = true
-		is.Equal(r.executor.Apply(t.Context(), application).Text, "118 in force 7/7")
+		is.Equal(r.executor.Apply(t.Context(), application).Text, "118 in force 7/7\nit leaves larisa-hall no lilac-nurse")
 
 		application.Data = []byte("regions: 5\n")
 		faults := r.executor.Apply(t.Context(), application)
--- a/pkg/command/executor.go
+++ b/pkg/command/executor.go
@@ -53,8 +53,10 @@
 type Request struct {
 	Operator, Line string
 	// ID is the change's identity when the operator's program made one, so that
-	// it can repeat the line after a lost answer; empty to have one made here.
+	// it can ask what became of it; empty to have one made here.
 	ID string
+	// Repeated says that the line was sent before under the same ID.
+	Repeated bool
 	// Seen is the revision that the operator saw; 0 means this instance's.
 	Seen config.Revision
 	// PassedOn is true when another instance passes on the line. It is answered
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -78,7 +78,7 @@
 		}},
 		{"last upstream", []exchange{
 			{"drain nurse-3", command.Refused, []string{"refused, nothing changed", "it leaves larisa-hall no lilac-nurse", "to do it:", "drain nurse-3 !"}},
-			{"drain nurse-3 !", command.Accepted, []string{"118 in force 7/7"}},
+			{"drain nurse-3 !", command.Accepted, []string{"118 in force 7/7", "it leaves larisa-hall no lilac-nurse"}},
 			{"undo 118", command.Accepted, []string{"119 in force 7/7"}},
 			{"undo 119", command.Refused, []string{"refused, nothing changed", "it leaves larisa-hall no lilac-nurse", "to do it:", "undo 119 !"}},
 			{"undo 118", command.Refused, []string{"refused, nothing changed", "in the way: 119 by eleni", "undo 118"}},
@@ -89,7 +89,7 @@
 			{"forbid clinic mak", command.Accepted, []string{"119 in force 7/7"}},
 			{"forbid clinic mak", command.Refused, []string{"refused, nothing changed", "nothing to do: it is so"}},
 			{"forbid clinic thes", command.Refused, []string{"refused, nothing changed", "it leaves clinic-review no region", "to do it:", "forbid clinic-review thessalia !"}},
-			{"forbid clinic thes!", command.Accepted, []string{"120 in force 7/7"}},
+			{"forbid clinic thes!", command.Accepted, []string{"120 in force 7/7", "it leaves clinic-review no region"}},
 			{"who clinic", command.OK, []string{"clinic-review", "home thessalia", "regions nowhere", "models all", "share 1"}},
 			{"permit clinic mak", command.Refused, []string{"refused, nothing changed", "the result would be invalid:", `callers[0].home: got "thessalia",`, "expected one of the caller's regions"}},
 			{"permit clinic thes", command.Accepted, []string{"121 in force 7/7"}},
--- a/pkg/config/prepare.go
+++ b/pkg/config/prepare.go
@@ -11,8 +11,10 @@
 type prepared struct {
 	head   *Head
 	change Change
-	expect map[string]int64
-	puts   []platform.Put
+	// dangers is what the change takes away, as its operator insisted.
+	dangers []Danger
+	expect  map[string]int64
+	puts    []platform.Put
 }
 
 // prepare decides whether the proposal can be accepted on the head as it stands
@@ -33,7 +35,12 @@
 		Archived:    stored.Head.Archived,
 		Voided:      stored.Head.Voided,
 	}
-	ready := &prepared{head: next, change: change, expect: map[string]int64{HeadKey: stored.ModRevision}}
+	ready := &prepared{
+		head:    next,
+		change:  change,
+		dangers: Dangers(stored.Head.Declaration, after),
+		expect:  map[string]int64{HeadKey: stored.ModRevision},
+	}
 	if err := ready.encode(); err != nil {
 		return nil, err
 	}
--- a/pkg/config/proposal.go
+++ b/pkg/config/proposal.go
@@ -21,6 +21,9 @@
 	Build func(*Declaration) ([]Op, error)
 	// Force accepts a dangerous change; see Dangers.
 	Force bool
+	// Repeated says that the ID may have been proposed before, here or elsewhere:
+	// silence of the platform then leaves open what became of that.
+	Repeated bool
 }
 
 // Fixed returns a Build function for operations that are known beforehand.
@@ -35,7 +38,7 @@
 const (
 	// Accepted: the change has a revision, for ever.
 	Accepted State = "accepted"
-	// Refused: nothing was changed, and this ID never will change anything.
+	// Refused: nothing was changed, and nothing of the proposal is on its way.
 	Refused State = "refused"
 	// Unknown: the platform's service gave no answer; ask Lookup later.
 	Unknown State = "unknown"
@@ -53,6 +56,9 @@
 	Head *Head
 	// Change is the accepted change.
 	Change *Change
+	// Dangers is what the change takes away wholly, as its operator insisted;
+	// empty when the verdict was found in the history.
+	Dangers []Danger
 	// Reason says why the change was refused or is unknown.
 	Reason error
 }
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -177,14 +177,15 @@
 		Revision: next.head.Revision,
 		Head:     next.head,
 		Change:   &next.change,
+		Dangers:  next.dangers,
 	}, true
 }
 
 // unreachable is the verdict when the service gave no answer in time: refused
-// when nothing was sent, else unknown.
+// when nothing of the ID was ever sent, else unknown.
 func unreachable(proposal *Proposal, sent bool, err error) Verdict {
 	state := Refused
-	if sent {
+	if sent || proposal.Repeated {
 		state = Unknown
 	}
 	return Verdict{State: state, ID: proposal.ID, Reason: &UnreachableError{Sent: sent, Err: err}}
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -132,6 +132,11 @@
 	var unreachable *config.UnreachableError
 	is.True(errors.As(verdict.Reason, &unreachable))
 	is.True(!unreachable.Sent)
+
+	// Of an ID that was proposed before, nobody can say that it did nothing.
+	repeated := propose(testID(1, 1), "eleni", 1, drainOp("nurse-1", true))
+	repeated.Repeated = true
+	is.Equal(limitedStore(kv, 3).Change(t.Context(), repeated).State, config.Unknown)
 }
 
 func TestAuditTrailOutlivesHead(t *testing.T) {
