Name the change that stood in the way also when it touches other entries

Two changes can be fine alone and not together: two upstreams at one address, or the last two upstreams of a pool drained one each. The later one was refused for its effect, without a word on the earlier one. Now the proposal is judged on the declaration before each change that its operator had not seen, and the first one after which it fails is named. Both cases stood in the race table and failed first.

--- a/pkg/command/change.go
+++ b/pkg/command/change.go
@@ -84,9 +84,13 @@
 	case errors.As(reason, &conflict):
 		obstacle := conflict.Obstacle
 		lines = append(lines, fmt.Sprintf("in the way: %d by %s", obstacle.Revision, obstacle.Operator), obstacle.Line)
+		if errors.As(reason, &danger) {
+			lines = append(lines, "together it "+danger.Error(), "to do it:", proposal.Line+" !")
+		} else if errors.As(reason, &invalid) {
+			lines = append(lines, "together they would be invalid:", invalid.Error())
+		}
 	case errors.As(reason, &danger):
-		lines = append(lines, "it "+danger.Error())
-		lines = append(lines, "to do it:", proposal.Line+" !")
+		lines = append(lines, "it "+danger.Error(), "to do it:", proposal.Line+" !")
 	case errors.As(reason, &unreachable):
 		lines = append(lines, "the platform gives no answer")
 	case errors.As(reason, &invalid):
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// Another operator's change was accepted through another instance, and this one
+// has not heard of it yet.
+func TestUnseenChangeInTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t)
+		op := config.Op{Drain: &config.DrainOp{Upstream: "nurse-1", Drained: true}}
+		is.Equal(r.store.Change(t.Context(), config.Proposal{
+			ID: "c117-00000001", Operator: "linh", Line: op.String(), Seen: 117, Build: config.Fixed([]config.Op{op}),
+		}).State, config.Accepted)
+		exchange{"undrain nurse-1", command.Refused, []string{"refused, nothing changed", "in the way: 118 by linh", "drain nurse-1"}}.run(t, r)
+		exchange{"drain nurse-2", command.Refused, []string{"refused, nothing changed", "in the way: 118 by linh", "drain nurse-1", "together it leaves kalamaria-hall no", "lilac-nurse", "to do it:", "drain nurse-2 !"}}.run(t, r)
+		exchange{"spill lar>att 5%", command.Accepted, []string{"119 in force 7/7"}}.run(t, r)
+	})
+}
+
 func TestInForceSaysWhatIsMissing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/pkg/config/prepare.go
+++ b/pkg/config/prepare.go
@@ -23,14 +23,23 @@
 	if stored.newer != nil {
 		return nil, stored.newer
 	}
-	change, after, err := evaluate(stored.Head, proposal)
+	effect, err := evaluate(stored.Head, proposal)
 	if err != nil {
 		return nil, err
 	}
-	change.At = s.clock.Now().UTC()
+	change := Change{
+		ID:       proposal.ID,
+		Revision: stored.Head.Revision + 1,
+		Seen:     proposal.Seen,
+		Operator: proposal.Operator,
+		At:       s.clock.Now().UTC(),
+		Line:     proposal.Line,
+		Ops:      effect.ops,
+		Inverse:  effect.inverse,
+	}
 	next := &Head{
 		Revision:    change.Revision,
-		Declaration: after,
+		Declaration: effect.after,
 		Recent:      append(slices.Clone(stored.Head.Recent), change),
 		Archived:    stored.Head.Archived,
 		Voided:      stored.Head.Voided,
@@ -38,7 +47,7 @@
 	ready := &prepared{
 		head:    next,
 		change:  change,
-		dangers: Dangers(stored.Head.Declaration, after),
+		dangers: effect.dangers,
 		expect:  map[string]int64{HeadKey: stored.ModRevision},
 	}
 	if err := ready.encode(); err != nil {
@@ -47,65 +56,6 @@
 	return ready, nil
 }
 
-// evaluate returns the change that the proposal makes of the head's declaration,
-// and the declaration that results. Errors: *ConflictError, *StaleError,
-// *DangerError, *InvalidError, and those of Build and Apply.
-func evaluate(head *Head, proposal *Proposal) (Change, *Declaration, error) {
-	if proposal.Seen == 0 && head.Revision > 0 {
-		return Change{}, nil, &StaleError{Seen: 0, Now: head.Revision}
-	}
-	ops, err := proposal.Build(head.Declaration)
-	if conflict := obstacle(head, proposal, ops, err); conflict != nil {
-		return Change{}, nil, conflict
-	}
-	if err != nil {
-		return Change{}, nil, err
-	}
-	after, inverse, err := Apply(head.Declaration, ops)
-	if err != nil {
-		return Change{}, nil, err
-	}
-	if err := Validate(after); err != nil {
-		return Change{}, nil, err
-	}
-	dangers := Dangers(head.Declaration, after)
-	if len(dangers) > 0 && !proposal.Force {
-		return Change{}, nil, &DangerError{Dangers: dangers}
-	}
-	change := Change{
-		ID:       proposal.ID,
-		Revision: head.Revision + 1,
-		Seen:     proposal.Seen,
-		Operator: proposal.Operator,
-		Line:     proposal.Line,
-		Ops:      ops,
-		Inverse:  inverse,
-	}
-	return change, after, nil
-}
-
-// obstacle returns a *ConflictError when a change that the operator had not seen
-// touches what the operations touch, or a *StaleError when that cannot be told.
-func obstacle(head *Head, proposal *Proposal, ops []Op, cause error) error {
-	since := proposal.Seen
-	if proposal.Since != 0 {
-		since = proposal.Since
-	}
-	if since >= head.Revision {
-		return nil
-	}
-	changes, ok := head.Since(since)
-	if !ok {
-		return &StaleError{Seen: since, Now: head.Revision}
-	}
-	for _, change := range slices.Backward(changes) {
-		if collide(change.Ops, ops) {
-			return &ConflictError{Obstacle: change, Err: cause}
-		}
-	}
-	return nil
-}
-
 // recentKept is how many changes stay in the head when older ones are archived.
 const recentKept = RecentLimit / 2
 
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -25,6 +25,7 @@
 		{"same upstream", drainOp("nurse-1", true), drainOp("nurse-1", false), config.Refused},
 		{"whole entry", drainOp("nurse-1", true), config.Op{Remove: &config.Remove{Kind: "upstream", Name: "nurse-1"}}, config.Refused},
 		{"same rule", config.Op{SetSpill: &config.Spill{From: "makedonia", To: "thessalia", Percent: 5}}, config.Op{SetSpill: &config.Spill{From: "makedonia", To: "thessalia", Percent: 9}}, config.Refused},
+		{"address that only both use", setUpstream("nurse-8"), setUpstream("nurse-9"), config.Refused},
 		{"danger that only both make", drainOp("nurse-1", true), drainOp("nurse-2", true), config.Refused},
 	}
 	for _, test := range tests {
@@ -50,18 +51,35 @@
 			}
 			is.Equal(stored.Head.Revision, config.Revision(2))
 			var conflict *config.ConflictError
-			if errors.As(verdict.Reason, &conflict) {
-				is.Equal(conflict.Obstacle.Operator, "linh")
-				is.Equal(conflict.Obstacle.Revision, config.Revision(2))
-				return
-			}
-			var danger *config.DangerError
-			is.True(errors.As(verdict.Reason, &danger)) // refused for a typed reason
-			is.Equal(danger.Dangers[0].Pool, "lilac-nurse")
+			is.True(errors.As(verdict.Reason, &conflict)) // names the change in the way
+			is.Equal(conflict.Obstacle.Operator, "linh")
+			is.Equal(conflict.Obstacle.Revision, config.Revision(2))
 		})
 	}
 }
 
+func TestConflictKeepsItsCause(t *testing.T) {
+	is := is.New(t)
+	store := newStore(newFakeKV())
+	bootstrap(t, store)
+	is.Equal(store.Change(t.Context(), propose(testID(1, 1), "linh", 1, drainOp("nurse-1", true))).State, config.Accepted)
+	verdict := store.Change(t.Context(), propose(testID(1, 2), "eleni", 1, drainOp("nurse-2", true)))
+	var danger *config.DangerError
+	is.True(errors.As(verdict.Reason, &danger))
+	is.Equal(danger.Dangers[0].Pool, "lilac-nurse")
+
+	// What fails without the other change as well is not blamed on it.
+	verdict = store.Change(t.Context(), propose(testID(1, 3), "eleni", 1, drainOp("nurse-3", true)))
+	var conflict *config.ConflictError
+	is.True(!errors.As(verdict.Reason, &conflict))
+	is.True(errors.As(verdict.Reason, &danger))
+}
+
+// setUpstream adds an upstream, always at the same address.
+func setUpstream(name string) config.Op {
+	return config.Op{SetUpstream: &config.Upstream{Name: name, Kind: "engine", Serves: "lilac-nurse", Version: "v1", Domain: "larisa-hall", Address: "127.0.0.77:9000", Concurrency: 1}}
+}
+
 func TestLostAnswers(t *testing.T) {
 	tests := []struct {
 		name   string
