--- a/test/scenario/observe_test.go
+++ b/test/scenario/observe_test.go
@@ -48,6 +48,20 @@
 	return string(body), nil
 }
 
+// metric says the lines of a gateway's metrics that match: metric INSTANCE REGEXP.
+func metric(d *deployment, args []string) (string, error) {
+	const count = 2
+	if len(args) != count || d.instances[args[0]] == nil {
+		return "", errUsage
+	}
+	pattern, err := regexp.Compile("(?m)^" + args[1] + ".*$")
+	if err != nil {
+		return "", fmt.Errorf("metric: %w", err)
+	}
+	text, err := get("http://" + d.instances[args[0]].Gateway.Callers + "/metrics")
+	return strings.Join(pattern.FindAllString(text, -1), "\n"), err
+}
+
 // allServing checks that every instance says that it serves.
 func (d *deployment) allServing() error {
 	for name := range d.instances {
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -37,10 +37,10 @@
 func table() map[string]verb {
 	return map[string]verb{
 		"start":   each(func(d *deployment, name string) error { return d.start(name) }),
-		"sigkill": each(onProcesses((*process).kill)),
-		"sigterm": each(onProcesses((*process).stop)),
-		"freeze":  each(onProcesses(func(p *process) error { return p.signal(syscall.SIGSTOP) })),
-		"thaw":    each(onProcesses(func(p *process) error { return p.signal(syscall.SIGCONT) })),
+		"sigkill": together((*process).kill),
+		"sigterm": together((*process).stop),
+		"freeze":  together(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
+		"thaw":    together(func(p *process) error { return p.signal(syscall.SIGCONT) }),
 		"replace": each(replace),
 		"ctl":     control,
 		"run":     operate,
@@ -56,6 +56,7 @@
 		"sending": sending,
 		"sent":    sent,
 		"hop":     hop,
+		"metric":  metric,
 	}
 }
 
@@ -153,29 +154,29 @@
 	}
 }
 
-func onProcesses(action func(*process) error) func(*deployment, string) error {
-	return func(d *deployment, name string) error {
-		found, err := d.find(name)
-		if err != nil {
-			return err
+// together acts on all processes of all names at once.
+func together(action func(*process) error) verb {
+	return func(d *deployment, args []string) (string, error) {
+		var found []*process
+		for _, name := range args {
+			more, err := d.find(name)
+			if err != nil {
+				return "", err
+			}
+			found = append(found, more...)
 		}
-		return together(found, action)
-	}
-}
-
-// together acts on all processes at once.
-func together(found []*process, action func(*process) error) error {
-	failures := make([]error, len(found))
-	var running sync.WaitGroup
-	for index, one := range found {
-		running.Go(func() { failures[index] = action(one) })
+		failures := make([]error, len(found))
+		var running sync.WaitGroup
+		for index, one := range found {
+			running.Go(func() { failures[index] = action(one) })
+		}
+		running.Wait()
+		return "", errors.Join(failures...)
 	}
-	running.Wait()
-	return errors.Join(failures...)
 }
 
 func replace(d *deployment, name string) error {
-	if err := onProcesses((*process).kill)(d, name); err != nil {
+	if _, err := together((*process).kill)(d, []string{name}); err != nil {
 		return err
 	}
 	return d.start(name)
