Make request IDs unique to each try; check long whole answers; gauges

A retry under the request ID of a try that was being cancelled could be ended by that cancel; the ID behind the gateway now has a random part. A whole answer above 64 KiB was passed on without the check of its ID. A caller's Accept-Encoding could make an engine's stream unreadable for the checks. go test -race ./pkg/gateway ./pkg/relay ./pkg/api ./pkg/trace: ok.

--- a/pkg/api/accept.go
+++ b/pkg/api/accept.go
@@ -19,11 +19,11 @@
 	"github.com/lilacweir/lilacweir/pkg/trace"
 )
 
-// What may be given as a request ID. Gateways pass on the IDs that callers chose
-// with the caller's name in front.
+// What may be given as a request ID. Gateways pass on the scoped form of the IDs
+// that callers chose.
 var (
 	callerIDPattern = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}$`)
-	peerIDPattern   = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}(` + trace.ScopeSeparator + `[A-Za-z0-9._:-]{1,100})?$`)
+	peerIDPattern   = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,100}(` + trace.ScopeSeparator + `[A-Za-z0-9._:-]{1,100}){0,2}$`)
 )
 
 // identifyRequest takes the given request ID, or makes one, and echoes it.
@@ -54,7 +54,7 @@
 	}
 	request.Caller = caller
 	if c.Request().Header.Get(header.RequestID) != "" {
-		request.ID = caller.Name + trace.ScopeSeparator + request.ID
+		request.ID = trace.ScopedID(caller.Name, request.ID, request.Roll)
 	}
 	return nil
 }
--- a/pkg/api/chat.go
+++ b/pkg/api/chat.go
@@ -50,6 +50,7 @@
 		return refusal
 	}
 	request.Header.Set(header.ContentType, "application/json")
+	request.Header.Del("Accept-Encoding") // a compressed answer could not be checked
 	request.Serves = body.Model
 	request.Kind = config.KindEngine
 	request.Repeatable = true
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -66,6 +66,9 @@
 	Domain string
 }
 
+// notedWait is the least time in the queue that operators are told of.
+const notedWait = 10 * time.Millisecond
+
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 4
 
@@ -126,7 +129,11 @@
 // before when there is no other: a stream's chunks are worth more than a fresh
 // start, and other requests have paid for their retry from the budget.
 func (r *run) next(ctx context.Context, route Route) (Choice, func(relay.Report), *outcome.Refusal) {
+	asked := r.Now()
 	choice, done, refusal := route.Next(ctx, r.tried)
+	if r.Now().Sub(asked) >= notedWait {
+		r.note(trace.Event{Kind: trace.Queued, Subject: r.request.Serves})
+	}
 	if refusal == nil || !r.ran || len(r.tried) == 0 {
 		return choice, done, refusal
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -114,6 +114,7 @@
 	g.running, g.halt = context.WithCancel(context.Background())
 	g.suspects = newSuspects(g.running, g.client.Probe)
 	g.claims = claim.New(g.claimOptions())
+	g.registerGauges()
 	g.compile()
 	return g
 }
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -110,13 +110,11 @@
 	}
 	a.begun()
 	fill, err := a.hold(response.Body, buffer)
-	if err == nil {
-		return a.long(response, buffer)
-	}
-	if !errors.Is(err, io.EOF) {
+	if err != nil && !errors.Is(err, io.EOF) {
 		return a.broken(err)
 	}
-	if a.checked(response) && !json.Valid(buffer[:fill]) {
+	whole := err != nil
+	if a.checked(response) && whole && !json.Valid(buffer[:fill]) {
 		return a.broken(errNotJSON)
 	}
 	if a.checked(response) && !belongs(buffer[:fill], []byte(a.call.RequestID)) {
@@ -124,7 +122,10 @@
 		failure.Crossed = true
 		return failure
 	}
-	return a.short(response, buffer[:fill])
+	if whole {
+		return a.short(response, buffer[:fill])
+	}
+	return a.long(response, buffer)
 }
 
 // hold reads until the buffer is full (nil), the body ends (io.EOF) or breaks.
--- a/pkg/trace/trace.go
+++ b/pkg/trace/trace.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -107,19 +108,30 @@
 }
 
 // Find returns the newest record of a request. The ID may be as the caller gave
-// it, without the caller's name in front.
+// it, or in its scoped form.
 func (l *Log) Find(id string) *Record {
 	newest := l.next.Load()
 	size := uint64(len(l.records))
 	for back := uint64(1); back <= size; back++ {
 		record := l.records[(newest+size-back)%size].Load()
-		if record != nil && (record.ID == id || strings.HasSuffix(record.ID, ScopeSeparator+id)) {
+		if record != nil && (record.ID == id || strings.Contains(record.ID, ScopeSeparator+id+ScopeSeparator)) {
 			return record
 		}
 	}
 	return nil
 }
 
-// ScopeSeparator stands between a caller's name and a request ID that the caller
-// chose, so that two callers' IDs cannot be taken for each other.
+// ScopedID makes a request ID that a caller chose unique: neither another caller's
+// request with the same ID, nor the same caller's next try, can be taken for it.
+func ScopedID(caller, id string, random uint64) string {
+	return caller + ScopeSeparator + id + ScopeSeparator + strconv.FormatUint(random%scopeRange, scopeBase)
+}
+
+// ScopeSeparator stands between the parts of a scoped ID. Callers' IDs do not hold it.
 const ScopeSeparator = "~"
+
+// The random part of a scoped ID: six characters.
+const (
+	scopeBase  = 36
+	scopeRange = 36 * 36 * 36 * 36 * 36 * 36
+)
