Hold the clock still in the concurrent properties of changes

A change may take five seconds of real time, which a loaded machine under the race detector could use up; the properties now run on a clock that stands still while anything runs.

--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -160,6 +161,7 @@
 // answers are lost: every change that was accepted is there once, in one order,
 // and nothing that was refused is there.
 func TestConcurrentChangesAreNeverLost(t *testing.T) {
+	outer := t
 	rapid.Check(t, func(t *rapid.T) {
 		kv := newFakeKV()
 		store := newStore(kv)
@@ -167,16 +169,14 @@
 		kv.faults = rapid.SliceOfN(rapid.SampledFrom([]fault{works, works, lostBefore, lostAfter, delayed}), 0, 30).Draw(t, "faults")
 		operators := rapid.IntRange(2, 5).Draw(t, "operators")
 		verdicts := make([]config.Verdict, operators)
-		var group sync.WaitGroup
-		for i := range operators {
+		bubble(outer, operators, func(i int, group *sync.WaitGroup) {
 			group.Go(func() {
 				caller := config.Caller{Name: fmt.Sprintf("caller-%d", i), KeyHash: config.HashKey(fmt.Sprint(i)), Home: "makedonia", Regions: []string{"makedonia"}}
 				proposal := propose(testID(1, i+1), "eleni", 1, config.Op{SetCaller: &caller})
 				own := config.NewStore(kv, clock.Func(func() time.Time { return testTime }), func(context.Context, time.Duration) error { return nil }, func() float64 { return 1 })
 				verdicts[i] = own.Change(context.Background(), proposal)
 			})
-		}
-		group.Wait()
+		})
 		kv.release()
 		stored, err := store.Read(context.Background())
 		if err != nil {
@@ -194,6 +194,18 @@
 	})
 }
 
+// bubble starts count jobs at once on a clock that stands still while any of them
+// runs, so that the bounds of changes do not depend on the machine's load.
+func bubble(t *testing.T, count int, start func(i int, group *sync.WaitGroup)) {
+	synctest.Test(t, func(*testing.T) {
+		var group sync.WaitGroup
+		for i := range count {
+			start(i, &group)
+		}
+		group.Wait()
+	})
+}
+
 func TestSplitAddsUp(t *testing.T) {
 	is := is.New(t)
 	decl := sample()
@@ -210,6 +222,7 @@
 // what Lookup has once said of a change stays true, and a proposer's own verdict
 // never says otherwise.
 func TestVerdictsNeverContradict(t *testing.T) {
+	outer := t
 	rapid.Check(t, func(t *rapid.T) {
 		kv := newFakeKV()
 		store := newStore(kv)
@@ -218,17 +231,15 @@
 		patience := rapid.SliceOfN(rapid.IntRange(0, 3), 3, 3).Draw(t, "patience")
 		proposed := make([]config.Verdict, len(patience))
 		asked := make([]config.Verdict, len(patience))
-		var group sync.WaitGroup
-		for i, pauses := range patience {
+		bubble(outer, len(patience), func(i int, group *sync.WaitGroup) {
 			id := testID(1, i+1)
 			group.Go(func() {
 				caller := config.Caller{Name: fmt.Sprintf("caller-%d", i), KeyHash: config.HashKey(fmt.Sprint(i)), Home: "makedonia", Regions: []string{"makedonia"}}
-				proposed[i] = limitedStore(kv, pauses).Change(context.Background(), propose(id, "eleni", 1, config.Op{SetCaller: &caller}))
+				proposed[i] = limitedStore(kv, patience[i]).Change(context.Background(), propose(id, "eleni", 1, config.Op{SetCaller: &caller}))
 			})
 			group.Go(func() { asked[i], _ = newStore(kv).Lookup(context.Background(), id) })
 			group.Go(kv.release)
-		}
-		group.Wait()
+		})
 		kv.release()
 		kv.faults = nil
 		for i := range patience {
