--- a/pkg/config/encode.go
+++ b/pkg/config/encode.go
@@ -23,9 +23,11 @@
 
 // DecodeHead reads what EncodeHead wrote, and passes over fields that a newer
 // version added. The error is an *EncodingError.
-func DecodeHead(data []byte) (*Head, error) {
+func DecodeHead(data []byte) (*Head, error) { return decodeHead(data, lenient) }
+
+func decodeHead(data []byte, unknown strictness) (*Head, error) {
 	head := new(Head)
-	if err := decode(data, head, lenient); err != nil {
+	if err := decode(data, head, unknown); err != nil {
 		return nil, err
 	}
 	if head.Declaration == nil {
@@ -34,10 +36,6 @@
 	return head, nil
 }
 
-// newerFields returns an *EncodingError when the value has fields that this
-// version does not know, and would drop by writing it back.
-func newerFields(data []byte) error { return decode(data, new(Head), strict) }
-
 // strictness says what decode does with fields that it does not know.
 type strictness bool
 
--- a/pkg/config/store.go
+++ b/pkg/config/store.go
@@ -72,11 +72,14 @@
 	if !ok {
 		return Stored{Head: &Head{Declaration: new(Declaration)}}, nil
 	}
-	head, err := DecodeHead(entry.Value)
+	head, newer := decodeHead(entry.Value, strict)
+	if newer != nil {
+		head, err = DecodeHead(entry.Value)
+	}
 	if err != nil {
 		return Stored{}, err
 	}
-	return Stored{Head: head, ModRevision: entry.ModRevision, newer: newerFields(entry.Value)}, nil
+	return Stored{Head: head, ModRevision: entry.ModRevision, newer: newer}, nil
 }
 
 // Change proposes a change and returns what became of it, within ChangeBound.
