--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,143 @@
+package dispatch_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/trace"
+)
+
+// What an upstream does with one attempt.
+const (
+	refuses  = "refuses"  // says that it did not start
+	closed   = "closed"   // cannot be reached
+	dies     = "dies"     // runs, then breaks off
+	fails    = "fails"    // runs, answers 500
+	crosses  = "crosses"  // runs, answers as if to another request
+	answers  = "answers"  // runs
+	withdraw = "withdraw" // is no longer permitted when it is to be sent to
+)
+
+// script is a Router whose targets behave as scripted, one attempt after another.
+type script struct {
+	steps    []string
+	next     int
+	address  string
+	dead     string
+	budget   int
+	attempts int
+	current  atomic.Value // the step that the upstream acts out
+	ran      atomic.Int32
+}
+
+func (s *script) Route(*dispatch.Request) dispatch.Route { return s }
+func (s *script) End()                                   {}
+
+func (s *script) Next(context.Context, []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
+	if s.next >= len(s.steps) {
+		return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, time.Second, "none left")
+	}
+	choice := dispatch.Choice{Target: relay.Target{Name: s.steps[s.next], Address: s.address, Kind: config.KindService}}
+	if s.steps[s.next] == closed {
+		choice.Target.Address = s.dead
+	}
+	s.current.Store(s.steps[s.next])
+	s.next++
+	s.attempts++
+	return choice, func(relay.Report) {}, nil
+}
+
+func (s *script) Permitted(_ *dispatch.Request, choice *dispatch.Choice) *outcome.Refusal {
+	if choice.Target.Name == withdraw {
+		return outcome.Refuse(http.StatusForbidden, outcome.ReasonForbiddenRegion, 0, "not permitted any more")
+	}
+	return nil
+}
+
+func (s *script) Retry() bool {
+	s.budget--
+	return s.budget >= 0
+}
+
+// ServeHTTP is the upstream.
+func (s *script) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	step := s.current.Load()
+	if step == refuses {
+		w.Header().Set(header.NotStarted, header.True)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.ran.Add(1)
+	switch step {
+	case dies:
+		panic(http.ErrAbortHandler)
+	case fails:
+		w.WriteHeader(http.StatusInternalServerError)
+	case crosses:
+		w.Header().Set(header.RequestID, "another")
+	}
+}
+
+// Whatever the upstreams do: a request that may not be repeated runs at most once,
+// "not run" is said only when nothing ran, and retries stay within their bounds.
+func TestOutcomesAreTrue(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := listener.Addr().String()
+	_ = listener.Close()
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		step := rapid.SampledFrom([]string{refuses, closed, dies, fails, crosses, answers, withdraw})
+		s := &script{steps: rapid.SliceOfN(step, 0, 6).Draw(t, "steps"), dead: dead, budget: rapid.IntRange(0, 3).Draw(t, "budget")}
+		budget := s.budget
+		server := httptest.NewServer(s)
+		defer server.Close()
+		s.address = server.Listener.Addr().String()
+		client := relay.NewClient(dial, dial)
+		defer client.Close()
+		d := &dispatch.Dispatcher{
+			Router: s, Client: client, Log: zerolog.Nop(), Trace: trace.NewLog(1),
+			Metrics: dispatch.NewMetrics(metrics.NewRegistry()), Now: time.Now, Domain: "here",
+		}
+		recorder := httptest.NewRecorder()
+		repeatable := rapid.Bool().Draw(t, "repeatable")
+		request := &dispatch.Request{
+			ID: "r", CallerID: "r", Caller: &config.Caller{Name: "app"}, Kind: config.KindService,
+			Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: []byte("x"), Repeatable: repeatable,
+		}
+		d.Serve(context.Background(), request, relay.NewSink(recorder, time.Now))
+		told, ran := recorder.Header().Get(header.Outcome), int(s.ran.Load())
+		switch {
+		case !repeatable && ran > 1:
+			t.Fatalf("ran %d times", ran)
+		case told == string(outcome.NotRun) && ran > 0:
+			t.Fatalf("told not-run, ran %d times", ran)
+		case told == string(outcome.Complete) && ran == 0:
+			t.Fatal("told complete, never ran")
+		case told == "":
+			t.Fatal("told nothing")
+		case s.attempts > 4:
+			t.Fatalf("%d attempts", s.attempts)
+		case repeatable && ran > budget+1:
+			t.Fatalf("ran %d times with a budget of %d retries", ran, budget)
+		}
+	})
+}
