Ignore overtaken heartbeats; take up a watch without reading the head again

Cause, found on real processes (49 agents in 41 domains, 9 of them in one): some remote agents fetched one domain's digest ten times a second, 13 KB/s each, and its agents sent up to 78 KB/s. An answer composed before a call of the other direction arrived after it, so that an old identity (no gateway yet) replaced the new one and stayed; entries then differed between the domain's agents, and the asker went round them. Ruled out: differences in the hash, silent marks, whole heads sent again. Also: an idle watch that the adapter ends is taken up where it stood, instead of reading the head each 15 s (9 to 11 KB/s on watchers before); many askers share one encoded head; the process has a memory target.

--- a/cmd/lilacweir-agent/main.go
+++ b/cmd/lilacweir-agent/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,6 +26,10 @@
 
 const program = "lilacweir-agent"
 
+// memoryTarget is what the runtime tries to stay under, in bytes: with the
+// program's own pages the process then fits 32 MB. GOMEMLIMIT overrides it.
+const memoryTarget = 22 << 20
+
 // commands are the program's command line.
 type commands struct {
 	Run     runCommand       `cmd:"" help:"Serve until SIGTERM, then leave gracefully."`
@@ -65,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryTarget)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return agent.New(options).Run(ctx)
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -76,6 +76,7 @@
 	started  time.Time
 	gateway  gatewayState
 	calls    calls
+	updates  updates
 	// published is used by the tend loop alone.
 	published published
 
--- a/pkg/agent/beat.go
+++ b/pkg/agent/beat.go
@@ -122,7 +122,7 @@
 		if held >= head.Revision {
 			continue
 		}
-		update, err := updateFor(head, held, false)
+		update, err := a.updates.make(head, held, false)
 		if err != nil {
 			a.Log.Error().Err(err).Msg("configuration-not-encoded")
 			return
@@ -207,7 +207,7 @@
 	if head == nil || head.Revision <= args.Revision {
 		return nil
 	}
-	update, err := updateFor(head, args.Revision, args.Whole)
+	update, err := s.agent.updates.make(head, args.Revision, args.Whole)
 	reply.Revision, reply.Update = head.Revision, update
 	return err
 }
--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -103,7 +103,10 @@
 	if len(addresses) == 0 {
 		return false
 	}
-	address := addresses[f.next%len(addresses)]
+	// Each domain ranks the entries in its own way, so that none is asked by all,
+	// and keeps to one although what the entries say of each other may differ.
+	ranked := member.Rank(member.Key("entry", a.Settings.Domain), addresses)
+	address := ranked[f.next%len(ranked)]
 	ctx, cancel := context.WithTimeout(ctx, f.wait+DigestTimeout)
 	defer cancel()
 	known, _ := a.mesh.digest(f.domain)
@@ -201,7 +204,7 @@
 	if head == nil || head.Revision <= args.Revision {
 		return nil
 	}
-	update, err := updateFor(head, args.Revision, args.Whole)
+	update, err := a.updates.make(head, args.Revision, args.Whole)
 	if err != nil {
 		return err
 	}
--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -36,6 +36,7 @@
 	list      *control.ListFact
 	platform  map[string]control.PlatformFact
 	stopping  bool
+	sequence  uint64
 	changed   func()
 	behind    func()
 }
@@ -43,6 +44,7 @@
 // link is what two instances have told each other.
 type link struct {
 	epoch     uint64
+	sequence  uint64
 	have      uint64
 	theirHave uint64
 	heard     time.Time
@@ -91,8 +93,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	l := m.link(to)
+	m.sequence++
 	beat := control.Beat{
-		From: m.self.Name, Epoch: m.self.Epoch,
+		From: m.self.Name, Epoch: m.self.Epoch, Sequence: m.sequence,
 		Revision: m.agent, InForce: m.inForce,
 		ViewSum: m.viewSum(now), UpTo: m.own.change,
 		Facts:     m.own.since(l.theirHave),
@@ -123,6 +126,9 @@
 	if l.epoch != b.Epoch {
 		*l = link{epoch: b.Epoch}
 	}
+	if b.Sequence <= l.sequence {
+		return true
+	}
 	news := false
 	if b.Facts.Identity != nil {
 		news = m.view.Identify(*b.Facts.Identity, now)
@@ -131,7 +137,7 @@
 		// Its identity has not come yet: have stays 0, so it is sent next time.
 		return true
 	}
-	l.heard, l.revision = now, b.Revision
+	l.sequence, l.heard, l.revision = b.Sequence, now, b.Revision
 	l.viewSum = b.ViewSum
 	l.theirHave = 0
 	if b.HaveEpoch == m.self.Epoch {
--- a/pkg/agent/rig_test.go
+++ b/pkg/agent/rig_test.go
@@ -202,8 +202,9 @@
 }
 
 // newRig lays out domains "a", "b", … with the given counts of instances; each
-// test has addresses of its own.
+// test has addresses of its own, and runs beside the others.
 func newRig(t *testing.T, test int, counts ...int) *rig {
+	t.Parallel()
 	r := &rig{
 		t: t, store: newStore(), directory: &fakeDirectory{entries: make(map[string]platform.DirectoryEntry)},
 		prefix: fmt.Sprintf("127.%d.%d", 130+os.Getpid()%100, 10*test),
@@ -264,9 +265,11 @@
 		})
 		ctx, cancel := context.WithCancel(r.t.Context())
 		ended := make(chan error, 1)
+		if n.cancel == nil {
+			r.t.Cleanup(func() { r.stop(name) })
+		}
 		n.cancel, n.ended = cancel, ended
 		go func() { ended <- n.agent.Run(ctx) }()
-		r.t.Cleanup(func() { r.stop(name) })
 	}
 }
 
--- a/pkg/agent/update.go
+++ b/pkg/agent/update.go
@@ -1,24 +1,48 @@
 package agent
 
 import (
+	"sync"
+
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/spread"
 )
 
-// updateFor returns what brings a holder of the given revision to the head: the
+// updates keeps the last update that was made, since many ask for the same one
+// at the same time. The zero value is ready for use.
+type updates struct {
+	mu     sync.Mutex
+	to     config.Revision
+	from   config.Revision
+	whole  *control.HeadUpdate
+	change *control.HeadUpdate
+}
+
+// make returns what brings a holder of the given revision to the head: the
 // changes alone where the head still holds them, else the whole.
-func updateFor(head *config.Head, held config.Revision, whole bool) (*control.HeadUpdate, error) {
+func (u *updates) make(head *config.Head, held config.Revision, whole bool) (*control.HeadUpdate, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.to != head.Revision {
+		u.to, u.whole, u.change = head.Revision, nil, nil
+	}
+	if !whole && u.change != nil && u.from == held {
+		return u.change, nil
+	}
 	if !whole {
 		if delta, ok := head.Delta(held); ok {
-			return &control.HeadUpdate{Delta: delta}, nil
+			u.from, u.change = held, &control.HeadUpdate{Delta: delta}
+			return u.change, nil
 		}
 	}
-	data, err := config.EncodeHead(head)
-	if err != nil {
-		return nil, err
+	if u.whole == nil {
+		data, err := config.EncodeHead(head)
+		if err != nil {
+			return nil, err
+		}
+		u.whole = &control.HeadUpdate{Whole: data}
 	}
-	return &control.HeadUpdate{Whole: data}, nil
+	return u.whole, nil
 }
 
 // takeUpdate offers a received configuration to the keeper. An error means that
--- a/pkg/control/mesh.go
+++ b/pkg/control/mesh.go
@@ -25,6 +25,8 @@
 	From string
 	// Epoch is the sender's; a new one makes the receiver forget what it had.
 	Epoch uint64
+	// Sequence orders the sender's heartbeats: one that was overtaken is old.
+	Sequence uint64
 	// Revision is the sender's agent's configuration; InForce the lower of its
 	// agent's and its gateway's.
 	Revision, InForce config.Revision
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -102,7 +102,7 @@
 	return platform.Entry{Value: []byte(s.value), ModRevision: s.revision}, s.revision > 0, nil
 }
 
-func (s *service) Watch(context.Context, string, int64) (<-chan platform.Entry, error) {
+func (s *service) Watch(_ context.Context, _ string, after int64) (<-chan platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watches++
@@ -110,6 +110,9 @@
 		return nil, platform.ErrUnavailable
 	}
 	stream := make(chan platform.Entry, 1)
+	if s.revision > after {
+		stream <- platform.Entry{Value: []byte(s.value), ModRevision: s.revision}
+	}
 	s.streams = append(s.streams, stream)
 	return stream, nil
 }
@@ -188,6 +191,14 @@
 		is.Equal(faults.Load(), int64(1))
 		is.Equal(s.calls(), 2) // one read, one waiting watch
 
+		s.fail(false)
+		time.Sleep(RetryMin)
+		synctest.Wait()
+		is.Equal(s.calls(), 3) // a watch that ended is taken up without the value
+		s.write("3")
+		synctest.Wait()
+		is.Equal(keeper.Revision(), config.Revision(3))
+
 		s.fail(true)
 		before := s.calls()
 		time.Sleep(time.Hour)
@@ -197,10 +208,10 @@
 		is.True(asked >= int(time.Hour/RetryMax))
 
 		s.fail(false)
-		s.write("3")
+		s.write("4")
 		time.Sleep(RetryMax)
 		synctest.Wait()
-		is.Equal(keeper.Revision(), config.Revision(3)) // back by itself
+		is.Equal(keeper.Revision(), config.Revision(4)) // back by itself
 
 		duty.Store(false)
 		time.Sleep(DutyCheck)
--- a/pkg/spread/watcher.go
+++ b/pkg/spread/watcher.go
@@ -27,6 +27,10 @@
 	ReadTimeout = 3 * time.Second
 	// DutyCheck is how often an instance looks whether it is a watcher.
 	DutyCheck = 500 * time.Millisecond
+	// RereadEvery is how often a watcher reads the whole head beside its watch, in
+	// case the service was set back to an earlier state. A watch that ended is
+	// otherwise taken up where it stood, without the value.
+	RereadEvery = 10 * time.Minute
 )
 
 // ErrWatchEnded: the watch's stream ended.
@@ -50,6 +54,11 @@
 	Clock    clock.Clock
 	// Rand gives the jitter, from 0 up to 1.
 	Rand func() float64
+
+	// after is the last modification revision seen, readAt when the head was
+	// last read; both belong to Run.
+	after  int64
+	readAt time.Time
 }
 
 // Run watches until ctx ends.
@@ -79,17 +88,21 @@
 	return half + time.Duration(w.Rand()*float64(half))
 }
 
-// follow reads the head and then watches it, while on duty. It returns nil when
+// follow watches the head, which it reads first where needed, while on duty. It returns nil when
 // the duty or ctx ended.
 func (w *Watcher) follow(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	after, err := w.read(ctx)
-	if err != nil {
-		return err
+	if w.after == 0 || w.Clock.Now().Sub(w.readAt) >= RereadEvery {
+		if err := w.read(ctx); err != nil {
+			return err
+		}
 	}
-	changes, err := w.KeyValue.Watch(ctx, w.Key, after)
+	changes, err := w.KeyValue.Watch(ctx, w.Key, w.after)
 	w.report(ctx, err)
+	if errors.Is(err, platform.ErrCompacted) {
+		w.after = 0
+	}
 	if err != nil {
 		return err
 	}
@@ -104,9 +117,10 @@
 		case entry, open := <-changes:
 			if !open {
 				// No fault in itself: an adapter ends a watch that has long been
-				// quiet, and the read that follows tells.
+				// quiet, and the next call tells.
 				return ErrWatchEnded
 			}
+			w.after = max(w.after, entry.ModRevision)
 			w.take(entry.Value)
 		case <-duty.C:
 			if !w.OnDuty() {
@@ -118,17 +132,21 @@
 	}
 }
 
-// read gets the head and returns the key's modification revision.
-func (w *Watcher) read(ctx context.Context) (int64, error) {
+// read gets the head and notes where it stands.
+func (w *Watcher) read(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, ReadTimeout)
 	defer cancel()
 	entry, ok, err := w.KeyValue.Get(bounded, w.Key)
 	w.report(ctx, err)
-	if err != nil || !ok {
-		return 0, err
+	if err != nil {
+		return err
+	}
+	w.readAt = w.Clock.Now()
+	if ok {
+		w.after = entry.ModRevision
+		w.take(entry.Value)
 	}
-	w.take(entry.Value)
-	return entry.ModRevision, nil
+	return nil
 }
 
 func (w *Watcher) take(value []byte) {
