Let a prompt's last message not decide where it goes

The last message differs each time, so a prompt of a history and a question, the commonest kind, was placed by a hash that never recurs. Now it decides only when it stands alone. TestSharedPrefixMeetsAtOneUpstream failed before.

--- a/pkg/route/affinity.go
+++ b/pkg/route/affinity.go
@@ -59,17 +59,23 @@
 	return x ^ x>>31
 }
 
-// affinityPrefix is the index of the message up to which a prompt's prefix decides
-// where it is sent: the first two messages, commonly the instructions and the
-// history that a caller's next requests repeat.
-const affinityPrefix = 1
+// longestAffinity is the last message that may decide where a prompt is sent:
+// commonly the history that follows the instructions. Later ones differ from turn
+// to turn.
+const longestAffinity = 1
+
+// affinityMessage is the index of the message up to which a prompt's prefix decides
+// where it is sent. The last message is new each time, and decides only alone.
+func affinityMessage(req *Request) int {
+	return max(0, min(longestAffinity, len(req.Prefixes)-2))
+}
 
 // affinityKey returns the hash that a request's placement follows.
 func affinityKey(req *Request) (key uint64, ok bool) {
 	if len(req.Prefixes) == 0 {
 		return 0, false
 	}
-	return req.Prefixes[min(affinityPrefix, len(req.Prefixes)-1)], true
+	return req.Prefixes[affinityMessage(req)], true
 }
 
 // prefixTokens returns the prompt tokens up to the end of message i.
@@ -119,6 +125,5 @@
 	if i != favourite {
 		return cached
 	}
-	message := min(affinityPrefix, len(req.Prefixes)-1)
-	return max(cached, favouriteTrust*prefixTokens(req, message))
+	return max(cached, favouriteTrust*prefixTokens(req, affinityMessage(req)))
 }
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -26,6 +26,8 @@
 	EngineSeconds float64
 	// AtUpstream estimates the requests that are there already.
 	AtUpstream float64
+	// Own is this gateway's part of them.
+	Own float64
 }
 
 // FirstToken is the predicted time to the first byte, in seconds.
@@ -61,7 +63,7 @@
 func (p *pool) estimate(req *Request, i, favourite int32, own limit.Load, clock moment) Estimate {
 	c := &p.locals[i]
 	others, othersPrefill := c.discounted(p.mean, clock.sinceCompile)
-	e := Estimate{AtUpstream: others + float64(own.InFlight)}
+	e := Estimate{AtUpstream: others + float64(own.InFlight), Own: float64(own.InFlight)}
 	room := c.room(clock.now)
 	holding := own.Holding.Seconds()
 	if c.upstream.Kind == config.KindService {
