Measure decisions over modelled engines in virtual time

pkg/load/decide drives the real routing, limits and admission of a group of gateways and compares the choice of upstream with round robin, least in-flight, two choices and least reported load, seed by seed in one run. Engine parameters are those of the stand-in deployments.

--- /dev/null
+++ b/pkg/load/decide/course.go
@@ -0,0 +1,62 @@
+package decide
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// receive gives a request a slot, or lets it wait for one.
+func (e *engine) receive(s *simulation, f *flight) {
+	s.result.over(e)
+	if e.running >= engineSlots {
+		e.queue = append(e.queue, f)
+		return
+	}
+	e.admit(s, f)
+}
+
+func (e *engine) admit(s *simulation, f *flight) {
+	e.running++
+	e.prefilling = append(e.prefilling, f)
+	e.nextPrefill(s)
+}
+
+// nextPrefill works on one prompt at a time.
+func (e *engine) nextPrefill(s *simulation) {
+	if e.prefillBusy || len(e.prefilling) == 0 {
+		return
+	}
+	f := e.prefilling[0]
+	e.prefilling = e.prefilling[1:]
+	e.prefillBusy = true
+	s.after(e.prefillTime(f.job), func() {
+		e.prefillBusy = false
+		e.nextPrefill(s)
+		e.decode(s, f)
+	})
+}
+
+// decode generates the answer at the speed of the batch at its beginning.
+func (e *engine) decode(s *simulation, f *flight) {
+	token := e.tokenTime()
+	e.decodeSeconds += tokenCost() * float64(f.job.answer)
+	s.after(token, func() {
+		f.flight.FirstByte()
+		s.result.first(s, f.job)
+	})
+	s.after(token*time.Duration(f.job.answer), func() { e.done(s, f) })
+}
+
+func (e *engine) done(s *simulation, f *flight) {
+	e.running--
+	if len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		e.admit(s, next)
+	}
+	s.result.whole(s, f.job)
+	f.flight.Done(limit.Succeeded)
+	f.entry.Release()
+	f.gateway.start()
+}
--- /dev/null
+++ b/pkg/load/decide/engine.go
@@ -0,0 +1,136 @@
+package decide
+
+import (
+	"container/list"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// Parameters of a modelled engine, those of the stand-in engine's deployments.
+const (
+	engineSlots       = 8
+	engineDecodeRate  = 60.0 // tokens a second for a stream that runs alone
+	engineBatchCost   = 0.06 // how much longer a token takes for each further stream
+	enginePrefillRate = 8000.0
+	engineCacheTokens = 60000
+	reportedPrefixes  = 64
+)
+
+// engine is a modelled model engine: slots, one prompt in prefill at a time, and a
+// prefix cache that drops the least recently used.
+type engine struct {
+	name              string
+	running           int
+	queue, prefilling []*flight
+	prefillBusy       bool
+	cache             cache
+	// prefillSeconds and wasted add up the prefill, and the part of it that a
+	// warm cache would have saved.
+	prefillSeconds, wasted float64
+	decodeSeconds          float64
+	reports                [2]board.UpstreamLoad
+}
+
+func newEngine(i int) *engine {
+	return &engine{name: fmt.Sprintf("engine-%02d", i), cache: newCache()}
+}
+
+// tokenTime is how long one token takes at the present batch.
+func (e *engine) tokenTime() time.Duration {
+	others := float64(max(0, e.running-1))
+	return time.Duration((1 + engineBatchCost*others) / engineDecodeRate * float64(time.Second))
+}
+
+// tokenCost is an engine-second's part for one token in a full batch.
+func tokenCost() float64 {
+	return (1 + engineBatchCost*(engineSlots-1)) / engineDecodeRate / engineSlots
+}
+
+// prefillTime admits a prompt to the cache and returns how long its prefill takes.
+func (e *engine) prefillTime(j *job) time.Duration {
+	missing, reusable := e.cache.admit(j)
+	seconds := float64(missing) / enginePrefillRate
+	e.prefillSeconds += seconds
+	e.wasted += float64(reusable) / enginePrefillRate
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// sample makes the report that gateways will see one interval later.
+func (e *engine) sample(now time.Time) {
+	e.reports[0] = e.reports[1]
+	e.reports[1] = board.UpstreamLoad{
+		Name: e.name, State: board.UpstreamLive,
+		Running: e.running, Queued: len(e.queue),
+		DecodeRate:  1 / e.tokenTime().Seconds(),
+		PrefillRate: enginePrefillRate,
+		Version:     version,
+		ReportedAt:  now,
+		Prefixes:    e.cache.recent(),
+	}
+}
+
+// cache is a prefix cache.
+type cache struct {
+	used   int
+	order  *list.List
+	byHash map[uint64]*list.Element
+}
+
+type cached struct {
+	hash   uint64
+	tokens int
+}
+
+func newCache() cache {
+	return cache{order: list.New(), byHash: map[uint64]*list.Element{}}
+}
+
+// admit caches a prompt. It returns how many of its tokens were missing, and how
+// many of those belong to messages that others share.
+func (c *cache) admit(j *job) (missing, reusable int) {
+	before, broken := 0, false
+	for i, hash := range j.prefixes {
+		tokens := j.tokens[i] - before
+		before = j.tokens[i]
+		element, ok := c.byHash[hash]
+		broken = broken || !ok
+		if broken {
+			missing += tokens
+			if i < len(j.prefixes)-1 {
+				reusable += tokens
+			}
+		}
+		if ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		c.byHash[hash] = c.order.PushFront(cached{hash, tokens})
+		c.used += tokens
+	}
+	c.evict()
+	return missing, reusable
+}
+
+func (c *cache) evict() {
+	for c.used > engineCacheTokens {
+		last := c.order.Back()
+		entry := c.order.Remove(last).(cached)
+		delete(c.byHash, entry.hash)
+		c.used -= entry.tokens
+	}
+}
+
+// recent returns the most recently used prefixes.
+func (c *cache) recent() []uint64 {
+	var found []uint64
+	for e := c.order.Front(); e != nil && len(found) < reportedPrefixes; e = e.Next() {
+		found = append(found, e.Value.(cached).hash)
+	}
+	return found
+}
+
+func hashOf(parts ...any) uint64 { return xxhash.Sum64String(fmt.Sprint(parts...)) }
--- /dev/null
+++ b/pkg/load/decide/gateway.go
@@ -0,0 +1,204 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/admission"
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// Names in the modelled declaration.
+const (
+	region  = "here"
+	domain  = "hall"
+	model   = "m"
+	version = "v1"
+)
+
+// gateway runs the real decisions of one gateway.
+type gateway struct {
+	sim      *simulation
+	name     string
+	strategy *route.Strategy
+	head     *config.Head
+	tracker  *limit.Tracker
+	queue    *admission.Queue
+	table    *route.Table
+	rnd      *rand.Rand
+	told     board.GatewayLoad // what the others know of it
+	waiting  []*waiting
+}
+
+// waiting is a request in the queue.
+type waiting struct {
+	entry   *admission.Entry
+	request *route.Request
+	job     *job
+}
+
+// flight is a request at an engine.
+type flight struct {
+	gateway *gateway
+	entry   *admission.Entry
+	flight  *limit.Flight
+	job     *job
+	engine  *engine
+}
+
+func newGateway(s *simulation, p policy, i int, seed uint64) *gateway {
+	g := &gateway{
+		sim: s, name: fmt.Sprintf("gw-%02d", i),
+		tracker: limit.NewTracker(s, nil),
+		queue:   admission.NewQueue(s),
+		rnd:     rand.New(rand.NewPCG(seed, uint64(i))),
+		head:    &config.Head{Revision: 1, Declaration: declaration(s)},
+	}
+	if p.strategy != nil {
+		g.strategy = p.strategy()
+	}
+	return g
+}
+
+func declaration(s *simulation) *config.Declaration {
+	d := &config.Declaration{
+		Regions: []config.Region{{Name: region, Domains: []string{domain}}},
+		Models:  []config.Model{{Name: model, Versions: []config.ModelVersion{{Name: version, Percent: 100}}, Regions: []string{region}}},
+		Policy:  config.Policy{CostWeight: s.options.CostWeight},
+	}
+	for _, e := range s.engines {
+		d.Upstreams = append(d.Upstreams, config.Upstream{
+			Name: e.name, Kind: config.KindEngine, Serves: model, Version: version, Domain: domain, Concurrency: engineSlots,
+		})
+	}
+	return d
+}
+
+// compile rebuilds the table from what the gateway has been told by now.
+func (g *gateway) compile() {
+	upstreams := &board.Upstreams{ByName: map[string]board.UpstreamLoad{}}
+	for _, e := range g.sim.engines {
+		if report := e.reports[0]; report.Name != "" {
+			upstreams.ByName[e.name] = report
+		}
+	}
+	members := &board.Members{Self: g.name}
+	for _, other := range g.sim.gateways {
+		members.Instances = append(members.Instances, board.Instance{
+			Name: other.name, Domain: domain, State: board.InstanceLive, Incarnation: 1, Load: other.told,
+		})
+	}
+	g.table = route.Compile(route.Input{
+		Head: g.head, Members: members, Upstreams: upstreams,
+		Self: g.name, Domain: domain, Region: region,
+		Previous: g.table, Strategy: g.strategy, Now: g.sim.now,
+	})
+	g.tracker.SetShares(g.table.Shares())
+	for _, pool := range g.table.Pools() {
+		g.queue.SetCapacity(pool.Key, g.table.Slots(pool, g.tracker))
+	}
+	g.queue.Sweep()
+	g.start()
+}
+
+// gossip tells the others what is in hand; they see it at their next compile.
+func (g *gateway) gossip() {
+	inFlight, prefill := g.tracker.Snapshot()
+	waiting := g.queue.Waiting()
+	g.told = board.GatewayLoad{
+		InFlight: inFlight, Prefill: prefill,
+		Waiting: map[string]int{model: waiting[route.PoolKey(model, version)]},
+	}
+}
+
+// arrive takes a request the way that a gateway does: a first decision, the queue,
+// a second decision, the upstream.
+func (g *gateway) arrive(j *job) {
+	request := g.request(j)
+	request.Waiting = g.queue.Predict(g.ticket(j, route.PoolKey(model, version), 0))
+	decision, refusal := g.table.Pick(request, g.tracker, g.rnd, g.sim.now)
+	if refusal != nil {
+		g.refuse(j, refusal)
+		return
+	}
+	entry, refusal := g.queue.Submit(g.ticket(j, decision.Pool, decision.Predicted-request.Waiting))
+	if refusal != nil {
+		g.refuse(j, refusal)
+		return
+	}
+	g.waiting = append(g.waiting, &waiting{entry: entry, request: request, job: j})
+	g.start()
+}
+
+func (g *gateway) request(j *job) *route.Request {
+	caller := &config.Caller{Name: j.caller.Name, Home: region, Regions: []string{region}}
+	return &route.Request{
+		Caller: caller, Serves: model, Kind: config.KindEngine,
+		Prefixes: j.prefixes, PrefixTokens: j.tokens,
+		PromptTokens: j.prompt(), MaxTokens: j.kind.answer, Roll: j.roll,
+		Deadline: j.deadline(),
+	}
+}
+
+func (g *gateway) ticket(j *job, pool string, run time.Duration) admission.Ticket {
+	return admission.Ticket{
+		Caller: j.caller, Serves: pool, Cost: admission.Cost(j.prompt(), j.kind.answer),
+		Run: run, Deadline: j.deadline(),
+	}
+}
+
+// start sends what the queue has granted, and drops what it has refused.
+func (g *gateway) start() {
+	kept := g.waiting[:0]
+	var ready []*waiting
+	for _, w := range g.waiting {
+		select {
+		case <-w.entry.Ready():
+			ready = append(ready, w)
+		default:
+			kept = append(kept, w)
+		}
+	}
+	g.waiting = kept
+	for _, w := range ready {
+		g.send(w)
+	}
+}
+
+func (g *gateway) send(w *waiting) {
+	if refusal := w.entry.Refusal(); refusal != nil {
+		g.refuse(w.job, refusal)
+		return
+	}
+	w.request.Waiting = 0
+	w.request.Admitted = true
+	decision, refusal := g.table.Pick(w.request, g.tracker, g.rnd, g.sim.now)
+	if refusal != nil {
+		w.entry.Release()
+		g.refuse(w.job, refusal)
+		return
+	}
+	name := decision.Upstream.Name
+	started, ok := g.tracker.Start(name, w.job.prompt(), decision.FirstToken)
+	if !ok {
+		w.entry.Release()
+		g.sim.result.lostPlaces++
+		return
+	}
+	for _, e := range g.sim.engines {
+		if e.name == name {
+			e.receive(g.sim, &flight{gateway: g, entry: w.entry, flight: started, job: w.job, engine: e})
+		}
+	}
+}
+
+func (g *gateway) refuse(j *job, refusal *outcome.Refusal) {
+	if g.sim.measured(j) {
+		g.sim.result.refused(j, refusal)
+	}
+}
--- /dev/null
+++ b/pkg/load/decide/policy.go
@@ -0,0 +1,77 @@
+package decide
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// policy is a way to choose an upstream.
+type policy struct {
+	name string
+	// strategy makes one gateway's strategy; nil keeps the gateways' own.
+	strategy func() *route.Strategy
+}
+
+// policies holds the candidate first, then what it is compared with.
+var policies = []policy{
+	{name: "lilacweir"},
+	{name: "round robin", strategy: simple(func() route.Picker { return &roundRobin{} }, inFlight{})},
+	{name: "least in-flight", strategy: simple(func() route.Picker { return everyone{} }, inFlight{})},
+	{name: "two choices", strategy: simple(func() route.Picker { return twoChoices{} }, inFlight{})},
+	{name: "least reported", strategy: simple(func() route.Picker { return everyone{} }, reported{})},
+}
+
+func simple(picker func() route.Picker, scorer route.Scorer) func() *route.Strategy {
+	return func() *route.Strategy {
+		strategy := route.DefaultStrategy(0)
+		strategy.Picker = picker()
+		strategy.Scorer = scorer
+		return &strategy
+	}
+}
+
+// roundRobin takes upstreams in turn.
+type roundRobin struct{ next int32 }
+
+// Sample implements route.Picker.
+func (r *roundRobin) Sample(_ *route.Request, pool route.Sampled, _ route.Rand) route.Sample {
+	var s route.Sample
+	s.Add(r.next % int32(pool.Size))
+	r.next++
+	return s
+}
+
+// everyone looks at all upstreams, from a random one on.
+type everyone struct{}
+
+// Sample implements route.Picker.
+func (everyone) Sample(_ *route.Request, pool route.Sampled, rnd route.Rand) route.Sample {
+	var s route.Sample
+	start := rnd.Uint64()
+	for i := range uint64(pool.Size) {
+		s.Add(int32((start + i) % uint64(pool.Size)))
+	}
+	return s
+}
+
+// twoChoices looks at two upstreams.
+type twoChoices struct{}
+
+// Sample implements route.Picker.
+func (twoChoices) Sample(_ *route.Request, pool route.Sampled, rnd route.Rand) route.Sample {
+	var s route.Sample
+	s.Add(int32(rnd.Uint64() % uint64(pool.Size)))
+	s.Add(int32(rnd.Uint64() % uint64(pool.Size)))
+	return s
+}
+
+// inFlight ranks by this gateway's own requests.
+type inFlight struct{}
+
+// Score implements route.Scorer.
+func (inFlight) Score(_ *route.Request, e route.Estimate) float64 { return e.Own }
+
+// reported ranks by all requests that are believed to be there.
+type reported struct{}
+
+// Score implements route.Scorer.
+func (reported) Score(_ *route.Request, e route.Estimate) float64 { return e.AtUpstream }
