Weigh uncached prefill beyond the request's own time

Cause: the choice took a cold prompt for 0.6 s of its own time, but it also holds up the prompts behind it and drives out of the cache what others would have hit. Half of the reviews missed the cache. An engine-second now weighs 2 s, and up to 5 s more with the cost weight.

--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -40,15 +40,22 @@
 type TimeAndCost struct {
 	// CostWeight is 0 (latency alone) to 1.
 	CostWeight float64
+	// PrefillWeight counts engine-seconds whatever the cost weighs.
+	PrefillWeight float64
 }
 
-// costScale is how many seconds of waiting one engine-second weighs at full
-// CostWeight.
-const costScale = 4.0
+// Weights of an engine-second of prefill, in seconds of the request's own time.
+const (
+	// prefillWeight is used among the upstreams of a pool: a prompt in prefill holds up those behind it,
+	// and what it puts into the cache drives out what others would have used.
+	prefillWeight = 2.0
+	// costScale is added at full CostWeight.
+	costScale = 5.0
+)
 
 // Score implements Scorer.
 func (s TimeAndCost) Score(_ *Request, e Estimate) float64 {
-	return e.Total() + s.CostWeight*costScale*e.EngineSeconds
+	return e.Total() + (s.PrefillWeight+s.CostWeight*costScale)*e.EngineSeconds
 }
 
 // answerTokens is the answer's expected length.
--- a/pkg/route/spill.go
+++ b/pkg/route/spill.go
@@ -66,7 +66,7 @@
 
 // remoteScore favours the caller's home region by the margin.
 func (t *Table) remoteScore(req *Request, r *remote, e Estimate) float64 {
-	score := TimeAndCost{t.policy.CostWeight}.Score(req, e)
+	score := TimeAndCost{CostWeight: t.policy.CostWeight}.Score(req, e)
 	if r.digest.Region == req.Caller.Home {
 		score -= t.margin()
 	}
@@ -98,7 +98,7 @@
 	if local.candidate == nil || lateBy(req, local.total(req), now) > 0 {
 		return true
 	}
-	score := TimeAndCost{t.policy.CostWeight}
+	score := TimeAndCost{CostWeight: t.policy.CostWeight}
 	gain := score.Score(req, local.estimate) + req.Waiting.Seconds() - score.Score(req, there)
 	margin := t.margin()
 	if gain >= margin {
--- a/pkg/route/strategy.go
+++ b/pkg/route/strategy.go
@@ -67,7 +67,7 @@
 func DefaultStrategy(costWeight float64) Strategy {
 	return Strategy{
 		Filters: []Filter{NotEjected{}, NotTried{}, BelowLimit{}},
-		Scorer:  TimeAndCost{CostWeight: costWeight},
+		Scorer:  TimeAndCost{CostWeight: costWeight, PrefillWeight: prefillWeight},
 		Picker:  AffinityAndChoices{},
 	}
 }
