Give short requests their own part of a caller's share

Cause: past capacity a queue settles at the wait that the longest deadlines bear (reviews, 30 s), so that questions (10 s) were refused at the door and only reviews ran.

Short and long requests of one caller now take turns by start-time fair queueing, as callers do; priorities still go first.

--- a/pkg/admission/entry.go
+++ b/pkg/admission/entry.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"slices"
+	"cmp"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/outcome"
@@ -69,62 +69,15 @@
 	close(e.ready)
 }
 
-// flow holds one caller's waiting requests in one pool.
-type flow struct {
-	caller string
-	weight float64
-	// finish is the virtual time at which the work granted so far is paid off.
-	finish  float64
-	entries entryHeap
-	cost    int
-}
-
-// last returns the entry that would be served last.
-func (f *flow) last() *Entry {
-	last := f.entries[0]
-	for _, e := range f.entries[1:] {
-		if last.before(e) {
-			last = e
-		}
-	}
-	return last
-}
-
-// ahead adds up the cost of the entries that come before order.
-func (f *flow) ahead(order time.Time) int {
-	sum := 0
-	for _, e := range f.entries {
-		if !e.order.After(order) {
-			sum += e.ticket.cost()
-		}
-	}
-	return sum
-}
-
-// inOrder returns a copy of the entries in the order in which they are served.
-func (f *flow) inOrder() []*Entry {
-	sorted := slices.Clone(f.entries)
-	slices.SortFunc(sorted, func(a, b *Entry) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
-	return sorted
-}
-
-func (e *Entry) before(other *Entry) bool {
-	if !e.order.Equal(other.order) {
-		return e.order.Before(other.order)
-	}
-	return e.sequence < other.sequence
+func compareEntries(a, b *Entry) int {
+	return cmp.Or(a.order.Compare(b.order), cmp.Compare(a.sequence, b.sequence))
 }
 
 // entryHeap implements heap.Interface.
 type entryHeap []*Entry
 
 func (h entryHeap) Len() int           { return len(h) }
-func (h entryHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h entryHeap) Less(i, j int) bool { return compareEntries(h[i], h[j]) < 0 }
 func (h entryHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index = i
--- a/pkg/admission/pool.go
+++ b/pkg/admission/pool.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // pool is the queue before one set of upstreams that stand in for each other. It
 // is start-time fair queueing: virtual advances by cost over weight.
@@ -58,7 +55,7 @@
 		f = &flow{caller: t.Caller.Name, finish: p.virtual}
 		p.flows[t.Caller.Name] = f
 	}
-	if len(f.entries) == 0 {
+	if f.waiting == 0 {
 		f.weight = t.weight()
 	}
 	return f
@@ -66,29 +63,27 @@
 
 // add puts an entry into its flow.
 func (p *pool) add(e *Entry) {
-	if len(e.flow.entries) == 0 {
+	if e.flow.waiting == 0 {
 		p.active += e.flow.weight
 	}
-	heap.Push(&e.flow.entries, e)
-	e.flow.cost += e.ticket.cost()
+	e.flow.add(e)
 	p.queued += e.ticket.cost()
 	p.waiting++
 }
 
 // remove takes a waiting entry out of its flow.
 func (p *pool) remove(e *Entry) {
-	heap.Remove(&e.flow.entries, e.index)
-	e.flow.cost -= e.ticket.cost()
+	e.flow.remove(e)
 	p.queued -= e.ticket.cost()
 	p.waiting--
-	if len(e.flow.entries) == 0 {
+	if e.flow.waiting == 0 {
 		p.active -= e.flow.weight
 	}
 }
 
 // forget drops a flow that has nothing waiting and nothing to pay off.
 func (p *pool) forget(f *flow) {
-	if len(f.entries) == 0 && f.finish <= p.virtual {
+	if f.waiting == 0 && f.finish <= p.virtual {
 		delete(p.flows, f.caller)
 	}
 }
@@ -97,7 +92,7 @@
 func (p *pool) next() *flow {
 	var best *flow
 	for _, f := range p.flows {
-		if len(f.entries) == 0 {
+		if f.waiting == 0 {
 			p.forget(f)
 			continue
 		}
@@ -113,14 +108,16 @@
 	if startA != startB {
 		return startA < startB
 	}
-	return a.entries[0].before(b.entries[0])
+	return compareEntries(a.head(), b.head()) < 0
 }
 
-// charge gives a place to a request of f.
-func (p *pool) charge(f *flow, cost int) {
+// charge gives a place to a request.
+func (p *pool) charge(e *Entry) {
+	f := e.flow
 	start := max(f.finish, p.virtual)
 	p.virtual = start
-	f.finish = start + float64(cost)/f.weight
+	f.finish = start + float64(e.ticket.cost())/f.weight
+	f.charge(e)
 	p.running++
 }
 
@@ -136,19 +133,20 @@
 	return float64(max(1, p.capacity)) / max(p.perCost.value, 1e-6)
 }
 
-// predict is how long a request would wait that comes behind ahead, the cost of
-// its own caller's requests.
-func (p *pool) predict(f *flow, ahead int) time.Duration {
+// predict is how long a request of a size would wait that comes behind the cost
+// before, of its own caller's requests of that size.
+func (p *pool) predict(f *flow, size sizeClass, before int) time.Duration {
 	if p.running < p.capacity && p.waiting == 0 {
 		return 0
 	}
 	active := p.active
-	if len(f.entries) == 0 {
+	if f.waiting == 0 {
 		active += f.weight
 	}
-	virtual := max(0, f.finish-p.virtual) + float64(ahead)/f.weight
-	others := p.queued - f.cost
-	work := min(virtual*active, float64(others+ahead))
+	ahead := f.ahead(size, before)
+	virtual := max(0, f.finish-p.virtual) + ahead/f.weight
+	others := float64(p.queued - f.cost())
+	work := min(virtual*active, others+ahead)
 	next := p.holding.value / float64(max(1, p.capacity))
 	return time.Duration((work/p.rate() + next) * float64(time.Second))
 }
@@ -157,7 +155,7 @@
 func (p *pool) greediest() *flow {
 	var worst *flow
 	for _, f := range p.flows {
-		if len(f.entries) == 0 {
+		if f.waiting == 0 {
 			continue
 		}
 		if worst == nil || heavier(f, worst) {
@@ -168,7 +166,7 @@
 }
 
 func heavier(a, b *flow) bool {
-	loadA, loadB := float64(a.cost)/a.weight, float64(b.cost)/b.weight
+	loadA, loadB := float64(a.cost())/a.weight, float64(b.cost())/b.weight
 	if loadA != loadB {
 		return loadA > loadB
 	}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -83,7 +83,7 @@
 	}
 	f := p.flowOf(&t)
 	order := t.order(now)
-	wait := p.predict(f, f.ahead(order))
+	wait := p.predict(f, t.class(), f.before(t.class(), order))
 	if refusal := refuseLate(wait, t.allowed(now), &t); refusal != nil {
 		p.forget(f)
 		return nil, refusal
@@ -113,7 +113,7 @@
 	if f == nil {
 		f = &flow{weight: t.weight(), finish: p.virtual}
 	}
-	return p.predict(f, f.ahead(t.order(q.clock.Now())))
+	return p.predict(f, t.class(), f.before(t.class(), t.order(q.clock.Now())))
 }
 
 // Waiting counts queued requests by pool, without pools that have none.
@@ -157,7 +157,7 @@
 		if f == nil {
 			break
 		}
-		p.grant(f.entries[0], now)
+		p.grant(f.head(), now)
 	}
 	if now.Sub(p.swept) >= sweepInterval {
 		p.swept = now
@@ -169,10 +169,10 @@
 func (p *pool) grant(e *Entry, now time.Time) {
 	p.remove(e)
 	if e.ticket.allowed(now) < 0 {
-		e.refuse(refuseUnreachable(p.predict(e.flow, 0)))
+		e.refuse(refuseUnreachable(p.predict(e.flow, e.ticket.class(), 0)))
 		return
 	}
-	p.charge(e.flow, e.ticket.cost())
+	p.charge(e)
 	e.state = granted
 	e.granted = now
 	close(e.ready)
@@ -181,20 +181,25 @@
 // sweep refuses the entries whose predicted wait is more than they can bear.
 func (p *pool) sweep(now time.Time) {
 	for _, f := range p.flows {
-		ahead := 0
-		for _, e := range f.inOrder() {
-			wait := p.predict(f, ahead)
-			if e.bearable(wait, now) {
-				ahead += e.ticket.cost()
-				continue
-			}
-			p.remove(e)
-			e.refuse(refuseUnreachable(wait))
-		}
+		p.sweepClass(f, short, now)
+		p.sweepClass(f, long, now)
 		p.forget(f)
 	}
 }
 
+func (p *pool) sweepClass(f *flow, size sizeClass, now time.Time) {
+	before := 0
+	for _, e := range f.inOrder(size) {
+		wait := p.predict(f, size, before)
+		if e.bearable(wait, now) {
+			before += e.ticket.cost()
+			continue
+		}
+		p.remove(e)
+		e.refuse(refuseUnreachable(wait))
+	}
+}
+
 // bearable says whether an entry can still meet its deadline after wait.
 func (e *Entry) bearable(wait time.Duration, now time.Time) bool {
 	allowed := e.ticket.allowed(now)
@@ -213,7 +218,8 @@
 	}
 	e := worst.last()
 	p.remove(e)
-	e.refuse(refuseFull(p.predict(worst, worst.cost)))
+	size := e.ticket.class()
+	e.refuse(refuseFull(p.predict(worst, size, worst.classes[size].cost)))
 	return nil
 }
 
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -53,13 +53,9 @@
 // that much longer: requests age.
 const priorityStep = 2 * time.Second
 
-// costStep is how much later a request counts as having come for each unit of
-// cost, so that a short question passes the same caller's long review.
-const costStep = 2 * time.Millisecond
-
-// order is the key by which a caller's requests are sorted.
+// order is the key by which a caller's requests of one size are sorted.
 func (t *Ticket) order(now time.Time) time.Time {
-	return now.Add(time.Duration(t.cost())*costStep - time.Duration(t.Priority)*priorityStep)
+	return now.Add(-time.Duration(t.Priority) * priorityStep)
 }
 
 func (t *Ticket) cost() int { return max(1, t.Cost) }
