Resume a stream whose engine has been silent for five seconds

An engine that stalls inside a stream without closing it held the caller for the sixty seconds that a queue and a long prompt may take; chunks come several times a second once they come at all. TestStalledStreamIsGivenUpSoon, -race -count=5 ok.

--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -42,7 +42,7 @@
 	begun := false
 	for {
 		n, err := response.Body.Read(buffer[fill:])
-		a.heard(a.patience)
+		a.heard(min(a.patience, streamSilence))
 		if n > 0 && !begun {
 			begun = true
 			a.begun()
--- a/pkg/relay/keepalive_test.go
+++ b/pkg/relay/keepalive_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
@@ -27,8 +28,12 @@
 
 func (p *pipes) dial(context.Context, string, string) (net.Conn, error) {
 	near, far := net.Pipe()
-	p.conns <- far
-	return near, nil
+	select {
+	case p.conns <- far:
+		return near, nil
+	case <-p.done:
+		return nil, net.ErrClosed
+	}
 }
 
 func (p *pipes) Accept() (net.Conn, error) {
@@ -45,8 +50,16 @@
 
 // askPeer forwards one request to a gateway that serves it so, in virtual time.
 func askPeer(kind config.UpstreamKind, serve func(ctx context.Context, sink *Sink)) (Report, *httptest.ResponseRecorder, time.Duration) {
+	return ask(Target{Name: "peer", Address: "peer:1", Kind: kind, Peer: true}, serve)
+}
+
+// ask sends one request to a target that serves it so, in virtual time.
+func ask(target Target, serve func(ctx context.Context, sink *Sink)) (Report, *httptest.ResponseRecorder, time.Duration) {
 	listener := newPipes()
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engineapi.PathCancel {
+			return
+		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
 		serve(r.Context(), NewSink(w, time.Now))
@@ -55,8 +68,9 @@
 	client := NewClient(listener.dial, listener.dial)
 	recorder := httptest.NewRecorder()
 	start := time.Now()
-	report := client.Do(context.Background(), Target{Name: "peer", Address: "peer:1", Kind: kind, Peer: true}, testCall(false), NewSink(recorder, time.Now))
+	report := client.Do(context.Background(), target, testCall(false), NewSink(recorder, time.Now))
 	took := time.Since(start)
+	synctest.Wait() // a cancel may be under way
 	client.Close()
 	_ = server.Close()
 	return report, recorder, took
@@ -103,3 +117,19 @@
 		is.Equal(len(recorder.Body.String()) > len(wholeStream(testID, 0, 3)), true)
 	})
 }
+
+func TestStalledStreamIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		report, recorder, took := ask(Target{Name: "engine", Address: "engine:1", Kind: config.KindEngine}, func(ctx context.Context, sink *Sink) {
+			time.Sleep(20 * time.Second) // the queue and the prompt may take long
+			sink.Head(func(fields http.Header) { fields.Set(header.ContentType, streamType) })
+			sink.begin(http.StatusOK)
+			_ = sink.write([]byte(chunkOf(testID, 0)))
+			<-ctx.Done()
+		})
+		is.True(report.Silent)
+		is.Equal(recorder.Body.String(), chunkOf(testID, 0))
+		is.Equal(took, 20*time.Second+streamSilence)
+	})
+}
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -78,6 +78,9 @@
 const (
 	// idleTimeout ends an attempt whose target says nothing for so long.
 	idleTimeout = 60 * time.Second
+	// streamSilence ends an attempt inside a stream: an engine that decodes at all
+	// sends several chunks a second, and the stream can go on elsewhere.
+	streamSilence = 5 * time.Second
 	// idleConnections is how many idle connections are kept for a target.
 	idleConnections = 256
 	// idleLifetime is shorter than the usual keep-alive of servers.
