--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -103,7 +103,7 @@
 		Cost:     admission.Cost(w.request.PromptTokens, answer),
 		Priority: w.request.Priority,
 		Deadline: w.request.Deadline,
-		Run:      decision.Predicted,
+		Run:      decision.Run,
 	}
 }
 
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -126,7 +126,7 @@
 		g.refuse(j, refusal)
 		return
 	}
-	entry, refusal := g.queue.Submit(g.ticket(j, decision.Pool, decision.Predicted-request.Waiting))
+	entry, refusal := g.queue.Submit(g.ticket(j, decision.Pool, decision.Run))
 	if refusal != nil {
 		g.refuse(j, refusal)
 		return
