--- a/pkg/route/spill_test.go
+++ b/pkg/route/spill_test.go
@@ -116,10 +116,9 @@
 	is := is.New(t)
 	w := overloaded(1000)
 	w.declaration.Spill[0].Percent = 20
-	table := w.table()
 	sent, arrived := 0, 0
 	for range 100 {
-		table = w.advance(100 * time.Millisecond)
+		table := w.advance(100 * time.Millisecond)
 		for roll := range uint64(10) {
 			arrived++
 			if w.decide(t, table, roll) {
