--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -28,7 +28,9 @@
 	if p == nil {
 		return Decision{}, refuseNoUpstream()
 	}
-	t.spill.arrived()
+	if first(req) {
+		t.spill.arrived()
+	}
 	var local choice
 	if here {
 		local = t.pickLocal(p, req, load, rnd, now)
@@ -41,6 +43,12 @@
 	return t.decideLocal(p, req, here, local, now)
 }
 
+// first tells the first decision on a caller's request from those that are made
+// again as it waits, leaves the queue, or has failed somewhere.
+func first(req *Request) bool {
+	return req.Class == ClassEntry && !req.Admitted && req.Waiting == 0 && len(req.Tried) == 0
+}
+
 // choice is the best local upstream, if any.
 type choice struct {
 	candidate *candidate
@@ -135,6 +143,7 @@
 		Version:    p.id.version,
 		FirstToken: seconds(local.estimate.FirstToken()) + req.Waiting,
 		Predicted:  seconds(total),
+		Run:        seconds(local.estimate.Total()),
 	}, nil
 }
 
--- a/pkg/route/pick_test.go
+++ b/pkg/route/pick_test.go
@@ -200,3 +200,16 @@
 	decision, _ = w.pick(w.table(), req)
 	is.Equal(decision.Upstream.Name, "u-1") // so has this gateway
 }
+
+// The own queue counts towards the deadline once, not again in admission.
+func TestRunLeavesOutTheOwnQueue(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1)
+	table := w.table()
+	first, _ := w.pick(table, request("ra"))
+	waiting := request("ra")
+	waiting.Waiting = 5 * time.Second
+	second, _ := w.pick(table, waiting)
+	is.Equal(second.Run, first.Run)
+	is.Equal(second.Predicted, first.Predicted+waiting.Waiting)
+}
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -79,6 +79,8 @@
 	// FirstToken is the predicted time to the first byte, and Predicted the time
 	// to the whole answer, own queue included.
 	FirstToken, Predicted time.Duration
+	// Run is the part of Predicted that follows the own queue.
+	Run time.Duration
 	// Spilled is true when the request leaves a region that could run it.
 	Spilled bool
 }
--- a/pkg/route/spill.go
+++ b/pkg/route/spill.go
@@ -39,6 +39,7 @@
 		Version:    p.id.version,
 		FirstToken: seconds(estimate.FirstToken()),
 		Predicted:  seconds(estimate.Total()),
+		Run:        seconds(estimate.Total()),
 		Spilled:    here && far,
 	}, true
 }
--- /dev/null
+++ b/pkg/route/spill_test.go
@@ -0,0 +1,218 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// overloaded is a world whose local upstreams have long queues, while domain b has
+// spare places.
+func overloaded(spare int) *world {
+	w := newWorld(2)
+	w.fill(40)
+	w.input.Domains.Remote = []board.DomainDigest{digestOf("b", "rb", spare)}
+	w.input.Spill = route.NewSpillState()
+	return w
+}
+
+// decide sends one request and says whether it left.
+func (w *world) decide(t interface{ Fatal(...any) }, table *route.Table, roll uint64) bool {
+	req := request("ra", "rb")
+	req.Roll = roll
+	decision, refusal := w.pick(table, req)
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	return decision.Domain != nil
+}
+
+// advance moves time on; at each whole second a new digest comes.
+func (w *world) advance(step time.Duration) *route.Table {
+	w.input.Now = w.input.Now.Add(step)
+	digest := &w.input.Domains.Remote[0]
+	digest.HeardAt = w.input.Now
+	digest.Sequence++
+	return w.table()
+}
+
+func TestSpillNeedsMarginRuleAndFreshDigest(t *testing.T) {
+	cases := map[string]struct {
+		change func(*world)
+		leaves bool
+	}{
+		"much sooner there":  {func(*world) {}, true},
+		"not worth the way":  {func(w *world) { w.fill(1) }, false},
+		"just as busy there": {func(w *world) { w.input.Domains.Remote[0].Pools[0].Waiting = 300 }, false},
+		"no rule":            {func(w *world) { w.declaration.Spill = nil }, false},
+		"rule of 0 percent":  {func(w *world) { w.declaration.Spill[0].Percent = 0 }, false},
+		"no spare":           {func(w *world) { w.input.Domains.Remote[0].Pools[0].Spare = 0 }, false},
+		"stale digest":       {func(w *world) { w.input.Now = epoch.Add(route.DigestLife + time.Second) }, false},
+		"margin not reached": {func(w *world) { w.declaration.Policy.SpillMargin = config.Duration(time.Hour) }, false},
+		"model not there":    {func(w *world) { w.declaration.Models[0].Regions = []string{"ra"} }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := overloaded(8)
+			c.change(w)
+			is.Equal(w.decide(t, w.table(), 1), c.leaves)
+		})
+	}
+}
+
+// However many gateways of however many domains decide on the same digest, they
+// send no more than it offers, until the next one.
+func TestOneDigestStartsNoStampede(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spare := rapid.IntRange(0, 20).Draw(t, "spare")
+		gateways := rapid.IntRange(1, 4).Draw(t, "gateways a domain")
+		sent := 0
+		for _, domain := range []string{"a", "c"} {
+			for i := range gateways {
+				w := overloaded(spare)
+				if domain == "c" {
+					w.input.Domain, w.input.Region = "c", "rc"
+					w.declaration.Spill[0].From = "rc"
+					w.declaration.Spill[1].To = "ra"
+					for u := range w.declaration.Upstreams {
+						w.declaration.Upstreams[u].Domain = "c"
+					}
+				}
+				w.input.Self = fmt.Sprint(domain, i)
+				w.input.Members = &board.Members{}
+				for other := range gateways {
+					w.input.Members.Instances = append(w.input.Members.Instances, board.Instance{
+						Name: fmt.Sprint(domain, other), State: board.InstanceLive, Incarnation: 1,
+					})
+				}
+				table := w.table()
+				for roll := range uint64(30) {
+					req := request("ra", "rb", "rc")
+					req.Roll = roll
+					if decision, _ := w.pick(table, req); decision.Domain != nil {
+						sent++
+					}
+				}
+			}
+		}
+		if sent > spare {
+			t.Fatalf("%d sent on an offer of %d", sent, spare)
+		}
+	})
+}
+
+// A rule's percent holds over the requests that arrive, however often a request is
+// decided on.
+func TestSpillKeepsThePercent(t *testing.T) {
+	is := is.New(t)
+	w := overloaded(1000)
+	w.declaration.Spill[0].Percent = 20
+	sent, arrived := 0, 0
+	for range 100 {
+		table := w.advance(100 * time.Millisecond)
+		for roll := range uint64(10) {
+			arrived++
+			if w.decide(t, table, roll) {
+				sent++
+				continue
+			}
+			again := request("ra", "rb")
+			again.Waiting = time.Second
+			if decision, _ := w.pick(table, again); decision.Domain != nil {
+				sent++
+			}
+		}
+	}
+	is.True(sent*100 <= 20*arrived)
+	is.True(sent*100 >= 15*arrived) // and it is used
+}
+
+// Around the margin nothing flaps: sending starts above it, and ends, step by
+// step, below.
+func TestSpillHysteresisAndRamp(t *testing.T) {
+	is := is.New(t)
+	w := overloaded(1000)
+	w.input.Domains.Remote[0].Pools[0].Slots = 1000
+	part := func(inFlight int) int {
+		w.fill(inFlight)
+		table := w.advance(time.Second)
+		left := 0
+		for roll := range uint64(100) {
+			if w.decide(t, table, roll) {
+				left++
+			}
+		}
+		return left
+	}
+	strong, band := inFlightFor(w, 1.2), inFlightFor(w, 0.75)
+	is.Equal(part(band), 0) // not begun yet
+	is.Equal(part(strong), 100)
+	last := 100
+	falls := 0
+	for range 12 {
+		now := part(band)
+		is.True(now <= last) // never back and forth
+		if now < last {
+			falls++
+		}
+		last = now
+	}
+	is.Equal(last, 0)
+	is.True(falls >= 5) // step by step
+}
+
+// inFlightFor sets the margin so that a whole number of local requests makes the
+// gain that part of it: at 20 requests the gain is the margin.
+func inFlightFor(w *world, part float64) int {
+	const atMargin = 20
+	gain := func(inFlight int) time.Duration {
+		w.fill(inFlight)
+		here, _ := w.pick(w.table(), request("ra"))
+		there := overloaded(1000)
+		there.input.Domains.Remote[0].Pools[0].Slots = 1000
+		away, _ := there.pick(there.table(), request("ra", "rb"))
+		return here.Predicted - away.Predicted
+	}
+	w.declaration.Policy.SpillMargin = config.Duration(gain(atMargin))
+	for inFlight := 1; ; inFlight++ {
+		if gain(inFlight).Seconds() >= part*gain(atMargin).Seconds() {
+			return inFlight
+		}
+	}
+}
+
+// An upstream that came back is given less than it has room for, until its cache
+// has had time to fill.
+func TestReturningUpstreamIsRamped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.setState("u-0", board.UpstreamSilent)
+	w.input.Previous = w.table()
+	w.setState("u-0", board.UpstreamLive)
+	back := w.table()
+	for _, upstream := range []string{"u-0", "u-1"} {
+		w.load[upstream] = limit.Load{InFlight: 2, Limit: limit.Unlimited, Holding: 5 * time.Second}
+	}
+	req := request("ra")
+	req.Prefixes = nil
+	for range 20 {
+		decision, _ := w.pick(back, req)
+		is.Equal(decision.Upstream.Name, "u-1")
+	}
+	w.input.Now = epoch.Add(time.Minute)
+	used := map[string]bool{}
+	for range 50 {
+		decision, _ := w.pick(back, req)
+		used[decision.Upstream.Name] = true
+	}
+	is.Equal(len(used), 2)
+}
