--- a/pkg/gateway/bed_test.go
+++ b/pkg/gateway/bed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -30,6 +31,7 @@
 // a service in the north, and one of each in the south.
 type bed struct {
 	t        *testing.T
+	security settings.Security
 	journal  *journal.Journal
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
@@ -49,14 +51,20 @@
 
 func newBed(t *testing.T) *bed {
 	t.Helper()
-	b := &bed{t: t, journal: journal.New(), engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}}
+	return newSecuredBed(t, settings.Security{PlaintextLoopback: true})
+}
+
+// newSecuredBed links the gateways by the given material.
+func newSecuredBed(t *testing.T, security settings.Security) *bed {
+	t.Helper()
+	b := &bed{t: t, security: security, journal: journal.New(), engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}}
 	b.declare()
 	b.north = b.newGateway("north-1", "north-a", "north")
 	b.south = b.newGateway("south-1", "south-a", "south")
 	callers, _ := b.north.Handlers()
 	b.url = b.serve(callers)
 	_, peers := b.south.Handlers()
-	b.southPeers = b.serve(peers)
+	b.southPeers = b.servePeers(b.south.network, peers)
 	b.connect(b.southPeers)
 	b.south.Exchange(control.ExchangeArgs{Head: b.head})
 	return b
@@ -112,8 +120,20 @@
 	return server.Listener.Addr().String()
 }
 
+// servePeers starts the door for other gateways and returns its address.
+func (b *bed) servePeers(network *control.Network, handler http.Handler) string {
+	listener, err := network.Listen("127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
+	go func() { _ = server.Serve(listener) }()
+	b.t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
 func (b *bed) newGateway(name, domain, region string) *Gateway {
-	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	network, err := control.NewNetwork(b.security, nil)
 	if err != nil {
 		b.t.Fatal(err)
 	}
