--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -321,3 +321,29 @@
 	eventually(t, "the link is used again", func() bool { return send() == complete })
 	is.Equal(b.ran(), 1)
 }
+
+func TestDeadlineEndsARequestWithItsOutcome(t *testing.T) {
+	tests := []struct {
+		name, stall, deadline string
+		status                int
+		outcome               string
+	}{
+		{"cannot be met", "0", "50", http.StatusServiceUnavailable, notRun},
+		{"before the first byte", "0", "1500", http.StatusGatewayTimeout, unknown},
+		{"inside the stream", "3", "1500", http.StatusOK, unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			b := newBed(t)
+			b.set("nurse-n1", "stall", test.stall)
+			b.set("nurse-n2", "stall", test.stall)
+			got := b.send(testContext(t), review.method, review.path, residentKey, review.body, http.Header{header.Deadline: {test.deadline}})
+			is.Equal(got.status, test.status)
+			is.Equal(b.told(got), test.outcome)
+			is.True(strings.Contains(got.body, string(outcome.ReasonDeadline)))
+			is.True(b.ran() <= 1)
+		})
+	}
+}
