Take back what a former owner vouched for; tell leaving marks at once

Cause: an instance that no longer owned an upstream's poll or a domain's fetch kept its last report among its facts, so one that joined later could take the old report for a fresh one. The facts now end with the job. A change of an upstream's state and a gateway's observation wake the heartbeats at once, instead of within a second; an agent whose leaving gateway refuses connections goes on without the two seconds that a gateway which merely stopped answering gets.

--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -73,6 +73,7 @@
 // fetchLoop fetches one remote domain's digest, from one entry after the other
 // when one does not answer.
 func (a *Agent) fetchLoop(ctx context.Context, domain string, wait time.Duration) {
+	defer a.mesh.dropDigest(domain)
 	f := &fetcher{agent: a, domain: domain, wait: wait}
 	retry := DigestSpacing
 	for ctx.Err() == nil {
--- a/pkg/agent/exchange.go
+++ b/pkg/agent/exchange.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
@@ -161,20 +163,28 @@
 	for name, observation := range seen {
 		if observation.Leaving {
 			a.gateway.marked[name] = true
-			a.mesh.setMark(name, true)
+			a.tellMark(name, true)
 		}
 	}
 	for name := range a.gateway.marked {
 		if !seen[name].Leaving {
 			delete(a.gateway.marked, name)
-			a.mesh.setMark(name, false)
+			a.tellMark(name, false)
 		}
 	}
 }
 
+func (a *Agent) tellMark(upstream string, leaving bool) {
+	if a.mesh.setMark(upstream, leaving) {
+		a.beat.raise()
+	}
+}
+
 func (a *Agent) gatewayFailed(err error) {
 	a.gateway.mu.Lock()
-	lost := a.gateway.up && time.Since(a.gateway.reached) > GatewayLost
+	// One that said that it was leaving and refuses connections has left.
+	gone := a.gateway.reply.Leaving && errors.Is(err, syscall.ECONNREFUSED)
+	lost := a.gateway.up && (gone || time.Since(a.gateway.reached) > GatewayLost)
 	if lost {
 		a.gateway.up = false
 		a.gateway.sent = sentSections{}
--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -305,27 +305,30 @@
 	m.changed()
 }
 
-// setMark notes that this instance saw, or no longer sees, an upstream leaving.
-func (m *mesh) setMark(upstream string, leaving bool) {
+// setMark notes that this instance saw, or no longer sees, an upstream leaving,
+// and says whether that is news.
+func (m *mesh) setMark(upstream string, leaving bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.marks[m.self.Name][upstream] == leaving {
-		return
+		return false
 	}
 	m.mark(m.self.Name, upstream, leaving)
 	fact := control.MarkFact{Upstream: upstream, Leaving: leaving}
 	m.own.set("mark/"+upstream, func(f *control.Facts) { f.Marks = append(f.Marks, fact) })
 	m.changed()
+	return true
 }
 
-// setUpstream notes a poll of an upstream that this instance owns.
-func (m *mesh) setUpstream(load board.UpstreamLoad) {
+// setUpstream notes a poll of an upstream that this instance owns, and says
+// whether the upstream's state is another than before.
+func (m *mesh) setUpstream(load board.UpstreamLoad) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	before, ok := m.upstreams[load.Name]
 	m.upstreams[load.Name] = &upstreamEntry{from: m.self.Name, load: load}
 	if ok && before.from == m.self.Name && sameLoad(before.load, load) {
-		return
+		return false
 	}
 	made := load.ReportedAt
 	fact := load
@@ -334,6 +337,15 @@
 		f.Upstreams = append(f.Upstreams, control.UpstreamFact{Load: fact, Age: max(time.Since(made), 0)})
 	})
 	m.changed()
+	return !ok || before.load.State != load.State
+}
+
+// dropUpstream takes back what this instance vouched for: it does not own the
+// upstream's poll any more.
+func (m *mesh) dropUpstream(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own.remove("upstream/" + name)
 }
 
 func sameLoad(a, b board.UpstreamLoad) bool {
--- a/pkg/agent/mesh_digest.go
+++ b/pkg/agent/mesh_digest.go
@@ -91,3 +91,12 @@
 	})
 	m.changed()
 }
+
+// dropDigest takes back what this instance vouched for: it does not own the
+// domain's fetch any more.
+func (m *mesh) dropDigest(domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own.remove("entries/" + domain)
+	m.own.remove("digest/" + domain)
+}
--- a/pkg/agent/mesh_test.go
+++ b/pkg/agent/mesh_test.go
@@ -7,7 +7,9 @@
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
 func testMesh(name string, epoch uint64, now time.Time) *mesh {
@@ -60,3 +62,126 @@
 	is.True(anew.receive(&whole, now))
 	is.Equal(incarnation(anew, "lar-1", now), uint64(77))
 }
+
+// tell brings what one instance vouches for to another, and the answer back.
+func tell(t *testing.T, from, to *mesh, now time.Time) {
+	is := is.New(t)
+	beat := from.compose(to.self.Name, now)
+	is.True(to.receive(&beat, now))
+	answer := to.compose(from.self.Name, now)
+	is.True(from.receive(&answer, now))
+}
+
+func upstreamState(m *mesh, now time.Time) board.UpstreamState {
+	_, upstreams, _ := m.snapshot(now, []string{"nurse-1"})
+	return upstreams.ByName["nurse-1"].State
+}
+
+// A leaving mark from any source wins over a live report, for as long as its
+// source stands by it.
+func TestLeavingUpstreamWins(t *testing.T) {
+	start := time.Now()
+	report := func(state board.UpstreamState) board.UpstreamLoad {
+		return board.UpstreamLoad{Name: "nurse-1", State: state, ReportedAt: start}
+	}
+	line := func(leaving bool) []platform.ListedInstance {
+		return []platform.ListedInstance{{Name: "nurse-1", Domain: "larisa-hall", Leaving: leaving}}
+	}
+	cases := []struct {
+		name string
+		do   func(one, two *mesh)
+		want board.UpstreamState
+	}{
+		{"its own report", func(one, _ *mesh) { one.setUpstream(report(board.UpstreamLeaving)) }, board.UpstreamLeaving},
+		{"silence", func(one, _ *mesh) { one.setUpstream(report(board.UpstreamSilent)) }, board.UpstreamSilent},
+		{"the platform's list", func(one, _ *mesh) { one.setList(line(true), start) }, board.UpstreamLeaving},
+		{"the list takes it back", func(one, _ *mesh) {
+			one.setList(line(true), start)
+			one.setList(line(false), start)
+		}, board.UpstreamLive},
+		{"another instance's gateway", func(one, _ *mesh) { one.setMark("nurse-1", true) }, board.UpstreamLeaving},
+		{"a live report after the mark", func(one, two *mesh) {
+			one.setMark("nurse-1", true)
+			two.setUpstream(report(board.UpstreamLive))
+		}, board.UpstreamLeaving},
+		{"one of two takes it back", func(one, two *mesh) {
+			one.setMark("nurse-1", true)
+			two.setMark("nurse-1", true)
+			one.setMark("nurse-1", false)
+		}, board.UpstreamLeaving},
+		{"all take it back", func(one, _ *mesh) {
+			one.setMark("nurse-1", true)
+			one.setMark("nurse-1", false)
+		}, board.UpstreamLive},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			one, two := testMesh("lar-1", 1, start), testMesh("lar-2", 2, start)
+			one.setUpstream(report(board.UpstreamLive))
+			tell(t, one, two, start)
+			c.do(one, two)
+			tell(t, one, two, start)
+			is.Equal(upstreamState(one, start), c.want)
+			is.Equal(upstreamState(two, start), c.want)
+		})
+	}
+}
+
+func TestMarkEndsAfterItsSourceWasLost(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	one, two := testMesh("lar-1", 1, start), testMesh("lar-2", 2, start)
+	two.setUpstream(board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamLive, ReportedAt: start})
+	one.setMark("nurse-1", true)
+	tell(t, one, two, start)
+	is.Equal(upstreamState(two, start.Add(MarkHold)), board.UpstreamLeaving)
+	is.Equal(upstreamState(two, start.Add(MarkHold+1)), board.UpstreamLive)
+}
+
+// What a former owner vouched for does not reach an instance that joins later.
+func TestFormerOwnerVouchesNoMore(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	one, two := testMesh("lar-1", 1, now), testMesh("lar-2", 2, now)
+	one.setUpstream(board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamSilent, ReportedAt: now})
+	tell(t, one, two, now)
+	one.dropUpstream("nurse-1")
+	two.setUpstream(board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamLive, ReportedAt: now})
+	tell(t, two, one, now)
+	joined := testMesh("lar-3", 3, now)
+	tell(t, two, joined, now)
+	tell(t, one, joined, now)
+	is.Equal(upstreamState(joined, now), board.UpstreamLive)
+}
+
+// FuzzBeat: whatever a peer sends, this instance neither fails nor changes its
+// mind about itself.
+func FuzzBeat(f *testing.F) {
+	f.Add("lar-2", "larisa-hall", uint64(2), uint64(1), uint64(9), "lar-1", true)
+	f.Add("lar-1", "larisa-hall", uint64(9), uint64(1), uint64(9), "nurse-1", false)
+	f.Add("per-1", "peristeri-hall", uint64(2), uint64(0), uint64(0), "", true)
+	f.Fuzz(func(t *testing.T, from, domain string, epoch, sequence, change uint64, name string, flag bool) {
+		now := time.Now()
+		m := testMesh("lar-1", 1, now)
+		beat := control.Beat{
+			From: from, Epoch: epoch, Sequence: sequence, UpTo: change, Have: change, HaveEpoch: 1,
+			Peers: []member.Peer{{Name: name, Mesh: "x", Epoch: epoch}},
+			Facts: control.Facts{
+				Identity:  &member.Identity{Name: from, Domain: domain, Epoch: epoch, Leaving: flag},
+				Upstreams: []control.UpstreamFact{{Load: board.UpstreamLoad{Name: name}, Age: time.Duration(change)}},
+				Marks:     []control.MarkFact{{Upstream: name, Leaving: flag}},
+				Digests:   []control.DigestFact{{Digest: board.DomainDigest{Domain: domain}, Reachable: flag}},
+				List:      &control.ListFact{Lines: []platform.ListedInstance{{Name: name, Mesh: "x", Domain: domain}}},
+			},
+		}
+		m.receive(&beat, now)
+		m.compose(from, now)
+		if state := m.state("lar-1", now); state != board.InstanceLive {
+			t.Fatalf("this instance became %s", state)
+		}
+		if _, ok := m.digest("larisa-hall"); ok {
+			t.Fatal("took a digest of the own domain")
+		}
+	})
+}
--- a/pkg/agent/poll.go
+++ b/pkg/agent/poll.go
@@ -56,6 +56,7 @@
 }
 
 func (a *Agent) pollLoop(ctx context.Context, u *config.Upstream) {
+	defer a.mesh.dropUpstream(u.Name)
 	failed := 0
 	for {
 		load, err := a.poll(ctx, u)
@@ -63,14 +64,15 @@
 			return
 		}
 		count(a.calls.polls, a.calls.pollsFailed, err)
-		switch {
-		case err == nil:
+		failed++
+		if err == nil {
 			failed = 0
-			a.mesh.setUpstream(load)
-		case failed+1 >= PollFailures:
-			a.mesh.setUpstream(board.UpstreamLoad{Name: u.Name, State: board.UpstreamSilent, ReportedAt: time.Now()})
-		default:
-			failed++
+		}
+		if failed >= PollFailures {
+			load = board.UpstreamLoad{Name: u.Name, State: board.UpstreamSilent, ReportedAt: time.Now()}
+		}
+		if load.Name != "" && a.mesh.setUpstream(load) {
+			a.beat.raise()
 		}
 		if !sleep(ctx, jitter(PollInterval)+PollInterval/4) {
 			return
