Tell a repeat for good when the gateway that ran the request is gone

A key whose holder crashed stayed in progress until it expired, and each repeat was told to come back in two seconds, in vain. A claim now names its holder; once a later incarnation of the holder's instance is known, the repeat is told idempotency-key-unresolved, with nothing to come back for. A late report of the end is still taken in. Before, the new cases of TestRepeatThroughOthers and TestOpaqueKey fail (in-progress != unresolved); the two cases that they replace asked for in-progress, which was true but of no use.

Also a test of many askers during a hand-over: each key is granted once, by the old owner or by the successor.

--- a/pkg/claim/begin.go
+++ b/pkg/claim/begin.go
@@ -28,7 +28,8 @@
 }
 
 // decide is the own decision. Where the record still says running, a copy of the
-// end may have come here while the decider could not be reached.
+// end may have come here while the decider could not be reached, or the holder
+// may be gone.
 func (c *Coordinator) decide(key Key, claim Claim) Decision {
 	decision := c.owner.Begin(key, claim)
 	if decision.Verdict != VerdictRefused || decision.Refusal.Reason != outcome.ReasonKeyInProgress {
@@ -37,6 +38,15 @@
 	if held := c.copies.Get(claim); held != nil {
 		return held.answer(claim)
 	}
+	return c.unlessLost(decision)
+}
+
+// unlessLost turns in progress into unresolved when the holder is gone: coming
+// back does not help then. A late report of the end is still taken in.
+func (c *Coordinator) unlessLost(decision Decision) Decision {
+	if c.replaced(decision.Holder) {
+		decision.Refusal = doubtUnresolved()
+	}
 	return decision
 }
 
@@ -71,7 +81,7 @@
 	if successor != nil {
 		first = append([]Decider{*successor}, first...)
 	}
-	s.silent = !s.coordinator.replaced(s.key)
+	s.silent = !s.coordinator.replaced(s.key.Origin)
 	for _, decider := range first {
 		if s.follow(ctx, decider) {
 			return
--- /dev/null
+++ b/pkg/claim/concurrent_test.go
@@ -0,0 +1,47 @@
+package claim
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestOneGrantAmongMany asks for each key from many goroutines at once while the
+// owner hands over: at most one is granted, and the successor knows of it.
+func TestOneGrantAmongMany(t *testing.T) {
+	is := is.New(t)
+	const keys, askers = 200, 8
+	p := newHandoverPair()
+	var granted [keys][askers]bool
+	var asking sync.WaitGroup
+	for asker := range askers {
+		asking.Go(func() {
+			for i := range keys {
+				key := keyAt(p.old.self, epoch, fmt.Sprintf("%016x", i))
+				granted[i][asker] = p.old.Begin(key, claimOf(key, "desk", fmt.Sprint(asker))).Verdict == VerdictGranted
+			}
+		})
+	}
+	var transfer *Transfer
+	var parts []Part
+	var err error
+	asking.Go(func() { transfer, parts, err = p.old.Export("t", asDecider(p.next)) })
+	asking.Wait()
+	is.NoErr(err)
+	is.Equal(p.next.adoptAll(transfer, parts), FaultNone)
+	for i := range keys {
+		key := keyAt(p.old.self, epoch, fmt.Sprintf("%016x", i))
+		grants := 0
+		for _, one := range granted[i] {
+			if one {
+				grants++
+			}
+		}
+		if p.next.Begin(key, claimOf(key, "desk", "late")).Verdict == VerdictGranted {
+			grants++
+		}
+		is.Equal(grants, 1) // by the old owner or by the successor, never both
+	}
+}
--- a/pkg/claim/coordinator.go
+++ b/pkg/claim/coordinator.go
@@ -101,11 +101,12 @@
 //
 // Call it before any check that can refuse a request as not-run for a passing
 // cause (queues, limits): a repeat of a request that ran must not be told so.
-// An empty Attempt is filled in.
+// An empty Attempt is filled in, and Holder always.
 func (c *Coordinator) Begin(ctx context.Context, claim Claim) (*Grant, *Recorded, *outcome.Refusal) {
 	if claim.Attempt == "" {
 		claim.Attempt = c.newID()
 	}
+	claim.Holder = c.options.Self
 	if len(claim.Key) > MaxKeyLength {
 		return nil, nil, refuseInvalid(errKeyLength)
 	}
@@ -130,9 +131,10 @@
 }
 
 func (c *Coordinator) beginOpaque(ctx context.Context, claim Claim) (*Grant, *Recorded, *outcome.Refusal) {
-	ticket, recorded, refusal := c.store.Begin(ctx, claim)
+	ticket, decision := c.store.Begin(ctx, claim)
 	if ticket == nil {
-		return nil, recorded, refusal
+		decision = c.unlessLost(decision)
+		return nil, decision.Recorded, decision.Refusal
 	}
 	return &Grant{end: func(ctx context.Context, result Result) { c.store.Finish(ctx, ticket, result) }}, nil, nil
 }
--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -66,7 +66,9 @@
 			finish(g)
 			w.processes["a1"].thaw()
 		}, "recorded stored"},
-		{"holder crashed", "a2", "a3", func(w *world, _ *Grant) { w.crash("a2") }, "unknown idempotency-key-in-progress"},
+		{"holder crashed", "a2", "a3", func(w *world, _ *Grant) { w.crash("a2") }, "unknown idempotency-key-unresolved"},
+		{"holder of another domain crashed", "b1", "a3", func(w *world, _ *Grant) { w.crash("b1") }, "unknown idempotency-key-unresolved"},
+		{"holder crashed, and the end came late", "a2", "a3", func(w *world, g *Grant) { w.crash("a2"); finish(g) }, "recorded stored"},
 		{"left twice", "a2", "a3", func(w *world, g *Grant) {
 			finish(g)
 			w.leave("a1")
@@ -181,7 +183,7 @@
 		{"end's write lost", func(*fakeKeyValue) {}, "granted",
 			func(w *world, g *Grant) { w.keyValue.loseWrites = 1; finish(g) }, "unknown idempotency-key-in-progress"},
 		{"holder crashed", func(*fakeKeyValue) {}, "granted", func(w *world, _ *Grant) { w.crash("a1") },
-			"unknown idempotency-key-in-progress"},
+			"unknown idempotency-key-unresolved"},
 		{"service down at the repeat", func(*fakeKeyValue) {}, "granted", func(w *world, g *Grant) {
 			finish(g)
 			w.keyValue.down = true
@@ -210,9 +212,9 @@
 	clock := &fakeClock{}
 	keyValue := &slowKeyValue{fakeKeyValue: newFakeKeyValue(), clock: clock}
 	store := NewStore(keyValue, clock, DefaultRetention)
-	ticket, _, refusal := store.Begin(context.Background(), Claim{Key: "k", Caller: "desk", Attempt: "a"})
+	ticket, decision := store.Begin(context.Background(), Claim{Key: "k", Caller: "desk", Attempt: "a"})
 	is.Equal(ticket, nil)
-	is.Equal(refusal.Outcome, outcome.Unknown)
+	is.Equal(decision.Refusal.Outcome, outcome.Unknown)
 	is.Equal(len(keyValue.entries), 0)
 }
 
--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -40,13 +40,10 @@
 
 // candidates lists the live peers in rendezvous order of this origin.
 func (c *Coordinator) candidates() []Decider {
-	members := c.options.Members()
-	if members == nil {
-		return nil
-	}
 	var live []Decider
-	for i := range members.Instances {
-		instance := &members.Instances[i]
+	instances := c.known(c.options.Self.Domain)
+	for i := range instances {
+		instance := &instances[i]
 		if c.askable(instance) && instance.State == board.InstanceLive {
 			live = append(live, deciderOf(instance))
 		}
--- a/pkg/claim/owner.go
+++ b/pkg/claim/owner.go
@@ -57,6 +57,8 @@
 	// Successor decides in the place of the asked instance, with VerdictNotMine;
 	// nil when that is not known.
 	Successor *Decider
+	// Holder has the grant, with a refusal for a running request.
+	Holder Origin
 }
 
 // Decider names a gateway that decides keys, and where to reach it.
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -38,6 +38,8 @@
 	// Attempt names this very try to run the request. It is random and never
 	// used for a second try.
 	Attempt string
+	// Holder is the gateway that makes the attempt. Coordinator.Begin fills it in.
+	Holder Origin
 }
 
 // identity is what records are kept by.
--- a/pkg/claim/routing.go
+++ b/pkg/claim/routing.go
@@ -13,13 +13,10 @@
 // the successor that its owner named, the owner, then all others, since one of
 // them may have adopted the key's origin.
 func (c *Coordinator) here(key Key) (first, others []Decider) {
-	members := c.options.Members()
-	if members == nil {
-		return nil, nil
-	}
-	successor := successorOf(members, key.Origin)
-	for i := range members.Instances {
-		instance := &members.Instances[i]
+	instances := c.known(c.options.Self.Domain)
+	successor := successorOf(instances, key.Origin)
+	for i := range instances {
+		instance := &instances[i]
 		if !c.askable(instance) {
 			continue
 		}
@@ -45,23 +42,39 @@
 	return instance.State != board.InstanceLeft && instance.Incarnation != 0
 }
 
-// replaced reports whether the instance that issued a key is known to run a later
-// incarnation, so that the issuer will not come back. Incarnations grow.
-func (c *Coordinator) replaced(key Key) bool {
-	members := c.options.Members()
-	if members == nil {
-		return false
-	}
-	return slices.ContainsFunc(members.Instances, func(instance board.Instance) bool {
-		return instance.Name == key.Instance && instance.Incarnation > key.Incarnation
+// replaced reports whether a gateway's instance is known to run a later
+// incarnation, so that this one will not come back. Incarnations grow.
+func (c *Coordinator) replaced(gateway Origin) bool {
+	return slices.ContainsFunc(c.known(gateway.Domain), func(instance board.Instance) bool {
+		return instance.Name == gateway.Instance && instance.Incarnation > gateway.Incarnation
 	})
 }
 
+// known lists the instances of a domain as far as they are known here.
+func (c *Coordinator) known(domain string) []board.Instance {
+	if domain == c.options.Self.Domain {
+		if members := c.options.Members(); members != nil {
+			return members.Instances
+		}
+		return nil
+	}
+	domains := c.options.Domains()
+	if domains == nil {
+		return nil
+	}
+	for i := range domains.Remote {
+		if domains.Remote[i].Domain == domain {
+			return domains.Remote[i].Entries
+		}
+	}
+	return nil
+}
+
 // successorOf returns the instance to which an origin's gateway handed its keys,
 // as far as the membership tells.
-func successorOf(members *board.Members, origin Origin) string {
-	for i := range members.Instances {
-		instance := &members.Instances[i]
+func successorOf(instances []board.Instance, origin Origin) string {
+	for i := range instances {
+		instance := &instances[i]
 		if instance.Name == origin.Instance && instance.Incarnation == origin.Incarnation {
 			return instance.Load.Successor
 		}
@@ -72,16 +85,7 @@
 // relays lists the gateways of another domain that can ask about a key there,
 // the owner first.
 func (c *Coordinator) relays(key Key) []Decider {
-	domains := c.options.Domains()
-	if domains == nil {
-		return nil
-	}
-	for i := range domains.Remote {
-		if domains.Remote[i].Domain == key.Domain {
-			return relaysAmong(domains.Remote[i].Entries, key)
-		}
-	}
-	return nil
+	return relaysAmong(c.known(key.Domain), key)
 }
 
 func relaysAmong(entries []board.Instance, key Key) []Decider {
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
-	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -47,14 +46,14 @@
 	revision int64
 }
 
-// Begin claims an opaque key. A nil ticket comes with an answer or a refusal.
+// Begin claims an opaque key. Without a ticket the decision says why.
 // A write whose answer was lost is read back by the attempt's name.
-func (s *Store) Begin(ctx context.Context, claim Claim) (*Ticket, *Recorded, *outcome.Refusal) {
+func (s *Store) Begin(ctx context.Context, claim Claim) (*Ticket, Decision) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	lease, err := s.leases.current(ctx)
 	if err != nil {
-		return nil, nil, doubtStore(err)
+		return nil, doubtStore(err)
 	}
 	ticket := &Ticket{record: Record{Claim: claim, State: StateGranted}, lease: lease.id}
 	for range storeTries {
@@ -66,10 +65,9 @@
 		if stored == nil {
 			return s.granted(ctx, ticket, lease)
 		}
-		decision := stored.answerOpaque(claim)
-		return nil, decision.Recorded, decision.Refusal
+		return nil, stored.answerOpaque(claim)
 	}
-	return nil, nil, doubtStore(err)
+	return nil, doubtStore(err)
 }
 
 // put writes the claim where there is none. It returns the record that stood
@@ -94,12 +92,12 @@
 
 // granted gives the claim back when so much time passed while it was written
 // that the service will forget it sooner than promised.
-func (s *Store) granted(ctx context.Context, ticket *Ticket, lease lease) (*Ticket, *Recorded, *outcome.Refusal) {
+func (s *Store) granted(ctx context.Context, ticket *Ticket, lease lease) (*Ticket, Decision) {
 	if s.leases.usable(lease) {
-		return ticket, nil, nil
+		return ticket, Decision{Verdict: VerdictGranted}
 	}
 	s.Finish(ctx, ticket, notRun)
-	return nil, nil, doubtStore(platform.ErrLeaseLost)
+	return nil, doubtStore(platform.ErrLeaseLost)
 }
 
 // Finish writes how the attempt ended. A lost write leaves the claim as running,
@@ -141,7 +139,7 @@
 func (r *Record) answerOpaque(claim Claim) Decision {
 	decision := r.answer(claim)
 	if r.State == StateGranted && r.Fingerprint == claim.Fingerprint {
-		decision.Refusal = doubtInProgress()
+		decision.Refusal, decision.Holder = doubtInProgress(), r.Holder
 	}
 	return decision
 }
@@ -152,8 +150,8 @@
 	return StorePrefix + claim.Caller + "/" + hex.EncodeToString(hash[:])
 }
 
-func doubtStore(err error) *outcome.Refusal {
+func doubtStore(err error) Decision {
 	refusal := doubtStoreDown()
 	refusal.Err = err
-	return refusal
+	return Decision{Verdict: VerdictRefused, Refusal: refusal}
 }
--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -93,7 +93,7 @@
 		if r.Attempt == claim.Attempt {
 			return Decision{Verdict: VerdictGranted}
 		}
-		return Decision{Verdict: VerdictRefused, Refusal: doubtInProgress()}
+		return Decision{Verdict: VerdictRefused, Refusal: doubtInProgress(), Holder: r.Holder}
 	case StateComplete:
 		return Decision{Verdict: VerdictRecorded, Recorded: r.recorded()}
 	default:
