Measure what nodes, domains and requests cost; work out the target from slopes

Benchmarks of the code beside it: heartbeats with and without news, shares of upstreams' reports and of digests, fetches of digests, polls, the agent's look at its jobs, fair queueing by callers; bytes are counted on real net/rpc and HTTP connections. test/capacity starts real agents, gateways and stand-ins for one to nine nodes in a domain, one to 41 domains, and nodes in three domains, with a declaration as large as the target's, and prints processor time, memory, bytes and calls of the key-value service in the benchmarks' format.

lilacweir-load fit prints the series with their lines, lilacweir-load capacity the tables for the users' target, with the agents' own intervals.

--- a/cmd/lilacweir-load/main.go
+++ b/cmd/lilacweir-load/main.go
@@ -22,6 +22,8 @@
 	Run      runCommand       `cmd:"" help:"Send a mix and report times, outcomes, share sent away and cost."`
 	Overhead overheadCommand  `cmd:"" help:"Compare calls through a gateway with direct calls, interleaved in one run."`
 	Chunks   chunksCommand    `cmd:"" help:"Compare the processor time of streamed chunks through a gateway and direct."`
+	Fit      fitCommand       `cmd:"" help:"Print the series of recorded benchmarks, with a line through each."`
+	Capacity capacityCommand  `cmd:"" help:"Print what each role costs at the target size, from recorded benchmarks."`
 	Check    checkCommand     `cmd:"" help:"Check a mix without sending anything."`
 }
 
--- /dev/null
+++ b/pkg/capacity/model.go
@@ -0,0 +1,239 @@
+package capacity
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/agent"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// Term is one part of what a role sends and receives for control.
+type Term struct {
+	// Role is who has it, What the mechanism that carries it.
+	Role, What string
+	// Events is how many a second, Sent and Received are bytes a second.
+	Events, Sent, Received float64
+	// Source names the series and the interval that it was worked out from.
+	Source string
+}
+
+// Roles of a node's agent.
+const (
+	RoleMember  = "member"
+	RoleDigests = "digest owner"
+	RolePolls   = "poll owner"
+	RoleWatcher = "watcher"
+)
+
+// Shares says how much of the domain's shared work one node has: 1 is all of it.
+type Shares struct {
+	// Digests of remote domains, Polls of upstreams, Watches of the head key.
+	Digests, Polls, Watches float64
+}
+
+// MeanShares is an even split.
+func MeanShares(t Target) Shares {
+	nodes := t.NodesPerDomain()
+	return Shares{Digests: 1 / nodes, Polls: 1 / nodes, Watches: spread.Watchers / nodes}
+}
+
+// Links works out what one node's agent sends to and receives from other nodes,
+// upstreams and the platform at the peak: every load has changed since it was
+// told last.
+func Links(t Target, m *Measured, shares Shares) ([]Term, error) {
+	s := &solver{measured: m}
+	terms := []Term{
+		s.heartbeats(t), s.reportsHeard(t, shares), s.digestsHeard(t, shares), s.deltas(t),
+		s.digestsFetched(t, shares), s.digestsAnswered(t), s.digestsTold(t, shares),
+		s.polls(t, shares), s.reportsTold(t, shares), s.watches(t, shares),
+	}
+	return terms, s.err
+}
+
+func (s *solver) heartbeats(t Target) Term {
+	peers := t.NodesPerDomain() - 1
+	rate := peers / agent.BeatInterval.Seconds()
+	return Term{
+		Role: RoleMember, What: "heartbeats with loads of the gateways", Events: rate,
+		Sent:     rate * s.slope("Beat", "nodes", "sent-B/op"),
+		Received: rate * s.slope("Beat", "nodes", "received-B/op"),
+		Source:   "Beat/nodes, BeatInterval",
+	}
+}
+
+// reportsHeard are the reports of the upstreams that other nodes poll.
+func (s *solver) reportsHeard(t Target, shares Shares) Term {
+	rate := t.ServersPerDomain() * (1 - shares.Polls) / agent.PollInterval.Seconds()
+	return Term{
+		Role: RoleMember, What: "reports of upstreams, from their poll owners", Events: rate,
+		Received: rate * s.slope("UpstreamShare", "upstreams", "sent-B/op"),
+		Source:   "UpstreamShare/upstreams, PollInterval",
+	}
+}
+
+func (s *solver) digestsHeard(t Target, shares Shares) Term {
+	rate := (t.Domains - 1) * (1 - shares.Digests) / digestInterval(t)
+	return Term{
+		Role: RoleMember, What: "digests of other domains, from their owners", Events: rate,
+		Received: rate * s.slope("DigestShare", "domains", "sent-B/op"),
+		Source:   "DigestShare/domains, DigestPerDomain",
+	}
+}
+
+// deltas are accepted changes: one is received, and passed on by the watchers.
+func (s *solver) deltas(t Target) Term {
+	bytes := s.at("Apply", "upstreams", "change-bytes", t.Servers)
+	return Term{
+		Role: RoleMember, What: "accepted changes", Events: t.Changes(),
+		Sent: t.Changes() * bytes, Received: t.Changes() * bytes,
+		Source: "Apply/upstreams change-bytes, changes a day",
+	}
+}
+
+// digestInterval is the time in seconds between two fetches of one domain.
+func digestInterval(t Target) float64 {
+	return max(agent.DigestInterval.Seconds(), (t.Domains-1)*agent.DigestPerDomain.Seconds())
+}
+
+func (s *solver) digestsFetched(t Target, shares Shares) Term {
+	rate := (t.Domains - 1) * shares.Digests / digestInterval(t)
+	return Term{
+		Role: RoleDigests, What: "fetches of other domains' digests", Events: rate,
+		Sent:     rate * s.slope("DigestFetch", "domains", "sent-B/op"),
+		Received: rate * s.slope("DigestFetch", "domains", "received-B/op"),
+		Source:   "DigestFetch/domains, DigestPerDomain",
+	}
+}
+
+// digestsAnswered are the fetches of the other domains, spread over the nodes.
+func (s *solver) digestsAnswered(t Target) Term {
+	rate := (t.Domains - 1) / digestInterval(t) / t.NodesPerDomain()
+	return Term{
+		Role: RoleMember, What: "answers to other domains' fetches", Events: rate,
+		Sent:     rate * s.slope("DigestFetch", "domains", "received-B/op"),
+		Received: rate * s.slope("DigestFetch", "domains", "sent-B/op"),
+		Source:   "DigestFetch/domains, DigestPerDomain",
+	}
+}
+
+func (s *solver) digestsTold(t Target, shares Shares) Term {
+	rate := (t.Domains - 1) * shares.Digests / digestInterval(t)
+	return Term{
+		Role: RoleDigests, What: "fetched digests, to each node of the domain", Events: rate,
+		Sent:   rate * (t.NodesPerDomain() - 1) * s.slope("DigestShare", "domains", "sent-B/op"),
+		Source: "DigestShare/domains, nodes in a domain",
+	}
+}
+
+func (s *solver) polls(t Target, shares Shares) Term {
+	rate := t.ServersPerDomain() * shares.Polls / agent.PollInterval.Seconds()
+	return Term{
+		Role: RolePolls, What: "polls of upstreams", Events: rate,
+		Sent:     rate * s.slope("Poll", "upstreams", "sent-B/op"),
+		Received: rate * s.slope("Poll", "upstreams", "received-B/op"),
+		Source:   "Poll/upstreams, PollInterval",
+	}
+}
+
+func (s *solver) reportsTold(t Target, shares Shares) Term {
+	rate := t.ServersPerDomain() * shares.Polls / agent.PollInterval.Seconds()
+	return Term{
+		Role: RolePolls, What: "reports of polled upstreams, to each node of the domain", Events: rate,
+		Sent:   rate * (t.NodesPerDomain() - 1) * s.slope("UpstreamShare", "upstreams", "sent-B/op"),
+		Source: "UpstreamShare/upstreams, nodes in a domain",
+	}
+}
+
+// jsonInflation is what base64 adds to a value in the key-value service's JSON.
+const jsonInflation = 4.0 / 3
+
+// watches are heads that come by the watch, one for each change.
+func (s *solver) watches(t Target, shares Shares) Term {
+	watching := min(shares.Watches, 1)
+	bytes := jsonInflation * s.headBytes(t)
+	return Term{
+		Role: RoleWatcher, What: "heads from the key-value service", Events: watching * t.Changes(),
+		Received: watching * t.Changes() * bytes,
+		Source:   "EncodeHead head-bytes, changes a day",
+	}
+}
+
+// headBytes is the stored head at the target's size.
+func (s *solver) headBytes(t Target) float64 {
+	upstreams := s.line("EncodeHead", "upstreams", "head-bytes")
+	callers := s.line("EncodeHead", "callers", "head-bytes")
+	return upstreams.At(t.Servers) + callers.Slope*(t.Organisations-benchCallers)
+}
+
+// benchCallers is how many callers the benchmarks over upstreams declare.
+const benchCallers = 60
+
+// Calls is one part of the load on the key-value service.
+type Calls struct {
+	// What is the mechanism.
+	What string
+	CallRates
+	// Source is what it was worked out from.
+	Source string
+}
+
+// fixedDomains is how many domains BenchmarkFixedDomains has.
+const fixedDomains = 3
+
+// KeyValueCalls works out the calls of the whole fleet on an ordinary day.
+func KeyValueCalls(t Target, m *Measured) ([]Calls, error) {
+	s := &solver{measured: m}
+	calls := []Calls{
+		{
+			What: "watches of the head key and leases of the order-givers, nothing changing",
+			CallRates: CallRates{
+				Reads:   s.fleet(t, "idle", "kv-reads/s"),
+				Writes:  s.fleet(t, "idle", "kv-writes/s"),
+				Watches: s.fleet(t, "idle", "kv-watching"),
+			},
+			Source: "FixedDomains/idle, for each domain",
+		},
+		{
+			What:      "accepted changes: a read and a compare-and-swap each",
+			CallRates: CallRates{Reads: t.Changes(), Writes: t.Changes()},
+			Source:    "changes a day",
+		},
+	}
+	return calls, s.err
+}
+
+// fleet works out a rate of the key-value service: for one domain of the target's
+// size, times the domains.
+func (s *solver) fleet(t Target, state, unit string) float64 {
+	nodes := fixedDomains * t.NodesPerDomain()
+	return s.at("FixedDomains/"+state, "nodes", unit, nodes) / fixedDomains * t.Domains
+}
+
+// Process is what a whole process of one node uses, as measured on real ones.
+type Process struct {
+	// State is the state of the deployment in which it was measured.
+	State string
+	// CPU is percent of a core, Memory bytes.
+	CPU, Memory float64
+}
+
+// Agents works out an agent's processor time and memory in each measured state:
+// the line over the nodes of one domain, and on top of it what each further
+// domain added to an agent that owned the digests of all.
+func Agents(t Target, m *Measured) ([]Process, error) {
+	s := &solver{measured: m}
+	var processes []Process
+	for _, state := range []string{"idle", "changes", "traffic"} {
+		processes = append(processes, Process{
+			State:  state,
+			CPU:    s.whole(t, state, "agent-cpu-%"),
+			Memory: s.whole(t, state, "agent-MB") * megabyte,
+		})
+	}
+	return processes, s.err
+}
+
+const megabyte = 1e6
+
+func (s *solver) whole(t Target, state, unit string) float64 {
+	domain := s.at("Nodes/"+state, "nodes", unit, t.NodesPerDomain())
+	return domain + s.slope("Domains/"+state, "domains", unit)*(t.Domains-1)
+}
--- /dev/null
+++ b/pkg/capacity/report.go
@@ -0,0 +1,153 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// WriteModel writes the tables of a target, worked out from a recorded run.
+func WriteModel(w io.Writer, t Target, m *Measured) error {
+	var text strings.Builder
+	for _, write := range []func(*strings.Builder, Target, *Measured) error{
+		writeLinks, writeAgents, writeKeyValue, writeState, writeGateway, writeInForce, writeBadDays,
+	} {
+		if err := write(&text, t, m); err != nil {
+			return err
+		}
+	}
+	if _, err := io.WriteString(w, text.String()); err != nil {
+		return fmt.Errorf("capacity tables: %w", err)
+	}
+	return nil
+}
+
+func writeLinks(text *strings.Builder, t Target, m *Measured) error {
+	terms, err := Links(t, m, MeanShares(t))
+	if err != nil {
+		return err
+	}
+	text.WriteString("## Control traffic of one node, mean share, every load changing\n\n")
+	text.WriteString("| role | what | events/s | B/s sent | B/s received | worked out from |\n|---|---|---|---|---|---|\n")
+	var sent, received float64
+	for _, term := range terms {
+		fmt.Fprintf(text, "| %s | %s | %.3g | %.0f | %.0f | %s |\n", term.Role, term.What, term.Events, term.Sent, term.Received, term.Source)
+		sent += term.Sent
+		received += term.Received
+	}
+	fmt.Fprintf(text, "| | **sum** | | **%.0f** | **%.0f** | %s |\n\n", sent, received, against(sent+received, t.Budget.Traffic, "B/s sent and received"))
+	return nil
+}
+
+// against compares a figure with its bound.
+func against(value, bound float64, unit string) string {
+	verdict := "holds"
+	if value > bound {
+		verdict = "does not hold"
+	}
+	return fmt.Sprintf("%.3g of %.3g %s: %s", value, bound, unit, verdict)
+}
+
+func writeAgents(text *strings.Builder, t Target, m *Measured) error {
+	processes, err := Agents(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## One agent, from real processes\n\n| state | CPU, % of a core | memory, MB | against the budget |\n|---|---|---|---|\n")
+	for _, p := range processes {
+		fmt.Fprintf(text, "| %s | %.2f | %.1f | %s; %s |\n", p.State, p.CPU, p.Memory/megabyte,
+			against(p.CPU, t.Budget.CPU, "%"), against(p.Memory/megabyte, t.Budget.Memory/megabyte, "MB"))
+	}
+	text.WriteString("\n")
+	return nil
+}
+
+func writeKeyValue(text *strings.Builder, t Target, m *Measured) error {
+	calls, err := KeyValueCalls(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## The key-value service, an ordinary day\n\n| what | reads/s | writes/s | waiting watches | worked out from |\n|---|---|---|---|---|\n")
+	var sum CallRates
+	for _, c := range calls {
+		fmt.Fprintf(text, "| %s | %.3g | %.3g | %.0f | %s |\n", c.What, c.Reads, c.Writes, c.Watches, c.Source)
+		sum.Reads += c.Reads
+		sum.Writes += c.Writes
+		sum.Watches += c.Watches
+	}
+	fmt.Fprintf(text, "| **sum** | **%.3g** | **%.3g** | **%.0f** | %s; %s |\n\n", sum.Reads, sum.Writes, sum.Watches,
+		against(sum.Reads+sum.Watches, t.KeyValue.Reads, "reads/s"), against(sum.Writes, t.KeyValue.Writes, "writes/s"))
+	return nil
+}
+
+func writeState(text *strings.Builder, t Target, m *Measured) error {
+	state, err := Held(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## State held\n\n| who | what | size | worked out from |\n|---|---|---|---|\n")
+	for _, one := range state {
+		fmt.Fprintf(text, "| %s | %s | %s | %s |\n", one.Role, one.What, size(one.Bytes), one.Source)
+	}
+	text.WriteString("\n")
+	return nil
+}
+
+// size writes bytes with a unit.
+func size(bytes float64) string {
+	switch {
+	case bytes >= 1e6:
+		return fmt.Sprintf("%.3g MB", bytes/1e6)
+	case bytes >= 1e3:
+		return fmt.Sprintf("%.3g KB", bytes/1e3)
+	default:
+		return fmt.Sprintf("%.0f B", bytes)
+	}
+}
+
+func writeGateway(text *strings.Builder, t Target, m *Measured) error {
+	g, err := Gateway(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## One gateway at the peak\n\n| what | figure |\n|---|---|\n")
+	fmt.Fprintf(text, "| requests a second | %.1f |\n| chunks a second | %.0f |\n| answers in flight | %.0f |\n", g.Requests, g.Tokens, g.InFlight)
+	fmt.Fprintf(text, "| CPU, %% of a core | %.0f |\n| memory, MB | %.0f |\n", g.CPU, g.Memory/megabyte)
+	fmt.Fprintf(text, "| choice of an upstream, µs | %.2f |\n| fair queueing with all organisations waiting, µs | %.1f |\n| making of the routing table, ms | %.2f |\n\n",
+		g.Pick/nanosPerMicro, g.Queue/nanosPerMicro, g.Compile/nanosPerMilli)
+	return nil
+}
+
+const (
+	nanosPerMicro = 1e3
+	nanosPerMilli = 1e6
+)
+
+func writeInForce(text *strings.Builder, t Target, m *Measured) error {
+	times, err := InForce(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## From accepted to in force, worst of each run, loopback without delays\n\n| along | worked out at | ms | against the bound |\n|---|---|---|---|\n")
+	for _, one := range times {
+		fmt.Fprintf(text, "| %s | %.3g | %.0f | %s |\n", one.Along, one.Size, one.Took.Seconds()*millis,
+			against(one.Took.Seconds(), t.InForce.Seconds(), "s"))
+	}
+	text.WriteString("\n")
+	return nil
+}
+
+const millis = float64(time.Second / time.Millisecond)
+
+func writeBadDays(text *strings.Builder, t Target, m *Measured) error {
+	days, err := BadDays(t, m)
+	if err != nil {
+		return err
+	}
+	text.WriteString("## Bad days\n\n| day | what | figure | worked out from |\n|---|---|---|---|\n")
+	for _, one := range days {
+		fmt.Fprintf(text, "| %s | %s | %s | %s |\n", one.Day, one.What, one.Figure, one.Source)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/capacity/roles.go
@@ -0,0 +1,157 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/agent"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// State is what somebody holds.
+type State struct {
+	Role, What string
+	Bytes      float64
+	Source     string
+}
+
+// keyedShare is the part of requests that carry an idempotency key: an assumption,
+// as the users gave none; a fifth.
+const keyedShare = 0.2
+
+// Held works out what each role holds.
+func Held(t Target, m *Measured) ([]State, error) {
+	s := &solver{measured: m}
+	stored := s.headBytes(t)
+	plain := s.at("EncodeHead", "upstreams", "json-bytes", t.Servers) +
+		s.slope("EncodeHead", "callers", "json-bytes")*(t.Organisations-benchCallers)
+	change := s.at("Apply", "upstreams", "change-bytes", t.Servers)
+	record := s.at("RecordMemory", "records", "B/record", recordsMeasured)
+	keyed := keyedShare * t.Requests / t.Nodes * config.DefaultKeyTTL.Seconds()
+	digests := (t.Domains - 1) * s.slope("DigestShare", "domains", "sent-B/op")
+	reports := t.ServersPerDomain() * s.slope("UpstreamShare", "upstreams", "sent-B/op")
+	state := []State{
+		{"key-value service", "head, compressed", stored, "EncodeHead head-bytes"},
+		{"key-value service", "audit trail, a year, not compressed", change * t.ChangesPerDay * daysPerYear, "Apply change-bytes, changes a day"},
+		{"agent and gateway", "head, as JSON", plain, "EncodeHead json-bytes"},
+		{"agent and gateway", "digests of the other domains, as sent", digests, "DigestShare"},
+		{"agent and gateway", "reports of the domain's upstreams, as sent", reports, "UpstreamShare"},
+		{"gateway", fmt.Sprintf("records of idempotency keys, %.0f of them, short answers", keyed), keyed * record, "RecordMemory, a fifth of requests with a key"},
+	}
+	return state, s.err
+}
+
+const (
+	daysPerYear = 365
+	// recordsMeasured is the size at which a record's memory is read off.
+	recordsMeasured = 10_000
+)
+
+// GatewayLoad is what one gateway carries at the peak.
+type GatewayLoad struct {
+	Requests, Tokens, InFlight float64
+	// CPU is percent of a core, Memory bytes.
+	CPU, Memory float64
+	// Pick, Queue and Compile are nanoseconds of single steps.
+	Pick, Queue, Compile float64
+}
+
+// Gateway works out one gateway's load.
+func Gateway(t Target, m *Measured) (GatewayLoad, error) {
+	s := &solver{measured: m}
+	requests := t.Requests / t.Nodes
+	return GatewayLoad{
+		Requests: requests,
+		Tokens:   t.Tokens / t.Nodes,
+		InFlight: requests * (firstToken + t.Tokens/t.Requests*betweenTokens),
+		CPU:      s.at("Requests", "requests", "gateway-cpu-%", requests),
+		Memory:   s.at("Requests", "requests", "gateway-MB", requests) * megabyte,
+		Pick:     s.at("Pick", "upstreams", "ns/op", t.ServersPerDomain()),
+		Queue:    s.at("Queue", "callers", "ns/request", t.Organisations),
+		Compile:  s.at("Compile", "upstreams", "ns/op", t.ServersPerDomain()) + s.slope("CompileRemote", "domains", "ns/op")*(t.Domains-1),
+	}, s.err
+}
+
+// The times that the users have asked for, in seconds.
+const (
+	firstToken    = 1.8
+	betweenTokens = 0.063
+)
+
+// Spread is a time from accepted to in force.
+type Spread struct {
+	Along string
+	Size  float64
+	Took  time.Duration
+}
+
+// InForce works out the time along nodes and along domains.
+func InForce(t Target, m *Measured) ([]Spread, error) {
+	s := &solver{measured: m}
+	took := func(benchmark, dimension string, size float64) time.Duration {
+		return time.Duration(s.at(benchmark, dimension, "in-force-max-ms", size) * float64(time.Millisecond))
+	}
+	times := []Spread{
+		{"nodes of a domain", t.NodesPerDomain(), took("Nodes/changes", "nodes", t.NodesPerDomain())},
+		{"domains", t.Domains, took("Domains/changes", "domains", t.Domains)},
+	}
+	return times, s.err
+}
+
+// BadDay is one figure of one bad day.
+type BadDay struct{ Day, What, Figure, Source string }
+
+// outage is how long the key-value service is down on its bad day.
+const outage = time.Hour
+
+// BadDays works out what the stated failures bring.
+func BadDays(t Target, m *Measured) ([]BadDay, error) {
+	s := &solver{measured: m}
+	tries := s.fleet(t, "outage", "kv-tries/s")
+	first := s.fleet(t, "outage", "kv-first-second")
+	five := s.fleet(t, "outage", "kv-first-5s")
+	watchers := spread.Watchers * t.Domains
+	change := s.at("Apply", "upstreams", "change-bytes", t.Servers)
+	head := jsonInflation * s.headBytes(t)
+	const burst, burstSeconds = 100.0, 60.0
+	rate := burst / burstSeconds
+	changeCPU := s.perChangeCPU(t)
+	days := []BadDay{
+		{"service down an hour", "calls a second while it is down", fmt.Sprintf("%.0f", tries), "FixedDomains/outage kv-tries/s"},
+		{"service down an hour", "calls in the first second after", fmt.Sprintf("%.0f", first), "FixedDomains/outage kv-first-second"},
+		{"service down an hour", "calls in the first 5 s after", fmt.Sprintf("%.0f", five), "FixedDomains/outage kv-first-5s"},
+		{"service down an hour", "changes that could not be made", fmt.Sprintf("%.0f", t.Changes()*outage.Seconds()), "changes a day"},
+		{"100 changes in a minute", "calls of the service a second", fmt.Sprintf("%.1f reads, %.1f writes", rate, rate), "a read and a compare-and-swap each"},
+		{"100 changes in a minute", "B/s to a plain member", fmt.Sprintf("%.0f", rate*change), "Apply change-bytes"},
+		{"100 changes in a minute", "B/s to a watcher", fmt.Sprintf("%.0f", rate*(change+head)), "EncodeHead head-bytes"},
+		{"100 changes in a minute", "B/s out of the service, all watchers", size(rate * head * watchers), "EncodeHead head-bytes, two watchers a domain"},
+		{"100 changes in a minute", "CPU of an agent, % of a core", fmt.Sprintf("%.1f", rate*changeCPU*percent), "Nodes/changes less Nodes/idle"},
+		{"280 restarts in a day", "restarts a second, mean", fmt.Sprintf("%.4f", t.Restarts/secondsPerDay), "restarts a day"},
+		{"40 restarts at once", "heads that peers send whole", size(40 * s.headBytes(t)), "EncodeHead head-bytes; no call of the service but by new watchers"},
+		{"a failure domain lost", "fetches that fail, a second, whole fleet", fmt.Sprintf("%.0f", (t.Domains-1)/(agent.DigestRetryMax.Seconds()*jitterMean)), "DigestRetryMax with jitter, one owner a domain"},
+		{"two regions cut off from each other", "fetches that fail, a second, both sides", fmt.Sprintf("%.1f", s.cutFetches(t)), "DigestRetryMax with jitter, domains in a region"},
+	}
+	return days, s.err
+}
+
+const (
+	percent = 100
+	// jitterMean is the mean part of a wait's bound, which lies between half and
+	// the whole.
+	jitterMean = 0.75
+)
+
+// perChangeCPU is core seconds of an agent for one change.
+func (s *solver) perChangeCPU(t Target) float64 {
+	nodes := t.NodesPerDomain()
+	busy := s.at("Nodes/changes", "nodes", "agent-cpu-%", nodes) - s.at("Nodes/idle", "nodes", "agent-cpu-%", nodes)
+	rate := s.at("Nodes/changes", "nodes", "changes/s", nodes)
+	return busy / percent / rate
+}
+
+// cutFetches counts the failing fetches a second between two regions.
+func (s *solver) cutFetches(t Target) float64 {
+	domains := t.Domains / t.Regions
+	return 2 * domains * domains / (agent.DigestRetryMax.Seconds() * jitterMean)
+}
--- /dev/null
+++ b/test/capacity/agents_test.go
@@ -0,0 +1,237 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/kv"
+)
+
+// How long each state is left to settle and is then measured.
+const (
+	settleTime  = 8 * time.Second
+	measureTime = 12 * time.Second
+	// changeEvery is the pace of changes, about ten times the target's mean of one
+	// in 23 s, so that their cost stands out.
+	changeEvery = 2 * time.Second
+	// requestsPerNode is requests a second and node where upstreams are many, and
+	// fewRequestsPerNode where they are few; an answer takes 13 s.
+	requestsPerNode    = 2
+	fewRequestsPerNode = 0.5
+	// answerTime is after how long as many answers end as begin.
+	answerTime = 15 * time.Second
+	// outageTime is how long the key-value service is down.
+	outageTime = 10 * time.Second
+	// returnTime is the time after its return in which its calls are counted.
+	returnTime = 5 * time.Second
+)
+
+// BenchmarkNodes measures the nodes of one failure domain with 25 upstreams.
+func BenchmarkNodes(b *testing.B) {
+	for _, nodes := range []int{1, 3, 5, 9} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			measure(b, layout{domains: 1, instances: nodes, enginesPerModel: 5, rate: requestsPerNode})
+		})
+	}
+}
+
+// BenchmarkDomains measures failure domains with one node and 5 upstreams each.
+func BenchmarkDomains(b *testing.B) {
+	for _, domains := range []int{1, 3, 8, 14, 41} {
+		b.Run(fmt.Sprintf("domains=%d", domains), func(b *testing.B) {
+			measure(b, layout{domains: domains, instances: 1, enginesPerModel: 1, rate: fewRequestsPerNode})
+		})
+	}
+}
+
+// BenchmarkFixedDomains measures a growing number of nodes in three failure domains:
+// what the key-value service sees of a fleet that grows inside its domains.
+func BenchmarkFixedDomains(b *testing.B) {
+	for _, nodes := range []int{6, 9, 18, 27} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			measure(b, layout{domains: 3, instances: nodes / 3, enginesPerModel: 1, rate: fewRequestsPerNode})
+		})
+	}
+}
+
+// BenchmarkRequests measures one node at several rates of requests, of which each
+// streams 200 tokens at 63 ms.
+func BenchmarkRequests(b *testing.B) {
+	for _, requests := range []float64{2, 8, 26} {
+		b.Run(fmt.Sprintf("requests=%g", requests), func(b *testing.B) {
+			d := deploy(b, layout{domains: 1, instances: 1, enginesPerModel: 5, rate: requests})
+			d.underTraffic(b)
+		})
+	}
+}
+
+func measure(b *testing.B, l layout) {
+	d := deploy(b, l)
+	time.Sleep(settleTime)
+	b.Run("idle", func(b *testing.B) { d.report(b, func() { time.Sleep(measureTime) }) })
+	b.Run("changes", func(b *testing.B) {
+		began := time.Now()
+		var made int
+		d.report(b, func() { made = d.change() })
+		b.ReportMetric(float64(made)/time.Since(began).Seconds(), "changes/s")
+		d.reportInForce(b)
+	})
+	b.Run("traffic", func(b *testing.B) { d.underTraffic(b) })
+	b.Run("outage", func(b *testing.B) { d.outage(b) })
+}
+
+// report measures the deployment during what is run.
+func (d *deployment) report(b *testing.B, run func()) {
+	d.b = b
+	before := d.read()
+	run()
+	after := d.read()
+	b.ReportMetric(0, "ns/op")
+	report(b, before, after)
+}
+
+// change makes changes at a steady pace, through one agent after the other.
+func (d *deployment) change() (made int) {
+	end := time.Now().Add(measureTime)
+	for n := 0; time.Now().Before(end); n++ {
+		made++
+		due := time.Now().Add(changeEvery)
+		answer, err := d.post(n%len(d.agents), "/v1/command", "text/plain", "drain "+farUpstream(n))
+		check(d.b, err)
+		if !strings.HasPrefix(answer, "ok") && !strings.HasPrefix(answer, "accepted") {
+			d.b.Fatalf("change %d: %s", n, answer)
+		}
+		time.Sleep(time.Until(due))
+	}
+	return made
+}
+
+// reportInForce reports how long the changes took from an agent's first
+// knowledge to being in force in the last gateway.
+func (d *deployment) reportInForce(b *testing.B) {
+	time.Sleep(settleTime)
+	accepted, inForce := d.acceptedTimes(), d.inForceTimes()
+	var all []float64
+	for revision, at := range accepted {
+		if revision == 1 {
+			continue // It met agents that were starting.
+		}
+		last := at
+		for _, one := range inForce[revision] {
+			if one.After(last) {
+				last = one
+			}
+		}
+		if len(inForce[revision]) < len(d.gateways) && !superseded(inForce, revision, len(d.gateways)) {
+			b.Fatalf("revision %d is in force at %d of %d", revision, len(inForce[revision]), len(d.gateways))
+		}
+		all = append(all, float64(last.Sub(at).Milliseconds()))
+	}
+	sort.Float64s(all)
+	b.ReportMetric(all[len(all)/2], "in-force-ms")
+	b.ReportMetric(all[len(all)-1], "in-force-max-ms")
+}
+
+// superseded says whether a later revision is in force everywhere: a node may
+// step over one.
+func superseded(inForce map[uint64][]time.Time, revision uint64, nodes int) bool {
+	for later, at := range inForce {
+		if later > revision && len(at) == nodes {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *deployment) underTraffic(b *testing.B) {
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	rate := d.layout.rate * float64(len(d.gateways))
+	run := d.traffic(rate, answerTime+measureTime)
+	done := make(chan error, 1)
+	go func() {
+		_, err := run.Send(ctx)
+		done <- err
+	}()
+	time.Sleep(answerTime)
+	answered := run.Answered.Load()
+	d.report(b, func() { time.Sleep(measureTime) })
+	b.ReportMetric(float64(run.Answered.Load()-answered)/measureTime.Seconds(), "answers/s")
+	check(b, <-done)
+}
+
+// outage takes the key-value service away, and counts its calls in the time and
+// after its return.
+func (d *deployment) outage(b *testing.B) {
+	d.b = b
+	d.switchKeyValue("down")
+	time.Sleep(outageTime)
+	down := d.counts()
+	time.Sleep(measureTime)
+	end := d.counts()
+	d.switchKeyValue("up")
+	time.Sleep(time.Second)
+	first := d.counts()
+	time.Sleep(returnTime - time.Second)
+	last := d.counts()
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(end.Refused-down.Refused)/measureTime.Seconds(), "kv-tries/s")
+	b.ReportMetric(float64(calls(first)-calls(end)), "kv-first-second")
+	b.ReportMetric(float64(calls(last)-calls(end)), "kv-first-5s")
+	b.ReportMetric(float64(last.Limited-end.Limited), "kv-limited")
+	b.ReportMetric(float64(last.Watching), "kv-watching")
+}
+
+func calls(c kv.Counts) int64 {
+	return c.Range + c.Txn + c.Watch + c.Grant + c.KeepAlive + c.Revoke
+}
+
+// report writes what changed between two readings, as means over the agents and
+// as the busiest one's.
+func report(b *testing.B, before, after reading) {
+	seconds := after.at.Sub(before.at).Seconds()
+	spread := func(unit string, value func(i int) float64) {
+		var sum, most float64
+		for i := range after.agents {
+			sum += value(i)
+			most = math.Max(most, value(i))
+		}
+		b.ReportMetric(sum/float64(len(after.agents)), unit)
+		b.ReportMetric(most, unit+"-max")
+	}
+	spread("agent-cpu-%", func(i int) float64 {
+		return 100 * (after.agents[i].cpu - before.agents[i].cpu).Seconds() / seconds
+	})
+	spread("agent-MB", func(i int) float64 { return after.agents[i].resident / 1e6 })
+	spread("gateway-cpu-%", func(i int) float64 {
+		return 100 * (after.gateways[i].cpu - before.gateways[i].cpu).Seconds() / seconds
+	})
+	spread("gateway-MB", func(i int) float64 { return after.gateways[i].resident / 1e6 })
+	rates := map[string]string{
+		"links_sent": "sent-B/s", "links_received": "received-B/s",
+		"gateway_sent": "to-gateway-B/s", "gateway_received": "from-gateway-B/s",
+	}
+	for counter, unit := range rates {
+		spread(unit, perSecond(before, after, "lilacweir_agent_bytes_"+counter, seconds))
+	}
+	for _, counter := range []string{"heartbeats", "digests", "polls", "key_value", "directory", "list"} {
+		spread(strings.ReplaceAll(counter, "_", "-")+"-calls/s", perSecond(before, after, "lilacweir_agent_calls_"+counter, seconds))
+	}
+	reads := after.keyValue.Range - before.keyValue.Range + after.keyValue.Watch - before.keyValue.Watch
+	writes := after.keyValue.Txn - before.keyValue.Txn + after.keyValue.Grant - before.keyValue.Grant +
+		after.keyValue.KeepAlive - before.keyValue.KeepAlive + after.keyValue.Revoke - before.keyValue.Revoke
+	b.ReportMetric(float64(reads)/seconds, "kv-reads/s")
+	b.ReportMetric(float64(writes)/seconds, "kv-writes/s")
+	b.ReportMetric(float64(after.keyValue.Watching), "kv-watching")
+}
+
+func perSecond(before, after reading, counter string, seconds float64) func(i int) float64 {
+	return func(i int) float64 {
+		return (after.agents[i].counters[counter] - before.agents[i].counters[counter]) / seconds
+	}
+}
--- /dev/null
+++ b/test/capacity/deployment_test.go
@@ -0,0 +1,275 @@
+// Package capacity measures what real agents and gateways cost at several sizes.
+// Each benchmark starts processes on loopback, with a declaration as large as the
+// target's, and prints its figures in the benchmark format that pkg/capacity
+// fits lines through:
+//
+//	go test -run '^$' -bench . -benchtime 1x -timeout 60m ./test/capacity
+package capacity
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/load"
+	"github.com/lilacweir/lilacweir/pkg/standin/plan"
+)
+
+// What is declared, whatever runs of it: the target's sizes.
+const (
+	declaredUpstreams = 1000
+	declaredCallers   = 600
+	models            = 5
+)
+
+// Loopback nets 127.N.0.0/16 for measurements, and the address that holds one.
+const (
+	firstNet   = 200
+	lastNet    = 250
+	holderPort = 7999
+)
+
+// operator makes the changes; keyPrefix begins every key of a planned deployment.
+const (
+	operator  = "capacity"
+	keyPrefix = "key-"
+)
+
+// farDomain is declared and never runs: its upstreams make the declaration large.
+const farDomain = "far-domain"
+
+// layout is the shape of a measured deployment.
+type layout struct {
+	// domains are failure domains, each with so many instances.
+	domains, instances int
+	// enginesPerModel is how many engines of each model a domain has.
+	enginesPerModel int
+	// rate is requests a second and node in the measurement under traffic.
+	rate float64
+}
+
+// deployment is one running deployment.
+type deployment struct {
+	b         *testing.B
+	layout    layout
+	directory string
+	holder    net.Listener
+	plan      plan.Plan
+	standin   *process
+	agents    []*process
+	gateways  []*process
+}
+
+var (
+	buildOnce sync.Once
+	binaries  string
+)
+
+// TestMain removes the programs that a measurement has built.
+func TestMain(m *testing.M) {
+	status := m.Run()
+	if binaries != "" {
+		_ = os.RemoveAll(binaries)
+	}
+	os.Exit(status)
+}
+
+func build(b *testing.B) {
+	buildOnce.Do(func() {
+		directory, err := os.MkdirTemp("", "lilacweir-capacity-")
+		check(b, err)
+		binaries = directory
+		command := exec.Command("go", "build", "-o", directory, "./cmd/...")
+		command.Dir = "../.."
+		output, err := command.CombinedOutput()
+		if err != nil {
+			b.Fatalf("build: %v\n%s", err, output)
+		}
+	})
+}
+
+func check(b *testing.B, err error) {
+	b.Helper()
+	if err != nil {
+		b.Fatal(err)
+	}
+}
+
+// deploy starts every process of a layout and applies the declaration.
+func deploy(b *testing.B, l layout) *deployment {
+	build(b)
+	d := &deployment{b: b, layout: l, directory: b.TempDir()}
+	number := d.reserveNet()
+	b.Cleanup(d.close)
+	d.write(number)
+	d.standin = d.start("standin", "lilacweir-standin", "standin.yaml")
+	for i := range d.plan.Instances {
+		name := d.plan.Instances[i].Instance
+		d.gateways = append(d.gateways, d.start(name+"-gateway", "lilacweir-gateway", name+".yaml"))
+	}
+	for i := range d.plan.Instances {
+		name := d.plan.Instances[i].Instance
+		d.agents = append(d.agents, d.start(name+"-agent", "lilacweir-agent", name+".yaml"))
+	}
+	d.apply()
+	d.awaitInForce(1)
+	return d
+}
+
+func (d *deployment) reserveNet() int {
+	for number := firstNet; number <= lastNet; number++ {
+		holder, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", number, holderPort))
+		if err == nil {
+			d.holder = holder
+			return number
+		}
+	}
+	d.b.Fatal("no free loopback net")
+	return 0
+}
+
+// write writes the settings, without links: the delays of one machine are not
+// what is measured here.
+func (d *deployment) write(number int) {
+	built, err := plan.Build(d.topology(), number)
+	check(d.b, err)
+	built.Standin.Links = nil
+	for i := range built.Instances {
+		built.Instances[i].DialVia = nil
+	}
+	enlarge(&built.Declaration)
+	d.plan = built
+	check(d.b, plan.Write(built, d.directory))
+}
+
+func (d *deployment) topology() plan.Topology {
+	topology := plan.Topology{
+		Name:      "capacity",
+		Platform:  plan.Platform{WritesPerSecond: 400, ReadsPerSecond: 2000, ListLag: 3 * time.Second, LoadsPerMinute: 30},
+		Operators: []string{operator},
+	}
+	for n := range d.layout.domains {
+		domain := plan.Domain{Name: fmt.Sprintf("domain-%02d", n+1), Prefix: fmt.Sprintf("d%02d", n+1), Instances: d.layout.instances}
+		topology.Regions = append(topology.Regions, plan.Region{Name: fmt.Sprintf("region-%02d", n+1), Domains: []plan.Domain{domain}})
+		topology.Callers = append(topology.Callers, plan.Caller{
+			Name: fmt.Sprintf("sender-%02d", n+1), Home: fmt.Sprintf("region-%02d", n+1), Regions: []string{fmt.Sprintf("region-%02d", n+1)},
+		})
+	}
+	for m := range models {
+		topology.Models = append(topology.Models, plan.Model{
+			Name: modelName(m), MaxTokens: 2048, Versions: []config.ModelVersion{{Name: "v1", Percent: 100}},
+			Engine: plan.Engine{
+				Prefix: fmt.Sprintf("m%d", m+1), PerDomain: d.layout.enginesPerModel, Concurrency: 32, DecodeRate: 16,
+				PrefillRate: 8000, CacheTokens: 60000, LoadLag: 250 * time.Millisecond, EventLag: 500 * time.Millisecond,
+				ChecksFencing: true,
+			},
+		})
+	}
+	return topology
+}
+
+func modelName(m int) string { return fmt.Sprintf("model-%d", m+1) }
+
+// enlarge adds what does not run to a declaration, up to the target's sizes.
+func enlarge(to *config.Declaration) {
+	to.Regions = append([]config.Region{{Name: "far", Domains: []string{farDomain}}}, to.Regions...)
+	for m := range to.Models {
+		to.Models[m].Regions = append([]string{"far"}, to.Models[m].Regions...)
+	}
+	var far []config.Upstream
+	for n := range declaredUpstreams - len(to.Upstreams) {
+		far = append(far, config.Upstream{
+			Name: farUpstream(n), Kind: config.KindEngine, Serves: modelName(n % models), Version: "v1",
+			Domain: farDomain, Address: fmt.Sprintf("127.1.%d.%d:9000", 1+n/250, 1+n%250), Concurrency: 8, ChecksFencing: true,
+		})
+	}
+	to.Upstreams = append(far, to.Upstreams...)
+	var callers []config.Caller
+	for n := range declaredCallers - len(to.Callers) {
+		name := fmt.Sprintf("organisation-%03d", n+1)
+		callers = append(callers, config.Caller{
+			Name: name, KeyHash: config.HashKey(keyPrefix + name), Home: "far", Regions: []string{"far", to.Regions[1].Name},
+		})
+	}
+	to.Callers = append(callers, to.Callers...)
+}
+
+// farUpstream names an upstream of the domain that does not run.
+func farUpstream(n int) string { return fmt.Sprintf("far-%04d", n+1) }
+
+// process is one started program.
+type process struct {
+	command *exec.Cmd
+	log     string
+}
+
+func (d *deployment) start(name, program, settingsFile string) *process {
+	p := &process{log: filepath.Join(d.directory, name+".log")}
+	log, err := os.Create(p.log)
+	check(d.b, err)
+	defer func() { _ = log.Close() }()
+	p.command = exec.Command(filepath.Join(binaries, program), "run", filepath.Join(d.directory, settingsFile))
+	p.command.Stdout, p.command.Stderr = log, log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	check(d.b, p.command.Start())
+	return p
+}
+
+func (p *process) kill() {
+	if p == nil || p.command.Process == nil {
+		return
+	}
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+func (d *deployment) close() {
+	for _, p := range append(append(d.agents, d.gateways...), d.standin) {
+		p.kill()
+	}
+	_ = d.holder.Close()
+}
+
+// regions names the region of each domain that runs.
+func (d *deployment) regions() map[string]string {
+	regions := make(map[string]string)
+	for i := range d.plan.Instances {
+		regions[d.plan.Instances[i].Domain] = d.plan.Instances[i].Region
+	}
+	return regions
+}
+
+// traffic is a run of streamed answers that last as long as the target's: 63 ms a
+// token, 200 tokens.
+func (d *deployment) traffic(rate float64, length time.Duration) *load.Run {
+	run := &load.Run{
+		Mix: &load.Mix{}, Seeds: make(map[string][]string), Regions: d.regions(),
+		Seed: 1, Rate: rate, Length: length, Timeout: time.Minute,
+	}
+	var names []string
+	for n := range d.layout.domains {
+		name := fmt.Sprintf("sender-%02d", n+1)
+		names = append(names, name)
+		run.Mix.Callers = append(run.Mix.Callers, load.Caller{
+			Name: name, Key: keyPrefix + name, Domain: fmt.Sprintf("domain-%02d", n+1), Region: fmt.Sprintf("region-%02d", n+1),
+		})
+	}
+	for m := range models {
+		run.Mix.Items = append(run.Mix.Items, load.Item{
+			Name: modelName(m), Weight: 1, Callers: names,
+			Chat: &load.Chat{Model: modelName(m), QuestionBytes: 400, MaxTokens: 200},
+		})
+	}
+	for i := range d.plan.Instances {
+		one := &d.plan.Instances[i]
+		run.Seeds[one.Domain] = append(run.Seeds[one.Domain], one.Gateway.Callers)
+	}
+	return run
+}
