Renew credit when a digest is confirmed unchanged

A domain whose digest hardly moves is only confirmed, with the same sequence, so that the credit that had been used was never given back and sending away stopped. TestConfirmedDigestRenewsCredit failed before (0 sent instead of 2).

--- a/pkg/route/ledger.go
+++ b/pkg/route/ledger.go
@@ -26,7 +26,7 @@
 
 // ledger counts what was sent to one pool of one domain.
 type ledger struct {
-	sequence uint64 // guarded by SpillState.mu
+	heard time.Time // guarded by SpillState.mu
 	// current counts requests sent since the newest digest, previous those sent
 	// between the two newest: the newest digest may not count them yet.
 	current, previous atomic.Int64
@@ -41,18 +41,22 @@
 	return time.Unix(0, l.strongAt.Load())
 }
 
-// ledger returns the record of a pool, turned over when the digest is a new one.
+// creditInterval is the least time between two renewals of credit.
+const creditInterval = 500 * time.Millisecond
+
+// ledger returns the record of a pool, turned over when the domain was heard from
+// again: with a new digest, or with word that the last one still holds.
 func (s *SpillState) ledger(digest *board.DomainDigest, pool string) *ledger {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	id := ledgerID{digest.Domain, pool}
 	l := s.ledgers[id]
 	if l == nil {
-		l = &ledger{sequence: digest.Sequence}
+		l = &ledger{heard: digest.HeardAt}
 		s.ledgers[id] = l
 	}
-	if l.sequence != digest.Sequence {
-		l.sequence = digest.Sequence
+	if digest.HeardAt.Sub(l.heard) >= creditInterval {
+		l.heard = digest.HeardAt
 		l.previous.Store(l.current.Swap(0))
 	}
 	return l
--- a/pkg/route/spill_test.go
+++ b/pkg/route/spill_test.go
@@ -110,6 +110,31 @@
 	})
 }
 
+// A digest that is confirmed without change offers its spare places anew.
+func TestConfirmedDigestRenewsCredit(t *testing.T) {
+	is := is.New(t)
+	w := overloaded(4)
+	sent := func() (count int) {
+		table := w.table()
+		for roll := range uint64(10) {
+			if w.decide(t, table, roll) {
+				count++
+			}
+		}
+		return count
+	}
+	is.Equal(sent(), 2) // half of the offer: domain c may send as well
+	is.Equal(sent(), 0)
+	for range 2 {
+		w.input.Now = w.input.Now.Add(time.Second)
+		w.input.Domains.Remote[0].HeardAt = w.input.Now
+	}
+	is.Equal(sent(), 0) // what was sent last may not be counted there yet
+	w.input.Now = w.input.Now.Add(time.Second)
+	w.input.Domains.Remote[0].HeardAt = w.input.Now
+	is.Equal(sent(), 2)
+}
+
 // A rule's percent holds over the requests that arrive, however often a request is
 // decided on.
 func TestSpillKeepsThePercent(t *testing.T) {
