Compare ways to send work to other regions, and count each request once

pkg/load/decide gains a scenario of three regions: a peak in one, a link that is cut and heals, a region that loses three of its four engines and gets them back. It runs the real digests, credits, margins and rules, against staying at home, sending without credit, and sending without credit or margin.

Each request now carries whether it has been counted.

--- a/pkg/load/decide/course.go
+++ b/pkg/load/decide/course.go
@@ -43,7 +43,7 @@
 	e.decodeSeconds += tokenCost() * float64(f.job.answer)
 	s.after(token, func() {
 		f.flight.FirstByte()
-		s.result.first(s, f.job)
+		s.result.first(s, f.job, e.wayBack(f.job))
 	})
 	s.after(token*time.Duration(f.job.answer), func() { e.done(s, f) })
 }
@@ -55,7 +55,7 @@
 		e.queue = e.queue[1:]
 		e.admit(s, next)
 	}
-	s.result.whole(s, f.job)
+	s.result.whole(s, f.job, e.wayBack(f.job))
 	f.flight.Done(limit.Succeeded)
 	f.entry.Release()
 	f.gateway.start()
--- a/pkg/load/decide/engine.go
+++ b/pkg/load/decide/engine.go
@@ -23,7 +23,10 @@
 // engine is a modelled model engine: slots, one prompt in prefill at a time, and a
 // prefix cache that drops the least recently used.
 type engine struct {
-	name              string
+	name string
+	hall *hall
+	// lost engines take no new work.
+	lost              bool
 	running           int
 	queue, prefilling []*flight
 	prefillBusy       bool
@@ -35,8 +38,8 @@
 	reports                [2]board.UpstreamLoad
 }
 
-func newEngine(i int) *engine {
-	return &engine{name: fmt.Sprintf("engine-%02d", i), cache: newCache()}
+func newEngine(h *hall, i int) *engine {
+	return &engine{name: fmt.Sprintf("engine-%s-%02d", h.name, i), hall: h, cache: newCache()}
 }
 
 // tokenTime is how long one token takes at the present batch.
@@ -63,7 +66,7 @@
 func (e *engine) sample(now time.Time) {
 	e.reports[0] = e.reports[1]
 	e.reports[1] = board.UpstreamLoad{
-		Name: e.name, State: board.UpstreamLive,
+		Name: e.name, State: e.state(),
 		Running: e.running, Queued: len(e.queue),
 		DecodeRate:  1 / e.tokenTime().Seconds(),
 		PrefillRate: enginePrefillRate,
@@ -73,6 +76,13 @@
 	}
 }
 
+func (e *engine) state() board.UpstreamState {
+	if e.lost {
+		return board.UpstreamSilent
+	}
+	return board.UpstreamLive
+}
+
 // cache is a prefix cache.
 type cache struct {
 	used   int
--- /dev/null
+++ b/pkg/load/decide/forward.go
@@ -0,0 +1,93 @@
+package decide
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/route"
+)
+
+// connectTimeout is how long it takes to notice that a link is cut.
+const connectTimeout = time.Second
+
+// forward sends a request to another hall, to one of its gateways at random.
+func (g *gateway) forward(j *job, decision *route.Decision) {
+	to := g.sim.hall(decision.Domain.Domain)
+	j.tried = append(j.tried, to.name)
+	g.sim.spills.sent(j, to)
+	if to.cutFrom[g.hall.name] {
+		g.sim.after(connectTimeout, func() { g.arrive(j) })
+		return
+	}
+	receiver := to.gateways[g.rnd.IntN(len(to.gateways))]
+	g.sim.after(linkDelay, func() { receiver.arrive(j) })
+}
+
+// giveBack returns a refused request to the gateway that forwarded it.
+func (g *gateway) giveBack(j *job) {
+	g.sim.spills.refusedThere++
+	origin := g.sim.halls[j.hall].gateways[j.gateway]
+	g.sim.after(linkDelay, func() { origin.arrive(j) })
+}
+
+func (s *simulation) hall(name string) *hall {
+	for _, h := range s.halls {
+		if h.name == name {
+			return h
+		}
+	}
+	return nil
+}
+
+// wayBack is how long an answer travels to the gateway that the caller asked.
+func (e *engine) wayBack(j *job) time.Duration {
+	if e.hall.index == j.hall {
+		return 0
+	}
+	return linkDelay
+}
+
+// spills counts what was sent away.
+type spills struct {
+	total, refusedThere int
+	// bins counts what each hall sent, by intervals of binTime.
+	bins map[int][]float64
+}
+
+// binTime is the resolution at which swings are looked for.
+const binTime = 5 * time.Second
+
+func (s *spills) sent(j *job, _ *hall) {
+	s.total++
+	bin := int(j.at / binTime)
+	for len(s.bins[j.hall]) <= bin {
+		s.bins[j.hall] = append(s.bins[j.hall], 0)
+	}
+	s.bins[j.hall][bin]++
+}
+
+// swing is the change, in requests a bin, from which a turn counts.
+const swing = 8
+
+// turns counts how often what a hall sends turned from rising to falling or back.
+func (s *spills) turns() int {
+	count := 0
+	for _, bins := range s.bins {
+		low, high, rising := bins[0], bins[0], true
+		for _, sent := range bins {
+			if rising {
+				high = max(high, sent)
+				if sent <= high-swing {
+					rising, low = false, sent
+					count++
+				}
+				continue
+			}
+			low = min(low, sent)
+			if sent >= low+swing {
+				rising, high = true, sent
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -15,8 +15,6 @@
 
 // Names in the modelled declaration.
 const (
-	region  = "here"
-	domain  = "hall"
 	model   = "m"
 	version = "v1"
 )
@@ -24,7 +22,9 @@
 // gateway runs the real decisions of one gateway.
 type gateway struct {
 	sim      *simulation
+	hall     *hall
 	name     string
+	spill    *route.SpillState
 	strategy *route.Strategy
 	head     *config.Head
 	tracker  *limit.Tracker
@@ -51,12 +51,13 @@
 	engine  *engine
 }
 
-func newGateway(s *simulation, p policy, i int, seed uint64) *gateway {
+func newGateway(s *simulation, h *hall, p policy, i int, seed uint64) *gateway {
 	g := &gateway{
-		sim: s, name: fmt.Sprintf("gw-%02d", i),
+		sim: s, hall: h, name: fmt.Sprintf("gw-%s-%02d", h.name, i),
+		spill:   route.NewSpillState(),
 		tracker: limit.NewTracker(s, nil),
 		queue:   admission.NewQueue(s),
-		rnd:     rand.New(rand.NewPCG(seed, uint64(i))),
+		rnd:     rand.New(rand.NewPCG(seed, uint64(h.index*s.options.Gateways+i))),
 		head:    &config.Head{Revision: 1, Declaration: declaration(s)},
 	}
 	if p.strategy != nil {
@@ -67,13 +68,21 @@
 
 func declaration(s *simulation) *config.Declaration {
 	d := &config.Declaration{
-		Regions: []config.Region{{Name: region, Domains: []string{domain}}},
-		Models:  []config.Model{{Name: model, Versions: []config.ModelVersion{{Name: version, Percent: 100}}, Regions: []string{region}}},
-		Policy:  config.Policy{CostWeight: s.options.CostWeight},
+		Models: []config.Model{{Name: model, Versions: []config.ModelVersion{{Name: version, Percent: 100}}}},
+		Policy: config.Policy{CostWeight: s.options.CostWeight, SpillMargin: config.Duration(s.variant.margin)},
+	}
+	for _, from := range s.halls {
+		d.Regions = append(d.Regions, config.Region{Name: from.region, Domains: []string{from.name}})
+		d.Models[0].Regions = append(d.Models[0].Regions, from.region)
+		for _, to := range s.halls {
+			if from != to && s.variant.percent > 0 {
+				d.Spill = append(d.Spill, config.Spill{From: from.region, To: to.region, Percent: s.variant.percent})
+			}
+		}
 	}
 	for _, e := range s.engines {
 		d.Upstreams = append(d.Upstreams, config.Upstream{
-			Name: e.name, Kind: config.KindEngine, Serves: model, Version: version, Domain: domain, Concurrency: engineSlots,
+			Name: e.name, Kind: config.KindEngine, Serves: model, Version: version, Domain: e.hall.name, Concurrency: engineSlots,
 		})
 	}
 	return d
@@ -81,22 +90,10 @@
 
 // compile rebuilds the table from what the gateway has been told by now.
 func (g *gateway) compile() {
-	upstreams := &board.Upstreams{ByName: map[string]board.UpstreamLoad{}}
-	for _, e := range g.sim.engines {
-		if report := e.reports[0]; report.Name != "" {
-			upstreams.ByName[e.name] = report
-		}
-	}
-	members := &board.Members{Self: g.name}
-	for _, other := range g.sim.gateways {
-		members.Instances = append(members.Instances, board.Instance{
-			Name: other.name, Domain: domain, State: board.InstanceLive, Incarnation: 1, Load: other.told,
-		})
-	}
 	g.table = route.Compile(route.Input{
-		Head: g.head, Members: members, Upstreams: upstreams,
-		Self: g.name, Domain: domain, Region: region,
-		Previous: g.table, Strategy: g.strategy, Now: g.sim.now,
+		Head: g.head, Members: g.hall.members(), Upstreams: g.hall.polled, Domains: g.hall.domains(g.sim),
+		Self: g.name, Domain: g.hall.name, Region: g.hall.region,
+		Previous: g.table, Strategy: g.strategy, Spill: g.spill, Now: g.sim.now,
 	})
 	g.tracker.SetShares(g.table.Shares())
 	for _, pool := range g.table.Pools() {
@@ -117,7 +114,8 @@
 }
 
 // arrive takes a request the way that a gateway does: a first decision, the queue,
-// a second decision, the upstream.
+// a second decision, the upstream. It also takes those that others forwarded, and
+// its own that came back.
 func (g *gateway) arrive(j *job) {
 	request := g.request(j)
 	request.Waiting = g.queue.Predict(g.ticket(j, route.PoolKey(model, version), 0))
@@ -126,6 +124,10 @@
 		g.refuse(j, refusal)
 		return
 	}
+	if decision.Domain != nil {
+		g.forward(j, &decision)
+		return
+	}
 	entry, refusal := g.queue.Submit(g.ticket(j, decision.Pool, decision.Run))
 	if refusal != nil {
 		g.refuse(j, refusal)
@@ -136,13 +138,33 @@
 }
 
 func (g *gateway) request(j *job) *route.Request {
-	caller := &config.Caller{Name: j.caller.Name, Home: region, Regions: []string{region}}
-	return &route.Request{
-		Caller: caller, Serves: model, Kind: config.KindEngine,
+	r := &route.Request{
+		Caller: g.caller(j), Serves: model, Kind: config.KindEngine,
 		Prefixes: j.prefixes, PrefixTokens: j.tokens,
 		PromptTokens: j.prompt(), MaxTokens: j.kind.answer, Roll: j.roll,
 		Deadline: j.deadline(),
 	}
+	if g.hall.index != j.hall {
+		r.Class, r.Origin = route.ClassDomain, g.sim.halls[j.hall].name
+		return r
+	}
+	r.Tried = j.tried
+	return r
+}
+
+// caller is who sent a request, and where it may be processed.
+func (g *gateway) caller(j *job) *config.Caller {
+	home := g.sim.halls[j.hall].region
+	caller := &config.Caller{Name: j.caller.Name, Home: home, Regions: []string{home}}
+	if j.homeBound {
+		return caller
+	}
+	for _, h := range g.sim.halls {
+		if h.region != home {
+			caller.Regions = append(caller.Regions, h.region)
+		}
+	}
+	return caller
 }
 
 func (g *gateway) ticket(j *job, pool string, run time.Duration) admission.Ticket {
@@ -183,6 +205,11 @@
 		g.refuse(w.job, refusal)
 		return
 	}
+	if decision.Domain != nil {
+		w.entry.Release()
+		g.forward(w.job, &decision)
+		return
+	}
 	name := decision.Upstream.Name
 	started, ok := g.tracker.Start(name, w.job.prompt(), decision.FirstToken)
 	if !ok {
@@ -198,6 +225,11 @@
 }
 
 func (g *gateway) refuse(j *job, refusal *outcome.Refusal) {
+	if g.hall.index != j.hall {
+		g.giveBack(j)
+		return
+	}
+	j.refused = true
 	if g.sim.measured(j) {
 		g.sim.result.refused(j, refusal)
 	}
--- /dev/null
+++ b/pkg/load/decide/hall.go
@@ -0,0 +1,71 @@
+package decide
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/digest"
+)
+
+// hall is one failure domain, alone in its region.
+type hall struct {
+	index        int
+	name, region string
+	engines      []*engine
+	gateways     []*gateway
+	// polled is the last poll of the engines, heard the last digests of others.
+	polled *board.Upstreams
+	heard  map[string]board.DomainDigest
+	// cutFrom names the halls whose messages do not arrive here.
+	cutFrom map[string]bool
+}
+
+// poll takes the engines' reports, each a sample old.
+func (h *hall) poll() {
+	h.polled = &board.Upstreams{ByName: map[string]board.UpstreamLoad{}}
+	for _, e := range h.engines {
+		if report := e.reports[0]; report.Name != "" {
+			h.polled.ByName[e.name] = report
+		}
+	}
+}
+
+// members is what the gateways of the hall have told each other.
+func (h *hall) members() *board.Members {
+	members := &board.Members{}
+	for _, g := range h.gateways {
+		members.Instances = append(members.Instances, board.Instance{
+			Name: g.name, Domain: h.name, Region: h.region,
+			State: board.InstanceLive, Incarnation: 1, Revision: 1, Load: g.told,
+		})
+	}
+	return members
+}
+
+// tell sends the hall's digest to the others.
+func (h *hall) tell(s *simulation) {
+	made := digest.Build(digest.Input{
+		Domain: h.name, Region: h.region, Sequence: uint64(s.now.UnixNano()),
+		Members: h.members(), Upstreams: h.polled, Head: h.gateways[0].head,
+	})
+	for i := range made.Pools {
+		s.variant.offer(&made.Pools[i])
+	}
+	s.after(linkDelay, func() {
+		made.HeardAt = s.now
+		for _, other := range s.halls {
+			if other != h && !other.cutFrom[h.name] {
+				other.heard[h.name] = made
+			}
+		}
+	})
+}
+
+// domains is what the hall knows of the others.
+func (h *hall) domains(s *simulation) *board.Domains {
+	domains := &board.Domains{}
+	for _, other := range s.halls {
+		if heard, ok := h.heard[other.name]; ok {
+			domains.Remote = append(domains.Remote, heard)
+		}
+	}
+	return domains
+}
--- a/pkg/load/decide/mix.go
+++ b/pkg/load/decide/mix.go
@@ -41,11 +41,19 @@
 	at       time.Duration
 	kind     *mixKind
 	caller   *config.Caller
+	hall     int
 	gateway  int
 	prefixes []uint64
 	tokens   []int // up to the end of each message
 	answer   int
-	roll     uint64
+	// homeBound requests may be processed in their own region alone.
+	homeBound bool
+	// tried names the halls that it was sent to.
+	tried []string
+	// What became of it.
+	refused, inTime bool
+	first           time.Duration
+	roll            uint64
 }
 
 func (j *job) deadline() time.Time { return epoch.Add(j.at + j.kind.deadline) }
@@ -101,22 +109,31 @@
 	return m
 }
 
-// arrivals draws the jobs of a Poisson process.
-func (m *mix) arrivals(rnd *rand.Rand, rate float64, length time.Duration, gateways int) []job {
+// arrivals draws the jobs of a Poisson process in one failure domain. The rate may
+// change with time, but is never above the highest.
+func (m *mix) arrivals(rnd *rand.Rand, highest float64, rate func(time.Duration) float64, length time.Duration, hall, gateways int) []job {
 	var jobs []job
 	at := time.Duration(0)
 	for {
-		at += time.Duration(rnd.ExpFloat64() / rate * float64(time.Second))
+		at += time.Duration(rnd.ExpFloat64() / highest * float64(time.Second))
 		if at >= length {
 			return jobs
 		}
 		j := m.draw(rnd)
+		if rnd.Float64()*highest > rate(at) {
+			continue
+		}
 		j.at = at
+		j.hall = hall
 		j.gateway = rnd.IntN(gateways)
+		j.homeBound = rnd.Float64() < homeBoundPart
 		jobs = append(jobs, j)
 	}
 }
 
+// homeBoundPart is the part of requests that may not leave their region.
+const homeBoundPart = 0.36
+
 func (m *mix) draw(rnd *rand.Rand) job {
 	kind := &m.kinds[weighted(rnd, len(m.kinds), func(i int) float64 { return m.kinds[i].weight })]
 	from := weighted(rnd, len(m.callers), func(i int) float64 { return m.callers[i].weight })
--- a/pkg/load/decide/print.go
+++ b/pkg/load/decide/print.go
@@ -43,15 +43,15 @@
 	candidate := all[0].runs
 	for _, s := range all {
 		p.printf("| %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", s.name,
-			spread(s.runs, "%.0f", func(i int) float64 { return s.runs[i].percentile(50) }),
-			spread(s.runs, "%.0f", func(i int) float64 { return s.runs[i].percentile(95) }),
-			spread(s.runs, "%.0f", func(i int) float64 { return s.runs[i].percentile(99) }),
-			spread(s.runs, "%.2f", func(i int) float64 { return s.runs[i].percentile(99) / candidate[i].percentile(99) }),
-			spread(s.runs, "%.3f", func(i int) float64 { return s.runs[i].engineSeconds }),
-			spread(s.runs, "%.3f", func(i int) float64 { return s.runs[i].wasted }),
-			spread(s.runs, "%.2f", func(i int) float64 { return candidate[i].engineSeconds / s.runs[i].engineSeconds }),
-			spread(s.runs, "%.1f", func(i int) float64 { return 100 * float64(s.runs[i].refusals) / float64(s.runs[i].offered) }),
-			spread(s.runs, "%.3f", func(i int) float64 { return s.runs[i].fairness }))
+			spread(len(s.runs), "%.0f", func(i int) float64 { return s.runs[i].percentile(50) }),
+			spread(len(s.runs), "%.0f", func(i int) float64 { return s.runs[i].percentile(95) }),
+			spread(len(s.runs), "%.0f", func(i int) float64 { return s.runs[i].percentile(99) }),
+			spread(len(s.runs), "%.2f", func(i int) float64 { return s.runs[i].percentile(99) / candidate[i].percentile(99) }),
+			spread(len(s.runs), "%.3f", func(i int) float64 { return s.runs[i].engineSeconds }),
+			spread(len(s.runs), "%.3f", func(i int) float64 { return s.runs[i].wasted }),
+			spread(len(s.runs), "%.2f", func(i int) float64 { return candidate[i].engineSeconds / s.runs[i].engineSeconds }),
+			spread(len(s.runs), "%.1f", func(i int) float64 { return 100 * float64(s.runs[i].refusals) / float64(s.runs[i].offered) }),
+			spread(len(s.runs), "%.3f", func(i int) float64 { return s.runs[i].fairness }))
 	}
 	p.printf("\n")
 	p.best(all)
@@ -62,7 +62,7 @@
 func (p *printer) best(all []series) {
 	candidate := all[0].runs
 	ratio := func(measure func(*result) float64) string {
-		return spread(candidate, "%.2f", func(i int) float64 {
+		return spread(len(candidate), "%.2f", func(i int) float64 {
 			lowest := measure(&all[1].runs[i])
 			for _, s := range all[2:] {
 				lowest = min(lowest, measure(&s.runs[i]))
@@ -73,31 +73,67 @@
 	p.printf("lilacweir / best simpler policy: p99 first token %s, engine-seconds %s; most beyond an engine's slots %s, grants without a place %s\n\n",
 		ratio(func(r *result) float64 { return r.percentile(99) }),
 		ratio(func(r *result) float64 { return r.engineSeconds }),
-		spread(candidate, "%.0f", func(i int) float64 { return float64(candidate[i].excess) }),
-		spread(candidate, "%.0f", func(i int) float64 { return float64(candidate[i].lostPlaces) }))
+		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].excess) }),
+		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].lostPlaces) }))
 }
 
 func (p *printer) goodput(o Options, all []goodputAt) {
 	p.printf("| lilacweir at its own capacity | goodput/s | of that at 100 %% | the same by work | late | refused %% | fairness |\n|---|---|---|---|---|---|---|\n")
 	for _, at := range all {
 		p.printf("| %d %% | %s | %s | %s | %s | %s | %s |\n", at.percent,
-			spread(at.runs, "%.2f", func(i int) float64 { return at.runs[i].goodput(o) }),
-			spread(at.runs, "%.2f", func(i int) float64 { return at.runs[i].goodput(o) / all[0].runs[i].goodput(o) }),
-			spread(at.runs, "%.2f", func(i int) float64 { return at.runs[i].workDone / all[0].runs[i].workDone }),
-			spread(at.runs, "%.0f", func(i int) float64 { return float64(at.runs[i].served - at.runs[i].inTime) }),
-			spread(at.runs, "%.1f", func(i int) float64 { return 100 * float64(at.runs[i].refusals) / float64(at.runs[i].offered) }),
-			spread(at.runs, "%.3f", func(i int) float64 { return at.runs[i].fairness }))
+			spread(len(at.runs), "%.2f", func(i int) float64 { return at.runs[i].goodput(o) }),
+			spread(len(at.runs), "%.2f", func(i int) float64 { return at.runs[i].goodput(o) / all[0].runs[i].goodput(o) }),
+			spread(len(at.runs), "%.2f", func(i int) float64 { return at.runs[i].workDone / all[0].runs[i].workDone }),
+			spread(len(at.runs), "%.0f", func(i int) float64 { return float64(at.runs[i].served - at.runs[i].inTime) }),
+			spread(len(at.runs), "%.1f", func(i int) float64 { return 100 * float64(at.runs[i].refusals) / float64(at.runs[i].offered) }),
+			spread(len(at.runs), "%.3f", func(i int) float64 { return at.runs[i].fairness }))
 	}
 	p.printf("\n")
 }
 
 // spread formats the median, and the lowest and highest value.
-func spread(runs []result, format string, value func(i int) float64) string {
-	values := make([]float64, len(runs))
-	for i := range runs {
+func spread(n int, format string, value func(i int) float64) string {
+	values := make([]float64, n)
+	for i := range n {
 		values[i] = value(i)
 	}
 	slices.Sort(values)
 	text := func(v float64) string { return fmt.Sprintf(format, v) }
 	return fmt.Sprintf("%s (%s-%s)", text(values[len(values)/2]), text(values[0]), text(values[len(values)-1]))
 }
+
+// spill writes the comparison of ways to send work away, phase by phase.
+func (p *printer) spill(o Options, capacity float64, all []spillSeries) {
+	p.printf("mix %s, 3 regions of %d engines and %d gateways, %d pairs, seeds from %d, cost weight %g\n",
+		o.Mix, o.Engines, o.Gateways, o.Pairs, o.Seed, o.CostWeight)
+	p.printf("capacity of a region %.2f requests/s; medians, lowest and highest in brackets; first token in ms\n\n", capacity)
+	for i, ph := range phases {
+		p.printf("| %s | p50 | p95 | p99 | in time %% | refused %% | sent away %% |\n|---|---|---|---|---|---|---|\n", ph.name)
+		for _, s := range all {
+			at := func(run int) *phaseResult { return &s.runs[run].phases[i] }
+			share := func(part func(*phaseResult) int) func(int) float64 {
+				return func(run int) float64 { return 100 * float64(part(at(run))) / float64(at(run).offered) }
+			}
+			quantile := func(q float64) func(int) float64 {
+				return func(run int) float64 { return float64(at(run).firstToken.ValueAtPercentile(q)) / 1000 }
+			}
+			n := len(s.runs)
+			p.printf("| %s | %s | %s | %s | %s | %s | %s |\n", s.name,
+				spread(n, "%.0f", quantile(50)), spread(n, "%.0f", quantile(95)), spread(n, "%.0f", quantile(99)),
+				spread(n, "%.1f", share(func(r *phaseResult) int { return r.inTime })),
+				spread(n, "%.1f", share(func(r *phaseResult) int { return r.refused })),
+				spread(n, "%.1f", share(func(r *phaseResult) int { return r.away })))
+		}
+		p.printf("\n")
+	}
+	p.printf("| whole run | turns | refused at the receiver | engine-s | wasted |\n|---|---|---|---|---|\n")
+	for _, s := range all {
+		n := len(s.runs)
+		p.printf("| %s | %s | %s | %s | %s |\n", s.name,
+			spread(n, "%.0f", func(i int) float64 { return float64(s.runs[i].turns) }),
+			spread(n, "%.0f", func(i int) float64 { return float64(s.runs[i].refusedThere) }),
+			spread(n, "%.3f", func(i int) float64 { return s.runs[i].all.engineSeconds }),
+			spread(n, "%.3f", func(i int) float64 { return s.runs[i].all.wasted }))
+	}
+	p.printf("\n")
+}
--- a/pkg/load/decide/result.go
+++ b/pkg/load/decide/result.go
@@ -56,18 +56,22 @@
 	r.byReason[refusal.Reason]++
 }
 
-func (r *result) first(s *simulation, j *job) {
+// first records a first token that reaches the caller's gateway after the way back.
+func (r *result) first(s *simulation, j *job, wayBack time.Duration) {
+	j.first = s.now.Add(wayBack).Sub(epoch.Add(j.at))
 	if s.measured(j) {
-		_ = r.firstToken.RecordValue(int64(s.now.Sub(epoch.Add(j.at)) / time.Microsecond))
+		_ = r.firstToken.RecordValue(int64(j.first / time.Microsecond))
 	}
 }
 
-func (r *result) whole(s *simulation, j *job) {
+// whole records a whole answer.
+func (r *result) whole(s *simulation, j *job, wayBack time.Duration) {
+	j.inTime = !s.now.Add(wayBack).After(j.deadline())
 	if !s.measured(j) {
 		return
 	}
 	r.served++
-	if !s.now.After(j.deadline()) {
+	if j.inTime {
 		r.workDone += work(j) / s.options.Length.Seconds()
 		r.inTime++
 		r.got[j.caller.Name] += work(j)
--- a/pkg/load/decide/simulation.go
+++ b/pkg/load/decide/simulation.go
@@ -2,15 +2,25 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
 )
 
-// Lags and the warm-up, virtual time.
+// Lags and the warm-up, virtual time. The lags are those of the stand-in engines
+// and of the agents: an engine samples its load, an agent polls it, heartbeats carry
+// the gateways' work, and a gateway compiles its table.
 const (
-	reportInterval = 250 * time.Millisecond
-	gossipInterval = 500 * time.Millisecond
-	warmUp         = time.Minute
+	sampleInterval  = 250 * time.Millisecond
+	pollInterval    = time.Second
+	gossipInterval  = time.Second
+	digestInterval  = time.Second
+	compileInterval = 500 * time.Millisecond
+	linkDelay       = 55 * time.Millisecond
+
+	warmUp = time.Minute
 	// tail is how long after the last arrival the run goes on.
 	tail = time.Minute
 )
@@ -23,57 +33,84 @@
 
 // simulation is one run of one policy.
 type simulation struct {
-	options  Options
-	mix      *mix
-	now      time.Time
-	events   events
-	order    int
-	engines  []*engine
-	gateways []*gateway
-	jobs     []job
-	result   result
-	end      time.Time
+	options Options
+	mix     *mix
+	now     time.Time
+	events  events
+	order   int
+	variant variant
+	halls   []*hall
+	spills  spills
+	engines []*engine
+	jobs    []job
+	result  result
+	end     time.Time
 }
 
 func newSimulation(o Options, m *mix, p policy, rate float64, seed uint64) *simulation {
 	s := &simulation{options: o, mix: m, now: epoch}
-	for i := range o.Engines {
-		s.engines = append(s.engines, newEngine(i))
-	}
-	for i := range o.Gateways {
-		s.gateways = append(s.gateways, newGateway(s, p, i, seed))
-	}
-	rnd := rand.New(rand.NewPCG(seed, seedStream))
-	s.jobs = m.arrivals(rnd, rate, warmUp+o.Length, o.Gateways)
 	s.end = epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
+	s.build(max(1, o.Halls))
+	constant := func(time.Duration) float64 { return rate }
+	s.staff(p, seed)
+	s.offer(seed, rate, func(int) func(time.Duration) float64 { return constant })
 	return s
 }
 
+// build makes the failure domains and their engines.
+func (s *simulation) build(halls int) {
+	for i := range halls {
+		h := &hall{index: i, name: fmt.Sprintf("hall-%d", i), region: fmt.Sprintf("region-%d", i), heard: map[string]board.DomainDigest{}}
+		for e := range s.options.Engines {
+			h.engines = append(h.engines, newEngine(h, e))
+		}
+		s.engines = append(s.engines, h.engines...)
+		s.halls = append(s.halls, h)
+	}
+}
+
+// staff puts gateways into the failure domains.
+func (s *simulation) staff(p policy, seed uint64) {
+	for _, h := range s.halls {
+		for i := range s.options.Gateways {
+			h.gateways = append(h.gateways, newGateway(s, h, p, i, seed))
+		}
+	}
+}
+
+// offer draws the requests of each failure domain.
+func (s *simulation) offer(seed uint64, highest float64, rate func(hall int) func(time.Duration) float64) {
+	for i := range s.halls {
+		rnd := rand.New(rand.NewPCG(seed, seedStream+uint64(i)))
+		s.jobs = append(s.jobs, s.mix.arrivals(rnd, highest, rate(i), warmUp+s.options.Length, i, s.options.Gateways)...)
+	}
+}
+
 // Now implements clock.Clock in virtual time.
 func (s *simulation) Now() time.Time { return s.now }
 
 // measure runs to the end and returns what was seen.
 func (s *simulation) measure() result {
-	s.every(reportInterval, func() {
+	s.every(sampleInterval, func() {
 		for _, e := range s.engines {
 			e.sample(s.now)
 		}
 	})
-	for i, g := range s.gateways {
-		g.compile()
-		s.after(time.Duration(i)*reportInterval/time.Duration(len(s.gateways)), func() {
-			s.every(reportInterval, g.compile)
-		})
-	}
-	s.every(gossipInterval, func() {
-		for _, g := range s.gateways {
-			g.gossip()
+	for _, h := range s.halls {
+		s.every(pollInterval, func() { h.poll() })
+		s.every(digestInterval, func() { h.tell(s) })
+		for i, g := range h.gateways {
+			g.compile()
+			s.after(time.Duration(i+1)*compileInterval/time.Duration(len(h.gateways)), func() {
+				s.every(compileInterval, g.compile)
+				s.every(gossipInterval, g.gossip)
+			})
 		}
-	})
+	}
 	for i := range s.jobs {
 		j := &s.jobs[i]
-		s.after(j.at, func() { s.gateways[j.gateway].arrive(j) })
+		s.after(j.at, func() { s.halls[j.hall].gateways[j.gateway].arrive(j) })
 	}
 	for s.events.Len() > 0 {
 		next := heap.Pop(&s.events).(event)
--- /dev/null
+++ b/pkg/load/decide/spill.go
@@ -0,0 +1,161 @@
+package decide
+
+import (
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// halls is the number of failure domains in the comparison of sending away, each
+// a region of its own.
+const halls = 3
+
+// phase is a part of the scenario, by the arrival of requests.
+type phase struct {
+	name     string
+	from, to time.Duration
+}
+
+// phases of the scenario, from the end of the warm-up. The first hall has its peak
+// from minute 2 to 5, and its link to the second is cut from 3 to 4; the second
+// loses all engines but one from 6 to 8.
+var phases = []phase{
+	{"even", 0, 2 * time.Minute},
+	{"peak", 2 * time.Minute, 3 * time.Minute},
+	{"peak, a link cut", 3 * time.Minute, 4 * time.Minute},
+	{"peak, healed", 4 * time.Minute, 5 * time.Minute},
+	{"region short", 6 * time.Minute, 8 * time.Minute},
+	{"region back", 8 * time.Minute, 10 * time.Minute},
+}
+
+// Loads of the scenario, parts of a hall's capacity.
+const (
+	evenLoad = 0.5
+	peakLoad = 1.2
+)
+
+const (
+	peakFrom, peakTo   = 2 * time.Minute, 5 * time.Minute
+	cutFrom, cutTo     = 3 * time.Minute, 4 * time.Minute
+	shortFrom, shortTo = 6 * time.Minute, 8 * time.Minute
+	scenarioLength     = 10 * time.Minute
+)
+
+// RunSpill compares ways to send work to other regions through a peak, a cut link
+// and the loss of engines, and writes a table to w.
+func RunSpill(w io.Writer, o Options) error {
+	mix, err := mixOf(o.Mix)
+	if err != nil {
+		return err
+	}
+	o.Halls = 1
+	capacity := capacityOf(o, mix, policies[0])
+	o.Halls = halls
+	o.Length = scenarioLength
+	results := make([]spillSeries, len(variants))
+	for pair := range o.Pairs {
+		for i := range variants {
+			at := (i + pair) % len(variants)
+			results[at].name = variants[at].name
+			results[at].runs = append(results[at].runs, runScenario(o, mix, variants[at], capacity, o.Seed+uint64(pair)))
+		}
+	}
+	out := &printer{w: w}
+	out.spill(o, capacity, results)
+	return out.err
+}
+
+// spillSeries is one variant's runs.
+type spillSeries struct {
+	name string
+	runs []spillResult
+}
+
+// spillResult is one run, by phases.
+type spillResult struct {
+	phases       []phaseResult
+	refusedThere int
+	turns        int
+	all          result
+}
+
+// phaseResult counts the requests that arrived in a phase.
+type phaseResult struct {
+	firstToken             *hdrhistogram.Histogram
+	offered, refused, away int
+	inTime                 int
+}
+
+func runScenario(o Options, m *mix, v variant, capacity float64, seed uint64) spillResult {
+	s := &simulation{options: o, mix: m, variant: v, now: epoch}
+	s.end = epoch.Add(warmUp + o.Length)
+	s.result = newResult(m)
+	s.spills.bins = map[int][]float64{}
+	s.build(halls)
+	s.staff(policies[0], seed)
+	s.offer(seed, peakLoad*capacity, func(hall int) func(time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if hall == 0 && at >= warmUp+peakFrom && at < warmUp+peakTo {
+				return peakLoad * capacity
+			}
+			return evenLoad * capacity
+		}
+	})
+	s.troubles()
+	all := s.measure()
+	return s.byPhase(all)
+}
+
+// troubles schedules the cut link and the loss of engines.
+func (s *simulation) troubles() {
+	first, second := s.halls[0], s.halls[1]
+	s.after(warmUp+cutFrom, func() {
+		first.cutFrom = map[string]bool{second.name: true}
+		second.cutFrom = map[string]bool{first.name: true}
+	})
+	s.after(warmUp+cutTo, func() { first.cutFrom, second.cutFrom = nil, nil })
+	s.after(warmUp+shortFrom, func() {
+		for _, e := range second.engines[1:] {
+			e.lost = true
+		}
+	})
+	s.after(warmUp+shortTo, func() {
+		for _, e := range second.engines[1:] {
+			e.lost = false
+			e.cache = newCache()
+		}
+	})
+}
+
+func (s *simulation) byPhase(all result) spillResult {
+	out := spillResult{refusedThere: s.spills.refusedThere, turns: s.spills.turns(), all: all}
+	for _, ph := range phases {
+		p := phaseResult{firstToken: hdrhistogram.New(shortest, longest, digits)}
+		for i := range s.jobs {
+			j := &s.jobs[i]
+			if j.at < warmUp+ph.from || j.at >= warmUp+ph.to {
+				continue
+			}
+			p.add(j)
+		}
+		out.phases = append(out.phases, p)
+	}
+	return out
+}
+
+func (p *phaseResult) add(j *job) {
+	p.offered++
+	if len(j.tried) > 0 {
+		p.away++
+	}
+	if j.refused {
+		p.refused++
+	}
+	if j.first > 0 {
+		_ = p.firstToken.RecordValue(int64(j.first / time.Microsecond))
+	}
+	if j.inTime {
+		p.inTime++
+	}
+}
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -28,9 +28,7 @@
 	if p == nil {
 		return Decision{}, refuseNoUpstream()
 	}
-	if first(req) {
-		t.spill.arrived()
-	}
+	t.count(req)
 	var local choice
 	if here {
 		local = t.pickLocal(p, req, load, rnd, now)
@@ -43,10 +41,14 @@
 	return t.decideLocal(p, req, here, local, now)
 }
 
-// first tells the first decision on a caller's request from those that are made
-// again as it waits, leaves the queue, or has failed somewhere.
-func first(req *Request) bool {
-	return req.Class == ClassEntry && !req.Admitted && req.Waiting == 0 && len(req.Tried) == 0
+// count counts a caller's request once towards the spill rules, however often it
+// is decided on.
+func (t *Table) count(req *Request) {
+	if req.counted || req.Class != ClassEntry || len(req.Tried) > 0 {
+		return
+	}
+	req.counted = true
+	t.spill.arrived()
 }
 
 // choice is the best local upstream, if any.
--- a/pkg/route/request.go
+++ b/pkg/route/request.go
@@ -29,7 +29,8 @@
 	ClassDomain
 )
 
-// Request is what a decision needs to know of a request.
+// Request is what a decision needs to know of a request. Use the same one for all
+// decisions on a request.
 type Request struct {
 	// Caller is who sent it. Never nil.
 	Caller *config.Caller
@@ -63,6 +64,8 @@
 	// Admitted says that the request has left this gateway's queue: upstreams at
 	// which the gateway's limit is reached are then not picked.
 	Admitted bool
+	// counted is set once the request has been counted towards the spill rules.
+	counted bool
 }
 
 // Decision is where a request goes. Exactly one of Upstream and Domain is set.
--- a/pkg/route/spill_test.go
+++ b/pkg/route/spill_test.go
@@ -146,14 +146,14 @@
 		table := w.advance(100 * time.Millisecond)
 		for roll := range uint64(10) {
 			arrived++
-			if w.decide(t, table, roll) {
-				sent++
-				continue
-			}
-			again := request("ra", "rb")
-			again.Waiting = time.Second
-			if decision, _ := w.pick(table, again); decision.Domain != nil {
-				sent++
+			req := request("ra", "rb")
+			req.Roll = roll
+			for _, waiting := range []time.Duration{0, time.Second} {
+				req.Waiting = waiting
+				if decision, _ := w.pick(table, req); decision.Domain != nil {
+					sent++
+					break
+				}
 			}
 		}
 	}
