Give back credit with each word from a domain

What was sent between the last two digests was still held against the newest one, since it might not be counted there yet. That halves the credit all the time, and the predicted wait at the other domain already counts it.

None is held over now.

--- a/pkg/route/ledger.go
+++ b/pkg/route/ledger.go
@@ -27,15 +27,13 @@
 // ledger counts what was sent to one pool of one domain.
 type ledger struct {
 	heard time.Time // guarded by SpillState.mu
-	// current counts requests sent since the newest digest, previous those sent
-	// between the two newest: the newest digest may not count them yet.
-	current, previous atomic.Int64
-	strongAt          atomic.Int64
+	// current counts requests sent since the domain was last heard from.
+	current  atomic.Int64
+	strongAt atomic.Int64
 }
 
 func (l *ledger) send()                { l.current.Add(1) }
-func (l *ledger) used() int            { return int(l.current.Load() + l.previous.Load()) }
-func (l *ledger) unconfirmed() int     { return l.used() }
+func (l *ledger) used() int            { return int(l.current.Load()) }
 func (l *ledger) strong(now time.Time) { l.strongAt.Store(now.UnixNano()) }
 func (l *ledger) lastStrong() time.Time {
 	return time.Unix(0, l.strongAt.Load())
@@ -57,7 +55,7 @@
 	}
 	if digest.HeardAt.Sub(l.heard) >= creditInterval {
 		l.heard = digest.HeardAt
-		l.previous.Store(l.current.Swap(0))
+		l.current.Store(0)
 	}
 	return l
 }
--- a/pkg/route/remote.go
+++ b/pkg/route/remote.go
@@ -117,7 +117,7 @@
 
 // estimate predicts a request's course in another domain, its caches taken as cold.
 func (r *remote) estimate(req *Request) Estimate {
-	ahead := float64(r.state.Busy + r.state.Waiting + r.ledger.unconfirmed())
+	ahead := float64(r.state.Busy + r.state.Waiting + r.ledger.used())
 	e := Estimate{Link: 2 * r.link, AtUpstream: ahead}
 	slots := float64(r.state.Slots)
 	if req.Kind == config.KindService {
