Flush a whole answer before the request's log line is written

Cause: a short answer left only when the handler returned, after formatting and writing the log line.

--- a/pkg/gateway/bed_test.go
+++ b/pkg/gateway/bed_test.go
@@ -30,7 +30,7 @@
 // bed is two failure domains in two regions, with a gateway each, two engines and
 // a service in the north, and one of each in the south.
 type bed struct {
-	t        *testing.T
+	t        testing.TB
 	security settings.Security
 	journal  *journal.Journal
 	engines  map[string]*engine.Engine
@@ -49,13 +49,13 @@
 	roamerKey   = "key-roamer"   // may be served in the south alone
 )
 
-func newBed(t *testing.T) *bed {
+func newBed(t testing.TB) *bed {
 	t.Helper()
 	return newSecuredBed(t, settings.Security{PlaintextLoopback: true})
 }
 
 // newSecuredBed links the gateways by the given material.
-func newSecuredBed(t *testing.T, security settings.Security) *bed {
+func newSecuredBed(t testing.TB, security settings.Security) *bed {
 	t.Helper()
 	b := &bed{t: t, security: security, journal: journal.New(), engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}}
 	b.declare()
@@ -207,7 +207,7 @@
 func (b *bed) ran() int { return len(b.journal.Entries("")) }
 
 // closedAddress is an address at which nothing listens.
-func closedAddress(t *testing.T) string {
+func closedAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -218,7 +218,7 @@
 
 // cutter passes connections on to target. It cuts each after so many bytes of the
 // request or of the answer; a negative number means never.
-func cutter(t *testing.T, target string, requestBytes, answerBytes int64) string {
+func cutter(t testing.TB, target string, requestBytes, answerBytes int64) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -276,7 +276,7 @@
 }
 
 // requestOf is a chat request of a caller as the API hands it over.
-func (g *Gateway) requestOf(t *testing.T, caller string) *dispatch.Request {
+func (g *Gateway) requestOf(t testing.TB, caller string) *dispatch.Request {
 	known, ok := g.config.Load().Caller(caller)
 	if !ok {
 		t.Fatal("no caller " + caller)
@@ -290,7 +290,7 @@
 	cut     atomic.Bool
 }
 
-func newSwitchedLink(t *testing.T, target string) *switchedLink {
+func newSwitchedLink(t testing.TB, target string) *switchedLink {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -157,10 +157,8 @@
 	})
 	a.sink.begin(response.StatusCode)
 	a.sink.Whole = true
-	if len(data) == 0 {
-		return nil
-	}
-	if err := a.sink.put(data); err != nil {
+	// Flushed here, the answer does not wait for the request's log line.
+	if err := a.sink.write(data); err != nil {
 		return a.callerFailed(err)
 	}
 	return nil
