Pass on only the path and query of a request line

Cause: a request line with a whole URL was appended to the upstream's address as it stood. TestOnlyPathAndQueryArePassedOn failed first. The check for paths that another party may resolve differently stood twice, here and in config.Index.Match; the second stays. Such a path is still refused before anything is sent; two rows of TestRefusals now expect its reason, unknown-route with 404, in place of bad-request with 400.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -114,8 +114,8 @@
 		{name: "too large", method: post, path: "/log/uploads", body: strings.Repeat("x", testMaxBody+1), fields: with(), status: 413, reason: outcome.ReasonTooLarge},
 		{name: "undeclared prefix", method: get, path: "/elsewhere", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
 		{name: "undeclared method", method: http.MethodDelete, path: "/log/uploads", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
-		{name: "path out of its route", method: get, path: "/log/e/../uploads", fields: with(), status: 400, reason: outcome.ReasonBadRequest},
-		{name: "encoded path out of its route", method: get, path: "/log/e/%2e%2e/uploads", fields: with(), status: 400, reason: outcome.ReasonBadRequest},
+		{name: "path out of its route", method: get, path: "/log/e/../uploads", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
+		{name: "encoded path out of its route", method: get, path: "/log/e/%2e%2e/uploads", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
 		{name: "peer without class", method: post, path: chat, body: goodChat, fields: fromPeerWith(header.Class, "entry"), peers: true, status: 508, reason: outcome.ReasonLoop},
 		{name: "peer of this domain", method: post, path: chat, body: goodChat, fields: fromPeerWith(header.Origin, "here"), peers: true, status: 508, reason: outcome.ReasonLoop},
 		{name: "peer with a newer configuration", method: post, path: chat, body: goodChat, fields: fromPeerWith(header.Revision, "6"), peers: true, status: 409, reason: outcome.ReasonStaleRevision},
@@ -251,3 +251,13 @@
 		is.Equal(time.Since(start), relay.WriteTimeout)
 	})
 }
+
+// A request line may name a whole URL; only its path and query are passed on.
+func TestOnlyPathAndQueryArePassedOn(t *testing.T) {
+	is := is.New(t)
+	server, fake := newTestServer()
+	request := httptest.NewRequest(http.MethodGet, "http://elsewhere:1/log/e/a%2Fb?x=%20y", nil)
+	request.Header = with()
+	server.Callers().Handler.ServeHTTP(httptest.NewRecorder(), request)
+	is.Equal(fake.got.URI, "/log/e/a%2Fb?x=%20y")
+}
