Tell a gateway at once only who is there, and loads when the exchange is due

Cause: an agent's exchange with its gateway brings back the gateway's load; under traffic that differs each time, so it changed the members, which asked for the next exchange at once: the two exchanged whole sections every 20 ms or so, the more requests the faster. The same held for each report of an upstream and each heartbeat of a peer.

Now an instance's or an upstream's coming, going or leaving, a new life and a successor for idempotency keys are told at once; loads go with the exchange that comes every ExchangeInterval (400 ms) in any case.

The price: a load is known up to 0.4 s later.

--- a/pkg/agent/tend.go
+++ b/pkg/agent/tend.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"reflect"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,14 +55,17 @@
 	}
 }
 
-// publish writes the sections that have changed, and tells the gateway.
+// publish writes the sections that have changed. The gateway is told at once of
+// who is there and who is leaving; loads change all the time, its own with each
+// request, and go with the next exchange that is due.
 func (a *Agent) publish(now time.Time) {
 	a.publishPlatform(now)
 	members, upstreams, domains := a.mesh.snapshot(now, a.ownUpstreams())
-	changed := store(&a.board.Members, members, sameMembers, a.stale(now, &a.published.members))
-	changed = store(&a.board.Upstreams, upstreams, sameUpstreams, a.stale(now, &a.published.upstreams)) || changed
-	changed = store(&a.board.Domains, domains, sameDomains, a.stale(now, &a.published.domains)) || changed
-	if changed {
+	urgent := !sameStanding(a.board.Members.Load(), members) || !sameStates(a.board.Upstreams.Load(), upstreams)
+	store(&a.board.Members, members, sameMembers, a.stale(now, &a.published.members))
+	store(&a.board.Upstreams, upstreams, sameUpstreams, a.stale(now, &a.published.upstreams))
+	store(&a.board.Domains, domains, sameDomains, a.stale(now, &a.published.domains))
+	if urgent {
 		a.exchange.raise()
 	}
 }
@@ -80,16 +84,29 @@
 	}
 }
 
-// store swaps a section when its content changed, or when it is due; it says
-// whether the content changed.
-func store[T any](section *board.Section[T], value *T, same func(a, b *T) bool, due func(stored bool) bool) bool {
+// store swaps a section when its content changed, or when it is due.
+func store[T any](section *board.Section[T], value *T, same func(a, b *T) bool, due func(stored bool) bool) {
 	before := section.Load()
-	changed := before == nil || !same(before, value)
-	if changed || due(false) {
+	if before == nil || !same(before, value) || due(false) {
 		section.Store(value)
 		due(true)
 	}
-	return changed
+}
+
+// sameStanding says whether the same instances are there, in the same state and
+// the same lives.
+func sameStanding(a, b *board.Members) bool {
+	return a != nil && slices.EqualFunc(a.Instances, b.Instances, func(x, y board.Instance) bool {
+		x.LastHeard, y.LastHeard = time.Time{}, time.Time{}
+		successor := x.Load.Successor == y.Load.Successor
+		x.Load, y.Load = board.GatewayLoad{}, board.GatewayLoad{}
+		return successor && reflect.DeepEqual(x, y)
+	})
+}
+
+// sameStates says whether the same upstreams are there, in the same state.
+func sameStates(a, b *board.Upstreams) bool {
+	return a != nil && maps.EqualFunc(a.ByName, b.ByName, func(x, y board.UpstreamLoad) bool { return x.State == y.State })
 }
 
 func sameMembers(a, b *board.Members) bool {
--- /dev/null
+++ b/pkg/agent/tend_test.go
@@ -0,0 +1,79 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+	"github.com/lilacweir/lilacweir/pkg/spread"
+)
+
+// A gateway's load differs at each exchange while it serves. Were each difference
+// a reason for the next exchange, the two would never rest.
+func TestOnlyStandingIsToldAtOnce(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	cases := []struct {
+		name   string
+		change func(a *Agent)
+		want   bool
+	}{
+		{"nothing", func(*Agent) {}, false},
+		{"own load", func(a *Agent) { a.mesh.setLoad(board.GatewayLoad{Requests: 8}, nil) }, false},
+		{"a peer's load", func(a *Agent) {
+			a.mesh.receive(&control.Beat{From: "a-2", Epoch: 5, Sequence: 2, UpTo: 2, Facts: control.Facts{Load: &board.GatewayLoad{Requests: 3}}}, now)
+		}, false},
+		{"an upstream's load", func(a *Agent) {
+			a.mesh.setUpstream(board.UpstreamLoad{Name: "u-1", State: board.UpstreamLive, Running: 4})
+		}, false},
+		{"an upstream that leaves", func(a *Agent) { a.mesh.setMark("u-1", true) }, true},
+		{"an upstream that is silent", func(a *Agent) {
+			a.mesh.setUpstream(board.UpstreamLoad{Name: "u-1", State: board.UpstreamSilent})
+		}, true},
+		{"a gateway that leaves", func(a *Agent) { a.mesh.setGateway(9, true, now) }, true},
+		{"a peer that leaves", func(a *Agent) { a.mesh.goodbye("a-2", 5, now) }, true},
+		{"a successor for idempotency keys", func(a *Agent) {
+			a.mesh.setLoad(board.GatewayLoad{Requests: 7, Successor: "a-2"}, nil)
+		}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := settled(t, now)
+			c.change(a)
+			a.publish(now)
+			is.Equal(len(a.exchange) == 1, c.want)
+		})
+	}
+}
+
+// settled is an agent with one peer and one upstream, whose gateway knows all.
+func settled(t *testing.T, now time.Time) *Agent {
+	t.Helper()
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	is.New(t).NoErr(err)
+	a := New(Options{
+		Settings: &settings.Instance{Instance: "a-1", Domain: "a", Region: "r"},
+		Mesh:     network, Local: network, Log: zerolog.Nop(), Registry: metrics.NewRegistry(), Epoch: 1,
+	})
+	u := config.Upstream{Name: "u-1", Kind: config.KindEngine, Serves: "m", Domain: "a"}
+	a.keeper.Offer(&config.Head{Revision: 1, Declaration: &config.Declaration{Upstreams: []config.Upstream{u}}}, spread.SourcePlatform)
+	a.mesh.receive(&control.Beat{From: "a-2", Epoch: 5, Sequence: 1, UpTo: 1, Facts: control.Facts{
+		Identity: &member.Identity{Name: "a-2", Domain: "a", Region: "r", Epoch: 5},
+	}}, now)
+	a.mesh.setGateway(9, false, now)
+	a.mesh.setLoad(board.GatewayLoad{Requests: 7}, nil)
+	a.mesh.setUpstream(board.UpstreamLoad{Name: "u-1", State: board.UpstreamLive, Running: 3})
+	a.publish(now)
+	for len(a.exchange) > 0 {
+		<-a.exchange
+	}
+	return a
+}
