Decide on a request with one route.Request, and tell it the length of each prefix

Each attempt built the request anew, so a retried one counted again towards the spill rules' percents, and prefixes were taken as equally long messages.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -167,6 +167,9 @@
 	got := fake.got
 	is.Equal(got.ID, "app~mine~1") // another caller's or another try's "mine" is another ID
 	is.Equal(got.CallerID, "mine")
+	is.Equal(got.PrefixTokens, []int{1})
+	is.Equal(got.PromptTokens, 1)
+	is.Equal(len(got.Prefixes), 1)
 	is.Equal(got.URI, "/v1/chat/completions?trace=1")
 	is.True(got.Repeatable)
 	is.Equal(string(got.Body), `{"priority":"high",`+goodChat[1:])
--- a/pkg/api/chat.go
+++ b/pkg/api/chat.go
@@ -55,6 +55,7 @@
 	request.Kind = config.KindEngine
 	request.Repeatable = true
 	request.Prefixes = prefix.Hashes(body.Messages)
+	request.PrefixTokens = prefix.TokensUpTo(body.Messages)
 	request.PromptTokens = prefix.Tokens(body.Messages)
 	return nil
 }
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -34,13 +34,15 @@
 type way struct {
 	*Gateway
 	request *dispatch.Request
+	// query is the request as decisions see it, the same for all of them.
+	query route.Request
 	// release gives back the place that admission granted; nil before.
 	release func()
 }
 
 // Route implements dispatch.Router.
 func (g *Gateway) Route(request *dispatch.Request) dispatch.Route {
-	return &way{Gateway: g, request: request}
+	return &way{Gateway: g, request: request, query: newQuery(request)}
 }
 
 // End implements dispatch.Route.
@@ -52,9 +54,10 @@
 
 // Next implements dispatch.Route.
 func (w *way) Next(ctx context.Context, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
-	query := w.query(w.request, tried)
+	w.query.Tried = w.suspects.exhausted(w.board.Domains.Load(), tried)
+	w.query.Version = w.request.Version
 	if w.release == nil {
-		elsewhere, refusal := w.admit(ctx, &query)
+		elsewhere, refusal := w.admit(ctx)
 		if refusal != nil {
 			return dispatch.Choice{}, nil, refusal
 		}
@@ -62,22 +65,22 @@
 			return w.forward(elsewhere, tried)
 		}
 	}
-	query.Admitted = true
-	return w.place(&query, tried)
+	w.query.Admitted = true
+	return w.place(tried)
 }
 
 // admit decides whether the request stays in this domain, and if so waits for its
 // turn. It returns the decision when the request goes elsewhere.
-func (w *way) admit(ctx context.Context, query *route.Request) (*route.Decision, *outcome.Refusal) {
-	decision, refusal := w.pick(query)
+func (w *way) admit(ctx context.Context) (*route.Decision, *outcome.Refusal) {
+	decision, refusal := w.pick()
 	if refusal != nil || decision.Domain != nil {
 		return &decision, refusal
 	}
 	ticket := w.ticket(&decision)
 	if wait := w.queue.Predict(ticket); wait > 0 {
-		query.Waiting = wait
-		decision, refusal = w.pick(query)
-		query.Waiting = 0
+		w.query.Waiting = wait
+		decision, refusal = w.pick()
+		w.query.Waiting = 0
 		if refusal != nil || decision.Domain != nil {
 			return &decision, refusal
 		}
@@ -88,8 +91,8 @@
 	return nil, refusal
 }
 
-func (w *way) pick(query *route.Request) (route.Decision, *outcome.Refusal) {
-	return w.table.Load().Pick(query, localLoad{w.Gateway}, source{}, w.clock.Now())
+func (w *way) pick() (route.Decision, *outcome.Refusal) {
+	return w.table.Load().Pick(&w.query, localLoad{w.Gateway}, source{}, w.clock.Now())
 }
 
 func (w *way) ticket(decision *route.Decision) admission.Ticket {
@@ -108,9 +111,9 @@
 }
 
 // place takes a place at an upstream, or chooses another domain after all.
-func (w *way) place(query *route.Request, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
+func (w *way) place(tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
 	for range placeRetries {
-		decision, refusal := w.pick(query)
+		decision, refusal := w.pick()
 		if refusal != nil {
 			return dispatch.Choice{}, nil, refusal
 		}
@@ -127,20 +130,18 @@
 	return dispatch.Choice{}, nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, placeRetry, "this gateway's limit is reached at every usable upstream")
 }
 
-// query is the request as decisions see it.
-func (g *Gateway) query(request *dispatch.Request, tried []string) route.Request {
+// newQuery returns the request as decisions see it.
+func newQuery(request *dispatch.Request) route.Request {
 	query := route.Request{
 		Caller:       request.Caller,
 		Serves:       request.Serves,
 		Kind:         request.Kind,
-		Version:      request.Version,
 		Prefixes:     request.Prefixes,
 		PrefixTokens: request.PrefixTokens,
 		PromptTokens: request.PromptTokens,
 		MaxTokens:    request.MaxTokens,
 		Deadline:     request.Deadline,
 		Origin:       request.Origin,
-		Tried:        g.suspects.exhausted(g.board.Domains.Load(), tried),
 		Roll:         request.Roll,
 	}
 	if request.Origin != "" {
--- a/pkg/prefix/prefix.go
+++ b/pkg/prefix/prefix.go
@@ -37,5 +37,19 @@
 	for _, message := range messages {
 		total += len(message.Content)
 	}
-	return (total + bytesPerToken - 1) / bytesPerToken
+	return tokensOf(total)
 }
+
+// TokensUpTo estimates the tokens at the end of each message: element i covers
+// messages 0 to i, as in Hashes.
+func TokensUpTo(messages []Message) []int {
+	tokens := make([]int, len(messages))
+	total := 0
+	for i, message := range messages {
+		total += len(message.Content)
+		tokens[i] = tokensOf(total)
+	}
+	return tokens
+}
+
+func tokensOf(bytes int) int { return (bytes + bytesPerToken - 1) / bytesPerToken }
