Answer a caller without waiting for the decider of its key

A short answer, and every refusal, stayed in the server's buffer until the decider of the key had been told how the run ended: one round trip between regions in the best case, and up to the bound of three seconds with the decider frozen. The report now goes out beside the answer when the decider is another process; a shutdown waits for it, as it counts as work in hand. A gateway that decides the key itself still records before it answers.

TestAnswerDoesNotWaitForTheRecord fails without (0 != 1, 3.00 s for each of three cases: the report was over, by its bound, before the answer) and passes with it. What changes for callers: a repeat through another instance that overtakes the report is told idempotency-key-in-progress, with when to come back.

--- a/pkg/claim/coordinator.go
+++ b/pkg/claim/coordinator.go
@@ -120,9 +120,9 @@
 	decision, decider := c.begin(ctx, key, claim)
 	switch decision.Verdict {
 	case VerdictGranted:
-		return &Grant{end: func(ctx context.Context, result Result) {
+		return NewGrant(decider == nil, func(ctx context.Context, result Result) {
 			c.finish(ctx, key, claim, result, decider)
-		}}, nil, nil
+		}), nil, nil
 	case VerdictRecorded:
 		return nil, decision.Recorded, nil
 	default:
@@ -136,7 +136,7 @@
 		decision = c.unlessLost(decision)
 		return nil, decision.Recorded, decision.Refusal
 	}
-	return &Grant{end: func(ctx context.Context, result Result) { c.store.Finish(ctx, ticket, result) }}, nil, nil
+	return NewGrant(false, func(ctx context.Context, result Result) { c.store.Finish(ctx, ticket, result) }), nil, nil
 }
 
 // idBytes makes IDs of 128 random bits.
--- a/pkg/dispatch/claim.go
+++ b/pkg/dispatch/claim.go
@@ -55,11 +55,7 @@
 	// One byte more than is kept for repeats shows that an answer was longer.
 	r.sink.Copy = &relay.Copy{Limit: claim.MaxStoredBody + 1}
 	result := claim.Result{Outcome: outcome.Unknown}
-	defer func() {
-		finishing, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
-		defer cancel()
-		grant.Finish(finishing, result)
-	}()
+	defer func() { r.report(ctx, grant, result) }()
 	refusal := r.serve(ctx, work)
 	switch {
 	case refusal == nil || r.sink.Whole:
@@ -70,6 +66,25 @@
 	return refusal
 }
 
+// report tells the decider of the key how the run ended. The caller's answer does
+// not wait for a decider elsewhere, but a shutdown does.
+func (r *run) report(ctx context.Context, grant *claim.Grant, result claim.Result) {
+	finish := func() {
+		finishing, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		grant.Finish(finishing, result)
+	}
+	if grant.Local() {
+		finish()
+		return
+	}
+	r.Metrics.Active.Inc(1)
+	go func() {
+		defer r.Metrics.Active.Dec(1)
+		finish()
+	}()
+}
+
 func answerOf(kept *relay.Copy) claim.Result {
 	result := claim.Result{Outcome: outcome.Complete, Status: kept.Status, Body: kept.Body}
 	if kept.ContentType != "" {
--- /dev/null
+++ b/pkg/dispatch/claim_test.go
@@ -0,0 +1,73 @@
+package dispatch_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/claim"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/trace"
+)
+
+// slowClaims grants every claim; the end of a run is taken in only after the
+// caller has been answered, or when the time for it is over.
+type slowClaims struct {
+	answered chan struct{}
+	ended    chan claim.Result
+	late     bool
+}
+
+func (s *slowClaims) Begin(context.Context, claim.Claim) (*claim.Grant, *claim.Recorded, *outcome.Refusal) {
+	return claim.NewGrant(false, func(ctx context.Context, result claim.Result) {
+		select {
+		case <-s.answered:
+		case <-ctx.Done():
+			s.late = true
+		}
+		s.ended <- result
+	}), nil, nil
+}
+
+// The answer to a caller does not wait for the decider of its key, which may be
+// frozen, and the gateway does not end before the decider was told.
+func TestAnswerDoesNotWaitForTheRecord(t *testing.T) {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, address)
+	}
+	for step, want := range map[string]outcome.Outcome{answers: outcome.Complete, refuses: outcome.NotRun, dies: outcome.Unknown} {
+		t.Run(step, func(t *testing.T) {
+			is := is.New(t)
+			upstream := &script{steps: []string{step}}
+			server := httptest.NewServer(upstream)
+			defer server.Close()
+			upstream.address = server.Listener.Addr().String()
+			client := relay.NewClient(dial, dial)
+			defer client.Close()
+			claims := &slowClaims{answered: make(chan struct{}), ended: make(chan claim.Result, 1)}
+			d := &dispatch.Dispatcher{
+				Router: upstream, Claims: claims, Client: client, Log: zerolog.Nop(), Trace: trace.NewLog(1),
+				Metrics: dispatch.NewMetrics(metrics.NewRegistry()), Now: time.Now, Domain: "here",
+			}
+			request := &dispatch.Request{
+				ID: "r", CallerID: "r", Caller: &config.Caller{Name: "app"}, Kind: config.KindService,
+				Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: []byte("x"), IdempotencyKey: "k",
+			}
+			d.Serve(context.Background(), request, relay.NewSink(httptest.NewRecorder(), time.Now))
+			is.Equal(d.Metrics.Active.Count(), int64(1)) // a shutdown waits for the record
+			close(claims.answered)
+			is.Equal((<-claims.ended).Outcome, want)
+			is.True(!claims.late)
+		})
+	}
+}
