--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"reflect"
 	"sync"
 	"time"
@@ -251,7 +250,7 @@
 	var sum uint64
 	for _, peer := range peers {
 		// A sum does not depend on the order, which differs between instances.
-		sum += xxhash.Sum64String(fmt.Sprintf("%s %s", peer.Name, peer.Mesh))
+		sum += xxhash.Sum64String(peer.Name + " " + peer.Mesh)
 	}
 	return sum
 }
--- /dev/null
+++ b/scripts/measure-agent.sh
@@ -0,0 +1,102 @@
+#!/usr/bin/env bash
+# Measures the control path on the wellness deployment as real processes: the time
+# from a change's command to "in force 7/7", on a whole network and with larisa-hall
+# cut off from the platform but not from its neighbours; and each agent's processor
+# time, memory and bytes while no caller sends anything.
+#
+# Usage: scripts/measure-agent.sh [NET]: the second octet of all addresses (10).
+set -Eeuo pipefail
+cd "$(dirname "$0")/.."
+
+net=${1:-10}
+rounds=10       # a drain and an undrain each
+idle_seconds=30 # the idle sample
+admin=127.$net.0.1:7000
+operators=127.$net.1.1:8091
+run=$(mktemp -d)
+declare -A agents
+started=()
+
+start() {
+  "${@:2}" >"$run/$1.log" 2>&1 &
+  started+=($!)
+}
+
+finish() {
+  local pid
+  for pid in "${started[@]:1}" "${started[0]}"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  wait || true
+  rm -rf "$run"
+}
+trap finish EXIT
+
+# change VERB: prints the milliseconds until the reply that says 7/7, or the reply.
+change() {
+  local from to reply
+  from=$(date +%s%N)
+  reply=$(bin/lilacweir run -s "$operators" -o eleni "$1 nurse-per-1" | head -1)
+  to=$(date +%s%N)
+  case $reply in
+    *"in force 7/7") echo "$(((to - from) / 1000000))" ;;
+    *) echo "not in force everywhere: $reply" ;;
+  esac
+}
+
+in_force() {
+  local n
+  for ((n = 0; n < rounds; n++)); do
+    change drain
+    change undrain
+  done >"$run/times"
+  if grep -v '^[0-9]*$' "$run/times"; then
+    echo "$1: failed"
+    return 1
+  fi
+  sort -n "$run/times" | awk -v name="$1" '{ t[NR] = $1 }
+    END { printf "%s: %d changes, in force 7/7 after ms: least %d, median %d, most %d\n", name, NR, t[1], t[int((NR + 1) / 2)], t[NR] }'
+}
+
+# sample: name, clock ticks, resident kB, bytes received and sent.
+sample() {
+  local name address
+  for name in "${!agents[@]}"; do
+    address=$(sed -n 's/^ *operators: *//p' "$run/$name.yaml")
+    echo "$name $(awk '{ print $14 + $15 }' "/proc/${agents[$name]}/stat")" \
+      "$(awk '/^VmRSS/ { print $2 }' "/proc/${agents[$name]}/status")" \
+      "$(curl -s "http://$address/metrics" | awk '/^lilacweir_agent_bytes_links_received/ { r = $2 }
+        /^lilacweir_agent_bytes_links_sent/ { s = $2 } END { printf "%d %d", r, s }')"
+  done | sort
+}
+
+mkdir -p bin
+go build -o bin/ ./cmd/...
+bin/lilacweir-standin plan deploy/wellness/topology.yaml --net "$net" --out "$run"
+export LILACWEIR_KEY=key-eleni
+start standin bin/lilacweir-standin run "$run/standin.yaml"
+gateways=()
+for file in $(grep -l '^instance:' "$run"/*.yaml); do
+  name=$(basename "$file" .yaml)
+  start "$name-gateway" bin/lilacweir-gateway run "$file"
+  start "$name-agent" bin/lilacweir-agent run "$file"
+  agents[$name]=$!
+  gateways+=(-g "$(sed -n 's/^ *callers: *//p' "$file")")
+done
+bin/lilacweir wait "${gateways[@]}" --state no-configuration --state serving --platform
+bin/lilacweir apply -c "$run/operator.yaml" "$run/declaration.yaml" | tail -1
+bin/lilacweir wait "${gateways[@]}"
+
+echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
+in_force "whole network"
+bin/lilacweir-standin ctl "$admin" cut larisa-hall platform both
+in_force "larisa-hall cut off from the platform"
+bin/lilacweir-standin ctl "$admin" heal larisa-hall platform both
+
+sample >"$run/before"
+sleep "$idle_seconds"
+sample >"$run/after"
+ticks=$(getconf CLK_TCK)
+join "$run/before" "$run/after" | awk -v s="$idle_seconds" -v hz="$ticks" '
+  { printf "%s idle: %.2f %% of a core, %.1f MB resident, %d B/s received, %d B/s sent\n",
+    $1, 100 * ($6 - $2) / hz / s, $7 / 1024, ($8 - $4) / s, ($9 - $5) / s }'
