--- a/pkg/capacity/report.go
+++ b/pkg/capacity/report.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## Control traffic of one node, mean share, every load changing\n\n")
+	text.WriteString("### Control traffic of one node, mean share, every load changing\n\n")
 	text.WriteString("| role | what | events/s | B/s sent | B/s received | worked out from |\n|---|---|---|---|---|---|\n")
 	var sent, received float64
 	for _, term := range terms {
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## One agent, from real processes\n\n| state | CPU, % of a core | memory, MB | against the budget |\n|---|---|---|---|\n")
+	text.WriteString("### One agent, from real processes\n\n| state | CPU, % of a core | memory, MB | against the budget |\n|---|---|---|---|\n")
 	for _, p := range processes {
 		fmt.Fprintf(text, "| %s | %.2f | %.1f | %s; %s |\n", p.State, p.CPU, p.Memory/megabyte,
 			against(p.CPU, t.Budget.CPU, "%"), against(p.Memory/megabyte, t.Budget.Memory/megabyte, "MB"))
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## The key-value service, an ordinary day\n\n| what | reads/s | writes/s | waiting watches | worked out from |\n|---|---|---|---|---|\n")
+	text.WriteString("### The key-value service, an ordinary day\n\n| what | reads/s | writes/s | waiting watches | worked out from |\n|---|---|---|---|---|\n")
 	var sum CallRates
 	for _, c := range calls {
 		fmt.Fprintf(text, "| %s | %.3g | %.3g | %.0f | %s |\n", c.What, c.Reads, c.Writes, c.Watches, c.Source)
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## State held\n\n| who | what | size | worked out from |\n|---|---|---|---|\n")
+	text.WriteString("### State held\n\n| who | what | size | worked out from |\n|---|---|---|---|\n")
 	for _, one := range state {
 		fmt.Fprintf(text, "| %s | %s | %s | %s |\n", one.Role, one.What, size(one.Bytes), one.Source)
 	}
@@ -111,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## One gateway at the peak\n\n| what | figure |\n|---|---|\n")
+	text.WriteString("### One gateway at the peak\n\n| what | figure |\n|---|---|\n")
 	fmt.Fprintf(text, "| requests a second | %.1f |\n| chunks a second | %.0f |\n| answers in flight | %.0f |\n", g.Requests, g.Tokens, g.InFlight)
 	fmt.Fprintf(text, "| CPU, %% of a core | %.0f |\n| memory, MB | %.0f |\n", g.CPU, g.Memory/megabyte)
 	fmt.Fprintf(text, "| choice of an upstream, µs | %.2f |\n| fair queueing with all organisations waiting, µs | %.1f |\n| making of the routing table, ms | %.2f |\n\n",
@@ -129,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## From accepted to in force, worst of each run, loopback without delays\n\n| along | worked out at | ms | against the bound |\n|---|---|---|---|\n")
+	text.WriteString("### From accepted to in force, worst of each run, loopback without delays\n\n| along | worked out at | ms | against the bound |\n|---|---|---|---|\n")
 	for _, one := range times {
 		fmt.Fprintf(text, "| %s | %.3g | %.0f | %s |\n", one.Along, one.Size, one.Took.Seconds()*millis,
 			against(one.Took.Seconds(), t.InForce.Seconds(), "s"))
@@ -145,7 +145,7 @@
 	if err != nil {
 		return err
 	}
-	text.WriteString("## Bad days\n\n| day | what | figure | worked out from |\n|---|---|---|---|\n")
+	text.WriteString("### Bad days\n\n| day | what | figure | worked out from |\n|---|---|---|---|\n")
 	for _, one := range days {
 		fmt.Fprintf(text, "| %s | %s | %s | %s |\n", one.Day, one.What, one.Figure, one.Source)
 	}
