Give work again to an upstream that said it was leaving and came back

Found by the scenario of leaving upstreams: an engine that had announced that it was leaving and took the announcement back got no work for as long as the gateway ran. Cause: a gateway lifts its mark when the upstream is reported live, but its agent joins that very mark into the state that it reports, so the state stayed leaving. Ruled out: the engine's reports (its agent polled it as live) and the list (it said live all the time). TestLeavingUpstreamGetsNoNewWorkAtOnce failed first ("it came back"); it now also checks that an upstream that says itself that it leaves stays marked.

--- a/pkg/agent/mesh_ask.go
+++ b/pkg/agent/mesh_ask.go
@@ -132,7 +132,7 @@
 		}
 		load := entry.load
 		if leaving[name] && load.State == board.UpstreamLive {
-			load.State = board.UpstreamLeaving
+			load.State, load.Marked = board.UpstreamLeaving, true
 		}
 		byName[name] = load
 	}
--- a/pkg/agent/mesh_test.go
+++ b/pkg/agent/mesh_test.go
@@ -200,3 +200,19 @@
 		}
 	})
 }
+
+// The gateway that marked an upstream as leaving lifts the mark by the upstream's
+// own report, which the mark must not hide.
+func TestMarkLeavesTheOwnReportVisible(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	m := testMesh("lar-1", 1, now)
+	m.setUpstream(board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamLive, ReportedAt: now})
+	m.setMark("nurse-1", true)
+	_, upstreams, _ := m.snapshot(now, []string{"nurse-1"})
+	is.Equal(upstreams.ByName["nurse-1"].State, board.UpstreamLeaving)
+	is.True(upstreams.ByName["nurse-1"].Marked)
+	m.setUpstream(board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamLeaving, ReportedAt: now})
+	_, upstreams, _ = m.snapshot(now, []string{"nurse-1"})
+	is.True(!upstreams.ByName["nurse-1"].Marked) // it says so itself
+}
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -117,6 +117,9 @@
 type UpstreamLoad struct {
 	Name  string
 	State UpstreamState
+	// Marked is true when State is leaving by a mark of the platform's list or of
+	// a gateway, while the upstream's own report says that it is live.
+	Marked bool
 	// Running and Queued count requests at the upstream.
 	Running, Queued int
 	// DecodeRate is tokens a second for one stream at the present batch; zero
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -164,9 +164,19 @@
 	stale := &board.Upstreams{ByName: map[string]board.UpstreamLoad{"nurse-n2": {State: board.UpstreamLive, ReportedAt: time.Now()}}}
 	b.north.Exchange(control.ExchangeArgs{Upstreams: stale})
 	is.True(b.north.marks.marked("nurse-n2")) // an older live mark does not win
-	stale.ByName["nurse-n2"] = board.UpstreamLoad{State: board.UpstreamLive, ReportedAt: time.Now().Add(2 * markLife)}
+	later := time.Now().Add(2 * markLife)
+	stale.ByName["nurse-n2"] = board.UpstreamLoad{State: board.UpstreamLeaving, ReportedAt: later}
 	b.north.Exchange(control.ExchangeArgs{Upstreams: stale})
-	is.True(!b.north.marks.marked("nurse-n2")) // it came back
+	is.True(b.north.marks.marked("nurse-n2")) // it says itself that it leaves
+	for _, back := range []board.UpstreamLoad{
+		{State: board.UpstreamLive, ReportedAt: later},
+		{State: board.UpstreamLeaving, Marked: true, ReportedAt: later}, // this gateway's own mark
+	} {
+		b.north.marks.mark("nurse-n2", time.Now())
+		stale.ByName["nurse-n2"] = back
+		b.north.Exchange(control.ExchangeArgs{Upstreams: stale})
+		is.True(!b.north.marks.marked("nurse-n2")) // it came back
+	}
 }
 
 func TestPermissionIsCheckedAgainBeforeTheUpstream(t *testing.T) {
--- a/pkg/gateway/marks.go
+++ b/pkg/gateway/marks.go
@@ -55,8 +55,9 @@
 	return names
 }
 
-// review lifts the marks of upstreams that were reported live well after they
-// had said that they were leaving: they came back.
+// review lifts the marks of upstreams that reported well after they had said
+// that they were leaving that they are live: they came back. The state joins all
+// marks, this one too, so the upstream's own report counts.
 func (m *leavingMarks) review(upstreams *board.Upstreams) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -67,7 +68,8 @@
 	next := maps.Clone(*present)
 	maps.DeleteFunc(next, func(name string, since time.Time) bool {
 		load, ok := upstreams.ByName[name]
-		return ok && load.State == board.UpstreamLive && load.ReportedAt.After(since.Add(markLife))
+		live := load.State == board.UpstreamLive || load.Marked
+		return ok && live && load.ReportedAt.After(since.Add(markLife))
 	})
 	m.since.Store(&next)
 }
