Show that a leaving upstream gets no new work

The stand-in engine learns "announce": it says that it leaves and goes on taking work, so that it is the gateway that has to stop.

--- a/pkg/standin/admin/command.go
+++ b/pkg/standin/admin/command.go
@@ -21,7 +21,7 @@
 delay FROM TO MS [both]      set the one-way delay
 kv down | up | slow MS | lose-answers N | compact | counts
 list lag MS | leaving NAME | staying NAME | remove NAME | add NAME DOMAIN [MESH]
-engine NAME ok | slow X | fail N | refuse N | die-after K | stall K | cross | truncate | leave | lie | no-resume | forget
+engine NAME ok | slow X | fail N | refuse N | die-after K | stall K | cross | truncate | leave | announce | lie | no-resume | forget
 service NAME ok | slow MS | fail N | refuse N | die N | stall N | leave
 journal [NAME]               what ran, JSON lines
 processed                    counts by failure domain and caller`
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -124,7 +124,7 @@
 // announce marks every answer of a leaving engine.
 func (e *Engine) announce(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if e.switches.load().leave {
+		if e.switches.load().leaving() {
 			c.Response().Header().Set(header.Leaving, header.True)
 		}
 		return next(c)
@@ -154,7 +154,7 @@
 		DecodeRate:  e.decodeRate(),
 		PrefillRate: e.settings.PrefillRate / now.slow,
 		Version:     version,
-		Leaving:     now.leave,
+		Leaving:     now.leaving(),
 		Prefixes:    e.cache.recent(),
 	}}
 }
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -28,6 +28,8 @@
 	verbTruncate = "truncate"
 	// verbLeave announces that the engine leaves; it takes no new request.
 	verbLeave = "leave"
+	// verbAnnounce announces that the engine leaves; it goes on taking requests.
+	verbAnnounce = "announce"
 	// verbLie reports an empty engine.
 	verbLie = "lie"
 	// verbNoResume refuses to resume.
@@ -49,10 +51,14 @@
 	cross    bool
 	truncate bool
 	leave    bool
+	announce bool
 	lie      bool
 	noResume bool
 }
 
+// leaving reports whether the engine says that it leaves.
+func (f faults) leaving() bool { return f.leave || f.announce }
+
 func noFaults() faults { return faults{slow: 1, dieAfter: never, stall: never} }
 
 // switches guards faults.
@@ -92,6 +98,8 @@
 		now.truncate = true
 	case verbLeave:
 		now.leave = true
+	case verbAnnounce:
+		now.announce = true
 	case verbLie:
 		now.lie = true
 	case verbNoResume:
--- a/test/scenario/deployment_test.go
+++ b/test/scenario/deployment_test.go
@@ -49,7 +49,8 @@
 	loads     map[string]*backgroundLoad
 	calls     map[string]*backgroundCall
 	// keys holds idempotency keys by the names that a script gave them.
-	keys map[string]string
+	keys    map[string]string
+	moments map[string]time.Time
 }
 
 // plan reserves a net and writes the settings of all processes.
@@ -64,6 +65,7 @@
 		name: name, number: number, holder: holder, directory: directory,
 		processes: make(map[string]*process), loads: make(map[string]*backgroundLoad),
 		calls: make(map[string]*backgroundCall), keys: make(map[string]string),
+		moments: make(map[string]time.Time),
 	}
 	topology := filepath.Join("..", "..", "deploy", name, "topology.yaml")
 	command := exec.Command(d.binary("lilacweir-standin"), "plan", topology, "--net", fmt.Sprint(number), "--out", directory)
--- /dev/null
+++ b/test/scenario/leaving_test.go
@@ -0,0 +1,86 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// markBound is how long after a leaving mark new work may still begin.
+const markBound = 3 * time.Second
+
+// moment notes the time under a name: moment NAME.
+func moment(d *deployment, args []string) (string, error) {
+	if len(args) != 1 {
+		return "", errUsage
+	}
+	d.moments[args[0]] = time.Now()
+	return "", nil
+}
+
+// work says what an upstream did around a moment, as its journal has it: work
+// UPSTREAM MOMENT. Requests began before the moment, of which some ended after it
+// (across), or within the bound of a leaving mark, or later; some are running now.
+// Elsewhere is what began later at other upstreams, unfinished what this one ended
+// otherwise than whole.
+func work(d *deployment, args []string) (string, error) {
+	const count = 2
+	if len(args) != count || d.moments[args[1]].IsZero() {
+		return "", errUsage
+	}
+	text, err := control(d, []string{"journal"})
+	if err != nil {
+		return text, err
+	}
+	var seen timeline
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var entry journal.Entry
+		if err := decoder.Decode(&entry); err != nil {
+			return text, fmt.Errorf("journal: %w", err)
+		}
+		if entry.Kind != journal.KindOrder {
+			seen.add(&entry, args[0], d.moments[args[1]])
+		}
+	}
+	return seen.String(), nil
+}
+
+// timeline counts requests around a moment.
+type timeline struct{ before, across, within, later, running, elsewhere, unfinished int }
+
+func (t *timeline) add(entry *journal.Entry, upstream string, moment time.Time) {
+	late := entry.Started.After(moment.Add(markBound))
+	if entry.Upstream != upstream {
+		if late {
+			t.elsewhere++
+		}
+		return
+	}
+	switch entry.Result {
+	case journal.ResultFinished:
+	case journal.ResultRunning:
+		t.running++
+	default:
+		t.unfinished++
+	}
+	switch {
+	case late:
+		t.later++
+	case entry.Started.After(moment):
+		t.within++
+	default:
+		t.before++
+		if entry.Finished.After(moment) {
+			t.across++
+		}
+	}
+}
+
+func (t *timeline) String() string {
+	return fmt.Sprintf("before=%d across=%d within=%d later=%d running=%d elsewhere=%d unfinished=%d",
+		t.before, t.across, t.within, t.later, t.running, t.elsewhere, t.unfinished)
+}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -63,6 +63,8 @@
 		"calling": calling,
 		"called":  called,
 		"atonce":  atOnce,
+		"moment":  moment,
+		"work":    work,
 	}
 }
 
