Keep a follower's doubt when the next instance can't be reached

Cause: a caller that follows the instance list repeats a request under its key at the next instance when the first try's end is unknown. When that instance refused the connection, the follower returned that try's "not run", though the first try may have run.

Ruled out: asking the remaining instances only. The last one may be unreachable too, and the caller would still be told that nothing ran.

Now an earlier unknown end stands when nobody answered the later try; what a gateway answers still decides, since it speaks for the key.

TestFollowerKeepsDoubt, before: "not-run != unknown"; after: passes.

--- a/pkg/client/follower.go
+++ b/pkg/client/follower.go
@@ -66,7 +66,7 @@
 	}
 	var answer *Answer
 	for _, gateway := range gateways {
-		answer = send(gateway)
+		answer = afterDoubt(answer, send(gateway))
 		if !elsewhere(answer, options) || ctx.Err() != nil {
 			return answer
 		}
@@ -75,6 +75,15 @@
 	return answer
 }
 
+// afterDoubt returns what a new try leaves known: when nobody answered it, an
+// earlier try that may have run still may have.
+func afterDoubt(earlier, latest *Answer) *Answer {
+	if earlier != nil && earlier.Outcome == outcome.Unknown && latest.Status == 0 && latest.Outcome == outcome.NotRun {
+		return earlier
+	}
+	return latest
+}
+
 // elsewhere tells whether to send the request to another instance: it was not
 // run, or its key lets it be repeated, and the cause is one that another instance
 // may not share.
--- a/pkg/client/follower_test.go
+++ b/pkg/client/follower_test.go
@@ -88,3 +88,21 @@
 	}
 	is.Equal(fakes[1].served, 1)
 }
+
+// TestFollowerKeepsDoubt: once a try under a key may have run, an instance that
+// cannot be reached does not turn that into "not run".
+func TestFollowerKeepsDoubt(t *testing.T) {
+	is := is.New(t)
+	fresh := &gatewayFake{fresh: true}
+	server := httptest.NewServer(fresh)
+	defer server.Close()
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	first := strings.TrimPrefix(server.URL, "http://")
+	fresh.list = Instances{ValidMS: 60_000, Instances: []Instance{{Address: first}, {Address: strings.TrimPrefix(gone.URL, "http://")}}}
+	follower := NewFollower(New("k", nil), []string{first})
+	follower.next = 1 // the fresh instance comes first
+	answer := follower.Call(context.Background(), http.MethodPost, "/sleeplog/uploads", nil, Options{IdempotencyKey: "key-1"})
+	is.Equal(answer.Outcome, outcome.Unknown)
+	is.Equal(answer.Refusal.Type, outcome.ReasonNoConfiguration)
+}
