Disturb one deployment at random under load and check every promise afterwards

TestRandom draws a schedule of faults from a seed (processes killed, stopped and frozen; links cut one way, both ways and with resets; whole domains isolated; the key-value service down, slow, losing answers; a lagging list; engines and services that break, lie, cross, cut off, stall and leave; operators' changes that race), alone, together and twice. Faults are lines of the scripts' language, so a failing seed can be written down as a script. Five callers that follow the instance list send open-loop load meanwhile, keys are repeated through other instances at once and later, and some callers go away. Then everything is healed, and journals, gateways' logs, revisions polled from each process, and the audit trail are compared with what callers and operators were told.

A gateway's "not run" is checked for each try, by the ID that upstreams see.

go test ./test/scenario -run TestRandom -seed N -faults M

--- a/test/scenario/observe_test.go
+++ b/test/scenario/observe_test.go
@@ -141,8 +141,8 @@
 	return fmt.Sprintf("inside=%d outside=%d\n%s", inside, wrong, text), nil
 }
 
-// permittedDomains gives the failure domains that each caller may be served in.
-func (d *deployment) permittedDomains() (map[string]map[string]bool, error) {
+// declaration reads the declaration that was planned.
+func (d *deployment) declaration() (*config.Declaration, error) {
 	data, err := os.ReadFile(d.file("declaration.yaml"))
 	if err != nil {
 		return nil, fmt.Errorf("declaration: %w", err)
@@ -151,6 +151,15 @@
 	if err := yaml.Unmarshal(data, &declaration); err != nil {
 		return nil, fmt.Errorf("declaration: %w", err)
 	}
+	return &declaration, nil
+}
+
+// permittedDomains gives the failure domains that each caller may be served in.
+func (d *deployment) permittedDomains() (map[string]map[string]bool, error) {
+	declaration, err := d.declaration()
+	if err != nil {
+		return nil, err
+	}
 	domains := make(map[string][]string)
 	for _, region := range declaration.Regions {
 		domains[region.Name] = region.Domains
--- /dev/null
+++ b/test/scenario/random_faults_test.go
@@ -0,0 +1,272 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// interval is when something was so.
+type interval struct{ from, until time.Time }
+
+// overlaps tells whether the interval shares a moment with another.
+func (i interval) overlaps(from, until time.Time) bool {
+	return i.from.Before(until) && from.Before(i.until)
+}
+
+// saying is an operator's line and what the operator was told.
+type saying struct {
+	line string
+	interval
+	text string
+	err  error
+}
+
+// disturber carries out a schedule and notes what it did.
+type disturber struct {
+	d *deployment
+	// holds are the locks of what faults hold for themselves.
+	holds map[string]*sync.Mutex
+	// restart is told of processes that end or start.
+	restart func(found []*process)
+
+	mu sync.Mutex
+	// killed and stopped say when each process was ended by SIGKILL and SIGTERM.
+	killed, stopped map[string][]interval
+	// alone says when each failure domain was cut off and otherwise well.
+	alone    map[string][]interval
+	sayings  []saying
+	problems []string
+	notes    []string
+}
+
+func newDisturber(d *deployment, faults []*fault) *disturber {
+	x := &disturber{
+		d: d, holds: make(map[string]*sync.Mutex), killed: make(map[string][]interval),
+		stopped: make(map[string][]interval), alone: make(map[string][]interval),
+	}
+	for _, f := range faults {
+		for _, name := range f.holds {
+			x.holds[name] = &sync.Mutex{}
+		}
+	}
+	return x
+}
+
+// run carries out the faults at their times and returns when all are mended.
+func (x *disturber) run(ctx context.Context, faults []*fault) {
+	begin := time.Now()
+	var running sync.WaitGroup
+	for _, f := range faults {
+		if !waitFor(ctx, time.Until(begin.Add(f.at))) {
+			break
+		}
+		running.Go(func() { x.carryOut(ctx, f) })
+	}
+	running.Wait()
+}
+
+// waitFor waits for a time that the schedule gives; false when ctx ended first.
+func waitFor(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (x *disturber) carryOut(ctx context.Context, f *fault) {
+	held := slices.Compact(slices.Sorted(slices.Values(f.holds)))
+	for _, name := range held {
+		x.holds[name].Lock()
+		defer x.holds[name].Unlock()
+	}
+	begun := time.Now()
+	x.begin(f)
+	waitFor(ctx, f.length)
+	if f.alone != "" {
+		x.note(func() {
+			x.alone[f.alone] = append(x.alone[f.alone], interval{begun.Add(settleFirst), time.Now()})
+		})
+	}
+	for _, line := range f.mend {
+		x.mend(line, f)
+	}
+}
+
+// mend carries out a line that ends a fault. An operator's is repeated until it is
+// so, since the platform may be silent.
+func (x *disturber) mend(line string, f *fault) {
+	change, operators := strings.CutPrefix(line, "run ")
+	if !operators {
+		x.do(line, f)
+		return
+	}
+	_ = poll(pollBound, func() error {
+		text := x.say(change, f.through)
+		if readVerdict(text).revision > 0 || strings.Contains(text, "nothing to do") {
+			return nil
+		}
+		return errNotReady
+	})
+}
+
+// begin begins a fault; operators' lines race.
+func (x *disturber) begin(f *fault) {
+	var racing sync.WaitGroup
+	for _, line := range f.begin {
+		if f.kind == "operators" {
+			racing.Go(func() { x.do(line, f) })
+		} else {
+			x.do(line, f)
+		}
+	}
+	racing.Wait()
+}
+
+// do carries out one line.
+func (x *disturber) do(line string, f *fault) {
+	fields := strings.Fields(line)
+	name, args := fields[0], fields[1:]
+	if name == "run" {
+		x.say(strings.Join(args, " "), f.through)
+		return
+	}
+	from := time.Now()
+	switch name {
+	case "sigkill":
+		x.noteEnd(x.killed, args[0], from)
+	case "sigterm":
+		x.noteEnd(x.stopped, args[0], from)
+	case "start":
+		defer x.noteStart(args[0])
+	}
+	text, err := table()[name](x.d, args)
+	if err != nil {
+		x.note(func() { x.problems = append(x.problems, fmt.Sprintf("%s: %v: %s", line, err, text)) })
+	}
+	x.note(func() {
+		x.notes = append(x.notes, fmt.Sprintf("%s %s (%v)", from.Format(time.StampMilli), line, time.Since(from).Round(time.Millisecond)))
+	})
+}
+
+// endMargin is how long before a signal a request's connection may look broken
+// because of it, and after it until the process is gone.
+const endMargin = 2 * time.Second
+
+func (x *disturber) noteEnd(into map[string][]interval, target string, from time.Time) {
+	found, err := x.d.find(target)
+	if err != nil {
+		return
+	}
+	x.restart(found)
+	x.note(func() {
+		for _, one := range found {
+			into[one.name] = append(into[one.name], interval{from, from.Add(endMargin)})
+		}
+	})
+}
+
+func (x *disturber) noteStart(target string) {
+	if found, err := x.d.find(target); err == nil {
+		x.restart(found)
+	}
+}
+
+func (x *disturber) note(change func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	change()
+}
+
+// say sends an operator's line and keeps what the operator was told.
+func (x *disturber) say(line, through string) string {
+	one := saying{line: line}
+	one.from = time.Now()
+	if through != "" {
+		one.text, one.err = operate(x.d, []string{through + ":", line})
+	} else {
+		one.text, one.err = operate(x.d, []string{line})
+	}
+	one.until = time.Now()
+	x.note(func() {
+		x.sayings = append(x.sayings, one)
+		x.notes = append(x.notes, fmt.Sprintf("%s %s: %q", one.from.Format(time.StampMilli), line, one.text))
+	})
+	return one.text
+}
+
+// What operators are told.
+var (
+	acceptedText = regexp.MustCompile(`(?m)^(?:accepted as )?(\d+) in force (\d+)/(\d+)`)
+	foundText    = regexp.MustCompile(`(?m)^accepted as (\d+)`)
+	refusedText  = regexp.MustCompile(`(?m)^(refused, nothing changed|not accepted, and never will be)`)
+	identityText = regexp.MustCompile(`why (c[0-9]+-[0-9a-z]+)`)
+	unsentText   = regexp.MustCompile(`nothing was sent`)
+)
+
+// verdict is what became of a change, as its operator was told.
+type verdict struct {
+	// revision is zero unless the change was accepted.
+	revision int
+	// everywhere says that it was told to be in force on all instances.
+	everywhere bool
+	// refused says that it was told not to be accepted; open that nothing was said.
+	refused, open bool
+}
+
+// read judges a reply.
+func readVerdict(text string) verdict {
+	if match := acceptedText.FindStringSubmatch(text); match != nil {
+		revision, _ := strconv.Atoi(match[1])
+		return verdict{revision: revision, everywhere: match[2] == match[3]}
+	}
+	if match := foundText.FindStringSubmatch(text); match != nil {
+		revision, _ := strconv.Atoi(match[1])
+		return verdict{revision: revision}
+	}
+	if refusedText.MatchString(text) || unsentText.MatchString(text) {
+		return verdict{refused: true}
+	}
+	return verdict{open: true}
+}
+
+// heal takes every fault back and waits until each instance serves and has the
+// newest revision.
+func (x *disturber) heal(t *topology) error {
+	for _, domain := range t.domains {
+		for _, other := range append([]string{"platform"}, t.domains...) {
+			if other != domain {
+				x.do("ctl heal "+domain+" "+other+" both", nil)
+			}
+		}
+	}
+	for _, line := range []string{"ctl kv up", "ctl kv slow 0", "ctl kv lose-answers 0", "ctl list lag 3000"} {
+		x.do(line, nil)
+	}
+	for _, name := range t.all(t.engines) {
+		x.do("ctl engine "+name+" ok", nil)
+		x.do("ctl list staying "+name, nil)
+	}
+	for _, name := range t.all(t.services) {
+		x.do("ctl service "+name+" ok", nil)
+	}
+	if err := poll(pollBound, x.d.allServing); err != nil {
+		return err
+	}
+	return poll(pollBound, func() error {
+		text, err := operate(x.d, []string{"st"})
+		if match := acceptedText.FindStringSubmatch(text); match == nil || match[2] != match[3] {
+			return fmt.Errorf("%w: st says %s (%w)", errNotReady, text, err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/test/scenario/random_history_test.go
@@ -0,0 +1,114 @@
+package scenario
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// inForce is what one revision said of what the checks look at.
+type inForce struct {
+	// line is what the operator typed, as the audit trail has it.
+	line string
+	// permitted holds "CALLER DOMAIN", drained upstreams' names.
+	permitted, drained map[string]bool
+}
+
+// history holds every revision by its number; 0 is not used.
+type history []inForce
+
+// readHistory reads the audit trail up to a revision, by asking why, and works
+// out what each revision said, from the declaration that was applied first.
+func readHistory(d *deployment, last int) (history, error) {
+	first, err := d.permittedDomains()
+	if err != nil {
+		return nil, err
+	}
+	domains := make(map[string]string)
+	for _, instance := range d.instances {
+		domains[instance.Region] = instance.Domain
+	}
+	now := inForce{permitted: make(map[string]bool), drained: make(map[string]bool)}
+	for caller, permitted := range first {
+		for domain := range permitted {
+			now.permitted[caller+" "+domain] = true
+		}
+	}
+	past := history{{}, now}
+	for revision := 2; revision <= last; revision++ {
+		text, err := operate(d, []string{"why", strconv.Itoa(revision)})
+		lines := strings.Split(text, "\n")
+		if err != nil || len(lines) < 2 || !strings.HasPrefix(text, strconv.Itoa(revision)+" ") {
+			return nil, fmt.Errorf("%w: revision %d in the audit trail: %q (%w)", errNoMatch, revision, text, err)
+		}
+		now = now.after(strings.TrimSuffix(lines[1], " !"), domains)
+		past = append(past, now)
+	}
+	return past, nil
+}
+
+// after returns what holds after an operator's line.
+func (f inForce) after(line string, domains map[string]string) inForce {
+	next := inForce{line: line, permitted: maps.Clone(f.permitted), drained: maps.Clone(f.drained)}
+	words := strings.Fields(line)
+	switch words[0] {
+	case "permit", "forbid":
+		next.permitted[words[1]+" "+domains[words[2]]] = words[0] == "permit"
+	case "drain", "undrain":
+		next.drained[words[1]] = words[0] == "drain"
+	}
+	return next
+}
+
+// any tells whether something held in one of the revisions from low to high.
+func (h history) any(low, high int, held func(inForce) bool) bool {
+	for revision := max(low, 1); revision <= high && revision < len(h); revision++ {
+		if held(h[revision]) {
+			return true
+		}
+	}
+	return false
+}
+
+// hopLine is what a gateway logged at the end of a request.
+type hopLine struct {
+	domain, request, origin, outcome string
+}
+
+var logField = regexp.MustCompile(`(\w+)=("[^"]*"|\S+)`)
+
+// readHops reads the gateways' logs.
+func readHops(d *deployment) ([]hopLine, error) {
+	var hops []hopLine
+	for name, instance := range d.instances {
+		data, err := os.ReadFile(d.processes[name+"/gateway"].log)
+		if err != nil {
+			return nil, fmt.Errorf("log: %w", err)
+		}
+		for line := range strings.Lines(string(data)) {
+			if !strings.Contains(line, "event=request-ended") {
+				continue
+			}
+			fields := make(map[string]string)
+			for _, match := range logField.FindAllStringSubmatch(line, -1) {
+				fields[match[1]] = strings.Trim(match[2], `"`)
+			}
+			hops = append(hops, hopLine{instance.Domain, fields["request"], fields["origin"], fields["outcome"]})
+		}
+	}
+	return hops, nil
+}
+
+// ownID takes the caller and the random part off the ID that upstreams see.
+func ownID(entry *journal.Entry) string {
+	parts := strings.Split(entry.RequestID, "~")
+	if len(parts) < 2 {
+		return entry.RequestID
+	}
+	return parts[1]
+}
--- /dev/null
+++ b/test/scenario/random_test.go
@@ -0,0 +1,205 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// The random run's seed and number of faults; the same seed gives the same
+// schedule and the same requests.
+var (
+	seedFlag   = flag.Uint64("seed", 3008, "seed of TestRandom")
+	faultsFlag = flag.Int("faults", 24, "number of faults of TestRandom")
+)
+
+// TestRandom disturbs one deployment by mixed faults while callers send open-loop
+// load, heals everything, and compares what callers and operators were told with
+// the journals, for each promise.
+func TestRandom(t *testing.T) {
+	is := is.New(t)
+	d, err := plan("wellness", t.TempDir())
+	is.NoErr(err)
+	defer d.close()
+	is.NoErr(bringUp(d))
+	parts := d.topology()
+	faults := newSchedule(*seedFlag, *faultsFlag, parts)
+	t.Logf("seed %d, %d faults over %v", *seedFlag, len(faults), faults[len(faults)-1].at.Round(time.Second))
+
+	run := disturb(d, parts, faults)
+	e := &evidence{d: d, told: run.crowd.told, watcher: run.watcher, faults: run.disturber, gateways: d.gatewaysByDomain()}
+	is.NoErr(run.healed)
+	is.NoErr(e.collect())
+	e.check()
+	t.Logf("seed %d:\n%s", *seedFlag, e.report())
+	if len(e.wrong) > 0 || len(run.disturber.problems) > 0 {
+		t.Logf("problems:\n%s\nwhat was done:\n%s", strings.Join(run.disturber.problems, "\n"), strings.Join(run.disturber.notes, "\n"))
+		keepLogs(t, d)
+	}
+	is.Equal(len(run.disturber.problems), 0) // every fault could be brought about and mended
+	is.Equal(len(e.wrong), 0)                // every promise held
+}
+
+// TestScheduleFollowsSeed: the schedule depends on the seed alone.
+func TestScheduleFollowsSeed(t *testing.T) {
+	is := is.New(t)
+	parts := &topology{
+		domains:   []string{"north", "south"},
+		instances: map[string][]string{"north": {"n1", "n2"}, "south": {"s1"}},
+		engines:   map[string][]string{"north": {"e1"}, "south": {"e2"}},
+		services:  map[string][]string{"north": {"p1"}, "south": {"p2"}},
+	}
+	text := func(seed uint64) string { return fmt.Sprint(newSchedule(seed, 60, parts)) }
+	is.Equal(text(7), text(7))
+	is.True(text(7) != text(8))
+}
+
+// disturbance is what a run left behind.
+type disturbance struct {
+	crowd     *crowd
+	watcher   *watcher
+	disturber *disturber
+	healed    error
+}
+
+// disturb runs the faults under load, heals, and waits for the last answers.
+func disturb(d *deployment, parts *topology, faults []*fault) *disturbance {
+	run := &disturbance{crowd: newCrowd(d, *seedFlag), watcher: newWatcher(d), disturber: newDisturber(d, faults)}
+	run.disturber.restart = run.watcher.restart
+	watching, stopWatching := context.WithCancel(context.Background())
+	sending, stopSending := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { run.watcher.run(watching) })
+	running.Go(func() { run.crowd.run(sending, time.Hour) })
+	run.disturber.run(context.Background(), faults)
+	run.healed = run.disturber.heal(parts)
+	stopSending()
+	run.crowd.sent.Wait()
+	stopWatching()
+	running.Wait()
+	return run
+}
+
+// bringUp starts a deployment and applies its declaration.
+func bringUp(d *deployment) error {
+	if err := d.start("standin"); err != nil {
+		return err
+	}
+	if err := d.start("all"); err != nil {
+		return err
+	}
+	err := poll(pollBound, func() error {
+		_, err := applyFile(d, []string{d.file("declaration.yaml")})
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return poll(pollBound, d.allServing)
+}
+
+// names lists the instances in order.
+func (d *deployment) names() []string {
+	var names []string
+	for name := range d.instances {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func (d *deployment) gatewaysByDomain() map[string][]string {
+	gateways := make(map[string][]string)
+	for _, name := range d.names() {
+		domain := d.instances[name].Domain
+		gateways[domain] = append(gateways[domain], name+"/gateway")
+	}
+	return gateways
+}
+
+// topology lists what can be disturbed.
+func (d *deployment) topology() *topology {
+	t := &topology{instances: make(map[string][]string), engines: make(map[string][]string), services: make(map[string][]string)}
+	for _, name := range d.names() {
+		domain := d.instances[name].Domain
+		t.instances[domain] = append(t.instances[domain], name)
+	}
+	declaration, err := d.declaration()
+	if err != nil {
+		return t
+	}
+	for _, upstream := range declaration.Upstreams {
+		if upstream.Kind == config.KindEngine {
+			t.engines[upstream.Domain] = append(t.engines[upstream.Domain], upstream.Name)
+		} else {
+			t.services[upstream.Domain] = append(t.services[upstream.Domain], upstream.Name)
+		}
+	}
+	for domain := range t.instances {
+		t.domains = append(t.domains, domain)
+	}
+	sort.Strings(t.domains)
+	return t
+}
+
+// collect reads the journals, the logs and the audit trail.
+func (e *evidence) collect() error {
+	text, err := control(e.d, []string{"journal"})
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var entry journal.Entry
+		if err := decoder.Decode(&entry); err != nil {
+			return fmt.Errorf("journal: %w", err)
+		}
+		e.entries = append(e.entries, entry)
+	}
+	if e.hops, err = readHops(e.d); err != nil {
+		return err
+	}
+	last, err := e.lastRevision()
+	if err != nil {
+		return err
+	}
+	e.past, err = readHistory(e.d, last)
+	return err
+}
+
+// lastRevision is the one that every instance names.
+func (e *evidence) lastRevision() (int, error) {
+	last := 0
+	for _, name := range e.d.names() {
+		text, err := operate(e.d, []string{name + ":", "st"})
+		read := readVerdict(text)
+		if err != nil || !read.everywhere || (last != 0 && read.revision != last) {
+			return 0, fmt.Errorf("%w: st at %s: %s, at others revision %d (%w)", errNotReady, name, text, last, err)
+		}
+		last = read.revision
+	}
+	return last, nil
+}
+
+// keepLogs copies the processes' logs to where LILACWEIR_KEEP_LOGS says, if it does.
+func keepLogs(t *testing.T, d *deployment) {
+	directory := os.Getenv("LILACWEIR_KEEP_LOGS")
+	if directory == "" {
+		return
+	}
+	if err := os.CopyFS(directory, os.DirFS(d.directory)); err != nil {
+		t.Log(err)
+	}
+}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -122,14 +122,7 @@
 // deploy plans, starts everything, applies the declaration and waits until it
 // is in force everywhere.
 func deploy(ts *testscript.TestScript, args []string) {
-	d := planFor(ts, args)
-	ts.Check(d.start("standin"))
-	ts.Check(d.start("all"))
-	ts.Check(poll(pollBound, func() error {
-		_, err := applyFile(d, []string{d.file("declaration.yaml")})
-		return err
-	}))
-	ts.Check(poll(pollBound, func() error { return d.allServing() }))
+	ts.Check(bringUp(planFor(ts, args)))
 }
 
 // expect repeats a verb until what it says matches: expect REGEXP VERB ARGS.
