--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/admission"
@@ -202,9 +203,15 @@
 	if doors.control, err = control.NewServer(g.network, addresses.Control); err != nil {
 		return doors, errors.Join(fmt.Errorf("listen for control: %w", err), doors.close())
 	}
+	doors.callers = netutil.LimitListener(doors.callers, maxConnections)
+	doors.peers = netutil.LimitListener(doors.peers, maxConnections)
 	return doors, nil
 }
 
+// maxConnections bounds the open connections of callers, and of other gateways.
+// Further ones wait to be accepted; idle and slow ones are closed in time.
+const maxConnections = 8192
+
 func (l listeners) close() error {
 	var failed error
 	for _, listener := range []net.Listener{l.callers, l.peers} {
