--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -84,6 +84,7 @@
 	beat     signal
 	exchange signal
 	catchUp  signal
+	revising sync.Mutex
 	wakers   sync.Map
 }
 
@@ -205,6 +206,9 @@
 
 // revise works out the configuration in force here and tells the domain.
 func (a *Agent) revise() {
+	// One at a time: a revision that was read before must not be set after.
+	a.revising.Lock()
+	defer a.revising.Unlock()
 	agent := a.keeper.Revision()
 	if a.mesh.setRevisions(agent, min(agent, a.gateway.revision()), time.Now()) {
 		a.beat.raise()
--- /dev/null
+++ b/pkg/agent/mesh_tell.go
@@ -0,0 +1,107 @@
+package agent
+
+import (
+	"reflect"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/control"
+)
+
+// setRevisions notes the configuration here; it returns whether that is news.
+func (m *mesh) setRevisions(agent, inForce config.Revision, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.agent == agent && m.inForce == inForce {
+		return false
+	}
+	m.agent, m.inForce = agent, inForce
+	m.view.Heard(m.self.Name, m.self.Epoch, inForce, now)
+	m.changed()
+	return true
+}
+
+// setGateway notes the own gateway's incarnation and whether it is leaving.
+func (m *mesh) setGateway(incarnation uint64, leaving bool, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	leaving = leaving || m.stopping
+	if m.self.Incarnation == incarnation && m.self.Leaving == leaving {
+		return false
+	}
+	m.self.Incarnation, m.self.Leaving = incarnation, leaving
+	m.view.Identify(m.self, now)
+	m.tellIdentity()
+	m.changed()
+	return true
+}
+
+// leaving marks this instance as leaving for good.
+func (m *mesh) leaving(now time.Time) {
+	m.mu.Lock()
+	incarnation := m.self.Incarnation
+	m.stopping = true
+	m.mu.Unlock()
+	m.setGateway(incarnation, true, now)
+}
+
+// setLoad notes the own gateway's load.
+func (m *mesh) setLoad(load board.GatewayLoad, before *board.GatewayLoad) {
+	if before != nil && reflect.DeepEqual(load, *before) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view.Load(m.self.Name, m.self.Epoch, load)
+	m.own.set(keyLoad, func(f *control.Facts) { f.Load = &load })
+	m.changed()
+}
+
+// setMark notes that this instance saw, or no longer sees, an upstream leaving,
+// and says whether that is news.
+func (m *mesh) setMark(upstream string, leaving bool) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.marks[m.self.Name][upstream] == leaving {
+		return false
+	}
+	m.mark(m.self.Name, upstream, leaving)
+	fact := control.MarkFact{Upstream: upstream, Leaving: leaving}
+	m.own.set("mark/"+upstream, func(f *control.Facts) { f.Marks = append(f.Marks, fact) })
+	m.changed()
+	return true
+}
+
+// setUpstream notes a poll of an upstream that this instance owns, and says
+// whether the upstream's state is another than before.
+func (m *mesh) setUpstream(load board.UpstreamLoad) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before, ok := m.upstreams[load.Name]
+	m.upstreams[load.Name] = &upstreamEntry{from: m.self.Name, load: load}
+	if ok && before.from == m.self.Name && sameLoad(before.load, load) {
+		return false
+	}
+	made := load.ReportedAt
+	fact := load
+	fact.ReportedAt = time.Time{}
+	m.own.set("upstream/"+load.Name, func(f *control.Facts) {
+		f.Upstreams = append(f.Upstreams, control.UpstreamFact{Load: fact, Age: max(time.Since(made), 0)})
+	})
+	m.changed()
+	return !ok || before.load.State != load.State
+}
+
+// dropUpstream takes back what this instance vouched for: it does not own the
+// upstream's poll any more.
+func (m *mesh) dropUpstream(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.own.remove("upstream/" + name)
+}
+
+func sameLoad(a, b board.UpstreamLoad) bool {
+	a.ReportedAt, b.ReportedAt = time.Time{}, time.Time{}
+	return reflect.DeepEqual(a, b)
+}
