Show broken paths by real processes: a killed engine, a cut link between gateways

Go tests break the path at 23 points inside one process. This script shows the ones that need processes: an engine killed by SIGKILL in the middle of a stream, a service that is gone before a call, and a link between gateways that holds an answer back, in one direction, under a stream and under an upload. An upstream that a script names after deploy runs in a process of its own.

The slow caller stays shown by TestCallerThatDoesNotReadIsGivenUp.

--- /dev/null
+++ b/test/scenario/apart_test.go
@@ -0,0 +1,92 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/lilacweir/lilacweir/pkg/client"
+)
+
+// apartPort is the first port of the switches of upstreams that run apart.
+const apartPort = 7100
+
+// apart has some upstreams run in a process of their own, so that a script can
+// kill it: the process is named as the upstream. Its journal ends with it.
+func (d *deployment) apart(names []string) error {
+	if len(names) == 0 {
+		return nil
+	}
+	declaration, err := d.declaration()
+	if err != nil {
+		return err
+	}
+	own := make(map[string]bool)
+	for index, name := range names {
+		own[name] = true
+		d.add(name, "lilacweir-standin", "standin.yaml")
+		one := d.processes[name]
+		one.admin = fmt.Sprintf("127.%d.0.1:%d", d.number, apartPort+index)
+		one.args = append(one.args, "--only", "upstreams", "--upstream", name, "--admin", one.admin)
+	}
+	rest := d.processes["standin"]
+	for _, upstream := range declaration.Upstreams {
+		if !own[upstream.Name] {
+			rest.args = append(rest.args, "--upstream", upstream.Name)
+		}
+	}
+	return nil
+}
+
+// startApart starts the upstreams that run apart.
+func (d *deployment) startApart() error {
+	for name, one := range d.processes {
+		if one.admin == "" {
+			continue
+		}
+		if err := d.start(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// backgroundChat is a chat request whose answer is read beside a script.
+type backgroundChat struct {
+	done   chan struct{}
+	chunks atomic.Int64
+	answer *client.Answer
+	err    error
+}
+
+// asking starts a chat request in the background: asking NAME and what ask takes.
+func asking(d *deployment, args []string) (string, error) {
+	if len(args) == 0 {
+		return "", errUsage
+	}
+	background := &backgroundChat{done: make(chan struct{})}
+	d.chats[args[0]] = background
+	go func() {
+		defer close(background.done)
+		background.answer, background.err = chat(context.Background(), d, args[1:], func(string) { background.chunks.Add(1) })
+	}()
+	return "", nil
+}
+
+// streamed says how many chunks a background answer has so far: streamed NAME.
+func streamed(d *deployment, args []string) (string, error) {
+	if len(args) != 1 || d.chats[args[0]] == nil {
+		return "", errUsage
+	}
+	return fmt.Sprintf("chunks=%d", d.chats[args[0]].chunks.Load()), nil
+}
+
+// asked waits for a background answer and says its text alone: asked NAME.
+func asked(d *deployment, args []string) (string, error) {
+	if len(args) != 1 || d.chats[args[0]] == nil {
+		return "", errUsage
+	}
+	background := d.chats[args[0]]
+	<-background.done
+	return textOf(background.answer, background.err)
+}
--- a/test/scenario/deployment_test.go
+++ b/test/scenario/deployment_test.go
@@ -48,6 +48,7 @@
 	processes map[string]*process
 	loads     map[string]*backgroundLoad
 	calls     map[string]*backgroundCall
+	chats     map[string]*backgroundChat
 	// keys holds idempotency keys by the names that a script gave them.
 	keys    map[string]string
 	moments map[string]time.Time
@@ -64,7 +65,7 @@
 	d := &deployment{
 		name: name, number: number, holder: holder, directory: directory,
 		processes: make(map[string]*process), loads: make(map[string]*backgroundLoad),
-		calls: make(map[string]*backgroundCall), keys: make(map[string]string),
+		calls: make(map[string]*backgroundCall), chats: make(map[string]*backgroundChat), keys: make(map[string]string),
 		moments: make(map[string]time.Time),
 	}
 	topology := filepath.Join("..", "..", "deploy", name, "topology.yaml")
@@ -158,6 +159,9 @@
 
 // health is the address at which a process answers for its health.
 func (d *deployment) health(one *process) string {
+	if one.admin != "" {
+		return "http://" + one.admin + "/healthz"
+	}
 	owner, program, _ := strings.Cut(one.name, "/")
 	switch program {
 	case "gateway":
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -25,6 +25,8 @@
 	name    string
 	program string
 	args    []string
+	// admin is the address of the switches of an upstream that runs apart.
+	admin string
 	// log receives what all starts write.
 	log string
 
--- a/test/scenario/random_test.go
+++ b/test/scenario/random_test.go
@@ -97,6 +97,9 @@
 	if err := d.start("standin"); err != nil {
 		return err
 	}
+	if err := d.startApart(); err != nil {
+		return err
+	}
 	if err := d.start("all"); err != nil {
 		return err
 	}
--- a/test/scenario/stream_test.go
+++ b/test/scenario/stream_test.go
@@ -11,7 +11,10 @@
 // text sends a chat request and says the answer's text alone, so that scripts can
 // compare it: it takes what ask takes.
 func text(d *deployment, args []string) (string, error) {
-	answer, err := chat(context.Background(), d, args, nil)
+	return textOf(chat(context.Background(), d, args, nil))
+}
+
+func textOf(answer *client.Answer, err error) (string, error) {
 	if err != nil {
 		return "", err
 	}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -36,35 +36,38 @@
 // and sigterm.
 func table() map[string]verb {
 	return map[string]verb{
-		"start":   each(func(d *deployment, name string) error { return d.start(name) }),
-		"sigkill": together((*process).kill),
-		"sigterm": together((*process).stop),
-		"freeze":  together(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
-		"thaw":    together(func(p *process) error { return p.signal(syscall.SIGCONT) }),
-		"replace": each(replace),
-		"ctl":     control,
-		"run":     operate,
-		"apply":   applyFile,
-		"race":    race,
-		"ask":     ask,
-		"call":    call,
-		"ready":   ready,
-		"ran":     ran,
-		"outside": outside,
-		"logged":  logged,
-		"send":    send,
-		"sending": sending,
-		"sent":    sent,
-		"hop":     hop,
-		"metric":  metric,
-		"text":    text,
-		"hang-up": hangUp,
-		"key":     newKey,
-		"calling": calling,
-		"called":  called,
-		"atonce":  atOnce,
-		"moment":  moment,
-		"work":    work,
+		"start":    each(func(d *deployment, name string) error { return d.start(name) }),
+		"sigkill":  together((*process).kill),
+		"sigterm":  together((*process).stop),
+		"freeze":   together(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
+		"thaw":     together(func(p *process) error { return p.signal(syscall.SIGCONT) }),
+		"replace":  each(replace),
+		"ctl":      control,
+		"run":      operate,
+		"apply":    applyFile,
+		"race":     race,
+		"ask":      ask,
+		"call":     call,
+		"ready":    ready,
+		"ran":      ran,
+		"outside":  outside,
+		"logged":   logged,
+		"send":     send,
+		"sending":  sending,
+		"sent":     sent,
+		"hop":      hop,
+		"metric":   metric,
+		"text":     text,
+		"hang-up":  hangUp,
+		"asking":   asking,
+		"streamed": streamed,
+		"asked":    asked,
+		"key":      newKey,
+		"calling":  calling,
+		"called":   called,
+		"atonce":   atOnce,
+		"moment":   moment,
+		"work":     work,
 	}
 }
 
@@ -104,12 +107,13 @@
 }
 
 func planFor(ts *testscript.TestScript, args []string) *deployment {
-	if len(args) != 1 {
+	if len(args) == 0 {
 		ts.Check(errUsage)
 	}
 	work := ts.Getenv("WORK")
 	d, err := plan(args[0], work)
 	ts.Check(err)
+	ts.Check(d.apart(args[1:]))
 	deployments.Store(work, d)
 	ts.Defer(func() {
 		deployments.Delete(work)
@@ -119,7 +123,8 @@
 	return d
 }
 
-// deploy plans, starts everything, applies the declaration and waits until it
+// deploy plans for a deployment, with the upstreams that are named run apart; it
+// starts everything, applies the declaration and waits until it
 // is in force everywhere.
 func deploy(ts *testscript.TestScript, args []string) {
 	ts.Check(bringUp(planFor(ts, args)))
