Ask the holder of a key for an end whose report was lost

A link between regions that was cut when a run ended lost the report to the decider of its key: repeats were told in progress until the key expired, though the holder knew the answer. The decider now asks the holder when a repeat comes, and records what it has; the holder itself answers repeats at once. That a body was dropped is now part of the result, and a long body no longer travels to say so.

--- a/pkg/claim/begin.go
+++ b/pkg/claim/begin.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
+	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
@@ -38,9 +40,37 @@
 	if held := c.copies.Get(claim); held != nil {
 		return held.answer(claim)
 	}
+	c.ask(key, claim, decision.Holder)
 	return c.unlessLost(decision)
 }
 
+// ask looks for the end of a running attempt at its holder, whose report may have
+// been lost, for the next repeat.
+func (c *Coordinator) ask(key Key, claim Claim, holder Origin) {
+	instances := c.known(holder.Domain)
+	i := slices.IndexFunc(instances, func(instance board.Instance) bool { return deciderOf(&instance).Origin == holder })
+	if i < 0 || holder == c.options.Self {
+		return
+	}
+	c.options.Background(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
+		defer cancel()
+		var reply CopyReply
+		err := c.options.Peers.Call(ctx, instances[i].Addresses.Control, MethodCopy, CopyArgs{Claim: claim}, &reply)
+		if err == nil && reply.Copy != nil {
+			c.record(key, reply.Copy.Claim, reply.Copy.end())
+		}
+	})
+}
+
+// end is what became of a record's attempt.
+func (r *Record) end() Result {
+	if r.State == StateComplete {
+		return r.Result
+	}
+	return Result{Outcome: outcome.Unknown}
+}
+
 // unlessLost turns in progress into unresolved when the holder is gone: coming
 // back does not help then. A late report of the end is still taken in.
 func (c *Coordinator) unlessLost(decision Decision) Decision {
--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -131,6 +131,27 @@
 	}
 }
 
+// The decider that missed the report of an end asks for it when a repeat comes.
+func TestLostReportIsAskedFor(t *testing.T) {
+	for _, result := range []Result{answered, {Outcome: outcome.Complete, Status: 200, Body: make([]byte, MaxStoredBody+1)}} {
+		is := is.New(t)
+		w := newWorld(1)
+		key := w.issued("a1")
+		grant, _ := w.begin("b1", key)
+		for _, relay := range []string{"a1", "a2", "a3"} {
+			w.fates["b1>"+relay] = []fault{faultRequestLost, faultRequestLost}
+		}
+		grant.Finish(context.Background(), result)
+		_, got := w.begin("a3", key)
+		is.Equal(got, "unknown idempotency-key-in-progress")
+		claim := Claim{Key: key, Caller: propertyCaller}
+		_, recorded, _ := w.processes["a3"].coordinator.Begin(context.Background(), claim)
+		is.True(recorded != nil)
+		is.Equal(recorded.Status, result.Status)
+		is.Equal(recorded.BodyDropped, len(result.Body) > MaxStoredBody)
+	}
+}
+
 // A grant whose answer was lost is withdrawn, so that the next attempt may run.
 func TestLostGrantIsWithdrawn(t *testing.T) {
 	is := is.New(t)
--- a/pkg/claim/finish.go
+++ b/pkg/claim/finish.go
@@ -41,7 +41,7 @@
 // record takes in how an attempt ended: as the decider, then with a copy to a
 // peer, or as a copy.
 func (c *Coordinator) record(key Key, claim Claim, result Result) (decided bool, successor *Decider) {
-	result = cut(result)
+	result = bounded(result, MaxStoredBody)
 	ended := c.owner.Finish(key, claim, result)
 	if !ended.Decided {
 		c.keepCopy(claim, result)
--- a/pkg/claim/messages.go
+++ b/pkg/claim/messages.go
@@ -7,6 +7,7 @@
 const (
 	MethodBegin  = ServiceName + ".Begin"
 	MethodFinish = ServiceName + ".Finish"
+	MethodCopy   = ServiceName + ".Copy"
 	MethodStage  = ServiceName + ".Stage"
 	MethodAdopt  = ServiceName + ".Adopt"
 )
@@ -43,5 +44,11 @@
 	Successor *Decider
 }
 
+// CopyArgs asks for the copy that a gateway holds of an ended attempt.
+type CopyArgs struct{ Claim Claim }
+
+// CopyReply holds the copy; nil when there is none.
+type CopyReply struct{ Copy *Record }
+
 // StageReply answers a part: it was received.
 type StageReply struct{}
--- a/pkg/claim/record.go
+++ b/pkg/claim/record.go
@@ -57,6 +57,9 @@
 	Status int
 	Header map[string]string
 	Body   []byte
+	// BodyDropped says that Body was too long to keep, or had to go: the request
+	// was answered completely, but the answer cannot be given again.
+	BodyDropped bool
 }
 
 // State is what a decider knows of a key.
@@ -82,24 +85,17 @@
 	Issued, Granted int64
 	// Result is set in StateComplete.
 	Result Result
-	// BodyDropped says that Result.Body was too long to keep, or had to go.
-	BodyDropped bool
 }
 
 // Recorded is the answer to a repeat of a request that is complete.
-type Recorded struct {
-	Result
-	// BodyDropped says that the answer's body was not kept: the request ran and
-	// was answered completely, but the answer cannot be given again.
-	BodyDropped bool
-}
+type Recorded struct{ Result }
 
 // finish moves the record to what the result says.
 func (r *Record) finish(result Result) {
 	switch result.Outcome {
 	case outcome.Complete:
 		r.State = StateComplete
-		r.Result, r.BodyDropped = bounded(result, MaxStoredBody)
+		r.Result = bounded(result, MaxStoredBody)
 	case outcome.NotRun:
 		r.State = StateFree
 	default:
@@ -108,18 +104,9 @@
 }
 
 // bounded drops a body that is longer than limit.
-func bounded(result Result, limit int) (kept Result, dropped bool) {
+func bounded(result Result, limit int) Result {
 	if len(result.Body) > limit {
-		result.Body = nil
-		return result, true
+		result.Body, result.BodyDropped = nil, true
 	}
-	return result, false
-}
-
-// cut bounds the memory and the bytes that a long body takes on its way to where
-// it is recorded. What is left is still too long to keep, so that the record says
-// that the body was dropped.
-func cut(result Result) Result {
-	result.Body = result.Body[:min(len(result.Body), MaxStoredBody+1)]
 	return result
 }
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -32,6 +32,12 @@
 	return nil
 }
 
+// Copy returns the copy held of an ended attempt. It decides nothing.
+func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
+	reply.Copy = s.coordinator.copies.Get(args.Claim)
+	return nil
+}
+
 // Stage takes a part of a leaving gateway's records.
 func (s *Service) Stage(args Part, _ *StageReply) error {
 	s.coordinator.owner.Stage(args)
--- a/pkg/claim/store.go
+++ b/pkg/claim/store.go
@@ -103,9 +103,7 @@
 // Finish writes how the attempt ended. A lost write leaves the claim as running,
 // so that repeats are told unknown until it is forgotten.
 func (s *Store) Finish(ctx context.Context, ticket *Ticket, result Result) {
-	result, dropped := bounded(result, MaxStoredOpaqueBody)
-	ticket.record.finish(result)
-	ticket.record.BodyDropped = dropped
+	ticket.record.finish(bounded(result, MaxStoredOpaqueBody))
 	_, _ = s.write(ctx, ticket, ticket.revision)
 }
 
--- a/pkg/claim/table.go
+++ b/pkg/claim/table.go
@@ -102,7 +102,7 @@
 }
 
 func (r *Record) recorded() *Recorded {
-	return &Recorded{Result: r.Result, BodyDropped: r.BodyDropped}
+	return &Recorded{Result: r.Result}
 }
 
 // finish records an attempt's end. For an attempt that was never granted here a
@@ -144,7 +144,7 @@
 		return
 	}
 	t.bodies.Add(-size)
-	record.Result.Body, record.BodyDropped = nil, true
+	record.Result.Body, record.Result.BodyDropped = nil, true
 }
 
 // sweep drops expired records from time to time. It raises the floor first, so
--- a/pkg/claim/world_test.go
+++ b/pkg/claim/world_test.go
@@ -202,6 +202,8 @@
 		return serveAs(p, service.Begin, args)
 	case MethodFinish:
 		return serveAs(p, service.Finish, args)
+	case MethodCopy:
+		return serveAs(p, service.Copy, args)
 	case MethodStage:
 		return serveAs(p, service.Stage, args)
 	case MethodAdopt:
