--- a/pkg/dispatch/claim_test.go
+++ b/pkg/dispatch/claim_test.go
@@ -39,31 +39,66 @@
 	}), nil, nil
 }
 
-// The answer to a caller does not wait for the decider of its key, which may be
-// frozen, and the gateway does not end before the decider was told.
-func TestAnswerDoesNotWaitForTheRecord(t *testing.T) {
+// localClaims grants every claim and decides it here; it notes whether the answer
+// had left before the end of the run was recorded.
+type localClaims struct {
+	recorder *httptest.ResponseRecorder
+	left     bool
+	recorded int
+}
+
+func (l *localClaims) Begin(context.Context, claim.Claim) (*claim.Grant, *claim.Recorded, *outcome.Refusal) {
+	return claim.NewGrant(true, func(context.Context, claim.Result) {
+		l.left = l.left || l.recorder.Flushed
+		l.recorded++
+	}), nil, nil
+}
+
+// A gateway that decides the key itself records the run before its answer leaves,
+// so that a repeat through it is never told that the run goes on.
+func TestLocalRecordComesBeforeTheAnswer(t *testing.T) {
+	is := is.New(t)
+	upstream := &script{steps: []string{answers}}
+	claims := &localClaims{recorder: httptest.NewRecorder()}
+	d := newClaimDispatcher(t, upstream, claims)
+	d.Serve(context.Background(), keyedRequest(), relay.NewSink(claims.recorder, time.Now))
+	is.Equal(claims.recorder.Code, http.StatusOK)
+	is.Equal(claims.recorded, 1)
+	is.True(!claims.left)
+}
+
+func newClaimDispatcher(t *testing.T, upstream *script, claims dispatch.Claims) *dispatch.Dispatcher {
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, network, address)
 	}
+	server := httptest.NewServer(upstream)
+	t.Cleanup(server.Close)
+	upstream.address = server.Listener.Addr().String()
+	client := relay.NewClient(dial, dial)
+	t.Cleanup(client.Close)
+	return &dispatch.Dispatcher{
+		Router: upstream, Claims: claims, Client: client, Log: zerolog.Nop(), Trace: trace.NewLog(1),
+		Metrics: dispatch.NewMetrics(metrics.NewRegistry()), Now: time.Now, Domain: "here",
+	}
+}
+
+func keyedRequest() *dispatch.Request {
+	return &dispatch.Request{
+		ID: "r", CallerID: "r", Caller: &config.Caller{Name: "app"}, Kind: config.KindService,
+		Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: []byte("x"), IdempotencyKey: "k",
+	}
+}
+
+// The answer to a caller does not wait for the decider of its key, which may be
+// frozen, and the gateway does not end before the decider was told.
+func TestAnswerDoesNotWaitForTheRecord(t *testing.T) {
 	for step, want := range map[string]outcome.Outcome{answers: outcome.Complete, refuses: outcome.NotRun, dies: outcome.Unknown} {
 		t.Run(step, func(t *testing.T) {
 			is := is.New(t)
 			upstream := &script{steps: []string{step}}
-			server := httptest.NewServer(upstream)
-			defer server.Close()
-			upstream.address = server.Listener.Addr().String()
-			client := relay.NewClient(dial, dial)
-			defer client.Close()
 			claims := &slowClaims{answered: make(chan struct{}), ended: make(chan claim.Result, 1)}
-			d := &dispatch.Dispatcher{
-				Router: upstream, Claims: claims, Client: client, Log: zerolog.Nop(), Trace: trace.NewLog(1),
-				Metrics: dispatch.NewMetrics(metrics.NewRegistry()), Now: time.Now, Domain: "here",
-			}
-			request := &dispatch.Request{
-				ID: "r", CallerID: "r", Caller: &config.Caller{Name: "app"}, Kind: config.KindService,
-				Method: http.MethodPost, URI: "/", Header: http.Header{}, Body: []byte("x"), IdempotencyKey: "k",
-			}
-			d.Serve(context.Background(), request, relay.NewSink(httptest.NewRecorder(), time.Now))
+			d := newClaimDispatcher(t, upstream, claims)
+			d.Serve(context.Background(), keyedRequest(), relay.NewSink(httptest.NewRecorder(), time.Now))
 			is.Equal(d.Metrics.Active.Count(), int64(1)) // a shutdown waits for the record
 			close(claims.answered)
 			is.Equal((<-claims.ended).Outcome, want)
--- a/pkg/relay/answer.go
+++ b/pkg/relay/answer.go
@@ -157,8 +157,13 @@
 	})
 	a.sink.begin(response.StatusCode)
 	a.sink.Whole = true
-	// Flushed here, the answer does not wait for the request's log line.
-	if err := a.sink.write(data); err != nil {
+	// Flushed here, the answer does not wait for the request's log line. One that
+	// is kept for repeats does: its run is recorded before it leaves.
+	pass := a.sink.write
+	if a.sink.Copy != nil {
+		pass = a.sink.put
+	}
+	if err := pass(data); err != nil {
 		return a.callerFailed(err)
 	}
 	return nil
