Do not ask over and over for a head that cannot be read

Cause: a digest's reply comes at once while the asker's revision is lower, so an instance that cannot read the newest head, such as one of an older version in a rolling replacement, would have fetched the whole of it some ten times a second from each domain. It now asks for the whole after changes that did not follow, and not again for a whole that it could not read; inside the domain it waits some ten seconds.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -55,6 +55,41 @@
 	})
 }
 
+// Changes that do not lead to the head's declaration are not taken: the whole
+// head is, also in a domain that gets it from its neighbours.
+func TestChangesThatDoNotFollowAreReplacedByTheWhole(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 5, 1, 2)
+	r.store.write(t, accepted(1))
+	r.startAll()
+	for name := range r.nodes {
+		r.wait(name, "revision 1 in force on all", func(a *Agent) bool { return inForce(a, 1) == len(r.nodes) })
+	}
+	r.store.setCut("b", true)
+	head := accepted(2)
+	other := *head.Recent[0].Ops[0].SetCaller
+	other.Share = 99
+	head.Recent[0].Ops[0].SetCaller = &other
+	r.store.write(t, head)
+	for name, n := range r.nodes {
+		r.wait(name, "revision 2 in force on all", func(a *Agent) bool { return inForce(a, 2) == len(r.nodes) })
+		is.Equal(n.agent.keeper.Head().Declaration.Callers[0].Share, 2)
+	}
+}
+
+// An asker that cannot read a head does not ask for it over and over.
+func TestUnreadableHeadIsNotAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 6, 1)
+	r.start("a-1")
+	f := &fetcher{agent: r.nodes["a-1"].agent}
+	f.take(7, &control.HeadUpdate{Delta: &config.Delta{From: 6, Changes: []config.Change{{Revision: 7}}}})
+	is.True(f.whole) // the changes did not follow
+	f.take(7, &control.HeadUpdate{Whole: []byte("nonsense")})
+	is.True(!f.whole)
+	is.Equal(f.unreadable, config.Revision(7))
+}
+
 func TestTwoWatchersOfADomainAndTheirSuccession(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4)
--- a/pkg/agent/beat.go
+++ b/pkg/agent/beat.go
@@ -23,8 +23,10 @@
 	BeatTimeout = 1500 * time.Millisecond
 	// BeatRetryMax bounds the wait after failed calls to a peer.
 	BeatRetryMax = 4 * time.Second
-	// CatchUpDelay leaves a pushed head the time to arrive before one is asked for.
+	// CatchUpDelay leaves a pushed head the time to arrive before one is asked for,
+	// and CatchUpRetry is the wait when nobody's head could be read.
 	CatchUpDelay = 100 * time.Millisecond
+	CatchUpRetry = 10 * time.Second
 )
 
 // beatDuties returns the loops that exchange heartbeats: one for each known
@@ -152,21 +154,26 @@
 		if !sleep(ctx, CatchUpDelay) {
 			return
 		}
-		a.catchUpOnce(ctx)
+		if !a.catchUpOnce(ctx) {
+			sleep(ctx, jitter(CatchUpRetry))
+		}
 	}
 }
 
-func (a *Agent) catchUpOnce(ctx context.Context) {
+// catchUpOnce asks the peers that are ahead; false means that none could help.
+func (a *Agent) catchUpOnce(ctx context.Context) bool {
 	held := a.keeper.Revision()
-	for _, peer := range a.mesh.ahead(held, time.Now()) {
+	ahead := a.mesh.ahead(held, time.Now())
+	for _, peer := range ahead {
 		err := a.want(ctx, peer.Mesh, control.WantArgs{Revision: held})
 		if err != nil {
 			err = a.want(ctx, peer.Mesh, control.WantArgs{Revision: held, Whole: true})
 		}
 		if err == nil && a.keeper.Revision() > held {
-			return
+			return true
 		}
 	}
+	return len(ahead) == 0
 }
 
 func (a *Agent) want(ctx context.Context, address string, args control.WantArgs) error {
--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/digest"
 	"github.com/lilacweir/lilacweir/pkg/member"
@@ -98,7 +99,10 @@
 	next   int
 	seen   uint64
 	whole  bool
-	failed int
+	// unreadable is a revision whose whole head could not be read: it is not
+	// asked for again.
+	unreadable config.Revision
+	failed     int
 }
 
 func (f *fetcher) fetch(ctx context.Context) bool {
@@ -115,7 +119,7 @@
 	defer cancel()
 	known, _ := a.mesh.digest(f.domain)
 	args := control.DigestArgs{
-		Domain: a.Settings.Domain, Revision: a.keeper.Revision(), Whole: f.whole,
+		Domain: a.Settings.Domain, Revision: max(a.keeper.Revision(), f.unreadable), Whole: f.whole,
 		EntriesSum: digest.EntriesSum(known.Entries), Seen: f.seen, Wait: f.wait,
 	}
 	var reply control.DigestReply
@@ -127,13 +131,23 @@
 	}
 	f.failed = 0
 	f.seen = reply.Seen
-	f.whole = a.takeUpdate(reply.Update, spread.SourceDomain) != nil
+	f.take(reply.Revision, reply.Update)
 	if a.mesh.setDigest(reply.Digest, reply.EntriesSum, time.Now()) {
 		a.beat.raise()
 	}
 	return true
 }
 
+// take follows an update. Changes that do not follow make it ask for the whole
+// head the next time.
+func (f *fetcher) take(revision config.Revision, update *control.HeadUpdate) {
+	asked := f.whole
+	f.whole = f.agent.takeUpdate(update, spread.SourceDomain) != nil
+	if f.whole && (asked || update.Delta == nil) {
+		f.whole, f.unreadable = false, revision
+	}
+}
+
 // miss turns to the domain's next entry, and tells the own domain once all of
 // them were tried.
 func (f *fetcher) miss(addresses []string) {
