Take peers to have sent as much as this gateway since the last report

Cause: with the agents' real lags (a poll each second, a heartbeat each second, a compile each half second) all gateways sent to whatever looked idle in the same report until the next one.

Each peer is now taken to have added as many requests, and to have as much prompt in prefill, as this gateway. What peers told of their prefill was over before it came and is not told any more, which also spares the heartbeats its bytes. The weight of an engine-second goes from 2 s to 3 s, which the better estimate permits.

TestGatewaysWithOneReportDoNotHerd fails without it.

--- a/pkg/agent/bench_test.go
+++ b/pkg/agent/bench_test.go
@@ -67,11 +67,10 @@
 
 // busy is a gateway's load with requests at every upstream of its domain.
 func busy(domain string, round uint64) board.GatewayLoad {
-	load := board.GatewayLoad{InFlight: make(map[string]int), Prefill: make(map[string]int), Requests: round}
+	load := board.GatewayLoad{InFlight: make(map[string]int), Requests: round}
 	for n := range benchUpstreams {
 		name := benchUpstream(domain, n).Name
 		load.InFlight[name] = 15 + int(round%2)
-		load.Prefill[name] = 800
 	}
 	return load
 }
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -82,9 +82,6 @@
 type GatewayLoad struct {
 	// InFlight counts requests now at upstreams, by upstream name.
 	InFlight map[string]int
-	// Prefill counts prompt tokens of requests whose first byte has not come,
-	// by upstream name.
-	Prefill map[string]int
 	// Waiting counts queued requests by model or service name.
 	Waiting map[string]int
 	// Requests and Forwarded count requests since the gateway started: all, and
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -89,10 +89,9 @@
 
 // load is what the gateway says of itself.
 func (g *Gateway) load() board.GatewayLoad {
-	inFlight, prefill := g.tracker.Snapshot()
+	inFlight := g.tracker.Snapshot()
 	return board.GatewayLoad{
 		InFlight:  inFlight,
-		Prefill:   prefill,
 		Waiting:   waitingByName(g.queue.Waiting()),
 		Successor: g.claims.Successor(),
 		Requests:  uint64(g.metrics.Requests.Count()),
--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -25,7 +25,7 @@
 func (g *Gateway) waiting() int64 { return total(g.queue.Waiting()) }
 
 func (g *Gateway) inFlight() int64 {
-	requests, _ := g.tracker.Snapshot()
+	requests := g.tracker.Snapshot()
 	return total(requests)
 }
 
--- a/pkg/limit/tracker.go
+++ b/pkg/limit/tracker.go
@@ -74,20 +74,16 @@
 	}
 }
 
-// Snapshot returns the in-flight requests and their prompt tokens still to be
-// prefilled, by upstream, without upstreams that have none.
-func (t *Tracker) Snapshot() (inFlight, prefill map[string]int) {
-	inFlight = map[string]int{}
-	prefill = map[string]int{}
+// Snapshot returns the in-flight requests by upstream, without upstreams that have
+// none.
+func (t *Tracker) Snapshot() map[string]int {
+	inFlight := map[string]int{}
 	for name, e := range *t.entries.Load() {
 		if n := int(e.inFlight.Load()); n > 0 {
 			inFlight[name] = n
 		}
-		if n := int(e.prefill.Load()); n > 0 {
-			prefill[name] = n
-		}
 	}
-	return inFlight, prefill
+	return inFlight
 }
 
 // Start takes a place at an upstream, or returns false when this gateway's limit
--- a/pkg/limit/tracker_test.go
+++ b/pkg/limit/tracker_test.go
@@ -27,8 +27,8 @@
 	second.Done(limit.Succeeded)
 	second.Done(limit.Succeeded) // only the first call counts
 	first.Done(limit.Abandoned)
-	inFlight, prefill := tracker.Snapshot()
-	is.Equal(len(inFlight)+len(prefill), 0)
+	is.Equal(len(tracker.Snapshot()), 0)
+	is.Equal(tracker.Load("u").Prefill, 0)
 }
 
 func TestAdaptiveBoundFallsAndRecovers(t *testing.T) {
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -105,10 +105,10 @@
 
 // gossip tells the others what is in hand; they see it at their next compile.
 func (g *gateway) gossip() {
-	inFlight, prefill := g.tracker.Snapshot()
+	inFlight := g.tracker.Snapshot()
 	waiting := g.queue.Waiting()
 	g.told = board.GatewayLoad{
-		InFlight: inFlight, Prefill: prefill,
+		InFlight: inFlight,
 		Waiting: map[string]int{model: waiting[route.PoolKey(model, version)]},
 	}
 }
--- a/pkg/route/local.go
+++ b/pkg/route/local.go
@@ -30,9 +30,9 @@
 type candidate struct {
 	upstream *config.Upstream
 	hash     uint64
-	// others and othersPrefill estimate the requests, and prompt tokens not yet
-	// prefilled, that are at the upstream on behalf of others than this gateway.
-	others, othersPrefill float64
+	// others estimates the requests that are at the upstream on behalf of others
+	// than this gateway, and ownThen is what this gateway had there at that time.
+	others, ownThen float64
 	// age is how old the report was when the table was compiled; negative: none.
 	age                     time.Duration
 	decodeRate, prefillRate float64
@@ -41,9 +41,6 @@
 	usableSince             time.Time
 }
 
-// meanLoad is the mean over a pool's candidates.
-type meanLoad struct{ others, prefill float64 }
-
 func (t *Table) compileLocals(in *Input) {
 	gateways := liveGateways(in)
 	for i := range in.Head.Declaration.Upstreams {
@@ -59,6 +56,7 @@
 		c.usableSince = t.sinceWhen(upstream.Name, in)
 		c.share = limit.Share(upstream.Name, upstream.Concurrency, in.Self, demands(gateways, upstream))
 		p := t.pool(poolID{upstream.Serves, loadedVersion(upstream, report)})
+		p.peers = float64(len(gateways) - 1)
 		if report != nil {
 			p.addHints(int32(len(p.locals)), report.Prefixes)
 		}
@@ -108,8 +106,8 @@
 		age:         -1,
 	}
 	peers, self := inFlightOf(in, upstream.Name)
-	c.others = float64(peers.requests)
-	c.othersPrefill = float64(peers.prefill)
+	c.others = float64(peers)
+	c.ownThen = float64(self)
 	if report == nil || report.ReportedAt.IsZero() {
 		return c
 	}
@@ -118,44 +116,41 @@
 	c.prefillRate = cmp.Or(report.PrefillRate, c.prefillRate)
 	// The report counts this gateway's requests as well: take off those that it
 	// had when it last spoke, about as long ago as the report.
-	reported := float64(report.Running + report.Queued - self.requests)
+	reported := float64(report.Running + report.Queued - self)
 	c.others = max(c.others, reported)
 	return c
 }
 
-// work is what one or several gateways have at an upstream.
-type work struct{ requests, prefill int }
-
-// inFlightOf adds up the peers' work at an upstream, and this gateway's own as it
-// last told them.
-func inFlightOf(in *Input, upstream string) (peers, self work) {
+// inFlightOf adds up the peers' requests at an upstream, and this gateway's own as
+// it last told them.
+func inFlightOf(in *Input, upstream string) (peers, self int) {
 	if in.Members == nil {
 		return peers, self
 	}
 	for i := range in.Members.Instances {
 		instance := &in.Members.Instances[i]
-		sum := &peers
-		if instance.Name == in.Self {
-			sum = &self
-		} else if instance.State == board.InstanceSilent || instance.State == board.InstanceLeft {
-			continue
+		switch {
+		case instance.Name == in.Self:
+			self += instance.Load.InFlight[upstream]
+		case instance.State == board.InstanceSilent, instance.State == board.InstanceLeft:
+		default:
+			peers += instance.Load.InFlight[upstream]
 		}
-		sum.requests += instance.Load.InFlight[upstream]
-		sum.prefill += instance.Load.Prefill[upstream]
 	}
 	return peers, self
 }
 
-// discounted returns others and their prefill, drawn towards the pool's mean as
-// the report ages.
-func (c *candidate) discounted(mean meanLoad, sinceCompile time.Duration) (others, prefill float64) {
-	if c.age < 0 {
-		return c.others, c.othersPrefill
+// present estimates what others have at the upstream now. What they had is drawn
+// towards the pool's mean as the report ages; since then, each of the peers is taken
+// to have sent as much as this gateway. Without that, all gateways send to whatever
+// looked idle in the same report until the next one comes.
+func (c *candidate) present(own int, peers, mean float64, sinceCompile time.Duration) float64 {
+	others := c.others
+	if c.age >= 0 {
+		trust := math.Exp(-float64(c.age+sinceCompile) / float64(reportLife))
+		others = trust*c.others + (1-trust)*mean
 	}
-	trust := math.Exp(-float64(c.age+sinceCompile) / float64(reportLife))
-	others = trust*c.others + (1-trust)*mean.others
-	prefill = trust*c.othersPrefill + (1-trust)*mean.prefill
-	return others, prefill
+	return max(0, others+peers*(float64(own)-c.ownThen))
 }
 
 // room is the concurrency that is counted on: less while the upstream's cache
@@ -172,8 +167,7 @@
 
 func (p *pool) finish() {
 	for i := range p.locals {
-		p.mean.others += p.locals[i].others / float64(len(p.locals))
-		p.mean.prefill += p.locals[i].othersPrefill / float64(len(p.locals))
+		p.mean += p.locals[i].others / float64(len(p.locals))
 	}
 	p.groups = groupCandidates(p.locals)
 }
--- a/pkg/route/pick_test.go
+++ b/pkg/route/pick_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -213,3 +214,36 @@
 	is.Equal(second.Run, first.Run)
 	is.Equal(second.Predicted, first.Predicted+waiting.Waiting)
 }
+
+// Gateways that read the same old report and decide alike do not together pile onto
+// the upstream that looked idle in it.
+func TestGatewaysWithOneReportDoNotHerd(t *testing.T) {
+	is := is.New(t)
+	const gateways = 5
+	w := newWorld(2)
+	report := w.input.Upstreams.ByName["u-1"]
+	report.Running = 4
+	w.input.Upstreams.ByName["u-1"] = report
+	w.input.Members = &board.Members{}
+	for i := range gateways {
+		w.input.Members.Instances = append(w.input.Members.Instances, board.Instance{
+			Name: fmt.Sprintf("gw-%d", i), State: board.InstanceLive, Incarnation: 1,
+		})
+	}
+	sent := map[string]int{}
+	for i := range gateways {
+		w.input.Self = fmt.Sprintf("gw-%d", i)
+		table := w.table()
+		w.load = fakeLoad{}
+		for range 4 {
+			req := request("ra")
+			req.Prefixes = nil
+			decision, _ := w.pick(table, req)
+			name := decision.Upstream.Name
+			sent[name]++
+			w.load[name] = limit.Load{InFlight: w.load[name].InFlight + 1, Limit: limit.Unlimited}
+		}
+	}
+	is.True(sent["u-0"] > sent["u-1"])   // the idle one gets more
+	is.True(sent["u-0"] < 2*sent["u-1"]) // and not nearly all
+}
--- a/pkg/route/score.go
+++ b/pkg/route/score.go
@@ -48,7 +48,7 @@
 const (
 	// prefillWeight is used among the upstreams of a pool: a prompt in prefill holds up those behind it,
 	// and what it puts into the cache drives out what others would have used.
-	prefillWeight = 2.0
+	prefillWeight = 3.0
 	// costScale is added at full CostWeight.
 	costScale = 5.0
 )
@@ -69,7 +69,7 @@
 // estimate predicts a request's course at a local upstream.
 func (p *pool) estimate(req *Request, i, favourite int32, own limit.Load, clock moment) Estimate {
 	c := &p.locals[i]
-	others, othersPrefill := c.discounted(p.mean, clock.sinceCompile)
+	others := c.present(own.InFlight, p.peers, p.mean, clock.sinceCompile)
 	e := Estimate{AtUpstream: others + float64(own.InFlight), Own: float64(own.InFlight)}
 	room := c.room(clock.now)
 	holding := own.Holding.Seconds()
@@ -83,7 +83,9 @@
 	}
 	uncached := float64(req.PromptTokens) - p.cachedTokens(req, i, favourite)
 	e.EngineSeconds = uncached / c.prefillRate
-	e.Prefill = e.EngineSeconds + (othersPrefill+float64(own.Prefill))/c.prefillRate
+	// A prompt in prefill is gone before the peers could tell of it: they are taken
+	// to have as much there as this gateway.
+	e.Prefill = e.EngineSeconds + (1+p.peers)*float64(own.Prefill)/c.prefillRate
 	e.Decode = answerTokens(req) / c.decodeRate
 	if holding == 0 {
 		holding = e.EngineSeconds + e.Decode
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -54,7 +54,9 @@
 	groups  []group
 	hints   map[uint64][]int32
 	remotes []remote
-	mean    meanLoad
+	// mean is the mean of the candidates' others, peers the number of the domain's
+	// other gateways.
+	mean, peers float64
 }
 
 // Compile builds a Table. A nil Head gives a table that refuses everything.
