Read a received configuration once, and own no digests before meeting the domain

Cause: a fresh agent is alone in its view, so it owned the digests of all remote domains, and each of them answered with the whole head, which was decoded as often at the same time. Each change came from as many domains at once, and was applied to the declaration as often.

Ruled out: the memory limit alone. It keeps the heap down afterwards, not the peak, and pays with processor time.

Now updates say which revision they lead to, and are read one after the other; one that is held already is not read. Digests are taken on after SettleTime, as the platform's watch is.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -37,7 +37,7 @@
 	// their ages are seen by the gateway.
 	RefreshInterval = time.Second
 	// SettleTime is how long a fresh agent listens for others of its domain
-	// before it takes on the platform's watch.
+	// before it takes on the platform's watch and other domains' digests.
 	SettleTime = 500 * time.Millisecond
 )
 
@@ -77,6 +77,8 @@
 	gateway  gatewayState
 	calls    calls
 	updates  updates
+	// taking is held while a received configuration is read.
+	taking sync.Mutex
 	// published is used by the tend loop alone.
 	published published
 
--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -33,9 +33,13 @@
 	MaxHold = 10 * time.Second
 )
 
-// digestDuties returns the fetches that this instance owns.
+// digestDuties returns the fetches that this instance owns. A fresh instance,
+// which has met nobody, would own them all, and get the configuration from each.
 func (a *Agent) digestDuties(workers []string) map[string]duty {
 	wanted := make(map[string]duty)
+	if time.Since(a.started) < SettleTime {
+		return wanted
+	}
 	domains := a.remoteDomains()
 	wait := max(DigestInterval, time.Duration(len(domains))*DigestPerDomain)
 	for _, domain := range domains {
--- a/pkg/agent/tend_test.go
+++ b/pkg/agent/tend_test.go
@@ -77,3 +77,24 @@
 	}
 	return a
 }
+
+// Many domains bring the same configuration at the same time; it is read once.
+func TestAHeldConfigurationIsNotReadAgain(t *testing.T) {
+	is := is.New(t)
+	a := settled(t, time.Unix(1_800_000_000, 0))
+	unreadable := func(to config.Revision) error {
+		return a.takeUpdate(&control.HeadUpdate{To: to, Whole: []byte("no head")}, spread.SourceDomain)
+	}
+	is.NoErr(unreadable(1)) // held already
+	is.True(unreadable(2) != nil)
+	is.True(unreadable(0) != nil) // a sender that does not say must be read
+}
+
+func TestAFreshInstanceOwnsNoDigests(t *testing.T) {
+	is := is.New(t)
+	a := settled(t, time.Unix(1_800_000_000, 0))
+	a.Settings.Seeds = []settings.Seed{{Domain: "b", Mesh: "127.0.0.1:1"}}
+	is.Equal(len(a.digestDuties([]string{"a-1"})), 0)
+	a.started = a.started.Add(-SettleTime)
+	is.Equal(len(a.digestDuties([]string{"a-1"})), 1)
+}
--- a/pkg/agent/update.go
+++ b/pkg/agent/update.go
@@ -31,7 +31,7 @@
 	}
 	if !whole {
 		if delta, ok := head.Delta(held); ok {
-			u.from, u.change = held, &control.HeadUpdate{Delta: delta}
+			u.from, u.change = held, &control.HeadUpdate{To: head.Revision, Delta: delta}
 			return u.change, nil
 		}
 	}
@@ -40,17 +40,23 @@
 		if err != nil {
 			return nil, err
 		}
-		u.whole = &control.HeadUpdate{Whole: data}
+		u.whole = &control.HeadUpdate{To: head.Revision, Whole: data}
 	}
 	return u.whole, nil
 }
 
 // takeUpdate offers a received configuration to the keeper. An error means that
-// the whole head has to be asked for.
+// the whole head has to be asked for. Many bring the same one at the same time, so
+// one is read after the other, and not at all once its revision is held.
 func (a *Agent) takeUpdate(update *control.HeadUpdate, source spread.Source) error {
 	if update == nil {
 		return nil
 	}
+	a.taking.Lock()
+	defer a.taking.Unlock()
+	if update.To > 0 && a.keeper.Revision() >= update.To {
+		return nil
+	}
 	head, err := a.readUpdate(update)
 	if err != nil {
 		a.Log.Warn().Err(err).Str("source", string(source)).Msg("configuration-not-followed")
@@ -68,9 +74,5 @@
 	if held == nil {
 		held = new(config.Head)
 	}
-	reaches := update.Delta.From + config.Revision(len(update.Delta.Changes))
-	if held.Revision >= reaches {
-		return held, nil
-	}
 	return held.Advance(update.Delta)
 }
--- a/pkg/control/mesh.go
+++ b/pkg/control/mesh.go
@@ -94,6 +94,9 @@
 
 // HeadUpdate brings a configuration to somebody whose revision is lower.
 type HeadUpdate struct {
+	// To is the revision that the receiver holds after it: whoever has that already
+	// need not read the rest.
+	To config.Revision
 	// Delta holds the changes alone, when the receiver is known to be able to
 	// follow them; else Whole is the encoded head (config.EncodeHead).
 	Delta *config.Delta
--- a/test/capacity/agents_test.go
+++ b/test/capacity/agents_test.go
@@ -72,7 +72,7 @@
 
 func measure(b *testing.B, l layout) {
 	d := deploy(b, l)
-	time.Sleep(settleTime)
+	b.Run("start", func(b *testing.B) { d.reportStart(b) })
 	b.Run("idle", func(b *testing.B) { d.report(b, func() { time.Sleep(measureTime) }) })
 	b.Run("changes", func(b *testing.B) {
 		began := time.Now()
@@ -95,6 +95,26 @@
 	report(b, before, after)
 }
 
+// reportStart reports what an agent's start has cost, up to the first accepted
+// configuration being in force everywhere and a time to settle.
+func (d *deployment) reportStart(b *testing.B) {
+	d.b = b
+	time.Sleep(settleTime)
+	var cpu, peak, most float64
+	for _, agent := range d.agents {
+		directory := fmt.Sprintf("/proc/%d", agent.command.Process.Pid)
+		cpu += d.processorTime(directory).Seconds()
+		high := d.peak(directory)
+		peak += high
+		most = math.Max(most, high)
+	}
+	count := float64(len(d.agents))
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(cpu/count, "agent-cpu-s")
+	b.ReportMetric(peak/count/1e6, "agent-peak-MB")
+	b.ReportMetric(most/1e6, "agent-peak-MB-max")
+}
+
 // change makes changes at a steady pace, through one agent after the other.
 func (d *deployment) change() (made int) {
 	end := time.Now().Add(measureTime)
--- a/test/capacity/sample_test.go
+++ b/test/capacity/sample_test.go
@@ -89,6 +89,21 @@
 	return pages * float64(os.Getpagesize())
 }
 
+// peak is the most memory that the process has had.
+func (d *deployment) peak(directory string) float64 {
+	data, err := os.ReadFile(directory + "/status")
+	check(d.b, err)
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			check(d.b, err)
+			return kilobytes * 1024
+		}
+	}
+	d.b.Fatal("no VmHWM in " + directory)
+	return 0
+}
+
 func (d *deployment) counters(address string) map[string]float64 {
 	response, err := http.Get("http://" + address + "/metrics")
 	check(d.b, err)
