Answer an operator's request that was begun before the agent stops

Cause: the shutdown of the operators' HTTP ran beside the loops that Run waits for, so the process could end while a change's answer was still waiting to be in force, and the operator was left with "unknown". Run now waits for it, for as long as such an answer may take. The test failed first: Run had ended with a request half read.

--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -22,7 +23,9 @@
 	// be in force.
 	requestTimeout = 30 * time.Second
 	maxHeader      = 16 << 10
-	closeTimeout   = 2 * time.Second
+	// closeTimeout bounds what is answered while stopping: a change's answer waits
+	// for command.InForceBound.
+	closeTimeout = command.InForceBound + 2*time.Second
 )
 
 // serveOperators opens the operators' HTTP.
@@ -45,12 +48,14 @@
 		}
 		return &ListenError{Address: address, Err: err}
 	})
-	context.AfterFunc(ctx, func() {
+	group.Go(func() error {
+		<-ctx.Done()
 		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
 		defer cancel()
 		if err := server.Shutdown(ending); err != nil {
 			_ = server.Close()
 		}
+		return nil
 	})
 	return nil
 }
