--- /dev/null
+++ b/test/scenario/orders_test.go
@@ -0,0 +1,131 @@
+package scenario
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/order"
+	"github.com/lilacweir/lilacweir/pkg/standin"
+	"github.com/lilacweir/lilacweir/pkg/standin/journal"
+)
+
+// errNoHolder: no agent of the domain has taken the lease for orders.
+var errNoHolder = errors.New("nobody has taken the lease")
+
+var leaseTaken = regexp.MustCompile(`event=order-lease-taken .*revision=([0-9]+)`)
+
+// holder gives a name to the agent that took a domain's lease for orders last,
+// and says which it is: holder NAME DOMAIN.
+func holder(d *deployment, args []string) (string, error) {
+	const count = 2
+	if len(args) != count {
+		return "", errUsage
+	}
+	found, err := d.find(args[1])
+	if err != nil {
+		return "", err
+	}
+	newest := -1
+	for _, one := range found {
+		data, err := os.ReadFile(one.log)
+		if err != nil {
+			return "", fmt.Errorf("holder: %w", err)
+		}
+		for _, match := range leaseTaken.FindAllSubmatch(data, -1) {
+			revision, err := strconv.Atoi(string(match[1]))
+			if err == nil && revision > newest {
+				newest, d.processes[args[0]] = revision, one
+			}
+		}
+	}
+	if newest < 0 {
+		return "", errNoHolder
+	}
+	return "holder=" + d.processes[args[0]].name, nil
+}
+
+// orders says what orders the engines of a domain, or of all, have taken: orders
+// DOMAIN. Fallen counts orders that took effect after one of the same domain with
+// a higher fencing number, over-rate pairs of loads that are closer than the
+// weight store permits. The rest counts engines by the version of their last order.
+func orders(d *deployment, args []string) (string, error) {
+	if len(args) != 1 {
+		return "", errUsage
+	}
+	text, err := control(d, []string{"journal"})
+	if err != nil {
+		return text, err
+	}
+	settings, err := standin.Load(d.file("standin.yaml"))
+	if err != nil {
+		return "", err
+	}
+	var taken []journal.Entry
+	refused := 0
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var entry journal.Entry
+		if err := decoder.Decode(&entry); err != nil {
+			return text, fmt.Errorf("journal: %w", err)
+		}
+		switch {
+		case entry.Kind != journal.KindOrder || (entry.Domain != args[0] && args[0] != "all"):
+		case entry.Result == journal.ResultRefused:
+			refused++
+		default:
+			taken = append(taken, entry)
+		}
+	}
+	spacing := time.Duration(float64(time.Minute) / settings.Platform.Weights.LoadsPerMinute)
+	return fmt.Sprintf("orders=%d refused=%d fallen=%d over-rate=%d %s",
+		len(taken), refused, fallen(taken), overRate(taken, spacing), latest(taken)), nil
+}
+
+func fallen(taken []journal.Entry) int {
+	count := 0
+	highest := make(map[string]int64)
+	for _, entry := range taken {
+		if entry.Fence < highest[entry.Domain] {
+			count++
+		}
+		highest[entry.Domain] = max(highest[entry.Domain], entry.Fence)
+	}
+	return count
+}
+
+// overRate leaves each order its flight after the store gave out its load.
+func overRate(taken []journal.Entry, spacing time.Duration) int {
+	count := 0
+	for i := range taken {
+		for j := i + 1; j < len(taken); j++ {
+			if taken[j].Started.Sub(taken[i].Started)+order.FlightMargin < time.Duration(j-i)*spacing {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func latest(taken []journal.Entry) string {
+	version := make(map[string]string)
+	for _, entry := range taken {
+		version[entry.Upstream] = entry.Version
+	}
+	engines := make(map[string]int)
+	for _, last := range version {
+		engines[last]++
+	}
+	var parts []string
+	for name, number := range engines {
+		parts = append(parts, fmt.Sprintf("%s=%d", name, number))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -68,6 +68,8 @@
 		"atonce":   atOnce,
 		"moment":   moment,
 		"work":     work,
+		"holder":   holder,
+		"orders":   orders,
 	}
 }
 
