Begin scripts when every gateway knows every instance

Cause: at-most-once-cut failed once in a whole test run ('keys=0 repeated=0'). Its first call came 120 ms after larisa-hall's gateway had said that it serves; it had heard of kalamaria-hall, but at a time when no instance there had a configuration, so the key's decider was not listed yet and the answer was unknown, owner-lost, with when to come back. That answer is right; the script's beginning was not. Ruled out: a lost digest (the next one came within a second). Now a deployment is up when each gateway lists all instances.

--- a/test/scenario/observe_test.go
+++ b/test/scenario/observe_test.go
@@ -15,6 +15,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/client"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
 
@@ -72,6 +73,28 @@
 		if !strings.Contains(text, `"serving"`) {
 			return fmt.Errorf("%s: %w: %s", name, errNotReady, text)
 		}
+		if err := d.listsAll(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// roamers are callers that may be served in every region of a deployment.
+var roamers = map[string]string{"wellness": "clinic-review", "minibar": "chung-restock"}
+
+// listsAll checks that a gateway has heard of every instance: one that has just
+// started knows its own failure domain first.
+func (d *deployment) listsAll(name string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), healthBound)
+	defer cancel()
+	caller := client.New("key-"+roamers[d.name], nil)
+	list, err := caller.Instances(ctx, d.instances[name].Gateway.Callers)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	if len(list.Instances) != len(d.instances) {
+		return fmt.Errorf("%s: %w: lists %d instances", name, errNotReady, len(list.Instances))
 	}
 	return nil
 }
