--- a/test/capacity/agents_test.go
+++ b/test/capacity/agents_test.go
@@ -239,7 +239,7 @@
 	for counter, unit := range rates {
 		spread(unit, perSecond(before, after, "lilacweir_agent_bytes_"+counter, seconds))
 	}
-	for _, counter := range []string{"heartbeats", "digests", "polls", "key_value", "directory", "list"} {
+	for _, counter := range []string{"heartbeats", "digests", "digests_failed", "polls", "key_value", "directory", "list"} {
 		spread(strings.ReplaceAll(counter, "_", "-")+"-calls/s", perSecond(before, after, "lilacweir_agent_calls_"+counter, seconds))
 	}
 	reads := after.keyValue.Range - before.keyValue.Range + after.keyValue.Watch - before.keyValue.Watch
