Tell peers loads by numbered upstreams, each name once

Cause: at the target's size, 25 upstreams and nine nodes in a failure domain, what a node tells eight peers each second was mostly the names of upstreams.

Weighed: the place of an upstream in the declaration (needs the same revision on both sides), a hash of the name (two names may share one, and five bytes each). Chosen: the sender numbers names as it meets them; each name is a fact of its own, which travels to each peer once and again to one that was started anew.

--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -20,14 +20,16 @@
 // mesh is what this instance knows and tells in its failure domain. Every
 // method takes the time, and none does input or output.
 type mesh struct {
-	mu        sync.Mutex
-	self      member.Identity
-	agent     config.Revision
-	inForce   config.Revision
-	view      *member.View
-	remote    *digest.Table
-	own       *journal
-	links     map[string]*link
+	mu      sync.Mutex
+	self    member.Identity
+	agent   config.Revision
+	inForce config.Revision
+	view    *member.View
+	remote  *digest.Table
+	own     *journal
+	links   map[string]*link
+	// numbers are those of upstreams in the loads that are told.
+	numbers   map[string]int
 	upstreams map[string]*upstreamEntry
 	digests   map[string]*digestEntry
 	marks     map[string]map[string]bool
@@ -48,6 +50,8 @@
 	heard     time.Time
 	revision  config.Revision
 	viewSum   uint64
+	// names are the upstreams that the peer's counts mean, by its numbers.
+	names map[int]string
 }
 
 // upstreamEntry is the last report of an upstream and who made it.
@@ -70,6 +74,7 @@
 		remote:    digest.NewTable(self.Domain),
 		own:       newJournal(),
 		links:     make(map[string]*link),
+		numbers:   make(map[string]int),
 		upstreams: make(map[string]*upstreamEntry),
 		digests:   make(map[string]*digestEntry),
 		marks:     make(map[string]map[string]bool),
@@ -160,8 +165,10 @@
 func (m *mesh) applyFacts(b *control.Beat, now time.Time) bool {
 	f := &b.Facts
 	news := false
+	l := m.link(b.From)
+	l.takeNames(f.Names)
 	if f.Load != nil {
-		m.view.Load(b.From, b.Epoch, *f.Load)
+		m.view.Load(b.From, b.Epoch, l.takeLoad(f))
 		news = true
 	}
 	for _, fact := range f.Upstreams {
--- a/pkg/agent/mesh_tell.go
+++ b/pkg/agent/mesh_tell.go
@@ -54,7 +54,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.view.Load(m.self.Name, m.self.Epoch, load)
-	m.own.set(keyLoad, func(f *control.Facts) { f.Load = &load })
+	m.tellLoad(load)
 	m.changed()
 }
 
--- a/pkg/agent/mesh_test.go
+++ b/pkg/agent/mesh_test.go
@@ -216,3 +216,32 @@
 	_, upstreams, _ = m.snapshot(now, []string{"nurse-1"})
 	is.True(!upstreams.ByName["nurse-1"].Marked) // it says so itself
 }
+
+// Loads name upstreams by numbers whose names travel once; a peer that was started
+// anew, or has lost a heartbeat, still understands them.
+func TestLoadsKeepTheirNames(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	one, two := testMesh("lar-1", 1, now), testMesh("lar-2", 2, now)
+	first := board.GatewayLoad{InFlight: map[string]int{"nurse-1": 3, "nurse-2": 1}, Requests: 9}
+	second := board.GatewayLoad{InFlight: map[string]int{"nurse-2": 4, "nurse-3": 2}, Requests: 11}
+	heard := func(by *mesh) board.GatewayLoad {
+		members, _, _ := by.snapshot(now, nil)
+		return members.Instances[0].Load
+	}
+	tell(t, one, two, now)
+	one.setLoad(first, nil)
+	tell(t, one, two, now)
+	is.Equal(heard(two), first)
+	one.setLoad(second, &first)
+	one.compose("lar-2", now) // lost on its way
+	tell(t, one, two, now)
+	is.Equal(heard(two), second)
+	tell(t, one, two, now)
+	is.Equal(len(one.own.since(one.link("lar-2").theirHave).Names), 0) // nothing is told twice
+
+	anew := testMesh("lar-2", 3, now)
+	tell(t, one, anew, now)
+	tell(t, one, anew, now)
+	is.Equal(heard(anew), second)
+}
--- a/pkg/control/mesh.go
+++ b/pkg/control/mesh.go
@@ -43,8 +43,12 @@
 
 // Facts are what the sender itself vouches for.
 type Facts struct {
-	Identity  *member.Identity
+	Identity *member.Identity
+	// Load has no counts by upstream's name; they are in Counts, by the numbers that
+	// Names gives, in this heartbeat or in an earlier one of the same epoch.
 	Load      *board.GatewayLoad
+	Counts    []LoadCount
+	Names     []NameFact
 	Upstreams []UpstreamFact
 	Marks     []MarkFact
 	Digests   []DigestFact
@@ -52,6 +56,20 @@
 	Platform  *PlatformFact
 }
 
+// LoadCount is what a gateway has at one upstream.
+type LoadCount struct {
+	// Number is the sender's for the upstream's name.
+	Number int
+	// InFlight is as in board.GatewayLoad.
+	InFlight int
+}
+
+// NameFact gives an upstream's name a number, for the sender's epoch.
+type NameFact struct {
+	Number int
+	Name   string
+}
+
 // PlatformFact is how the platform's key-value service answers a watcher.
 type PlatformFact struct {
 	// Watching is whether the sender calls the service at all.
