Tell peers an engine's cached prefixes apart from its load, every four seconds

Cause: each report of an engine, one a second, carried the hashes of its cached prefixes to every node of the domain: three quarters of the bytes, for what are hints that come late in any case.

Ruled out: leaving them out when they are unchanged alone. At the peak each engine begins ten requests a second, so they change with each poll.

The price: the other nodes of a domain know of a newly cached prefix up to four seconds later.

--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -29,7 +29,9 @@
 	own     *journal
 	links   map[string]*link
 	// numbers are those of upstreams in the loads that are told.
-	numbers   map[string]int
+	numbers map[string]int
+	// hints are the cached prefixes that were told, by upstream.
+	hints     map[string]hint
 	upstreams map[string]*upstreamEntry
 	digests   map[string]*digestEntry
 	marks     map[string]map[string]bool
@@ -75,6 +77,7 @@
 		own:       newJournal(),
 		links:     make(map[string]*link),
 		numbers:   make(map[string]int),
+		hints:     make(map[string]hint),
 		upstreams: make(map[string]*upstreamEntry),
 		digests:   make(map[string]*digestEntry),
 		marks:     make(map[string]map[string]bool),
@@ -171,9 +174,12 @@
 		m.view.Load(b.From, b.Epoch, l.takeLoad(f))
 		news = true
 	}
-	for _, fact := range f.Upstreams {
-		fact.Load.ReportedAt = now.Add(-fact.Age)
-		m.upstreams[fact.Load.Name] = &upstreamEntry{from: b.From, load: fact.Load}
+	for i := range f.Upstreams {
+		m.takeReport(b.From, &f.Upstreams[i], now)
+		news = true
+	}
+	for i := range f.Prefixes {
+		m.takePrefixes(&f.Prefixes[i])
 		news = true
 	}
 	for _, mark := range f.Marks {
--- a/pkg/agent/mesh_tell.go
+++ b/pkg/agent/mesh_tell.go
@@ -80,12 +80,13 @@
 	defer m.mu.Unlock()
 	before, ok := m.upstreams[load.Name]
 	m.upstreams[load.Name] = &upstreamEntry{from: m.self.Name, load: load}
+	m.tellPrefixes(&load)
 	if ok && before.from == m.self.Name && sameLoad(before.load, load) {
 		return false
 	}
 	made := load.ReportedAt
 	fact := load
-	fact.ReportedAt = time.Time{}
+	fact.ReportedAt, fact.Prefixes = time.Time{}, nil
 	m.own.set("upstream/"+load.Name, func(f *control.Facts) {
 		f.Upstreams = append(f.Upstreams, control.UpstreamFact{Load: fact, Age: max(time.Since(made), 0)})
 	})
@@ -99,6 +100,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.own.remove("upstream/" + name)
+	m.dropPrefixes(name)
 }
 
 func sameLoad(a, b board.UpstreamLoad) bool {
--- a/pkg/agent/mesh_test.go
+++ b/pkg/agent/mesh_test.go
@@ -245,3 +245,30 @@
 	tell(t, one, anew, now)
 	is.Equal(heard(anew), second)
 }
+
+// Cached prefixes are told apart from the load, now and then; a report between does
+// not take them away.
+func TestPrefixesAreToldNowAndThen(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	one, two := testMesh("lar-1", 1, now), testMesh("lar-2", 2, now)
+	report := func(running int, after time.Duration, prefixes ...uint64) {
+		load := board.UpstreamLoad{Name: "nurse-1", State: board.UpstreamLive, Running: running, ReportedAt: now.Add(after), Prefixes: prefixes}
+		one.setUpstream(load)
+		tell(t, one, two, now.Add(after))
+	}
+	heard := func() board.UpstreamLoad {
+		_, upstreams, _ := two.snapshot(now, []string{"nurse-1"})
+		return upstreams.ByName["nurse-1"]
+	}
+	tell(t, one, two, now)
+	report(1, 0, 7, 8)
+	is.Equal(heard().Prefixes, []uint64{7, 8})
+	report(2, PrefixInterval/2, 9)
+	is.Equal(heard().Running, 2)
+	is.Equal(heard().Prefixes, []uint64{7, 8}) // too soon to be told
+	report(2, PrefixInterval, 9)
+	is.Equal(heard().Prefixes, []uint64{9})
+	report(3, 2*PrefixInterval)
+	is.Equal(len(heard().Prefixes), 0) // the engine has forgotten them
+}
--- a/pkg/control/mesh.go
+++ b/pkg/control/mesh.go
@@ -50,6 +50,7 @@
 	Counts    []LoadCount
 	Names     []NameFact
 	Upstreams []UpstreamFact
+	Prefixes  []PrefixFact
 	Marks     []MarkFact
 	Digests   []DigestFact
 	List      *ListFact
@@ -79,9 +80,17 @@
 // ListFact is what the platform's lagging list says of the domain.
 type ListFact struct{ Lines []platform.ListedInstance }
 
+// PrefixFact is what an engine has cached, by the engine's owner.
+type PrefixFact struct {
+	Upstream string
+	// Prefixes are hashes, as in board.UpstreamLoad.
+	Prefixes []uint64
+}
+
 // UpstreamFact is a report by the upstream's owner.
 type UpstreamFact struct {
-	// Load has no ReportedAt: Age replaces it, as clocks differ.
+	// Load has no ReportedAt: Age replaces it, as clocks differ. Nor has it
+	// Prefixes, which come as a PrefixFact.
 	Load board.UpstreamLoad
 	Age  time.Duration
 }
