--- a/pkg/capacity/model.go
+++ b/pkg/capacity/model.go
@@ -41,9 +41,9 @@
 func Links(t Target, m *Measured, shares Shares) ([]Term, error) {
 	s := &solver{measured: m}
 	terms := []Term{
-		s.heartbeats(t), s.reportsHeard(t, shares), s.digestsHeard(t, shares), s.deltas(t),
+		s.heartbeats(t), s.reportsHeard(t, shares), s.prefixesHeard(t, shares), s.digestsHeard(t, shares), s.deltas(t),
 		s.digestsFetched(t, shares), s.digestsAnswered(t), s.digestsTold(t, shares),
-		s.polls(t, shares), s.reportsTold(t, shares), s.watches(t, shares),
+		s.polls(t, shares), s.reportsTold(t, shares), s.prefixesTold(t, shares), s.watches(t, shares),
 	}
 	return terms, s.err
 }
@@ -69,6 +69,29 @@
 	}
 }
 
+// prefixBytes is what new cached prefixes add to a report.
+func (s *solver) prefixBytes() float64 {
+	return s.slope("PrefixShare", "upstreams", "sent-B/op") - s.slope("UpstreamShare", "upstreams", "sent-B/op")
+}
+
+func (s *solver) prefixesHeard(t Target, shares Shares) Term {
+	rate := t.ServersPerDomain() * (1 - shares.Polls) / agent.PrefixInterval.Seconds()
+	return Term{
+		Role: RoleMember, What: "cached prefixes of engines, from their poll owners", Events: rate,
+		Received: rate * s.prefixBytes(),
+		Source:   "PrefixShare less UpstreamShare, PrefixInterval",
+	}
+}
+
+func (s *solver) prefixesTold(t Target, shares Shares) Term {
+	rate := t.ServersPerDomain() * shares.Polls / agent.PrefixInterval.Seconds()
+	return Term{
+		Role: RolePolls, What: "cached prefixes of polled engines, to each node of the domain", Events: rate,
+		Sent:   rate * (t.NodesPerDomain() - 1) * s.prefixBytes(),
+		Source: "PrefixShare less UpstreamShare, nodes in a domain",
+	}
+}
+
 func (s *solver) digestsHeard(t Target, shares Shares) Term {
 	rate := (t.Domains - 1) * (1 - shares.Digests) / digestInterval(t)
 	return Term{
--- a/pkg/capacity/model_test.go
+++ b/pkg/capacity/model_test.go
@@ -18,6 +18,8 @@
 BenchmarkBeat/nodes=9-12 1 800 sent-B/op 400 received-B/op
 BenchmarkUpstreamShare/upstreams=1-12 1 30 sent-B/op
 BenchmarkUpstreamShare/upstreams=5-12 1 70 sent-B/op
+BenchmarkPrefixShare/upstreams=1-12 1 50 sent-B/op
+BenchmarkPrefixShare/upstreams=5-12 1 210 sent-B/op
 BenchmarkDigestShare/domains=1-12 1 40 sent-B/op
 BenchmarkDigestShare/domains=5-12 1 120 sent-B/op
 BenchmarkDigestFetch/domains=1-12 1 5 sent-B/op 50 received-B/op
@@ -48,10 +50,12 @@
 	is.New(t).NoErr(err)
 	beats := 4 / agent.BeatInterval.Seconds()
 	polls := 10 / agent.PollInterval.Seconds()
+	hints := 5 / agent.PrefixInterval.Seconds()
 	fetches := 1 / agent.DigestInterval.Seconds()
 	want := []struct{ events, sent, received float64 }{
 		{beats, beats * 100, beats * 50},
 		{polls / 2, 0, polls / 2 * 10},
+		{hints, 0, hints * 30},
 		{0, 0, 0}, // this node fetches all digests itself
 		{1, 600, 600},
 		{fetches, fetches * 5, fetches * 50},
@@ -59,6 +63,7 @@
 		{fetches, fetches * 4 * 20, 0},
 		{polls / 2, polls / 2 * 3, polls / 2 * 7},
 		{polls / 2, polls / 2 * 4 * 10, 0},
+		{hints, hints * 4 * 30, 0},
 		{0.4, 0, 0.4 * 4 / 3 * 1020},
 	}
 	is.New(t).Equal(len(terms), len(want))
