--- a/cmd/lilacweir-load/main.go
+++ b/cmd/lilacweir-load/main.go
@@ -24,6 +24,7 @@
 	Chunks   chunksCommand    `cmd:"" help:"Compare the processor time of streamed chunks through a gateway and direct."`
 	Fit      fitCommand       `cmd:"" help:"Print the series of recorded benchmarks, with a line through each."`
 	Capacity capacityCommand  `cmd:"" help:"Print what each role costs at the target size, from recorded benchmarks."`
+	Decide   decideCommand    `cmd:"" help:"Compare decisions with simpler policies over modelled engines, in virtual time."`
 	Check    checkCommand     `cmd:"" help:"Check a mix without sending anything."`
 }
 
--- a/pkg/load/decide/decide.go
+++ b/pkg/load/decide/decide.go
@@ -36,15 +36,6 @@
 	CostWeight float64
 }
 
-// DefaultOptions are the options that the published tables were made with, for
-// the wellness mix.
-func DefaultOptions() Options {
-	return Options{
-		Mix: MixWellness, Engines: 4, Gateways: 3, Loads: []int{50, 80, 95, 130},
-		Overload: true, Pairs: 7, Length: 10 * time.Minute, Seed: 1, CostWeight: 0.2,
-	}
-}
-
 // OptionError is an option that cannot be used.
 type OptionError struct {
 	// Name is the option, Value what was given.
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -109,7 +109,7 @@
 	waiting := g.queue.Waiting()
 	g.told = board.GatewayLoad{
 		InFlight: inFlight,
-		Waiting: map[string]int{model: waiting[route.PoolKey(model, version)]},
+		Waiting:  map[string]int{model: waiting[route.PoolKey(model, version)]},
 	}
 }
 
