Show that bad keys and bad input run nothing and end no process

One script over real processes: wrong keys, other people's keys and none; bodies and heads beyond their bounds; broken JSON, broken YAML, bad headers and unknown paths; bytes that are no request, at all five doors of an instance; and 1200 slow connections at callers' and operators' doors.

--- a/test/scenario/deployment_test.go
+++ b/test/scenario/deployment_test.go
@@ -52,6 +52,7 @@
 	// keys holds idempotency keys by the names that a script gave them.
 	keys    map[string]string
 	moments map[string]time.Time
+	slow    map[string]*slowSet
 }
 
 // plan reserves a net and writes the settings of all processes.
@@ -66,7 +67,7 @@
 		name: name, number: number, holder: holder, directory: directory,
 		processes: make(map[string]*process), loads: make(map[string]*backgroundLoad),
 		calls: make(map[string]*backgroundCall), chats: make(map[string]*backgroundChat), keys: make(map[string]string),
-		moments: make(map[string]time.Time),
+		moments: make(map[string]time.Time), slow: make(map[string]*slowSet),
 	}
 	topology := filepath.Join("..", "..", "deploy", name, "topology.yaml")
 	command := exec.Command(d.binary("lilacweir-standin"), "plan", topology, "--net", fmt.Sprint(number), "--out", directory)
--- /dev/null
+++ b/test/scenario/input_test.go
@@ -0,0 +1,235 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/header"
+)
+
+// Bounds of what the verbs of bad input send.
+const (
+	// nonsenseSeed makes the random bytes the same in every run.
+	nonsenseSeed = 7
+	nonsenseSize = 64 << 10
+	// slowEvery is the pace of slow connections, a byte each.
+	slowEvery = 250 * time.Millisecond
+	// sizeMark starts a text that stands for so many bytes.
+	sizeMark = "size:"
+	// shownBody bounds what a script sees of a body.
+	shownBody = 400
+)
+
+// doors lists an instance's addresses by the names that scripts use.
+func (d *deployment) doors(instance string) map[string]string {
+	found := d.instances[instance]
+	if found == nil {
+		return nil
+	}
+	return map[string]string{
+		"callers": found.Gateway.Callers, "peers": found.Gateway.Peers, "control": found.Gateway.Control,
+		"mesh": found.Agent.Mesh, "operators": found.Agent.Operators,
+	}
+}
+
+// sized returns the text itself, or as many bytes as size:N says.
+func sized(text string) string {
+	count, err := strconv.Atoi(strings.TrimPrefix(text, sizeMark))
+	if err != nil || !strings.HasPrefix(text, sizeMark) {
+		return text
+	}
+	return strings.Repeat("x", count)
+}
+
+// web sends an HTTP request: web INSTANCE DOOR METHOD PATH BODY [HEADER=VALUE …].
+// BODY is a file of the script, size:N, or - for none.
+func web(d *deployment, args []string) (string, error) {
+	const least = 5
+	if len(args) < least || d.doors(args[0])[args[1]] == "" {
+		return "", errUsage
+	}
+	body := []byte(sized(args[4]))
+	if data, err := os.ReadFile(d.file(args[4])); err == nil {
+		body = data
+	} else if args[4] == "-" {
+		body = nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askBound)
+	defer cancel()
+	url := "http://" + d.doors(args[0])[args[1]] + args[3]
+	request, err := http.NewRequestWithContext(ctx, args[2], url, bytes.NewReader(body))
+	if err != nil {
+		return "", fmt.Errorf("web: %w", err)
+	}
+	for _, field := range args[least:] {
+		name, value, _ := strings.Cut(field, "=")
+		request.Header.Set(name, sized(value))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", fmt.Errorf("web: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return describeResponse(response)
+}
+
+// describeResponse says what a response holds, and how many typed errors.
+func describeResponse(response *http.Response) (string, error) {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", fmt.Errorf("web: %w", err)
+	}
+	var refusal struct {
+		Error struct {
+			Type    string `json:"type"`
+			Outcome string `json:"outcome"`
+		} `json:"error"`
+	}
+	kind := "none"
+	if json.Unmarshal(body, &refusal) == nil {
+		kind = refusal.Error.Type + "/" + refusal.Error.Outcome
+	}
+	return fmt.Sprintf("status=%d error=%s verdict=%s body=%s", response.StatusCode, kind,
+		response.Header.Get(header.Verdict), body[:min(len(body), shownBody)]), nil
+}
+
+// nonsense sends bytes that are no request of any kind to all of an instance's
+// doors, and counts the connections that the instance ended: nonsense INSTANCE.
+func nonsense(d *deployment, args []string) (string, error) {
+	if len(args) != 1 || d.instances[args[0]] == nil {
+		return "", errUsage
+	}
+	random := make([]byte, nonsenseSize)
+	source := rand.New(rand.NewPCG(nonsenseSeed, nonsenseSeed))
+	for i := range random {
+		random[i] = byte(source.Uint32())
+	}
+	payloads := [][]byte{
+		random,
+		nil,
+		{0xf8, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01}, // a gob frame of eight exabytes
+		{0x16, 0x03, 0x01, 0x02, 0x00, 0x01, 0x00},                   // half a TLS handshake
+		[]byte("POST /v1/command HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n"),
+		[]byte("GET /\x00 HTTP/9.9\r\n\r\n\r\n"),
+	}
+	sent, ended := 0, 0
+	for _, address := range d.doors(args[0]) {
+		for _, payload := range payloads {
+			sent++
+			if err := throw(address, payload); err != nil {
+				return "", fmt.Errorf("nonsense at %s: %w", address, err)
+			}
+			ended++
+		}
+	}
+	return fmt.Sprintf("sent=%d ended=%d", sent, ended), nil
+}
+
+// throw sends bytes and waits until the other side has ended the connection.
+func throw(address string, payload []byte) error {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return fmt.Errorf("throw: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(askBound))
+	if _, err := conn.Write(payload); err == nil {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	var timeout net.Error
+	if _, err := io.Copy(io.Discard, conn); errors.As(err, &timeout) && timeout.Timeout() {
+		return err
+	}
+	return nil
+}
+
+// slowSet is a set of connections that send a byte from time to time.
+type slowSet struct{ open atomic.Int64 }
+
+// slow opens slow connections, and says how many are still open when the set is
+// there already: slow NAME INSTANCE DOOR COUNT FILE. FILE holds how each begins.
+func slow(d *deployment, args []string) (string, error) {
+	if set := d.slow[args[0]]; set != nil {
+		return fmt.Sprintf("open=%d", set.open.Load()), nil
+	}
+	const all = 5
+	if len(args) != all || d.doors(args[1])[args[2]] == "" {
+		return "", errUsage
+	}
+	begin, err := os.ReadFile(d.file(args[4]))
+	if err != nil {
+		return "", fmt.Errorf("slow: %w", err)
+	}
+	begin = bytes.ReplaceAll(bytes.TrimSpace(begin), []byte("\n"), []byte("\r\n"))
+	count, err := strconv.Atoi(args[3])
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", errUsage, err)
+	}
+	set := new(slowSet)
+	d.slow[args[0]] = set
+	for range count {
+		conn, err := net.Dial("tcp", d.doors(args[1])[args[2]])
+		if err != nil {
+			return "", fmt.Errorf("slow: %w", err)
+		}
+		set.open.Add(1)
+		go set.dribble(conn, begin)
+	}
+	return fmt.Sprintf("open=%d", count), nil
+}
+
+// dribble sends until the other side ends the connection.
+func (s *slowSet) dribble(conn net.Conn, begin []byte) {
+	defer s.open.Add(-1)
+	defer func() { _ = conn.Close() }()
+	ticker := time.NewTicker(slowEvery)
+	defer ticker.Stop()
+	for _, err := conn.Write(begin); err == nil; _, err = conn.Write([]byte("a")) {
+		<-ticker.C
+	}
+}
+
+// pids lists the processes that run, with their IDs.
+func pids(d *deployment, _ []string) (string, error) {
+	var lines []string
+	for name, one := range d.processes {
+		if one.running() {
+			lines = append(lines, fmt.Sprintf("%s=%d", name, one.command.Process.Pid))
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n"), nil
+}
+
+// program runs one of the short-lived programs where the script's files are, and
+// says its exit code: program NAME ARGS.
+func program(d *deployment, args []string) (string, error) {
+	if len(args) == 0 {
+		return "", errUsage
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), exitBound)
+	defer cancel()
+	command := exec.CommandContext(ctx, d.binary(args[0]), args[1:]...)
+	command.Dir = d.directory
+	command.Env = append(os.Environ(), "LILACWEIR_KEY="+d.operatorKey())
+	output, err := command.CombinedOutput()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		return "", fmt.Errorf("program: %w", err)
+	}
+	return fmt.Sprintf("exit=%d\n%s", command.ProcessState.ExitCode(), output), nil
+}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -70,6 +70,11 @@
 		"work":     work,
 		"holder":   holder,
 		"orders":   orders,
+		"web":      web,
+		"nonsense": nonsense,
+		"slow":     slow,
+		"pids":     pids,
+		"program":  program,
 	}
 }
 
