Try another domain once where the own one refuses for overload

Ruled out: ejection (the last engines are never all ejected, as meant) and the digests (both domains reported spare).

Leaving the pool that refused loads it no further, so it needs no retry from the budget. It happens once a request, never for one that was forwarded; the other domain's credit and the spill rules bound it.

--- a/pkg/dispatch/claim_test.go
+++ b/pkg/dispatch/claim_test.go
@@ -106,3 +106,33 @@
 		})
 	}
 }
+
+// Where the own domain refuses for overload and no retry is left, another domain
+// is tried once; a forwarded request is not sent on.
+func TestOverloadAtHomeIsTriedElsewhereOnce(t *testing.T) {
+	cases := []struct {
+		name, origin string
+		own          []string
+		steps        []string
+		attempts     int
+		want         int
+	}{
+		{"elsewhere answers", "", []string{refuses}, []string{refuses, answers}, 2, http.StatusOK},
+		{"elsewhere refuses", "", []string{refuses}, []string{refuses, refuses, answers}, 2, http.StatusServiceUnavailable},
+		{"forwarded", "there", []string{refuses}, []string{refuses, answers}, 1, http.StatusServiceUnavailable},
+		{"came from elsewhere already", "", nil, []string{refuses, answers}, 1, http.StatusServiceUnavailable},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			upstream := &script{steps: test.steps, own: test.own}
+			d := newClaimDispatcher(t, upstream, nil)
+			request := keyedRequest()
+			request.IdempotencyKey, request.Repeatable, request.Origin = "", true, test.origin
+			recorder := httptest.NewRecorder()
+			d.Serve(context.Background(), request, relay.NewSink(recorder, time.Now))
+			is.Equal(recorder.Code, test.want)
+			is.Equal(upstream.attempts, test.attempts)
+		})
+	}
+}
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	// Next waits for admission, once, and chooses a target that is not in tried.
 	// The place taken there is given back by calling done.
 	Next(ctx context.Context, tried []string) (choice Choice, done func(relay.Report), refusal *outcome.Refusal)
+	// Own names the own failure domain's upstreams that serve the request.
+	Own() []string
 	// End gives up what the request holds.
 	End()
 }
@@ -82,7 +84,9 @@
 	tried    []string
 	attempts int
 	// ran is true once an attempt may have run.
-	ran  bool
+	ran bool
+	// left is true once the own failure domain's upstreams were given up.
+	left bool
 	last *relay.Failure
 }
 
@@ -119,7 +123,7 @@
 		if report.Failure == nil {
 			return nil
 		}
-		if !r.again(report.Failure) {
+		if !r.again(route, report.Failure) {
 			return r.refuse(report.Failure.Refusal)
 		}
 	}
@@ -228,7 +232,7 @@
 }
 
 // again decides whether another attempt may be made.
-func (r *run) again(failure *relay.Failure) bool {
+func (r *run) again(route Route, failure *relay.Failure) bool {
 	switch {
 	case failure.CallerGone, r.attempts >= maxAttempts:
 		return false
@@ -243,7 +247,20 @@
 	case failure.Refusal.Outcome == outcome.NotRun && !failure.Overload:
 		return true
 	}
-	return r.Router.Retry()
+	return r.Router.Retry() || r.leave(route, failure)
+}
+
+// leave gives up the own failure domain for another, once, after an upstream
+// refused for overload. It costs no retry, since it spares the pool that is
+// overloaded; the other domain's credit and the spill rules bound it.
+func (r *run) leave(route Route, failure *relay.Failure) bool {
+	if r.left || r.request.Origin != "" || !failure.Overload || failure.Refusal.Outcome != outcome.NotRun {
+		return false
+	}
+	r.left = true
+	own := route.Own()
+	r.tried = append(r.tried, own...)
+	return len(own) > 0
 }
 
 // refuse returns the refusal that is true for the whole request.
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -39,11 +39,13 @@
 	address  string
 	dead     string
 	budget   int
+	own      []string
 	attempts int
 	current  atomic.Value // the step that the upstream acts out
 	ran      atomic.Int32
 }
 
+func (s *script) Own() []string                          { return s.own }
 func (s *script) Route(*dispatch.Request) dispatch.Route { return s }
 func (s *script) End()                                   {}
 
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// Own implements dispatch.Route.
+func (w *way) Own() []string {
+	var names []string
+	for _, upstream := range w.config.Load().Pool(w.request.Serves) {
+		if upstream.Domain == w.settings.Domain {
+			names = append(names, upstream.Name)
+		}
+	}
+	return names
+}
+
 // Next implements dispatch.Route.
 func (w *way) Next(ctx context.Context, tried []string) (dispatch.Choice, func(relay.Report), *outcome.Refusal) {
 	w.query.Tried = w.suspects.exhausted(w.board.Domains.Load(), tried)
