Try another engine once when one does not start a request

Cause: an engine that starts nothing was retried only from the retry budget, so while it went on refusing, requests with affinity to it were refused as not run although other engines were idle. A second attempt is free while nothing has run; further ones still come from the budget.

--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -71,6 +71,11 @@
 // notedWait is the least time in the queue that operators are told of.
 const notedWait = 10 * time.Millisecond
 
+// freeAttempts is how many attempts a request has, without regard to the retry
+// budget, while nothing has run for lack of capacity: one more costs next to nothing,
+// and a single engine that starts nothing says little of the others.
+const freeAttempts = 2
+
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 4
 
@@ -244,7 +249,7 @@
 		return false
 	case r.sink.Begun:
 		return true
-	case failure.Refusal.Outcome == outcome.NotRun && !failure.Overload:
+	case failure.Refusal.Outcome == outcome.NotRun && (!failure.Overload || r.attempts < freeAttempts):
 		return true
 	}
 	return r.Router.Retry() || r.leave(route, failure)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -357,3 +357,16 @@
 		})
 	}
 }
+
+// One engine that starts nothing must not cost requests while another one is idle.
+func TestRefusingEngineCostsNoRequests(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	b.set("nurse-n1", "refuse", "1000")
+	for i := range 30 {
+		body := fmt.Sprintf(`{"model":"nurse","messages":[{"role":"user","content":"night %d"}],"max_tokens":2,"stream":true}`, i)
+		is.Equal(b.told(b.send(testContext(t), review.method, review.path, residentKey, body, nil)), complete)
+	}
+	is.Equal(len(b.journal.Entries("nurse-n1")), 0)
+	is.Equal(b.ran(), 30)
+}
