--- a/cmd/lilacweir-load/decide.go
+++ b/cmd/lilacweir-load/decide.go
@@ -17,6 +17,7 @@
 	Seed       uint64        `default:"1" help:"First seed."`
 	CostWeight float64       `default:"0.2" help:"Declared weight of cost against latency, 0 to 1."`
 	Overload   bool          `default:"true" negatable:"" help:"Add the goodput at and beyond capacity."`
+	Fault      string        `default:"" enum:",slow,lie" help:"Make the first engine slow, or slow and lie about it."`
 	Spill      bool          `help:"Compare ways to send work to other regions instead."`
 }
 
@@ -24,7 +25,7 @@
 func (c *decideCommand) Run() error {
 	options := decide.Options{
 		Mix: c.Mix, Engines: c.Engines, Gateways: c.Gateways, Loads: c.Loads, Overload: c.Overload,
-		Pairs: c.Pairs, Length: c.For, Seed: c.Seed, CostWeight: c.CostWeight,
+		Fault: c.Fault, Pairs: c.Pairs, Length: c.For, Seed: c.Seed, CostWeight: c.CostWeight,
 	}
 	if c.Spill {
 		return decide.RunSpill(os.Stdout, options)
--- a/pkg/load/decide/decide.go
+++ b/pkg/load/decide/decide.go
@@ -25,6 +25,8 @@
 	Loads []int
 	// Overload adds the goodput at and beyond the candidate's own capacity.
 	Overload bool
+	// Fault makes the first engine misbehave: FaultSlow, FaultLie, or neither.
+	Fault string
 	// Pairs is how many times each policy runs, each time with another seed that
 	// all policies share.
 	Pairs int
@@ -36,6 +38,17 @@
 	CostWeight float64
 }
 
+// Faults of the first engine.
+const (
+	// FaultSlow makes it slowFactor times slower, which it reports as it is.
+	FaultSlow = "slow"
+	// FaultLie makes it as slow, and report that it is fast and has nothing to do.
+	FaultLie = "lie"
+)
+
+// slowFactor is how much slower an engine with a fault is.
+const slowFactor = 4
+
 // OptionError is an option that cannot be used.
 type OptionError struct {
 	// Name is the option, Value what was given.
@@ -56,7 +69,7 @@
 	if o.Engines < 1 || o.Gateways < 1 || o.Pairs < 1 {
 		return &OptionError{Name: "size", Value: fmt.Sprint(o.Engines, o.Gateways, o.Pairs)}
 	}
-	capacity := saturated(o, mix)
+	capacity := saturated(o.healthy(), mix)
 	out := &printer{w: w}
 	out.header(o, capacity)
 	for _, percent := range o.Loads {
@@ -68,6 +81,12 @@
 	return out.err
 }
 
+// healthy returns the options without the fault.
+func (o Options) healthy() Options {
+	o.Fault = ""
+	return o
+}
+
 // compare runs every policy with every seed at one rate, one after the other with
 // each seed, so that no policy has a part of the run to itself.
 func compare(o Options, mix *mix, rate float64) []series {
--- a/pkg/load/decide/engine.go
+++ b/pkg/load/decide/engine.go
@@ -26,7 +26,11 @@
 	name string
 	hall *hall
 	// lost engines take no new work.
-	lost              bool
+	lost bool
+	// slow stretches all its times; zero means 1. An engine that lies reports
+	// that it has nothing to do.
+	slow              float64
+	lies              bool
 	running           int
 	queue, prefilling []*flight
 	prefillBusy       bool
@@ -45,7 +49,7 @@
 // tokenTime is how long one token takes at the present batch.
 func (e *engine) tokenTime() time.Duration {
 	others := float64(max(0, e.running-1))
-	return time.Duration((1 + engineBatchCost*others) / engineDecodeRate * float64(time.Second))
+	return time.Duration(max(1, e.slow) * (1 + engineBatchCost*others) / engineDecodeRate * float64(time.Second))
 }
 
 // tokenCost is an engine-second's part for one token in a full batch.
@@ -59,7 +63,7 @@
 	seconds := float64(missing) / enginePrefillRate
 	e.prefillSeconds += seconds
 	e.wasted += float64(reusable) / enginePrefillRate
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(max(1, e.slow) * seconds * float64(time.Second))
 }
 
 // sample makes the report that gateways will see one interval later.
@@ -74,6 +78,10 @@
 		ReportedAt:  now,
 		Prefixes:    e.cache.recent(),
 	}
+	if e.lies {
+		e.reports[1].Running, e.reports[1].Queued = 0, 0
+		e.reports[1].DecodeRate = engineDecodeRate
+	}
 }
 
 func (e *engine) state() board.UpstreamState {
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -27,6 +27,7 @@
 	spill    *route.SpillState
 	strategy *route.Strategy
 	head     *config.Head
+	ejector  *limit.Ejector
 	tracker  *limit.Tracker
 	queue    *admission.Queue
 	table    *route.Table
@@ -55,11 +56,12 @@
 	g := &gateway{
 		sim: s, hall: h, name: fmt.Sprintf("gw-%s-%02d", h.name, i),
 		spill:   route.NewSpillState(),
-		tracker: limit.NewTracker(s, nil),
+		ejector: limit.NewEjector(s),
 		queue:   admission.NewQueue(s),
 		rnd:     rand.New(rand.NewPCG(seed, uint64(h.index*s.options.Gateways+i))),
 		head:    &config.Head{Revision: 1, Declaration: declaration(s)},
 	}
+	g.tracker = limit.NewTracker(s, g.ejector)
 	if p.strategy != nil {
 		g.strategy = p.strategy()
 	}
@@ -97,6 +99,7 @@
 	})
 	g.tracker.SetShares(g.table.Shares())
 	for _, pool := range g.table.Pools() {
+		g.ejector.SetPool(pool.Key, pool.Upstreams)
 		g.queue.SetCapacity(pool.Key, g.table.Slots(pool, g.tracker))
 	}
 	g.queue.Sweep()
--- a/pkg/load/decide/print.go
+++ b/pkg/load/decide/print.go
@@ -31,6 +31,9 @@
 }
 
 func (p *printer) header(o Options, capacity float64) {
+	if o.Fault != "" {
+		p.printf("the first engine has the fault: %s\n", o.Fault)
+	}
 	p.printf("mix %s, %d engines, %d gateways, %d pairs of %v, seeds from %d, cost weight %g\n",
 		o.Mix, o.Engines, o.Gateways, o.Pairs, o.Length, o.Seed, o.CostWeight)
 	p.printf("capacity %.2f requests/s (the most at which the best simpler policy answers 99 %% in time)\n\n", capacity)
--- a/pkg/load/decide/simulation.go
+++ b/pkg/load/decide/simulation.go
@@ -52,6 +52,7 @@
 	s.end = epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
 	s.build(max(1, o.Halls))
+	s.spoil()
 	constant := func(time.Duration) float64 { return rate }
 	s.staff(p, seed)
 	s.offer(seed, rate, func(int) func(time.Duration) float64 { return constant })
@@ -70,6 +71,15 @@
 	}
 }
 
+// spoil brings about the fault of the first engine.
+func (s *simulation) spoil() {
+	if s.options.Fault == "" {
+		return
+	}
+	s.engines[0].slow = slowFactor
+	s.engines[0].lies = s.options.Fault == FaultLie
+}
+
 // staff puts gateways into the failure domains.
 func (s *simulation) staff(p policy, seed uint64) {
 	for _, h := range s.halls {
