Freeze a process before going on in a script

Cause: at-most-once-owner-frozen failed once at a load average of 50: the repeat was told in-progress, which only the decider can say, by a process that had just been sent SIGSTOP. The signal stops a thread when it next enters the kernel; the verb did not wait for that. Now it waits until every thread is stopped. Ruled out: a second decider (the answer came from the only one).

--- a/test/scenario/observe_test.go
+++ b/test/scenario/observe_test.go
@@ -14,8 +14,8 @@
 
 	"go.yaml.in/yaml/v3"
 
-	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
 )
 
--- a/test/scenario/process_test.go
+++ b/test/scenario/process_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -17,6 +18,7 @@
 	errRunning    = errors.New("the process runs already")
 	errNotRunning = errors.New("the process does not run")
 	errNoExit     = errors.New("the process did not end")
+	errNotFrozen  = errors.New("a thread still runs")
 )
 
 // process is one program of a deployment, which may be started many times.
@@ -80,6 +82,33 @@
 	return nil
 }
 
+// freeze stops every thread of the process with SIGSTOP. The signal acts some time
+// after it was sent; until then the process may still answer.
+func (p *process) freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return poll(pollBound, p.isFrozen)
+}
+
+func (p *process) isFrozen() error {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	if err != nil {
+		return fmt.Errorf("%s: %w", p.name, err)
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		// The state follows the program's name, which ends with a bracket.
+		if _, state, _ := bytes.Cut(stat, []byte(") ")); !bytes.HasPrefix(state, []byte("T")) {
+			return fmt.Errorf("%s: %w", p.name, errNotFrozen)
+		}
+	}
+	return nil
+}
+
 // kill ends the process with SIGKILL, if it runs.
 func (p *process) kill() error {
 	if !p.running() {
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -39,7 +39,7 @@
 		"start":    each(func(d *deployment, name string) error { return d.start(name) }),
 		"sigkill":  together((*process).kill),
 		"sigterm":  together((*process).stop),
-		"freeze":   together(func(p *process) error { return p.signal(syscall.SIGSTOP) }),
+		"freeze":   together((*process).freeze),
 		"thaw":     together(func(p *process) error { return p.signal(syscall.SIGCONT) }),
 		"replace":  each(replace),
 		"ctl":      control,
