--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -236,38 +236,6 @@
 		Err(failure.Refusal.Err).Msg("attempt-failed")
 }
 
-// again decides whether another attempt may be made.
-func (r *run) again(route Route, failure *relay.Failure) bool {
-	switch {
-	case failure.CallerGone, r.attempts >= maxAttempts:
-		return false
-	case failure.Unsent && failure.Refusal.Reason != outcome.ReasonNoUpstream:
-		return false
-	case r.sink.Begun && !r.sink.Stream:
-		return false
-	case r.ran && !r.request.Repeatable:
-		return false
-	case r.sink.Begun:
-		return true
-	case failure.Refusal.Outcome == outcome.NotRun && (!failure.Overload || r.attempts < freeAttempts):
-		return true
-	}
-	return r.Router.Retry() || r.leave(route, failure)
-}
-
-// leave gives up the own failure domain for another, once, after an upstream
-// refused for overload. It costs no retry, since it spares the pool that is
-// overloaded; the other domain's credit and the spill rules bound it.
-func (r *run) leave(route Route, failure *relay.Failure) bool {
-	if r.left || r.request.Origin != "" || !failure.Overload || failure.Refusal.Outcome != outcome.NotRun {
-		return false
-	}
-	r.left = true
-	own := route.Own()
-	r.tried = append(r.tried, own...)
-	return len(own) > 0
-}
-
 // refuse returns the refusal that is true for the whole request.
 func (r *run) refuse(refusal *outcome.Refusal) *outcome.Refusal {
 	if r.last != nil && !r.last.CallerGone && refusal.Reason == outcome.ReasonNoUpstream {
