--- a/pkg/api/accept.go
+++ b/pkg/api/accept.go
@@ -187,6 +187,24 @@
 	}
 }
 
+// boundHeader refuses requests whose header is too large.
+func (s *Server) boundHeader(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		size := len(c.Request().RequestURI)
+		for name, values := range c.Request().Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+		if size <= maxHeader {
+			return next(c)
+		}
+		request := &dispatch.Request{CallerID: s.source.NewRequestID()}
+		c.Response().Header().Set(header.RequestID, request.CallerID)
+		return s.refuse(c, request, outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonTooLarge, 0, "the request's header is too large"))
+	}
+}
+
 func tooLarge() *outcome.Refusal {
 	return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the request's body is too large")
 }
--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -112,6 +112,8 @@
 		{name: "bad request ID", method: post, path: chat, body: goodChat, fields: with(header.RequestID, "a b"), status: 400, reason: outcome.ReasonBadRequest},
 		{name: "scoped request ID from a caller", method: post, path: chat, body: goodChat, fields: with(header.RequestID, "app~1"), status: 400, reason: outcome.ReasonBadRequest},
 		{name: "too large", method: post, path: "/log/uploads", body: strings.Repeat("x", testMaxBody+1), fields: with(), status: 413, reason: outcome.ReasonTooLarge},
+		{name: "large header", method: post, path: "/log/uploads", fields: with("X-Large", strings.Repeat("x", maxHeader)), status: 431, reason: outcome.ReasonTooLarge},
+		{name: "long query", method: get, path: "/log/e/1?" + strings.Repeat("x", maxHeader), fields: with(), status: 431, reason: outcome.ReasonTooLarge},
 		{name: "undeclared prefix", method: get, path: "/elsewhere", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
 		{name: "undeclared method", method: http.MethodDelete, path: "/log/uploads", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
 		{name: "path out of its route", method: get, path: "/log/e/../uploads", fields: with(), status: 404, reason: outcome.ReasonUnknownRoute},
--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -33,8 +33,10 @@
 	bodyTimeout = 30 * time.Second
 	// idleTimeout ends connections without requests.
 	idleTimeout = 2 * time.Minute
-	// maxHeader bounds the head of a request in bytes.
+	// maxHeader bounds the header of a request in bytes. Up to maxRead it is read
+	// and refused; of more, the connection is closed with a plain status 431.
 	maxHeader = 32 << 10
+	maxRead   = 128 << 10
 	// bodyMemory bounds the bodies of all requests in hand, in bytes.
 	bodyMemory = 256 << 20
 )
@@ -132,6 +134,7 @@
 func (s *Server) router() *echo.Echo {
 	router := echo.New()
 	router.HTTPErrorHandler = s.handleError
+	router.Use(s.boundHeader)
 	return router
 }
 
@@ -141,7 +144,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      relay.WriteTimeout, // moved on while an answer is passed on
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    maxRead,
 	}
 }
 
