Refuse a stranger's declaration before it is read; tell a broken body from a large one

Found while writing the scenario of bad input: POST /v1/apply read up to 8 MB of anyone's body before it looked at the key, for 30 s and on any number of connections, and every failed read was answered as 413. Cause: the first apply to an empty deployment is judged by the file itself, so the body was read first always. Now it is read first only while there is no configuration. TestStrangersDeclarationIsNotRead failed first (i/o timeout after 30 s, now answered at once); TestBodyOfALineIsReadWhole too (413, want 400). Lines of /v1/command, 4 KB at most, are read first as before.

--- a/pkg/agent/operators_test.go
+++ b/pkg/agent/operators_test.go
@@ -3,12 +3,19 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/header"
 )
 
 // refusals is how many connections must have been refused for the agent to have
@@ -53,3 +60,43 @@
 	is.Equal(response.StatusCode, http.StatusUnauthorized)
 	is.NoErr(response.Body.Close())
 }
+
+// What a stranger sends to apply is not waited for, nor held in memory.
+func TestStrangersDeclarationIsNotRead(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, 8, 1)
+	r.store.write(t, accepted(1))
+	r.start("a-1")
+	r.wait("a-1", "revision 1 in force", func(a *Agent) bool { return inForce(a, 1) == 1 })
+	conn, err := net.Dial("tcp", r.nodes["a-1"].settings.Agent.Operators)
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	is.NoErr(conn.SetDeadline(time.Now().Add(testWait)))
+	_, err = fmt.Fprintf(conn, "POST /v1/apply HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\nregions", maxDeclaration)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusUnauthorized)
+	is.NoErr(response.Body.Close())
+}
+
+func TestBodyOfALineIsReadWhole(t *testing.T) {
+	tests := []struct {
+		name string
+		body io.Reader
+		want int
+	}{
+		{"too long", strings.NewReader(strings.Repeat("x", maxLine+1)), http.StatusRequestEntityTooLarge},
+		{"broken off", iotest.ErrReader(io.ErrUnexpectedEOF), http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := httptest.NewRecorder()
+			c := echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/v1/command", test.body), recorder)
+			is.NoErr(new(Agent).serveCommand(c))
+			is.Equal(recorder.Code, test.want)
+			is.Equal(recorder.Header().Get(header.Verdict), "refused")
+		})
+	}
+}
--- a/pkg/agent/serve_command.go
+++ b/pkg/agent/serve_command.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -28,7 +29,7 @@
 func (a *Agent) serveCommand(c echo.Context) error {
 	body, err := readBounded(c, maxLine)
 	if err != nil {
-		return refuse(c, http.StatusRequestEntityTooLarge, "the line is too long")
+		return refuseBody(c, err, "the line is too long")
 	}
 	operator, ok := a.operator(c, nil)
 	if !ok {
@@ -47,11 +48,16 @@
 	return answer(c, reply)
 }
 
-// serveApply answers POST /v1/apply: the body is the declaration's YAML.
+// serveApply answers POST /v1/apply: the body is the declaration's YAML. Once a
+// configuration is in force, a stranger's is not read.
 func (a *Agent) serveApply(c echo.Context) error {
+	if _, ok := a.operator(c, nil); !ok && a.board.Config.Load() != nil {
+		c.Response().Header().Set("Connection", "close")
+		return refuse(c, http.StatusUnauthorized, a.unauthenticated())
+	}
 	body, err := readBounded(c, maxDeclaration)
 	if err != nil {
-		return refuse(c, http.StatusRequestEntityTooLarge, "the declaration is too large")
+		return refuseBody(c, err, "the declaration is too large")
 	}
 	operator, ok := a.operator(c, body)
 	if !ok {
@@ -127,6 +133,15 @@
 	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
 }
 
+// refuseBody answers to a body that was too large, came too slowly or broke off.
+func refuseBody(c echo.Context, err error, tooLarge string) error {
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return refuse(c, http.StatusRequestEntityTooLarge, tooLarge)
+	}
+	return refuse(c, http.StatusBadRequest, "the request's body broke off")
+}
+
 func refuse(c echo.Context, status int, text string) error {
 	c.Response().Header().Set(header.Verdict, string(command.Refused))
 	return c.String(status, text+"\n")
