Refuse a large header at the operators' door as a refusal, as at the callers'

Headers up to 128 KiB are now read and refused with a verdict. The count of a header's bytes moves to package header, where both doors use it.

--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -13,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
@@ -22,7 +23,10 @@
 	// requestTimeout bounds reading a request; an answer may wait for a change to
 	// be in force.
 	requestTimeout = 30 * time.Second
-	maxHeader      = 16 << 10
+	// maxHeader bounds a request's header in bytes. Up to maxRead it is read and
+	// refused; of more, the connection is closed with a plain status 431.
+	maxHeader = 16 << 10
+	maxRead   = 128 << 10
 	// closeTimeout bounds what is answered while stopping: a change's answer waits
 	// for command.InForceBound.
 	closeTimeout = command.InForceBound + 2*time.Second
@@ -39,7 +43,7 @@
 		Handler:           a.operatorRoutes(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       requestTimeout,
-		MaxHeaderBytes:    maxHeader,
+		MaxHeaderBytes:    maxRead,
 	}
 	group.Go(func() error {
 		err := server.Serve(listener)
@@ -62,6 +66,7 @@
 
 func (a *Agent) operatorRoutes() http.Handler {
 	router := echo.New()
+	router.Use(boundHeader)
 	router.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", a.serveReadiness)
 	router.GET("/metrics", echo.WrapHandler(telemetry.Handler(a.Registry)))
@@ -71,6 +76,16 @@
 	return router
 }
 
+// boundHeader refuses requests whose header is too large.
+func boundHeader(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if len(c.Request().RequestURI)+header.Size(c.Request().Header) <= maxHeader {
+			return next(c)
+		}
+		return refuse(c, http.StatusRequestHeaderFieldsTooLarge, "the request's header is too large")
+	}
+}
+
 // Readiness is the body of /readyz.
 type Readiness struct {
 	// State is serving, isolated, no-configuration or leaving.
--- a/pkg/api/accept.go
+++ b/pkg/api/accept.go
@@ -190,13 +190,7 @@
 // boundHeader refuses requests whose header is too large.
 func (s *Server) boundHeader(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		size := len(c.Request().RequestURI)
-		for name, values := range c.Request().Header {
-			for _, value := range values {
-				size += len(name) + len(value)
-			}
-		}
-		if size <= maxHeader {
+		if len(c.Request().RequestURI)+header.Size(c.Request().Header) <= maxHeader {
 			return next(c)
 		}
 		request := &dispatch.Request{CallerID: s.source.NewRequestID()}
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -110,3 +110,14 @@
 	}
 	return named
 }
+
+// Size is how many bytes the names and values of a header have.
+func Size(fields http.Header) int {
+	size := 0
+	for name, values := range fields {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
