--- /dev/null
+++ b/pkg/relay/events_fuzz_test.go
@@ -0,0 +1,37 @@
+package relay
+
+import (
+	"bytes"
+	"testing"
+)
+
+// FuzzScan: whatever an upstream sends, only whole events are passed on, they all
+// belong to the request, and where a read ends makes no difference.
+func FuzzScan(f *testing.F) {
+	const id = "kal-1-x"
+	f.Add([]byte("data: {\"id\":\"kal-1-x\"}\n\ndata: [DONE]\n\n"), 7)
+	f.Add([]byte(": comment\n\ndata: {\"id\":\"other\"}\n\n"), 1)
+	f.Add([]byte("event: error\ndata: {}\n\n"), 0)
+	f.Add([]byte("data:{\"id\" : \"kal-1-x\"\n\n\n\ndata"), 30)
+	f.Fuzz(func(t *testing.T, data []byte, cut int) {
+		whole, chunks, next := scan(data, []byte(id))
+		if whole < 0 || whole > len(data) || (whole > 0 && !bytes.HasSuffix(data[:whole], eventEnd)) {
+			t.Fatalf("passes on %d of %d bytes", whole, len(data))
+		}
+		if bytes.Count(data[:whole], []byte(id)) < chunks {
+			t.Fatalf("%d chunks in %q", chunks, data[:whole])
+		}
+		if next == verdictMore && bytes.Contains(data[whole:], eventEnd) {
+			t.Fatalf("stopped at %d in %q", whole, data)
+		}
+		cut = min(max(cut, 0), len(data))
+		length, count, verdict := scan(data[:cut], []byte(id))
+		if verdict == verdictMore {
+			rest, more, last := scan(data[length:], []byte(id))
+			length, count, verdict = length+rest, count+more, last
+		}
+		if length != whole || count != chunks || verdict != next {
+			t.Fatalf("cut at %d: %d %d %d, in one piece %d %d %d", cut, length, count, verdict, whole, chunks, next)
+		}
+	})
+}
