--- a/cmd/lilacweir-load/decide.go
+++ b/cmd/lilacweir-load/decide.go
@@ -17,7 +17,7 @@
 	Seed       uint64        `default:"1" help:"First seed."`
 	CostWeight float64       `default:"0.2" help:"Declared weight of cost against latency, 0 to 1."`
 	Overload   bool          `default:"true" negatable:"" help:"Add the goodput at and beyond capacity."`
-	Fault      string        `default:"" enum:",slow,lie" help:"Make the first engine slow, or slow and lie about it."`
+	Fault      string        `default:"" enum:",slow,lie,reject" help:"Make the first engine slow, or slow and lie about it, or start nothing."`
 	Spill      bool          `help:"Compare ways to send work to other regions instead."`
 }
 
--- a/pkg/load/decide/decide.go
+++ b/pkg/load/decide/decide.go
@@ -25,7 +25,8 @@
 	Loads []int
 	// Overload adds the goodput at and beyond the candidate's own capacity.
 	Overload bool
-	// Fault makes the first engine misbehave: FaultSlow, FaultLie, or neither.
+	// Fault makes the first engine misbehave: FaultSlow, FaultLie, FaultReject, or
+	// none of them.
 	Fault string
 	// Pairs is how many times each policy runs, each time with another seed that
 	// all policies share.
@@ -44,6 +45,8 @@
 	FaultSlow = "slow"
 	// FaultLie makes it as slow, and report that it is fast and has nothing to do.
 	FaultLie = "lie"
+	// FaultReject makes it start nothing, while it reports that it is idle.
+	FaultReject = "reject"
 )
 
 // slowFactor is how much slower an engine with a fault is.
--- a/pkg/load/decide/engine.go
+++ b/pkg/load/decide/engine.go
@@ -30,7 +30,7 @@
 	// slow stretches all its times; zero means 1. An engine that lies reports
 	// that it has nothing to do.
 	slow              float64
-	lies              bool
+	lies, rejects     bool
 	running           int
 	queue, prefilling []*flight
 	prefillBusy       bool
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/admission"
@@ -221,12 +222,30 @@
 		return
 	}
 	for _, e := range g.sim.engines {
-		if e.name == name {
+		if e.name == name && e.rejects {
+			g.rejected(w, started, name)
+		} else if e.name == name {
 			e.receive(g.sim, &flight{gateway: g, entry: w.entry, flight: started, job: w.job, engine: e})
 		}
 	}
 }
 
+// freeAttempts is how many attempts a request has that upstreams reject.
+const freeAttempts = 2
+
+// rejected tries another engine, or gives the request up.
+func (g *gateway) rejected(w *waiting, started *limit.Flight, name string) {
+	g.sim.result.rejections++
+	started.Done(limit.Rejected)
+	w.request.Tried = append(w.request.Tried, name)
+	if len(w.request.Tried) < freeAttempts {
+		g.send(w)
+		return
+	}
+	w.entry.Release()
+	g.refuse(w.job, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, 0, "rejected"))
+}
+
 func (g *gateway) refuse(j *job, refusal *outcome.Refusal) {
 	if g.hall.index != j.hall {
 		g.giveBack(j)
--- a/pkg/load/decide/print.go
+++ b/pkg/load/decide/print.go
@@ -73,11 +73,12 @@
 			return measure(&candidate[i]) / lowest
 		})
 	}
-	p.printf("lilacweir / best simpler policy: p99 first token %s, engine-seconds %s; most beyond an engine's slots %s, grants without a place %s\n\n",
+	p.printf("lilacweir / best simpler policy: p99 first token %s, engine-seconds %s; most beyond an engine's slots %s, grants without a place %s, attempts rejected %s\n\n",
 		ratio(func(r *result) float64 { return r.percentile(99) }),
 		ratio(func(r *result) float64 { return r.engineSeconds }),
 		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].excess) }),
-		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].lostPlaces) }))
+		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].lostPlaces) }),
+		spread(len(candidate), "%.0f", func(i int) float64 { return float64(candidate[i].rejections) }))
 }
 
 func (p *printer) goodput(o Options, all []goodputAt) {
--- a/pkg/load/decide/result.go
+++ b/pkg/load/decide/result.go
@@ -27,7 +27,9 @@
 	// excess is the most that gateways together had at one engine beyond its
 	// slots; lostPlaces counts grants that found no upstream below its limit.
 	excess, lostPlaces int
-	fairness           float64
+	// rejections counts attempts that an engine did not start.
+	rejections int
+	fairness   float64
 }
 
 // Bounds of the histogram, microseconds.
--- a/pkg/load/decide/simulation.go
+++ b/pkg/load/decide/simulation.go
@@ -76,6 +76,10 @@
 	if s.options.Fault == "" {
 		return
 	}
+	s.engines[0].rejects = s.options.Fault == FaultReject
+	if s.engines[0].rejects {
+		return
+	}
 	s.engines[0].slow = slowFactor
 	s.engines[0].lies = s.options.Fault == FaultLie
 }
