Let an upstream rest after it rejected a request

Cause: a rejection (X-Not-Started) counted against the adaptive bound alone, which never falls below one, so the next request with the same prefix went to the same engine.

Now an upstream rests after a rejection: 100 ms, doubled up to 2 s, then one probe. While it rests it offers no place; other upstreams, other regions by the spill rules and a refusal with Retry-After come next. All of a pool may rest. Retry-After of an upstream is read: it prolongs the rest within its bound, and is passed on.

Two tests changed, as strict: TestAdaptiveBoundFallsAndRecovers starts each request after the rest and still wants the same bounds; TestLostAnswerIsUnknownWhenAskedAgain waits for the rest of its only upstream before it comes back, since coming back within it is refused now by design.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -132,6 +133,7 @@
 	b.set("log-n1", "refuse", "1")
 	unused := http.Header{header.IdempotencyKey: {prefix + ".fedcba9876543210"}}
 	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, unused)), notRun)
+	eventually(t, "the upstream's rest", func() bool { return b.north.tracker.Load("log-n1").Rest == 0 })
 	is.Equal(b.told(b.send(testContext(t), upload.method, upload.path, residentKey, upload.body, unused)), complete)
 	is.Equal(b.ran(), 2)
 }
@@ -370,3 +372,31 @@
 	is.Equal(len(b.journal.Entries("nurse-n1")), 0)
 	is.Equal(b.ran(), 30)
 }
+
+// A domain whose engines all start nothing is left for another one at once, after
+// the first requests have found out; work that may not leave is told when to come back.
+func TestRefusingDomainIsLeft(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	declaration := *b.head.Declaration
+	declaration.Spill = []config.Spill{{From: "north", To: "south", Percent: 100}}
+	declaration.Callers = append(slices.Clone(declaration.Callers),
+		config.Caller{Name: "both", KeyHash: config.HashKey("key-both"), Home: "north", Regions: []string{"north", "south"}})
+	b.head = &config.Head{Revision: b.head.Revision + 1, Declaration: &declaration}
+	b.connect(b.southPeers)
+	b.south.Exchange(control.ExchangeArgs{Head: b.head})
+	b.set("nurse-n1", "refuse", "1000")
+	b.set("nurse-n2", "refuse", "1000")
+	const requests = 8 // the credit that the south gave
+	for range requests {
+		got := b.send(testContext(t), review.method, review.path, "key-both", review.body, nil)
+		is.Equal(b.told(got), complete)
+		is.Equal(got.header.Get(header.Domain), "south-a")
+	}
+	// Without a rest it is two for each; the bound is for a machine so slow that
+	// some rests end in between.
+	is.True(b.north.metrics.Retried.Count() < 3*requests/2)
+	got := b.send(testContext(t), review.method, review.path, residentKey, review.body, nil)
+	is.Equal(b.told(got), notRun)
+	is.True(got.header.Get(header.RetryAfter) != "")
+}
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -189,6 +189,10 @@
 		if result == limit.Succeeded {
 			g.retries.Success()
 		}
+		if result == limit.Rejected {
+			flight.Reject(report.Failure.Refusal.RetryAfter)
+			return
+		}
 		flight.Done(result)
 	}
 }
--- a/pkg/limit/flight.go
+++ b/pkg/limit/flight.go
@@ -37,6 +37,7 @@
 func (f *Flight) FirstByte() {
 	f.first.Do(func() {
 		f.entry.prefill.Add(-int64(f.prompt))
+		f.entry.rest.end(f.started, true)
 		waited := f.tracker.clock.Now().Sub(f.started)
 		ratio := f.ratio(waited)
 		f.entry.adaptive.observe(ratio, int(f.entry.share.Load()))
@@ -48,7 +49,14 @@
 
 // Done gives the place back. It must be called once the request has ended,
 // however it ended.
-func (f *Flight) Done(result Result) {
+func (f *Flight) Done(result Result) { f.end(result, 0) }
+
+// Reject is Done for a request that the upstream did not start, for lack of
+// capacity. The upstream then gets none for a while: at least about retryAfter, up
+// to LongestRest.
+func (f *Flight) Reject(retryAfter time.Duration) { f.end(Rejected, retryAfter) }
+
+func (f *Flight) end(result Result, retryAfter time.Duration) {
 	f.done.Do(func() {
 		f.first.Do(func() { f.entry.prefill.Add(-int64(f.prompt)) })
 		f.entry.inFlight.Add(-1)
@@ -57,6 +65,11 @@
 			f.entry.holding.add(now.Sub(f.started).Seconds())
 		}
 		f.entry.adaptive.finish(result, int(f.entry.share.Load()))
+		if result == Rejected {
+			f.entry.rest.reject(f.started, now, retryAfter)
+		} else {
+			f.entry.rest.end(f.started, result == Succeeded)
+		}
 		if f.tracker.ejector != nil {
 			f.tracker.ejector.finish(f.upstream, result, f.started)
 		}
--- /dev/null
+++ b/pkg/limit/rest.go
@@ -0,0 +1,97 @@
+package limit
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the rest after a rejection.
+const (
+	// FirstRest follows a first rejection; each further one in a row doubles it.
+	FirstRest = 100 * time.Millisecond
+	// LongestRest also bounds what an upstream asks for by Retry-After.
+	LongestRest = 2 * time.Second
+	// maxDoublings keeps the shift small; it reaches LongestRest.
+	maxDoublings = 5
+	// retryGrain is the resolution of Retry-After: whole seconds, rounded up.
+	retryGrain = time.Second
+)
+
+// rest keeps requests away from an upstream that has said that it is too busy, for
+// a short while; one request, the probe, then finds out whether it starts again.
+// Unlike an ejection it may take all upstreams of a pool out of use, since it
+// follows the upstreams' own word. The zero value does not rest.
+type rest struct {
+	mu sync.Mutex
+	// until is Unix nanoseconds; zero: not resting.
+	until    atomic.Int64
+	probing  atomic.Bool
+	since    time.Time
+	rejected int
+}
+
+// left returns how long the upstream rests on; at least FirstRest while the probe
+// is out, zero when it does not rest.
+func (r *rest) left(now func() time.Time) time.Duration {
+	until := r.until.Load()
+	if until == 0 {
+		return 0
+	}
+	if left := time.Duration(until - now().UnixNano()); left > 0 {
+		return left
+	}
+	if r.probing.Load() {
+		return FirstRest
+	}
+	return 0
+}
+
+// begin claims the probe of an upstream whose rest is over; false while it rests.
+func (r *rest) begin(now func() time.Time) bool {
+	until := r.until.Load()
+	if until == 0 {
+		return true
+	}
+	return now().UnixNano() >= until && r.probing.CompareAndSwap(false, true)
+}
+
+// reject begins a rest, or a longer one when the probe was rejected. Of requests
+// that were on their way together, only the first counts. Asked is the upstream's
+// Retry-After; zero for none.
+func (r *rest) reject(started, now time.Time, asked time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stale(started) {
+		return
+	}
+	period := FirstRest << min(r.rejected, maxDoublings)
+	r.rejected++
+	r.since = now
+	r.until.Store(now.Add(min(LongestRest, max(period, asked-retryGrain))).UnixNano())
+	r.probing.Store(false)
+}
+
+// end takes the end of a request, or the beginning of its answer, which was not a
+// rejection; recovered says that the upstream has started it.
+func (r *rest) end(started time.Time, recovered bool) {
+	if r.until.Load() == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stale(started) {
+		return
+	}
+	if recovered {
+		r.rejected = 0
+		r.until.Store(0)
+	}
+	r.probing.Store(false)
+}
+
+// stale is true of a request that began before the rest: it says nothing of how
+// the upstream is since.
+func (r *rest) stale(started time.Time) bool {
+	return r.until.Load() != 0 && !started.After(r.since)
+}
--- a/pkg/limit/shares.go
+++ b/pkg/limit/shares.go
@@ -1,6 +1,6 @@
 // Package limit bounds what one gateway sends to each upstream: its share of the
-// upstream's concurrency, an adaptive bound below that share, ejection of failing
-// upstreams, and a budget for retries.
+// upstream's concurrency, an adaptive bound below that share, a rest after an
+// upstream's rejection, ejection of failing upstreams, and a budget for retries.
 //
 // Guarantees: gateways that hold the same view of their domain never exceed an
 // upstream's limit together; the last usable upstream of a pool is never ejected;
--- a/pkg/limit/tracker.go
+++ b/pkg/limit/tracker.go
@@ -25,6 +25,9 @@
 	Holding time.Duration
 	// Ejected is true while the upstream gets no requests because of failures.
 	Ejected bool
+	// Rest is how long the upstream gets no requests because it rejected some;
+	// zero when it may get them.
+	Rest time.Duration
 }
 
 // Tracker counts this gateway's requests at each upstream. It is safe for
@@ -42,6 +45,7 @@
 	share    atomic.Int64
 	holding  average
 	adaptive adaptive
+	rest     rest
 }
 
 // NewTracker returns a Tracker that asks ejector, if not nil, before each start.
@@ -71,6 +75,7 @@
 		Limit:    e.limit(),
 		Holding:  e.holding.duration(),
 		Ejected:  t.ejected(upstream),
+		Rest:     e.rest.left(t.clock.Now),
 	}
 }
 
@@ -87,7 +92,7 @@
 }
 
 // Start takes a place at an upstream, or returns false when this gateway's limit
-// is reached or the upstream is ejected. Expected is the predicted time to the
+// is reached, the upstream rests, or it is ejected. Expected is the predicted time to the
 // first byte; zero when there is no prediction.
 func (t *Tracker) Start(upstream string, promptTokens int, expected time.Duration) (*Flight, bool) {
 	e := t.entry(upstream)
@@ -95,7 +100,12 @@
 		e.inFlight.Add(-1)
 		return nil, false
 	}
+	if !e.rest.begin(t.clock.Now) {
+		e.inFlight.Add(-1)
+		return nil, false
+	}
 	if t.ejector != nil && !t.ejector.begin(upstream) {
+		e.rest.probing.Store(false)
 		e.inFlight.Add(-1)
 		return nil, false
 	}
--- a/pkg/limit/tracker_test.go
+++ b/pkg/limit/tracker_test.go
@@ -32,23 +32,26 @@
 }
 
 func TestAdaptiveBoundFallsAndRecovers(t *testing.T) {
-	is := is.New(t)
-	tracker := limit.NewTracker(clock.System{}, nil)
-	tracker.SetShares(map[string]int{"u": 10})
-	finish := func(result limit.Result) {
-		flight, ok := tracker.Start("u", 0, 0)
-		is.True(ok)
-		flight.Done(result)
-	}
-	for range 20 {
-		finish(limit.Rejected)
-		is.True(tracker.Load("u").Limit >= 1) // it goes on being tried
-	}
-	is.Equal(tracker.Load("u").Limit, 1)
-	for range 100 {
-		finish(limit.Succeeded)
-	}
-	is.Equal(tracker.Load("u").Limit, 10)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := limit.NewTracker(clock.System{}, nil)
+		tracker.SetShares(map[string]int{"u": 10})
+		finish := func(result limit.Result) {
+			time.Sleep(tracker.Load("u").Rest)
+			flight, ok := tracker.Start("u", 0, 0)
+			is.True(ok)
+			flight.Done(result)
+		}
+		for range 20 {
+			finish(limit.Rejected)
+			is.True(tracker.Load("u").Limit >= 1) // it goes on being tried
+		}
+		is.Equal(tracker.Load("u").Limit, 1)
+		for range 100 {
+			finish(limit.Succeeded)
+		}
+		is.Equal(tracker.Load("u").Limit, 10)
+	})
 }
 
 func TestLateAnswersLowerTheBound(t *testing.T) {
@@ -102,6 +105,42 @@
 	})
 }
 
+// An upstream rests after a rejection, longer after each in a row, with one probe
+// after each rest; rejections of requests that were on their way together count once.
+func TestRejectedUpstreamRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := limit.NewTracker(clock.System{}, nil)
+		start := func(want bool) *limit.Flight {
+			t.Helper()
+			flight, ok := tracker.Start("u", 0, 0)
+			is.Equal(ok, want)
+			return flight
+		}
+		first, second := start(true), start(true)
+		time.Sleep(time.Millisecond)
+		first.Reject(time.Second) // whole seconds, rounded up: may mean at once
+		second.Reject(0)
+		is.Equal(tracker.Load("u").Rest, limit.FirstRest)
+		for _, rest := range []time.Duration{1, 2, 4, 8, 16, 20, 20} {
+			rest *= limit.FirstRest
+			is.Equal(tracker.Load("u").Rest, rest)
+			start(false)
+			time.Sleep(rest)
+			is.Equal(tracker.Load("u").Rest, time.Duration(0))
+			probe := start(true)
+			is.Equal(tracker.Load("u").Rest, limit.FirstRest) // one probe alone
+			start(false)
+			probe.Reject(0)
+		}
+		time.Sleep(limit.LongestRest)
+		start(true).Done(limit.Abandoned) // says nothing: the next one probes
+		start(true).FirstByte()
+		start(true).Reject(time.Minute)
+		is.Equal(tracker.Load("u").Rest, limit.LongestRest)
+	})
+}
+
 func TestLateOutlierIsEjected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,6 +19,8 @@
 const (
 	retrySoon  = time.Second
 	retryLater = 3 * time.Second
+	// longestRetry bounds, in seconds, what a target may ask callers to wait.
+	longestRetry = 3600
 )
 
 // attempt is one try at one target.
@@ -179,10 +182,21 @@
 	}
 	failure := a.fail(outcome.NotRun, outcome.ReasonOverloaded, "the upstream did not start the request", nil)
 	failure.Refusal.Status = http.StatusServiceUnavailable
+	failure.Refusal.RetryAfter = max(retrySoon, retryAfter(response))
 	failure.Overload = true
 	return failure
 }
 
+// retryAfter is when the target asks to come back; zero when it does not say so in
+// seconds.
+func retryAfter(response *http.Response) time.Duration {
+	seconds, err := strconv.Atoi(response.Header.Get(header.RetryAfter))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return min(time.Duration(seconds), longestRetry) * time.Second
+}
+
 func (a *attempt) peerRefused(response *http.Response) *Failure {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerHeader))
 	refusal, ok := decodeRefusal(data, response.StatusCode)
--- a/pkg/route/pick.go
+++ b/pkg/route/pick.go
@@ -57,6 +57,17 @@
 	estimate  Estimate
 	// full is true when upstreams were ruled out only by this gateway's limit.
 	full bool
+	// rest is how long it is until the first of the resting upstreams may be tried;
+	// zero when none rests.
+	rest time.Duration
+}
+
+// rule records why an upstream was ruled out.
+func (c *choice) rule(own limit.Load) {
+	c.full = c.full || own.InFlight >= own.Limit
+	if own.Rest > 0 && (c.rest == 0 || own.Rest < c.rest) {
+		c.rest = own.Rest
+	}
 }
 
 func (c choice) total(req *Request) float64 { return c.estimate.Total() + req.Waiting.Seconds() }
@@ -88,7 +99,7 @@
 		c := &p.locals[i]
 		own := load.Load(c.upstream.Name)
 		if !t.keep(req, c, own) {
-			best.full = best.full || own.InFlight >= own.Limit
+			best.rule(own)
 			continue
 		}
 		estimate := p.estimate(req, i, favourite, own, at)
@@ -110,7 +121,7 @@
 		if t.keep(req, c, own) {
 			return choice{candidate: c, estimate: p.estimate(req, i, favourite, own, at)}
 		}
-		none.full = none.full || own.InFlight >= own.Limit
+		none.rule(own)
 	}
 	return none
 }
@@ -133,6 +144,9 @@
 		if local.full {
 			return Decision{}, refuseFull(p, req)
 		}
+		if local.rest > 0 {
+			return Decision{}, refuseResting(local.rest)
+		}
 		return Decision{}, refuseNoUpstream()
 	}
 	total := local.total(req)
--- a/pkg/route/refuse.go
+++ b/pkg/route/refuse.go
@@ -51,6 +51,12 @@
 		max(leastRetry, seconds(holding)), "this gateway's limit is reached at every usable upstream")
 }
 
+// refuseResting is for a pool whose upstreams have all just rejected requests.
+func refuseResting(rest time.Duration) *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded,
+		max(leastRetry, rest), "every usable upstream has just said that it is too busy")
+}
+
 // refuseLate is for a deadline that would be missed by late. Waiting, in seconds,
 // is the part of the predicted time that passes with the load: once it has gone
 // down by late, the same request can succeed. Where it is too small for that,
--- a/pkg/route/strategy.go
+++ b/pkg/route/strategy.go
@@ -66,7 +66,7 @@
 // of cost against latency, 0 to 1.
 func DefaultStrategy(costWeight float64) Strategy {
 	return Strategy{
-		Filters: []Filter{NotEjected{}, NotTried{}, BelowLimit{}},
+		Filters: []Filter{NotEjected{}, NotResting{}, NotTried{}, BelowLimit{}},
 		Scorer:  TimeAndCost{CostWeight: costWeight, PrefillWeight: prefillWeight},
 		Picker:  AffinityAndChoices{},
 	}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -132,14 +132,25 @@
 
 // Slots returns how many requests of a pool this gateway may run at once, the
 // capacity of its queue.
+//
+// Upstreams that rest offer no place, unless all do: a rest ends sooner than the
+// next table comes.
 func (t *Table) Slots(info PoolInfo, load LocalLoad) int {
-	slots := 0
+	awake, resting := 0, 0
 	for _, name := range info.Upstreams {
-		if l := load.Load(name); !l.Ejected {
-			slots += l.Limit
+		l := load.Load(name)
+		switch {
+		case l.Ejected:
+		case l.Rest > 0:
+			resting += l.Limit
+		default:
+			awake += l.Limit
 		}
 	}
-	return slots
+	if awake == 0 {
+		return resting
+	}
+	return awake
 }
 
 func (t *Table) index(d *config.Declaration) {
