--- a/test/scenario/leaving_test.go
+++ b/test/scenario/leaving_test.go
@@ -1,9 +1,7 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
@@ -31,17 +29,12 @@
 	if len(args) != count || d.moments[args[1]].IsZero() {
 		return "", errUsage
 	}
-	text, err := control(d, []string{"journal"})
+	entries, err := listed[journal.Entry](d, "journal")
 	if err != nil {
-		return text, err
+		return "", err
 	}
 	var seen timeline
-	decoder := json.NewDecoder(strings.NewReader(text))
-	for decoder.More() {
-		var entry journal.Entry
-		if err := decoder.Decode(&entry); err != nil {
-			return text, fmt.Errorf("journal: %w", err)
-		}
+	for _, entry := range entries {
 		if entry.Kind != journal.KindOrder {
 			seen.add(&entry, args[0], d.moments[args[1]])
 		}
--- a/test/scenario/observe_test.go
+++ b/test/scenario/observe_test.go
@@ -99,21 +99,34 @@
 	return nil
 }
 
+// listed reads the JSON lines that the stand-in's admin answers.
+func listed[T any](d *deployment, command ...string) ([]T, error) {
+	text, err := control(d, command)
+	if err != nil {
+		return nil, err
+	}
+	var entries []T
+	decoder := json.NewDecoder(strings.NewReader(text))
+	for decoder.More() {
+		var entry T
+		if err := decoder.Decode(&entry); err != nil {
+			return nil, fmt.Errorf("%s: %w", command[0], err)
+		}
+		entries = append(entries, entry)
+	}
+	return entries, nil
+}
+
 // ran counts what ran at all upstreams, or at one: ran [UPSTREAM]. It says the
 // runs of each call, and how many idempotency keys ran more than once.
 func ran(d *deployment, args []string) (string, error) {
-	text, err := control(d, append([]string{"journal"}, args...))
+	entries, err := listed[journal.Entry](d, append([]string{"journal"}, args...)...)
 	if err != nil {
-		return text, err
+		return "", err
 	}
 	calls := make(map[string]int)
 	keys := make(map[string]int)
-	decoder := json.NewDecoder(strings.NewReader(text))
-	for decoder.More() {
-		var entry journal.Entry
-		if err := decoder.Decode(&entry); err != nil {
-			return text, fmt.Errorf("journal: %w", err)
-		}
+	for _, entry := range entries {
 		calls[strings.TrimSpace(entry.Kind+" "+entry.Method+" "+entry.Path)]++
 		if entry.IdempotencyKey != "" {
 			keys[entry.IdempotencyKey]++
@@ -140,28 +153,23 @@
 // outside counts what upstreams processed for callers that are not permitted in
 // the upstream's region, by the declaration that was planned.
 func outside(d *deployment, _ []string) (string, error) {
-	text, err := control(d, []string{"processed"})
+	counts, err := listed[journal.Count](d, "processed")
 	if err != nil {
-		return text, err
+		return "", err
 	}
 	permitted, err := d.permittedDomains()
 	if err != nil {
-		return text, err
+		return "", err
 	}
 	inside, wrong := 0, 0
-	decoder := json.NewDecoder(strings.NewReader(text))
-	for decoder.More() {
-		var count journal.Count
-		if err := decoder.Decode(&count); err != nil {
-			return text, fmt.Errorf("processed: %w", err)
-		}
+	for _, count := range counts {
 		if permitted[count.Caller][count.Domain] {
 			inside += count.Count
 		} else {
 			wrong += count.Count
 		}
 	}
-	return fmt.Sprintf("inside=%d outside=%d\n%s", inside, wrong, text), nil
+	return fmt.Sprintf("inside=%d outside=%d\n%+v", inside, wrong, counts), nil
 }
 
 // declaration reads the declaration that was planned.
--- a/test/scenario/orders_test.go
+++ b/test/scenario/orders_test.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -59,9 +58,9 @@
 	if len(args) != 1 {
 		return "", errUsage
 	}
-	text, err := control(d, []string{"journal"})
+	entries, err := listed[journal.Entry](d, "journal")
 	if err != nil {
-		return text, err
+		return "", err
 	}
 	settings, err := standin.Load(d.file("standin.yaml"))
 	if err != nil {
@@ -69,12 +68,7 @@
 	}
 	var taken []journal.Entry
 	refused := 0
-	decoder := json.NewDecoder(strings.NewReader(text))
-	for decoder.More() {
-		var entry journal.Entry
-		if err := decoder.Decode(&entry); err != nil {
-			return text, fmt.Errorf("journal: %w", err)
-		}
+	for _, entry := range entries {
 		switch {
 		case entry.Kind != journal.KindOrder || (entry.Domain != args[0] && args[0] != "all"):
 		case entry.Result == journal.ResultRefused:
--- a/test/scenario/random_test.go
+++ b/test/scenario/random_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -159,18 +158,10 @@
 
 // collect reads the journals, the logs and the audit trail.
 func (e *evidence) collect() error {
-	text, err := control(e.d, []string{"journal"})
-	if err != nil {
+	var err error
+	if e.entries, err = listed[journal.Entry](e.d, "journal"); err != nil {
 		return err
 	}
-	decoder := json.NewDecoder(strings.NewReader(text))
-	for decoder.More() {
-		var entry journal.Entry
-		if err := decoder.Decode(&entry); err != nil {
-			return fmt.Errorf("journal: %w", err)
-		}
-		e.entries = append(e.entries, entry)
-	}
 	if e.hops, err = readHops(e.d); err != nil {
 		return err
 	}
