Keep callers to declared limits over all gateways, without a leader

A caller could take any rate that the upstreams bore; only fair queueing held it back. `callers[].limits` now declares requests a second, tokens a minute and requests in hand, and each gateway lets in its part of them at once, refusing the rest with 429 `caller-limit`, not-run, and the time at which its own bucket has room. Nothing on the request's path is asked of anyone.

Parts go by demand: heartbeats tell each gateway's (the 32 largest callers), digests each domain's (the 24 largest), in thousandths of the limit; a twentieth is split evenly so that an idle gateway can start. Told demand is late, so a gateway counts the least that it told itself and the most that the others told within the time that news takes: a part shrinks at once and grows a window later. A silent domain keeps its part; after a minute each side of a cut has the even part of the domains that it hears.

Tokens are estimated at admission and corrected at the end: nothing for what did not run, prompt and chunks for a stream. That needs debt, which x/time/rate's buckets do not have. A request that another gateway passed on was counted there.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -17,10 +17,12 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
 )
 
@@ -60,7 +62,7 @@
 	registry := metrics.NewRegistry()
 	server := NewServer(Options{
 		Source: fake, Dispatcher: fake, Metrics: dispatch.NewMetrics(registry), Registry: registry,
-		MaxBody: testMaxBody, Now: time.Now, Domain: "here",
+		MaxBody: testMaxBody, Now: time.Now, Domain: "here", Quota: quota.NewGate(clock.System{}),
 	})
 	return server, fake
 }
--- /dev/null
+++ b/pkg/api/quota_test.go
@@ -0,0 +1,43 @@
+package api
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/relay"
+)
+
+func TestCallerLimit(t *testing.T) {
+	is := is.New(t)
+	server, fake := newTestServer()
+	caller, _ := fake.configuration.Caller("app")
+	caller.Limits = config.Limits{TokensPerMinute: 60}
+	send := func(handler http.Handler, fields http.Header) *httptest.ResponseRecorder {
+		request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(goodChat))
+		request.Header = fields
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, request)
+		return recorder
+	}
+	callers, peers := server.Callers().Handler, server.Peers().Handler
+	fake.serve = func(sink *relay.Sink) {
+		sink.Refuse(outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, 0, "full"))
+	}
+	is.Equal(send(callers, with()).Code, http.StatusServiceUnavailable)
+	fake.serve = func(sink *relay.Sink) { _ = sink.Answer(http.StatusOK, []byte("served")) }
+	is.Equal(send(callers, with()).Code, http.StatusOK) // what did not run took no tokens
+	refused := send(callers, with())
+	is.Equal(refused.Code, http.StatusTooManyRequests)
+	is.Equal(refused.Header().Get(header.Outcome), string(outcome.NotRun))
+	is.Equal(refused.Header().Get("Retry-After"), "6") // six tokens, five of them of the answer: back to one
+	is.True(strings.Contains(refused.Body.String(), string(outcome.ReasonCallerLimit)))
+	is.Equal(send(peers, fromPeerWith()).Code, http.StatusOK) // it was counted where it came in
+	is.Equal(server.registry.Get("refusals.caller-limit").(interface{ Count() int64 }).Count(), int64(1))
+}
--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -21,6 +21,7 @@
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -46,6 +47,13 @@
 	Serve(ctx context.Context, request *dispatch.Request, sink *relay.Sink)
 }
 
+// Quota bounds callers. *quota.Gate implements it.
+type Quota interface {
+	// Admit lets in a request of about the given tokens; Done must be called on
+	// the pass, which may be nil.
+	Admit(caller *config.Caller, tokens int) (*quota.Pass, *outcome.Refusal)
+}
+
 // Source is what the API knows of the gateway that it belongs to.
 type Source interface {
 	// Configuration is what is in force; nil when there is none.
@@ -67,6 +75,7 @@
 type Server struct {
 	source     Source
 	dispatcher Dispatcher
+	quota      Quota
 	metrics    *dispatch.Metrics
 	registry   metrics.Registry
 	maxBody    int64
@@ -86,6 +95,7 @@
 type Options struct {
 	Source     Source
 	Dispatcher Dispatcher
+	Quota      Quota
 	Metrics    *dispatch.Metrics
 	Registry   metrics.Registry
 	// MaxBody bounds a request's body in bytes.
@@ -99,6 +109,7 @@
 	return &Server{
 		source:     options.Source,
 		dispatcher: options.Dispatcher,
+		quota:      options.Quota,
 		metrics:    options.Metrics,
 		registry:   options.Registry,
 		maxBody:    options.MaxBody,
@@ -179,7 +190,12 @@
 		if refusal := describe(c, index, request); refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
+		pass, refusal := s.admit(request)
+		if refusal != nil {
+			return s.refuse(c, request, refusal)
+		}
 		sink := relay.NewSink(c.Response().Writer, s.now) // echo takes an interim response for the final one
+		defer settle(pass, request, sink)
 		if request.Origin != "" {
 			defer sink.KeepAlive()()
 		}
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -92,6 +92,16 @@
 	// Successor is the instance to which a leaving gateway handed its
 	// idempotency keys; empty otherwise.
 	Successor string
+	// Demand is what callers with limits ask of the gateway, sorted by caller;
+	// only the largest demands are told.
+	Demand []CallerDemand
+}
+
+// CallerDemand is what one caller asks for, let in or refused.
+type CallerDemand struct {
+	Caller string
+	// Demand is in thousandths of the caller's limit, of the one that it uses most.
+	Demand int
 }
 
 // UpstreamState is what is known of an upstream.
@@ -160,6 +170,9 @@
 	Entries []Instance
 	// Platform says whether the domain sees the platform's key-value service.
 	Platform bool
+	// Demand adds up what callers with limits ask of the domain's gateways, sorted
+	// by caller; only the largest demands are told.
+	Demand []CallerDemand
 }
 
 // RevisionCount counts nodes at one revision.
--- a/pkg/config/declaration.go
+++ b/pkg/config/declaration.go
@@ -122,8 +122,23 @@
 	Models []string `yaml:"models,omitempty" json:"models,omitempty" validate:"dive,name"`
 	// Share is the caller's weight in fair queueing; zero means 1.
 	Share int `yaml:"share,omitempty" json:"share,omitempty" validate:"gte=0,lte=1000"`
+	// Limits bound what the caller may use of all gateways together.
+	Limits Limits `yaml:"limits,omitempty" json:"limits,omitzero"`
 }
 
+// Limits bound one caller over all gateways of all failure domains. Zero is none.
+type Limits struct {
+	// RequestsPerSecond bounds the rate of accepted requests.
+	RequestsPerSecond float64 `yaml:"requests_per_second,omitempty" json:"requests_per_second,omitempty" validate:"gte=0"`
+	// TokensPerMinute bounds the rate of tokens, of prompts and answers together.
+	TokensPerMinute int `yaml:"tokens_per_minute,omitempty" json:"tokens_per_minute,omitempty" validate:"gte=0"`
+	// Concurrent bounds the requests in hand.
+	Concurrent int `yaml:"concurrent,omitempty" json:"concurrent,omitempty" validate:"gte=0"`
+}
+
+// Any says whether there is a limit at all.
+func (l Limits) Any() bool { return l != Limits{} }
+
 // Operator is a person who may ask for state and change the declaration.
 type Operator struct {
 	Name string `yaml:"name" json:"name" validate:"required,name"`
--- a/pkg/digest/build.go
+++ b/pkg/digest/build.go
@@ -6,9 +6,11 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 )
 
 // ReservePercent of a pool's slots is kept for the domain's own callers and is
@@ -33,6 +35,7 @@
 	d := board.DomainDigest{Domain: in.Domain, Region: in.Region, Sequence: in.Sequence, Platform: in.Platform}
 	if in.Members != nil {
 		addMembers(&d, in.Members.Instances)
+		d.Demand = quota.DomainDemand(in.Members.Instances, time.Unix(0, int64(in.Sequence)))
 	}
 	if in.Head != nil && in.Head.Declaration != nil {
 		d.Pools = pools(in)
--- a/pkg/digest/merge.go
+++ b/pkg/digest/merge.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 )
 
 // Ages of a remote digest.
@@ -118,6 +119,9 @@
 	if UrgentSum(before) != UrgentSum(after) || len(before.Pools) != len(after.Pools) {
 		return true
 	}
+	if quota.Differs(before.Demand, after.Demand) {
+		return true
+	}
 	for i := range after.Pools {
 		if poolDiffers(&before.Pools[i], &after.Pools[i]) {
 			return true
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -97,6 +97,7 @@
 		Requests:  uint64(g.metrics.Requests.Count()),
 		Forwarded: uint64(g.metrics.Forwarded.Count()),
 		Refused:   uint64(g.metrics.Refused.Count()),
+		Demand:    g.quota.Demand(),
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,7 @@
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
 	"github.com/lilacweir/lilacweir/pkg/route"
 	"github.com/lilacweir/lilacweir/pkg/settings"
@@ -66,6 +67,7 @@
 	ejector  *limit.Ejector
 	tracker  *limit.Tracker
 	retries  limit.RetryBudget
+	quota    *quota.Gate
 	marks    leavingMarks
 	suspects *suspects
 	client   *relay.Client
@@ -107,6 +109,7 @@
 		peers:       control.NewClients(network),
 		ejector:     ejector,
 		tracker:     limit.NewTracker(system, ejector),
+		quota:       quota.NewGate(system),
 		client:      relay.NewClient(network.DialPlain, network.Dial),
 
 		toldLeaving:   newSignal(),
@@ -233,6 +236,7 @@
 	return api.NewServer(api.Options{
 		Source:     g,
 		Dispatcher: g.newDispatcher(),
+		Quota:      g.quota,
 		Metrics:    g.metrics,
 		Registry:   g.registry,
 		MaxBody:    maxBody,
--- a/pkg/gateway/table.go
+++ b/pkg/gateway/table.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/route"
 )
 
@@ -47,6 +48,23 @@
 	g.tracker.SetShares(table.Shares())
 	previous := g.table.Swap(table)
 	g.setCapacities(previous, table)
+	g.updateQuota()
+}
+
+// updateQuota tells the callers' limits who else lets requests in.
+func (g *Gateway) updateQuota() {
+	view := quota.View{
+		Self:    g.settings.Instance,
+		Domain:  g.settings.Domain,
+		Members: g.board.Members.Load(),
+		Remote:  g.board.Domains.Load(),
+	}
+	if head := g.board.Config.Load(); head != nil {
+		for _, region := range head.Declaration.Regions {
+			view.Domains = append(view.Domains, region.Domains...)
+		}
+	}
+	g.quota.Update(view)
 }
 
 // setCapacities gives each pool's queue the places that this gateway has there; a
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -39,6 +39,7 @@
 	ReasonTooLarge         Reason = "too-large"
 	ReasonSlowCaller       Reason = "slow-caller"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonCallerLimit      Reason = "caller-limit"
 	ReasonDeadline         Reason = "deadline-unreachable"
 	ReasonNoUpstream       Reason = "no-upstream"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
--- /dev/null
+++ b/pkg/quota/meter.go
@@ -0,0 +1,63 @@
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/config"
+)
+
+// demandTime is the time constant of measured demand.
+const demandTime = 2 * time.Second
+
+// meter measures what a caller asks for, let in or refused: decaying sums.
+type meter struct {
+	requests, tokens, blocked float64
+	at                        time.Time
+}
+
+func (m *meter) decay(now time.Time) {
+	passed := now.Sub(m.at)
+	if passed <= 0 {
+		return
+	}
+	left := math.Exp(-passed.Seconds() / demandTime.Seconds())
+	m.requests *= left
+	m.tokens *= left
+	m.blocked *= left
+	m.at = now
+}
+
+// ask notes a request; blocked says that it was refused for want of a place.
+func (m *meter) ask(now time.Time, tokens float64, blocked bool) {
+	m.decay(now)
+	m.requests++
+	m.tokens += tokens
+	if blocked {
+		m.blocked++
+	}
+}
+
+// demand returns what is asked for in thousandths of the limit that it uses most.
+func (m *meter) demand(now time.Time, limits config.Limits, inHand int) int {
+	m.decay(now)
+	var part float64
+	if limits.RequestsPerSecond > 0 {
+		part = max(part, m.requests/demandTime.Seconds()/limits.RequestsPerSecond)
+	}
+	if limits.TokensPerMinute > 0 {
+		part = max(part, m.tokens/demandTime.Seconds()/perSecond(limits.TokensPerMinute))
+	}
+	if limits.Concurrent > 0 {
+		part = max(part, (float64(inHand)+m.blocked)/float64(limits.Concurrent))
+	}
+	if part < leastDemand {
+		return 0
+	}
+	return int(math.Ceil(whole * min(1, part)))
+}
+
+// leastDemand is the part of a limit below which there is no demand.
+const leastDemand = 1e-4
+
+func perSecond(perMinute int) float64 { return float64(perMinute) / time.Minute.Seconds() }
--- /dev/null
+++ b/pkg/quota/split_test.go
@@ -0,0 +1,179 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+const (
+	caller      = "farm-shop"
+	testDomains = 3
+	testSize    = 2
+	// tick is how often gateways look at what they know.
+	tick = 500 * time.Millisecond
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// world is a deployment in which what is told arrives late, by a fixed time a link.
+type world struct {
+	now time.Time
+	// told is the history of each gateway's demand, a value a tick.
+	told      [testDomains * testSize][]int
+	histories [testDomains * testSize]history
+	// delay is in ticks, from each domain to each gateway.
+	delay func(domain, gateway int) int
+	cut   func(domain, gateway int) bool
+	heard [testDomains][testDomains * testSize]time.Time
+}
+
+func domainName(d int) string { return fmt.Sprintf("domain-%d", d) }
+
+func gatewayName(g int) string { return fmt.Sprintf("gw-%d", g) }
+
+func (w *world) instances(domain, delay int) []board.Instance {
+	var list []board.Instance
+	for g := domain * testSize; g < (domain+1)*testSize; g++ {
+		told := 0
+		if at := len(w.told[g]) - 1 - delay; at >= 0 {
+			told = w.told[g][at]
+		}
+		list = append(list, board.Instance{
+			Name: gatewayName(g), State: board.InstanceLive, Incarnation: 1,
+			Load: board.GatewayLoad{Demand: []board.CallerDemand{{Caller: caller, Demand: told}}},
+		})
+	}
+	return list
+}
+
+func (w *world) view(g int) *View {
+	own := g / testSize
+	view := &View{Self: gatewayName(g), Domain: domainName(own), Remote: &board.Domains{}}
+	view.Members = &board.Members{Instances: w.instances(own, w.delay(own, g))}
+	for d := range testDomains {
+		view.Domains = append(view.Domains, domainName(d))
+		if d == own {
+			continue
+		}
+		if w.cut == nil || !w.cut(d, g) {
+			w.heard[d][g] = w.now
+		}
+		if w.heard[d][g].IsZero() {
+			continue
+		}
+		late := w.delay(d, g) + int(w.now.Sub(w.heard[d][g])/tick)
+		view.Remote.Remote = append(view.Remote.Remote, board.DomainDigest{
+			Domain: domainName(d), HeardAt: w.heard[d][g],
+			Demand: DomainDemand(w.instances(d, late), w.now),
+		})
+	}
+	return view
+}
+
+// step tells demands and returns the gateways' parts.
+func (w *world) step(demands [testDomains * testSize]int) (parts [testDomains * testSize]float64, sum float64) {
+	w.now = w.now.Add(tick)
+	for g := range demands {
+		w.told[g] = append(w.told[g], demands[g])
+	}
+	for g := range demands {
+		parts[g] = w.histories[g].part(look(w.view(g), w.now), caller, demands[g])
+		sum += parts[g]
+	}
+	return parts, sum
+}
+
+func newWorld(delay func(domain, gateway int) int) *world { return &world{now: start, delay: delay} }
+
+const rounding = 1e-9
+
+// Whatever demand does, and however late each link is within the windows, the
+// parts add up to the limit at most, and an idle gateway keeps its floor.
+func TestPartsAddUpToTheLimitAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		late := rapid.SliceOfN(rapid.IntRange(0, int(DomainWindow/tick)), testDomains, testDomains).Draw(t, "late")
+		near := rapid.SliceOfN(rapid.IntRange(0, int(GatewayWindow/tick)), testDomains, testDomains).Draw(t, "near")
+		w := newWorld(func(domain, gateway int) int {
+			if gateway/testSize == domain {
+				return near[domain]
+			}
+			return late[domain]
+		})
+		level := rapid.SampledFrom([]int{0, 0, 1, 40, 500, whole})
+		var demands [testDomains * testSize]int
+		for range 80 {
+			if rapid.IntRange(0, 3).Draw(t, "shift") == 0 {
+				for g := range demands {
+					demands[g] = level.Draw(t, "demand")
+				}
+			}
+			parts, sum := w.step(demands)
+			if sum > 1+rounding {
+				t.Fatalf("the parts %v add up to %v", parts, sum)
+			}
+			for g, part := range parts {
+				if part < floorPart*floorPart/(testDomains*testSize)-rounding {
+					t.Fatalf("%s has %v, below the floor", gatewayName(g), part)
+				}
+			}
+		}
+	})
+}
+
+// A caller that sends all to one gateway gets almost the whole limit there, and
+// gets it elsewhere soon after it moved.
+func TestPartFollowsDemand(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(func(domain, gateway int) int {
+		if gateway/testSize == domain {
+			return int(2 * time.Second / tick)
+		}
+		return int(4 * time.Second / tick)
+	})
+	settle := int(10 * time.Second / tick)
+	for g := range testDomains * testSize {
+		var demands [testDomains * testSize]int
+		var parts [testDomains * testSize]float64
+		demands[g] = whole
+		for range settle {
+			parts, _ = w.step(demands)
+		}
+		is.True(parts[g] > 0.9) // within ten seconds
+	}
+}
+
+// A domain that is cut off keeps its part and the others do not take it over; after
+// CutHold each side has the even part of its domains, and after the heal demand
+// decides again.
+func TestCutDomainKeepsItsPart(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(func(int, int) int { return 1 })
+	demands := [testDomains * testSize]int{whole, 0, whole / 2, whole / 2, 0, 0}
+	run := func(length time.Duration) (parts [testDomains * testSize]float64) {
+		for range int(length / tick) {
+			var sum float64
+			parts, sum = w.step(demands)
+			is.True(sum <= 1+rounding) // at each moment, on both sides together
+		}
+		return parts
+	}
+	before := run(20 * time.Second)
+	w.cut = func(domain, gateway int) bool { return (domain == 0) != (gateway/testSize == 0) }
+	is.Equal(run(10*time.Second), before) // each side goes on as it was
+	demands[0], demands[2] = whole, whole
+	demands[4] = whole
+	grown := run(CutHold - 15*time.Second)
+	is.True(grown[2]+grown[3]+grown[4]+grown[5] <= 1-before[0]-before[1]+rounding)
+	even := run(30 * time.Second)
+	is.True(even[0] > 0.3 && even[0]+even[1] <= 1.0/testDomains+rounding)
+	is.True(even[2]+even[3]+even[4]+even[5] > 0.6)
+	w.cut = nil
+	demands = [testDomains * testSize]int{whole}
+	is.True(run(20 * time.Second)[0] > 0.9)
+}
--- /dev/null
+++ b/pkg/quota/window.go
@@ -0,0 +1,35 @@
+package quota
+
+import "time"
+
+// windowSlots divide a window; one more is the slot that is being filled.
+const windowSlots = 4
+
+// window remembers the extreme of a value over a span of time, of at least span
+// and at most a slot more. The zero value remembers zeros.
+type window struct {
+	slots [windowSlots + 1]float64
+	slot  int64
+	last  float64
+}
+
+// add notes a value, which replaces the last one, and returns the extreme.
+func (w *window) add(now time.Time, span time.Duration, value float64, extreme func(a, b float64) float64) float64 {
+	slot := now.UnixNano() / int64(span/windowSlots)
+	for passed := min(slot-w.slot, windowSlots+1); passed > 0; passed-- {
+		w.slots[(slot-passed+1)%(windowSlots+1)] = w.last
+	}
+	w.slot = max(slot, w.slot)
+	w.last = value
+	at := &w.slots[w.slot%(windowSlots+1)]
+	*at = extreme(*at, value)
+	result := value
+	for _, kept := range w.slots {
+		result = extreme(result, kept)
+	}
+	return result
+}
+
+func least(a, b float64) float64 { return min(a, b) }
+
+func most(a, b float64) float64 { return max(a, b) }
