--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -5,33 +5,7 @@
 set -Eeuo pipefail
 cd "$(dirname "$0")/.."
 
-declare -A started # process id by name
-
-# start NAME PROGRAM ARGS: starts a process that logs to its own file.
-start() {
-  local name=$1
-  shift
-  "$@" >"$logs/$name.log" 2>&1 &
-  started[$name]=$!
-}
-
-# stop_all stops what was started, gateways and agents before the stand-ins, and
-# fails when one did not exit cleanly.
-stop_all() {
-  local name failed=0
-  for name in "${!started[@]}"; do
-    [ "$name" = standin ] || kill -TERM "${started[$name]}" 2>/dev/null || true
-  done
-  for name in "${!started[@]}"; do
-    [ "$name" = standin ] || wait "${started[$name]}" || { echo "$name exited with $?" >&2; failed=1; }
-  done
-  if [ -n "${started[standin]:-}" ]; then
-    kill -TERM "${started[standin]}" 2>/dev/null || true
-    wait "${started[standin]}" || { echo "standin exited with $?" >&2; failed=1; }
-  fi
-  started=()
-  return $failed
-}
+. scripts/deployment.sh
 
 # give_up stops what runs and shows where to look.
 give_up() {
@@ -40,25 +14,11 @@
   stop_all || true
 }
 
-# bring_up NAME: starts a deployment and applies its declaration.
-bring_up() {
-  local name=$1 file instance
-  deployment=deploy/$name
-  logs=run/$name
-  gateways=()
-  mkdir -p "$logs"
-  echo "== $name: stand-ins, 7 gateways and 7 agents"
-  start standin bin/lilacweir-standin run "$deployment/standin.yaml"
-  for file in $(grep -l '^instance:' "$deployment"/*.yaml); do
-    instance=$(basename "$file" .yaml)
-    start "$instance-gateway" bin/lilacweir-gateway run "$file"
-    start "$instance-agent" bin/lilacweir-agent run "$file"
-    gateways+=(-g "$(sed -n 's/^ *callers: *//p' "$file")")
-  done
-  bin/lilacweir wait "${gateways[@]}" --state no-configuration --state serving --platform
-  echo "== apply the declaration"
-  bin/lilacweir apply -c "$deployment/operator.yaml" "$deployment/declaration.yaml"
-  bin/lilacweir wait "${gateways[@]}"
+# begin NAME: brings a deployment up, with its logs below ./run.
+begin() {
+  echo "== $1: stand-ins, 7 gateways and 7 agents; the declaration"
+  logs=run/$1
+  bring_up "deploy/$1"
 }
 
 # as CALLER COMMAND ARGS: sends a request as a caller, through the first gateway
@@ -76,7 +36,7 @@
 go build -o bin/ ./cmd/...
 
 export LILACWEIR_KEY=key-eleni
-bring_up wellness
+begin wellness
 as clinic-review ask --model lilac-nurse --max-tokens 48 \
   "Monthly sleep review. Nights: 23:40-06:10, 01:15-05:50, 22:55-06:30. Write a summary for the clinic."
 as residents-app call --key POST /sleeplog/uploads '{"resident":"r-204","night":"2026-11-30","asleep":"23:41","awake":"06:12"}'
@@ -86,7 +46,7 @@
 stop_all
 
 export LILACWEIR_KEY=key-linh
-bring_up minibar
+begin minibar
 as chung-restock ask --model restock-llm --max-tokens 32 "Restock list for room 1204: 2 beers, 1 water and the cashews are gone."
 as hanoi-desks call --key POST /ledger/charges '{"room":"1204","items":["beer","beer","water"]}'
 echo "== linh: st"
--- a/scripts/measure-agent.sh
+++ b/scripts/measure-agent.sh
@@ -14,20 +14,11 @@
 admin=127.$net.0.1:7000
 operators=127.$net.1.1:8091
 run=$(mktemp -d)
-declare -A agents
-started=()
-
-start() {
-  "${@:2}" >"$run/$1.log" 2>&1 &
-  started+=($!)
-}
+logs=$run/logs
+. scripts/deployment.sh
 
 finish() {
-  local pid
-  for pid in "${started[@]:1}" "${started[0]}"; do
-    kill -TERM "$pid" 2>/dev/null || true
-  done
-  wait || true
+  stop_all || true
   rm -rf "$run"
 }
 trap finish EXIT
@@ -60,12 +51,14 @@
 
 # sample: name, clock ticks, resident kB, bytes received and sent.
 sample() {
-  local name address
-  for name in "${!agents[@]}"; do
-    address=$(sed -n 's/^ *operators: *//p' "$run/$name.yaml")
-    echo "$name $(awk '{ print $14 + $15 }' "/proc/${agents[$name]}/stat")" \
-      "$(awk '/^VmRSS/ { print $2 }' "/proc/${agents[$name]}/status")" \
-      "$(curl -s "http://$address/metrics" | awk '/^lilacweir_agent_bytes_links_received/ { r = $2 }
+  local name id operators
+  for name in "${!started[@]}"; do
+    [[ $name == *-agent ]] || continue
+    id=${started[$name]}
+    operators=$(address "$run/${name%-agent}.yaml" operators)
+    echo "$name $(awk '{ print $14 + $15 }' "/proc/$id/stat")" \
+      "$(awk '/^VmRSS/ { print $2 }' "/proc/$id/status")" \
+      "$(curl -s "http://$operators/metrics" | awk '/^lilacweir_agent_bytes_links_received/ { r = $2 }
         /^lilacweir_agent_bytes_links_sent/ { s = $2 } END { printf "%d %d", r, s }')"
   done | sort
 }
@@ -74,18 +67,7 @@
 go build -o bin/ ./cmd/...
 bin/lilacweir-standin plan deploy/wellness/topology.yaml --net "$net" --out "$run"
 export LILACWEIR_KEY=key-eleni
-start standin bin/lilacweir-standin run "$run/standin.yaml"
-gateways=()
-for file in $(grep -l '^instance:' "$run"/*.yaml); do
-  name=$(basename "$file" .yaml)
-  start "$name-gateway" bin/lilacweir-gateway run "$file"
-  start "$name-agent" bin/lilacweir-agent run "$file"
-  agents[$name]=$!
-  gateways+=(-g "$(sed -n 's/^ *callers: *//p' "$file")")
-done
-bin/lilacweir wait "${gateways[@]}" --state no-configuration --state serving --platform
-bin/lilacweir apply -c "$run/operator.yaml" "$run/declaration.yaml" | tail -1
-bin/lilacweir wait "${gateways[@]}"
+bring_up "$run" >"$run/apply.log"
 
 echo "load average: $(cut -d' ' -f1-3 /proc/loadavg)"
 in_force "whole network"
