--- a/cmd/lilacweir-agent/main.go
+++ b/cmd/lilacweir-agent/main.go
@@ -18,8 +18,7 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/logging"
 	"github.com/lilacweir/lilacweir/pkg/order/orderhttp"
-	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
-	"github.com/lilacweir/lilacweir/pkg/platform/rest"
+	"github.com/lilacweir/lilacweir/pkg/platform/access"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/version"
 )
@@ -44,11 +43,7 @@
 
 // Run implements the command.
 func (c *checkCommand) Run() error {
-	instance, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	if _, err := control.NewNetwork(instance.Security, instance.DialVia); err != nil {
+	if _, err := settings.Check(c.Settings, time.Now()); err != nil {
 		return err
 	}
 	fmt.Printf("%s: ok\n", c.Settings)
@@ -89,31 +84,26 @@
 	if err != nil {
 		return agent.Options{}, err
 	}
-	local, err := control.NewNetwork(instance.Security, instance.DialVia)
+	local, err := control.NewNetworkWith(mesh.Credentials(), instance.Security, instance.DialVia)
 	if err != nil {
 		return agent.Options{}, err
 	}
-	options := agent.Options{
-		Settings: instance, Mesh: mesh, Local: local,
-		KeyValue: etcd.New(etcd.Options{
-			Endpoints: instance.Platform.KeyValue, Prefix: instance.Platform.Prefix, Dial: mesh.DialPlain,
-		}),
-		Engines:  orderhttp.New(mesh.DialPlain),
-		HeadKey:  config.HeadKey,
-		Log:      log,
-		Registry: metrics.NewRegistry(),
-		Epoch:    uint64(time.Now().UnixNano()),
-	}
-	if address := instance.Platform.Directory; address != "" {
-		options.Directory = rest.NewDirectory(address, mesh.DialPlain)
-	}
-	if address := instance.Platform.InstanceList; address != "" {
-		options.List = rest.NewInstanceList(address, mesh.DialPlain)
-	}
-	if address := instance.Platform.WeightStore; address != "" {
-		options.Weights = rest.NewWeightStore(address, mesh.DialPlain)
+	services, err := access.Open(mesh.Credentials(), instance.Platform, mesh.DialPlain)
+	if err != nil {
+		return agent.Options{}, err
 	}
-	return options, nil
+	return agent.Options{
+		Settings: instance, Mesh: mesh, Local: local,
+		KeyValue:  services.KeyValue,
+		Directory: services.Directory,
+		List:      services.List,
+		Weights:   services.Weights,
+		Engines:   orderhttp.New(mesh.DialPlain),
+		HeadKey:   config.HeadKey,
+		Log:       log,
+		Registry:  metrics.NewRegistry(),
+		Epoch:     uint64(time.Now().UnixNano()),
+	}, nil
 }
 
 func main() {
--- a/cmd/lilacweir-gateway/main.go
+++ b/cmd/lilacweir-gateway/main.go
@@ -7,12 +7,14 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/gateway"
 	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/platform/access"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/version"
 )
@@ -31,11 +33,7 @@
 
 // Run implements the command.
 func (c *checkCommand) Run() error {
-	instance, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	if _, err := control.NewNetwork(instance.Security, instance.DialVia); err != nil {
+	if _, err := settings.Check(c.Settings, time.Now()); err != nil {
 		return err
 	}
 	fmt.Printf("%s: ok\n", c.Settings)
@@ -61,9 +59,13 @@
 	if err != nil {
 		return err
 	}
+	keyValue, err := access.KeyValue(network.Credentials(), instance.Platform, network.DialPlain)
+	if err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return gateway.New(instance, network, log).Run(ctx)
+	return gateway.New(instance, network, keyValue, log).Run(ctx)
 }
 
 func main() {
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -44,7 +44,8 @@
 // Options is what an agent is made from.
 type Options struct {
 	Settings *settings.Instance
-	// Mesh carries the links to other agents, Local those to the own gateway.
+	// Mesh carries the links to other agents, Local those to the own gateway. The
+	// agent keeps Mesh's credentials up to date; Local should share them.
 	Mesh, Local *control.Network
 	KeyValue    platform.KeyValue
 	// HeadKey is the key of the accepted configuration.
@@ -119,6 +120,7 @@
 	}
 	a.calls.register(options.Registry)
 	registerBytes(options.Registry, options.Mesh.Meter(), options.Local.Meter())
+	options.Mesh.Credentials().Register(options.Registry)
 	a.mesh = newMesh(member.Identity{
 		Name: s.Instance, Domain: s.Domain, Region: s.Region, Epoch: options.Epoch,
 		Addresses: board.Addresses{
@@ -144,7 +146,10 @@
 		return err
 	}
 	a.Log.Info().Str("mesh", a.Settings.Agent.Mesh).Str("operators", a.Settings.Agent.Operators).Msg("ready")
-	loops := []func(context.Context){a.tend, a.exchangeLoop, a.catchUpLoop, a.watch, a.register, a.listLoop}
+	loops := []func(context.Context){
+		a.tend, a.exchangeLoop, a.catchUpLoop, a.watch, a.register, a.listLoop,
+		func(ctx context.Context) { a.Mesh.Credentials().Run(ctx, a.Log) },
+	}
 	for _, loop := range loops {
 		group.Go(func() error {
 			loop(work)
--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/logging"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
@@ -35,7 +35,7 @@
 // serveOperators opens the operators' HTTP.
 func (a *Agent) serveOperators(ctx context.Context, group *errgroup.Group) error {
 	address := a.Settings.Agent.Operators
-	listener, err := net.Listen("tcp", address)
+	listener, err := a.Mesh.ListenPublic(address, a.Settings.Agent.OperatorsTLS)
 	if err != nil {
 		return &ListenError{Address: address, Err: err}
 	}
@@ -44,6 +44,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       requestTimeout,
 		MaxHeaderBytes:    maxRead,
+		ErrorLog:          logging.ServerErrors(a.Log),
 	}
 	group.Go(func() error {
 		err := server.Serve(listener)
--- a/pkg/cli/check.go
+++ b/pkg/cli/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 
@@ -39,10 +40,10 @@
 	_ = yaml.Unmarshal(data, &keys)
 	switch {
 	case keys.Instance != nil:
-		_, err := settings.Parse(file, data)
+		_, err := settings.CheckData(file, data, time.Now())
 		return err
 	case keys.Servers != nil:
-		return yamlfile.Decode(file, data, &settings.Client{})
+		return settings.CheckClient(file, data, time.Now())
 	default:
 		_, err := config.Load(file, data)
 		return err
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -11,7 +11,8 @@
 	"net"
 	"net/rpc"
 	"sync"
-	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/credential"
 )
 
 // Bounds of what another process may send to a Server.
@@ -19,8 +20,6 @@
 	// MaxMessage bounds one request in bytes: a head of a megabyte, uncompressed,
 	// with room to spare.
 	MaxMessage = 16 << 20
-	// handshakeTimeout bounds a TLS handshake.
-	handshakeTimeout = 2 * time.Second
 	// maxConnections bounds open connections; a node of the largest deployment
 	// that is planned for has fewer than a hundred control peers.
 	maxConnections = 1024
@@ -108,7 +107,7 @@
 func (s *Server) serve(conn net.Conn) {
 	defer s.remove(conn)
 	if secured, ok := conn.(*tls.Conn); ok {
-		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), credential.HandshakeTimeout)
 		err := secured.HandshakeContext(ctx)
 		cancel()
 		if err != nil {
--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
-	"os"
 	"sync"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
@@ -35,58 +35,43 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
-// SecurityError is certificate material that cannot be used.
-type SecurityError struct {
-	// File is the file at fault.
-	File string
-	// Err is the cause.
-	Err error
-}
-
-// Error implements error.
-func (e *SecurityError) Error() string { return fmt.Sprintf("security: %s: %v", e.File, e.Err) }
-
-// Unwrap returns the cause.
-func (e *SecurityError) Unwrap() error { return e.Err }
-
 // Network dials and listens for links between lilacweir's own processes, with
-// mutual TLS unless plain text on loopback was asked for.
+// mutual TLS unless plain text on loopback was asked for and no certificate named.
 type Network struct {
-	via    map[string]string
-	client *tls.Config
-	server *tls.Config
-	meter  Meter
+	via         map[string]string
+	credentials *credential.Store
+	client      *credential.Client
+	server      *tls.Config
+	meter       Meter
 }
 
-// NewNetwork reads the certificates that the settings name.
+// NewNetwork reads the certificates that the settings name, with a store of its own.
 func NewNetwork(security settings.Security, via map[string]string) (*Network, error) {
-	network := &Network{via: via}
-	if security.PlaintextLoopback {
+	return NewNetworkWith(credential.NewStore(clock.System{}), security, via)
+}
+
+// NewNetworkWith reads the certificates that the settings name. Connections that
+// are made later use what the store holds by then.
+func NewNetworkWith(store *credential.Store, security settings.Security, via map[string]string) (*Network, error) {
+	network := &Network{via: via, credentials: store}
+	if security.Plaintext() {
 		return network, nil
 	}
-	certificate, err := tls.LoadX509KeyPair(security.Certificate, security.Key)
+	pair, err := store.Pair(security.Certificate, security.Key)
 	if err != nil {
-		return nil, &SecurityError{File: security.Certificate, Err: err}
+		return nil, err
 	}
-	pem, err := os.ReadFile(security.Authority)
+	authority, err := store.Authority(security.Authority)
 	if err != nil {
-		return nil, &SecurityError{File: security.Authority, Err: err}
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, &SecurityError{File: security.Authority, Err: errNoCertificate}
-	}
-	network.client = &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool, MinVersion: tls.VersionTLS13}
-	network.server = &tls.Config{
-		Certificates: []tls.Certificate{certificate},
-		ClientCAs:    pool,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
+		return nil, err
 	}
+	network.client = &credential.Client{Authority: authority, Pair: pair}
+	network.server = credential.ServerConfig(pair, authority)
 	return network, nil
 }
 
-var errNoCertificate = errors.New("holds no certificate")
+// Credentials returns the store that the network's certificates are in.
+func (n *Network) Credentials() *credential.Store { return n.credentials }
 
 // Translate returns the address that is dialed in place of the given one.
 func (n *Network) Translate(address string) string {
@@ -108,21 +93,10 @@
 
 // Dial connects to another lilacweir process.
 func (n *Network) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := n.DialPlain(ctx, network, address)
-	if err != nil || n.client == nil {
-		return conn, err
+	if n.client == nil {
+		return n.DialPlain(ctx, network, address)
 	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
-	config := n.client.Clone()
-	config.ServerName = host
-	secured := tls.Client(conn, config)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		return nil, errors.Join(err, conn.Close())
-	}
-	return secured, nil
+	return n.client.Secure(n.DialPlain)(ctx, network, address)
 }
 
 // Listen listens for other lilacweir processes.
@@ -138,6 +112,23 @@
 	return tls.NewListener(listener, n.server), nil
 }
 
+// ListenPublic listens for callers or operators, who need no certificate: with TLS
+// when a pair is named. The error may be a *credential.FileError.
+func (n *Network) ListenPublic(address string, pair settings.Pair) (net.Listener, error) {
+	if pair == (settings.Pair{}) {
+		return net.Listen("tcp", address)
+	}
+	held, err := n.credentials.Pair(pair.Certificate, pair.Key)
+	if err != nil {
+		return nil, err
+	}
+	plain, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return tls.NewListener(plain, credential.ServerConfig(held, nil)), nil
+}
+
 // Clients keeps one net/rpc connection for each address.
 type Clients struct {
 	network *Network
--- a/pkg/control/transport_test.go
+++ b/pkg/control/transport_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/standin/certificate"
 )
@@ -200,7 +201,7 @@
 	security := newAuthority(t).issue(t)
 	is.NoErr(os.WriteFile(security.Authority, []byte("not a certificate"), 0o600))
 	_, err := control.NewNetwork(security, nil)
-	var securityError *control.SecurityError
+	var securityError *credential.FileError
 	is.True(errors.As(err, &securityError))
 	is.Equal(securityError.File, security.Authority)
 }
--- /dev/null
+++ b/pkg/credential/expiry.go
@@ -0,0 +1,41 @@
+package credential
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const day = 24 * time.Hour
+
+// warning is a time left at which an event is logged once.
+type warning struct {
+	left  time.Duration
+	event string
+}
+
+// warnings are in the order in which they come to count.
+var warnings = []*warning{
+	{left: 30 * day, event: "certificate-expires-soon"},
+	{left: 7 * day, event: "certificate-expires-soon"},
+	{left: 0, event: "certificate-expired"},
+}
+
+// warn logs each warning once, and the last alone when several are due.
+func (i *item) warn(now time.Time, log zerolog.Logger) {
+	if i.expires.IsZero() {
+		return
+	}
+	var due *warning
+	for _, one := range warnings {
+		if i.expires.Sub(now) <= one.left {
+			due = one
+		}
+	}
+	if due == nil || due == i.warning {
+		return
+	}
+	i.warning = due
+	log.Warn().Strs("files", i.files).Time("expires", i.expires.UTC()).
+		Int("days_left", int(i.expires.Sub(now)/day)).Msg(due.event)
+}
--- /dev/null
+++ b/pkg/credential/store.go
@@ -0,0 +1,239 @@
+package credential
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// PollInterval is how often the files are looked at.
+const PollInterval = 10 * time.Second
+
+// Pair is a certificate with its key.
+type Pair struct {
+	current atomic.Pointer[tls.Certificate]
+}
+
+// Certificate returns the one in use.
+func (p *Pair) Certificate() *tls.Certificate { return p.current.Load() }
+
+// Authority is a set of certificates that others' are checked against.
+type Authority struct{ current atomic.Pointer[x509.CertPool] }
+
+// Pool returns the set in use.
+func (a *Authority) Pool() *x509.CertPool { return a.current.Load() }
+
+// Secret is a password or token.
+type Secret struct{ current atomic.Pointer[string] }
+
+// Value returns the one in use.
+func (s *Secret) Value() string { return *s.current.Load() }
+
+// Store holds what a process reads from files. It is safe for concurrent use.
+type Store struct {
+	clock clock.Clock
+
+	mu    sync.Mutex
+	items map[string]*item
+}
+
+// item is one thing that is read from files.
+type item struct {
+	holds any
+	files []string
+	seen  []stamp
+	// load reads the files and puts what they hold in use; the time is when that
+	// expires, zero for never.
+	load    func(now time.Time) (time.Time, error)
+	expires time.Time
+	// refused is true while the files hold what cannot be used.
+	refused bool
+	warning *warning
+}
+
+// stamp tells one content of a file from another; the zero stamp is an absent file.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// NewStore returns an empty store.
+func NewStore(c clock.Clock) *Store { return &Store{clock: c, items: make(map[string]*item)} }
+
+// Pair reads a certificate and its key. The error is a *FileError.
+func (s *Store) Pair(certificate, key string) (*Pair, error) {
+	pair := new(Pair)
+	held, err := s.add("pair", pair, []string{certificate, key}, func(now time.Time) (time.Time, error) {
+		loaded, err := LoadPair(certificate, key, now)
+		if err != nil {
+			return time.Time{}, err
+		}
+		pair.current.Store(loaded)
+		return loaded.Leaf.NotAfter, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return held.(*Pair), nil
+}
+
+// Authority reads a set of certificates. The error is a *FileError.
+func (s *Store) Authority(file string) (*Authority, error) {
+	authority := new(Authority)
+	held, err := s.add("authority", authority, []string{file}, func(now time.Time) (time.Time, error) {
+		pool, until, err := LoadAuthority(file, now)
+		if err != nil {
+			return time.Time{}, err
+		}
+		authority.current.Store(pool)
+		return until, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return held.(*Authority), nil
+}
+
+// Secret reads a password or token. The error is a *FileError.
+func (s *Store) Secret(file string) (*Secret, error) {
+	secret := new(Secret)
+	held, err := s.add("secret", secret, []string{file}, func(time.Time) (time.Time, error) {
+		value, err := LoadSecret(file)
+		if err != nil {
+			return time.Time{}, err
+		}
+		secret.current.Store(&value)
+		return time.Time{}, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return held.(*Secret), nil
+}
+
+// add reads the files for the first time. Files that were added before are not
+// read twice: what they hold is returned.
+func (s *Store) add(kind string, holds any, files []string, load func(time.Time) (time.Time, error)) (any, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name := kind + "\x00" + strings.Join(files, "\x00")
+	if earlier, ok := s.items[name]; ok {
+		return earlier.holds, nil
+	}
+	added := &item{holds: holds, files: files, seen: stamps(files), load: load}
+	expires, err := load(s.clock.Now())
+	if err != nil {
+		return nil, err
+	}
+	added.expires = expires
+	s.items[name] = added
+	return holds, nil
+}
+
+// Run looks at the files on PollInterval until ctx ends.
+func (s *Store) Run(ctx context.Context, log zerolog.Logger) {
+	ticker := time.NewTicker(PollInterval)
+	defer ticker.Stop()
+	for {
+		s.Poll(log)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Poll looks at all files once: those that changed are read anew, and what cannot
+// be used is logged once and leaves the old in use.
+func (s *Store) Poll(log zerolog.Logger) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, one := range s.items {
+		one.poll(now, log)
+		one.warn(now, log)
+	}
+}
+
+func (i *item) poll(now time.Time, log zerolog.Logger) {
+	found := stamps(i.files)
+	if same(found, i.seen) {
+		return
+	}
+	i.seen = found
+	expires, err := i.load(now)
+	i.refused = err != nil
+	if err != nil {
+		log.Error().Strs("files", i.files).Err(err).Msg("credential-refused")
+		return
+	}
+	i.expires = expires
+	i.warning = nil
+	log.Info().Strs("files", i.files).Msg("credential-renewed")
+}
+
+// stamps looks at the files before they are read, so that a change in between is
+// seen the next time.
+func stamps(files []string) []stamp {
+	found := make([]stamp, len(files))
+	for i, file := range files {
+		if info, err := os.Stat(file); err == nil {
+			found[i] = stamp{modified: info.ModTime(), size: info.Size()}
+		}
+	}
+	return found
+}
+
+func same(a, b []stamp) bool {
+	for i := range a {
+		if !a[i].modified.Equal(b[i].modified) || a[i].size != b[i].size {
+			return false
+		}
+	}
+	return true
+}
+
+// Register exposes the store: the seconds until the first certificate expires
+// (zero when there is none), and how many credentials' files are refused.
+func (s *Store) Register(registry metrics.Registry) {
+	metrics.NewRegisteredFunctionalGauge("credentials.expiry_seconds", registry, s.untilExpiry)
+	metrics.NewRegisteredFunctionalGauge("credentials.refused", registry, s.refused)
+}
+
+func (s *Store) untilExpiry() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var first time.Time
+	for _, one := range s.items {
+		if !one.expires.IsZero() && (first.IsZero() || one.expires.Before(first)) {
+			first = one.expires
+		}
+	}
+	if first.IsZero() {
+		return 0
+	}
+	return int64(first.Sub(s.clock.Now()) / time.Second)
+}
+
+func (s *Store) refused() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var count int64
+	for _, one := range s.items {
+		if one.refused {
+			count++
+		}
+	}
+	return count
+}
--- a/pkg/gateway/bed_test.go
+++ b/pkg/gateway/bed_test.go
@@ -21,6 +21,7 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/standin/engine"
 	"github.com/lilacweir/lilacweir/pkg/standin/journal"
@@ -137,11 +138,11 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	keyValue := etcd.New(etcd.Options{Endpoints: []string{"127.0.0.1:1"}, Prefix: "test/", Dial: network.DialPlain})
 	gateway := New(&settings.Instance{
 		Instance: name, Domain: domain, Region: region,
-		Gateway:  settings.Gateway{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Control: "127.0.0.1:0", MaxBody: 1 << 20},
-		Platform: settings.Platform{KeyValue: []string{"127.0.0.1:1"}, Prefix: "test/"},
-	}, network, zerolog.Nop())
+		Gateway: settings.Gateway{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Control: "127.0.0.1:0", MaxBody: 1 << 20},
+	}, network, keyValue, zerolog.Nop())
 	b.t.Cleanup(gateway.halt)
 	return gateway
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -33,7 +33,8 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/limit"
-	"github.com/lilacweir/lilacweir/pkg/platform/etcd"
+	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/platform"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
 	"github.com/lilacweir/lilacweir/pkg/route"
@@ -90,8 +91,9 @@
 	phaseDraining
 )
 
-// New returns a gateway that has no configuration yet.
-func New(instance *settings.Instance, network *control.Network, log zerolog.Logger) *Gateway {
+// New returns a gateway that has no configuration yet. keyValue holds the claims
+// of opaque idempotency keys.
+func New(instance *settings.Instance, network *control.Network, keyValue platform.KeyValue, log zerolog.Logger) *Gateway {
 	system := clock.System{}
 	registry := metrics.NewRegistry()
 	ejector := limit.NewEjector(system)
@@ -117,27 +119,24 @@
 	}
 	g.running, g.halt = context.WithCancel(context.Background())
 	g.suspects = newSuspects(g.running, g.client.Probe)
-	g.claims = claim.New(g.claimOptions())
+	g.claims = claim.New(g.claimOptions(keyValue))
 	g.registerGauges()
+	network.Credentials().Register(registry)
 	g.compile()
 	return g
 }
 
 // claimOptions says how this gateway decides idempotency keys.
-func (g *Gateway) claimOptions() claim.Options {
+func (g *Gateway) claimOptions(keyValue platform.KeyValue) claim.Options {
 	return claim.Options{
-		Self:    claim.Origin{Domain: g.settings.Domain, Instance: g.settings.Instance, Incarnation: g.incarnation},
-		Clock:   g.clock,
-		Random:  cryptorand.Reader,
-		Peers:   g.peers,
-		Members: g.board.Members.Load,
-		Domains: g.board.Domains.Load,
-		KeyValue: etcd.New(etcd.Options{
-			Endpoints: g.settings.Platform.KeyValue,
-			Prefix:    g.settings.Platform.Prefix,
-			Dial:      g.network.DialPlain,
-		}),
-		TTL: g.keyTTL,
+		Self:     claim.Origin{Domain: g.settings.Domain, Instance: g.settings.Instance, Incarnation: g.incarnation},
+		Clock:    g.clock,
+		Random:   cryptorand.Reader,
+		Peers:    g.peers,
+		Members:  g.board.Members.Load,
+		Domains:  g.board.Domains.Load,
+		KeyValue: keyValue,
+		TTL:      g.keyTTL,
 	}
 }
 
@@ -168,12 +167,14 @@
 	}
 	server := g.newServer()
 	callers, peers := server.Callers(), server.Peers()
+	callers.ErrorLog, peers.ErrorLog = logging.ServerErrors(g.log), logging.ServerErrors(g.log)
 	defer g.halt()
 	group, failed := errgroup.WithContext(g.running)
 	group.Go(func() error { return serve(callers, doors.callers) })
 	group.Go(func() error { return serve(peers, doors.peers) })
 	group.Go(func() error { doors.control.Serve(); return nil })
 	group.Go(func() error { g.compileLoop(failed); return nil })
+	group.Go(func() error { g.network.Credentials().Run(failed, g.log); return nil })
 	g.log.Info().Str("callers", doors.callers.Addr().String()).Msg("ready")
 	select {
 	case <-ctx.Done():
@@ -197,7 +198,7 @@
 
 func (g *Gateway) listen() (doors listeners, err error) {
 	addresses := g.settings.Gateway
-	if doors.callers, err = net.Listen("tcp", addresses.Callers); err != nil {
+	if doors.callers, err = g.network.ListenPublic(addresses.Callers, addresses.CallersTLS); err != nil {
 		return doors, fmt.Errorf("listen for callers: %w", err)
 	}
 	if doors.peers, err = g.network.Listen(addresses.Peers); err != nil {
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"io"
+	"log"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -63,3 +65,15 @@
 func (timestamp) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
 	event.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeLayout))
 }
+
+// ServerErrors returns what net/http's server writes its errors to: one debug
+// event each, since strangers can cause any number of them.
+func ServerErrors(to zerolog.Logger) *log.Logger { return log.New(serverErrors{to}, "", 0) }
+
+type serverErrors struct{ to zerolog.Logger }
+
+// Write implements io.Writer.
+func (s serverErrors) Write(line []byte) (int, error) {
+	s.to.Debug().Str("detail", strings.TrimSpace(string(line))).Msg("http-server-error")
+	return len(line), nil
+}
--- a/pkg/platform/etcd/client.go
+++ b/pkg/platform/etcd/client.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 	"github.com/lilacweir/lilacweir/pkg/platform/etcd/wire"
 )
@@ -39,9 +40,6 @@
 // service names the service in errors.
 const service = "key-value"
 
-// Dial connects to an endpoint.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Options of a client.
 type Options struct {
 	// Endpoints lists the service's host:port addresses; one at least.
@@ -49,7 +47,13 @@
 	// Prefix is put before every key and taken off every key that is returned.
 	Prefix string
 	// Dial makes all connections.
-	Dial Dial
+	Dial credential.Dial
+	// TLS makes the connections secure; nil means plain text.
+	TLS *credential.Client
+	// User is who asks for tokens; empty means that the service asks for none.
+	// Password returns the user's present password.
+	User     string
+	Password func() string
 	// CallTimeout and WatchIdle default to the package's constants.
 	CallTimeout, WatchIdle time.Duration
 }
@@ -58,6 +62,8 @@
 type Client struct {
 	options Options
 	http    *http.Client
+	scheme  string
+	session session
 	// preferred is the index of the endpoint that answered last.
 	preferred atomic.Int64
 }
@@ -78,7 +84,12 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	return &Client{options: options, http: &http.Client{Transport: transport}}
+	client := &Client{options: options, http: &http.Client{Transport: transport}, scheme: "http://", session: newSession()}
+	if options.TLS != nil {
+		client.scheme = "https://"
+		transport.DialTLSContext = options.TLS.Secure(options.Dial)
+	}
+	return client
 }
 
 // Close drops idle connections.
@@ -109,7 +120,7 @@
 	first := int(c.preferred.Load())
 	for i := range c.options.Endpoints {
 		index := (first + i) % len(c.options.Endpoints)
-		err = c.once(ctx, index, path, body, answer)
+		err = c.authorized(ctx, index, func(token string) error { return c.once(ctx, index, path, token, body, answer) })
 		if err == nil {
 			return nil
 		}
@@ -134,8 +145,8 @@
 	return notSent || !write
 }
 
-func (c *Client) once(ctx context.Context, index int, path string, body []byte, answer any) error {
-	response, err := c.post(ctx, index, path, body)
+func (c *Client) once(ctx context.Context, index int, path, token string, body []byte, answer any) error {
+	response, err := c.post(ctx, index, path, token, body)
 	if err != nil {
 		return err
 	}
@@ -147,13 +158,16 @@
 	return nil
 }
 
-func (c *Client) post(ctx context.Context, index int, path string, body []byte) (*http.Response, error) {
-	url := "http://" + c.options.Endpoints[index] + path
+func (c *Client) post(ctx context.Context, index int, path, token string, body []byte) (*http.Response, error) {
+	url := c.scheme + c.options.Endpoints[index] + path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("request: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		request.Header.Set("Authorization", token)
+	}
 	// The transport repeats a POST by itself only when none of it was written.
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/pkg/platform/etcd/watch.go
+++ b/pkg/platform/etcd/watch.go
@@ -110,11 +110,21 @@
 // endpoint is preferred.
 func (c *Client) begin(ctx context.Context, body []byte) (*stream, error) {
 	index := int(c.preferred.Load())
-	response, err := c.post(ctx, index, wire.PathWatch, body)
-	if err != nil {
-		c.preferred.CompareAndSwap(int64(index), int64((index+1)%len(c.options.Endpoints)))
-		return nil, err
-	}
+	var begun *stream
+	err := c.authorized(ctx, index, func(token string) error {
+		response, err := c.post(ctx, index, wire.PathWatch, token, body)
+		if err != nil {
+			c.preferred.CompareAndSwap(int64(index), int64((index+1)%len(c.options.Endpoints)))
+			return err
+		}
+		begun, err = beginStream(response)
+		return err
+	})
+	return begun, err
+}
+
+// beginStream reads the first message of a watch's stream.
+func beginStream(response *http.Response) (*stream, error) {
 	begun := &stream{response: response, decoder: json.NewDecoder(response.Body)}
 	var first wire.WatchMessage
 	if err := begun.decoder.Decode(&first); err != nil {
@@ -134,10 +144,13 @@
 	}
 	if message.Result != nil && message.Result.Canceled {
 		code := wire.CodeUnavailable
-		if message.Result.CompactRevision > 0 {
+		switch {
+		case message.Result.CompactRevision > 0:
 			code = wire.CodeOutOfRange
+		case message.Result.CancelReason == wire.MessageInvalidToken:
+			code = wire.CodeUnauthenticated
 		}
-		return &StatusError{Status: http.StatusOK, Code: code, Message: "watch cancelled"}
+		return &StatusError{Status: http.StatusOK, Code: code, Message: "watch cancelled " + message.Result.CancelReason}
 	}
 	return nil
 }
--- a/pkg/platform/etcd/wire/wire.go
+++ b/pkg/platform/etcd/wire/wire.go
@@ -11,6 +11,8 @@
 	PathGrant     = "/v3/lease/grant"
 	PathKeepAlive = "/v3/lease/keepalive"
 	PathRevoke    = "/v3/lease/revoke"
+
+	PathAuthenticate = "/v3/auth/authenticate"
 )
 
 // Values of Compare and of Event.
@@ -27,6 +29,14 @@
 	CodeResourceExhausted = 8
 	CodeOutOfRange        = 11
 	CodeUnavailable       = 14
+	CodeUnauthenticated   = 16
+)
+
+// Messages that tell failures of one code apart.
+const (
+	MessageInvalidToken    = "etcdserver: invalid auth token"
+	MessageAuthFailed      = "etcdserver: authentication failed, invalid user ID or password"
+	MessageOldAuthRevision = "etcdserver: revision of auth store is old"
 )
 
 // Header accompanies every response.
@@ -129,6 +139,7 @@
 	Created         bool    `json:"created,omitempty"`
 	Canceled        bool    `json:"canceled,omitempty"`
 	CompactRevision int64   `json:"compact_revision,string,omitempty"`
+	CancelReason    string  `json:"cancel_reason,omitempty"`
 	Events          []Event `json:"events,omitempty"`
 }
 
@@ -162,6 +173,19 @@
 	Error  *StreamError   `json:"error,omitempty"`
 }
 
+// AuthenticateRequest asks for a token, which calls then carry as they are in the
+// header Authorization.
+type AuthenticateRequest struct {
+	Name     string `json:"name"`
+	Password string `json:"password"`
+}
+
+// AuthenticateResponse carries the token.
+type AuthenticateResponse struct {
+	Header Header `json:"header"`
+	Token  string `json:"token,omitempty"`
+}
+
 // ErrorResponse is the body of every status but 200.
 type ErrorResponse struct {
 	Error   string `json:"error"`
--- a/pkg/platform/rest/client.go
+++ b/pkg/platform/rest/client.go
@@ -20,10 +20,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -75,8 +75,13 @@
 	Error string `json:"error"`
 }
 
-// Dial connects to a service.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+// Access is how a service is spoken to. The zero value is plain text without a token.
+type Access struct {
+	// TLS makes the connections secure; nil means plain text.
+	TLS *credential.Client
+	// Token returns the present bearer token; nil means none.
+	Token func() string
+}
 
 // StatusError is an answer with an unexpected status.
 type StatusError struct {
@@ -90,13 +95,19 @@
 
 // client calls one service.
 type client struct {
-	service, address string
-	http             *http.Client
+	service, base string
+	token         func() string
+	http          *http.Client
 }
 
-func newClient(service, address string, dial Dial) client {
+func newClient(service, address string, dial credential.Dial, access Access) client {
 	transport := &http.Transport{DialContext: dial, IdleConnTimeout: time.Minute, DisableCompression: true}
-	return client{service: service, address: address, http: &http.Client{Transport: transport}}
+	base := "http://" + address
+	if access.TLS != nil {
+		base = "https://" + address
+		transport.DialTLSContext = access.TLS.Secure(dial)
+	}
+	return client{service: service, base: base, token: access.Token, http: &http.Client{Transport: transport}}
 }
 
 // call sends ask, unless nil, and decodes into answer, unless nil.
@@ -115,11 +126,14 @@
 	if err != nil {
 		return fmt.Errorf("request: %w", err)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return fmt.Errorf("request: %w", err)
 	}
 	request.Header.Set("Content-Type", "application/json")
+	if c.token != nil {
+		request.Header.Set("Authorization", "Bearer "+c.token())
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return fmt.Errorf("exchange: %w", err)
--- a/pkg/platform/rest/rest_test.go
+++ b/pkg/platform/rest/rest_test.go
@@ -29,7 +29,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	address := serve(t, fleet.NewDirectory(clock.Func(func() time.Time { return now })).Handler())
-	directory := rest.NewDirectory(address, dial)
+	directory := rest.NewDirectory(address, dial, rest.Access{})
 	entries := []platform.DirectoryEntry{
 		{Instance: "kal-1", Domain: "kalamaria-hall", Region: "makedonia", Address: "127.10.1.1:8080"},
 		{Instance: "lar-1", Domain: "larisa-hall", Region: "thessalia", Address: "127.10.2.1:8080"},
@@ -56,7 +56,7 @@
 	now := time.Unix(0, 0)
 	begin := []platform.ListedInstance{{Name: "kal-1", Domain: "kalamaria-hall"}, {Name: "lar-1", Domain: "larisa-hall"}}
 	list := fleet.NewList(clock.Func(func() time.Time { return now }), 3*time.Second, begin)
-	client := rest.NewInstanceList(serve(t, list.Handler()), dial)
+	client := rest.NewInstanceList(serve(t, list.Handler()), dial, rest.Access{})
 	is.True(list.MarkLeaving("lar-1", true))
 	is.True(!list.MarkLeaving("per-1", true))
 	now = now.Add(2 * time.Second)
@@ -74,7 +74,7 @@
 	is := is.New(t)
 	now := time.Unix(0, 0)
 	weights := fleet.NewWeights(clock.Func(func() time.Time { return now }), 30)
-	client := rest.NewWeightStore(serve(t, weights.Handler()), dial)
+	client := rest.NewWeightStore(serve(t, weights.Handler()), dial, rest.Access{})
 	wait, err := client.Reserve(t.Context(), "lilac-nurse", "v2")
 	is.NoErr(err)
 	is.Equal(wait, time.Duration(0))
--- a/pkg/platform/rest/services.go
+++ b/pkg/platform/rest/services.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -15,8 +16,8 @@
 var _ platform.Directory = (*Directory)(nil)
 
 // NewDirectory returns the directory at address.
-func NewDirectory(address string, dial Dial) *Directory {
-	return &Directory{client: newClient("directory", address, dial)}
+func NewDirectory(address string, dial credential.Dial, access Access) *Directory {
+	return &Directory{client: newClient("directory", address, dial, access)}
 }
 
 // Register implements platform.Directory.
@@ -47,8 +48,8 @@
 var _ platform.InstanceList = (*InstanceList)(nil)
 
 // NewInstanceList returns the instance list at address.
-func NewInstanceList(address string, dial Dial) *InstanceList {
-	return &InstanceList{client: newClient("instance-list", address, dial)}
+func NewInstanceList(address string, dial credential.Dial, access Access) *InstanceList {
+	return &InstanceList{client: newClient("instance-list", address, dial, access)}
 }
 
 // List implements platform.InstanceList.
@@ -67,8 +68,8 @@
 var _ platform.WeightStore = (*WeightStore)(nil)
 
 // NewWeightStore returns the weight store at address.
-func NewWeightStore(address string, dial Dial) *WeightStore {
-	return &WeightStore{client: newClient("weight-store", address, dial)}
+func NewWeightStore(address string, dial credential.Dial, access Access) *WeightStore {
+	return &WeightStore{client: newClient("weight-store", address, dial, access)}
 }
 
 // Reserve implements platform.WeightStore.
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -17,34 +17,21 @@
 	return Parse(file, data)
 }
 
-// Parse checks settings that have been read; file is used in faults alone.
+// Parse checks settings that have been read; file is used in faults alone. The
+// files that the settings name are not opened; see Check.
 func Parse(file string, data []byte) (*Instance, error) {
-	instance := new(Instance)
-	doc := yamlfile.Read(file, data, instance)
-	instance.checkSecurity(doc)
+	instance, doc := parse(file, data)
 	if err := doc.Err(); err != nil {
 		return nil, err
 	}
 	return instance, nil
 }
 
-// checkSecurity requires loopback addresses where plain text is permitted, and
-// certificates everywhere else.
-func (s *Instance) checkSecurity(doc *yamlfile.Document) {
-	if s.Security.PlaintextLoopback {
-		s.checkLoopback(doc)
-		return
-	}
-	const expected = "a PEM file, since plaintext_loopback is not set"
-	requireFile(doc, "security.certificate", s.Security.Certificate, expected)
-	requireFile(doc, "security.key", s.Security.Key, expected)
-	requireFile(doc, "security.authority", s.Security.Authority, expected)
-}
-
-func requireFile(doc *yamlfile.Document, key, value, expected string) {
-	if value == "" {
-		doc.Add(key, "missing", expected)
-	}
+func parse(file string, data []byte) (*Instance, *yamlfile.Document) {
+	instance := new(Instance)
+	doc := yamlfile.Read(file, data, instance)
+	instance.checkSecurity(doc)
+	return instance, doc
 }
 
 func (s *Instance) checkLoopback(doc *yamlfile.Document) {
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -46,8 +46,18 @@
 		{"dials elsewhere", ": 127.0.0.3:8090", ": 10.0.0.3:8090", []string{
 			`s.yaml:15: dial_via[127.0.0.2:8090]: got "10.0.0.3:8090", expected a loopback address, since plaintext_loopback is set`}},
 		{"neither", "  plaintext_loopback: true", "  certificate: c.pem", []string{
+			"s.yaml:4: gateway.callers_tls.certificate: missing, expected a PEM file, since plaintext_loopback is not set",
+			"s.yaml:4: gateway.callers_tls.key: missing, expected a PEM file, since plaintext_loopback is not set",
+			"s.yaml:8: agent.operators_tls.certificate: missing, expected a PEM file, since plaintext_loopback is not set",
+			"s.yaml:8: agent.operators_tls.key: missing, expected a PEM file, since plaintext_loopback is not set",
+			"s.yaml:11: platform.access.key_value.tls.authority: missing, expected a PEM file, since plaintext_loopback is not set",
 			"s.yaml:16: security.key: missing, expected a PEM file, since plaintext_loopback is not set",
 			"s.yaml:16: security.authority: missing, expected a PEM file, since plaintext_loopback is not set"}},
+		{"half a pair", "  operators:", "  operators_tls: {key: k.pem}\n  operators:", []string{
+			"s.yaml:10: agent.operators_tls.certificate: missing, expected a PEM file, since another key of this block is set"}},
+		{"no password", "  prefix:", "  access: {key_value: {user: me, tls: {server_name: kv}}}\n  prefix:", []string{
+			"s.yaml:13: platform.access.key_value.tls.authority: missing, expected a PEM file, since another key of this block is set",
+			"s.yaml:13: platform.access.key_value.password_file: missing, expected a file, since user is set"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/pkg/settings/operator.go
+++ b/pkg/settings/operator.go
@@ -6,6 +6,9 @@
 	Servers []string `yaml:"servers" validate:"required,min=1,dive,hostport"`
 	// Gateways lists callers' addresses, for the commands ask and call.
 	Gateways []string `yaml:"gateways,omitempty" validate:"dive,hostport"`
+	// Authority is the PEM file that the servers' and gateways' certificates are
+	// checked against; empty means plain HTTP.
+	Authority string `yaml:"authority,omitempty"`
 	// Operator is the operator's name.
 	Operator string `yaml:"operator" validate:"required,name"`
 	// KeyFile holds the operator's key; empty means the environment holds it.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -36,6 +36,8 @@
 	Peers string `yaml:"peers" validate:"required,hostport"`
 	// Control is where net/rpc from the local agent and other gateways is served.
 	Control string `yaml:"control" validate:"required,hostport"`
+	// CallersTLS is the certificate for callers; empty means plain HTTP.
+	CallersTLS Pair `yaml:"callers_tls,omitempty"`
 	// MaxBody bounds a request's body in bytes; zero means DefaultMaxBody.
 	MaxBody int64 `yaml:"max_body,omitempty" validate:"gte=0"`
 	// Drain bounds a graceful shutdown; zero means DefaultDrain.
@@ -48,6 +50,8 @@
 	Mesh string `yaml:"mesh" validate:"required,hostport"`
 	// Operators is where operators' HTTP is served.
 	Operators string `yaml:"operators" validate:"required,hostport"`
+	// OperatorsTLS is the certificate for operators; empty means plain HTTP.
+	OperatorsTLS Pair `yaml:"operators_tls,omitempty"`
 }
 
 // Platform says where the platform's services are.
@@ -60,6 +64,8 @@
 	Directory    string `yaml:"directory,omitempty" validate:"omitempty,hostport"`
 	InstanceList string `yaml:"instance_list,omitempty" validate:"omitempty,hostport"`
 	WeightStore  string `yaml:"weight_store,omitempty" validate:"omitempty,hostport"`
+	// Access says how each service is spoken to.
+	Access Access `yaml:"access,omitempty"`
 }
 
 // Seed is an agent that may be asked for membership and configuration.
@@ -70,7 +76,8 @@
 
 // Security holds the material for links between instances.
 type Security struct {
-	// PlaintextLoopback permits plain text; every address must then be loopback.
+	// PlaintextLoopback permits plain text where no certificate or authority is
+	// named; every address must then be loopback.
 	PlaintextLoopback bool `yaml:"plaintext_loopback,omitempty"`
 	// Certificate, Key and Authority are PEM files.
 	Certificate string `yaml:"certificate,omitempty"`
@@ -78,6 +85,11 @@
 	Authority   string `yaml:"authority,omitempty"`
 }
 
+// Plaintext tells whether links between instances are in plain text.
+func (s Security) Plaintext() bool {
+	return s.PlaintextLoopback && s.Certificate == "" && s.Key == "" && s.Authority == ""
+}
+
 // Log holds the logging settings.
 type Log struct {
 	// Level is debug, info, warn or error; empty means info.
--- /dev/null
+++ b/pkg/standin/kv/auth.go
@@ -0,0 +1,82 @@
+package kv
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lilacweir/lilacweir/pkg/platform/etcd/wire"
+)
+
+// Refusals, in the service's own words.
+var (
+	errAuthFailed   = errors.New(wire.MessageAuthFailed)
+	errInvalidToken = errors.New(wire.MessageInvalidToken)
+)
+
+// tokens are given out for passwords.
+type tokens struct {
+	mu    sync.Mutex
+	users map[string]string
+	known map[string]bool
+}
+
+// ForgetTokens makes all tokens invalid, as when their time has run out.
+func (s *Service) ForgetTokens() {
+	s.tokens.mu.Lock()
+	defer s.tokens.mu.Unlock()
+	clear(s.tokens.known)
+}
+
+// SetPassword changes a user's password; tokens stay valid.
+func (s *Service) SetPassword(user, password string) {
+	s.tokens.mu.Lock()
+	defer s.tokens.mu.Unlock()
+	s.tokens.users[user] = password
+}
+
+func (t *tokens) issue(ask wire.AuthenticateRequest) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	password, ok := t.users[ask.Name]
+	if !ok || password != ask.Password {
+		return "", false
+	}
+	token := rand.Text()
+	t.known[token] = true
+	return token, true
+}
+
+func (t *tokens) accept(token string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.users) == 0 || t.known[token]
+}
+
+func (s *Service) handleAuthenticate(c echo.Context) error {
+	var ask wire.AuthenticateRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&ask); err != nil {
+		return fail(c, http.StatusBadRequest, wire.CodeInvalidArgument, err)
+	}
+	token, ok := s.tokens.issue(ask)
+	if !ok {
+		return fail(c, http.StatusBadRequest, wire.CodeInvalidArgument, errAuthFailed)
+	}
+	return c.JSON(http.StatusOK, wire.AuthenticateResponse{Token: token})
+}
+
+// requireToken refuses calls without a token that was given out, but the one that
+// asks for a token.
+func (s *Service) requireToken(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		asks := c.Path() == wire.PathAuthenticate
+		if asks || s.tokens.accept(c.Request().Header.Get(echo.HeaderAuthorization)) {
+			return next(c)
+		}
+		return fail(c, http.StatusUnauthorized, wire.CodeUnauthenticated, errInvalidToken)
+	}
+}
--- a/pkg/standin/kv/service.go
+++ b/pkg/standin/kv/service.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/platform/etcd/wire"
+	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
 // Settings of the service.
@@ -28,6 +30,10 @@
 	// read when it is opened. Calls beyond wait for QueueLimit at most.
 	WritesPerSecond int `yaml:"writes_per_second" validate:"gte=1"`
 	ReadsPerSecond  int `yaml:"reads_per_second" validate:"gte=1"`
+	// Users holds passwords by user; with none, anyone may call.
+	Users map[string]string `yaml:"users,omitempty"`
+	// TLS is the service's certificate; empty means plain HTTP.
+	TLS settings.Pair `yaml:"tls,omitempty"`
 }
 
 const (
@@ -60,6 +66,7 @@
 type Service struct {
 	store         *store
 	reads, writes *rate.Limiter
+	tokens        tokens
 
 	mu     sync.Mutex
 	counts Counts
@@ -73,6 +80,7 @@
 // New returns a service that is up and empty.
 func New(settings Settings, c clock.Clock) *Service {
 	s := &Service{
+		tokens: tokens{users: maps.Clone(settings.Users), known: map[string]bool{}},
 		store:  newStore(c),
 		reads:  rate.NewLimiter(rate.Limit(settings.ReadsPerSecond), settings.ReadsPerSecond),
 		writes: rate.NewLimiter(rate.Limit(settings.WritesPerSecond), settings.WritesPerSecond),
@@ -136,6 +144,8 @@
 // Handler serves the API.
 func (s *Service) Handler() http.Handler {
 	e := echo.New()
+	e.Use(s.requireToken)
+	e.POST(wire.PathAuthenticate, s.handleAuthenticate)
 	e.POST(wire.PathRange, s.handleRange)
 	e.POST(wire.PathTxn, s.handleTxn)
 	e.POST(wire.PathWatch, s.handleWatch)
--- a/pkg/standin/run.go
+++ b/pkg/standin/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/standin/admin"
 	"github.com/lilacweir/lilacweir/pkg/standin/engine"
 	"github.com/lilacweir/lilacweir/pkg/standin/fleet"
@@ -61,6 +63,8 @@
 type server struct {
 	address string
 	handler http.Handler
+	// pair is the certificate; empty means plain HTTP.
+	pair settings.Pair
 }
 
 // Run runs the selected stand-ins until ctx ends.
@@ -127,7 +131,7 @@
 	list := fleet.NewList(p.clock, platform.List.Lag, platform.List.listed())
 	p.controls.KeyValue, p.controls.List = keyValue, list
 	p.loops = append(p.loops, keyValue.Run)
-	p.add(platform.KeyValue.Address, keyValue.Handler())
+	p.servers = append(p.servers, server{platform.KeyValue.Address, keyValue.Handler(), platform.KeyValue.TLS})
 	p.add(platform.List.Address, list.Handler())
 	p.add(platform.Directory.Address, fleet.NewDirectory(p.clock).Handler())
 	p.add(platform.Weights.Address, fleet.NewWeights(p.clock, platform.Weights.LoadsPerMinute).Handler())
@@ -195,7 +199,7 @@
 func (p *process) listen() ([]net.Listener, error) {
 	listeners := make([]net.Listener, 0, len(p.servers))
 	for _, one := range p.servers {
-		listener, err := net.Listen("tcp", one.address)
+		listener, err := one.listen()
 		if err != nil {
 			closeAll(listeners)
 			closeAll(p.links)
@@ -206,6 +210,17 @@
 	return listeners, nil
 }
 
+func (s server) listen() (net.Listener, error) {
+	if s.pair == (settings.Pair{}) {
+		return net.Listen("tcp", s.address)
+	}
+	pair, err := tls.LoadX509KeyPair(s.pair.Certificate, s.pair.Key)
+	if err != nil {
+		return nil, err
+	}
+	return tls.Listen("tcp", s.address, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS13})
+}
+
 func closeAll[L net.Listener](listeners []L) {
 	for _, listener := range listeners {
 		_ = listener.Close()
--- a/test/scenario/security_test.go
+++ b/test/scenario/security_test.go
@@ -59,7 +59,8 @@
 		return fmt.Errorf("secure: %w", errNoMatch)
 	}
 	security := d.material(directory, name)
-	rest += fmt.Sprintf("%s  certificate: %s\n  key: %s\n  authority: %s\n", securityKey, security.Certificate, security.Key, security.Authority)
+	// The stand-ins, callers and operators go on in plain text, which is asked for.
+	rest += fmt.Sprintf("%s  plaintext_loopback: true\n  certificate: %s\n  key: %s\n  authority: %s\n", securityKey, security.Certificate, security.Key, security.Authority)
 	if err := os.WriteFile(d.file(name+".yaml"), []byte(rest), 0o600); err != nil {
 		return fmt.Errorf("secure: %w", err)
 	}
