Let the command line and pkg/client speak HTTPS; show renewal over real processes

The callers' limit of connections now lies under TLS and not over it, so that net/http sees the TLS connection: it bounds the handshake and tells plain HTTP from TLS (400). Operators' doors have a limit too, 256.

listening-tls.txtar runs a gateway, an agent and the stand-ins with TLS on the key-value service and on callers' and operators' doors: a wrong password leaves the instance up and without the platform; the right one, written into the file, takes effect without a start; a renewed certificate is taken and a broken one is not; no secret is in a log.

--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -27,6 +27,9 @@
 	// refused; of more, the connection is closed with a plain status 431.
 	maxHeader = 16 << 10
 	maxRead   = 128 << 10
+	// maxOperators bounds the open connections of operators and of what reads health
+	// and metrics.
+	maxOperators = 256
 	// closeTimeout bounds what is answered while stopping: a change's answer waits
 	// for command.InForceBound.
 	closeTimeout = command.InForceBound + 2*time.Second
@@ -35,7 +38,7 @@
 // serveOperators opens the operators' HTTP.
 func (a *Agent) serveOperators(ctx context.Context, group *errgroup.Group) error {
 	address := a.Settings.Agent.Operators
-	listener, err := a.Mesh.ListenPublic(address, a.Settings.Agent.OperatorsTLS)
+	listener, err := a.Mesh.ListenPublic(address, a.Settings.Agent.OperatorsTLS, maxOperators)
 	if err != nil {
 		return &ListenError{Address: address, Err: err}
 	}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 
@@ -96,6 +95,7 @@
 	Server   []string `short:"s" sep:"none" help:"Operators' address of an agent; repeat for fallbacks."`
 	Operator string   `short:"o" help:"Operator's name."`
 	KeyFile  string   `help:"File with the operator's key; otherwise LILACWEIR_KEY holds it." type:"path"`
+	AuthorityFlag
 }
 
 // MissingFlagError reports what neither a flag nor the settings file gave.
@@ -110,7 +110,7 @@
 
 // connect merges flags over the settings file.
 func (f *OperatorFlags) connect(session *Session) (*Server, error) {
-	merged := settings.Client{Servers: f.Server, Operator: f.Operator, KeyFile: f.KeyFile}
+	merged := settings.Client{Servers: f.Server, Operator: f.Operator, KeyFile: f.KeyFile, Authority: f.Authority}
 	if f.Settings != "" {
 		file, err := loadClient(f.Settings)
 		if err != nil {
@@ -128,7 +128,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Server{Addresses: merged.Servers, Operator: merged.Operator, Key: key, HTTP: &http.Client{}}, nil
+	transport, scheme, err := AuthorityFlag{Authority: merged.Authority}.transport()
+	if err != nil {
+		return nil, err
+	}
+	return &Server{Addresses: merged.Servers, Operator: merged.Operator, Key: key, HTTP: transport, Scheme: scheme}, nil
 }
 
 func overlay(base, over settings.Client) settings.Client {
@@ -141,6 +145,9 @@
 	if over.KeyFile != "" {
 		base.KeyFile = over.KeyFile
 	}
+	if over.Authority != "" {
+		base.Authority = over.Authority
+	}
 	return base
 }
 
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -145,7 +145,7 @@
 	is := is.New(t)
 	agent := newAgent(t, "ok", "fine")
 	session := newSession(new(bytes.Buffer))
-	server := &Server{Addresses: []string{agent.address()}, Operator: "eleni", Key: "key-eleni", HTTP: http.DefaultClient}
+	server := &Server{Addresses: []string{agent.address()}, Operator: "eleni", Key: "key-eleni", HTTP: http.DefaultClient, Scheme: "http"}
 	session.answerLine(server, "drain nurse-1")
 	agent.revision = "117"
 	session.answerLine(server, "st")
--- a/pkg/cli/request.go
+++ b/pkg/cli/request.go
@@ -17,7 +17,8 @@
 	Gateway  []string      `short:"g" sep:"none" required:"" help:"Callers' address of a gateway; repeat for fallbacks."`
 	KeyFile  string        `help:"File with the caller's key; otherwise LILACWEIR_CALLER_KEY holds it." type:"path"`
 	Deadline time.Duration `help:"When the answer is no longer of use, from now; for example 20s."`
-	Verbose  bool          `short:"v" help:"Print on standard error where the request was processed."`
+	AuthorityFlag
+	Verbose bool `short:"v" help:"Print on standard error where the request was processed."`
 }
 
 // AskCommand sends a chat request.
@@ -97,7 +98,10 @@
 	if err != nil {
 		return err
 	}
-	caller := client.New(key, nil)
+	caller, err := f.caller(key)
+	if err != nil {
+		return err
+	}
 	var answer *client.Answer
 	for _, gateway := range f.Gateway {
 		answer = request(session.Context, caller, gateway)
--- a/pkg/cli/server.go
+++ b/pkg/cli/server.go
@@ -79,6 +79,8 @@
 	Operator  string
 	Key       string
 	HTTP      *http.Client
+	// Scheme is https or http.
+	Scheme string
 	// Seen is the revision of the last reply that the operator saw; changes are
 	// compared with what was accepted since. Empty means the agent's present one.
 	Seen string
@@ -202,7 +204,7 @@
 func (s *Server) post(ctx context.Context, address, path string, body []byte) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, s.Scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return Reply{Verdict: VerdictUnknown}, fmt.Errorf("make request: %w", err)
 	}
@@ -260,7 +262,7 @@
 }
 
 func (s *Server) get(ctx context.Context, address, path string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, s.Scheme+"://"+address+path, nil)
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
--- a/pkg/cli/wait.go
+++ b/pkg/cli/wait.go
@@ -22,6 +22,7 @@
 	State    []string      `default:"serving" help:"States to wait for, any of them."`
 	Platform bool          `help:"Wait as well until the instance sees the platform."`
 	Within   time.Duration `default:"30s" help:"How long to wait at most."`
+	AuthorityFlag
 }
 
 // readiness is what a gateway says of its readiness.
@@ -55,11 +56,15 @@
 func (c *WaitCommand) Run(session *Session) error {
 	ctx, cancel := context.WithTimeout(session.Context, c.Within)
 	defer cancel()
+	transport, scheme, err := c.AuthorityFlag.transport()
+	if err != nil {
+		return err
+	}
 	tick := time.NewTicker(waitPace)
 	defer tick.Stop()
 	for _, gateway := range c.Gateway {
 		for {
-			err := c.look(ctx, gateway)
+			err := c.look(ctx, transport, scheme+"://"+gateway)
 			if err == nil {
 				break
 			}
@@ -74,15 +79,15 @@
 	return nil
 }
 
-// look returns nil when a gateway is as wanted.
-func (c *WaitCommand) look(ctx context.Context, gateway string) error {
+// look returns nil when the gateway at the URL is as wanted.
+func (c *WaitCommand) look(ctx context.Context, transport *http.Client, gateway string) error {
 	ctx, cancel := context.WithTimeout(ctx, waitProbe)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+gateway+"/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, gateway+"/readyz", nil)
 	if err != nil {
 		return &NotReadyError{Gateway: gateway, Err: err}
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := transport.Do(request)
 	if err != nil {
 		return &NotReadyError{Gateway: gateway, Err: err}
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -7,6 +7,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -20,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
@@ -36,14 +38,33 @@
 	Key string
 	// HTTP carries the requests; it should have no overall timeout.
 	HTTP *http.Client
+	// Scheme is https, or http for gateways that callers reach in plain text; empty
+	// means http.
+	Scheme string
 }
 
-// New returns a client with its own connections, dialing with dial; nil dials plainly.
+// New returns a client for plain HTTP with its own connections, dialing with dial;
+// nil dials plainly.
 func New(key string, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
 	transport := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64, DisableCompression: true}
 	return &Client{Key: key, HTTP: &http.Client{Transport: transport}}
 }
 
+// NewTLS is New for HTTPS: the gateways' certificates are checked against the
+// authority.
+func NewTLS(key string, dial credential.Dial, authority *credential.Authority) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	secure := &credential.Client{Authority: authority}
+	transport := &http.Transport{DialTLSContext: secure.Secure(dial), MaxIdleConnsPerHost: 64, DisableCompression: true}
+	return &Client{Key: key, HTTP: &http.Client{Transport: transport}, Scheme: "https"}
+}
+
+func (c *Client) url(gateway, path string) string {
+	return cmp.Or(c.Scheme, "http") + "://" + gateway + path
+}
+
 // Options are the headers that a caller may set. Zero values are not sent.
 type Options struct {
 	RequestID      string
@@ -178,7 +199,7 @@
 
 // send sends a request and reads the answer's header.
 func (c *Client) send(ctx context.Context, gateway, method, path string, body []byte, options Options) (*http.Response, *Answer) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(string(body)))
+	request, err := http.NewRequestWithContext(ctx, method, c.url(gateway, path), strings.NewReader(string(body)))
 	if err != nil {
 		return nil, &Answer{Outcome: outcome.NotRun, Err: fmt.Errorf("make request: %w", err)}
 	}
--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/settings"
@@ -113,22 +115,31 @@
 }
 
 // ListenPublic listens for callers or operators, who need no certificate: with TLS
-// when a pair is named. The error may be a *credential.FileError.
-func (n *Network) ListenPublic(address string, pair settings.Pair) (net.Listener, error) {
+// when a pair is named. At most limit connections are open, further ones wait to be
+// accepted. The error may be a *credential.FileError.
+func (n *Network) ListenPublic(address string, pair settings.Pair, limit int) (net.Listener, error) {
 	if pair == (settings.Pair{}) {
-		return net.Listen("tcp", address)
+		return listenLimited(address, limit)
 	}
 	held, err := n.credentials.Pair(pair.Certificate, pair.Key)
 	if err != nil {
 		return nil, err
 	}
-	plain, err := net.Listen("tcp", address)
+	plain, err := listenLimited(address, limit)
 	if err != nil {
 		return nil, err
 	}
 	return tls.NewListener(plain, credential.ServerConfig(held, nil)), nil
 }
 
+func listenLimited(address string, limit int) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return netutil.LimitListener(listener, limit), nil
+}
+
 // Clients keeps one net/rpc connection for each address.
 type Clients struct {
 	network *Network
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -198,7 +198,7 @@
 
 func (g *Gateway) listen() (doors listeners, err error) {
 	addresses := g.settings.Gateway
-	if doors.callers, err = g.network.ListenPublic(addresses.Callers, addresses.CallersTLS); err != nil {
+	if doors.callers, err = g.network.ListenPublic(addresses.Callers, addresses.CallersTLS, maxConnections); err != nil {
 		return doors, fmt.Errorf("listen for callers: %w", err)
 	}
 	if doors.peers, err = g.network.Listen(addresses.Peers); err != nil {
@@ -207,7 +207,6 @@
 	if doors.control, err = control.NewServer(g.network, addresses.Control); err != nil {
 		return doors, errors.Join(fmt.Errorf("listen for control: %w", err), doors.close())
 	}
-	doors.callers = netutil.LimitListener(doors.callers, maxConnections)
 	doors.peers = netutil.LimitListener(doors.peers, maxConnections)
 	return doors, nil
 }
--- a/test/scenario/input_test.go
+++ b/test/scenario/input_test.go
@@ -223,6 +223,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), exitBound)
 	defer cancel()
+	for i, arg := range args {
+		if instance, ok := d.instances[strings.TrimPrefix(arg, "@")]; ok && arg[0] == '@' {
+			args[i] = instance.Gateway.Callers
+		}
+	}
 	command := exec.CommandContext(ctx, d.binary(args[0]), args[1:]...)
 	command.Dir = d.directory
 	command.Env = append(os.Environ(), "LILACWEIR_KEY="+d.operatorKey())
--- a/test/scenario/security_test.go
+++ b/test/scenario/security_test.go
@@ -67,6 +67,54 @@
 	return nil
 }
 
+// encrypt gives an instance TLS for callers and operators, the key-value service TLS
+// and a user whose password is "right-password", and the operator the authority: encrypt
+// DIRECTORY INSTANCE. The instance reads the password from the file "password".
+func encrypt(d *deployment, args []string) (string, error) {
+	const count = 2
+	if len(args) != count || d.instances[args[1]] == nil {
+		return "", errUsage
+	}
+	keyValue := d.instances[args[1]].Platform.KeyValue[0]
+	host, _, err := net.SplitHostPort(keyValue)
+	if err != nil {
+		return "", fmt.Errorf("encrypt: %w", err)
+	}
+	own, platform := d.material(args[0], args[1]), d.material(args[0], "platform")
+	pair := func(s settings.Security) string {
+		return fmt.Sprintf("{certificate: %s, key: %s}", s.Certificate, s.Key)
+	}
+	access := fmt.Sprintf("{tls: {authority: %s}, user: lilacweir, password_file: %s}", own.Authority, d.file("password"))
+	for _, edit := range []struct{ file, before, add string }{
+		{args[1] + ".yaml", "gateway:\n", "  callers_tls: " + pair(own) + "\n"},
+		{args[1] + ".yaml", "agent:\n", "  operators_tls: " + pair(own) + "\n"},
+		{args[1] + ".yaml", "platform:\n", "  access: {key_value: " + access + "}\n"},
+		{"standin.yaml", "  key_value:\n", "    tls: " + pair(platform) + "\n    users: {lilacweir: right-password}\n"},
+		{"operator.yaml", "operator: eleni\n", "authority: " + own.Authority + "\n"},
+	} {
+		if err := d.edit(edit.file, edit.before, edit.add); err != nil {
+			return "", err
+		}
+	}
+	return d.exec("lilacweir-standin", "certificates", d.file(args[0]), "platform="+host)
+}
+
+// edit adds text behind the first place of another in a settings file.
+func (d *deployment) edit(file, behind, add string) error {
+	data, err := os.ReadFile(d.file(file))
+	if err != nil {
+		return fmt.Errorf("edit: %w", err)
+	}
+	if !strings.Contains(string(data), behind) {
+		return fmt.Errorf("edit %s: %w", file, errNoMatch)
+	}
+	text := strings.Replace(string(data), behind, behind+add, 1)
+	if err := os.WriteFile(d.file(file), []byte(text), 0o600); err != nil {
+		return fmt.Errorf("edit: %w", err)
+	}
+	return nil
+}
+
 func (d *deployment) material(directory, name string) settings.Security {
 	path := d.file(directory) + "/"
 	return settings.Security{Certificate: path + name + ".pem", Key: path + name + ".key", Authority: path + "authority.pem"}
--- a/test/scenario/verbs_test.go
+++ b/test/scenario/verbs_test.go
@@ -76,6 +76,7 @@
 		"pids":     pids,
 		"program":  program,
 		"secure":   secure,
+		"encrypt":  encrypt,
 		"knock":    knock,
 	}
 }
