--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -28,8 +28,8 @@
 	maxHeader = 16 << 10
 	maxRead   = 128 << 10
 	// maxOperators bounds the open connections of operators and of what reads health
-	// and metrics.
-	maxOperators = 256
+	// and metrics. Slow ones are closed in time; hundreds must not keep others out.
+	maxOperators = 1024
 	// closeTimeout bounds what is answered while stopping: a change's answer waits
 	// for command.InForceBound.
 	closeTimeout = command.InForceBound + 2*time.Second
