Make three tests of the callers' door pass when they run alone

Cause: they made a server inside a synctest bubble. The first meter of a process starts a goroutine that waits for a ticker for good; started inside the bubble, it kept the bubble's clock from moving, and the test hung until its timeout. In the whole package an earlier test made the first meter, which hid it.

The servers are made outside the bubble now; what is checked is the same. Before, each of the three with -run alone: timed out; after: passes, also under -race. The package's other tests pass alone as well.

--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -48,6 +48,8 @@
 
 const testMaxBody = 1000
 
+// newTestServer must not be called in a synctest bubble: a process's first meter
+// starts a goroutine that never ends, and a bubble's clock would wait for it.
 func newTestServer() (*Server, *fakeGateway) {
 	fake := &fakeGateway{
 		serve: func(sink *relay.Sink) { _ = sink.Answer(http.StatusOK, []byte("served")) },
@@ -214,9 +216,9 @@
 }
 
 func TestSlowBodyIsRefused(t *testing.T) {
+	server, fake := newTestServer()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		server, fake := newTestServer()
 		conn := overPipe(t, server.Callers())
 		start := time.Now()
 		_, err := io.WriteString(conn, "POST /log/uploads HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\nContent-Length: 100\r\n\r\nslow")
@@ -231,9 +233,9 @@
 }
 
 func TestSlowHeaderIsCutOff(t *testing.T) {
+	server, _ := newTestServer()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		server, _ := newTestServer()
 		conn := overPipe(t, server.Callers())
 		start := time.Now()
 		_, err := io.WriteString(conn, "POST /log/uploads HTTP/1.1\r\nHost:")
@@ -244,9 +246,9 @@
 }
 
 func TestCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	server, fake := newTestServer()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		server, fake := newTestServer()
 		ended := make(chan error, 1)
 		fake.serve = func(sink *relay.Sink) { ended <- sink.Answer(http.StatusOK, make([]byte, 1<<20)) }
 		conn := overPipe(t, server.Callers())
