Add an in-memory key-value service for drivers of our decisions

Six packages keep a fake of platform.KeyValue of their own, each with a part of the contract. pkg/platform/platformtest is one for all, in the manner of net/http/httptest: compare-and-swap, revisions, leases by a given clock, watches, links that can be cut, and writes that are lost, delayed or not answered. It is a fake at an interface, so others who drive our decisions can use it too.

--- /dev/null
+++ b/pkg/platform/platformtest/state.go
@@ -0,0 +1,132 @@
+package platformtest
+
+import (
+	"context"
+	"slices"
+
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// watchBuffer is how many changes a watch holds for a slow reader; one that is
+// slower still loses its watch.
+const watchBuffer = 64
+
+// watch is one standing watch.
+type watch struct {
+	link, key string
+	changes   chan platform.Entry
+}
+
+// arrive runs what BeforeNextWrite set.
+func (s *Service) arrive() {
+	s.mu.Lock()
+	run := s.before
+	s.before = nil
+	s.mu.Unlock()
+	if run != nil {
+		run()
+	}
+}
+
+// expire ends the leases whose time is up and the keys that end with a lease.
+func (s *Service) expire() {
+	now := s.clock.Now()
+	for id, held := range s.leases {
+		if !now.Before(held.end) {
+			delete(s.leases, id)
+		}
+	}
+	for key, record := range s.records {
+		if _, held := s.leases[record.lease]; record.lease != 0 && !held {
+			s.revision++
+			s.apply(platform.Put{Key: key, Delete: true})
+		}
+	}
+}
+
+// swap judges a write and makes it.
+func (s *Service) swap(expect map[string]int64, puts []platform.Put) (int64, error) {
+	s.expire()
+	for key, revision := range expect {
+		if s.records[key].entry.ModRevision != revision {
+			return 0, failed("txn", platform.ErrConflict)
+		}
+	}
+	for _, put := range puts {
+		if _, held := s.leases[put.Lease]; put.Lease != 0 && !held {
+			return 0, failed("txn", platform.ErrLeaseLost)
+		}
+	}
+	s.revision++
+	for _, put := range puts {
+		s.apply(put)
+	}
+	return s.revision, nil
+}
+
+// apply makes one put at the present revision and tells the key's watches.
+func (s *Service) apply(put platform.Put) {
+	entry := platform.Entry{Key: put.Key, ModRevision: s.revision}
+	if put.Delete {
+		delete(s.records, put.Key)
+	} else {
+		entry.Value = slices.Clone(put.Value)
+		entry.CreateRevision = s.revision
+		if old, ok := s.records[put.Key]; ok {
+			entry.CreateRevision = old.entry.CreateRevision
+		}
+		s.records[put.Key] = record{entry: entry, lease: put.Lease}
+	}
+	for w := range s.watches {
+		if w.key == put.Key {
+			s.tell(w, entry)
+		}
+	}
+}
+
+func (s *Service) tell(w *watch, entry platform.Entry) {
+	select {
+	case w.changes <- entry:
+	default:
+		s.end(w)
+	}
+}
+
+// end closes a watch's channel, once.
+func (s *Service) end(w *watch) {
+	if _, stands := s.watches[w]; stands {
+		delete(s.watches, w)
+		close(w.changes)
+	}
+}
+
+func (s *Service) breakWatches(broken func(*watch) bool) {
+	for w := range s.watches {
+		if broken(w) {
+			s.end(w)
+		}
+	}
+}
+
+// Watch implements platform.KeyValue. Of the changes before the call only the
+// last is sent. A removed key is sent as an entry with neither value nor
+// CreateRevision.
+func (l *Link) Watch(ctx context.Context, key string, after int64) (<-chan platform.Entry, error) {
+	s := l.service
+	err := l.enter("watch", &s.counts.Watches)
+	defer l.leave()
+	if err != nil {
+		return nil, err
+	}
+	w := &watch{link: l.name, key: key, changes: make(chan platform.Entry, watchBuffer)}
+	s.watches[w] = struct{}{}
+	if found, ok := s.records[key]; ok && found.entry.ModRevision > after {
+		w.changes <- found.entry
+	}
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.end(w)
+	})
+	return w.changes, nil
+}
