--- a/pkg/command/apply_test.go
+++ b/pkg/command/apply_test.go
@@ -80,7 +80,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(t)
-		delete(r.kv.entries, config.HeadKey)
+		r.kv.Remove(config.HeadKey)
 		r.board.Config.Store(nil)
 		data := file(t, func(*config.Declaration) {})
 		is.True(r.executor.Judge("eleni", "key-eleni", data))
--- a/pkg/command/docs_test.go
+++ b/pkg/command/docs_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 const operatorsPage = "../../docs/OPERATORS.md"
@@ -70,12 +71,13 @@
 	revision := r.board.Config.Load().Revision
 	switch name {
 	case "platform down":
-		r.kv.down = true
+		r.kv.SetDown(true)
 		r.board.Platform.Store(platformSilent(40 * time.Second))
 	case "answer lost":
-		r.kv.down, r.kv.loseAnswers = false, true
+		r.kv.SetDown(false)
+		r.kv.FailWrites(platformtest.StopAfterWrite)
 	case "platform up":
-		r.kv.down, r.kv.loseAnswers = false, false
+		r.kv.SetDown(false)
 		r.spread(r.stored())
 		r.board.Platform.Store(platformSilent(0))
 	case "larisa silent":
--- a/pkg/command/executor_test.go
+++ b/pkg/command/executor_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // exchange is a line and the reply that it must get.
@@ -161,15 +162,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t)
 		r.remote.down = true
-		r.kv.down = true
+		r.kv.SetDown(true)
 		exchange{"drain nurse-1", command.Refused, []string{"refused, nothing changed", "the platform gives no answer"}}.run(t, r)
 		exchange{"log", command.Refused, []string{"the platform gives no answer", "log needs it; st does not"}}.run(t, r)
 		exchange{"up nurse-3", command.OK, []string{"nurse-3 at larisa-hall", "serves lilac-nurse v1", "larisa-hall gives no answer now"}}.run(t, r)
 
-		r.kv.down, r.kv.loseAnswers = false, true
+		r.kv.SetDown(false)
+		r.kv.FailWrites(platformtest.StopAfterWrite)
 		exchange{"drain nurse-1", command.Unknown, []string{"unknown: the platform gave no answer", "ask later:", "why c117-1040g208"}}.run(t, r)
 		exchange{"why c117-1040g208", command.Unknown, []string{"still unknown, ask again:", "why c117-1040g208"}}.run(t, r)
-		r.kv.down, r.kv.loseAnswers = false, false
+		r.kv.SetDown(false)
 		r.domains(117, 2, 0)
 		exchange{"why c117-1040g208", command.Accepted, []string{"accepted as 118", "118 in force 0/7", "kal-1 has 117", "kal-2 has 117", "kal-3 has 117", "larisa-hall 0/2", "peristeri-hall 0/2"}}.run(t, r)
 	})
--- a/pkg/command/rig_test.go
+++ b/pkg/command/rig_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -12,67 +10,11 @@
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
-// memoryKV is a key-value service in memory; down makes every call fail, and
-// loseAnswers makes it after the write.
-type memoryKV struct {
-	platform.KeyValue
-	mu                sync.Mutex
-	entries           map[string]platform.Entry
-	revision          int64
-	down, loseAnswers bool
-}
-
 var errDown = &platform.Error{Service: "key-value", Call: "any", Err: platform.ErrUnavailable}
 
-func (m *memoryKV) Get(_ context.Context, key string) (platform.Entry, bool, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return platform.Entry{}, false, errDown
-	}
-	entry, ok := m.entries[key]
-	return entry, ok, nil
-}
-
-func (m *memoryKV) Range(_ context.Context, prefix string, _ int) ([]platform.Entry, bool, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return nil, false, errDown
-	}
-	var found []platform.Entry
-	for key, entry := range m.entries {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, entry)
-		}
-	}
-	return found, false, nil
-}
-
-func (m *memoryKV) Swap(_ context.Context, expect map[string]int64, puts []platform.Put) (int64, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return 0, errDown
-	}
-	for key, revision := range expect {
-		if m.entries[key].ModRevision != revision {
-			return 0, &platform.Error{Service: "key-value", Call: "txn", Err: platform.ErrConflict}
-		}
-	}
-	m.revision++
-	for _, put := range puts {
-		m.entries[put.Key] = platform.Entry{Key: put.Key, Value: put.Value, ModRevision: m.revision}
-	}
-	if m.loseAnswers {
-		m.down = true
-		return 0, errDown
-	}
-	return m.revision, nil
-}
-
 // counter is a random source that gives 7s first, then 8s, and so on.
 type counter struct{ next byte }
 
@@ -103,7 +45,7 @@
 
 // rig is one instance of three domains with its platform.
 type rig struct {
-	kv     *memoryKV
+	kv     *platformtest.Service
 	store  *config.Store
 	board  *board.Board
 	remote *otherDomains
@@ -122,7 +64,7 @@
 // rigOf starts with revision 117 of a declaration.
 func rigOf(t testing.TB, decl *config.Declaration) *rig {
 	t.Helper()
-	r := &rig{kv: &memoryKV{entries: map[string]platform.Entry{}}, board: new(board.Board), remote: new(otherDomains)}
+	r := &rig{kv: platformtest.New(clock.System{}), board: new(board.Board), remote: new(otherDomains)}
 	pause := func(ctx context.Context, wait time.Duration) error {
 		select {
 		case <-time.After(wait):
@@ -153,8 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.kv.revision = 9
-	r.kv.entries[config.HeadKey] = platform.Entry{Key: config.HeadKey, Value: encoded, ModRevision: 9}
+	r.kv.Set(config.HeadKey, encoded)
 	r.board.Upstreams.Store(&board.Upstreams{ByName: map[string]board.UpstreamLoad{
 		"nurse-1": {Name: "nurse-1", State: board.UpstreamLive, Running: 3, Queued: 1, DecodeRate: 41, Version: "v1", ReportedAt: time.Now().Add(-2 * time.Second)},
 		"nurse-2": {Name: "nurse-2", State: board.UpstreamLive, Running: 1},
@@ -229,7 +170,7 @@
 
 // stored is the head in the key-value service.
 func (r *rig) stored() *config.Head {
-	head, err := config.DecodeHead(r.kv.entries[config.HeadKey].Value)
+	head, err := config.DecodeHead(r.kv.Value(config.HeadKey))
 	if err != nil {
 		panic(err)
 	}
