Drive the config tests by platformtest

Its faults have the same meaning under new names (lostBefore is LoseWrite, lostAfter LoseAnswer, delayed DelayWrite), its one-shot hook is BeforeNextWrite. Cases and assertions are the same; the new service also keeps to a range's limit and removes what is deleted, which the old fake did not. platformtest looks through the keys only when a lease has ended, not at each call. -race passes before and after.

--- a/pkg/config/fake_test.go
+++ b/pkg/config/fake_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -14,119 +12,16 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
-// fault is how the fake service treats one write.
-type fault int
-
-const (
-	// works: the write is made and answered.
-	works fault = iota
-	// lostBefore: no answer, and the write never arrives.
-	lostBefore
-	// lostAfter: the write is made, its answer is lost.
-	lostAfter
-	// delayed: no answer yet; the write arrives at the next release.
-	delayed
-)
-
-// fakeKV is a key-value service in memory with switches for faults.
-type fakeKV struct {
-	platform.KeyValue
-	mu       sync.Mutex
-	entries  map[string]platform.Entry
-	revision int64
-	// faults are used up by writes, one each.
-	faults []fault
-	// deaf makes that many reads fail.
-	deaf int
-	// late holds delayed writes.
-	late []func()
-	// before runs ahead of each write, outside the lock.
-	before func()
-	writes int
-}
-
-func newFakeKV() *fakeKV { return &fakeKV{entries: map[string]platform.Entry{}} }
-
-func (f *fakeKV) Get(ctx context.Context, key string) (platform.Entry, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.deaf > 0 {
-		f.deaf--
-		return platform.Entry{}, false, unavailable("get")
-	}
-	entry, ok := f.entries[key]
-	return entry, ok, ctx.Err()
-}
-
-func (f *fakeKV) Range(ctx context.Context, prefix string, _ int) ([]platform.Entry, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var found []platform.Entry
-	for key, entry := range f.entries {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, entry)
-		}
-	}
-	slices.SortFunc(found, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
-	return found, false, ctx.Err()
-}
-
-func (f *fakeKV) Swap(_ context.Context, expect map[string]int64, puts []platform.Put) (int64, error) {
-	if f.before != nil {
-		f.before()
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.writes++
-	now := works
-	if len(f.faults) > 0 {
-		now, f.faults = f.faults[0], f.faults[1:]
-	}
-	switch now {
-	case lostBefore:
-		return 0, unavailable("txn")
-	case lostAfter:
-		_, _ = f.swap(expect, puts)
-		return 0, unavailable("txn")
-	case delayed:
-		f.late = append(f.late, func() { _, _ = f.swap(expect, puts) })
-		return 0, unavailable("txn")
-	default:
-		return f.swap(expect, puts)
-	}
-}
-
-func (f *fakeKV) swap(expect map[string]int64, puts []platform.Put) (int64, error) {
-	for key, revision := range expect {
-		if f.entries[key].ModRevision != revision {
-			return 0, &platform.Error{Service: "key-value", Call: "txn", Err: platform.ErrConflict}
-		}
-	}
-	f.revision++
-	for _, put := range puts {
-		f.entries[put.Key] = platform.Entry{Key: put.Key, Value: put.Value, ModRevision: f.revision}
-	}
-	return f.revision, nil
-}
-
-// release lets the delayed writes arrive.
-func (f *fakeKV) release() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, write := range f.late {
-		write()
-	}
-	f.late = nil
-}
+var testTime = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
-func unavailable(call string) error {
-	return &platform.Error{Service: "key-value", Call: call, Err: platform.ErrUnavailable}
+// newService is a key-value service at testTime.
+func newService() *platformtest.Service {
+	return platformtest.New(clock.Func(func() time.Time { return testTime }))
 }
 
-var testTime = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
-
 // newStore returns a store whose pauses take no time, but end when used up.
 func newStore(kv platform.KeyValue) *config.Store {
 	pauses := 0
--- a/pkg/config/property_test.go
+++ b/pkg/config/property_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // drawOp draws an operation that the declaration can take.
@@ -112,7 +113,7 @@
 // A follower that gets changes alone, over gob, ends with the same declaration.
 func TestDeltaFollows(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		store := newStore(newFakeKV())
+		store := newStore(newService())
 		store.Change(context.Background(), config.Proposal{ID: "c0-00000000", Operator: "eleni", Line: "apply", Build: config.Fixed(config.Diff(&config.Declaration{}, sample()))})
 		first, err := store.Read(context.Background())
 		if err != nil {
@@ -163,10 +164,10 @@
 func TestConcurrentChangesAreNeverLost(t *testing.T) {
 	outer := t
 	rapid.Check(t, func(t *rapid.T) {
-		kv := newFakeKV()
+		kv := newService()
 		store := newStore(kv)
 		store.Change(context.Background(), config.Proposal{ID: "c0-00000000", Operator: "eleni", Line: "apply", Build: config.Fixed(config.Diff(&config.Declaration{}, sample()))})
-		kv.faults = rapid.SliceOfN(rapid.SampledFrom([]fault{works, works, lostBefore, lostAfter, delayed}), 0, 30).Draw(t, "faults")
+		kv.FailWrites(rapid.SliceOfN(rapid.SampledFrom([]platformtest.Fault{platformtest.Works, platformtest.Works, platformtest.LoseWrite, platformtest.LoseAnswer, platformtest.DelayWrite}), 0, 30).Draw(t, "faults")...)
 		operators := rapid.IntRange(2, 5).Draw(t, "operators")
 		verdicts := make([]config.Verdict, operators)
 		bubble(outer, operators, func(i int, group *sync.WaitGroup) {
@@ -177,7 +178,7 @@
 				verdicts[i] = own.Change(context.Background(), proposal)
 			})
 		})
-		kv.release()
+		kv.Release()
 		stored, err := store.Read(context.Background())
 		if err != nil {
 			t.Fatal(err)
@@ -224,10 +225,10 @@
 func TestVerdictsNeverContradict(t *testing.T) {
 	outer := t
 	rapid.Check(t, func(t *rapid.T) {
-		kv := newFakeKV()
+		kv := newService()
 		store := newStore(kv)
 		store.Change(context.Background(), config.Proposal{ID: "c0-00000000", Operator: "eleni", Line: "apply", Build: config.Fixed(config.Diff(&config.Declaration{}, sample()))})
-		kv.faults = rapid.SliceOfN(rapid.SampledFrom([]fault{works, lostBefore, lostAfter, delayed, delayed}), 4, 12).Draw(t, "faults")
+		kv.FailWrites(rapid.SliceOfN(rapid.SampledFrom([]platformtest.Fault{platformtest.Works, platformtest.LoseWrite, platformtest.LoseAnswer, platformtest.DelayWrite, platformtest.DelayWrite}), 4, 12).Draw(t, "faults")...)
 		patience := rapid.SliceOfN(rapid.IntRange(0, 3), 3, 3).Draw(t, "patience")
 		proposed := make([]config.Verdict, len(patience))
 		asked := make([]config.Verdict, len(patience))
@@ -238,10 +239,10 @@
 				proposed[i] = limitedStore(kv, patience[i]).Change(context.Background(), propose(id, "eleni", 1, config.Op{SetCaller: &caller}))
 			})
 			group.Go(func() { asked[i], _ = newStore(kv).Lookup(context.Background(), id) })
-			group.Go(kv.release)
+			group.Go(kv.Release)
 		})
-		kv.release()
-		kv.faults = nil
+		kv.Release()
+		kv.Mend()
 		for i := range patience {
 			final, err := newStore(kv).Lookup(context.Background(), testID(1, i+1))
 			if err != nil {
--- a/pkg/config/store_test.go
+++ b/pkg/config/store_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 func TestRaces(t *testing.T) {
@@ -31,15 +32,14 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			kv := newFakeKV()
+			kv := newService()
 			ours, theirs := newStore(kv), newStore(kv)
 			bootstrap(t, ours)
 			// The other operator's change lands between our read and our write.
-			kv.before = func() {
-				kv.before = nil
+			kv.BeforeNextWrite(func() {
 				verdict := theirs.Change(t.Context(), propose(testID(1, 1), "linh", 1, test.first))
 				is.Equal(verdict.State, config.Accepted)
-			}
+			})
 			verdict := ours.Change(t.Context(), propose(testID(1, 2), "eleni", 1, test.second))
 			is.Equal(verdict.State, test.want)
 			stored, err := ours.Read(t.Context())
@@ -60,7 +60,7 @@
 
 func TestConflictKeepsItsCause(t *testing.T) {
 	is := is.New(t)
-	store := newStore(newFakeKV())
+	store := newStore(newService())
 	bootstrap(t, store)
 	is.Equal(store.Change(t.Context(), propose(testID(1, 1), "linh", 1, drainOp("nurse-1", true))).State, config.Accepted)
 	verdict := store.Change(t.Context(), propose(testID(1, 2), "eleni", 1, drainOp("nurse-2", true)))
@@ -83,7 +83,7 @@
 func TestLostAnswers(t *testing.T) {
 	tests := []struct {
 		name   string
-		faults []fault
+		faults []platformtest.Fault
 		// deaf is how many reads fail after the first write.
 		deaf   int
 		pauses int
@@ -91,31 +91,31 @@
 		// later is what Lookup says afterwards.
 		later config.State
 	}{
-		{"write lost once", []fault{lostBefore}, 0, 9, config.Accepted, config.Accepted},
-		{"answer lost once", []fault{lostAfter}, 0, 9, config.Accepted, config.Accepted},
-		{"answer lost, reads fail for a while", []fault{lostAfter}, 3, 9, config.Accepted, config.Accepted},
-		{"answer lost, then nothing", []fault{lostAfter}, 99, 5, config.Unknown, config.Accepted},
-		{"write lost, then nothing", []fault{lostBefore}, 99, 5, config.Unknown, config.Refused},
-		{"delayed, written again", []fault{delayed}, 0, 9, config.Accepted, config.Accepted},
-		{"delayed, then nothing", []fault{delayed}, 99, 5, config.Unknown, config.Refused},
-		{"every write lost", []fault{lostBefore, lostBefore, lostBefore, lostBefore}, 0, 3, config.Unknown, config.Refused},
+		{"write lost once", []platformtest.Fault{platformtest.LoseWrite}, 0, 9, config.Accepted, config.Accepted},
+		{"answer lost once", []platformtest.Fault{platformtest.LoseAnswer}, 0, 9, config.Accepted, config.Accepted},
+		{"answer lost, reads fail for a while", []platformtest.Fault{platformtest.LoseAnswer}, 3, 9, config.Accepted, config.Accepted},
+		{"answer lost, then nothing", []platformtest.Fault{platformtest.LoseAnswer}, 99, 5, config.Unknown, config.Accepted},
+		{"write lost, then nothing", []platformtest.Fault{platformtest.LoseWrite}, 99, 5, config.Unknown, config.Refused},
+		{"delayed, written again", []platformtest.Fault{platformtest.DelayWrite}, 0, 9, config.Accepted, config.Accepted},
+		{"delayed, then nothing", []platformtest.Fault{platformtest.DelayWrite}, 99, 5, config.Unknown, config.Refused},
+		{"every write lost", []platformtest.Fault{platformtest.LoseWrite, platformtest.LoseWrite, platformtest.LoseWrite, platformtest.LoseWrite}, 0, 3, config.Unknown, config.Refused},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			kv := newFakeKV()
+			kv := newService()
 			bootstrap(t, newStore(kv))
-			kv.faults = test.faults
-			kv.before = func() { kv.before = nil; kv.deaf = test.deaf }
+			kv.FailWrites(test.faults...)
+			kv.BeforeNextWrite(func() { kv.FailReads(test.deaf) })
 			id := testID(1, 7)
 			verdict := limitedStore(kv, test.pauses).Change(t.Context(), propose(id, "eleni", 1, drainOp("nurse-1", true)))
 			is.Equal(verdict.State, test.want)
 
-			kv.deaf, kv.faults = 0, nil
+			kv.Mend()
 			found, err := newStore(kv).Lookup(t.Context(), id)
 			is.NoErr(err)
 			is.Equal(found.State, test.later)
-			kv.release() // a write that was delayed arrives now
+			kv.Release() // a write that was delayed arrives now
 			again, err := newStore(kv).Lookup(t.Context(), id)
 			is.NoErr(err)
 			is.Equal(again.State, test.later) // the answer never changes
@@ -140,13 +140,13 @@
 
 func TestNothingSentIsRefused(t *testing.T) {
 	is := is.New(t)
-	kv := newFakeKV()
+	kv := newService()
 	bootstrap(t, newStore(kv))
-	kv.deaf = 99
-	writes := kv.writes
+	kv.FailReads(99)
+	writes := kv.Counts().Writes
 	verdict := limitedStore(kv, 3).Change(t.Context(), propose(testID(1, 1), "eleni", 1, drainOp("nurse-1", true)))
 	is.Equal(verdict.State, config.Refused)
-	is.Equal(kv.writes, writes)
+	is.Equal(kv.Counts().Writes, writes)
 	var unreachable *config.UnreachableError
 	is.True(errors.As(verdict.Reason, &unreachable))
 	is.True(!unreachable.Sent)
@@ -159,7 +159,7 @@
 
 func TestAuditTrailOutlivesHead(t *testing.T) {
 	is := is.New(t)
-	kv := newFakeKV()
+	kv := newService()
 	store := newStore(kv)
 	bootstrap(t, store)
 	const last = 250
@@ -195,7 +195,7 @@
 
 func TestStaleOperatorIsRefused(t *testing.T) {
 	is := is.New(t)
-	kv := newFakeKV()
+	kv := newService()
 	store := newStore(kv)
 	bootstrap(t, store)
 	for revision := config.Revision(2); revision <= 80; revision++ {
@@ -211,7 +211,7 @@
 // follows the configuration, but changes nothing.
 func TestNewerFieldsAreNotDropped(t *testing.T) {
 	is := is.New(t)
-	kv := newFakeKV()
+	kv := newService()
 	store := newStore(kv)
 	bootstrap(t, store)
 	var packed bytes.Buffer
@@ -227,21 +227,21 @@
 	stored, err := store.Read(t.Context())
 	is.NoErr(err)
 	is.Equal(stored.Head.Revision, config.Revision(5))
-	writes := kv.writes
+	writes := kv.Counts().Writes
 	verdict := store.Change(t.Context(), propose(testID(5, 1), "eleni", 5, drainOp("nurse-1", true)))
 	is.Equal(verdict.State, config.Refused)
 	var encoding *config.EncodingError
 	is.True(errors.As(verdict.Reason, &encoding))
 	_, err = store.Lookup(t.Context(), testID(5, 1))
 	is.True(errors.As(err, &encoding)) // to void it would drop the field as well
-	is.Equal(kv.writes, writes)
+	is.Equal(kv.Counts().Writes, writes)
 }
 
 // A file that is applied to a deployment without configuration proves its
 // operator by itself, so it must not reach one that has a configuration.
 func TestFirstApplyOnlyOnEmptyStore(t *testing.T) {
 	is := is.New(t)
-	kv := newFakeKV()
+	kv := newService()
 	store := newStore(kv)
 	bootstrap(t, store)
 	stranger := config.Operator{Name: "mallory", KeyHash: config.HashKey("mine")}
--- a/pkg/platform/platformtest/link.go
+++ b/pkg/platform/platformtest/link.go
@@ -152,6 +152,6 @@
 		return err
 	}
 	delete(s.leases, id)
-	s.expire()
+	s.sweep()
 	return nil
 }
--- a/pkg/platform/platformtest/state.go
+++ b/pkg/platform/platformtest/state.go
@@ -28,14 +28,22 @@
 	}
 }
 
-// expire ends the leases whose time is up and the keys that end with a lease.
+// expire ends the leases whose time is up.
 func (s *Service) expire() {
-	now := s.clock.Now()
+	now, ended := s.clock.Now(), false
 	for id, held := range s.leases {
 		if !now.Before(held.end) {
 			delete(s.leases, id)
+			ended = true
 		}
 	}
+	if ended {
+		s.sweep()
+	}
+}
+
+// sweep removes the keys whose lease has ended.
+func (s *Service) sweep() {
 	for key, record := range s.records {
 		if _, held := s.leases[record.lease]; record.lease != 0 && !held {
 			s.revision++
