Drive the claim tests by platformtest

Cases and assertions are the same. Two differences, both no easier: LoseAnswer also loses the answer of a write that conflicts, and a put with a lease that is not there fails.

--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -10,6 +10,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // issued returns a fresh key of an instance.
@@ -187,30 +188,30 @@
 	finish := func(g *Grant) { g.Finish(context.Background(), answered) }
 	cases := []struct {
 		name    string
-		before  func(kv *fakeKeyValue)
+		before  func(kv *platformtest.Service)
 		first   string
 		between func(w *world, grant *Grant)
 		want    string
 	}{
-		{"running", func(*fakeKeyValue) {}, "granted", func(*world, *Grant) {}, "unknown idempotency-key-in-progress"},
-		{"complete", func(*fakeKeyValue) {}, "granted", func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
-		{"abandoned", func(*fakeKeyValue) {}, "granted", func(_ *world, g *Grant) { g.Abandon(context.Background()) }, "granted"},
-		{"claim's answer lost", func(kv *fakeKeyValue) { kv.loseAnswers = 1 }, "granted",
+		{"running", func(*platformtest.Service) {}, "granted", func(*world, *Grant) {}, "unknown idempotency-key-in-progress"},
+		{"complete", func(*platformtest.Service) {}, "granted", func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
+		{"abandoned", func(*platformtest.Service) {}, "granted", func(_ *world, g *Grant) { g.Abandon(context.Background()) }, "granted"},
+		{"claim's answer lost", func(kv *platformtest.Service) { kv.FailWrites(platformtest.LoseAnswer) }, "granted",
 			func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
-		{"claim's write lost", func(kv *fakeKeyValue) { kv.loseWrites = 1 }, "granted",
+		{"claim's write lost", func(kv *platformtest.Service) { kv.FailWrites(platformtest.LoseWrite) }, "granted",
 			func(_ *world, g *Grant) { finish(g) }, "recorded stored"},
-		{"end's answer lost", func(*fakeKeyValue) {}, "granted",
-			func(w *world, g *Grant) { w.keyValue.loseAnswers = 1; finish(g) }, "recorded stored"},
-		{"end's write lost", func(*fakeKeyValue) {}, "granted",
-			func(w *world, g *Grant) { w.keyValue.loseWrites = 1; finish(g) }, "unknown idempotency-key-in-progress"},
-		{"holder crashed", func(*fakeKeyValue) {}, "granted", func(w *world, _ *Grant) { w.crash("a1") },
+		{"end's answer lost", func(*platformtest.Service) {}, "granted",
+			func(w *world, g *Grant) { w.keyValue.FailWrites(platformtest.LoseAnswer); finish(g) }, "recorded stored"},
+		{"end's write lost", func(*platformtest.Service) {}, "granted",
+			func(w *world, g *Grant) { w.keyValue.FailWrites(platformtest.LoseWrite); finish(g) }, "unknown idempotency-key-in-progress"},
+		{"holder crashed", func(*platformtest.Service) {}, "granted", func(w *world, _ *Grant) { w.crash("a1") },
 			"unknown idempotency-key-unresolved"},
-		{"service down at the repeat", func(*fakeKeyValue) {}, "granted", func(w *world, g *Grant) {
+		{"service down at the repeat", func(*platformtest.Service) {}, "granted", func(w *world, g *Grant) {
 			finish(g)
-			w.keyValue.down = true
+			w.keyValue.SetDown(true)
 		}, "unknown idempotency-key-store-unavailable"},
-		{"service down at first", func(kv *fakeKeyValue) { kv.down = true }, "unknown idempotency-key-store-unavailable",
-			func(w *world, _ *Grant) { w.keyValue.down = false }, "granted"},
+		{"service down at first", func(kv *platformtest.Service) { kv.SetDown(true) }, "unknown idempotency-key-store-unavailable",
+			func(w *world, _ *Grant) { w.keyValue.SetDown(false) }, "granted"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -231,23 +232,23 @@
 func TestSlowOpaqueClaimIsGivenBack(t *testing.T) {
 	is := is.New(t)
 	clock := &fakeClock{}
-	keyValue := &slowKeyValue{fakeKeyValue: newFakeKeyValue(), clock: clock}
+	keyValue := &slowKeyValue{Service: platformtest.New(clock), clock: clock}
 	store := NewStore(keyValue, clock, DefaultRetention)
 	ticket, decision := store.Begin(context.Background(), Claim{Key: "k", Caller: "desk", Attempt: "a"})
 	is.Equal(ticket, nil)
 	is.Equal(decision.Refusal.Outcome, outcome.Unknown)
-	is.Equal(len(keyValue.entries), 0)
+	is.Equal(keyValue.Len(), 0)
 }
 
 // slowKeyValue takes ten minutes to write.
 type slowKeyValue struct {
-	*fakeKeyValue
+	*platformtest.Service
 	clock *fakeClock
 }
 
 func (s *slowKeyValue) Swap(ctx context.Context, expect map[string]int64, puts []platform.Put) (int64, error) {
 	s.clock.advance(10 * time.Minute)
-	return s.fakeKeyValue.Swap(ctx, expect, puts)
+	return s.Service.Swap(ctx, expect, puts)
 }
 
 func TestCopiesAreBounded(t *testing.T) {
--- a/pkg/claim/experiment_test.go
+++ b/pkg/claim/experiment_test.go
@@ -157,7 +157,7 @@
 	}
 }
 
-func outage(e *experiment) { e.world.keyValue.down = true }
+func outage(e *experiment) { e.world.keyValue.SetDown(true) }
 
 func crashOne(e *experiment) { e.world.crash("a1") }
 
@@ -195,7 +195,7 @@
 				e := &experiment{world: newWorld(1), opaque: opaque, dice: rand.New(rand.NewPCG(1, 1))}
 				e.run(event.during)
 				t.Logf("| %s | %s | %d | %d | %d | %d | %d |", design, event.name,
-					e.unknownFirst, e.unknownRepeat, e.recorded, e.granted, e.world.keyValue.writes)
+					e.unknownFirst, e.unknownRepeat, e.recorded, e.granted, e.world.keyValue.Counts().Writes)
 				is.Equal(e.falseAnswers, 0)
 			})
 		}
--- a/pkg/claim/property_test.go
+++ b/pkg/claim/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // running is a grant that is in the hands of a gateway.
@@ -228,9 +229,14 @@
 }
 
 func (m *machine) outage(t *rapid.T) {
-	m.world.keyValue.down = rapid.IntRange(0, 3).Draw(t, "down") == 0
-	m.world.keyValue.loseAnswers = rapid.IntRange(0, 2).Draw(t, "answers")
-	m.world.keyValue.loseWrites = rapid.IntRange(0, 1).Draw(t, "writes")
+	kv := m.world.keyValue
+	kv.Mend()
+	kv.SetDown(rapid.IntRange(0, 3).Draw(t, "down") == 0)
+	answers := rapid.IntRange(0, 2).Draw(t, "answers")
+	if rapid.IntRange(0, 1).Draw(t, "writes") == 1 {
+		kv.FailWrites(platformtest.LoseWrite)
+	}
+	kv.FailWrites(slices.Repeat([]platformtest.Fault{platformtest.LoseAnswer}, answers)...)
 }
 
 func (m *machine) time(t *rapid.T) {
--- a/pkg/claim/world_test.go
+++ b/pkg/claim/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // fault is what the network does to a call.
@@ -33,7 +34,7 @@
 type world struct {
 	clock    fakeClock
 	random   *rand.ChaCha8
-	keyValue *fakeKeyValue
+	keyValue *platformtest.Service
 
 	mu        sync.Mutex
 	processes map[string]*process // by instance name, the present incarnation
@@ -69,7 +70,7 @@
 func newWorld(seed byte) *world {
 	w := &world{processes: make(map[string]*process), wires: make(map[reflect.Type]*wire), counter: make(map[string]uint64), fates: make(map[string][]fault), pause: func() {}}
 	w.random = rand.NewChaCha8([32]byte{seed})
-	w.keyValue = newFakeKeyValue()
+	w.keyValue = platformtest.New(new(fakeClock)) // stands still: no claim is forgotten
 	for _, name := range instanceNames {
 		w.start(name)
 	}
