Drive the order tests by platformtest

Cases and assertions are the same, but that the one lease asked for is now told by the count of grants.

--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
-	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 // settle is longer than any takeover: a lease that ends, a new one, the wait for
@@ -34,7 +34,7 @@
 // scene is two candidates before one engine that has v1 as declared; the first
 // holds the lease.
 type scene struct {
-	service       *fakeService
+	service       *platformtest.Service
 	engine        *fakeEngine
 	source        *fakeSource
 	first, second *process
@@ -42,7 +42,7 @@
 }
 
 func open(t *testing.T, checks bool) *scene {
-	s := &scene{service: newFakeService(), engine: &fakeEngine{checks: checks, state: State{Version: "v1"}}, checks: checks}
+	s := &scene{service: platformtest.New(clock.System{}), engine: &fakeEngine{checks: checks, state: State{Version: "v1"}}, checks: checks}
 	engines := map[string]*fakeEngine{"nurse-1": s.engine}
 	s.source = &fakeSource{engines: engines, declaration: declared("v1", checks, "nurse-1")}
 	s.first = startProcess(t.Context(), "lar-1", s.service, engines, s.source)
@@ -106,13 +106,13 @@
 		s := open(t, true)
 		defer s.close()
 		is.True(s.first.controller.Holding())
-		s.service.setDown(true)
+		s.service.SetDown(true)
 		time.Sleep(settle)
 		is.True(!s.first.controller.Holding())
 		s.declare("v2")
 		time.Sleep(settle)
 		is.Equal(s.engine.read().Version, "v1")
-		s.service.setDown(false)
+		s.service.SetDown(false)
 		time.Sleep(settle)
 		is.Equal(s.engine.read().Version, "v2")
 	})
@@ -121,13 +121,13 @@
 func TestHolderFindsItsClaimAfterALostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		service := newFakeService()
-		service.loseAnswers = 1
+		service := platformtest.New(clock.System{})
+		service.FailWrites(platformtest.LoseAnswer)
 		only := startProcess(t.Context(), "lar-1", service, nil, &fakeSource{})
 		defer only.stop()
 		time.Sleep(2*lookInterval + interval)
 		is.True(only.controller.Holding())
-		is.Equal(service.lastID, platform.LeaseID(1))
+		is.Equal(service.Counts().Grants, 1)
 	})
 }
 
@@ -227,14 +227,14 @@
 		case 3:
 			one.engines.set(func(f *callFaults) { f.late = late })
 		case 4:
-			s.service.setDown(true)
+			s.service.SetDown(true)
 		case 5:
-			s.service.loseNext()
+			s.service.FailWrites(platformtest.LoseAnswer)
 		}
 		version = fmt.Sprintf("v%d", i+2)
 		s.declare(version)
 		time.Sleep(length/2 + interval)
-		s.service.setDown(false)
+		s.service.SetDown(false)
 	}
 	time.Sleep(20*LeaseTTL + 2*settle)
 	s.close()
