Drive the spread tests by platformtest

The fake of one key goes; the calls counted are the reads and the watches, as before. Assertions are the same. -race passes before and after.

--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -16,7 +16,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
-	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 )
 
 func head(revision config.Revision) *config.Head {
@@ -80,68 +80,20 @@
 	is.Equal(keeper.Revision(), config.Revision(0))
 }
 
-// service is a key-value service with one key, which counts what it is asked.
-type service struct {
-	platform.KeyValue
-	mu       sync.Mutex
-	down     bool
-	value    string
-	revision int64
-	streams  []chan platform.Entry
-	gets     int
-	watches  int
-}
+// service is a key-value service that counts what it is asked.
+type service struct{ *platformtest.Service }
 
-func (s *service) Get(context.Context, string) (platform.Entry, bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gets++
-	if s.down {
-		return platform.Entry{}, false, platform.ErrUnavailable
-	}
-	return platform.Entry{Value: []byte(s.value), ModRevision: s.revision}, s.revision > 0, nil
-}
+func (s service) write(value string) { s.Set("head", []byte(value)) }
 
-func (s *service) Watch(_ context.Context, _ string, after int64) (<-chan platform.Entry, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.watches++
-	if s.down {
-		return nil, platform.ErrUnavailable
-	}
-	stream := make(chan platform.Entry, 1)
-	if s.revision > after {
-		stream <- platform.Entry{Value: []byte(s.value), ModRevision: s.revision}
-	}
-	s.streams = append(s.streams, stream)
-	return stream, nil
-}
-
-func (s *service) write(value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.value = value
-	s.revision++
-	for _, stream := range s.streams {
-		stream <- platform.Entry{Value: []byte(value), ModRevision: s.revision}
-	}
-}
-
-// fail breaks all streams; up or down says what later calls meet.
-func (s *service) fail(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-	for _, stream := range s.streams {
-		close(stream)
-	}
-	s.streams = nil
+// fail breaks all watches; up or down says what later calls meet.
+func (s service) fail(down bool) {
+	s.BreakWatches()
+	s.SetDown(down)
 }
 
-func (s *service) calls() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.gets + s.watches
+func (s service) calls() int {
+	counts := s.Counts()
+	return counts.Reads + counts.Watches
 }
 
 var errNotAHead = errors.New("not a head")
@@ -154,7 +106,7 @@
 	return head(config.Revision(n)), nil
 }
 
-func newWatcher(s *service, keeper *Keeper, duty *atomic.Bool, faults *atomic.Int64) *Watcher {
+func newWatcher(s service, keeper *Keeper, duty *atomic.Bool, faults *atomic.Int64) *Watcher {
 	return &Watcher{
 		KeyValue: s, Key: "head", Decode: decode, Keeper: keeper,
 		OnDuty:   duty.Load,
@@ -168,7 +120,7 @@
 func TestWatcherFollowsAndCountsItsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &service{}
+		s := service{platformtest.New(clock.System{})}
 		s.write("1")
 		keeper := NewKeeper(new(board.Section[config.Head]), func(*config.Head, Source) {})
 		var duty atomic.Bool
