Drive the agent tests by platformtest

kvStore and kvView go: each failure domain has a link of its name to one service, which the tests cut and heal. Assertions are the same. -race passes before and after.

--- a/pkg/agent/agent_test.go
+++ b/pkg/agent/agent_test.go
@@ -27,18 +27,18 @@
 func TestSpreadReachesADomainThatIsCutFromThePlatform(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 0, 2, 2, 1)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.startAll()
 	for name := range r.nodes {
 		r.wait(name, "revision 1 in force on all", func(a *Agent) bool { return inForce(a, 1) == len(r.nodes) })
 	}
 
-	r.store.setCut("b", true)
+	r.store.Cut("b", true)
 	r.wait("a-1", "b is seen to be cut from the platform", func(a *Agent) bool {
 		d, _ := a.mesh.digest("b")
 		return !d.Platform
 	})
-	r.store.write(t, accepted(2))
+	r.write(accepted(2))
 	for name := range r.nodes {
 		r.wait(name, "revision 2 in force on all", func(a *Agent) bool { return inForce(a, 2) == len(r.nodes) })
 	}
@@ -48,7 +48,7 @@
 	is.Equal(r.nodes["b-1"].agent.readiness(time.Now()).State, StateIsolated)
 	is.Equal(r.nodes["a-1"].agent.readiness(time.Now()).State, StateServing)
 
-	r.store.setCut("b", false)
+	r.store.Cut("b", false)
 	r.wait("a-1", "b is seen to be back", func(a *Agent) bool {
 		d, _ := a.mesh.digest("b")
 		return d.Platform
@@ -60,17 +60,17 @@
 func TestChangesThatDoNotFollowAreReplacedByTheWhole(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 5, 1, 2)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.startAll()
 	for name := range r.nodes {
 		r.wait(name, "revision 1 in force on all", func(a *Agent) bool { return inForce(a, 1) == len(r.nodes) })
 	}
-	r.store.setCut("b", true)
+	r.store.Cut("b", true)
 	head := accepted(2)
 	other := *head.Recent[0].Ops[0].SetCaller
 	other.Share = 99
 	head.Recent[0].Ops[0].SetCaller = &other
-	r.store.write(t, head)
+	r.write(head)
 	for name, n := range r.nodes {
 		r.wait(name, "revision 2 in force on all", func(a *Agent) bool { return inForce(a, 2) == len(r.nodes) })
 		is.Equal(n.agent.keeper.Head().Declaration.Callers[0].Share, 2)
@@ -93,12 +93,12 @@
 func TestTwoWatchersOfADomainAndTheirSuccession(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 1, 4)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.startAll()
 	for name := range r.nodes {
 		r.wait(name, "four live", func(a *Agent) bool { return live(a) == 4 })
 	}
-	r.wait("a-1", "two watchers", func(*Agent) bool { return r.store.watching("a") == spread.Watchers })
+	r.wait("a-1", "two watchers", func(*Agent) bool { return r.store.Watching("a") == spread.Watchers })
 
 	gone := ""
 	for name, n := range r.nodes {
@@ -112,7 +112,7 @@
 		rest = "a-2"
 	}
 	r.wait(rest, "one said goodbye", func(a *Agent) bool { return len(a.board.Members.Load().Instances) == 3 })
-	r.wait(rest, "two watchers again", func(*Agent) bool { return r.store.watching("a") == spread.Watchers })
+	r.wait(rest, "two watchers again", func(*Agent) bool { return r.store.Watching("a") == spread.Watchers })
 	is.True(!r.directory.has(gone))
 }
 
@@ -136,7 +136,7 @@
 func TestLeavingGatewayIsMarkedEverywhere(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 2, 2, 1)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.startAll()
 	r.wait("a-1", "a-2 is registered", func(*Agent) bool { return r.directory.has("a-2") })
 	r.wait("b-1", "a's entries are known", func(a *Agent) bool {
@@ -174,10 +174,10 @@
 	is.Equal(r.nodes["a-1"].agent.readiness(time.Now()).State, StateNoConfiguration)
 	is.True(!r.directory.has("a-1"))
 
-	r.store.write(t, accepted(7))
+	r.write(accepted(7))
 	r.wait("a-1", "revision 7 in force", func(a *Agent) bool { return inForce(a, 7) == 1 })
 	r.stop("a-1")
-	r.store.setCut("a", true)
+	r.store.Cut("a", true)
 	r.start("a-1")
 	r.wait("a-1", "revision 7 learned again", func(a *Agent) bool { return inForce(a, 7) == 1 })
 	is.True(!r.nodes["a-1"].gateway.fell)
--- a/pkg/agent/operators_test.go
+++ b/pkg/agent/operators_test.go
@@ -26,7 +26,7 @@
 func TestStoppingAgentAnswersWhatWasBegun(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 7, 1)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.start("a-1")
 	r.wait("a-1", "revision 1 in force", func(a *Agent) bool { return inForce(a, 1) == 1 })
 	address := r.nodes["a-1"].settings.Agent.Operators
@@ -65,7 +65,7 @@
 func TestStrangersDeclarationIsNotRead(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t, 8, 1)
-	r.store.write(t, accepted(1))
+	r.write(accepted(1))
 	r.start("a-1")
 	r.wait("a-1", "revision 1 in force", func(a *Agent) bool { return inForce(a, 1) == 1 })
 	conn, err := net.Dial("tcp", r.nodes["a-1"].settings.Agent.Operators)
--- a/pkg/agent/rig_test.go
+++ b/pkg/agent/rig_test.go
@@ -12,9 +12,11 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
@@ -23,97 +25,11 @@
 	testWait = 30 * time.Second
 )
 
-// store is the platform's key-value service for one key, with a cut link for
-// each failure domain.
-type kvStore struct {
-	mu       sync.Mutex
-	entry    platform.Entry
-	cut      map[string]bool
-	watchers map[*kvWatch]bool
-	reads    int
-}
-
-type kvWatch struct {
-	domain string
-	stream chan platform.Entry
-}
-
-func newStore() *kvStore {
-	return &kvStore{cut: make(map[string]bool), watchers: make(map[*kvWatch]bool)}
-}
-
 // write accepts a head.
-func (s *kvStore) write(t *testing.T, head *config.Head) {
+func (r *rig) write(head *config.Head) {
 	data, err := config.EncodeHead(head)
-	is.New(t).NoErr(err)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.entry = platform.Entry{Key: testKey, Value: data, ModRevision: s.entry.ModRevision + 1}
-	for watch := range s.watchers {
-		watch.stream <- s.entry
-	}
-}
-
-// setCut cuts or heals a domain's link to the service.
-func (s *kvStore) setCut(domain string, cut bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cut[domain] = cut
-	for watch := range s.watchers {
-		if cut && watch.domain == domain {
-			close(watch.stream)
-			delete(s.watchers, watch)
-		}
-	}
-}
-
-func (s *kvStore) watching(domain string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for watch := range s.watchers {
-		if watch.domain == domain {
-			n++
-		}
-	}
-	return n
-}
-
-// kvView is the service as one domain reaches it.
-type kvView struct {
-	platform.KeyValue
-	store  *kvStore
-	domain string
-}
-
-func (v *kvView) Get(context.Context, string) (platform.Entry, bool, error) {
-	v.store.mu.Lock()
-	defer v.store.mu.Unlock()
-	v.store.reads++
-	if v.store.cut[v.domain] {
-		return platform.Entry{}, false, platform.ErrUnavailable
-	}
-	return v.store.entry, v.store.entry.ModRevision > 0, nil
-}
-
-func (v *kvView) Watch(ctx context.Context, _ string, after int64) (<-chan platform.Entry, error) {
-	s := v.store
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cut[v.domain] {
-		return nil, platform.ErrUnavailable
-	}
-	watch := &kvWatch{domain: v.domain, stream: make(chan platform.Entry, 16)}
-	s.watchers[watch] = true
-	if s.entry.ModRevision > after {
-		watch.stream <- s.entry
-	}
-	context.AfterFunc(ctx, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.watchers, watch)
-	})
-	return watch.stream, nil
+	is.New(r.t).NoErr(err)
+	r.store.Set(testKey, data)
 }
 
 // fakeGateway is an instance's gateway as its agent sees it.
@@ -183,7 +99,7 @@
 // rig runs agents of several failure domains over loopback TCP.
 type rig struct {
 	t         *testing.T
-	store     *kvStore
+	store     *platformtest.Service
 	directory *fakeDirectory
 	prefix    string
 	seeds     []settings.Seed
@@ -206,7 +122,7 @@
 func newRig(t *testing.T, test int, counts ...int) *rig {
 	t.Parallel()
 	r := &rig{
-		t: t, store: newStore(), directory: &fakeDirectory{entries: make(map[string]platform.DirectoryEntry)},
+		t: t, store: platformtest.New(clock.System{}), directory: &fakeDirectory{entries: make(map[string]platform.DirectoryEntry)},
 		prefix: fmt.Sprintf("127.%d.%d", 130+os.Getpid()%100, 10*test),
 		names:  make(map[string][]string), nodes: make(map[string]*node),
 	}
@@ -260,7 +176,7 @@
 		r.epoch++
 		n.agent = New(Options{
 			Settings: &n.settings, Mesh: r.network(n), Local: r.network(n),
-			KeyValue: &kvView{store: r.store, domain: n.settings.Domain}, HeadKey: testKey,
+			KeyValue: r.store.Connect(n.settings.Domain, nil), HeadKey: testKey,
 			Directory: r.directory, Log: zerolog.Nop(), Registry: metrics.NewRegistry(), Epoch: r.epoch,
 		})
 		ctx, cancel := context.WithCancel(r.t.Context())
