--- a/cmd/lilacweir-load/decide.go
+++ b/cmd/lilacweir-load/decide.go
@@ -19,6 +19,12 @@
 	Overload   bool          `default:"true" negatable:"" help:"Add the goodput at and beyond capacity."`
 	Fault      string        `default:"" enum:",slow,lie,reject" help:"Make the first engine slow, or slow and lie about it, or start nothing."`
 	Spill      bool          `help:"Compare ways to send work to other regions instead."`
+	Day        bool          `help:"Compare them over a day whose peaks are offset between regions."`
+	Hour       time.Duration `default:"1m" help:"With --day: virtual time of an hour."`
+	Peak       float64       `default:"1.2" help:"With --day: highest load, a part of a region's capacity."`
+	Trough     float64       `name:"peak-to-trough" default:"4" help:"With --day: highest load over the lowest."`
+	Offset     float64       `default:"8" help:"With --day: hours between the peaks of two regions."`
+	Lose       bool          `help:"With --day: the first region loses all engines at its peak, for two hours."`
 }
 
 // Run implements the command.
@@ -26,6 +32,10 @@
 	options := decide.Options{
 		Mix: c.Mix, Engines: c.Engines, Gateways: c.Gateways, Loads: c.Loads, Overload: c.Overload,
 		Fault: c.Fault, Pairs: c.Pairs, Length: c.For, Seed: c.Seed, CostWeight: c.CostWeight,
+		Day: decide.Day{Hour: c.Hour, Peak: c.Peak, PeakToTrough: c.Trough, Offset: c.Offset, Lose: c.Lose},
+	}
+	if c.Day {
+		return decide.RunDay(os.Stdout, options)
 	}
 	if c.Spill {
 		return decide.RunSpill(os.Stdout, options)
--- /dev/null
+++ b/pkg/load/decide/day.go
@@ -0,0 +1,151 @@
+package decide
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// hoursOfDay is the number of hours that a day has, however short each is.
+const hoursOfDay = 24
+
+// Day is a day's course in regions whose peaks are offset, with time compressed.
+type Day struct {
+	// Hour is the virtual time that stands for an hour.
+	Hour time.Duration
+	// Peak is the highest load, a part of a region's capacity.
+	Peak float64
+	// PeakToTrough is the highest load over the lowest.
+	PeakToTrough float64
+	// Offset is by how many hours each region's peak is later than the one before.
+	Offset float64
+	// Lose takes all engines from the first region from an hour before its peak
+	// until an hour after it; they return with cold caches.
+	Lose bool
+}
+
+// The first region's peak, and when it is lost, in hours.
+const (
+	peakHour           = hoursOfDay / 2
+	lostFrom, lostUpto = peakHour - 1, peakHour + 1
+)
+
+// level is the load of a region at a time since the start of the day, a part of its
+// capacity: a cosine between trough and peak.
+func (d Day) level(hall int, at time.Duration) float64 {
+	trough := d.Peak / d.PeakToTrough
+	hour := float64(at)/float64(d.Hour) - d.Offset*float64(hall)
+	return trough + (d.Peak-trough)*(1-math.Cos(2*math.Pi*hour/hoursOfDay))/2
+}
+
+func (d Day) check() error {
+	if d.Hour <= 0 || d.Peak <= 0 || d.PeakToTrough < 1 {
+		return &OptionError{Name: "day", Value: fmt.Sprint(d.Hour, d.Peak, d.PeakToTrough)}
+	}
+	return nil
+}
+
+// hours are the phases of a day.
+func (d Day) hours() []phase {
+	out := make([]phase, hoursOfDay)
+	for i := range out {
+		out[i] = phase{fmt.Sprint(i), time.Duration(i) * d.Hour, time.Duration(i+1) * d.Hour}
+	}
+	return out
+}
+
+// daySeries is one variant's days.
+type daySeries struct {
+	name string
+	runs []dayResult
+}
+
+// dayResult is one day: all regions together and the first one, by hour.
+type dayResult struct {
+	all, first spillResult
+	// queue is how many requests waited in the first region, one sample a second.
+	queue []int
+}
+
+// queueInterval is how often the queue is looked at.
+const queueInterval = time.Second
+
+// RunDay compares ways to send work to other regions over a day, and writes tables.
+func RunDay(w io.Writer, o Options) error {
+	days, capacity, err := measureDays(&o)
+	if err != nil {
+		return err
+	}
+	out := &printer{w: w}
+	out.day(o, capacity, days)
+	return out.err
+}
+
+func measureDays(o *Options) ([]daySeries, float64, error) {
+	mix, err := mixOf(o.Mix)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := o.Day.check(); err != nil {
+		return nil, 0, err
+	}
+	o.Halls = 1
+	capacity := capacityOf(*o, mix, policies[0])
+	o.Halls = halls
+	o.Length = hoursOfDay * o.Day.Hour
+	days := make([]daySeries, len(variants))
+	for pair := range o.Pairs {
+		for i := range variants {
+			at := (i + pair) % len(variants)
+			days[at].name = variants[at].name
+			days[at].runs = append(days[at].runs, runDay(*o, mix, variants[at], capacity, o.Seed+uint64(pair)))
+		}
+	}
+	return days, capacity, nil
+}
+
+func runDay(o Options, m *mix, v variant, capacity float64, seed uint64) dayResult {
+	s := newRegions(o, m, v, seed)
+	s.offer(seed, o.Day.Peak*capacity, func(hall int) func(time.Duration) float64 {
+		return func(at time.Duration) float64 { return capacity * o.Day.level(hall, at-warmUp) }
+	})
+	if o.Day.Lose {
+		s.lose(s.halls[0].engines, warmUp+lostFrom*o.Day.Hour, warmUp+lostUpto*o.Day.Hour)
+	}
+	var out dayResult
+	s.after(warmUp, func() {
+		s.every(queueInterval, func() { out.queue = append(out.queue, s.halls[0].waiting()) })
+	})
+	all := s.measure()
+	out.all = s.byPhase(all, o.Day.hours(), func(*job) bool { return true })
+	out.first = s.byPhase(all, o.Day.hours(), func(j *job) bool { return j.hall == 0 })
+	return out
+}
+
+// waiting counts the requests that wait in a hall, at gateways and at engines.
+func (h *hall) waiting() int {
+	total := 0
+	for _, g := range h.gateways {
+		total += len(g.waiting)
+	}
+	for _, e := range h.engines {
+		total += len(e.queue)
+	}
+	return total
+}
+
+// lose takes engines away for a while; they return with cold caches.
+func (s *simulation) lose(engines []*engine, from, to time.Duration) {
+	s.after(from, func() {
+		for _, e := range engines {
+			e.lost = true
+		}
+	})
+	s.after(to, func() {
+		for _, e := range engines {
+			e.lost = false
+			e.cache = newCache()
+		}
+	})
+}
--- /dev/null
+++ b/pkg/load/decide/dayprint.go
@@ -0,0 +1,84 @@
+package decide
+
+import (
+	"strings"
+	"time"
+)
+
+// day writes the comparison over a day, hour by hour and for the whole.
+func (p *printer) day(o Options, capacity float64, days []daySeries) {
+	p.printf("mix %s, %d regions of %d engines and %d gateways, %d pairs, seeds from %d, cost weight %g\n",
+		o.Mix, o.Halls, o.Engines, o.Gateways, o.Pairs, o.Seed, o.CostWeight)
+	p.printf("an hour is %v; load from %.2f to %.2f of a region's capacity (%.2f requests/s), peaks %g h apart\n\n",
+		o.Day.Hour, o.Day.Peak/o.Day.PeakToTrough, o.Day.Peak, capacity, o.Day.Offset)
+	p.printf("Medians over the pairs, lowest and highest in brackets; first token in ms.\n\n")
+	for _, table := range dayTables {
+		p.hours(o, days, table)
+	}
+	p.printf("| all regions, whole day | p50 | p95 | p99 | in time %% | refused %% | sent away %% | turns | refused at the receiver | engine-s | wasted |\n|---|---|---|---|---|---|---|---|---|---|---|\n")
+	for i := range days {
+		p.wholeDay(&days[i])
+	}
+	p.printf("\n")
+}
+
+// dayTable is one measure of the first region's requests, hour by hour.
+type dayTable struct {
+	name, format string
+	value        func(*dayResult, *phaseResult, phase) float64
+}
+
+var dayTables = []dayTable{
+	{"p95 first token", "%.0f", func(_ *dayResult, r *phaseResult, _ phase) float64 { return r.quantile(95) }},
+	{"p99 first token", "%.0f", func(_ *dayResult, r *phaseResult, _ phase) float64 { return r.quantile(99) }},
+	{"sent away %", "%.1f", func(_ *dayResult, r *phaseResult, _ phase) float64 { return r.percent(r.away) }},
+	{"refused %", "%.1f", func(_ *dayResult, r *phaseResult, _ phase) float64 { return r.percent(r.refused) }},
+	{"most waiting", "%.0f", func(d *dayResult, _ *phaseResult, ph phase) float64 { return float64(d.mostWaiting(ph)) }},
+}
+
+// hours writes one measure, a row an hour and a column for each way.
+func (p *printer) hours(o Options, days []daySeries, table dayTable) {
+	p.printf("| first region, hour | load |")
+	for _, d := range days {
+		p.printf(" %s: %s |", table.name, d.name)
+	}
+	p.printf("\n|%s\n", strings.Repeat("---|", 2+len(days)))
+	for hour, ph := range o.Day.hours() {
+		p.printf("| %s | %.2f |", ph.name, o.Day.level(0, (ph.from+ph.to)/2))
+		for _, d := range days {
+			p.printf(" %s |", spread(len(d.runs), table.format, func(run int) float64 {
+				return table.value(&d.runs[run], &d.runs[run].first.phases[hour], ph)
+			}))
+		}
+		p.printf("\n")
+	}
+	p.printf("\n")
+}
+
+func (p *printer) wholeDay(d *daySeries) {
+	n := len(d.runs)
+	at := func(run int) *phaseResult { return &d.runs[run].all.whole }
+	p.printf("| %s | %s | %s | %s | %s | %s | %s | %s | %s | %s | %s |\n", d.name,
+		spread(n, "%.0f", func(run int) float64 { return at(run).quantile(50) }),
+		spread(n, "%.0f", func(run int) float64 { return at(run).quantile(95) }),
+		spread(n, "%.0f", func(run int) float64 { return at(run).quantile(99) }),
+		spread(n, "%.1f", func(run int) float64 { return at(run).percent(at(run).inTime) }),
+		spread(n, "%.1f", func(run int) float64 { return at(run).percent(at(run).refused) }),
+		spread(n, "%.1f", func(run int) float64 { return at(run).percent(at(run).away) }),
+		spread(n, "%.0f", func(run int) float64 { return float64(d.runs[run].all.turns) }),
+		spread(n, "%.0f", func(run int) float64 { return float64(d.runs[run].all.refusedThere) }),
+		spread(n, "%.3f", func(run int) float64 { return d.runs[run].all.all.engineSeconds }),
+		spread(n, "%.3f", func(run int) float64 { return d.runs[run].all.all.wasted }))
+}
+
+// mostWaiting is the longest queue of a phase.
+func (d *dayResult) mostWaiting(ph phase) int {
+	most := 0
+	for i, waiting := range d.queue {
+		at := time.Duration(i) * queueInterval
+		if at >= ph.from && at < ph.to {
+			most = max(most, waiting)
+		}
+	}
+	return most
+}
--- a/pkg/load/decide/decide.go
+++ b/pkg/load/decide/decide.go
@@ -37,6 +37,8 @@
 	Seed uint64
 	// CostWeight is the declared weight of cost against latency, 0 to 1.
 	CostWeight float64
+	// Day is for RunDay.
+	Day Day
 }
 
 // Faults of the first engine.
--- a/pkg/load/decide/print.go
+++ b/pkg/load/decide/print.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 )
 
@@ -102,6 +103,9 @@
 		values[i] = value(i)
 	}
 	slices.Sort(values)
+	if math.IsNaN(values[n/2]) {
+		return "none"
+	}
 	text := func(v float64) string { return fmt.Sprintf(format, v) }
 	return fmt.Sprintf("%s (%s-%s)", text(values[len(values)/2]), text(values[0]), text(values[len(values)-1]))
 }
@@ -116,10 +120,10 @@
 		for _, s := range all {
 			at := func(run int) *phaseResult { return &s.runs[run].phases[i] }
 			share := func(part func(*phaseResult) int) func(int) float64 {
-				return func(run int) float64 { return 100 * float64(part(at(run))) / float64(at(run).offered) }
+				return func(run int) float64 { return at(run).percent(part(at(run))) }
 			}
 			quantile := func(q float64) func(int) float64 {
-				return func(run int) float64 { return float64(at(run).firstToken.ValueAtPercentile(q)) / 1000 }
+				return func(run int) float64 { return at(run).quantile(q) }
 			}
 			n := len(s.runs)
 			p.printf("| %s | %s | %s | %s | %s | %s | %s |\n", s.name,
--- a/pkg/load/decide/spill.go
+++ b/pkg/load/decide/spill.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -75,6 +76,7 @@
 // spillResult is one run, by phases.
 type spillResult struct {
 	phases       []phaseResult
+	whole        phaseResult
 	refusedThere int
 	turns        int
 	all          result
@@ -88,12 +90,7 @@
 }
 
 func runScenario(o Options, m *mix, v variant, capacity float64, seed uint64) spillResult {
-	s := &simulation{options: o, mix: m, variant: v, now: epoch}
-	s.end = epoch.Add(warmUp + o.Length)
-	s.result = newResult(m)
-	s.spills.bins = map[int][]float64{}
-	s.build(halls)
-	s.staff(policies[0], seed)
+	s := newRegions(o, m, v, seed)
 	s.offer(seed, peakLoad*capacity, func(hall int) func(time.Duration) float64 {
 		return func(at time.Duration) float64 {
 			if hall == 0 && at >= warmUp+peakFrom && at < warmUp+peakTo {
@@ -104,7 +101,18 @@
 	})
 	s.troubles()
 	all := s.measure()
-	return s.byPhase(all)
+	return s.byPhase(all, phases, func(*job) bool { return true })
+}
+
+// newRegions makes a run of several regions that send work to each other.
+func newRegions(o Options, m *mix, v variant, seed uint64) *simulation {
+	s := &simulation{options: o, mix: m, variant: v, now: epoch}
+	s.end = epoch.Add(warmUp + o.Length)
+	s.result = newResult(m)
+	s.spills.bins = map[int][]float64{}
+	s.build(halls)
+	s.staff(policies[0], seed)
+	return s
 }
 
 // troubles schedules the cut link and the loss of engines.
@@ -115,33 +123,40 @@
 		second.cutFrom = map[string]bool{first.name: true}
 	})
 	s.after(warmUp+cutTo, func() { first.cutFrom, second.cutFrom = nil, nil })
-	s.after(warmUp+shortFrom, func() {
-		for _, e := range second.engines[1:] {
-			e.lost = true
-		}
-	})
-	s.after(warmUp+shortTo, func() {
-		for _, e := range second.engines[1:] {
-			e.lost = false
-			e.cache = newCache()
-		}
-	})
+	s.lose(second.engines[1:], warmUp+shortFrom, warmUp+shortTo)
 }
 
-func (s *simulation) byPhase(all result) spillResult {
+// byPhase divides the measured requests that are kept, by their arrival.
+func (s *simulation) byPhase(all result, phases []phase, keep func(*job) bool) spillResult {
 	out := spillResult{refusedThere: s.spills.refusedThere, turns: s.spills.turns(), all: all}
 	for _, ph := range phases {
-		p := phaseResult{firstToken: hdrhistogram.New(shortest, longest, digits)}
-		for i := range s.jobs {
-			j := &s.jobs[i]
-			if j.at < warmUp+ph.from || j.at >= warmUp+ph.to {
-				continue
-			}
+		out.phases = append(out.phases, s.phase(ph, keep))
+	}
+	out.whole = s.phase(phase{to: s.options.Length}, keep)
+	return out
+}
+
+func (s *simulation) phase(ph phase, keep func(*job) bool) phaseResult {
+	p := phaseResult{firstToken: hdrhistogram.New(shortest, longest, digits)}
+	for i := range s.jobs {
+		j := &s.jobs[i]
+		if j.at >= warmUp+ph.from && j.at < warmUp+ph.to && keep(j) {
 			p.add(j)
 		}
-		out.phases = append(out.phases, p)
 	}
-	return out
+	return p
+}
+
+func (p *phaseResult) percent(part int) float64 {
+	return 100 * float64(part) / float64(max(1, p.offered))
+}
+
+// quantile of the first token, in milliseconds; not a number where none came.
+func (p *phaseResult) quantile(q float64) float64 {
+	if p.firstToken.TotalCount() == 0 {
+		return math.NaN()
+	}
+	return float64(p.firstToken.ValueAtPercentile(q)) / 1000
 }
 
 func (p *phaseResult) add(j *job) {
