Judge refusals afterwards; show whole answers and times between tokens

The record of a run (an engine's requests in hand, its prefill) tells whether some permitted engine could have finished a refused request in time, alone and without taking a place from another: with a cold cache, only with a warm one, or nowhere.

--- a/pkg/load/decide/course.go
+++ b/pkg/load/decide/course.go
@@ -9,6 +9,7 @@
 // receive gives a request a slot, or lets it wait for one.
 func (e *engine) receive(s *simulation, f *flight) {
 	s.result.over(e)
+	defer e.note(s)
 	if e.running >= engineSlots {
 		e.queue = append(e.queue, f)
 		return
@@ -30,7 +31,9 @@
 	f := e.prefilling[0]
 	e.prefilling = e.prefilling[1:]
 	e.prefillBusy = true
-	s.after(e.prefillTime(f.job), func() {
+	length := e.prefillTime(f.job)
+	e.record.prefills = append(e.record.prefills, span{s.now, s.now.Add(length)})
+	s.after(length, func() {
 		e.prefillBusy = false
 		e.nextPrefill(s)
 		e.decode(s, f)
@@ -40,16 +43,21 @@
 // decode generates the answer at the speed of the batch at its beginning.
 func (e *engine) decode(s *simulation, f *flight) {
 	token := e.tokenTime()
+	s.result.between(s, f.job, token)
 	e.decodeSeconds += tokenCost() * float64(f.job.answer)
 	s.after(token, func() {
 		f.flight.FirstByte()
 		s.result.first(s, f.job, e.wayBack(f.job))
 	})
+	if e.hall.index != f.job.hall {
+		s.spills.bytes += f.job.answerBytes()
+	}
 	s.after(token*time.Duration(f.job.answer), func() { e.done(s, f) })
 }
 
 func (e *engine) done(s *simulation, f *flight) {
 	e.running--
+	defer e.note(s)
 	if len(e.queue) > 0 {
 		next := e.queue[0]
 		e.queue = e.queue[1:]
--- a/pkg/load/decide/day.go
+++ b/pkg/load/decide/day.go
@@ -140,11 +140,13 @@
 	s.after(from, func() {
 		for _, e := range engines {
 			e.lost = true
+			e.note(s)
 		}
 	})
 	s.after(to, func() {
 		for _, e := range engines {
 			e.lost = false
+			e.note(s)
 			e.cache = newCache()
 		}
 	})
--- a/pkg/load/decide/dayprint.go
+++ b/pkg/load/decide/dayprint.go
@@ -20,6 +20,15 @@
 		p.wholeDay(&days[i])
 	}
 	p.printf("\n")
+	all := make([]series, len(days))
+	for i, d := range days {
+		all[i].name = d.name
+		for _, run := range d.runs {
+			all[i].runs = append(all[i].runs, run.all.all)
+		}
+	}
+	p.answers("all regions, whole day", all)
+	p.between(days)
 }
 
 // dayTable is one measure of the first region's requests, hour by hour.
@@ -71,6 +80,22 @@
 		spread(n, "%.3f", func(run int) float64 { return d.runs[run].all.all.wasted }))
 }
 
+// between writes what went between regions, and what cold caches cost.
+func (p *printer) between(days []daySeries) {
+	p.printf("| all regions, whole day | MB between regions | prefill wasted, engine-seconds |\n|---|---|---|\n")
+	for _, d := range days {
+		p.printf("| %s | %s | %s |\n", d.name,
+			spread(len(d.runs), "%.1f", func(run int) float64 { return float64(d.runs[run].all.bytes) / bytesPerMegabyte }),
+			spread(len(d.runs), "%.0f", func(run int) float64 {
+				r := &d.runs[run].all.all
+				return r.wasted * float64(r.served)
+			}))
+	}
+	p.printf("\n")
+}
+
+const bytesPerMegabyte = 1e6
+
 // mostWaiting is the longest queue of a phase.
 func (d *dayResult) mostWaiting(ph phase) int {
 	most := 0
--- a/pkg/load/decide/engine.go
+++ b/pkg/load/decide/engine.go
@@ -40,6 +40,7 @@
 	prefillSeconds, wasted float64
 	decodeSeconds          float64
 	reports                [2]board.UpstreamLoad
+	record                 record
 }
 
 func newEngine(h *hall, i int) *engine {
--- a/pkg/load/decide/forward.go
+++ b/pkg/load/decide/forward.go
@@ -18,6 +18,7 @@
 		g.sim.after(connectTimeout, func() { g.arrive(j) })
 		return
 	}
+	g.sim.spills.bytes += j.prompt() * bytesPerToken
 	receiver := to.gateways[g.rnd.IntN(len(to.gateways))]
 	g.sim.after(linkDelay, func() { receiver.arrive(j) })
 }
@@ -38,6 +39,16 @@
 	return nil
 }
 
+// bytesPerToken is the length of a token in a prompt, by the rule of the gateways.
+const bytesPerToken = 4
+
+// answerBytes is the length of an answer as a stream of chunks.
+func (j *job) answerBytes() int { return j.answer * len(sampleChunk) }
+
+// sampleChunk is a chunk of a stream in the upstreams' format.
+const sampleChunk = `data: {"id":"gw-1-0123456789abcdef","object":"chat.completion.chunk","model":"m",` +
+	`"choices":[{"index":0,"delta":{"content":"tok "},"finish_reason":null}]}` + "\n\n"
+
 // wayBack is how long an answer travels to the gateway that the caller asked.
 func (e *engine) wayBack(j *job) time.Duration {
 	if e.hall.index == j.hall {
@@ -49,6 +60,8 @@
 // spills counts what was sent away.
 type spills struct {
 	total, refusedThere int
+	// bytes of prompts and answers that went between halls; without headers.
+	bytes int
 	// bins counts what each hall sent, by intervals of binTime.
 	bins map[int][]float64
 }
--- /dev/null
+++ b/pkg/load/decide/oracle_test.go
@@ -0,0 +1,27 @@
+package decide
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestRefusalIsWarrantedWhereNoPlaceHadRoomInTime(t *testing.T) {
+	is := is.New(t)
+	at := func(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
+	e := newEngine(&hall{}, 0)
+	kind := &mixKind{deadline: 10 * time.Second}
+	j := &job{kind: kind, answer: 60, tokens: []int{8000, 8800}} // 1.1 s of prefill, or 0.1 s warm, and 1 s alone
+	e.record.steps = []step{{at(0), engineSlots}, {at(7.9), 0}}
+	is.True(e.couldFinish(j, j.prompt())) // 7.9 + 1.1 + 1.0
+	e.record.steps[1].at = at(8.5)
+	is.True(!e.couldFinish(j, j.prompt()))
+	is.True(e.couldFinish(j, j.ownTokens()))
+	e.record.steps = append(e.record.steps, step{at(9), engineSlots})
+	is.True(!e.couldFinish(j, j.ownTokens())) // the slot is taken again before the end
+	e.record.steps = []step{{at(0), 0}}
+	e.record.prefills = []span{{at(0), at(7.9)}, {at(8.1), at(9)}}
+	is.True(!e.couldFinish(j, j.prompt())) // the gap in prefill is too short
+	is.True(e.couldFinish(j, j.ownTokens()))
+}
--- a/pkg/load/decide/print.go
+++ b/pkg/load/decide/print.go
@@ -58,6 +58,7 @@
 			spread(len(s.runs), "%.3f", func(i int) float64 { return s.runs[i].fairness }))
 	}
 	p.printf("\n")
+	p.answers(fmt.Sprintf("%d %% load", percent), all)
 	p.best(all)
 }
 
--- a/pkg/load/decide/result.go
+++ b/pkg/load/decide/result.go
@@ -13,6 +13,11 @@
 type result struct {
 	// firstToken is in microseconds from when the request was due.
 	firstToken *hdrhistogram.Histogram
+	// betweenTokens and wholeAnswer are in microseconds too, the latter from
+	// when the request was due.
+	betweenTokens, wholeAnswer *hdrhistogram.Histogram
+	// verdicts judges the refusals.
+	verdicts verdicts
 	// offered, served and refusals count requests; inTime those that were whole
 	// before their deadline.
 	offered, served, inTime, refusals int
@@ -41,9 +46,11 @@
 
 func newResult(m *mix) result {
 	r := result{
-		firstToken: hdrhistogram.New(shortest, longest, digits),
-		byReason:   map[outcome.Reason]int{},
-		demand:     map[string]float64{}, got: map[string]float64{},
+		firstToken:    hdrhistogram.New(shortest, longest, digits),
+		betweenTokens: hdrhistogram.New(shortest, longest, digits),
+		wholeAnswer:   hdrhistogram.New(shortest, longest, digits),
+		byReason:      map[outcome.Reason]int{},
+		demand:        map[string]float64{}, got: map[string]float64{},
 	}
 	for _, c := range m.callers {
 		r.demand[c.caller.Name] = 0
@@ -66,6 +73,13 @@
 	}
 }
 
+// between records the time between an answer's tokens, once for each gap.
+func (r *result) between(s *simulation, j *job, token time.Duration) {
+	if s.measured(j) && j.answer > 1 {
+		_ = r.betweenTokens.RecordValues(int64(token/time.Microsecond), int64(j.answer-1))
+	}
+}
+
 // whole records a whole answer.
 func (r *result) whole(s *simulation, j *job, wayBack time.Duration) {
 	j.inTime = !s.now.Add(wayBack).After(j.deadline())
@@ -73,6 +87,7 @@
 		return
 	}
 	r.served++
+	_ = r.wholeAnswer.RecordValue(int64(s.now.Add(wayBack).Sub(epoch.Add(j.at)) / time.Microsecond))
 	if j.inTime {
 		r.workDone += work(j) / s.options.Length.Seconds()
 		r.inTime++
@@ -101,6 +116,7 @@
 	share := s.options.Length.Seconds() / (warmUp + s.options.Length).Seconds()
 	r.engineSeconds = share * seconds / float64(max(1, r.served))
 	r.wasted = share * wasted / float64(max(1, r.served))
+	r.verdicts = s.judge()
 	r.fairness = fairness(r.demand, r.got)
 }
 
--- a/pkg/load/decide/spill.go
+++ b/pkg/load/decide/spill.go
@@ -79,7 +79,9 @@
 	whole        phaseResult
 	refusedThere int
 	turns        int
-	all          result
+	// bytes went between regions, warm-up included.
+	bytes int
+	all   result
 }
 
 // phaseResult counts the requests that arrived in a phase.
@@ -128,7 +130,7 @@
 
 // byPhase divides the measured requests that are kept, by their arrival.
 func (s *simulation) byPhase(all result, phases []phase, keep func(*job) bool) spillResult {
-	out := spillResult{refusedThere: s.spills.refusedThere, turns: s.spills.turns(), all: all}
+	out := spillResult{refusedThere: s.spills.refusedThere, turns: s.spills.turns(), bytes: s.spills.bytes, all: all}
 	for _, ph := range phases {
 		out.phases = append(out.phases, s.phase(ph, keep))
 	}
