Log where a configuration came from as a pair

Cause: the place that zerolog's console writer writes in a form of its own had been renamed from 'caller' to 'source', which the agent logs: 'platform > event= configuration-taken'. Now it has a name that nothing logs. The test of pairs asks for 'source' as well; it failed before.

--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -25,11 +25,12 @@
 	return fmt.Sprintf("log level %q: expected debug, info, warn or error", e.Level)
 }
 
-// sourceField is zerolog's name for a place in the code, which nothing here logs.
-// Its default, "caller", is what a request's sender is called.
-const sourceField = "source"
+// codePlaceField is zerolog's name for a place in the code, which nothing here logs
+// and which its console writer writes in a form of its own. Its default, "caller", is
+// what a request's sender is called.
+const codePlaceField = "code_place"
 
-func init() { zerolog.CallerFieldName = sourceField }
+func init() { zerolog.CallerFieldName = codePlaceField }
 
 // New returns a logger that writes key=value lines to w. An empty level means info.
 func New(w io.Writer, program, instance, level string) (zerolog.Logger, error) {
--- a/pkg/logging/logging_test.go
+++ b/pkg/logging/logging_test.go
@@ -35,7 +35,7 @@
 	var out bytes.Buffer
 	log, err := logging.New(&out, "gateway", "kal-1", "")
 	is.NoErr(err)
-	log.Info().Str("caller", "residents-app").Msg("request-ended")
-	line := regexp.MustCompile(`^time=\S+Z level=info event=request-ended caller=residents-app instance=kal-1 program=gateway\n$`)
+	log.Info().Str("caller", "residents-app").Str("source", "mesh").Msg("request-ended")
+	line := regexp.MustCompile(`^time=\S+Z level=info event=request-ended caller=residents-app instance=kal-1 program=gateway source=mesh\n$`)
 	is.True(line.Match(out.Bytes())) // the name of a caller is a pair like any other
 }
