Name failure domains and listeners by their terms in the model and the link stand-in

Halls, doors and plugs were names of our own. Identifiers and comments only; the names inside the model that hashes see are unchanged.

--- a/pkg/load/decide/course.go
+++ b/pkg/load/decide/course.go
@@ -49,7 +49,7 @@
 		f.flight.FirstByte()
 		s.result.first(s, f.job, e.wayBack(f.job))
 	})
-	if e.hall.index != f.job.hall {
+	if e.failureDomain.index != f.job.failureDomain {
 		s.spills.bytes += f.job.answerBytes()
 	}
 	s.after(token*time.Duration(f.job.answer), func() { e.done(s, f) })
--- a/pkg/load/decide/day.go
+++ b/pkg/load/decide/day.go
@@ -33,9 +33,9 @@
 
 // level is the load of a region at a time since the start of the day, a part of its
 // capacity: a cosine between trough and peak.
-func (d Day) level(hall int, at time.Duration) float64 {
+func (d Day) level(failureDomain int, at time.Duration) float64 {
 	trough := d.Peak / d.PeakToTrough
-	hour := float64(at)/float64(d.Hour) - d.Offset*float64(hall)
+	hour := float64(at)/float64(d.Hour) - d.Offset*float64(failureDomain)
 	return trough + (d.Peak-trough)*(1-math.Cos(2*math.Pi*hour/hoursOfDay))/2
 }
 
@@ -90,9 +90,9 @@
 	if err := o.Day.check(); err != nil {
 		return nil, 0, err
 	}
-	o.Halls = 1
+	o.FailureDomains = 1
 	capacity := capacityOf(*o, mix, policies[0])
-	o.Halls = halls
+	o.FailureDomains = failureDomains
 	o.Length = hoursOfDay * o.Day.Hour
 	days := make([]daySeries, len(variants))
 	for pair := range o.Pairs {
@@ -107,24 +107,24 @@
 
 func runDay(o Options, m *mix, v variant, capacity float64, seed uint64) dayResult {
 	s := newRegions(o, m, v, seed)
-	s.offer(seed, o.Day.Peak*capacity, func(hall int) func(time.Duration) float64 {
-		return func(at time.Duration) float64 { return capacity * o.Day.level(hall, at-warmUp) }
+	s.offer(seed, o.Day.Peak*capacity, func(failureDomain int) func(time.Duration) float64 {
+		return func(at time.Duration) float64 { return capacity * o.Day.level(failureDomain, at-warmUp) }
 	})
 	if o.Day.Lose {
-		s.lose(s.halls[0].engines, warmUp+lostFrom*o.Day.Hour, warmUp+lostUpto*o.Day.Hour)
+		s.lose(s.failureDomains[0].engines, warmUp+lostFrom*o.Day.Hour, warmUp+lostUpto*o.Day.Hour)
 	}
 	var out dayResult
 	s.after(warmUp, func() {
-		s.every(queueInterval, func() { out.queue = append(out.queue, s.halls[0].waiting()) })
+		s.every(queueInterval, func() { out.queue = append(out.queue, s.failureDomains[0].waiting()) })
 	})
 	all := s.measure()
 	out.all = s.byPhase(all, o.Day.hours(), func(*job) bool { return true })
-	out.first = s.byPhase(all, o.Day.hours(), func(j *job) bool { return j.hall == 0 })
+	out.first = s.byPhase(all, o.Day.hours(), func(j *job) bool { return j.failureDomain == 0 })
 	return out
 }
 
-// waiting counts the requests that wait in a hall, at gateways and at engines.
-func (h *hall) waiting() int {
+// waiting counts the requests that wait in a failure domain, at gateways and at engines.
+func (h *failureDomain) waiting() int {
 	total := 0
 	for _, g := range h.gateways {
 		total += len(g.waiting)
--- a/pkg/load/decide/dayprint.go
+++ b/pkg/load/decide/dayprint.go
@@ -8,7 +8,7 @@
 // day writes the comparison over a day, hour by hour and for the whole.
 func (p *printer) day(o Options, capacity float64, days []daySeries) {
 	p.printf("mix %s, %d regions of %d engines and %d gateways, %d pairs, seeds from %d, cost weight %g\n",
-		o.Mix, o.Halls, o.Engines, o.Gateways, o.Pairs, o.Seed, o.CostWeight)
+		o.Mix, o.FailureDomains, o.Engines, o.Gateways, o.Pairs, o.Seed, o.CostWeight)
 	p.printf("an hour is %v; load from %.2f to %.2f of a region's capacity (%.2f requests/s), peaks %g h apart\n\n",
 		o.Day.Hour, o.Day.Peak/o.Day.PeakToTrough, o.Day.Peak, capacity, o.Day.Offset)
 	p.printf("Medians over the pairs, lowest and highest in brackets; first token in ms.\n\n")
--- a/pkg/load/decide/decide.go
+++ b/pkg/load/decide/decide.go
@@ -20,7 +20,7 @@
 	// Engines and Gateways is the size of the failure domain.
 	Engines, Gateways int
 	// Halls is the number of failure domains; zero means 1.
-	Halls int
+	FailureDomains int
 	// Loads lists the offered loads in percent of capacity.
 	Loads []int
 	// Overload adds the goodput at and beyond the candidate's own capacity.
--- a/pkg/load/decide/hall.go
+++ b/pkg/load/decide/domain.go
@@ -5,8 +5,8 @@
 	"github.com/lilacweir/lilacweir/pkg/digest"
 )
 
-// hall is one failure domain, alone in its region.
-type hall struct {
+// failureDomain is one failure domain, alone in its region.
+type failureDomain struct {
 	index        int
 	name, region string
 	engines      []*engine
@@ -14,12 +14,12 @@
 	// polled is the last poll of the engines, heard the last digests of others.
 	polled *board.Upstreams
 	heard  map[string]board.DomainDigest
-	// cutFrom names the halls whose messages do not arrive here.
+	// cutFrom names the failure domains whose messages do not arrive here.
 	cutFrom map[string]bool
 }
 
 // poll takes the engines' reports, each a sample old.
-func (h *hall) poll() {
+func (h *failureDomain) poll() {
 	h.polled = &board.Upstreams{ByName: map[string]board.UpstreamLoad{}}
 	for _, e := range h.engines {
 		if report := e.reports[0]; report.Name != "" {
@@ -28,8 +28,8 @@
 	}
 }
 
-// members is what the gateways of the hall have told each other.
-func (h *hall) members() *board.Members {
+// members is what the gateways of the failure domain have told each other.
+func (h *failureDomain) members() *board.Members {
 	members := &board.Members{}
 	for _, g := range h.gateways {
 		members.Instances = append(members.Instances, board.Instance{
@@ -40,8 +40,8 @@
 	return members
 }
 
-// tell sends the hall's digest to the others.
-func (h *hall) tell(s *simulation) {
+// tell sends the failure domain's digest to the others.
+func (h *failureDomain) tell(s *simulation) {
 	made := digest.Build(digest.Input{
 		Domain: h.name, Region: h.region, Sequence: uint64(s.now.UnixNano()),
 		Members: h.members(), Upstreams: h.polled, Head: h.gateways[0].head,
@@ -51,7 +51,7 @@
 	}
 	s.after(linkDelay, func() {
 		made.HeardAt = s.now
-		for _, other := range s.halls {
+		for _, other := range s.failureDomains {
 			if other != h && !other.cutFrom[h.name] {
 				other.heard[h.name] = made
 			}
@@ -59,10 +59,10 @@
 	})
 }
 
-// domains is what the hall knows of the others.
-func (h *hall) domains(s *simulation) *board.Domains {
+// domains is what the failure domain knows of the others.
+func (h *failureDomain) domains(s *simulation) *board.Domains {
 	domains := &board.Domains{}
-	for _, other := range s.halls {
+	for _, other := range s.failureDomains {
 		if heard, ok := h.heard[other.name]; ok {
 			domains.Remote = append(domains.Remote, heard)
 		}
--- a/pkg/load/decide/engine.go
+++ b/pkg/load/decide/engine.go
@@ -23,8 +23,8 @@
 // engine is a modelled model engine: slots, one prompt in prefill at a time, and a
 // prefix cache that drops the least recently used.
 type engine struct {
-	name string
-	hall *hall
+	name          string
+	failureDomain *failureDomain
 	// lost engines take no new work.
 	lost bool
 	// slow stretches all its times; zero means 1. An engine that lies reports
@@ -43,8 +43,8 @@
 	record                 record
 }
 
-func newEngine(h *hall, i int) *engine {
-	return &engine{name: fmt.Sprintf("engine-%s-%02d", h.name, i), hall: h, cache: newCache()}
+func newEngine(h *failureDomain, i int) *engine {
+	return &engine{name: fmt.Sprintf("engine-%s-%02d", h.name, i), failureDomain: h, cache: newCache()}
 }
 
 // tokenTime is how long one token takes at the present batch.
--- a/pkg/load/decide/forward.go
+++ b/pkg/load/decide/forward.go
@@ -9,12 +9,12 @@
 // connectTimeout is how long it takes to notice that a link is cut.
 const connectTimeout = time.Second
 
-// forward sends a request to another hall, to one of its gateways at random.
+// forward sends a request to another failure domain, to one of its gateways at random.
 func (g *gateway) forward(j *job, decision *route.Decision) {
-	to := g.sim.hall(decision.Domain.Domain)
+	to := g.sim.failureDomain(decision.Domain.Domain)
 	j.tried = append(j.tried, to.name)
 	g.sim.spills.sent(j, to)
-	if to.cutFrom[g.hall.name] {
+	if to.cutFrom[g.failureDomain.name] {
 		g.sim.after(connectTimeout, func() { g.arrive(j) })
 		return
 	}
@@ -26,12 +26,12 @@
 // giveBack returns a refused request to the gateway that forwarded it.
 func (g *gateway) giveBack(j *job) {
 	g.sim.spills.refusedThere++
-	origin := g.sim.halls[j.hall].gateways[j.gateway]
+	origin := g.sim.failureDomains[j.failureDomain].gateways[j.gateway]
 	g.sim.after(linkDelay, func() { origin.arrive(j) })
 }
 
-func (s *simulation) hall(name string) *hall {
-	for _, h := range s.halls {
+func (s *simulation) failureDomain(name string) *failureDomain {
+	for _, h := range s.failureDomains {
 		if h.name == name {
 			return h
 		}
@@ -51,7 +51,7 @@
 
 // wayBack is how long an answer travels to the gateway that the caller asked.
 func (e *engine) wayBack(j *job) time.Duration {
-	if e.hall.index == j.hall {
+	if e.failureDomain.index == j.failureDomain {
 		return 0
 	}
 	return linkDelay
@@ -60,28 +60,28 @@
 // spills counts what was sent away.
 type spills struct {
 	total, refusedThere int
-	// bytes of prompts and answers that went between halls; without headers.
+	// bytes of prompts and answers that went between failure domains; without headers.
 	bytes int
-	// bins counts what each hall sent, by intervals of binTime.
+	// bins counts what each failure domain sent, by intervals of binTime.
 	bins map[int][]float64
 }
 
 // binTime is the resolution at which swings are looked for.
 const binTime = 5 * time.Second
 
-func (s *spills) sent(j *job, _ *hall) {
+func (s *spills) sent(j *job, _ *failureDomain) {
 	s.total++
 	bin := int(j.at / binTime)
-	for len(s.bins[j.hall]) <= bin {
-		s.bins[j.hall] = append(s.bins[j.hall], 0)
+	for len(s.bins[j.failureDomain]) <= bin {
+		s.bins[j.failureDomain] = append(s.bins[j.failureDomain], 0)
 	}
-	s.bins[j.hall][bin]++
+	s.bins[j.failureDomain][bin]++
 }
 
 // swing is the change, in requests a bin, from which a turn counts.
 const swing = 8
 
-// turns counts how often what a hall sends turned from rising to falling or back.
+// turns counts how often what a failure domain sends turned from rising to falling or back.
 func (s *spills) turns() int {
 	count := 0
 	for _, bins := range s.bins {
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -22,19 +22,19 @@
 
 // gateway runs the real decisions of one gateway.
 type gateway struct {
-	sim      *simulation
-	hall     *hall
-	name     string
-	spill    *route.SpillState
-	strategy *route.Strategy
-	head     *config.Head
-	ejector  *limit.Ejector
-	tracker  *limit.Tracker
-	queue    *admission.Queue
-	table    *route.Table
-	rnd      *rand.Rand
-	told     board.GatewayLoad // what the others know of it
-	waiting  []*waiting
+	sim           *simulation
+	failureDomain *failureDomain
+	name          string
+	spill         *route.SpillState
+	strategy      *route.Strategy
+	head          *config.Head
+	ejector       *limit.Ejector
+	tracker       *limit.Tracker
+	queue         *admission.Queue
+	table         *route.Table
+	rnd           *rand.Rand
+	told          board.GatewayLoad // what the others know of it
+	waiting       []*waiting
 }
 
 // waiting is a request in the queue.
@@ -53,9 +53,9 @@
 	engine  *engine
 }
 
-func newGateway(s *simulation, h *hall, p policy, i int, seed uint64) *gateway {
+func newGateway(s *simulation, h *failureDomain, p policy, i int, seed uint64) *gateway {
 	g := &gateway{
-		sim: s, hall: h, name: fmt.Sprintf("gw-%s-%02d", h.name, i),
+		sim: s, failureDomain: h, name: fmt.Sprintf("gw-%s-%02d", h.name, i),
 		spill:   route.NewSpillState(),
 		ejector: limit.NewEjector(s),
 		queue:   admission.NewQueue(s),
@@ -74,10 +74,10 @@
 		Models: []config.Model{{Name: model, Versions: []config.ModelVersion{{Name: version, Percent: 100}}}},
 		Policy: config.Policy{CostWeight: s.options.CostWeight, SpillMargin: config.Duration(s.variant.margin)},
 	}
-	for _, from := range s.halls {
+	for _, from := range s.failureDomains {
 		d.Regions = append(d.Regions, config.Region{Name: from.region, Domains: []string{from.name}})
 		d.Models[0].Regions = append(d.Models[0].Regions, from.region)
-		for _, to := range s.halls {
+		for _, to := range s.failureDomains {
 			if from != to && s.variant.percent > 0 {
 				d.Spill = append(d.Spill, config.Spill{From: from.region, To: to.region, Percent: s.variant.percent})
 			}
@@ -85,7 +85,7 @@
 	}
 	for _, e := range s.engines {
 		d.Upstreams = append(d.Upstreams, config.Upstream{
-			Name: e.name, Kind: config.KindEngine, Serves: model, Version: version, Domain: e.hall.name, Concurrency: engineSlots,
+			Name: e.name, Kind: config.KindEngine, Serves: model, Version: version, Domain: e.failureDomain.name, Concurrency: engineSlots,
 		})
 	}
 	return d
@@ -94,8 +94,8 @@
 // compile rebuilds the table from what the gateway has been told by now.
 func (g *gateway) compile() {
 	g.table = route.Compile(route.Input{
-		Head: g.head, Members: g.hall.members(), Upstreams: g.hall.polled, Domains: g.hall.domains(g.sim),
-		Self: g.name, Domain: g.hall.name, Region: g.hall.region,
+		Head: g.head, Members: g.failureDomain.members(), Upstreams: g.failureDomain.polled, Domains: g.failureDomain.domains(g.sim),
+		Self: g.name, Domain: g.failureDomain.name, Region: g.failureDomain.region,
 		Previous: g.table, Strategy: g.strategy, Spill: g.spill, Now: g.sim.now,
 	})
 	g.tracker.SetShares(g.table.Shares())
@@ -148,8 +148,8 @@
 		PromptTokens: j.prompt(), MaxTokens: j.kind.answer, Roll: j.roll,
 		Deadline: j.deadline(),
 	}
-	if g.hall.index != j.hall {
-		r.Class, r.Origin = route.ClassDomain, g.sim.halls[j.hall].name
+	if g.failureDomain.index != j.failureDomain {
+		r.Class, r.Origin = route.ClassDomain, g.sim.failureDomains[j.failureDomain].name
 		return r
 	}
 	r.Tried = j.tried
@@ -158,12 +158,12 @@
 
 // caller is who sent a request, and where it may be processed.
 func (g *gateway) caller(j *job) *config.Caller {
-	home := g.sim.halls[j.hall].region
+	home := g.sim.failureDomains[j.failureDomain].region
 	caller := &config.Caller{Name: j.caller.Name, Home: home, Regions: []string{home}}
 	if j.homeBound {
 		return caller
 	}
-	for _, h := range g.sim.halls {
+	for _, h := range g.sim.failureDomains {
 		if h.region != home {
 			caller.Regions = append(caller.Regions, h.region)
 		}
@@ -247,7 +247,7 @@
 }
 
 func (g *gateway) refuse(j *job, refusal *outcome.Refusal) {
-	if g.hall.index != j.hall {
+	if g.failureDomain.index != j.failureDomain {
 		g.giveBack(j)
 		return
 	}
--- a/pkg/load/decide/mix.go
+++ b/pkg/load/decide/mix.go
@@ -38,17 +38,17 @@
 
 // job is one request.
 type job struct {
-	at       time.Duration
-	kind     *mixKind
-	caller   *config.Caller
-	hall     int
-	gateway  int
-	prefixes []uint64
-	tokens   []int // up to the end of each message
-	answer   int
+	at            time.Duration
+	kind          *mixKind
+	caller        *config.Caller
+	failureDomain int
+	gateway       int
+	prefixes      []uint64
+	tokens        []int // up to the end of each message
+	answer        int
 	// homeBound requests may be processed in their own region alone.
 	homeBound bool
-	// tried names the halls that it was sent to.
+	// tried names the failure domains that it was sent to.
 	tried []string
 	// What became of it.
 	refused, inTime bool
@@ -111,7 +111,7 @@
 
 // arrivals draws the jobs of a Poisson process in one failure domain. The rate may
 // change with time, but is never above the highest.
-func (m *mix) arrivals(rnd *rand.Rand, highest float64, rate func(time.Duration) float64, length time.Duration, hall, gateways int) []job {
+func (m *mix) arrivals(rnd *rand.Rand, highest float64, rate func(time.Duration) float64, length time.Duration, failureDomain, gateways int) []job {
 	var jobs []job
 	at := time.Duration(0)
 	for {
@@ -124,7 +124,7 @@
 			continue
 		}
 		j.at = at
-		j.hall = hall
+		j.failureDomain = failureDomain
 		j.gateway = rnd.IntN(gateways)
 		j.homeBound = rnd.Float64() < homeBoundPart
 		jobs = append(jobs, j)
--- a/pkg/load/decide/oracle.go
+++ b/pkg/load/decide/oracle.go
@@ -75,7 +75,7 @@
 // deadline, if so many of its tokens were missing from the cache.
 func (s *simulation) couldFinish(j *job, missing int) bool {
 	return slices.ContainsFunc(s.engines, func(e *engine) bool {
-		permitted := e.hall.index == j.hall || (!j.homeBound && s.variant.percent > 0)
+		permitted := e.failureDomain.index == j.failureDomain || (!j.homeBound && s.variant.percent > 0)
 		return permitted && !e.rejects && e.couldFinish(j, missing)
 	})
 }
--- a/pkg/load/decide/simulation.go
+++ b/pkg/load/decide/simulation.go
@@ -33,25 +33,25 @@
 
 // simulation is one run of one policy.
 type simulation struct {
-	options Options
-	mix     *mix
-	now     time.Time
-	events  events
-	order   int
-	variant variant
-	halls   []*hall
-	spills  spills
-	engines []*engine
-	jobs    []job
-	result  result
-	end     time.Time
+	options        Options
+	mix            *mix
+	now            time.Time
+	events         events
+	order          int
+	variant        variant
+	failureDomains []*failureDomain
+	spills         spills
+	engines        []*engine
+	jobs           []job
+	result         result
+	end            time.Time
 }
 
 func newSimulation(o Options, m *mix, p policy, rate float64, seed uint64) *simulation {
 	s := &simulation{options: o, mix: m, now: epoch}
 	s.end = epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
-	s.build(max(1, o.Halls))
+	s.build(max(1, o.FailureDomains))
 	s.spoil()
 	constant := func(time.Duration) float64 { return rate }
 	s.staff(p, seed)
@@ -60,14 +60,14 @@
 }
 
 // build makes the failure domains and their engines.
-func (s *simulation) build(halls int) {
-	for i := range halls {
-		h := &hall{index: i, name: fmt.Sprintf("hall-%d", i), region: fmt.Sprintf("region-%d", i), heard: map[string]board.DomainDigest{}}
+func (s *simulation) build(failureDomains int) {
+	for i := range failureDomains {
+		h := &failureDomain{index: i, name: fmt.Sprintf("hall-%d", i), region: fmt.Sprintf("region-%d", i), heard: map[string]board.DomainDigest{}}
 		for e := range s.options.Engines {
 			h.engines = append(h.engines, newEngine(h, e))
 		}
 		s.engines = append(s.engines, h.engines...)
-		s.halls = append(s.halls, h)
+		s.failureDomains = append(s.failureDomains, h)
 	}
 }
 
@@ -86,7 +86,7 @@
 
 // staff puts gateways into the failure domains.
 func (s *simulation) staff(p policy, seed uint64) {
-	for _, h := range s.halls {
+	for _, h := range s.failureDomains {
 		for i := range s.options.Gateways {
 			h.gateways = append(h.gateways, newGateway(s, h, p, i, seed))
 		}
@@ -94,8 +94,8 @@
 }
 
 // offer draws the requests of each failure domain.
-func (s *simulation) offer(seed uint64, highest float64, rate func(hall int) func(time.Duration) float64) {
-	for i := range s.halls {
+func (s *simulation) offer(seed uint64, highest float64, rate func(failureDomain int) func(time.Duration) float64) {
+	for i := range s.failureDomains {
 		rnd := rand.New(rand.NewPCG(seed, seedStream+uint64(i)))
 		s.jobs = append(s.jobs, s.mix.arrivals(rnd, highest, rate(i), warmUp+s.options.Length, i, s.options.Gateways)...)
 	}
@@ -111,7 +111,7 @@
 			e.sample(s.now)
 		}
 	})
-	for _, h := range s.halls {
+	for _, h := range s.failureDomains {
 		s.every(pollInterval, func() { h.poll() })
 		s.every(digestInterval, func() { h.tell(s) })
 		for i, g := range h.gateways {
@@ -124,7 +124,7 @@
 	}
 	for i := range s.jobs {
 		j := &s.jobs[i]
-		s.after(j.at, func() { s.halls[j.hall].gateways[j.gateway].arrive(j) })
+		s.after(j.at, func() { s.failureDomains[j.failureDomain].gateways[j.gateway].arrive(j) })
 	}
 	for s.events.Len() > 0 {
 		next := heap.Pop(&s.events).(event)
--- a/pkg/load/decide/spill.go
+++ b/pkg/load/decide/spill.go
@@ -8,9 +8,9 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// halls is the number of failure domains in the comparison of sending away, each
+// failureDomains is the number of failure domains in the comparison of sending away, each
 // a region of its own.
-const halls = 3
+const failureDomains = 3
 
 // phase is a part of the scenario, by the arrival of requests.
 type phase struct {
@@ -18,7 +18,7 @@
 	from, to time.Duration
 }
 
-// phases of the scenario, from the end of the warm-up. The first hall has its peak
+// phases of the scenario, from the end of the warm-up. The first failure domain has its peak
 // from minute 2 to 5, and its link to the second is cut from 3 to 4; the second
 // loses all engines but one from 6 to 8.
 var phases = []phase{
@@ -30,7 +30,7 @@
 	{"region back", 8 * time.Minute, 10 * time.Minute},
 }
 
-// Loads of the scenario, parts of a hall's capacity.
+// Loads of the scenario, parts of a failure domain's capacity.
 const (
 	evenLoad = 0.5
 	peakLoad = 1.2
@@ -50,9 +50,9 @@
 	if err != nil {
 		return err
 	}
-	o.Halls = 1
+	o.FailureDomains = 1
 	capacity := capacityOf(o, mix, policies[0])
-	o.Halls = halls
+	o.FailureDomains = failureDomains
 	o.Length = scenarioLength
 	results := make([]spillSeries, len(variants))
 	for pair := range o.Pairs {
@@ -93,9 +93,9 @@
 
 func runScenario(o Options, m *mix, v variant, capacity float64, seed uint64) spillResult {
 	s := newRegions(o, m, v, seed)
-	s.offer(seed, peakLoad*capacity, func(hall int) func(time.Duration) float64 {
+	s.offer(seed, peakLoad*capacity, func(failureDomain int) func(time.Duration) float64 {
 		return func(at time.Duration) float64 {
-			if hall == 0 && at >= warmUp+peakFrom && at < warmUp+peakTo {
+			if failureDomain == 0 && at >= warmUp+peakFrom && at < warmUp+peakTo {
 				return peakLoad * capacity
 			}
 			return evenLoad * capacity
@@ -112,14 +112,14 @@
 	s.end = epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
 	s.spills.bins = map[int][]float64{}
-	s.build(halls)
+	s.build(failureDomains)
 	s.staff(policies[0], seed)
 	return s
 }
 
 // troubles schedules the cut link and the loss of engines.
 func (s *simulation) troubles() {
-	first, second := s.halls[0], s.halls[1]
+	first, second := s.failureDomains[0], s.failureDomains[1]
 	s.after(warmUp+cutFrom, func() {
 		first.cutFrom = map[string]bool{second.name: true}
 		second.cutFrom = map[string]bool{first.name: true}
--- a/pkg/standin/link/link.go
+++ b/pkg/standin/link/link.go
@@ -48,9 +48,9 @@
 type Network struct {
 	settings []Settings
 
-	mu    sync.Mutex
-	paths map[pair]*path
-	doors []*door
+	mu        sync.Mutex
+	paths     map[pair]*path
+	listeners []*cuttableListener
 }
 
 // pair is a direction.
@@ -102,18 +102,18 @@
 	return nil
 }
 
-func (n *Network) register(d *door) {
+func (n *Network) register(d *cuttableListener) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.doors = append(n.doors, d)
+	n.listeners = append(n.listeners, d)
 }
 
-// between returns the doors that a direction's state shuts.
-func (n *Network) between(p *path) []*door {
+// between returns the listeners that a direction's state shuts.
+func (n *Network) between(p *path) []*cuttableListener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var found []*door
-	for _, d := range n.doors {
+	var found []*cuttableListener
+	for _, d := range n.listeners {
 		if d.forward == p || d.backward == p {
 			found = append(found, d)
 		}
@@ -226,7 +226,7 @@
 func (n *Network) accept(ctx context.Context, s Settings, listener *net.TCPListener) {
 	var running sync.WaitGroup
 	defer running.Wait()
-	d := newDoor(listener, n.path(s.From, s.To), n.path(s.To, s.From))
+	d := newCuttableListener(listener, n.path(s.From, s.To), n.path(s.To, s.From))
 	n.register(d)
 	for {
 		conn, err := d.next(ctx)
--- a/pkg/standin/link/door.go
+++ b/pkg/standin/link/listener.go
@@ -14,22 +14,22 @@
 	// openBacklog is how many connections may wait to be accepted; the system
 	// may allow fewer.
 	openBacklog = 4096
-	// plugTimeout bounds the connection that fills a shut backlog.
-	plugTimeout = 100 * time.Millisecond
-	// closeTimeout bounds the wait of a cut for the doors to be shut.
+	// fillerTimeout bounds the connection that fills a shut backlog.
+	fillerTimeout = 100 * time.Millisecond
+	// closeTimeout bounds the wait of a cut for the listeners to be shut.
 	closeTimeout = time.Second
 )
 
-// door is a relay's listener. It is shut while either direction is cut: then its
-// backlog has room for one connection, which the door makes itself, so that the
+// cuttableListener is a relay's listener. It is shut while either direction is cut: then its
+// backlog has room for one connection, which the listener makes itself, so that the
 // system answers no other handshake.
-type door struct {
+type cuttableListener struct {
 	listener          *net.TCPListener
 	forward, backward *path
-	// plug is the connection that fills the shut backlog, or nil.
-	plug net.Conn
-	// plugAddress is the plug's address, to tell it from others when accepted.
-	plugAddress string
+	// filler is the connection that fills the shut backlog, or nil.
+	filler net.Conn
+	// fillerAddress is the filler's address, to tell it from others when accepted.
+	fillerAddress string
 
 	mu sync.Mutex
 	// closed says that the backlog is shut; whenClosed is closed with it.
@@ -37,12 +37,12 @@
 	whenClosed chan struct{}
 }
 
-func newDoor(listener *net.TCPListener, forward, backward *path) *door {
-	return &door{listener: listener, forward: forward, backward: backward, whenClosed: make(chan struct{})}
+func newCuttableListener(listener *net.TCPListener, forward, backward *path) *cuttableListener {
+	return &cuttableListener{listener: listener, forward: forward, backward: backward, whenClosed: make(chan struct{})}
 }
 
-// waitClosed waits until the door is shut, within bounds.
-func (d *door) waitClosed() {
+// waitClosed waits until the listener is shut, within bounds.
+func (d *cuttableListener) waitClosed() {
 	d.mu.Lock()
 	whenClosed := d.whenClosed
 	d.mu.Unlock()
@@ -54,8 +54,8 @@
 	}
 }
 
-// mark sets whether the door is shut, and reports whether that is new.
-func (d *door) mark(closed bool) bool {
+// mark sets whether the listener is shut, and reports whether that is new.
+func (d *cuttableListener) mark(closed bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed == closed {
@@ -71,7 +71,7 @@
 }
 
 // next accepts a connection once both directions are open.
-func (d *door) next(ctx context.Context) (net.Conn, error) {
+func (d *cuttableListener) next(ctx context.Context) (net.Conn, error) {
 	for {
 		// The deadline is lifted before the state is read, and a change of state
 		// sets it: no change is missed.
@@ -89,7 +89,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
-		if err == nil && conn.RemoteAddr().String() == d.plugAddress {
+		if err == nil && conn.RemoteAddr().String() == d.fillerAddress {
 			_ = conn.Close()
 			continue
 		}
@@ -99,7 +99,7 @@
 
 // shut reports whether new connections are held back, and returns what is closed
 // when either direction changes.
-func (d *door) shut() (shut bool, changed []<-chan struct{}) {
+func (d *cuttableListener) shut() (shut bool, changed []<-chan struct{}) {
 	for _, p := range []*path{d.forward, d.backward} {
 		_, cut, reset, next := p.state()
 		shut = shut || (cut && !reset)
@@ -117,7 +117,7 @@
 }
 
 // acceptUntil accepts a connection, or gives up when a direction changes.
-func (d *door) acceptUntil(ctx context.Context, changed []<-chan struct{}) (net.Conn, error) {
+func (d *cuttableListener) acceptUntil(ctx context.Context, changed []<-chan struct{}) (net.Conn, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
@@ -129,34 +129,34 @@
 	return d.listener.Accept()
 }
 
-func (d *door) close(ctx context.Context) {
-	if d.plug != nil {
+func (d *cuttableListener) close(ctx context.Context) {
+	if d.filler != nil {
 		return
 	}
 	d.setBacklog(0)
-	dialer := net.Dialer{Timeout: plugTimeout}
+	dialer := net.Dialer{Timeout: fillerTimeout}
 	// Failing means that the backlog is full already.
-	plug, err := dialer.DialContext(ctx, "tcp", d.listener.Addr().String())
+	filler, err := dialer.DialContext(ctx, "tcp", d.listener.Addr().String())
 	if err == nil {
-		d.plug, d.plugAddress = plug, plug.LocalAddr().String()
+		d.filler, d.fillerAddress = filler, filler.LocalAddr().String()
 	}
 	d.mark(true)
 }
 
-func (d *door) open() {
+func (d *cuttableListener) open() {
 	if !d.mark(false) {
 		return
 	}
 	d.setBacklog(openBacklog)
-	if d.plug != nil {
-		_ = d.plug.Close()
-		d.plug = nil
+	if d.filler != nil {
+		_ = d.filler.Close()
+		d.filler = nil
 	}
 }
 
 // setBacklog bounds the connections that the system makes before they are
 // accepted. Where that fails, connections are made during a cut, and held back.
-func (d *door) setBacklog(size int) {
+func (d *cuttableListener) setBacklog(size int) {
 	raw, err := d.listener.SyscallConn()
 	if err != nil {
 		return
