Wait with a context by one function in the stand-ins

The same function stood to the letter in the engine's and the link's stand-in; it is now clock.Sleep.

--- a/pkg/standin/engine/generate.go
+++ b/pkg/standin/engine/generate.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/prefix"
@@ -38,7 +38,7 @@
 	sent := 0
 	for index := s.offset; index < s.ask.MaxTokens; index++ {
 		due = due.Add(time.Duration(float64(time.Second) / e.decodeRate()))
-		if !pause(s.ctx, time.Until(due)) {
+		if !clock.Sleep(s.ctx, time.Until(due)) {
 			return journal.ResultCancelled
 		}
 		if result, end := e.strike(s, sent); end {
@@ -78,22 +78,7 @@
 	defer func() { <-e.prefill }()
 	missing := e.cache.admit(s.ask.Messages) + s.offset
 	seconds := float64(missing) / e.settings.PrefillRate * e.switches.load().slow
-	return pause(s.ctx, time.Duration(seconds*float64(time.Second)))
-}
-
-// pause waits, and reports whether ctx lasted.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(s.ctx, time.Duration(seconds*float64(time.Second)))
 }
 
 func (e *Engine) streamAnswer(c echo.Context, s *stream) string {
--- a/pkg/standin/link/relay.go
+++ b/pkg/standin/link/relay.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // segment is what one read brought, due at the other end at a moment. An empty
@@ -60,7 +62,7 @@
 	segments := make(chan segment, windowSegments)
 	go read(ctx, p, from, segments, first)
 	for part := range segments {
-		if !pause(ctx, time.Until(part.due)) || !p.passable(ctx) {
+		if !clock.Sleep(ctx, time.Until(part.due)) || !p.passable(ctx) {
 			cancel()
 			return
 		}
@@ -120,17 +122,3 @@
 		_ = tcp.CloseWrite()
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
