--- /dev/null
+++ b/pkg/edge/call.go
@@ -0,0 +1,185 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// maxHeld bounds, in bytes, an answer that is held until it is whole; a longer one
+// is passed on as it comes.
+const maxHeld = 64 << 10
+
+// call is one attempt at one target.
+type call struct {
+	*job
+	pool   *exchange.Pool
+	target exchange.Target
+	send   Send
+	// begun is called when the answer's first part has come.
+	begun func()
+	// peer is true when the target is another instance.
+	peer bool
+	// status is that of the answer; zero: none came. whole is true once all of it was
+	// read.
+	status int
+	whole  bool
+	err    error
+}
+
+// held is a whole answer in memory.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// do sends the request and passes the answer on.
+func (c *call) do(ctx context.Context) result {
+	answer, err := c.pool.Do(ctx, c.target, &exchange.Request{
+		Method: c.request.Method,
+		URI:    c.request.RequestURI,
+		Host:   c.request.Host,
+		Header: c.dialect.Outgoing(c.request.Header, c.send),
+		Body:   c.body,
+		Ours:   c.ours,
+	})
+	if err != nil {
+		return c.failed(ctx, err)
+	}
+	defer answer.Close()
+	c.sends++
+	c.status = answer.Status
+	return c.judge(ctx, answer)
+}
+
+// failed classifies an attempt without an answer.
+func (c *call) failed(ctx context.Context, err error) result {
+	c.err, c.lastError = err, err
+	var failure *exchange.Error
+	unsent := errors.As(err, &failure) && failure.Stage == exchange.Unsent
+	if !unsent {
+		c.sends++
+	}
+	if c.request.Context().Err() != nil {
+		return callerGone
+	}
+	c.log.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
+		Bool("unsent", unsent).Dur("left_ms", c.deadline.Sub(c.now())).Err(err).Msg("attempt-failed")
+	if unsent {
+		return notRun
+	}
+	return broken
+}
+
+// ours says whether an answer belongs to the request that was sent. Refusals need
+// not name it.
+func (c *call) ours(status int, fields http.Header) bool {
+	reading := c.dialect.Reading(status, fields)
+	if reading.RequestID == "" {
+		return reading.NotRun || status >= http.StatusBadRequest
+	}
+	return reading.RequestID == c.attributes.RequestID
+}
+
+// judge decides from the answer's head what becomes of it.
+func (c *call) judge(ctx context.Context, answer *exchange.Answer) result {
+	reading := c.dialect.Reading(answer.Status, answer.Header)
+	if reading.NotRun || c.refusedByPeer(answer) {
+		c.drain(answer)
+		return notRun
+	}
+	if !reading.Proven && answer.Status < http.StatusMultipleChoices {
+		answer.Spoil()
+		return c.odd("answer without the server's signature")
+	}
+	if c.route.Kind == httproute.Streaming && answer.Status == http.StatusOK {
+		return c.stream(ctx, answer)
+	}
+	if c.writer.begun {
+		return c.odd("the stream cannot be resumed")
+	}
+	return c.answer(ctx, answer)
+}
+
+// refusedByPeer says whether another instance answers that the request did not run.
+func (c *call) refusedByPeer(answer *exchange.Answer) bool {
+	return c.peer && answer.Header.Get(header.Outcome) == string(outcome.NotRun)
+}
+
+// drain reads the rest of a refusal so that its connection can be kept.
+func (c *call) drain(answer *exchange.Answer) {
+	if n, err := io.CopyN(io.Discard, answer, maxHeld); err == nil {
+		c.log.Debug().Int64("bytes", n).Msg("refusal-too-long")
+	}
+}
+
+// oddError is an answer that cannot be passed on.
+type oddError struct{ problem string }
+
+// Error implements error.
+func (e *oddError) Error() string { return e.problem }
+
+func (c *call) odd(problem string) result {
+	c.err = &oddError{problem: problem}
+	c.lastError = c.err
+	c.log.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
+		Int("status", c.status).Str("problem", problem).Msg("answer-odd")
+	return broken
+}
+
+// answer passes on an answer that is no stream.
+func (c *call) answer(ctx context.Context, answer *exchange.Answer) result {
+	body, err := io.ReadAll(io.LimitReader(answer, maxHeld))
+	if err != nil {
+		return c.failed(ctx, &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: err})
+	}
+	c.begun()
+	if !answer.Whole() && len(body) == maxHeld {
+		return c.long(ctx, answer, body)
+	}
+	c.whole = true
+	whole := &held{status: answer.Status, header: c.dialect.Answer(answer.Header), body: body}
+	if answer.Status >= http.StatusInternalServerError && c.route.Repeatable() {
+		c.kept = whole
+		return broken
+	}
+	return c.give(whole)
+}
+
+// give passes on an answer that is in memory.
+func (c *job) give(whole *held) result {
+	if err := c.writer.whole(whole); err != nil {
+		return callerGone
+	}
+	return done
+}
+
+// long passes on an answer that is too long to be held.
+func (c *call) long(ctx context.Context, answer *exchange.Answer, first []byte) result {
+	if err := c.writer.begin(answer.Status, c.dialect.Answer(answer.Header), answer.Length); err != nil {
+		return callerGone
+	}
+	if err := c.writer.pass(first); err != nil {
+		return callerGone
+	}
+	buffer := make([]byte, maxHeld)
+	for {
+		n, err := answer.Read(buffer)
+		if passed := c.writer.pass(buffer[:n]); passed != nil {
+			return callerGone
+		}
+		if errors.Is(err, io.EOF) {
+			return done
+		}
+		if err != nil {
+			return c.failed(ctx, &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: err})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/edge/dialect.go
@@ -0,0 +1,64 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+// Attributes are what a request's headers say of it.
+type Attributes struct {
+	// RequestID names this try of the caller; each has its own.
+	RequestID string
+	// Deadline is for how long the caller waits; zero: it does not say.
+	Deadline time.Duration
+	// PromptTokens and OutputTokens are the prompt's size and the longest answer's;
+	// zero where they are not said.
+	PromptTokens, OutputTokens int
+	// Parts are the prompt's parts in order.
+	Parts []steer.Part
+	// After is the event after which a stream is to go on; empty: from its beginning.
+	After string
+}
+
+// Send is what this instance says of a request that it sends on.
+type Send struct {
+	// Left is the time in which the answer must be whole.
+	Left time.Duration
+	// Upstream is the ID of the upstream that must answer; empty for an instance.
+	Upstream string
+	// After overrides Attributes.After when a stream is resumed.
+	After string
+}
+
+// Reading is what an answer's header says.
+type Reading struct {
+	// RequestID is the request that it answers; empty when it does not say.
+	RequestID string
+	// NotRun is true when the server states that it did not run the request and
+	// never will.
+	NotRun bool
+	// Proven is true when the server has signed the answer as its own.
+	Proven bool
+	// RetryAfter is when the server asks to come back; zero when it does not say.
+	RetryAfter time.Duration
+}
+
+// Dialect reads and writes the headers by which callers, upstreams and instances of
+// a deployment tell each other what their requests and answers are.
+type Dialect interface {
+	// Attributes reads a request's header; the error says which field is bad.
+	Attributes(header http.Header) (Attributes, error)
+	// Outgoing returns the header of a request that is sent on: the end-to-end
+	// fields of the caller's, less those that only the system may set, and what send
+	// says.
+	Outgoing(from http.Header, send Send) http.Header
+	// Reading reads an answer's header.
+	Reading(status int, header http.Header) Reading
+	// Answer returns the end-to-end fields of an answer's header.
+	Answer(from http.Header) http.Header
+	// Refusal returns the header of a refusal of this instance: whether the request
+	// has run, and when to come back (zero: not said).
+	Refusal(requestID string, retryAfter time.Duration) http.Header
+}
--- /dev/null
+++ b/pkg/edge/handler.go
@@ -0,0 +1,197 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+// serveCaller serves a caller's request.
+func (e *Edge) serveCaller(w http.ResponseWriter, r *http.Request) { e.serve(w, r, false) }
+
+// servePeer serves a request that another instance has forwarded.
+func (e *Edge) servePeer(w http.ResponseWriter, r *http.Request) { e.serve(w, r, true) }
+
+// noConfigurationRetry is when to come back to an instance without a configuration:
+// it reads one as soon as the store or another instance answers.
+const noConfigurationRetry = 300 * time.Millisecond
+
+// writeSlack is what the caller may take to read the end of an answer after the
+// request's time is over.
+const writeSlack = time.Second
+
+func (e *Edge) serve(w http.ResponseWriter, r *http.Request, forwarded bool) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	j := &job{
+		Edge:      e,
+		request:   r,
+		forwarded: forwarded,
+		started:   e.now(),
+		writer: &writer{
+			ResponseWriter: w,
+			control:        http.NewResponseController(w),
+			closing:        e.leaving.Load,
+			now:            e.now,
+		},
+	}
+	refusal := j.serve()
+	j.end(refusal)
+}
+
+// serve takes the request to its end; the refusal is what the caller must still be
+// told.
+func (j *job) serve() *outcome.Refusal {
+	if refusal := j.prepare(); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
+	defer cancel()
+	// A caller that does not read must not hold the answer in memory for good. A
+	// connection without deadlines (a test's recorder) has no slow reader.
+	_ = j.writer.control.SetWriteDeadline(j.deadline.Add(writeSlack))
+	j.retries.Request(j.service.Name)
+	return j.run(ctx)
+}
+
+// prepare finds the route and reads the request whole.
+func (j *job) prepare() *outcome.Refusal {
+	j.config = j.board.Routes.Load()
+	if j.config == nil || j.board.Fleet.Load() == nil {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, noConfigurationRetry, "this instance has no configuration yet")
+	}
+	var err error
+	if j.attributes, err = j.dialect.Attributes(j.request.Header); err != nil {
+		refusal := outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, "bad header")
+		refusal.Err = err
+		return refusal
+	}
+	j.route = j.config.Match(j.request.Host, path(j.request.RequestURI))
+	if j.route == nil {
+		return outcome.Refuse(http.StatusNotFound, outcome.ReasonUnknownRoute, 0, "no route matches")
+	}
+	j.setDeadline()
+	if refusal := j.readBody(); refusal != nil {
+		return refusal
+	}
+	j.service = j.config.Service(j.route.Pick(hash(j.attributes.RequestID)))
+	if j.service == nil {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, noConfigurationRetry, "the route has no service")
+	}
+	if j.forwarded && !j.route.PermittedIn(j.settings.Region) {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonForbiddenRegion, noConfigurationRetry, "the request may not be processed in this region")
+	}
+	return nil
+}
+
+// longestWait bounds a request for which neither its caller nor its route does.
+const longestWait = time.Minute
+
+// setDeadline takes the earlier of the caller's and the route's bound.
+func (j *job) setDeadline() {
+	bound := longestWait
+	if j.route.Timeout > 0 {
+		bound = min(bound, j.route.Timeout)
+	}
+	if j.attributes.Deadline > 0 {
+		bound = min(bound, j.attributes.Deadline)
+	}
+	j.deadline = j.started.Add(bound)
+}
+
+// readBody reads the whole body: nothing of a request that is cut off on its way in
+// reaches an upstream.
+func (j *job) readBody() *outcome.Refusal {
+	limit := j.config.Limits.BodyBytes
+	body := io.Reader(j.request.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(j.writer.ResponseWriter, j.request.Body, int64(limit))
+	}
+	// A connection without deadlines (a test's recorder) has no slow sender.
+	_ = j.writer.control.SetReadDeadline(j.deadline)
+	data, err := readAll(body, j.request.ContentLength)
+	_ = j.writer.control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is too large")
+	case err != nil:
+		refusal := outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, noConfigurationRetry, "the body did not arrive whole")
+		refusal.Err = err
+		return refusal
+	}
+	j.body = data
+	return nil
+}
+
+// readAll reads a body whose length is known or -1.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	if length < 0 || length > maxHeld {
+		return io.ReadAll(body)
+	}
+	data := make([]byte, length)
+	_, err := io.ReadFull(body, data)
+	return data, err
+}
+
+// end tells the caller of a refusal, and logs and counts the end of the request.
+func (j *job) end(refusal *outcome.Refusal) {
+	took := j.now().Sub(j.started)
+	if refusal == nil {
+		j.counts.served(took)
+		if e := j.log.Debug(); e.Enabled() {
+			e.Str("request", j.attributes.RequestID).Int("sends", j.sends).Dur("ms", took).Msg("request-ended")
+		}
+		if j.request.Context().Err() != nil {
+			j.counts.gone()
+		}
+		return
+	}
+	j.counts.refused(refusal)
+	event := j.log.Warn().Str("request", j.attributes.RequestID)
+	if j.route != nil {
+		event = event.Str("route", j.route.Name)
+	}
+	event.Str("outcome", string(refusal.Outcome)).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).
+		Int("sends", j.sends).Int("runs", j.runs).Bool("forwarded", j.forwarded).Bool("begun", j.writer.begun).
+		Dur("ms", took).Str("detail", refusal.Detail).AnErr("cause", refusal.Err).AnErr("last", j.lastError).Msg("request-failed")
+	j.refuse(refusal)
+}
+
+// refuse gives the caller a server's own failure if one was kept, else the refusal.
+// An answer that has begun can only be broken off.
+func (j *job) refuse(refusal *outcome.Refusal) {
+	if j.writer.begun {
+		panic(http.ErrAbortHandler)
+	}
+	if j.kept != nil && j.runs > 0 {
+		j.give(j.kept)
+		return
+	}
+	fields := j.writer.Header()
+	maps.Copy(fields, j.dialect.Refusal(j.attributes.RequestID, refusal.RetryAfter))
+	fields.Set(header.Outcome, string(refusal.Outcome))
+	fields.Set(header.ContentType, "text/plain; charset=utf-8")
+	body := fmt.Sprintf("%s: %s: %s\n", refusal.Outcome, refusal.Reason, refusal.Detail)
+	j.give(&held{status: refusal.Status, header: fields.Clone(), body: []byte(body)})
+}
+
+// surveyError tells, in logs, why no upstream could take a request.
+type surveyError struct{ survey steer.Survey }
+
+// Error implements error.
+func (e *surveyError) Error() string {
+	s := e.survey
+	return fmt.Sprintf("known=%d usable=%d cold=%d in_flight=%d slots=%d", s.Known, s.Usable, s.Cold, s.InFlight, s.Slots)
+}
--- /dev/null
+++ b/pkg/edge/job.go
@@ -0,0 +1,267 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+// maxSends bounds how often one request is sent, whatever its route permits: those
+// that were rejected without being run count here as well.
+const maxSends = 4
+
+// job is one request on its way.
+type job struct {
+	*Edge
+	request    *http.Request
+	attributes Attributes
+	config     *httproute.Configuration
+	route      *httproute.Route
+	service    *httproute.Service
+	body       []byte
+	forwarded  bool
+	started    time.Time
+	deadline   time.Time
+	writer     *writer
+
+	tried []string
+	// sends counts sends, runs those after which the request may have run.
+	sends, runs int
+	// kept is a server's failure that is given to the caller if nothing better comes.
+	kept *held
+	// lastError is why the last attempt failed.
+	lastError error
+}
+
+// target is where one attempt goes: an upstream of the own region, or an instance
+// of another.
+type target struct {
+	survey steer.Survey
+	peer   *peer.Known
+}
+
+// name is the upstream's ID or the instance's name.
+func (t *target) name() string {
+	if t.peer != nil {
+		return t.peer.Instance.Name
+	}
+	return t.survey.Best.Upstream.ID
+}
+
+// result is how an attempt ended.
+type result int
+
+const (
+	// done: the caller has its whole answer.
+	done result = iota
+	// notRun: the request did not run there and never will.
+	notRun
+	// broken: it may have run, and the caller has no whole answer.
+	broken
+	// callerGone: the caller left.
+	callerGone
+)
+
+// run makes attempts until one succeeds or the request must be given up.
+func (j *job) run(ctx context.Context) *outcome.Refusal {
+	for {
+		next, refusal := j.next()
+		if refusal != nil {
+			return j.giveUp(refusal)
+		}
+		switch j.attempt(ctx, next) {
+		case done, callerGone:
+			return nil
+		case notRun:
+		case broken:
+			j.runs++
+		}
+		if refusal := j.mayRepeat(ctx); refusal != nil {
+			return j.giveUp(refusal)
+		}
+	}
+}
+
+// mayRepeat says whether the request may be sent once more after a failed attempt.
+func (j *job) mayRepeat(ctx context.Context) *outcome.Refusal {
+	switch {
+	case context.Cause(ctx) != nil || !j.now().Before(j.deadline):
+		return j.late()
+	case j.runs > 0 && !j.route.Repeatable():
+		return outcome.Doubt(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
+	case j.runs >= max(1, j.route.MaxAttempts) || j.sends >= maxSends:
+		return j.exhausted("no attempt is left")
+	case j.sends > 0 && !j.retries.Take(j.service.Name, j.instances()):
+		return j.exhausted("the retry budget is used up")
+	}
+	return nil
+}
+
+// exhausted is the refusal of a request that may not be sent again.
+func (j *job) exhausted(detail string) *outcome.Refusal {
+	if j.runs > 0 {
+		return outcome.Doubt(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, detail)
+	}
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, steer.RetryAfter(j.now(), j.deadline), detail)
+}
+
+// late is the refusal of a request whose time is over.
+func (j *job) late() *outcome.Refusal {
+	if j.runs > 0 {
+		return outcome.Doubt(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the time is over")
+	}
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDeadline, steer.RetryAfter(j.now(), j.deadline), "the time is over")
+}
+
+// giveUp makes the refusal true for the whole request: once it may have run, it is
+// never called not run.
+func (j *job) giveUp(refusal *outcome.Refusal) *outcome.Refusal {
+	if j.runs > 0 && refusal.Outcome == outcome.NotRun {
+		return outcome.Doubt(http.StatusBadGateway, refusal.Reason, 0, refusal.Detail)
+	}
+	return refusal
+}
+
+// world is the snapshots by which the request is steered now.
+func (j *job) world() *steer.World {
+	return &steer.World{
+		Region: j.settings.Region,
+		Fleet:  j.board.Fleet.Load(),
+		Peers:  j.gossip.View().Load(),
+		Local:  j.tracker,
+		Cold:   j.coldLeft,
+		Recent: j.recent,
+		Now:    j.now(),
+		Roll:   rand.Uint64(),
+	}
+}
+
+// next chooses where the request goes.
+func (j *job) next() (*target, *outcome.Refusal) {
+	world := j.world()
+	query := &steer.Request{
+		Route:        j.route,
+		Service:      j.service,
+		Parts:        j.attributes.Parts,
+		PromptTokens: j.attributes.PromptTokens,
+		OutputTokens: j.attributes.OutputTokens,
+		Deadline:     j.deadline,
+		Tried:        j.tried,
+		Forwarded:    j.forwarded,
+	}
+	here := j.route.PermittedIn(world.Region)
+	var survey steer.Survey
+	if here {
+		survey = world.Look(query)
+	}
+	if !j.forwarded {
+		if away := world.Choose(query, survey, world.Regions(query)); away != nil {
+			return &target{peer: away.Peers[world.Roll%uint64(len(away.Peers))]}, nil
+		}
+	}
+	if survey.Best.Upstream == nil {
+		return nil, j.noUpstream(here, &survey)
+	}
+	return &target{survey: survey}, nil
+}
+
+func (j *job) noUpstream(here bool, survey *steer.Survey) *outcome.Refusal {
+	detail := "no upstream of the service can take the request now"
+	if !here {
+		detail = "no instance in a permitted region can be reached"
+	}
+	retry := steer.RetryAfter(j.now(), j.deadline)
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, retry, detail)
+	refusal.Err = &surveyError{survey: *survey}
+	return refusal
+}
+
+// attempt sends the request once.
+func (j *job) attempt(ctx context.Context, to *target) result {
+	if to.peer != nil {
+		return j.forward(ctx, to)
+	}
+	upstream := to.survey.Best.Upstream
+	flight, ok := j.tracker.Start(upstream.ID, to.survey.Best.Uncached, 0)
+	j.tried = append(j.tried, upstream.ID)
+	if !ok {
+		return notRun
+	}
+	if upstream.Cold(j.now()) {
+		j.cold.Sent(upstream.ID)
+	}
+	j.recent.Add(j.attributes.Parts, upstream.ID, j.now())
+	call := &call{
+		job:    j,
+		pool:   j.upstreams,
+		target: exchange.Target{ID: upstream.ID, Address: upstream.Address, MaxConnections: j.connectionShare()},
+		send:   Send{Left: j.deadline.Sub(j.now()), Upstream: upstream.ID, After: j.after()},
+		begun:  flight.FirstByte,
+	}
+	ended := call.do(ctx)
+	flight.Done(call.verdict(ended))
+	return ended
+}
+
+// forward sends the request to an instance of another region.
+func (j *job) forward(ctx context.Context, to *target) result {
+	j.tried = append(j.tried, to.name())
+	call := &call{
+		job:    j,
+		pool:   j.peers,
+		target: exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
+		send:   Send{Left: j.deadline.Sub(j.now()), After: j.after()},
+		begun:  func() {},
+		peer:   true,
+	}
+	return call.do(ctx)
+}
+
+// after is the event after which a stream goes on.
+func (j *job) after() string {
+	if j.writer.lastEvent != "" {
+		return j.writer.lastEvent
+	}
+	return j.attributes.After
+}
+
+// connectionShare is how many connections this instance may have to one upstream.
+func (j *job) connectionShare() int {
+	if j.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, j.service.MaxConnections/(j.regionInstances()+1))
+}
+
+// verdict tells how the attempt ended to the upstream's tracker.
+func (c *call) verdict(ended result) limit.Result {
+	switch ended {
+	case done:
+		if c.status >= http.StatusInternalServerError {
+			return limit.Abandoned
+		}
+		return limit.Succeeded
+	case callerGone:
+		return limit.Abandoned
+	case notRun:
+		var failed *exchange.Error
+		if errors.As(c.err, &failed) {
+			return limit.Failed
+		}
+		return limit.Rejected
+	default:
+		if c.status != 0 && c.whole {
+			return limit.Abandoned
+		}
+		return limit.Failed
+	}
+}
--- /dev/null
+++ b/pkg/edge/stream.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/lilacweir/lilacweir/pkg/exchange"
+)
+
+// Sizes of a stream's buffer, in bytes.
+const (
+	streamBuffer = 4 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+)
+
+// Parts of server-sent events.
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// errPartial: a stream ended inside an event.
+var errPartial = errors.New("stream ended inside an event")
+
+// stream passes whole events on as they come. What follows the last whole event when
+// the stream breaks is thrown away.
+func (c *call) stream(ctx context.Context, answer *exchange.Answer) result {
+	buffer := make([]byte, streamBuffer)
+	fill := 0
+	for {
+		if fill == len(buffer) {
+			if len(buffer) >= maxEvent {
+				return c.odd("event too long")
+			}
+			buffer = append(buffer, make([]byte, len(buffer))...)
+		}
+		n, err := answer.Read(buffer[fill:])
+		if n > 0 && fill == 0 {
+			c.begun()
+		}
+		fill += n
+		whole := bytes.LastIndex(buffer[:fill], eventEnd)
+		if whole >= 0 {
+			whole += len(eventEnd)
+			if passed := c.events(answer, buffer[:whole]); passed != nil {
+				return callerGone
+			}
+			fill = copy(buffer, buffer[whole:fill])
+		}
+		if err != nil {
+			return c.streamEnd(ctx, answer, fill, err)
+		}
+	}
+}
+
+// events passes whole events on, and the head before the first.
+func (c *call) events(answer *exchange.Answer, events []byte) error {
+	if !c.writer.begun {
+		if err := c.writer.begin(answer.Status, c.dialect.Answer(answer.Header), -1); err != nil {
+			return err
+		}
+	}
+	if id := lastID(events); id != "" {
+		c.writer.lastEvent = id
+	}
+	return c.writer.pass(events)
+}
+
+// streamEnd ends the answer, or the attempt.
+func (c *call) streamEnd(ctx context.Context, answer *exchange.Answer, left int, err error) result {
+	if errors.Is(err, io.EOF) && left == 0 {
+		c.whole = true
+		if c.writer.begun {
+			return done
+		}
+		return c.give(&held{status: answer.Status, header: c.dialect.Answer(answer.Header)})
+	}
+	if errors.Is(err, io.EOF) {
+		err = errPartial
+	}
+	return c.failed(ctx, &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: err})
+}
+
+// lastID returns the last event ID among whole events; empty when there is none.
+func lastID(events []byte) string {
+	for end := len(events); end > 0; {
+		start := bytes.LastIndexByte(events[:end-1], '\n') + 1
+		line := events[start:end]
+		if bytes.HasPrefix(line, idField) {
+			return string(bytes.TrimSpace(line[len(idField):]))
+		}
+		end = start
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/exchange/pool.go
@@ -0,0 +1,231 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Dialer makes connections.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Pool keeps connections to targets. It is safe for concurrent use.
+type Pool struct {
+	dial Dialer
+	// dialTimeout bounds the making of a connection.
+	dialTimeout time.Duration
+	now         func() time.Time
+	mu          sync.Mutex
+	targets     map[string]*connections
+	dialed      int64
+}
+
+// connections are those to one target.
+type connections struct {
+	open int
+	idle []*conn
+}
+
+// conn is one connection with what was read ahead of it.
+type conn struct {
+	net.Conn
+	target  string
+	reader  *bufio.Reader
+	expires time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(dial Dialer, dialTimeout time.Duration, now func() time.Time) *Pool {
+	return &Pool{dial: dial, dialTimeout: dialTimeout, now: now, targets: make(map[string]*connections)}
+}
+
+// Dialed returns how many connections were made so far.
+func (p *Pool) Dialed() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+// take returns a kept connection that is still sound, or a new one.
+func (p *Pool) take(ctx context.Context, target Target) (c *conn, kept bool, err error) {
+	for {
+		c, fresh, err := p.reserve(target)
+		if err != nil {
+			return nil, false, err
+		}
+		if fresh {
+			c, err = p.connect(ctx, target)
+			return c, false, err
+		}
+		if p.now().Before(c.expires) && c.quiet() {
+			return c, true, nil
+		}
+		p.drop(c)
+	}
+}
+
+// reserve takes the most recently used idle connection, or counts a new one.
+func (p *Pool) reserve(target Target) (c *conn, fresh bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.targets[target.ID]
+	if conns == nil {
+		conns = &connections{}
+		p.targets[target.ID] = conns
+	}
+	if last := len(conns.idle) - 1; last >= 0 {
+		c = conns.idle[last]
+		conns.idle = conns.idle[:last]
+		return c, false, nil
+	}
+	if target.MaxConnections > 0 && conns.open >= target.MaxConnections {
+		return nil, false, ErrFull
+	}
+	conns.open++
+	p.dialed++
+	return nil, true, nil
+}
+
+func (p *Pool) connect(ctx context.Context, target Target) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	defer cancel()
+	plain, err := p.dial(ctx, "tcp", target.Address)
+	if err != nil {
+		p.release(target.ID)
+		return nil, err
+	}
+	return &conn{Conn: plain, target: target.ID, reader: newReader(plain)}, nil
+}
+
+func (p *Pool) release(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.targets[target]
+	conns.open--
+	if conns.open == 0 && len(conns.idle) == 0 {
+		delete(p.targets, target)
+	}
+}
+
+// drop closes a connection for good.
+func (p *Pool) drop(c *conn) {
+	// A failed close leaves nothing to be done: the connection is not used again.
+	_ = c.Close()
+	p.release(c.target)
+}
+
+// keep puts a connection aside for later requests.
+func (p *Pool) keep(c *conn, idle time.Duration) {
+	if idle <= 0 {
+		p.drop(c)
+		return
+	}
+	c.expires = p.now().Add(idle)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets[c.target].idle = append(p.targets[c.target].idle, c)
+}
+
+// Sweep closes idle connections that have expired. Call it every second or so.
+func (p *Pool) Sweep() {
+	for _, c := range p.expired() {
+		p.drop(c)
+	}
+}
+
+func (p *Pool) expired() []*conn {
+	now := p.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var old []*conn
+	for _, conns := range p.targets {
+		kept := conns.idle[:0]
+		for _, c := range conns.idle {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		conns.idle = kept
+	}
+	return old
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	var all []*conn
+	for _, conns := range p.targets {
+		all = append(all, conns.idle...)
+		conns.idle = nil
+	}
+	p.mu.Unlock()
+	for _, c := range all {
+		p.drop(c)
+	}
+}
+
+// abort ends all waiting on the connection.
+func (c *conn) abort() { _ = c.Close() }
+
+// limitWait bounds how long the next reads may wait.
+func (c *conn) limitWait(d time.Duration) {
+	// Without the deadline the exchange's own context still ends the wait.
+	_ = c.SetReadDeadline(time.Now().Add(d))
+}
+
+// quiet says whether an idle connection is open and has nothing to read. One that
+// was closed, or on which bytes came that no request asked for, is not.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var one [1]byte
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		_, readErr := syscall.Read(int(fd), one[:])
+		quiet = readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Idle times of kept connections.
+const (
+	// defaultIdle is used where a server does not say how long it keeps a
+	// connection; short, so that one that was closed without notice is rarely met.
+	defaultIdle = 4 * time.Second
+	// idleMargin is taken off what a server says: the time of a request's way there.
+	idleMargin = time.Second
+)
+
+// idleTime is how long a connection may be kept after an answer with that header.
+func idleTime(header http.Header) time.Duration {
+	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err != nil || seconds < 0 {
+			return 0
+		}
+		return time.Duration(seconds)*time.Second - idleMargin
+	}
+	return defaultIdle
+}
--- /dev/null
+++ b/pkg/httproute/configuration.go
@@ -0,0 +1,99 @@
+package httproute
+
+import (
+	"fmt"
+	"net"
+	"strings"
+)
+
+// Configuration is one version of the declared routes, ready for lookups.
+type Configuration struct {
+	// Version orders configurations; it grows in uneven steps.
+	Version  uint64
+	Limits   Limits
+	Routes   []Route
+	services map[string]*Service
+	byPrefix map[key]*Route
+}
+
+type key struct{ host, prefix string }
+
+// Fault is a declaration that cannot be brought into force.
+type Fault struct {
+	// Version is the configuration's; Place names the part at fault.
+	Version uint64
+	Place   string
+	Problem string
+}
+
+// Error implements error.
+func (f *Fault) Error() string {
+	return fmt.Sprintf("configuration %d: %s: %s", f.Version, f.Place, f.Problem)
+}
+
+// Compile checks a declaration and prepares it for lookups. The error is a *Fault.
+func Compile(version uint64, limits Limits, routes []Route, services []Service) (*Configuration, error) {
+	c := &Configuration{
+		Version:  version,
+		Limits:   limits,
+		Routes:   routes,
+		services: make(map[string]*Service, len(services)),
+		byPrefix: make(map[key]*Route, len(routes)),
+	}
+	for i := range services {
+		c.services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		if fault := c.add(&routes[i]); fault != nil {
+			return nil, fault
+		}
+	}
+	return c, nil
+}
+
+func (c *Configuration) add(route *Route) *Fault {
+	place := "route " + route.Name
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return &Fault{Version: c.Version, Place: place, Problem: fmt.Sprintf("prefix %q does not begin and end with a slash", route.Prefix)}
+	}
+	switch route.Kind {
+	case Safe, Unsafe, Streaming:
+	default:
+		return &Fault{Version: c.Version, Place: place, Problem: fmt.Sprintf("unknown kind %q", route.Kind)}
+	}
+	for _, backend := range route.Backends {
+		if c.services[backend.Service] == nil {
+			return &Fault{Version: c.Version, Place: place, Problem: fmt.Sprintf("service %q is not declared", backend.Service)}
+		}
+	}
+	c.byPrefix[key{strings.ToLower(route.Host), route.Prefix}] = route
+	return nil
+}
+
+// Newer says whether c may take the place of the present configuration.
+func (c *Configuration) Newer(present *Configuration) bool {
+	return present == nil || c.Version > present.Version
+}
+
+// Service returns a declared service, or nil.
+func (c *Configuration) Service(name string) *Service { return c.services[name] }
+
+// Match returns the route of a request, or nil: among those of the host, the one
+// with the longest prefix of the path.
+func (c *Configuration) Match(hostPort, path string) *Route {
+	host := strings.ToLower(hostPort)
+	if bare, _, err := net.SplitHostPort(host); err == nil {
+		host = bare
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if route := c.byPrefix[key{host, path[:slash+1]}]; route != nil {
+			return route
+		}
+		end = slash
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/limit/window.go
@@ -0,0 +1,156 @@
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+// Share is what one of several equal instances may use of an allowance that holds
+// over all of them together, with no leader and no call between them. The parts of
+// instances that agree on their number add up to the whole; where they do not, the
+// callers of these limits count the larger number.
+
+// RetryShares bounds repeats of requests, by service and over a sliding window, so
+// that all instances together stay within ratio times the requests plus slack. It is
+// safe for concurrent use.
+type RetryShares struct {
+	// Ratio is repeats for each request; Slack is further repeats in a window, for
+	// all instances together; Window is the window's length.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+	now    func() time.Time
+	mu     sync.Mutex
+	byName map[string]*retryCounts
+}
+
+type retryCounts struct{ requests, repeats window }
+
+// retryPart of the allowance is used: requests of one window are counted by others
+// in a window that begins a little earlier or later.
+const retryPart = 0.8
+
+// NewRetryShares returns shares that have counted nothing.
+func NewRetryShares(ratio, slack float64, length time.Duration, now func() time.Time) *RetryShares {
+	return &RetryShares{Ratio: ratio, Slack: slack, Window: length, now: now, byName: make(map[string]*retryCounts)}
+}
+
+func (s *RetryShares) counts(service string) *retryCounts {
+	counts := s.byName[service]
+	if counts == nil {
+		counts = &retryCounts{}
+		s.byName[service] = counts
+	}
+	return counts
+}
+
+// Request counts a request for the service.
+func (s *RetryShares) Request(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts(service).requests.add(s.now(), s.Window)
+}
+
+// Take asks for one repeat at the service, as one of so many instances.
+func (s *RetryShares) Take(service string, instances int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts(service)
+	now := s.now()
+	allowed := retryPart * (s.Ratio*float64(counts.requests.sum(now, s.Window)) + s.Slack/float64(max(1, instances)))
+	if float64(counts.repeats.sum(now, s.Window)+1) > allowed {
+		return false
+	}
+	counts.repeats.add(now, s.Window)
+	return true
+}
+
+// window counts events over a sliding time in windowSteps steps. What is counted is
+// the time asked for and up to one step more.
+type window struct {
+	steps [windowSteps + 1]int
+	at    [windowSteps + 1]int64
+}
+
+const windowSteps = 20
+
+func (w *window) step(now time.Time, length time.Duration) int64 {
+	return now.UnixNano() / int64(length/windowSteps)
+}
+
+func (w *window) add(now time.Time, length time.Duration) {
+	step := w.step(now, length)
+	i := step % int64(len(w.steps))
+	if w.at[i] != step {
+		w.at[i], w.steps[i] = step, 0
+	}
+	w.steps[i]++
+}
+
+func (w *window) sum(now time.Time, length time.Duration) int {
+	step := w.step(now, length)
+	total := 0
+	for i, at := range w.at {
+		if step-at <= windowSteps {
+			total += w.steps[i]
+		}
+	}
+	return total
+}
+
+// ColdShares bounds the requests that a cold upstream gets in any one second from all
+// instances together. It is safe for concurrent use.
+type ColdShares struct {
+	now    func() time.Time
+	mu     sync.Mutex
+	byName map[string]*window
+}
+
+// coldWindow is the time over which cold requests are counted: a second, and what
+// requests may differ in the time of their way.
+const coldWindow = 1100 * time.Millisecond
+
+// coldKept is how many upstreams' counts are kept before old ones are dropped.
+const coldKept = 256
+
+// NewColdShares returns shares that have counted nothing.
+func NewColdShares(now func() time.Time) *ColdShares {
+	return &ColdShares{now: now, byName: make(map[string]*window)}
+}
+
+// Left says whether the upstream may get one more request now, where all of the
+// instances together may send it perSecond.
+func (s *ColdShares) Left(upstream string, perSecond float64, instances int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.byName[upstream]
+	if counts == nil {
+		return perSecond >= float64(max(1, instances))
+	}
+	return float64(counts.sum(s.now(), coldWindow)+1)*float64(max(1, instances)) <= perSecond
+}
+
+// Sent counts a request that was sent to the upstream.
+func (s *ColdShares) Sent(upstream string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.byName[upstream]
+	if counts == nil {
+		s.shrink()
+		counts = &window{}
+		s.byName[upstream] = counts
+	}
+	counts.add(s.now(), coldWindow)
+}
+
+func (s *ColdShares) shrink() {
+	if len(s.byName) < coldKept {
+		return
+	}
+	now := s.now()
+	for name, counts := range s.byName {
+		if counts.sum(now, coldWindow) == 0 {
+			delete(s.byName, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/mirror/mirror.go
@@ -0,0 +1,320 @@
+// Package mirror keeps a copy of some prefixes of the platform's key-value store and
+// follows their changes, so that whatever waits for a request reads memory alone.
+//
+// Guarantees: a copy's revision never goes back; entries that hang on a lease, and
+// are missing after the store was out of reach, are kept for a while, since their
+// owners may be about to write them again.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Snapshot is an immutable copy of the store's entries.
+type Snapshot struct {
+	// Revision is the store's revision that the copy reflects.
+	Revision int64
+	Entries  map[string]platform.Entry
+}
+
+// Options of a Mirror.
+type Options struct {
+	Source platform.PrefixReader
+	// Prefix is what is copied; empty: everything.
+	Prefix string
+	// Leased are the prefixes below it whose entries vanish with their owners.
+	Leased []string
+	Clock  clock.Clock
+	Log    zerolog.Logger
+}
+
+// Times of a Mirror.
+const (
+	// watchWait is how long one call waits for changes. It bounds how long a
+	// connection that fell silent goes unnoticed: half of the time within which a
+	// configuration must be in force.
+	watchWait = 1500 * time.Millisecond
+	// callSlack is what a call may take beyond its waiting.
+	callSlack = 700 * time.Millisecond
+	// listTimeout bounds the reading of one page.
+	listTimeout = time.Second
+	// firstRetry and longestRetry bound the pause after a failed call.
+	firstRetry   = 50 * time.Millisecond
+	longestRetry = 400 * time.Millisecond
+	// lapseGrace is for how long after the store's return a missing leased entry
+	// still counts: its owner writes it again within about two seconds.
+	lapseGrace = 2300 * time.Millisecond
+)
+
+// Mirror copies a prefix. Its Run is the only writer, but for Adopt.
+type Mirror struct {
+	options  Options
+	snapshot board.Section[Snapshot]
+
+	mu sync.Mutex
+	// lost is true while the store does not answer; returned is when it last came
+	// back, zero before the first answer.
+	lost     bool
+	returned time.Time
+	// reached is when the store last answered.
+	reached time.Time
+	// lapsed holds the entries that are missing and still counted, and until when.
+	lapsed map[string]time.Time
+}
+
+// New returns a Mirror that holds nothing yet.
+func New(options Options) *Mirror {
+	return &Mirror{options: options, lapsed: make(map[string]time.Time)}
+}
+
+// Snapshot returns the section that holds the newest copy.
+func (m *Mirror) Snapshot() *board.Section[Snapshot] { return &m.snapshot }
+
+// Reached returns when the store last answered; zero: never.
+func (m *Mirror) Reached() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached
+}
+
+// Run copies until ctx ends.
+func (m *Mirror) Run(ctx context.Context) {
+	pause := firstRetry
+	for ctx.Err() == nil {
+		err := m.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			m.options.Log.Warn().Int64("revision", m.revision()).Msg("store-history-gone")
+			continue
+		}
+		pause = m.failed(err, pause)
+		clock.Sleep(ctx, pause)
+	}
+}
+
+// failed notes an unanswered call and returns the pause before the next.
+func (m *Mirror) failed(err error, pause time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.lost {
+		m.lost = true
+		m.options.Log.Warn().Err(err).Msg("store-lost")
+		return firstRetry
+	}
+	return min(longestRetry, 2*pause)
+}
+
+// answered notes that the store answered.
+func (m *Mirror) answered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	m.reached = now
+	if m.lost || m.returned.IsZero() {
+		m.options.Log.Info().Bool("first", m.returned.IsZero()).Msg("store-reached")
+		m.returned = now
+	}
+	m.lost = false
+}
+
+// follow lists everything and then follows the changes until a call fails.
+func (m *Mirror) follow(ctx context.Context) error {
+	revision, err := m.list(ctx)
+	for err == nil {
+		revision, err = m.changes(ctx, revision)
+	}
+	return err
+}
+
+func (m *Mirror) list(ctx context.Context) (int64, error) {
+	entries := make(map[string]platform.Entry)
+	first, after := int64(0), ""
+	for {
+		page, err := m.page(ctx, after)
+		if err != nil {
+			return 0, err
+		}
+		m.answered()
+		if first == 0 {
+			first = page.Revision
+		}
+		for _, entry := range page.Entries {
+			entries[entry.Key] = entry
+			after = entry.Key
+		}
+		if !page.More || len(page.Entries) == 0 {
+			break
+		}
+	}
+	m.replace(first, entries)
+	return first, nil
+}
+
+func (m *Mirror) page(ctx context.Context, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return m.options.Source.List(ctx, m.options.Prefix, after)
+}
+
+func (m *Mirror) changes(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callSlack)
+	defer cancel()
+	wait := min(watchWait, m.untilSweep())
+	changes, err := m.options.Source.Changes(ctx, m.options.Prefix, after, wait)
+	if err != nil {
+		return 0, err
+	}
+	m.answered()
+	m.apply(changes)
+	return max(after, changes.Revision), nil
+}
+
+// leased says whether a key's entry vanishes with its owner.
+func (m *Mirror) leased(key string) bool {
+	for _, prefix := range m.options.Leased {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// graceEnd is until when a leased entry that is found missing now still counts.
+func (m *Mirror) graceEnd(now time.Time) (time.Time, bool) {
+	end := m.returned.Add(lapseGrace)
+	return end, now.Before(end)
+}
+
+// replace takes a whole listing.
+func (m *Mirror) replace(revision int64, entries map[string]platform.Entry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	if present := m.snapshot.Load(); present != nil {
+		if revision < present.Revision {
+			return
+		}
+		end, grace := m.graceEnd(now)
+		for key, entry := range present.Entries {
+			if _, listed := entries[key]; listed || !grace || !m.leased(key) {
+				continue
+			}
+			entries[key] = entry
+			m.lapse(key, end)
+		}
+	}
+	m.publish(revision, entries, now)
+}
+
+// lapse keeps a missing entry until end, or as long as was said before.
+func (m *Mirror) lapse(key string, end time.Time) {
+	if _, ok := m.lapsed[key]; !ok {
+		m.lapsed[key] = end
+		m.options.Log.Info().Str("key", key).Msg("entry-lapsed")
+	}
+}
+
+// apply takes changes in order.
+func (m *Mirror) apply(changes platform.Changes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present := m.snapshot.Load()
+	now := m.options.Clock.Now()
+	if present == nil || (len(changes.Entries) == 0 && !m.due(now)) {
+		return
+	}
+	entries := maps.Clone(present.Entries)
+	for _, change := range changes.Entries {
+		m.change(entries, change, now)
+	}
+	m.publish(max(present.Revision, changes.Revision), entries, now)
+}
+
+func (m *Mirror) change(entries map[string]platform.Entry, change platform.Change, now time.Time) {
+	before, known := entries[change.Key]
+	if known && change.ModRevision <= before.ModRevision {
+		return
+	}
+	if !change.Removed {
+		entries[change.Key] = change.Entry
+		delete(m.lapsed, change.Key)
+		return
+	}
+	if !known {
+		return
+	}
+	if end, grace := m.graceEnd(now); grace && m.leased(change.Key) {
+		m.lapse(change.Key, end)
+		return
+	}
+	delete(entries, change.Key)
+}
+
+// publish stores a copy without the lapsed entries whose time is over.
+func (m *Mirror) publish(revision int64, entries map[string]platform.Entry, now time.Time) {
+	for key, end := range m.lapsed {
+		if !now.Before(end) {
+			delete(entries, key)
+			delete(m.lapsed, key)
+			m.options.Log.Info().Str("key", key).Msg("entry-gone")
+		}
+	}
+	m.snapshot.Store(&Snapshot{Revision: revision, Entries: entries})
+}
+
+func (m *Mirror) due(now time.Time) bool {
+	for _, end := range m.lapsed {
+		if !now.Before(end) {
+			return true
+		}
+	}
+	return false
+}
+
+// untilSweep is how long until the first lapsed entry's time is over.
+func (m *Mirror) untilSweep() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	left := watchWait
+	now := m.options.Clock.Now()
+	for _, end := range m.lapsed {
+		left = min(left, max(leastWait, end.Sub(now)))
+	}
+	return left
+}
+
+// leastWait keeps calls apart while an entry's time runs out.
+const leastWait = 50 * time.Millisecond
+
+func (m *Mirror) revision() int64 {
+	if present := m.snapshot.Load(); present != nil {
+		return present.Revision
+	}
+	return 0
+}
+
+// Adopt takes the copy of another instance when it is newer than the own one, and
+// says whether it was. It is for times when the store does not answer here.
+func (m *Mirror) Adopt(other *Snapshot) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if other == nil || other.Revision <= m.revision() {
+		return false
+	}
+	m.lapsed = make(map[string]time.Time)
+	m.snapshot.Store(other)
+	return true
+}
--- /dev/null
+++ b/pkg/mirror/registration.go
@@ -0,0 +1,93 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// Registrar is what a Registration needs of the store.
+type Registrar interface {
+	platform.Leaser
+	Swap(ctx context.Context, expect map[string]int64, puts []platform.Put) (int64, error)
+}
+
+// Registration keeps one entry in the store for as long as its owner runs.
+type Registration struct {
+	Store Registrar
+	// Key and Value are what is written.
+	Key   string
+	Value []byte
+	// TTL is how long the entry outlives its owner.
+	TTL time.Duration
+	Log zerolog.Logger
+}
+
+// Times of a Registration.
+const (
+	// keepPart of the time to live passes between renewals, so that two may fail.
+	keepPart = 3
+	// registerTimeout bounds each call.
+	registerTimeout = time.Second
+	// registerPause follows a failed call.
+	registerPause = 250 * time.Millisecond
+)
+
+// Run registers and renews until ctx ends, then removes the entry.
+func (r *Registration) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, err := r.register(ctx)
+		if err != nil {
+			r.Log.Warn().Err(err).Str("key", r.Key).Msg("registration-failed")
+			clock.Sleep(ctx, registerPause)
+			continue
+		}
+		r.keep(ctx, lease)
+	}
+}
+
+func (r *Registration) register(ctx context.Context) (platform.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	lease, err := r.Store.Grant(ctx, r.TTL)
+	if err != nil {
+		return 0, err
+	}
+	_, err = r.Store.Swap(ctx, nil, []platform.Put{{Key: r.Key, Value: r.Value, Lease: lease}})
+	if err != nil {
+		return 0, err
+	}
+	r.Log.Info().Str("key", r.Key).Msg("registered")
+	return lease, nil
+}
+
+// keep renews the lease until it is lost, or ends it when ctx ends.
+func (r *Registration) keep(ctx context.Context, lease platform.LeaseID) {
+	for clock.Sleep(ctx, r.TTL/keepPart) {
+		if err := r.renew(ctx, lease); errors.Is(err, platform.ErrLeaseLost) {
+			r.Log.Warn().Str("key", r.Key).Msg("registration-lost")
+			return
+		}
+	}
+	if err := r.revoke(context.WithoutCancel(ctx), lease); err != nil {
+		r.Log.Warn().Err(err).Str("key", r.Key).Msg("deregistration-failed")
+	}
+}
+
+func (r *Registration) renew(ctx context.Context, lease platform.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	_, err := r.Store.KeepAlive(ctx, lease)
+	return err
+}
+
+func (r *Registration) revoke(ctx context.Context, lease platform.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	return r.Store.Revoke(ctx, lease)
+}
--- a/pkg/platform/platform.go
+++ b/pkg/platform/platform.go
@@ -52,6 +52,11 @@
 	// Watch sends the key's changes after the given revision until ctx ends or
 	// the stream breaks, which closes the channel.
 	Watch(ctx context.Context, key string, after int64) (<-chan Entry, error)
+	Leaser
+}
+
+// Leaser makes leases, with which keys vanish.
+type Leaser interface {
 	// Grant makes a lease. Keys put with it vanish when it ends.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease once and returns its new time to live;
@@ -61,6 +66,40 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// PrefixReader reads all keys of a prefix and follows their changes. A waiting call
+// of Changes counts as one call.
+type PrefixReader interface {
+	// List returns the entries of a prefix whose keys come after the key after, in
+	// key order, as many as the service gives at once. Pages of one listing are not
+	// of one moment: follow the changes after the first page's revision.
+	List(ctx context.Context, prefix, after string) (Page, error)
+	// Changes waits for changes of a prefix's keys after a revision, for wait at
+	// most, and returns those that there are; ErrCompacted when that history is gone.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
+}
+
+// Page is a part of a listing.
+type Page struct {
+	Entries []Entry
+	// Revision is the service's when it answered.
+	Revision int64
+	// More says that there are further entries after the last of these.
+	More bool
+}
+
+// Changes are what happened to a prefix's keys, in order.
+type Changes struct {
+	Entries []Change
+	// Revision is the one from which to go on.
+	Revision int64
+}
+
+// Change is one write, or one removal when Removed is set; then Value is empty.
+type Change struct {
+	Entry
+	Removed bool
+}
+
 // LeaseID names a lease.
 type LeaseID int64
 
--- /dev/null
+++ b/pkg/steer/steer.go
@@ -0,0 +1,187 @@
+// Package steer decides which discovered upstream, or which other region, gets a
+// request of a declared route.
+//
+// A decision is a pure function of snapshots, local counts, a clock and a random
+// number: it does no input or output and waits for nothing.
+package steer
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+)
+
+// Part is one part of a prompt. A part is cached for a request only where all parts
+// before it are cached too.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what a decision needs to know of a request.
+type Request struct {
+	Route   *httproute.Route
+	Service *httproute.Service
+	// Parts are the prompt's parts in order; the last belongs to the request or its
+	// session alone.
+	Parts []Part
+	// PromptTokens is the whole prompt, OutputTokens the longest answer.
+	PromptTokens, OutputTokens int
+	// Deadline is when the answer must be whole.
+	Deadline time.Time
+	// Tried names the upstreams that must not be chosen again.
+	Tried []string
+	// Forwarded requests may not be sent to another region.
+	Forwarded bool
+}
+
+// Local is what this instance knows at first hand of an upstream.
+type Local interface {
+	Load(upstream string) limit.Load
+}
+
+// World is the snapshots that a decision reads.
+type World struct {
+	Region string
+	Fleet  *fleet.View
+	Peers  *peer.View
+	Local  Local
+	// Cold says whether an upstream that is cold may get one more request now.
+	Cold func(u *fleet.Upstream, service *httproute.Service) bool
+	// Recent is where prompt parts went lately.
+	Recent *Recent
+	Now    time.Time
+	// Roll is a random number.
+	Roll uint64
+}
+
+// Weights of a candidate's cost, in prompt tokens that an engine would have to read.
+const (
+	// tokensPerRequest is what a running request costs those beside it: its share of
+	// each step of the batch. Measured on engines whose step takes about 4 ms and
+	// grows little with the batch: the difference between 8 and 40 running requests
+	// is about that of one prompt of 2,000 tokens.
+	tokensPerRequest = 60
+	// queuedPenalty is added for each request beyond the slots: it waits for one of
+	// those that run to end.
+	queuedPenalty = 2000
+	// favouriteTrust is the part of a shared prompt part that counts as cached at the
+	// upstream to which it is hashed, when nothing is known of it.
+	favouriteTrust = 0.5
+	// cachedWeight raises what a second reading costs: it also drives out what other
+	// requests would have found.
+	cachedWeight = 1.5
+)
+
+// Candidate is an upstream with what the request would meet there.
+type Candidate struct {
+	Upstream *fleet.Upstream
+	// Cost orders candidates; lower is better. For engines it is in prompt tokens.
+	Cost float64
+	// InFlight and Prefill are the work of all instances there.
+	InFlight, Prefill int
+	// Uncached estimates the prompt tokens that it would have to read.
+	Uncached int
+}
+
+// Full says whether every slot is taken.
+func (c *Candidate) Full() bool { return c.InFlight >= c.Upstream.Slots }
+
+// Survey is what a look at the own region's upstreams found.
+type Survey struct {
+	// Best is the cheapest candidate; its Upstream is nil when there is none.
+	Best Candidate
+	// Known counts upstreams of the service in the region, Usable those that may get
+	// work, Slots and InFlight add up over the usable ones.
+	Known, Usable, Slots, InFlight, Prefill int
+	// Cold counts those that were passed over because they are cold.
+	Cold int
+}
+
+// Look surveys the own region.
+func (w *World) Look(req *Request) Survey {
+	var survey Survey
+	upstreams := w.regional(req.Service.Name)
+	favourite := favouriteOf(req, upstreams)
+	for _, upstream := range upstreams {
+		survey.Known++
+		if !w.Fleet.Usable(upstream) {
+			continue
+		}
+		own := w.Local.Load(upstream.ID)
+		others := w.Peers.Upstream(upstream.ID)
+		c := Candidate{Upstream: upstream, InFlight: own.InFlight + others.InFlight, Prefill: own.Prefill + others.Prefill}
+		survey.Usable++
+		survey.Slots += upstream.Slots
+		survey.InFlight += c.InFlight
+		survey.Prefill += c.Prefill
+		if tried(req, upstream.ID) || own.Ejected || own.Rest > 0 {
+			continue
+		}
+		if upstream.Cold(w.Now) && !w.Cold(upstream, req.Service) {
+			survey.Cold++
+			continue
+		}
+		w.cost(req, &c, favourite)
+		if survey.Best.Upstream == nil || c.Cost < survey.Best.Cost || (c.Cost == survey.Best.Cost && w.Roll&1 == 0) {
+			survey.Best = c
+		}
+	}
+	return survey
+}
+
+// regional returns the service's upstreams in the own region.
+func (w *World) regional(service string) []*fleet.Upstream {
+	all := w.Fleet.Service(service)
+	kept := make([]*fleet.Upstream, 0, len(all))
+	for _, upstream := range all {
+		if upstream.Region == w.Region {
+			kept = append(kept, upstream)
+		}
+	}
+	return kept
+}
+
+func tried(req *Request, id string) bool {
+	for _, name := range req.Tried {
+		if name == id {
+			return true
+		}
+	}
+	return false
+}
+
+// cost estimates what the request would cost at the candidate.
+func (w *World) cost(req *Request, c *Candidate, favourite string) {
+	beyond := max(0, c.InFlight+1-c.Upstream.Slots)
+	if req.Service.Engine == nil {
+		c.Cost = float64(c.InFlight) + float64(beyond)*queuedPenalty
+		return
+	}
+	cached := w.cached(req, c.Upstream.ID, favourite)
+	c.Uncached = max(0, req.PromptTokens-int(cached))
+	c.Cost = float64(c.Prefill) + cachedWeight*float64(c.Uncached) +
+		tokensPerRequest*float64(c.InFlight) + queuedPenalty*float64(beyond)
+}
+
+// cached estimates how many of the prompt's tokens the upstream holds.
+func (w *World) cached(req *Request, upstream, favourite string) float64 {
+	if !req.Route.SharedPrompts || len(req.Parts) == 0 {
+		return 0
+	}
+	held, total := 0, 0
+	for _, part := range req.Parts {
+		total += part.Tokens
+		if !w.Recent.Held(part.ID, upstream, w.Now) {
+			break
+		}
+		held = total
+	}
+	if held == 0 && upstream == favourite {
+		return favouriteTrust * float64(req.Parts[0].Tokens)
+	}
+	return float64(held)
+}
