--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/header"
@@ -24,8 +25,10 @@
 	send   Send
 	// begun is called when the answer's first part has come.
 	begun func()
-	// peer is true when the target is another instance.
-	peer bool
+	// peer is true when the target is another instance, which may run the request on
+	// as many upstreams as grants says.
+	peer   bool
+	grants int
 	// status is that of the answer; zero: none came. whole is true once all of it was
 	// read.
 	status int
@@ -42,11 +45,16 @@
 
 // do sends the request and passes the answer on.
 func (c *call) do(ctx context.Context) result {
+	fields := c.dialect.Outgoing(c.request.Header, c.send)
+	fields.Del(header.Attempts)
+	if c.peer {
+		fields.Set(header.Attempts, strconv.Itoa(c.grants))
+	}
 	answer, err := c.pool.Do(ctx, c.target, &exchange.Request{
 		Method: c.request.Method,
 		URI:    c.request.RequestURI,
 		Host:   c.request.Host,
-		Header: c.dialect.Outgoing(c.request.Header, c.send),
+		Header: fields,
 		Body:   c.body,
 		Ours:   c.ours,
 	})
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -70,8 +70,10 @@
 	clock    clock.Clock
 	self     fleet.Instance
 	sequence atomic.Uint64
-	leaving  atomic.Bool
-	active   atomic.Int64
+	leaving  atomic.Pointer[departure]
+	// began is when the process began.
+	began  time.Time
+	active atomic.Int64
 
 	board     Board
 	store     *mirror.Mirror
@@ -127,6 +129,7 @@
 			Incarnation: uint64(system.Now().UnixNano()),
 			Callers:     s.Listen.Callers, Peers: s.Listen.Peers, Gossip: s.Listen.Gossip,
 		},
+		began:     system.Now(),
 		store:     options.Store,
 		ejector:   ejector,
 		tracker:   limit.NewTracker(system, ejector),
@@ -230,26 +233,50 @@
 	}
 }
 
-// Parts of the grace that an instance takes to leave.
+// Times of leaving.
 const (
-	// leaveAccept is for how long it goes on accepting: callers keep what the
-	// directory said for a while.
-	leaveAccept = 0.8
-	// leaveDrain is when requests that still run are cut off.
-	leaveDrain = 0.97
+	// staleTTL is how many times the directory's time some callers keep its answer;
+	// until then new requests come to a leaving instance.
+	staleTTL = 3
+	// drainPart of the grace is when requests that still run are cut off; the rest is
+	// for the end of the process.
+	drainPart = 0.97
+	// drainPoll is how often a leaving instance looks whether it is idle.
+	drainPoll = 20 * time.Millisecond
 )
 
+// departure is when a leaving instance stops taking and serving requests.
+type departure struct {
+	// accept is until when it takes every request, cut when it cuts off what runs.
+	accept, cut time.Time
+}
+
+func (e *Edge) depart(started time.Time) *departure {
+	grace := e.settings.Limits.Grace
+	return &departure{
+		accept: started.Add(min(staleTTL*e.settings.Limits.DirectoryTTL, grace/2)),
+		cut:    started.Add(time.Duration(float64(grace) * drainPart)),
+	}
+}
+
+// takes says whether a request that ends by the deadline at the latest can still be
+// served whole.
+func (d *departure) takes(now, deadline time.Time) bool {
+	return d == nil || now.Before(d.accept) || deadline.Before(d.cut)
+}
+
 // leave tells everyone, serves on until callers have gone elsewhere, and stops.
 func (e *Edge) leave(doors *doors, deregister context.CancelFunc) {
-	started := e.now()
-	e.leaving.Store(true)
+	leaving := e.depart(e.now())
+	e.leaving.Store(leaving)
 	e.log.Info().Int64("active", e.active.Load()).Msg("leaving")
 	deregister()
 	e.gossip.Tell(context.Background())
-	grace := e.settings.Limits.Grace
-	until := started.Add(time.Duration(float64(grace) * leaveAccept))
-	clock.Sleep(context.Background(), until.Sub(e.now()))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(time.Duration(float64(grace)*leaveDrain)))
+	clock.Sleep(context.Background(), leaving.accept.Sub(e.now()))
+	for e.active.Load() > 0 && e.now().Before(leaving.cut) {
+		clock.Sleep(context.Background(), drainPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), leaving.cut)
 	defer cancel()
 	var all errgroup.Group
 	for _, door := range doors.http {
@@ -265,7 +292,7 @@
 	state := peer.State{
 		Instance: e.self,
 		Sequence: e.sequence.Add(1),
-		Leaving:  e.leaving.Load(),
+		Leaving:  e.Leaving(),
 	}
 	if config := e.board.Routes.Load(); config != nil {
 		state.Configuration = config.Version
@@ -339,31 +366,49 @@
 // none other is known: after a restart of everything each knows only itself.
 const leastInstances = 3
 
+// coldStart is for how long after its start an instance sends nothing to cold
+// upstreams: what it sent before a restart still counts for that long.
+const coldStart = limit.ColdWindow
+
 // coldLeft says whether a cold upstream may get one more request of this instance.
 func (e *Edge) coldLeft(upstream *fleet.Upstream, service *httproute.Service) bool {
 	if service.ColdRate == 0 {
 		return true
 	}
+	if e.now().Sub(e.began) < coldStart {
+		return false
+	}
 	allowed := service.ColdRate*e.settings.Limits.ColdFactor + e.settings.Limits.ColdSlack
 	return e.cold.Left(upstream.ID, allowed, max(leastInstances, e.regionInstances()))
 }
 
-// Roster returns the instances that callers of a region should use: the live ones
-// there, else those of other regions.
-func (e *Edge) Roster(region string) []fleet.Instance {
+// Roster returns the instances that callers of a host in a region should use: the
+// live ones there, else those of regions that all of the host's routes permit, else
+// all.
+func (e *Edge) Roster(region, host string) []fleet.Instance {
 	all := e.usable()
-	var near []fleet.Instance
-	for _, instance := range all {
-		if instance.Region == region {
-			near = append(near, instance)
-		}
-	}
-	if len(near) > 0 {
+	if near := inRegions(all, func(r string) bool { return r == region }); len(near) > 0 {
 		return near
 	}
+	if config := e.board.Routes.Load(); config != nil {
+		permitted := func(r string) bool { return config.HostPermits(host, r) }
+		if homes := inRegions(all, permitted); len(homes) > 0 {
+			return homes
+		}
+	}
 	return all
 }
 
+func inRegions(all []fleet.Instance, wanted func(region string) bool) []fleet.Instance {
+	var kept []fleet.Instance
+	for _, instance := range all {
+		if wanted(instance.Region) {
+			kept = append(kept, instance)
+		}
+	}
+	return kept
+}
+
 // usable lists the instances that take callers, this one included unless it leaves.
 func (e *Edge) usable() []fleet.Instance {
 	byName := make(map[string]fleet.Instance)
@@ -388,7 +433,7 @@
 		}
 	}
 	delete(byName, e.self.Name)
-	if !e.leaving.Load() {
+	if !e.Leaving() {
 		byName[e.self.Name] = e.self
 	}
 	list := make([]fleet.Instance, 0, len(byName))
@@ -400,10 +445,10 @@
 
 // Ready says whether the instance takes callers: it has a configuration and does
 // not leave.
-func (e *Edge) Ready() bool { return !e.leaving.Load() && e.board.Routes.Load() != nil }
+func (e *Edge) Ready() bool { return !e.Leaving() && e.board.Routes.Load() != nil }
 
 // Leaving says whether the instance is on its way out.
-func (e *Edge) Leaving() bool { return e.leaving.Load() }
+func (e *Edge) Leaving() bool { return e.leaving.Load() != nil }
 
 // DirectoryTTL is how long callers may keep what Roster says.
 func (e *Edge) DirectoryTTL() time.Duration { return e.settings.Limits.DirectoryTTL }
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/header"
@@ -24,6 +25,18 @@
 // it reads one as soon as the store or another instance answers.
 const noConfigurationRetry = 300 * time.Millisecond
 
+// leavingRetry is when to come back to another instance, after one that leaves.
+const leavingRetry = 50 * time.Millisecond
+
+// attemptsGranted is on how many upstreams another instance lets a request run.
+func attemptsGranted(fields http.Header) int {
+	granted, err := strconv.Atoi(fields.Get(header.Attempts))
+	if err != nil {
+		return 1
+	}
+	return max(1, granted)
+}
+
 // writeSlack is what the caller may take to read the end of an answer after the
 // request's time is over.
 const writeSlack = time.Second
@@ -39,7 +52,7 @@
 		writer: &writer{
 			ResponseWriter: w,
 			control:        http.NewResponseController(w),
-			closing:        e.leaving.Load,
+			closing:        e.Leaving,
 			now:            e.now,
 		},
 	}
@@ -58,7 +71,9 @@
 	// A caller that does not read must not hold the answer in memory for good. A
 	// connection without deadlines (a test's recorder) has no slow reader.
 	_ = j.writer.control.SetWriteDeadline(j.deadline.Add(writeSlack))
-	j.retries.Request(j.service.Name)
+	if !j.forwarded {
+		j.retries.Request(j.service.Name)
+	}
 	return j.run(ctx)
 }
 
@@ -79,6 +94,13 @@
 		return outcome.Refuse(http.StatusNotFound, outcome.ReasonUnknownRoute, 0, "no route matches")
 	}
 	j.setDeadline()
+	j.attemptsLeft = max(1, j.route.MaxAttempts)
+	if j.forwarded {
+		j.attemptsLeft = min(j.attemptsLeft, attemptsGranted(j.request.Header))
+	}
+	if !j.leaving.Load().takes(j.started, j.deadline) {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, leavingRetry, "this instance leaves")
+	}
 	if refusal := j.readBody(); refusal != nil {
 		return refusal
 	}
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -33,7 +33,9 @@
 	deadline   time.Time
 	writer     *writer
 
-	tried []string
+	// attemptsLeft is on how many more upstreams the request may run.
+	attemptsLeft int
+	tried        []string
 	// sends counts sends, runs those after which the request may have run.
 	sends, runs int
 	// kept is a server's failure that is given to the caller if nothing better comes.
@@ -57,6 +59,15 @@
 	return t.survey.Best.Upstream.ID
 }
 
+// grants is on how many upstreams the request may run by this attempt: an instance
+// of another region is lent all that are left, since it cannot ask for more in time.
+func (t *target) grants(j *job) int {
+	if t.peer != nil {
+		return j.attemptsLeft
+	}
+	return 1
+}
+
 // result is how an attempt ended.
 type result int
 
@@ -84,6 +95,7 @@
 		case notRun:
 		case broken:
 			j.runs++
+			j.attemptsLeft -= next.grants(j)
 		}
 		if refusal := j.mayRepeat(ctx); refusal != nil {
 			return j.giveUp(refusal)
@@ -98,7 +110,7 @@
 		return j.late()
 	case j.runs > 0 && !j.route.Repeatable():
 		return outcome.Doubt(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
-	case j.runs >= max(1, j.route.MaxAttempts) || j.sends >= maxSends:
+	case j.attemptsLeft <= 0 || j.sends >= maxSends:
 		return j.exhausted("no attempt is left")
 	case j.sends > 0 && !j.retries.Take(j.service.Name, j.instances()):
 		return j.exhausted("the retry budget is used up")
@@ -222,6 +234,7 @@
 		send:   Send{Left: j.deadline.Sub(j.now()), After: j.after()},
 		begun:  func() {},
 		peer:   true,
+		grants: to.grants(j),
 	}
 	return call.do(ctx)
 }
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -32,6 +32,8 @@
 	Revision = "X-Lilacweir-Revision"
 	// Version is the model version that the answer must come from.
 	Version = "X-Lilacweir-Version"
+	// Attempts is on how many upstreams the receiver may run a forwarded request.
+	Attempts = "X-Lilacweir-Attempts"
 )
 
 // ClassDomain is the class of a forwarded request: its receiver uses upstreams
--- a/pkg/httproute/configuration.go
+++ b/pkg/httproute/configuration.go
@@ -14,6 +14,7 @@
 	Routes   []Route
 	services map[string]*Service
 	byPrefix map[key]*Route
+	byHost   map[string][]*Route
 }
 
 type key struct{ host, prefix string }
@@ -39,6 +40,7 @@
 		Routes:   routes,
 		services: make(map[string]*Service, len(services)),
 		byPrefix: make(map[key]*Route, len(routes)),
+		byHost:   make(map[string][]*Route),
 	}
 	for i := range services {
 		c.services[services[i].Name] = &services[i]
@@ -66,10 +68,32 @@
 			return &Fault{Version: c.Version, Place: place, Problem: fmt.Sprintf("service %q is not declared", backend.Service)}
 		}
 	}
-	c.byPrefix[key{strings.ToLower(route.Host), route.Prefix}] = route
+	host := strings.ToLower(route.Host)
+	c.byPrefix[key{host, route.Prefix}] = route
+	c.byHost[host] = append(c.byHost[host], route)
 	return nil
 }
 
+// HostPermits says whether requests on every route of a host may be processed in a
+// region.
+func (c *Configuration) HostPermits(host, region string) bool {
+	for _, route := range c.byHost[bareHost(host)] {
+		if !route.PermittedIn(region) {
+			return false
+		}
+	}
+	return true
+}
+
+// bareHost is a host in lower case, without its port.
+func bareHost(hostPort string) string {
+	host := strings.ToLower(hostPort)
+	if bare, _, err := net.SplitHostPort(host); err == nil {
+		return bare
+	}
+	return host
+}
+
 // Newer says whether c may take the place of the present configuration.
 func (c *Configuration) Newer(present *Configuration) bool {
 	return present == nil || c.Version > present.Version
@@ -81,10 +105,7 @@
 // Match returns the route of a request, or nil: among those of the host, the one
 // with the longest prefix of the path.
 func (c *Configuration) Match(hostPort, path string) *Route {
-	host := strings.ToLower(hostPort)
-	if bare, _, err := net.SplitHostPort(host); err == nil {
-		host = bare
-	}
+	host := bareHost(hostPort)
 	for end := len(path); end > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -106,9 +106,9 @@
 	byName map[string]*window
 }
 
-// coldWindow is the time over which cold requests are counted: a second, and what
+// ColdWindow is the time over which cold requests are counted: a second, and what
 // requests may differ in the time of their way.
-const coldWindow = 1100 * time.Millisecond
+const ColdWindow = 1100 * time.Millisecond
 
 // coldKept is how many upstreams' counts are kept before old ones are dropped.
 const coldKept = 256
@@ -127,7 +127,7 @@
 	if counts == nil {
 		return perSecond >= float64(max(1, instances))
 	}
-	return float64(counts.sum(s.now(), coldWindow)+1)*float64(max(1, instances)) <= perSecond
+	return float64(counts.sum(s.now(), ColdWindow)+1)*float64(max(1, instances)) <= perSecond
 }
 
 // Sent counts a request that was sent to the upstream.
@@ -140,7 +140,7 @@
 		counts = &window{}
 		s.byName[upstream] = counts
 	}
-	counts.add(s.now(), coldWindow)
+	counts.add(s.now(), ColdWindow)
 }
 
 func (s *ColdShares) shrink() {
@@ -149,7 +149,7 @@
 	}
 	now := s.now()
 	for name, counts := range s.byName {
-		if counts.sum(now, coldWindow) == 0 {
+		if counts.sum(now, ColdWindow) == 0 {
 			delete(s.byName, name)
 		}
 	}
