Test what the instance promises: repeats, whole answers, streams, lapses, shares

A request without an ID of its own takes an answer without one (found by the test of a leaving instance); an entry that is removed soon after a first start gets no grace: the store was not away (found by the mirror's test of changes).

--- /dev/null
+++ b/pkg/edge/bed_test.go
@@ -0,0 +1,286 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// plain is a dialect for tests.
+type plain struct{}
+
+const (
+	testID       = "X-Test-Id"
+	testDeadline = "X-Test-Deadline-Ms"
+	testUpstream = "X-Test-Upstream"
+	testNotRun   = "X-Test-Not-Run"
+	testProof    = "X-Test-Proof"
+	testAfter    = "Last-Event-Id"
+)
+
+func (plain) Attributes(fields http.Header) (Attributes, error) {
+	ms, _ := strconv.Atoi(fields.Get(testDeadline))
+	return Attributes{RequestID: fields.Get(testID), Deadline: time.Duration(ms) * time.Millisecond, After: fields.Get(testAfter)}, nil
+}
+
+func (plain) Outgoing(from http.Header, send Send) http.Header {
+	fields := from.Clone()
+	fields.Del("Content-Length")
+	fields.Set(testDeadline, strconv.FormatInt(send.Left.Milliseconds(), 10))
+	if send.Upstream != "" {
+		fields.Set(testUpstream, send.Upstream)
+	}
+	if send.After != "" {
+		fields.Set(testAfter, send.After)
+	}
+	return fields
+}
+
+func (plain) Reading(_ int, fields http.Header) Reading {
+	return Reading{RequestID: fields.Get(testID), NotRun: fields.Get(testNotRun) != "", Proven: fields.Get(testProof) != ""}
+}
+
+func (plain) Answer(from http.Header) http.Header {
+	fields := from.Clone()
+	for _, name := range []string{"Content-Length", "Transfer-Encoding", "Connection"} {
+		fields.Del(name)
+	}
+	return fields
+}
+
+func (plain) Refusal(id string, retryAfter time.Duration) http.Header {
+	return http.Header{testID: {id}, "Retry-After": {fmt.Sprint(retryAfter.Seconds())}}
+}
+
+// emptyStore never answers.
+type emptyStore struct{}
+
+func (emptyStore) List(context.Context, string, string) (platform.Page, error) {
+	return platform.Page{}, platform.ErrUnavailable
+}
+
+func (emptyStore) Changes(context.Context, string, int64, time.Duration) (platform.Changes, error) {
+	return platform.Changes{}, platform.ErrUnavailable
+}
+
+// script is what a test's upstream does with one request: it gets the connection
+// after the request was read, and returns whether to go on with the connection.
+type script func(conn net.Conn, request *http.Request) (goOn bool)
+
+// upstream is a server that follows a script, byte by byte.
+type upstream struct {
+	listener net.Listener
+	script   script
+	arrivals atomic.Int32
+	mu       sync.Mutex
+	requests []*http.Request
+}
+
+func newUpstream(t *testing.T, script script) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	u := &upstream{listener: listener, script: script}
+	t.Cleanup(func() { _ = listener.Close() })
+	go u.accept()
+	return u
+}
+
+func (u *upstream) accept() {
+	for {
+		conn, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		go u.serve(conn)
+	}
+}
+
+func (u *upstream) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		u.arrivals.Add(1)
+		u.mu.Lock()
+		u.requests = append(u.requests, request)
+		u.mu.Unlock()
+		if !u.script(conn, request) {
+			return
+		}
+	}
+}
+
+func (u *upstream) request(i int) *http.Request {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.requests[i]
+}
+
+// say writes a whole answer.
+func say(status int, body string, fields ...string) script {
+	return func(conn net.Conn, request *http.Request) bool {
+		write(conn, request, status, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body, fields...)
+		return true
+	}
+}
+
+// write writes a head with the request's ID and a proof, and a body.
+func write(conn net.Conn, request *http.Request, status int, framing, body string, fields ...string) {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: yes\r\n%s", status, http.StatusText(status), testID, request.Header.Get(testID), testProof, framing)
+	for _, field := range fields {
+		head += field + "\r\n"
+	}
+	// A caller that has gone leaves nothing to be done.
+	_, _ = io.WriteString(conn, head+"\r\n"+body)
+}
+
+// reset breaks the connection without an answer.
+func reset(conn net.Conn, _ *http.Request) bool {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// bed is one instance with upstreams of one service.
+type bed struct {
+	*testing.T
+	is     *is.I
+	edge   *Edge
+	caller *httptest.Server
+	peers  *httptest.Server
+	route  httproute.Route
+}
+
+const (
+	testRegion  = "north"
+	testService = "llm"
+)
+
+// newBed returns an instance whose only route has the kind and the upstreams, which
+// are tried in any order.
+func newBed(t *testing.T, route httproute.Route, upstreams ...*upstream) *bed {
+	t.Helper()
+	b := &bed{T: t, is: is.New(t)}
+	settings := &Settings{Instance: "n-1", FailureDomain: "n-a", Region: testRegion}
+	settings.Limits.fill()
+	settings.Limits.RetrySlack = 50
+	store := mirror.New(mirror.Options{Source: emptyStore{}, Clock: clock.System{}, Log: zerolog.Nop()})
+	edge, err := New(Options{Settings: settings, Dialect: plain{}, Store: store, Log: zerolog.Nop()})
+	b.is.NoErr(err)
+	b.edge = edge
+	b.declare(1, route)
+	view := &fleet.View{}
+	for i, u := range upstreams {
+		view.Upstreams = append(view.Upstreams, fleet.Upstream{
+			ID: fmt.Sprintf("u-%d", i), Service: testService, Address: u.listener.Addr().String(),
+			Domain: "n-a", Region: testRegion, Slots: 4,
+		})
+	}
+	view.Index()
+	edge.board.Fleet.Store(view)
+	b.caller = httptest.NewServer(http.HandlerFunc(edge.serveCaller))
+	b.peers = httptest.NewServer(http.HandlerFunc(edge.servePeer))
+	t.Cleanup(b.caller.Close)
+	t.Cleanup(b.peers.Close)
+	return b
+}
+
+func (b *bed) declare(version uint64, route httproute.Route) {
+	b.Helper()
+	route.Name, route.Host, route.Prefix = "r", "127.0.0.1", "/r/"
+	route.Backends = []httproute.Backend{{Service: testService, Weight: 1}}
+	if route.Timeout == 0 {
+		route.Timeout = 10 * time.Second
+	}
+	services := []httproute.Service{{Name: testService}}
+	config, err := httproute.Compile(version, httproute.Limits{BodyBytes: 1 << 20}, []httproute.Route{route}, services)
+	b.is.NoErr(err)
+	b.edge.board.Routes.Store(config)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// err is why the answer was not whole.
+	err error
+}
+
+func (b *bed) ask(method, path, body string) reply { return b.askAt(b.caller.URL, method, path, body) }
+
+func (b *bed) askAt(base, method, path, body string, fields ...string) reply {
+	b.Helper()
+	request, err := http.NewRequest(method, base+path, stringBody(body))
+	b.is.NoErr(err)
+	request.Header.Set(testID, "id-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	for i := 0; i+1 < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
+
+func stringBody(body string) io.Reader {
+	if body == "" {
+		return nil
+	}
+	return &onlyReader{data: []byte(body)}
+}
+
+// onlyReader hides the length, so that the body is sent in chunks.
+type onlyReader struct{ data []byte }
+
+func (r *onlyReader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.data)
+	r.data = r.data[n:]
+	return n, nil
+}
+
+// errNever is the cause of a wait that did not end.
+var errNever = errors.New("did not happen")
+
+// eventually waits for something that must happen; the bound only ends a failed test.
+func (b *bed) eventually(what string, happened func() bool) {
+	b.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if happened() {
+			return
+		}
+		clock.Sleep(b.Context(), 5*time.Millisecond)
+	}
+	b.Fatalf("%s: %v", what, errNever)
+}
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -90,7 +90,7 @@
 // not name it.
 func (c *call) ours(status int, fields http.Header) bool {
 	reading := c.dialect.Reading(status, fields)
-	if reading.RequestID == "" {
+	if reading.RequestID == "" && c.attributes.RequestID != "" {
 		return reading.NotRun || status >= http.StatusBadRequest
 	}
 	return reading.RequestID == c.attributes.RequestID
--- /dev/null
+++ b/pkg/limit/window_test.go
@@ -0,0 +1,111 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// hand is a clock that a test moves.
+type hand struct{ at time.Time }
+
+func newHand() *hand { return &hand{at: time.Unix(1_000_000, 0)} }
+
+func (h *hand) now() time.Time { return h.at }
+
+// TestColdSharesStayWithinTheWhole sends requests through several instances in any
+// order and at any pace: in no second does the upstream get more than it bears.
+func TestColdSharesStayWithinTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 5).Draw(t, "instances")
+		perSecond := rapid.Float64Range(1, 40).Draw(t, "per second")
+		clock := newHand()
+		shares := make([]*limit.ColdShares, instances)
+		for i := range shares {
+			shares[i] = limit.NewColdShares(clock.now)
+		}
+		var sent []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "tries") {
+			clock.at = clock.at.Add(time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * time.Millisecond)
+			share := shares[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if share.Left("u", perSecond, instances) {
+				share.Sent("u")
+				sent = append(sent, clock.at)
+			}
+		}
+		for i := range sent {
+			within := 0
+			for _, at := range sent[i:] {
+				if at.Sub(sent[i]) < time.Second {
+					within++
+				}
+			}
+			if float64(within) > perSecond {
+				t.Fatalf("%d requests in a second, %.1f allowed", within, perSecond)
+			}
+		}
+	})
+}
+
+// TestRetrySharesStayWithinTheWhole does the same for repeats over their window.
+func TestRetrySharesStayWithinTheWhole(t *testing.T) {
+	const ratio, slack, window = 0.2, 54.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 8).Draw(t, "instances")
+		clock := newHand()
+		shares := make([]*limit.RetryShares, instances)
+		for i := range shares {
+			shares[i] = limit.NewRetryShares(ratio, slack, window, clock.now)
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 1500).Draw(t, "events") {
+			clock.at = clock.at.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * time.Millisecond)
+			share := shares[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				share.Request("s")
+				requests = append(requests, clock.at)
+			}
+			if share.Take("s", instances) {
+				repeats = append(repeats, clock.at)
+			}
+		}
+		for i, start := range repeats {
+			within := 0
+			for _, at := range repeats[i:] {
+				if at.Sub(start) < window {
+					within++
+				}
+			}
+			// The requests of the window, or of the one half a window before it.
+			most := max(countIn(requests, start, window), countIn(requests, start.Add(-window/2), window))
+			if float64(within) > ratio*float64(most)+slack {
+				t.Fatalf("%d repeats for %d requests", within, most)
+			}
+		}
+	})
+}
+
+func countIn(times []time.Time, start time.Time, length time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(start) && at.Sub(start) < length {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAnInstanceAloneHasTheWholeShare(t *testing.T) {
+	is := is.New(t)
+	shares := limit.NewColdShares(newHand().now)
+	for range 17 {
+		is.True(shares.Left("u", 17.5, 1))
+		shares.Sent("u")
+	}
+	is.True(!shares.Left("u", 17.5, 1))
+	is.True(shares.Left("v", 17.5, 1))
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -64,7 +64,7 @@
 
 	mu sync.Mutex
 	// lost is true while the store does not answer; returned is when it last came
-	// back, zero before the first answer.
+	// back, zero when it was never lost.
 	lost     bool
 	returned time.Time
 	// reached is when the store last answered.
@@ -122,12 +122,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
+	first := m.reached.IsZero()
 	m.reached = now
-	if m.lost || m.returned.IsZero() {
-		m.options.Log.Info().Bool("first", m.returned.IsZero()).Msg("store-reached")
+	if m.lost {
+		m.lost = false
 		m.returned = now
+		m.options.Log.Info().Msg("store-regained")
+	} else if first {
+		m.options.Log.Info().Msg("store-reached")
 	}
-	m.lost = false
 }
 
 // follow lists everything and then follows the changes until a call fails.
@@ -195,7 +198,7 @@
 // graceEnd is until when a leased entry that is found missing now still counts.
 func (m *Mirror) graceEnd(now time.Time) (time.Time, bool) {
 	end := m.returned.Add(lapseGrace)
-	return end, now.Before(end)
+	return end, !m.returned.IsZero() && now.Before(end)
 }
 
 // replace takes a whole listing.
--- /dev/null
+++ b/pkg/mirror/mirror_test.go
@@ -0,0 +1,224 @@
+package mirror_test
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// store is a key-value store in memory whose answers a test can take away.
+type store struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]platform.Entry
+	history  []platform.Change
+	// from is the revision from which on the history is kept.
+	from int64
+	down bool
+	// deaf watches hear nothing.
+	deaf bool
+}
+
+var errDown = errors.New("down")
+
+func newStore() *store { return &store{revision: 1, entries: map[string]platform.Entry{}} }
+
+func (s *store) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	entry := platform.Entry{Key: key, Value: []byte(value), ModRevision: s.revision}
+	s.entries[key] = entry
+	s.history = append(s.history, platform.Change{Entry: entry})
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.history = append(s.history, platform.Change{Entry: platform.Entry{Key: key, ModRevision: s.revision}, Removed: true})
+}
+
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// compact drops the history.
+func (s *store) compact() { s.set(func() { s.history, s.from = nil, s.revision }) }
+
+func (s *store) unavailable() error {
+	return &platform.Error{Service: "key-value", Call: "test", Err: errors.Join(platform.ErrUnavailable, errDown)}
+}
+
+// List implements platform.PrefixReader, two entries a page.
+func (s *store) List(_ context.Context, prefix, after string) (platform.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return platform.Page{}, s.unavailable()
+	}
+	page := platform.Page{Revision: s.revision}
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if key <= after || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if len(page.Entries) == 2 {
+			page.More = true
+			break
+		}
+		page.Entries = append(page.Entries, s.entries[key])
+	}
+	return page, nil
+}
+
+// Changes implements platform.PrefixReader.
+func (s *store) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		down, deaf, gone := s.down, s.deaf, after < s.from
+		changes := platform.Changes{Revision: s.revision}
+		for _, change := range s.history {
+			if change.ModRevision > after {
+				changes.Entries = append(changes.Entries, change)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return platform.Changes{}, s.unavailable()
+		case gone:
+			return platform.Changes{}, &platform.Error{Service: "key-value", Call: "test", Err: platform.ErrCompacted}
+		case !deaf && (len(changes.Entries) > 0 || !time.Now().Before(end)):
+			return changes, nil
+		}
+		if !clock.Sleep(ctx, 10*time.Millisecond) {
+			return platform.Changes{}, s.unavailable()
+		}
+	}
+}
+
+// follow runs a mirror of the store inside a bubble of virtual time.
+func follow(t *testing.T, check func(is *is.I, s *store, m *mirror.Mirror)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		m := mirror.New(mirror.Options{Source: s, Leased: []string{"servers/"}, Clock: clock.System{}, Log: zerolog.Nop()})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { m.Run(ctx); close(ended) }()
+		check(is.New(t), s, m)
+		cancel()
+		<-ended
+	})
+}
+
+func has(m *mirror.Mirror, key string) bool {
+	snapshot := m.Snapshot().Load()
+	if snapshot == nil {
+		return false
+	}
+	_, ok := snapshot.Entries[key]
+	return ok
+}
+
+func TestChangesArriveOverSeveralPages(t *testing.T) {
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		for _, key := range []string{"servers/a", "servers/b", "servers/c", "op/config"} {
+			s.put(key, "1")
+		}
+		time.Sleep(time.Second)
+		is.Equal(len(m.Snapshot().Load().Entries), 4)
+		s.put("op/config", "2")
+		s.remove("servers/b")
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(string(m.Snapshot().Load().Entries["op/config"].Value), "2")
+		is.True(!has(m, "servers/b"))
+	})
+}
+
+// TestLapsedEntriesAreKeptUntilTheirOwnersCanReturn takes the store away while leases
+// run out: what its owner writes again within two seconds was never gone, the rest is
+// gone soon after, and what hangs on no lease is gone at once.
+func TestLapsedEntriesAreKeptUntilTheirOwnersCanReturn(t *testing.T) {
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		s.put("servers/back", "1")
+		s.put("servers/dead", "1")
+		s.put("op/evacuate/x", "1")
+		time.Sleep(time.Second)
+		s.set(func() { s.down = true })
+		time.Sleep(5 * time.Second)
+		for _, key := range []string{"servers/back", "servers/dead", "op/evacuate/x"} {
+			s.remove(key)
+		}
+		s.compact()
+		s.set(func() { s.down = false })
+		time.Sleep(time.Second)
+		is.True(!has(m, "op/evacuate/x"))
+		is.True(has(m, "servers/back"))
+		is.True(has(m, "servers/dead"))
+		s.put("servers/back", "2")
+		time.Sleep(2 * time.Second)
+		is.True(has(m, "servers/back"))
+		is.True(!has(m, "servers/dead"))
+	})
+}
+
+// TestEntriesRemovedWhileTheStoreAnswersAreGoneAtOnce: no grace in calm times.
+func TestEntriesRemovedWhileTheStoreAnswersAreGoneAtOnce(t *testing.T) {
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		s.put("servers/a", "1")
+		time.Sleep(5 * time.Second)
+		s.remove("servers/a")
+		time.Sleep(100 * time.Millisecond)
+		is.True(!has(m, "servers/a"))
+	})
+}
+
+// TestHistoryLostWhileWatchesAreDeafIsReadAnew: changes that no watch told are found
+// by the next listing.
+func TestHistoryLostWhileWatchesAreDeafIsReadAnew(t *testing.T) {
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		s.put("servers/a", "ready")
+		time.Sleep(5 * time.Second)
+		s.set(func() { s.deaf = true })
+		s.put("servers/a", "draining")
+		time.Sleep(time.Second)
+		s.compact()
+		s.set(func() { s.deaf = false })
+		time.Sleep(500 * time.Millisecond)
+		is.Equal(string(m.Snapshot().Load().Entries["servers/a"].Value), "draining")
+	})
+}
+
+func TestAMirrorNeverGoesBack(t *testing.T) {
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		s.put("op/config", "old")
+		time.Sleep(time.Second)
+		old := *m.Snapshot().Load()
+		newer := &mirror.Snapshot{Revision: 50, Entries: map[string]platform.Entry{
+			"op/config": {Key: "op/config", Value: []byte("new"), ModRevision: 40},
+		}}
+		is.True(m.Adopt(newer))
+		is.True(!m.Adopt(&old))
+		// The store tells again of what the copy already reflects.
+		s.put("op/config", "older than the copy")
+		time.Sleep(3 * time.Second)
+		is.Equal(string(m.Snapshot().Load().Entries["op/config"].Value), "new")
+		is.Equal(m.Snapshot().Load().Revision, int64(50))
+	})
+}
