--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -173,7 +173,6 @@
 	edge   *Edge
 	caller *httptest.Server
 	peers  *httptest.Server
-	route  httproute.Route
 }
 
 const (
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -118,6 +118,14 @@
 	b.is.Equal(arrivals(), 2)
 }
 
+// TestAnAnsweredFailureIsTriedAgainWhereThereIsNoOtherUpstream: the same upstream
+// counts once, and the next try may well succeed.
+func TestAnAnsweredFailureIsTriedAgainWhereThereIsNoOtherUpstream(t *testing.T) {
+	u := newUpstream(t, firstThen(say(http.StatusInternalServerError, "broken"), say(http.StatusOK, "done")))
+	b := newBed(t, safe, u)
+	b.is.Equal(b.ask(http.MethodGet, "/r/", "").body, "done")
+}
+
 // TestAnInstanceMayRunAForwardedRequestOnlyAsOftenAsItIsLent: attempts are counted
 // over the instances that a request passes.
 func TestAnInstanceMayRunAForwardedRequestOnlyAsOftenAsItIsLent(t *testing.T) {
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -174,6 +174,12 @@
 	var survey steer.Survey
 	if here {
 		survey = world.Look(query)
+		if survey.Best.Upstream == nil && j.kept != nil {
+			// A server that answered with a failure may well serve the next try, and
+			// is nearer than another region.
+			query.Tried = nil
+			survey = world.Look(query)
+		}
 	}
 	if !j.forwarded {
 		if away := world.Choose(query, survey, world.Regions(query)); away != nil {
