Steer prompts by their last shared part, over all regions; log decisions

Now the hash runs over all permitted regions, and another region is worth the way where it holds the part. What stays: prefill behind a long prompt that another instance has just sent to the same server (1.4 s behind 41,000 tokens).

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -173,7 +173,8 @@
 	if refusal == nil {
 		j.counts.served(took)
 		if e := j.log.Debug(); e.Enabled() {
-			e.Str("request", j.attributes.RequestID).Int("sends", j.sends).Dur("ms", took).Msg("request-ended")
+			e.Str("request", j.attributes.RequestID).Int("sends", j.sends).Bool("forwarded", j.forwarded).
+				Dur("first_ms", j.writer.first.Sub(j.started)).Dur("ms", took).Msg("request-ended")
 		}
 		if j.request.Context().Err() != nil {
 			j.counts.gone()
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -181,15 +181,30 @@
 			survey = world.Look(query)
 		}
 	}
+	chosen := &target{survey: survey}
 	if !j.forwarded {
 		if away := world.Choose(query, survey, world.Regions(query)); away != nil {
-			return &target{peer: away.Peers[world.Roll%uint64(len(away.Peers))]}, nil
+			chosen.peer = away.Peers[world.Roll%uint64(len(away.Peers))]
 		}
 	}
-	if survey.Best.Upstream == nil {
+	if chosen.peer == nil && survey.Best.Upstream == nil {
 		return nil, j.noUpstream(here, &survey)
 	}
-	return &target{survey: survey}, nil
+	j.noteChoice(chosen)
+	return chosen, nil
+}
+
+// noteChoice logs a decision with the inputs that decided it.
+func (j *job) noteChoice(chosen *target) {
+	event := j.log.Debug()
+	if !event.Enabled() {
+		return
+	}
+	best := &chosen.survey.Best
+	event.Str("request", j.attributes.RequestID).Str("route", j.route.Name).Str("target", chosen.name()).
+		Int("send", j.sends+1).Bool("forwarded", j.forwarded).Int("prompt", j.attributes.PromptTokens).
+		Int("uncached", best.Uncached).Int("in_flight", best.InFlight).Int("prefill", best.Prefill).
+		Float64("cost", best.Cost).Int("usable", chosen.survey.Usable).Msg("request-routed")
 }
 
 func (j *job) noUpstream(here bool, survey *steer.Survey) *outcome.Refusal {
@@ -233,6 +248,7 @@
 // forward sends the request to an instance of another region.
 func (j *job) forward(ctx context.Context, to *target) result {
 	j.tried = append(j.tried, to.name())
+	j.recent.Add(j.attributes.Parts, to.peer.Instance.Region, j.now())
 	call := &call{
 		job:    j,
 		pool:   j.peers,
--- a/pkg/member/rank.go
+++ b/pkg/member/rank.go
@@ -43,6 +43,19 @@
 	return ranked
 }
 
+// First returns the index of the first name of the ranking, without making it. There
+// must be at least one name.
+func First(key uint64, names []string) int {
+	first, highest := 0, uint64(0)
+	for i, name := range names {
+		s := score(key, name)
+		if i == 0 || s > highest || (s == highest && name < names[first]) {
+			first, highest = i, s
+		}
+	}
+	return first
+}
+
 // Owns says whether self is among the first n of the ranking.
 func Owns(key uint64, names []string, self string, n int) bool {
 	own := score(key, self)
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/httproute"
@@ -13,38 +14,51 @@
 	Region string
 	// Peers are the live instances there, at least one.
 	Peers []*peer.Known
-	// PerSlot is the requests in hand for each slot, Backlog the prompt tokens to be
-	// read for each upstream.
-	PerSlot, Backlog float64
+	// Upstreams counts the usable ones, Slots adds up theirs.
+	Upstreams, Slots int
+	// InFlight and Prefill are the work of all of them.
+	InFlight, Prefill int
 }
 
 // Regions returns the other regions in which the request may be processed and where
-// a live instance and a usable upstream are known, in no order.
+// a live instance and a usable upstream are known, sorted by name.
 func (w *World) Regions(req *Request) []Away {
-	byRegion := make(map[string]*Away)
+	var regions []Away
 	for i := range w.peers() {
 		known := &w.Peers.Others[i]
 		region := known.Instance.Region
-		if region == w.Region || !req.Route.PermittedIn(region) {
+		if region == w.Region || !req.Route.PermittedIn(region) || tried(req, known.Instance.Name) {
 			continue
 		}
 		if known.Leaving || !known.Live(w.Now) || known.Configuration == 0 {
 			continue
 		}
-		away := byRegion[region]
-		if away == nil {
-			away = &Away{Region: region}
-			byRegion[region] = away
+		at := slices.IndexFunc(regions, func(a Away) bool { return a.Region == region })
+		if at < 0 {
+			at = len(regions)
+			regions = append(regions, Away{Region: region})
 		}
-		away.Peers = append(away.Peers, known)
+		regions[at].Peers = append(regions[at].Peers, known)
 	}
-	var regions []Away
-	for _, away := range byRegion {
-		if w.measure(away, req.Service) {
-			regions = append(regions, *away)
+	kept := regions[:0]
+	for i := range regions {
+		if w.measure(&regions[i], req.Service) {
+			kept = append(kept, regions[i])
 		}
 	}
-	return regions
+	slices.SortFunc(kept, func(a, b Away) int { return compareText(a.Region, b.Region) })
+	return kept
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
 }
 
 func (w *World) peers() []peer.Known {
@@ -56,78 +70,90 @@
 
 // measure fills in a region's load; false when nothing there may get work.
 func (w *World) measure(away *Away, service *httproute.Service) bool {
-	slots, upstreams := 0, 0
 	for _, upstream := range w.Fleet.Service(service.Name) {
 		if upstream.Region == away.Region && w.Fleet.Usable(upstream) && !upstream.Cold(w.Now) {
-			slots += upstream.Slots
-			upstreams++
+			away.Slots += upstream.Slots
+			away.Upstreams++
 		}
 	}
-	if upstreams == 0 || slots == 0 {
-		return false
-	}
-	inFlight, prefill := 0, 0
 	for _, known := range away.Peers {
 		for _, load := range known.Services {
 			if load.Name == service.Name {
-				inFlight += load.InFlight
-				prefill += load.Prefill
+				away.InFlight += load.InFlight
+				away.Prefill += load.Prefill
 			}
 		}
 	}
-	away.PerSlot = float64(inFlight) / float64(slots)
-	away.Backlog = float64(prefill) / float64(upstreams)
-	return true
+	return away.Upstreams > 0 && away.Slots > 0
 }
 
 // Parameters of sending away.
 const (
-	// farMargin is by how much the load for each slot must be lower far away: the
-	// way there and back costs time, bytes, and prompts that are read anew.
-	farMargin = 0.25
-	// farBusy is the load for each slot below which a plain service sends nothing away.
-	farBusy = 0.8
-	// farBacklog is the prompt tokens to be read for each upstream below which
-	// engines send nothing away; at 60 tokens a millisecond, about twice the way.
-	farBacklog = 15000
+	// wayTokens is what the way to another region and back costs, in prompt tokens
+	// that an engine reads meanwhile: 110 ms at about 60 tokens a millisecond.
+	wayTokens = 6600
+	// farMargin is how much cheaper, in prompt tokens, an engine far away must be: what
+	// is known of it is older than what is known here.
+	farMargin = 1500
+	// farSlots is by how much, in shares of the slots, the load must be lower far away
+	// for a plain service, and farBusy the load below which it sends nothing away: a
+	// call that gets a slot at once is answered sooner here.
+	farSlots = 0.25
+	farBusy  = 0.8
 )
 
-// Choose returns the least loaded of regions that is worth the way from a region
-// with the given survey; nil when none is. With nothing usable here any region is.
+// Choose returns the region that is worth the way, given the survey of the own one;
+// nil when none is. With nothing usable here the cheapest region is.
 func (w *World) Choose(req *Request, here Survey, regions []Away) *Away {
 	var best *Away
 	lowest := math.Inf(1)
 	for i := range regions {
-		if load := regions[i].load(req.Service); load < lowest {
-			best, lowest = &regions[i], load
+		if cost := w.farCost(req, &regions[i]); cost < lowest {
+			best, lowest = &regions[i], cost
 		}
 	}
-	if best == nil || here.Best.Upstream == nil || !req.Route.PermittedIn(w.Region) {
+	if best == nil || here.Best.Upstream == nil {
 		return best
 	}
-	local := Away{PerSlot: perSlot(here), Backlog: float64(here.Prefill) / float64(max(1, here.Usable))}
-	if local.load(req.Service) < lowest+farMargin {
-		return nil
-	}
-	busy := local.PerSlot >= farBusy
 	if req.Service.Engine != nil {
-		busy = busy || local.Backlog >= farBacklog
-	}
-	if !busy {
+		if lowest+farMargin < here.Best.Cost {
+			return best
+		}
 		return nil
 	}
-	return best
+	local := float64(here.InFlight) / float64(max(1, here.Slots))
+	if local >= farBusy && local >= lowest+farSlots {
+		return best
+	}
+	return nil
 }
 
-func perSlot(s Survey) float64 { return float64(s.InFlight) / float64(max(1, s.Slots)) }
+// farCost is what the request costs in another region: for engines in prompt tokens,
+// as Candidate.Cost is; for plain services the load in shares of the slots.
+func (w *World) farCost(req *Request, away *Away) float64 {
+	if req.Service.Engine == nil {
+		return float64(away.InFlight) / float64(away.Slots)
+	}
+	upstreams := float64(away.Upstreams)
+	beyond := max(0, float64(away.InFlight+1-away.Slots)) / upstreams
+	uncached := float64(req.PromptTokens) - w.cachedAway(req, away)
+	return wayTokens + float64(away.Prefill)/upstreams + cachedWeight*uncached +
+		tokensPerRequest*float64(away.InFlight)/upstreams + queuedPenalty*beyond
+}
 
-// load is a region's load in shares of its slots; for engines, prompts to be read
-// count as well.
-func (a *Away) load(service *httproute.Service) float64 {
-	if service.Engine == nil {
-		return a.PerSlot
+// cachedAway estimates how many of the prompt's tokens the region holds.
+func (w *World) cachedAway(req *Request, away *Away) float64 {
+	shared := sharedPart(req)
+	if shared == nil {
+		return 0
+	}
+	if w.Recent.Held(shared.ID, away.Region, w.Now) {
+		return float64(sharedTokens(req))
+	}
+	if w.favouriteRegion(req, shared) == away.Region {
+		return favouriteTrust * float64(sharedTokens(req))
 	}
-	return max(a.PerSlot, a.Backlog/(2*farBacklog))
+	return 0
 }
 
 // RetryAfter is when a request that found no place should come back.
--- a/pkg/steer/recent.go
+++ b/pkg/steer/recent.go
@@ -9,24 +9,59 @@
 )
 
 // leastShared is the size in tokens from which on a shared part is worth steering
-// for: reading it takes longer than an uneven load costs.
-const leastShared = 500
+// for: engines cache whole blocks of about that size.
+const leastShared = 16
 
-// favouriteOf returns the upstream to which the request's first part is hashed, so
-// that instances that know nothing of each other choose alike; empty when the part
-// is too small to matter.
-func favouriteOf(req *Request, upstreams []*fleet.Upstream) string {
-	if !req.Route.SharedPrompts || len(req.Parts) < 2 || req.Parts[0].Tokens < leastShared {
-		return ""
+// sharedPart returns the prompt's last shared part, nil when nothing is shared that
+// matters. Prompts that share a later part share what comes before it as well.
+func sharedPart(req *Request) *Part {
+	if !req.Route.SharedPrompts || len(req.Parts) < 2 {
+		return nil
+	}
+	shared := &req.Parts[len(req.Parts)-2]
+	if shared.Tokens < leastShared {
+		return nil
+	}
+	return shared
+}
+
+// sharedTokens is the prompt without its last part, which is the request's own.
+func sharedTokens(req *Request) int {
+	total := 0
+	for _, part := range req.Parts[:len(req.Parts)-1] {
+		total += part.Tokens
+	}
+	return total
+}
+
+// favouriteOf returns the upstream to which a shared part is hashed, so that
+// instances that know nothing of each other choose alike. That of one region is that
+// of all regions together where it lies in that region.
+func favouriteOf(shared *Part, upstreams []*fleet.Upstream) *fleet.Upstream {
+	if shared == nil || len(upstreams) == 0 {
+		return nil
 	}
 	names := make([]string, len(upstreams))
 	for i, upstream := range upstreams {
 		names[i] = upstream.ID
 	}
-	if len(names) == 0 {
-		return ""
+	first := member.First(member.Key("prompt", shared.ID), names)
+	return upstreams[first]
+}
+
+// favouriteRegion returns the region of the upstream to which a shared part is hashed
+// among all that the request may go to; empty when there is none.
+func (w *World) favouriteRegion(req *Request, shared *Part) string {
+	var permitted []*fleet.Upstream
+	for _, upstream := range w.Fleet.Service(req.Service.Name) {
+		if w.Fleet.Usable(upstream) && req.Route.PermittedIn(upstream.Region) {
+			permitted = append(permitted, upstream)
+		}
+	}
+	if favourite := favouriteOf(shared, permitted); favourite != nil {
+		return favourite.Region
 	}
-	return member.Rank(member.Key("prompt", req.Parts[0].ID), names)[0]
+	return ""
 }
 
 // Recent remembers where prompt parts were sent lately. It is safe for concurrent
@@ -39,7 +74,7 @@
 // Bounds of what is remembered.
 const (
 	// recentParts is how many parts are remembered; each costs about 200 bytes.
-	recentParts = 4096
+	recentParts = 8192
 	// heldFor is how long an upstream is taken to hold a part that nobody used since.
 	heldFor = 20 * time.Second
 )
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -105,7 +105,10 @@
 func (w *World) Look(req *Request) Survey {
 	var survey Survey
 	upstreams := w.regional(req.Service.Name)
-	favourite := favouriteOf(req, upstreams)
+	favourite := ""
+	if upstream := favouriteOf(sharedPart(req), upstreams); upstream != nil {
+		favourite = upstream.ID
+	}
 	for _, upstream := range upstreams {
 		survey.Known++
 		if !w.Fleet.Usable(upstream) {
@@ -180,8 +183,8 @@
 		}
 		held = total
 	}
-	if held == 0 && upstream == favourite {
-		return favouriteTrust * float64(req.Parts[0].Tokens)
+	if upstream == favourite {
+		return max(float64(held), favouriteTrust*float64(sharedTokens(req)))
 	}
 	return float64(held)
 }
