--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -28,6 +28,8 @@
 	Left time.Duration
 	// Upstream is the ID of the upstream that must answer; empty for an instance.
 	Upstream string
+	// Priority is the rank at the upstream; 0 goes first.
+	Priority int
 	// Source is the address of an engine from whose cache the upstream should copy
 	// what it lacks of the prompt; empty: none.
 	Source string
