Tell long prompts to the region's instances at once

Cause: a prompt of 41,000 tokens was sent to a server 40 ms before another instance sent a short one there, which then waited 1.4 s: loads were told every 200 ms. A request that leaves 4,000 tokens or more to be read now brings the next exchange forward.

--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -15,6 +15,10 @@
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
 
+// hurryTokens is from how many prompt tokens to be read on a request is told to the
+// other instances at once: engines take longer over it than a round of gossip.
+const hurryTokens = 4000
+
 // maxSends bounds how often one request is sent, whatever its route permits: those
 // that were rejected without being run count here as well.
 const maxSends = 4
@@ -237,6 +241,9 @@
 	if !ok {
 		return notRun
 	}
+	if to.survey.Best.Uncached >= hurryTokens {
+		j.gossip.Hurry()
+	}
 	if upstream.Cold(j.now()) {
 		j.cold.Sent(upstream.ID)
 	}
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -50,6 +50,8 @@
 	// round passes between exchanges inside the region. Loads are then at most about
 	// two rounds old, less than the time of a short request.
 	round = 200 * time.Millisecond
+	// hurryPause keeps rounds apart that were asked for.
+	hurryPause = 20 * time.Millisecond
 	// farEvery is every how many rounds another region is asked; bytes between
 	// regions are dear, and what is asked for there changes slowly.
 	farEvery = 3
@@ -70,11 +72,23 @@
 	view    board.Section[View]
 	mu      sync.Mutex
 	table   map[string]*Known
+	// urgent holds one value while a round should come early.
+	urgent chan struct{}
 }
 
 // New returns a Gossip that knows nobody.
 func New(options Options) *Gossip {
-	return &Gossip{options: options, table: make(map[string]*Known)}
+	return &Gossip{options: options, table: make(map[string]*Known), urgent: make(chan struct{}, 1)}
+}
+
+// Hurry asks for an exchange inside the region before the next round is due: this
+// instance has just sent so much to an upstream that the others would choose
+// differently if they knew. It never waits.
+func (g *Gossip) Hurry() {
+	select {
+	case g.urgent <- struct{}{}:
+	default:
+	}
 }
 
 // View returns the section that holds what is known of the others.
@@ -111,11 +125,35 @@
 
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	for n := 0; clock.Sleep(ctx, round); n++ {
+	var due time.Time
+	for n := 0; ctx.Err() == nil; {
+		now := g.options.Clock.Now()
+		if now.Before(due) && !g.waitHurry(ctx, due.Sub(now)) {
+			continue
+		}
+		far := !g.options.Clock.Now().Before(due)
+		if far {
+			due = g.options.Clock.Now().Add(round)
+			n++
+		}
 		g.publish()
-		g.exchangeRound(ctx, n%farEvery == 0)
+		g.exchangeRound(ctx, far && n%farEvery == 0)
 		g.catchUp(ctx)
+		clock.Sleep(ctx, hurryPause)
+	}
+}
+
+// waitHurry waits until a round is due, and says whether one is wanted before.
+func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-g.urgent:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return false
 }
 
 // Tell tells everyone of the own region at once: a leaving mark must not wait.
