--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -15,11 +15,13 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/lilacweir/lilacweir/pkg/admission"
 	"github.com/lilacweir/lilacweir/pkg/api"
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/relay"
 	"github.com/lilacweir/lilacweir/pkg/settings"
@@ -315,6 +317,58 @@
 	}
 }
 
+// Limits fall with each late or failed answer, the queue's places follow with the next
+// compiled table. A request that is admitted in between waits for a place.
+func TestAnAdmittedRequestWaitsWhenTheLimitsHaveFallen(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t)
+	var held []func()
+	for _, pool := range b.north.table.Load().Pools() {
+		for _, name := range pool.Upstreams {
+			held = append(held, b.occupy(pool.Key, name)...)
+		}
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		answered <- b.send(testContext(t), review.method, review.path, residentKey, review.body, nil)
+	}()
+	eventually(t, "the request waits or is answered", func() bool {
+		return len(b.north.queue.Waiting()) > 0 || len(answered) > 0
+	})
+	if len(answered) > 0 {
+		got := <-answered
+		t.Fatalf("answered at once: %d %s %s", got.status, b.told(got), got.body)
+	}
+	for _, release := range held {
+		release()
+	}
+	is.Equal(b.told(<-answered), complete)
+}
+
+// occupy lowers the north's limit at an upstream by failures, each two followed by a
+// success so that it is not ejected, and takes every place that is left there as
+// requests do: by the queue and at the upstream. It returns what gives them back.
+func (b *bed) occupy(pool, upstream string) []func() {
+	is := is.New(b.t)
+	const failures = 40
+	for range failures {
+		for _, result := range []limit.Result{limit.Failed, limit.Failed, limit.Succeeded} {
+			if flight, ok := b.north.tracker.Start(upstream, 0, 0); ok {
+				flight.Done(result)
+			}
+		}
+	}
+	var held []func()
+	for range b.north.tracker.Load(upstream).Limit {
+		leave, refusal := b.north.queue.Acquire(b.t.Context(), admission.Ticket{Caller: &config.Caller{Name: "holder"}, Serves: pool, Cost: 1})
+		is.True(refusal == nil)
+		flight, ok := b.north.tracker.Start(upstream, 0, 0)
+		is.True(ok)
+		held = append(held, func() { flight.Done(limit.Succeeded); leave() })
+	}
+	return held
+}
+
 // A domain whose link is cut gets no request that may not be repeated, once one has
 // shown it: the next is refused as not run, until a probe gets through.
 func TestCutLinkIsNotTriedAgainUntilItHeals(t *testing.T) {
--- a/pkg/gateway/router.go
+++ b/pkg/gateway/router.go
@@ -76,8 +76,34 @@
 			return w.forward(elsewhere, tried)
 		}
 	}
-	w.query.Admitted = true
-	return w.place(tried)
+	for again := 0; ; again++ {
+		w.query.Admitted = true
+		choice, done, refusal := w.place(tried)
+		if refusal == nil || refusal.Reason != outcome.ReasonOverloaded || again == requeues {
+			return choice, done, refusal
+		}
+		elsewhere, refusal := w.requeue(ctx)
+		if refusal != nil {
+			return dispatch.Choice{}, nil, refusal
+		}
+		if elsewhere != nil {
+			return w.forward(elsewhere, tried)
+		}
+	}
+}
+
+// requeues bounds how often a request that was admitted waits once more, because the
+// limits at the upstreams had fallen below the places that the queue gave out.
+const requeues = 3
+
+// requeue waits for another turn, by the limits as they are now. An admitted request
+// is not refused only because the queue learned late that there are fewer places.
+func (w *way) requeue(ctx context.Context) (*route.Decision, *outcome.Refusal) {
+	w.release()
+	w.release = nil
+	w.query.Admitted = false
+	w.refreshCapacities()
+	return w.admit(ctx)
 }
 
 // admit decides whether the request stays in this domain, and if so waits for its
--- a/pkg/gateway/table.go
+++ b/pkg/gateway/table.go
@@ -51,6 +51,15 @@
 	g.updateQuota()
 }
 
+// refreshCapacities gives the queues the places that there are by now, without
+// compiling the table anew.
+func (g *Gateway) refreshCapacities() {
+	g.exchange.Lock()
+	defer g.exchange.Unlock()
+	table := g.table.Load()
+	g.setCapacities(table, table)
+}
+
 // updateQuota tells the callers' limits who else lets requests in.
 func (g *Gateway) updateQuota() {
 	view := quota.View{
