One hub and two watchers a failure domain; digests between domains

Now an instance reports to its domain's hub and learns there of all (in domains of up to five, to everyone); hubs ask each other for digests; two watchers a domain follow the store and the others copy what changed.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -143,7 +143,7 @@
 	}
 	e.counts = newCounters(e.registry)
 	e.gossip = peer.New(peer.Options{
-		Self: e.state, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
+		Self: e.self, Report: e.report, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
 	})
 	return e, nil
 }
@@ -287,51 +287,38 @@
 	}
 }
 
-// state is what the instance says of itself.
-func (e *Edge) state() peer.State {
-	state := peer.State{
-		Instance: e.self,
-		Sequence: e.sequence.Add(1),
-		Leaving:  e.Leaving(),
+// report is what the instance says of itself.
+func (e *Edge) report() peer.Report {
+	return peer.Report{
+		Name:        e.self.Name,
+		Incarnation: e.self.Incarnation,
+		Sequence:    e.sequence.Add(1),
+		Leaving:     e.Leaving(),
+		Ready:       e.board.Routes.Load() != nil,
+		Store:       e.store.Revision(),
+		Upstreams:   e.loads(),
 	}
-	if config := e.board.Routes.Load(); config != nil {
-		state.Configuration = config.Version
-	}
-	if snapshot := e.store.Snapshot().Load(); snapshot != nil {
-		state.Store = snapshot.Revision
-	}
-	state.Upstreams, state.Services = e.loads()
-	return state
 }
 
-// loads is the work in hand, by upstream and by service.
-func (e *Edge) loads() (upstreams, services []peer.Load) {
+// loads is the work in hand by upstream, those without any left out.
+func (e *Edge) loads() []peer.Load {
 	view := e.board.Fleet.Load()
 	if view == nil {
-		return nil, nil
+		return nil
 	}
-	sums := make(map[string]*peer.Load)
+	var loads []peer.Load
 	for i := range view.Upstreams {
-		upstream := &view.Upstreams[i]
-		own := e.tracker.Load(upstream.ID)
-		if own.InFlight == 0 {
-			continue
+		id := view.Upstreams[i].ID
+		if own := e.tracker.Load(id); own.InFlight > 0 {
+			loads = append(loads, peer.Load{Name: id, InFlight: own.InFlight, Prefill: own.Prefill})
 		}
-		upstreams = append(upstreams, peer.Load{Name: upstream.ID, InFlight: own.InFlight, Prefill: own.Prefill})
-		sum := sums[upstream.Service]
-		if sum == nil {
-			sum = &peer.Load{Name: upstream.Service}
-			sums[upstream.Service] = sum
-		}
-		sum.InFlight += own.InFlight
-		sum.Prefill += own.Prefill
-	}
-	for _, sum := range sums {
-		services = append(services, *sum)
 	}
-	return upstreams, services
+	return loads
 }
 
+// Watches says whether the instance should follow the store itself.
+func (e *Edge) Watches() bool { return e.gossip.Watches() }
+
 // instances is how many instances there are, this one included; never fewer than
 // are registered.
 func (e *Edge) instances() int { return e.countInstances(func(string) bool { return true }) }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -37,6 +37,9 @@
 	Leased []string
 	Clock  clock.Clock
 	Log    zerolog.Logger
+	// Active says whether the store should be followed; while it is false, copies
+	// come by Adopt. Nil: always.
+	Active func() bool
 }
 
 // Times of a Mirror.
@@ -55,6 +58,11 @@
 	// lapseGrace is for how long after the store's return a missing leased entry
 	// still counts: its owner writes it again within about two seconds.
 	lapseGrace = 2300 * time.Millisecond
+	// idlePause is how often an inactive Mirror looks whether it is active again.
+	idlePause = 100 * time.Millisecond
+	// currentFor is for how long after an answer of the store the copy counts as
+	// current: a little more than a waiting call that was told nothing.
+	currentFor = watchWait + 200*time.Millisecond
 )
 
 // Mirror copies a prefix. Its Run is the only writer, but for Adopt.
@@ -81,21 +89,39 @@
 // Snapshot returns the section that holds the newest copy.
 func (m *Mirror) Snapshot() *board.Section[Snapshot] { return &m.snapshot }
 
-// Reached returns when the store last answered; zero: never.
-func (m *Mirror) Reached() time.Time {
+// Current says whether the store answered lately, so that a peer's copy can be newer
+// by moments only.
+func (m *Mirror) Current() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.reached
+	return !m.lost && !m.reached.IsZero() && m.options.Clock.Now().Sub(m.reached) < currentFor
+}
+
+// Revision is the store's revision that the copy reflects; zero: there is none.
+func (m *Mirror) Revision() int64 { return m.revision() }
+
+// active says whether the store should be followed now. A Mirror without a copy
+// always reads one.
+func (m *Mirror) active() bool {
+	return m.options.Active == nil || m.revision() == 0 || m.options.Active()
 }
 
 // Run copies until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	pause := firstRetry
 	for ctx.Err() == nil {
+		if !m.active() {
+			clock.Sleep(ctx, idlePause)
+			continue
+		}
 		err := m.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			pause = firstRetry
+			continue
+		}
 		if errors.Is(err, platform.ErrCompacted) {
 			m.options.Log.Warn().Int64("revision", m.revision()).Msg("store-history-gone")
 			continue
@@ -133,10 +159,11 @@
 	}
 }
 
-// follow lists everything and then follows the changes until a call fails.
+// follow lists everything and then follows the changes, until a call fails or the
+// Mirror is no longer active.
 func (m *Mirror) follow(ctx context.Context) error {
 	revision, err := m.list(ctx)
-	for err == nil {
+	for err == nil && m.active() {
 		revision, err = m.changes(ctx, revision)
 	}
 	return err
@@ -309,15 +336,57 @@
 	return 0
 }
 
-// Adopt takes the copy of another instance when it is newer than the own one, and
-// says whether it was. It is for times when the store does not answer here.
-func (m *Mirror) Adopt(other *Snapshot) bool {
+// Delta is what has changed in a copy since a revision.
+type Delta struct {
+	// Revision is the copy's; zero: it has nothing newer.
+	Revision int64
+	// Changed holds the entries that were written since, Keys all keys that there are.
+	Changed []platform.Entry
+	Keys    []string
+}
+
+// Since returns what has changed in the copy since a revision.
+func (s *Snapshot) Since(revision int64) Delta {
+	if s.Revision <= revision {
+		return Delta{}
+	}
+	delta := Delta{Revision: s.Revision, Keys: make([]string, 0, len(s.Entries))}
+	for key, entry := range s.Entries {
+		delta.Keys = append(delta.Keys, key)
+		if entry.ModRevision > revision {
+			delta.Changed = append(delta.Changed, entry)
+		}
+	}
+	return delta
+}
+
+// Adopt brings the copy to what another instance's copy is, when that is newer than
+// the own one, and says whether it was. The delta must be since the own revision.
+func (m *Mirror) Adopt(delta *Delta) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if other == nil || other.Revision <= m.revision() {
+	present := m.snapshot.Load()
+	if delta.Revision <= m.revision() {
 		return false
 	}
+	entries := make(map[string]platform.Entry, len(delta.Keys))
+	for i := range delta.Changed {
+		entries[delta.Changed[i].Key] = delta.Changed[i]
+	}
+	for _, key := range delta.Keys {
+		if _, changed := entries[key]; changed {
+			continue
+		}
+		if present == nil {
+			return false
+		}
+		entry, ok := present.Entries[key]
+		if !ok {
+			return false
+		}
+		entries[key] = entry
+	}
 	m.lapsed = make(map[string]time.Time)
-	m.snapshot.Store(other)
+	m.snapshot.Store(&Snapshot{Revision: delta.Revision, Entries: entries})
 	return true
 }
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -13,31 +12,16 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
-// ServiceName is the name under which instances serve each other by net/rpc.
-const ServiceName = "Peer"
-
-// Methods of the service.
-const (
-	methodExchange = ServiceName + ".Exchange"
-	methodCopy     = ServiceName + ".Copy"
-)
-
-// Message is one side of an exchange.
-type Message struct{ States []State }
-
-// CopyArgs asks for the copy of the store if it is newer than Revision.
-type CopyArgs struct{ Revision int64 }
-
-// CopyReply holds the copy; nil when it is not newer.
-type CopyReply struct{ Snapshot *mirror.Snapshot }
-
 // Options of a Gossip.
 type Options struct {
-	Self  func() State
-	Fleet *board.Section[fleet.View]
+	// Self is this instance; Report is what it says of itself now.
+	Self   fleet.Instance
+	Report func() Report
+	Fleet  *board.Section[fleet.View]
 	// Store is this instance's copy of the platform's store.
 	Store  *mirror.Mirror
 	Client *control.Clients
@@ -47,41 +31,68 @@
 
 // Times and sizes of the exchange.
 const (
-	// round passes between exchanges inside the region. Loads are then at most about
+	// round passes between exchanges in a small domain. Loads are then at most about
 	// two rounds old, less than the time of a short request.
 	round = 200 * time.Millisecond
+	// smallDomain is up to how many instances of a domain report to each other; in
+	// larger ones all report to the hub, and less often, so that an answer, which names
+	// every instance of the domain, costs about the same bytes a second.
+	smallDomain = 5
+	// slowest bounds the round of a large domain.
+	slowest = 800 * time.Millisecond
 	// hurryPause keeps rounds apart that were asked for.
 	hurryPause = 20 * time.Millisecond
-	// farEvery is every how many rounds another region is asked; bytes between
-	// regions are dear, and what is asked for there changes slowly.
+	// farEvery is every how many rounds a hub asks the domains of other regions; bytes
+	// between regions are dear, and what is asked for there changes slowly.
 	farEvery = 3
-	// fanout is how many instances of the own region are asked in a round.
-	fanout = 3
-	// callTimeout bounds an exchange: two round trips between regions, and some work.
-	callTimeout = 600 * time.Millisecond
-	// forgetAfter is when an instance that is silent and not registered is dropped.
+	// nearTimeout and farTimeout bound an exchange inside a region, and between regions:
+	// a connection's and a call's round trip, and some work.
+	nearTimeout = 300 * time.Millisecond
+	farTimeout  = 600 * time.Millisecond
+	// avoidFor is for how long an instance that did not answer is not asked again.
+	avoidFor = time.Second
+	// forgetAfter is when a silent instance is dropped.
 	forgetAfter = 30 * time.Second
-	// storeStale is for how long the store may say nothing before a peer's newer
-	// copy is asked for: a little longer than one waiting call.
-	storeStale = 600 * time.Millisecond
+	// watchers is how many instances of a domain follow the store: a second takes over
+	// without a gap when the first is gone.
+	watchers = 2
 )
 
-// Gossip exchanges states. It is safe for concurrent use.
+// Gossip exchanges reports. It is safe for concurrent use.
 type Gossip struct {
 	options Options
 	view    board.Section[View]
 	mu      sync.Mutex
-	table   map[string]*Known
+	// reports holds the own domain's, digests the other domains'.
+	reports map[string]*heard[Report]
+	digests map[string]*heard[Digest]
+	// avoided holds the instances that did not answer, and until when.
+	avoided map[string]time.Time
 	// urgent holds one value while a round should come early.
 	urgent chan struct{}
 }
 
+// heard is something with the time at which it was true, by this process's clock.
+type heard[T any] struct {
+	value T
+	at    time.Time
+}
+
 // New returns a Gossip that knows nobody.
 func New(options Options) *Gossip {
-	return &Gossip{options: options, table: make(map[string]*Known), urgent: make(chan struct{}, 1)}
+	return &Gossip{
+		options: options,
+		reports: make(map[string]*heard[Report]),
+		digests: make(map[string]*heard[Digest]),
+		avoided: make(map[string]time.Time),
+		urgent:  make(chan struct{}, 1),
+	}
 }
 
-// Hurry asks for an exchange inside the region before the next round is due: this
+// View returns the section that holds what is known of the others.
+func (g *Gossip) View() *board.Section[View] { return &g.view }
+
+// Hurry asks for an exchange inside the domain before the next round is due: this
 // instance has just sent so much to an upstream that the others would choose
 // differently if they knew. It never waits.
 func (g *Gossip) Hurry() {
@@ -91,55 +102,25 @@
 	}
 }
 
-// View returns the section that holds what is known of the others.
-func (g *Gossip) View() *board.Section[View] { return &g.view }
-
-// Service is what other instances call.
-type Service struct{ gossip *Gossip }
-
-// Register offers the service.
-func (g *Gossip) Register(server *control.Server) error {
-	return server.Register(ServiceName, &Service{gossip: g})
-}
-
-// Exchange takes what another instance knows and returns what this one knows.
-func (s *Service) Exchange(args Message, reply *Message) error {
-	g := s.gossip
-	g.take(args.States)
-	region := ""
-	if len(args.States) > 0 {
-		region = args.States[0].Instance.Region
-	}
-	*reply = Message{States: g.tell(region)}
-	return nil
-}
-
-// Copy returns this instance's copy of the store when it is newer.
-func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
-	snapshot := s.gossip.options.Store.Snapshot().Load()
-	if snapshot != nil && snapshot.Revision > args.Revision {
-		reply.Snapshot = snapshot
-	}
-	return nil
-}
-
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	var due time.Time
-	for n := 0; ctx.Err() == nil; {
+	for n := 0; ctx.Err() == nil; clock.Sleep(ctx, hurryPause) {
 		now := g.options.Clock.Now()
-		if now.Before(due) && !g.waitHurry(ctx, due.Sub(now)) {
+		hurried := now.Before(due)
+		if hurried && !g.waitHurry(ctx, due.Sub(now)) {
 			continue
 		}
-		far := !g.options.Clock.Now().Before(due)
-		if far {
-			due = g.options.Clock.Now().Add(round)
+		if !hurried {
+			due = now.Add(g.period())
 			n++
 		}
+		g.exchangeNear(ctx)
+		if !hurried && g.hub() == g.options.Self.Name {
+			g.exchangeFar(ctx, n%farEvery == 0)
+		}
 		g.publish()
-		g.exchangeRound(ctx, far && n%farEvery == 0)
 		g.catchUp(ctx)
-		clock.Sleep(ctx, hurryPause)
 	}
 }
 
@@ -156,184 +137,222 @@
 	return false
 }
 
-// Tell tells everyone of the own region at once: a leaving mark must not wait.
-func (g *Gossip) Tell(ctx context.Context) {
-	var all errgroup.Group
-	for _, instance := range g.others() {
-		all.Go(func() error { g.exchange(ctx, instance); return nil })
-	}
-	// Failures are logged by exchange.
-	_ = all.Wait()
+// period is the time between rounds.
+func (g *Gossip) period() time.Duration {
+	n := len(g.domain())
+	return min(slowest, round*time.Duration(max(smallDomain, n))/smallDomain)
 }
 
-func (g *Gossip) exchangeRound(ctx context.Context, far bool) {
-	var all errgroup.Group
-	for _, instance := range g.partners(far) {
-		all.Go(func() error { g.exchange(ctx, instance); return nil })
+// registered returns the registered instances, this one left out.
+func (g *Gossip) registered() []fleet.Instance {
+	view := g.options.Fleet.Load()
+	if view == nil {
+		return nil
 	}
-	_ = all.Wait()
-}
-
-// partners picks whom to ask in this round.
-func (g *Gossip) partners(far bool) []fleet.Instance {
-	self := g.options.Self().Instance
-	var near, others []fleet.Instance
-	for _, instance := range g.others() {
-		if instance.Region == self.Region {
-			near = append(near, instance)
-		} else {
+	others := make([]fleet.Instance, 0, len(view.Instances))
+	for _, instance := range view.Instances {
+		if instance.Name != g.options.Self.Name {
 			others = append(others, instance)
 		}
 	}
-	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	picked := near[:min(fanout, len(near))]
-	if far && len(others) > 0 {
-		picked = append(picked, others[rand.IntN(len(others))])
-	}
-	return picked
+	return others
 }
 
-// others lists the instances that are registered or were heard of lately.
-func (g *Gossip) others() []fleet.Instance {
-	self := g.options.Self().Instance.Name
-	byName := make(map[string]fleet.Instance)
-	if view := g.options.Fleet.Load(); view != nil {
-		for _, instance := range view.Instances {
-			byName[instance.Name] = instance
+// domain returns the other registered instances of the own domain.
+func (g *Gossip) domain() []fleet.Instance {
+	var others []fleet.Instance
+	for _, instance := range g.registered() {
+		if instance.Domain == g.options.Self.Domain {
+			others = append(others, instance)
 		}
 	}
+	return others
+}
+
+// ranked orders the instances that may be asked by the hashing of a job.
+func (g *Gossip) ranked(job, domain string, instances []fleet.Instance) []string {
+	now := g.options.Clock.Now()
 	g.mu.Lock()
-	for name, known := range g.table {
-		if before, ok := byName[name]; !ok || known.Instance.Incarnation > before.Incarnation {
-			byName[name] = known.Instance
+	defer g.mu.Unlock()
+	var names []string
+	for _, instance := range instances {
+		if instance.Domain == domain && !g.avoid(instance.Name, now) {
+			names = append(names, instance.Name)
 		}
 	}
-	g.mu.Unlock()
-	delete(byName, self)
-	list := make([]fleet.Instance, 0, len(byName))
-	for _, instance := range byName {
-		list = append(list, instance)
+	if domain == g.options.Self.Domain {
+		names = append(names, g.options.Self.Name)
 	}
-	return list
+	return member.Rank(member.Key(job, domain), names)
 }
 
-func (g *Gossip) exchange(ctx context.Context, instance fleet.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply Message
-	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, Message{States: g.tell(instance.Region)}, &reply)
-	if err != nil {
-		g.options.Log.Debug().Err(err).Str("peer", instance.Name).Msg("peer-unreached")
-		return
+// avoid says whether an instance should not be asked: it did not answer, fell silent,
+// or leaves.
+func (g *Gossip) avoid(name string, now time.Time) bool {
+	if now.Before(g.avoided[name]) {
+		return true
 	}
-	g.take(reply.States)
+	report := g.reports[name]
+	return report != nil && (report.value.Leaving || now.Sub(report.at) > SilentAfter)
 }
 
-// tell is what is said to an instance of a region, this instance first.
-func (g *Gossip) tell(region string) []State {
-	self := g.options.Self()
-	own := self.Instance.Region
-	states := make([]State, 0, 1+len(g.table))
-	states = append(states, self)
-	g.mu.Lock()
-	now := g.options.Clock.Now()
-	for _, known := range g.table {
-		if known.Live(now) {
-			states = append(states, known.State)
+const jobHub = "hub"
+
+// hub names the hub of the own domain.
+func (g *Gossip) hub() string {
+	return g.ranked(jobHub, g.options.Self.Domain, g.registered())[0]
+}
+
+// Watches says whether this instance should follow the store itself: it is one of the
+// domain's watchers, or hears nobody who could tell it.
+func (g *Gossip) Watches() bool {
+	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
+	for _, name := range ranked[:min(watchers, len(ranked))] {
+		if name == g.options.Self.Name {
+			return true
 		}
 	}
-	g.mu.Unlock()
-	if region == own {
-		return states
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range ranked[:min(watchers, len(ranked))] {
+		if report := g.reports[name]; report != nil && now.Sub(report.at) <= SilentAfter {
+			return false
+		}
 	}
-	for i := range states {
-		states[i] = states[i].brief()
+	return true
+}
+
+// exchangeNear reports to the hub, or to everyone in a small domain.
+func (g *Gossip) exchangeNear(ctx context.Context) {
+	others := g.domain()
+	hub := g.hub()
+	small := len(others) < smallDomain
+	var all errgroup.Group
+	for _, instance := range others {
+		if small || instance.Name == hub {
+			all.Go(func() error { g.exchange(ctx, instance, nearTimeout); return nil })
+		}
 	}
-	return states
+	// Failures are logged and remembered by exchange.
+	_ = all.Wait()
 }
 
-// take learns from states.
-func (g *Gossip) take(states []State) {
-	self := g.options.Self().Instance.Name
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i := range states {
-		state := &states[i]
-		if state.Instance.Name == self {
+// exchangeFar asks the hubs of other domains.
+func (g *Gossip) exchangeFar(ctx context.Context, regions bool) {
+	others := g.registered()
+	byName := make(map[string]fleet.Instance, len(others))
+	domains := make(map[string]bool)
+	for _, instance := range others {
+		byName[instance.Name] = instance
+		near := instance.Region == g.options.Self.Region
+		if instance.Domain != g.options.Self.Domain && (near || regions) {
+			domains[instance.Domain] = true
+		}
+	}
+	var all errgroup.Group
+	for domain := range domains {
+		ranked := g.ranked(jobHub, domain, others)
+		if len(ranked) == 0 {
 			continue
 		}
-		before := g.table[state.Instance.Name]
-		if before == nil || state.newer(&before.State) {
-			g.note(before, state, now)
-			g.table[state.Instance.Name] = &Known{State: *state, Heard: now}
+		instance := byName[ranked[0]]
+		timeout := nearTimeout
+		if instance.Region != g.options.Self.Region {
+			timeout = farTimeout
 		}
+		all.Go(func() error { g.exchange(ctx, instance, timeout); return nil })
 	}
+	_ = all.Wait()
 }
 
-// note logs what is new of an instance.
-func (g *Gossip) note(before *Known, state *State, now time.Time) {
-	switch {
-	case before == nil, before.Instance.Incarnation != state.Instance.Incarnation:
-		g.options.Log.Info().Str("peer", state.Instance.Name).Str("region", state.Instance.Region).Msg("peer-found")
-	case !before.Live(now):
-		g.options.Log.Info().Str("peer", state.Instance.Name).Dur("silent_ms", now.Sub(before.Heard)).Msg("peer-regained")
-	case state.Leaving && !before.Leaving:
-		g.options.Log.Info().Str("peer", state.Instance.Name).Msg("peer-leaving")
+// Tell tells everyone of the own domain, and the other domains' hubs, at once: a
+// leaving mark must not wait.
+func (g *Gossip) Tell(ctx context.Context) {
+	var all errgroup.Group
+	for _, instance := range g.domain() {
+		all.Go(func() error { g.exchange(ctx, instance, nearTimeout); return nil })
 	}
+	_ = all.Wait()
 }
 
-// publish makes the view from the table, and forgets who is long silent.
-func (g *Gossip) publish() {
+func (g *Gossip) exchange(ctx context.Context, instance fleet.Instance, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var reply Reply
+	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report()}
+	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, ask, &reply)
+	if ctx.Err() != nil && err == nil {
+		return
+	}
+	if err != nil {
+		g.unreached(instance, err)
+		return
+	}
+	g.take(&reply)
+}
+
+// unreached remembers that an instance did not answer.
+func (g *Gossip) unreached(instance fleet.Instance, err error) {
 	now := g.options.Clock.Now()
 	g.mu.Lock()
-	for name, known := range g.table {
-		if now.Sub(known.Heard) > forgetAfter {
-			delete(g.table, name)
-		}
+	defer g.mu.Unlock()
+	if _, before := g.avoided[instance.Name]; !before {
+		g.options.Log.Info().Err(err).Str("peer", instance.Name).Msg("peer-lost")
 	}
-	view := newView(g.table, now)
-	g.mu.Unlock()
-	g.view.Store(view)
+	g.avoided[instance.Name] = now.Add(avoidFor)
 }
 
-// catchUp takes a peer's copy of the store when the store itself is not heard.
+// catchUp takes a peer's newer copy of the store, when this instance does not follow
+// the store itself or does not hear it.
 func (g *Gossip) catchUp(ctx context.Context) {
 	store := g.options.Store
-	if g.options.Clock.Now().Sub(store.Reached()) < storeStale {
+	revision := store.Revision()
+	if store.Current() {
 		return
 	}
-	revision := int64(0)
-	if snapshot := store.Snapshot().Load(); snapshot != nil {
-		revision = snapshot.Revision
-	}
 	newest := g.newest(revision)
-	if newest == "" {
+	if newest == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, farTimeout)
 	defer cancel()
 	var reply CopyReply
-	if err := g.options.Client.Call(ctx, newest, methodCopy, CopyArgs{Revision: revision}, &reply); err != nil {
-		g.options.Log.Debug().Err(err).Msg("copy-failed")
+	if err := g.options.Client.Call(ctx, newest.Gossip, methodCopy, CopyArgs{Revision: revision}, &reply); err != nil {
+		g.options.Log.Debug().Err(err).Str("peer", newest.Name).Msg("copy-failed")
 		return
 	}
-	if store.Adopt(reply.Snapshot) {
-		g.options.Log.Info().Int64("revision", reply.Snapshot.Revision).Str("from", newest).Msg("copy-adopted")
+	if store.Adopt(&reply.Delta) {
+		g.options.Log.Debug().Int64("revision", reply.Delta.Revision).Str("peer", newest.Name).Msg("copy-adopted")
 	}
 }
 
-// newest returns the address of the live instance with the newest copy above a
-// revision; empty when there is none.
-func (g *Gossip) newest(above int64) string {
+// newest returns the live instance with the newest copy above a revision, of the own
+// domain if there is one; nil when there is none.
+func (g *Gossip) newest(above int64) *fleet.Instance {
 	now := g.options.Clock.Now()
+	others := g.registered()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	address := ""
-	for _, known := range g.table {
-		if known.Store > above && known.Live(now) {
-			above, address = known.Store, known.Instance.Gossip
+	var best *fleet.Instance
+	for i := range others {
+		report := g.reports[others[i].Name]
+		if report != nil && report.value.Store > above && now.Sub(report.at) <= SilentAfter && !now.Before(g.avoided[others[i].Name]) {
+			above, best = report.value.Store, &others[i]
+		}
+	}
+	if best != nil {
+		return best
+	}
+	for domain, digest := range g.digests {
+		if digest.value.Store <= above || now.Sub(digest.at) > SilentAfter {
+			continue
+		}
+		for i := range others {
+			if others[i].Domain == domain && !now.Before(g.avoided[others[i].Name]) {
+				above, best = digest.value.Store, &others[i]
+			}
 		}
 	}
-	return address
+	return best
 }
--- /dev/null
+++ b/pkg/peer/service.go
@@ -0,0 +1,248 @@
+package peer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+)
+
+// ServiceName is the name under which instances serve each other by net/rpc.
+const ServiceName = "Peer"
+
+// Methods of the service.
+const (
+	methodExchange = ServiceName + ".Exchange"
+	methodCopy     = ServiceName + ".Copy"
+)
+
+// Ask is a report, and whose.
+type Ask struct {
+	Domain, Region string
+	Report         Report
+}
+
+// Reply is what the asked instance knows: to its own domain, the reports of the domain
+// and the digests of all others; to another domain, the digest of its own.
+type Reply struct {
+	Reports []AgedReport
+	Digests []Digest
+}
+
+// AgedReport is a report with its age where it is told.
+type AgedReport struct {
+	Report Report
+	Age    time.Duration
+}
+
+// CopyArgs asks for what has changed in the copy of the store since a revision.
+type CopyArgs struct{ Revision int64 }
+
+// CopyReply holds the changes.
+type CopyReply struct{ Delta mirror.Delta }
+
+// Service is what other instances call.
+type Service struct{ gossip *Gossip }
+
+// Register offers the service.
+func (g *Gossip) Register(server *control.Server) error {
+	return server.Register(ServiceName, &Service{gossip: g})
+}
+
+// Exchange takes another instance's report and returns what this one knows.
+func (s *Service) Exchange(ask Ask, reply *Reply) error {
+	g := s.gossip
+	now := g.options.Clock.Now()
+	own := g.options.Report()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.avoided, ask.Report.Name)
+	if ask.Domain != g.options.Self.Domain {
+		reply.Digests = []Digest{g.digest(&own, now, ask.Region)}
+		return nil
+	}
+	g.takeReport(ask.Report, now)
+	reply.Reports = []AgedReport{{Report: own}}
+	for name, report := range g.reports {
+		if name != ask.Report.Name && now.Sub(report.at) <= SilentAfter {
+			reply.Reports = append(reply.Reports, AgedReport{Report: report.value, Age: now.Sub(report.at)})
+		}
+	}
+	for _, digest := range g.digests {
+		told := digest.value
+		told.Age = now.Sub(digest.at)
+		reply.Digests = append(reply.Digests, told)
+	}
+	return nil
+}
+
+// Copy returns what has changed in this instance's copy of the store.
+func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
+	if snapshot := s.gossip.options.Store.Snapshot().Load(); snapshot != nil {
+		reply.Delta = snapshot.Since(args.Revision)
+	}
+	return nil
+}
+
+// digest sums up the own domain for a region. The caller holds g.mu.
+func (g *Gossip) digest(own *Report, now time.Time, region string) Digest {
+	d := Digest{Domain: g.options.Self.Domain, Region: g.options.Self.Region}
+	upstreams := make(map[string]Load)
+	d.add(own, upstreams)
+	for _, report := range g.reports {
+		if now.Sub(report.at) <= SilentAfter {
+			d.add(&report.value, upstreams)
+		}
+	}
+	d.Services = g.byService(upstreams)
+	if region == d.Region {
+		d.Upstreams = sorted(upstreams)
+	}
+	return d
+}
+
+func (d *Digest) add(report *Report, upstreams map[string]Load) {
+	d.Marks = append(d.Marks, Mark{Name: report.Name, Incarnation: report.Incarnation, Leaving: report.Leaving, Ready: report.Ready})
+	d.Store = max(d.Store, report.Store)
+	addLoads(upstreams, report.Upstreams)
+}
+
+// byService adds loads at upstreams up by service.
+func (g *Gossip) byService(upstreams map[string]Load) []Load {
+	view := g.options.Fleet.Load()
+	if view == nil {
+		return nil
+	}
+	services := make(map[string]Load)
+	for i := range view.Upstreams {
+		load, ok := upstreams[view.Upstreams[i].ID]
+		if ok {
+			load.Name = view.Upstreams[i].Service
+			addLoads(services, []Load{load})
+		}
+	}
+	return sorted(services)
+}
+
+// take learns from a reply.
+func (g *Gossip) take(reply *Reply) {
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range reply.Reports {
+		told := &reply.Reports[i]
+		g.takeReport(told.Report, now.Add(-told.Age))
+	}
+	for i := range reply.Digests {
+		g.takeDigest(reply.Digests[i], now)
+	}
+}
+
+func (g *Gossip) takeReport(report Report, at time.Time) {
+	if report.Name == g.options.Self.Name {
+		return
+	}
+	before := g.reports[report.Name]
+	if before != nil && !report.newer(&before.value) {
+		return
+	}
+	g.note(before, &report)
+	delete(g.avoided, report.Name)
+	g.reports[report.Name] = &heard[Report]{value: report, at: at}
+}
+
+func (g *Gossip) takeDigest(digest Digest, now time.Time) {
+	if digest.Domain == g.options.Self.Domain {
+		return
+	}
+	at := now.Add(-digest.Age)
+	before := g.digests[digest.Domain]
+	if before != nil && !at.After(before.at) {
+		return
+	}
+	if before == nil || now.Sub(before.at) > SilentAfter {
+		g.options.Log.Info().Str("domain", digest.Domain).Int("instances", len(digest.Marks)).Msg("domain-heard")
+	}
+	g.digests[digest.Domain] = &heard[Digest]{value: digest, at: at}
+}
+
+// note logs what is new of an instance.
+func (g *Gossip) note(before *heard[Report], report *Report) {
+	switch {
+	case before == nil, before.value.Incarnation != report.Incarnation:
+		g.options.Log.Info().Str("peer", report.Name).Msg("peer-found")
+	case report.Leaving && !before.value.Leaving:
+		g.options.Log.Info().Str("peer", report.Name).Msg("peer-leaving")
+	}
+}
+
+// publish makes the view, and forgets who is long silent.
+func (g *Gossip) publish() {
+	now := g.options.Clock.Now()
+	others := g.registered()
+	view := &View{upstreams: make(map[string]Load), services: make(map[regionService]Load)}
+	g.mu.Lock()
+	for name, report := range g.reports {
+		if now.Sub(report.at) > forgetAfter {
+			delete(g.reports, name)
+		} else if now.Sub(report.at) <= SilentAfter {
+			addLoads(view.upstreams, report.value.Upstreams)
+		}
+	}
+	for domain, digest := range g.digests {
+		if now.Sub(digest.at) > forgetAfter {
+			delete(g.digests, domain)
+		} else if now.Sub(digest.at) <= SilentAfter {
+			view.addDigest(&digest.value, g.options.Self.Region)
+		}
+	}
+	for i := range others {
+		if known, ok := g.known(&others[i]); ok {
+			view.Others = append(view.Others, known)
+		}
+	}
+	g.mu.Unlock()
+	slices.SortFunc(view.Others, func(a, b Known) int { return strings.Compare(a.Instance.Name, b.Instance.Name) })
+	g.view.Store(view)
+}
+
+func (v *View) addDigest(digest *Digest, region string) {
+	if digest.Region == region {
+		addLoads(v.upstreams, digest.Upstreams)
+		return
+	}
+	for _, load := range digest.Services {
+		key := regionService{digest.Region, load.Name}
+		sum := v.services[key]
+		sum.InFlight += load.InFlight
+		sum.Prefill += load.Prefill
+		v.services[key] = sum
+	}
+}
+
+// known joins an instance's entry with what was heard of it; false when nothing was.
+// The caller holds g.mu.
+func (g *Gossip) known(instance *fleet.Instance) (Known, bool) {
+	if instance.Domain == g.options.Self.Domain {
+		report := g.reports[instance.Name]
+		if report == nil || report.value.Incarnation < instance.Incarnation {
+			return Known{}, false
+		}
+		return Known{Instance: *instance, Leaving: report.value.Leaving, Ready: report.value.Ready, Heard: report.at}, true
+	}
+	digest := g.digests[instance.Domain]
+	if digest == nil {
+		return Known{}, false
+	}
+	for _, mark := range digest.value.Marks {
+		if mark.Name == instance.Name && mark.Incarnation >= instance.Incarnation {
+			return Known{Instance: *instance, Leaving: mark.Leaving, Ready: mark.Ready, Heard: digest.at}, true
+		}
+	}
+	// Its domain's hub does not hear it; one that was just registered may be unknown
+	// there still.
+	return Known{Instance: *instance}, true
+}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -2,10 +2,12 @@
 // requests at each upstream, whether they leave, and how new their copy of the
 // platform's store is.
 //
-// Every instance exchanges what it knows with a few others a round (push and pull);
-// inside a region each instance's whole state travels, between regions only totals
-// by service. States of one instance are ordered by its incarnation and a sequence
-// number; clocks of different machines are never compared.
+// Inside a failure domain each instance reports to one of them, the hub, which the
+// others find by rendezvous hashing, and learns from it of all; in a small domain it
+// reports to every other. The hubs of different domains ask each other for digests.
+// So bytes and calls of an instance do not grow with the deployment, and those between
+// domains grow with domains. Clocks of different machines are never compared: ages
+// travel instead of times.
 package peer
 
 import (
@@ -16,59 +18,66 @@
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 )
 
-// State is what one instance says of itself.
-type State struct {
-	Instance fleet.Instance
-	// Sequence grows each time the instance speaks.
-	Sequence uint64
-	// Leaving is true once the instance takes no new callers.
-	Leaving bool
-	// Configuration is the version in force there; zero: none.
-	Configuration uint64
-	// Store is the revision of its copy of the store.
-	Store int64
-	// Upstreams is the work that it has at each upstream, sorted by ID; empty in
-	// what leaves the region.
-	Upstreams []Load
-	// Services adds the same up by service, sorted by name.
-	Services []Load
-}
-
 // Load is the work in hand at one upstream or service.
 type Load struct {
 	// Name is the upstream's ID or the service's name.
 	Name string
-	// InFlight counts requests, Prefill the prompt tokens not yet read of those
-	// whose answer has not begun.
+	// InFlight counts requests, Prefill the prompt tokens not yet read of those whose
+	// answer has not begun.
 	InFlight, Prefill int
 }
 
-// newer says whether s was said after other.
-func (s *State) newer(other *State) bool {
-	if s.Instance.Incarnation != other.Instance.Incarnation {
-		return s.Instance.Incarnation > other.Instance.Incarnation
+// Report is what one instance says of itself. Where it can be reached stands in the
+// store under its name.
+type Report struct {
+	Name string
+	// Incarnation is drawn anew at each start; Sequence grows with each report.
+	Incarnation, Sequence uint64
+	// Leaving is true once the instance takes no new callers, Ready once it has a
+	// configuration.
+	Leaving, Ready bool
+	// Store is the revision of its copy of the store.
+	Store int64
+	// Upstreams is the work that it has at each upstream.
+	Upstreams []Load
+}
+
+// newer says whether r was said after other.
+func (r *Report) newer(other *Report) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
 	}
-	return s.Sequence > other.Sequence
+	return r.Sequence > other.Sequence
 }
 
-// brief is the state as it is told to other regions.
-func (s *State) brief() State {
-	short := *s
-	short.Upstreams = nil
-	return short
+// Mark is what a digest says of one instance.
+type Mark struct {
+	Name           string
+	Incarnation    uint64
+	Leaving, Ready bool
 }
 
-// Known is a state with the time at which it was heard, by this process's clock.
-type Known struct {
-	State
-	Heard time.Time
+// Digest is what a failure domain tells the others.
+type Digest struct {
+	Domain, Region string
+	// Age is how old the digest is where it is told.
+	Age time.Duration
+	// Marks holds the domain's live instances.
+	Marks []Mark
+	// Store is the highest revision of their copies of the store.
+	Store int64
+	// Upstreams adds up their work by upstream, for the own region alone; Services by
+	// service.
+	Upstreams, Services []Load
 }
 
-// View is what is known of the other instances at one moment, sorted by name.
-type View struct {
-	Others []Known
-	// upstreams adds up the others' loads by upstream.
-	upstreams map[string]Load
+// Known is what is known of another instance.
+type Known struct {
+	Instance       fleet.Instance
+	Leaving, Ready bool
+	// Heard is when it was last heard of, directly or through its domain's hub, by this
+	// process's clock; zero when its hub no longer hears it.
+	Heard time.Time
 }
 
 // SilentAfter is for how long an instance that was heard of once may say nothing
@@ -76,26 +85,22 @@
 // callers must not be sent to it.
 const SilentAfter = 2500 * time.Millisecond
 
-// newView copies the table; loads of silent instances do not count.
-func newView(table map[string]*Known, now time.Time) *View {
-	view := &View{upstreams: make(map[string]Load)}
-	for _, known := range table {
-		view.Others = append(view.Others, *known)
-		if now.Sub(known.Heard) > SilentAfter {
-			continue
-		}
-		for _, load := range known.Upstreams {
-			sum := view.upstreams[load.Name]
-			sum.InFlight += load.InFlight
-			sum.Prefill += load.Prefill
-			view.upstreams[load.Name] = sum
-		}
-	}
-	slices.SortFunc(view.Others, func(a, b Known) int { return strings.Compare(a.Instance.Name, b.Instance.Name) })
-	return view
+// Live says whether an instance was heard of lately.
+func (k *Known) Live(now time.Time) bool { return now.Sub(k.Heard) <= SilentAfter }
+
+// View is what is known of the other instances at one moment.
+type View struct {
+	// Others is sorted by name.
+	Others []Known
+	// upstreams adds up the others' work in the own region by upstream; services all
+	// work by region and service.
+	upstreams map[string]Load
+	services  map[regionService]Load
 }
 
-// Upstream returns the others' work at an upstream.
+type regionService struct{ region, service string }
+
+// Upstream returns the others' work at an upstream of the own region.
 func (v *View) Upstream(id string) Load {
 	if v == nil {
 		return Load{}
@@ -103,8 +108,13 @@
 	return v.upstreams[id]
 }
 
-// Live says whether an instance was heard of lately.
-func (k *Known) Live(now time.Time) bool { return now.Sub(k.Heard) <= SilentAfter }
+// Service returns the work of another region's instances at a service.
+func (v *View) Service(region, service string) Load {
+	if v == nil {
+		return Load{}
+	}
+	return v.services[regionService{region, service}]
+}
 
 // Find returns what is known of an instance, or nil.
 func (v *View) Find(name string) *Known {
@@ -119,3 +129,24 @@
 	}
 	return &v.Others[i]
 }
+
+// addLoads adds loads to sums by name.
+func addLoads(sums map[string]Load, loads []Load) {
+	for _, load := range loads {
+		sum := sums[load.Name]
+		sum.Name = load.Name
+		sum.InFlight += load.InFlight
+		sum.Prefill += load.Prefill
+		sums[load.Name] = sum
+	}
+}
+
+// sorted returns the sums by name.
+func sorted(sums map[string]Load) []Load {
+	loads := make([]Load, 0, len(sums))
+	for _, load := range sums {
+		loads = append(loads, load)
+	}
+	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.Name, b.Name) })
+	return loads
+}
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -30,7 +30,7 @@
 		if region == w.Region || !req.Route.PermittedIn(region) || tried(req, known.Instance.Name) {
 			continue
 		}
-		if known.Leaving || !known.Live(w.Now) || known.Configuration == 0 {
+		if known.Leaving || !known.Live(w.Now) || !known.Ready {
 			continue
 		}
 		at := slices.IndexFunc(regions, func(a Away) bool { return a.Region == region })
@@ -76,14 +76,8 @@
 			away.Upstreams++
 		}
 	}
-	for _, known := range away.Peers {
-		for _, load := range known.Services {
-			if load.Name == service.Name {
-				away.InFlight += load.InFlight
-				away.Prefill += load.Prefill
-			}
-		}
-	}
+	load := w.Peers.Service(away.Region, service.Name)
+	away.InFlight, away.Prefill = load.InFlight, load.Prefill
 	return away.Upstreams > 0 && away.Slots > 0
 }
 
