Send plain calls by predicted time, and not all to the upstream that looked idle

Cause: 15 instances that believe the same loads, up to a round old, chose the same upstream, and a region's own was queued on until its slots were 0.8 full.

--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -89,11 +89,13 @@
 	// farMargin is how much cheaper, in prompt tokens, an engine far away must be: what
 	// is known of it is older than what is known here.
 	farMargin = 1500
-	// farSlots is by how much, in shares of the slots, the load must be lower far away
-	// for a plain service, and farBusy the load below which it sends nothing away: a
-	// call that gets a slot at once is answered sooner here.
-	farSlots = 0.25
-	farBusy  = 0.8
+	// farTime is what the way to another region and back takes.
+	farTime = 110 * time.Millisecond
+	// farGain is how much sooner a plain service must answer far away.
+	farGain = 30 * time.Millisecond
+	// usualHolding is how long a call of a plain service is taken to last where none
+	// was measured.
+	usualHolding = 50 * time.Millisecond
 )
 
 // Choose returns the region that is worth the way, given the survey of the own one;
@@ -115,13 +117,23 @@
 		}
 		return nil
 	}
-	local := float64(here.InFlight) / float64(max(1, here.Slots))
-	if local >= farBusy && local >= lowest+farSlots {
+	holding := here.Holding
+	if holding == 0 {
+		holding = usualHolding
+	}
+	local := served(holding, here.InFlight, here.Slots)
+	if served(holding, best.InFlight, best.Slots)+farTime+farGain < local {
 		return best
 	}
 	return nil
 }
 
+// served is how long a call of a plain service takes where so many are in hand.
+func served(holding time.Duration, inFlight, slots int) time.Duration {
+	load := float64(inFlight+1) / float64(max(1, slots))
+	return time.Duration(float64(holding) * max(1, load))
+}
+
 // farCost is what the request costs in another region: for engines in prompt tokens,
 // as Candidate.Cost is; for plain services the load in shares of the slots.
 func (w *World) farCost(req *Request, away *Away) float64 {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -11,6 +11,7 @@
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 )
 
@@ -68,6 +69,10 @@
 	// queuedPenalty is added for each request beyond the slots: it waits for one of
 	// those that run to end.
 	queuedPenalty = 2000
+	// plainSpread is by how much the load of a plain service's upstream is taken to be
+	// higher, at random: what is known of the others' work is up to a round old, and
+	// instances that all believe the same would all send to the same upstream.
+	plainSpread = 0.5
 	// favouriteTrust is the part of a shared prompt part that counts as cached at the
 	// upstream to which it is hashed, when nothing is known of it.
 	favouriteTrust = 0.75
@@ -103,6 +108,9 @@
 	// Known counts upstreams of the service in the region, Usable those that may get
 	// work, Slots and InFlight add up over the usable ones.
 	Known, Usable, Slots, InFlight, Prefill int
+	// Holding is the shortest mean time for which a request occupied one of them; zero
+	// when none is known.
+	Holding time.Duration
 	// Cold counts those that were passed over because they are cold.
 	Cold int
 }
@@ -124,6 +132,9 @@
 		survey.Slots += upstream.Slots
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
+		if own.Holding > 0 && (survey.Holding == 0 || own.Holding < survey.Holding) {
+			survey.Holding = own.Holding
+		}
 		if tried(req, upstream.ID) || own.Ejected || own.Rest > 0 {
 			continue
 		}
@@ -151,6 +162,11 @@
 	return kept
 }
 
+// fraction is a random number from 0 to 1 for one upstream and this decision.
+func (w *World) fraction(upstream string) float64 {
+	return float64(member.Key("spread", upstream)*(w.Roll|1)>>11) / (1 << 53)
+}
+
 func tried(req *Request, id string) bool {
 	for _, name := range req.Tried {
 		if name == id {
@@ -164,7 +180,7 @@
 func (w *World) cost(req *Request, c *Candidate, shared *sharing) {
 	beyond := max(0, c.InFlight+1-c.Upstream.Slots)
 	if req.Service.Engine == nil {
-		c.Cost = float64(c.InFlight) + float64(beyond)*queuedPenalty
+		c.Cost = float64(c.InFlight) * (1 + plainSpread*w.fraction(c.Upstream.ID))
 		return
 	}
 	c.Uncached = max(0, req.PromptTokens-shared.held(c.Upstream))
