Count half of the prompts in hand; gather strays at one upstream of the region

Cause: a prompt in hand counted whole until its answer began, so that the upstream that held a part looked 10,000 tokens dearer than an idle one; and what stayed in a region other than the part's own went to any upstream.

--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -143,7 +143,7 @@
 	upstreams := float64(away.Upstreams)
 	beyond := max(0, float64(away.InFlight+1-away.Slots)) / upstreams
 	uncached := float64(req.PromptTokens) - w.cachedAway(req, away)
-	return wayTokens + float64(away.Prefill)/upstreams + cachedWeight*uncached +
+	return wayTokens + backlogWeight*float64(away.Prefill)/upstreams + cachedWeight*uncached +
 		tokensPerRequest*float64(away.InFlight)/upstreams + queuedPenalty*beyond
 }
 
--- a/pkg/steer/recent.go
+++ b/pkg/steer/recent.go
@@ -80,8 +80,11 @@
 		}
 	}
 	s.trust = 1
-	if s.holder == nil && w.favouriteRegion(req, part) == w.Region {
-		s.holder, s.trust = favourite, favouriteTrust
+	if s.holder == nil {
+		s.holder, s.trust = favourite, strayTrust
+		if !worthTheWay(s.tokens) || w.favouriteRegion(req, part) == w.Region {
+			s.trust = favouriteTrust
+		}
 	}
 	if s.holder != nil && !w.Fleet.Usable(s.holder) {
 		s.holder = nil
@@ -89,6 +92,12 @@
 	return s
 }
 
+// worthTheWay says whether shared parts of that size are gathered in one region, since
+// reading them costs more than the way there. Smaller ones are gathered in each.
+func worthTheWay(tokens int) bool {
+	return cachedWeight*favouriteTrust*float64(tokens) > wayTokens+farMargin
+}
+
 // held estimates how many of the shared tokens the upstream holds.
 func (s *sharing) held(upstream *fleet.Upstream) int {
 	switch {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -69,6 +69,12 @@
 	// queuedPenalty is added for each request beyond the slots: it waits for one of
 	// those that run to end.
 	queuedPenalty = 2000
+	// strayTrust is the same for parts that are gathered in another region: little, but
+	// enough for those that stay here to meet at one upstream.
+	strayTrust = 0.15
+	// backlogWeight is the part of the prompts in hand that is still to be read: they
+	// count whole until their answer begins, and are half read on the average.
+	backlogWeight = 0.5
 	// plainSpread is by how much the load of a plain service's upstream is taken to be
 	// higher, at random: what is known of the others' work is up to a round old, and
 	// instances that all believe the same would all send to the same upstream.
@@ -189,6 +195,6 @@
 		c.Source = shared.holder
 		read -= (1 - copyCost) * shared.trust * float64(copied)
 	}
-	c.Cost = float64(c.Prefill) + cachedWeight*read +
+	c.Cost = backlogWeight*float64(c.Prefill) + cachedWeight*read +
 		tokensPerRequest*float64(c.InFlight) + queuedPenalty*float64(beyond)
 }
