Rest what cannot be reached, eject what keeps failing, lend no budget to a hop

Ruled out: servers that shed (queues were short). Tests: the two at the end of edge_test.go, the first of which lost an attempt on every request before.

--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -62,7 +62,7 @@
 		return c.failed(ctx, err)
 	}
 	defer answer.Close()
-	c.sends++
+	c.sends += c.arrivals(answer)
 	c.status = answer.Status
 	return c.judge(ctx, answer)
 }
@@ -116,6 +116,19 @@
 	return c.answer(ctx, answer)
 }
 
+// arrivals is how often the request has come to an upstream by this attempt: another
+// instance that refuses tells how often it has sent it.
+func (c *call) arrivals(answer *exchange.Answer) int {
+	if !c.refusedByPeer(answer) {
+		return 1
+	}
+	made, err := strconv.Atoi(answer.Header.Get(header.Attempts))
+	if err != nil {
+		return 1
+	}
+	return made
+}
+
 // refusedByPeer says whether another instance answers that the request did not run.
 func (c *call) refusedByPeer(answer *exchange.Answer) bool {
 	return c.peer && answer.Header.Get(header.Outcome) == string(outcome.NotRun)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -179,6 +179,7 @@
 	group.Go(func() error { doors.control.Serve(); return nil })
 	group.Go(func() error { e.gossip.Run(running); return nil })
 	group.Go(func() error { e.sweep(running); return nil })
+	group.Go(func() error { e.followFleet(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
 	e.log.Info().Str("callers", e.settings.Listen.Callers).Str("region", e.settings.Region).Msg("start")
@@ -233,6 +234,37 @@
 	}
 }
 
+// followFleet tells the ejector which upstreams stand in for each other.
+func (e *Edge) followFleet(ctx context.Context) {
+	known := make(map[string]bool)
+	for {
+		changed := e.board.Fleet.Changed()
+		if view := e.board.Fleet.Load(); view != nil {
+			e.setPools(view, known)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setPools makes a pool of each service's upstreams in the own region. Known holds the
+// services of earlier views, whose upstreams may all be gone.
+func (e *Edge) setPools(view *fleet.View, known map[string]bool) {
+	pools := make(map[string][]string)
+	for i := range view.Upstreams {
+		if upstream := &view.Upstreams[i]; upstream.Region == e.settings.Region {
+			pools[upstream.Service] = append(pools[upstream.Service], upstream.ID)
+			known[upstream.Service] = true
+		}
+	}
+	for service := range known {
+		e.ejector.SetPool(service, pools[service])
+	}
+}
+
 // Times of leaving.
 const (
 	// staleTTL is how many times the directory's time some callers keep its answer;
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -382,3 +382,27 @@
 	b.edge.began = time.Now().Add(-time.Minute)
 	b.is.True(b.edge.coldLeft(cold, service))
 }
+
+// TestAnUpstreamThatCannotBeReachedRests: the next requests do not each lose an attempt
+// to it.
+func TestAnUpstreamThatCannotBeReachedRests(t *testing.T) {
+	gone := newUpstream(t, nil)
+	u := newUpstream(t, say(http.StatusOK, "ok"))
+	b := newBed(t, unsafe, gone, u)
+	b.is.NoErr(gone.listener.Close())
+	for range 10 {
+		b.is.Equal(b.ask(http.MethodPost, "/r/", "x").status, http.StatusOK)
+	}
+	resting := b.edge.tracker.Load("u-0").Rest > 0
+	b.is.True(resting || u.arrivals.Load() == 10)
+}
+
+// TestUpstreamsThatKeepFailingAreEjected: the pools follow the fleet.
+func TestUpstreamsThatKeepFailingAreEjected(t *testing.T) {
+	b := newBed(t, safe, newUpstream(t, reset), newUpstream(t, say(http.StatusOK, "ok")))
+	b.edge.setPools(b.edge.board.Fleet.Load(), map[string]bool{})
+	b.eventually("the failing upstream is ejected", func() bool {
+		b.ask(http.MethodGet, "/r/", "")
+		return b.edge.tracker.Load("u-0").Ejected
+	})
+}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -205,6 +205,9 @@
 	fields := j.writer.Header()
 	maps.Copy(fields, j.dialect.Refusal(j.attributes.RequestID, refusal.RetryAfter))
 	fields.Set(header.Outcome, string(refusal.Outcome))
+	if j.forwarded {
+		fields.Set(header.Attempts, strconv.Itoa(j.sends))
+	}
 	fields.Set(header.ContentType, "text/plain; charset=utf-8")
 	body := fmt.Sprintf("%s: %s: %s\n", refusal.Outcome, refusal.Reason, refusal.Detail)
 	j.give(&held{status: refusal.Status, header: fields.Clone(), body: []byte(body)})
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -23,6 +22,9 @@
 // that were rejected without being run count here as well.
 const maxSends = 4
 
+// maxHops bounds how many instances of other regions are asked to serve one request.
+const maxHops = 2
+
 // job is one request on its way.
 type job struct {
 	*Edge
@@ -40,8 +42,9 @@
 	// attemptsLeft is on how many more upstreams the request may run.
 	attemptsLeft int
 	tried        []string
-	// sends counts sends, runs those after which the request may have run.
-	sends, runs int
+	// sends counts sends to upstreams, those by other instances included; runs those
+	// after which the request may have run; hops the instances that were asked.
+	sends, runs, hops int
 	// kept is a server's failure that is given to the caller if nothing better comes.
 	kept *held
 	// lastError is why the last attempt failed.
@@ -186,7 +189,7 @@
 		}
 	}
 	chosen := &target{survey: survey}
-	if !j.forwarded {
+	if !j.forwarded && j.hops < maxHops {
 		if away := world.Choose(query, survey, world.Regions(query)); away != nil {
 			chosen.peer = away.Peers[world.Roll%uint64(len(away.Peers))]
 		}
@@ -266,6 +269,7 @@
 // forward sends the request to an instance of another region.
 func (j *job) forward(ctx context.Context, to *target) result {
 	j.tried = append(j.tried, to.name())
+	j.hops++
 	j.recent.Add(j.attributes.Parts, to.peer.Instance.Region, j.now())
 	call := &call{
 		job:    j,
@@ -306,10 +310,8 @@
 	case callerGone:
 		return limit.Abandoned
 	case notRun:
-		var failed *exchange.Error
-		if errors.As(c.err, &failed) {
-			return limit.Failed
-		}
+		// Also one that cannot be reached rests: trying it again costs the next request
+		// an attempt, and it may be back at any time.
 		return limit.Rejected
 	default:
 		if c.status != 0 && c.whole {
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -32,7 +32,8 @@
 	Revision = "X-Lilacweir-Revision"
 	// Version is the model version that the answer must come from.
 	Version = "X-Lilacweir-Version"
-	// Attempts is on how many upstreams the receiver may run a forwarded request.
+	// Attempts is on how many upstreams the receiver may run a forwarded request; on its
+	// refusal, to how many it has sent it.
 	Attempts = "X-Lilacweir-Attempts"
 )
 
