--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -78,7 +78,7 @@
 	if c.request.Context().Err() != nil {
 		return callerGone
 	}
-	c.log.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
+	c.requests.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
 		Bool("unsent", unsent).Dur("left_ms", c.deadline.Sub(c.now())).Err(err).Msg("attempt-failed")
 	if unsent {
 		return notRun
@@ -150,7 +150,7 @@
 func (c *call) odd(problem string) result {
 	c.err = &oddError{problem: problem}
 	c.lastError = c.err
-	c.log.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
+	c.requests.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
 		Int("status", c.status).Str("problem", problem).Msg("answer-odd")
 	return broken
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -59,6 +59,8 @@
 	Key   string
 	Value func(fleet.Instance) ([]byte, error)
 	Log   zerolog.Logger
+	// Sampler bounds the lines of single requests; nil: all are written.
+	Sampler zerolog.Sampler
 }
 
 // Edge is one instance.
@@ -67,6 +69,8 @@
 	dialect  Dialect
 	options  Options
 	log      zerolog.Logger
+	// requests is log for what concerns single requests.
+	requests zerolog.Logger
 	clock    clock.Clock
 	self     fleet.Instance
 	sequence atomic.Uint64
@@ -123,6 +127,7 @@
 		dialect:  options.Dialect,
 		options:  options,
 		log:      options.Log,
+		requests: options.Log.Sample(options.Sampler),
 		clock:    system,
 		self: fleet.Instance{
 			Name: s.Instance, Domain: s.FailureDomain, Region: s.Region,
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -172,7 +172,7 @@
 	took := j.now().Sub(j.started)
 	if refusal == nil {
 		j.counts.served(took)
-		if e := j.log.Debug(); e.Enabled() {
+		if e := j.requests.Info(); e.Enabled() {
 			e.Str("request", j.attributes.RequestID).Int("sends", j.sends).Bool("forwarded", j.forwarded).
 				Dur("first_ms", j.writer.first.Sub(j.started)).Dur("ms", took).Msg("request-ended")
 		}
@@ -182,7 +182,7 @@
 		return
 	}
 	j.counts.refused(refusal)
-	event := j.log.Warn().Str("request", j.attributes.RequestID)
+	event := j.requests.Warn().Str("request", j.attributes.RequestID)
 	if j.route != nil {
 		event = event.Str("route", j.route.Name)
 	}
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -211,7 +211,7 @@
 
 // noteChoice logs a decision with the inputs that decided it.
 func (j *job) noteChoice(chosen *target) {
-	event := j.log.Debug()
+	event := j.requests.Info()
 	if !event.Enabled() {
 		return
 	}
--- /dev/null
+++ b/pkg/logging/bounded_test.go
@@ -0,0 +1,73 @@
+package logging_test
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/logging"
+)
+
+// stalled is a reader of lines that takes none until it is released.
+type stalled struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (s *stalled) Write(line []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(line)
+}
+
+// TestAReaderThatStalledHoldsNoOneUp writes more lines than are held while nobody reads:
+// no call waits, and what was dropped is told afterwards.
+func TestAReaderThatStalledHoldsNoOneUp(t *testing.T) {
+	is := is.New(t)
+	reader := &stalled{release: make(chan struct{})}
+	bounded := logging.NewBounded(reader)
+	log, err := logging.New(bounded, "test", "n-1", "info")
+	is.NoErr(err)
+	for range 10_000 {
+		log.Info().Msg("line")
+	}
+	close(reader.release)
+	is.NoErr(bounded.Close())
+	lines := strings.Count(reader.text.String(), "event=line")
+	is.True(lines > 0)
+	is.True(lines < 10_000)
+}
+
+// TestFailuresAreNotCrowdedOutByWhatWentWell: budgets are apart, a second long, and what
+// is left out is counted.
+func TestFailuresAreNotCrowdedOutByWhatWentWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var text strings.Builder
+		log, err := logging.New(&text, "test", "n-1", "info")
+		is.NoErr(err)
+		bounded := logging.NewBounded(&strings.Builder{})
+		sampled := log.Sample(bounded)
+		for range 1000 {
+			sampled.Info().Msg("went-well")
+		}
+		sampled.Warn().Msg("failed")
+		is.Equal(strings.Count(text.String(), "event=went-well"), 50)
+		is.Equal(strings.Count(text.String(), "event=failed"), 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go bounded.Run(ctx, log)
+		time.Sleep(6 * time.Second)
+		sampled.Info().Msg("went-well")
+		is.Equal(strings.Count(text.String(), "event=went-well"), 51)
+		is.True(strings.Contains(text.String(), "over_budget=950"))
+		cancel()
+		is.NoErr(bounded.Close())
+	})
+}
