--- /dev/null
+++ b/pkg/peer/gossip_test.go
@@ -0,0 +1,260 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+// silentStore never answers, so that copies come from peers alone.
+type silentStore struct{}
+
+func (silentStore) List(context.Context, string, string) (platform.Page, error) {
+	return platform.Page{}, platform.ErrUnavailable
+}
+
+func (silentStore) Changes(context.Context, string, int64, time.Duration) (platform.Changes, error) {
+	return platform.Changes{}, platform.ErrUnavailable
+}
+
+// node is one instance's gossip with its door.
+type node struct {
+	instance fleet.Instance
+	gossip   *Gossip
+	store    *mirror.Mirror
+	server   *control.Server
+	fleet    board.Section[fleet.View]
+	sequence atomic.Uint64
+	leaving  atomic.Bool
+	mu       sync.Mutex
+	loads    []Load
+	stop     context.CancelFunc
+	stopped  sync.WaitGroup
+}
+
+func (n *node) report() Report {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return Report{
+		Name: n.instance.Name, Incarnation: n.instance.Incarnation, Sequence: n.sequence.Add(1),
+		Leaving: n.leaving.Load(), Ready: true, Store: n.store.Revision(), Upstreams: n.loads,
+	}
+}
+
+func (n *node) load(loads ...Load) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads = loads
+}
+
+// mesh is a deployment of nodes that all are registered.
+type mesh struct {
+	*testing.T
+	is    *is.I
+	nodes map[string]*node
+}
+
+// newMesh starts so many nodes in each of the domains, which are named after their
+// regions: "north-a" lies in "north".
+func newMesh(t *testing.T, each int, domains ...string) *mesh {
+	t.Helper()
+	m := &mesh{T: t, is: is.New(t), nodes: map[string]*node{}}
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	m.is.NoErr(err)
+	for _, domain := range domains {
+		for i := range each {
+			name := fmt.Sprintf("%s-%d", domain, i)
+			m.nodes[name] = m.newNode(network, name, domain)
+		}
+	}
+	view := &fleet.View{Upstreams: []fleet.Upstream{{ID: "u-1", Service: "llm"}, {ID: "u-2", Service: "llm"}}}
+	for _, n := range m.nodes {
+		view.Instances = append(view.Instances, n.instance)
+	}
+	view.Index()
+	for _, n := range m.nodes {
+		n.fleet.Store(view)
+		m.start(n)
+	}
+	return m
+}
+
+func (m *mesh) newNode(network *control.Network, name, domain string) *node {
+	server, err := control.NewServer(network, "127.0.0.1:0")
+	m.is.NoErr(err)
+	region, _, _ := cut(domain)
+	n := &node{server: server, instance: fleet.Instance{
+		Name: name, Domain: domain, Region: region, Incarnation: 1, Gossip: server.Address(),
+	}}
+	n.store = mirror.New(mirror.Options{Source: silentStore{}, Clock: clock.System{}, Log: zerolog.Nop()})
+	n.gossip = New(Options{
+		Self: n.instance, Report: n.report, Fleet: &n.fleet, Store: n.store,
+		Client: control.NewClients(network), Clock: clock.System{}, Log: zerolog.Nop(),
+	})
+	m.is.NoErr(n.gossip.Register(server))
+	return n
+}
+
+func cut(domain string) (region, rest string, ok bool) {
+	for i := range domain {
+		if domain[i] == '-' {
+			return domain[:i], domain[i+1:], true
+		}
+	}
+	return domain, "", false
+}
+
+func (m *mesh) start(n *node) {
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.stopped.Go(n.server.Serve)
+	n.stopped.Go(func() { n.gossip.Run(ctx) })
+	m.Cleanup(func() { m.kill(n) })
+}
+
+func (m *mesh) kill(n *node) {
+	n.stop()
+	if err := n.server.Close(); err != nil && !isClosed(err) {
+		m.Error(err)
+	}
+	n.stopped.Wait()
+	n.gossip.options.Client.Close()
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// eventually waits for what must happen; the bound only ends a failed test.
+func (m *mesh) eventually(what string, happened func() bool) {
+	m.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		if happened() {
+			return
+		}
+		clock.Sleep(m.Context(), 10*time.Millisecond)
+	}
+	m.Fatalf("%s did not happen", what)
+}
+
+func (n *node) view() *View { return n.gossip.View().Load() }
+
+func TestLoadsAddUpInsideARegionAndByServiceBeyond(t *testing.T) {
+	m := newMesh(t, 2, "north-a", "north-b", "south-a")
+	m.nodes["north-a-0"].load(Load{Name: "u-1", InFlight: 3, Prefill: 100})
+	m.nodes["north-b-1"].load(Load{Name: "u-1", InFlight: 4, Prefill: 10})
+	m.nodes["south-a-0"].load(Load{Name: "u-2", InFlight: 5, Prefill: 1})
+	observer := m.nodes["north-a-1"]
+	m.eventually("the region's loads add up", func() bool {
+		return observer.view().Upstream("u-1") == Load{Name: "u-1", InFlight: 7, Prefill: 110}
+	})
+	m.eventually("the other region's are known by service", func() bool {
+		return observer.view().Service("south", "llm") == Load{InFlight: 5, Prefill: 1}
+	})
+	m.is.Equal(observer.view().Upstream("u-2"), Load{})
+}
+
+// TestADomainLargerThanAMeshLearnsThroughItsHub: only the hub is asked, and all know all.
+func TestADomainLargerThanAMeshLearnsThroughItsHub(t *testing.T) {
+	m := newMesh(t, 9, "north-a", "south-a")
+	for _, n := range m.nodes {
+		n.load(Load{Name: "u-1", InFlight: 1})
+	}
+	for _, n := range m.nodes {
+		m.eventually(n.instance.Name+" knows all", func() bool {
+			return n.view() != nil && n.view().Upstream("u-1").InFlight == 8 && len(n.view().Others) == 17
+		})
+	}
+}
+
+// TestWhenTheHubIsGoneAnotherTakesItsPlace.
+func TestWhenTheHubIsGoneAnotherTakesItsPlace(t *testing.T) {
+	m := newMesh(t, 8, "north-a", "south-a")
+	observer := m.nodes["north-a-0"]
+	for name, n := range m.nodes {
+		if name != observer.gossip.hub() {
+			observer = n
+			break
+		}
+	}
+	hub := m.nodes[observer.gossip.hub()]
+	m.eventually("the hub is known", func() bool { return observer.view().Find(hub.instance.Name) != nil })
+	m.kill(hub)
+	m.eventually("another hub is asked", func() bool { return observer.gossip.hub() != hub.instance.Name })
+	m.eventually("the dead one is silent, the others are not", func() bool {
+		live, now := 0, time.Now()
+		for i := range observer.view().Others {
+			known := &observer.view().Others[i]
+			if known.Live(now) {
+				live++
+			}
+		}
+		return live == 14 && !observer.view().Find(hub.instance.Name).Live(now)
+	})
+}
+
+func TestALeavingMarkIsToldAtOnce(t *testing.T) {
+	m := newMesh(t, 3, "north-a")
+	observer, leaver := m.nodes["north-a-0"], m.nodes["north-a-1"]
+	m.eventually("they know each other", func() bool {
+		return observer.view() != nil && observer.view().Find("north-a-1") != nil
+	})
+	leaver.leaving.Store(true)
+	leaver.gossip.Tell(t.Context())
+	observer.gossip.publish()
+	m.is.True(observer.view().Find("north-a-1").Leaving)
+}
+
+// TestACopyOfTheStoreReachesWhoDoesNotHearIt: by what changed, over domains and regions.
+func TestACopyOfTheStoreReachesWhoDoesNotHearIt(t *testing.T) {
+	m := newMesh(t, 3, "north-a", "south-a")
+	give := func(revision int64, value string) {
+		snapshot := &mirror.Snapshot{Revision: revision, Entries: map[string]platform.Entry{
+			"op/config": {Key: "op/config", Value: []byte(value), ModRevision: revision},
+		}}
+		delta := snapshot.Since(m.nodes["north-a-0"].store.Revision())
+		m.is.True(m.nodes["north-a-0"].store.Adopt(&delta))
+	}
+	for i, value := range []string{"one", "two"} {
+		give(int64(10+i), value)
+		for _, n := range m.nodes {
+			m.eventually(n.instance.Name+" has it", func() bool {
+				copied := n.store.Snapshot().Load()
+				return copied != nil && string(copied.Entries["op/config"].Value) == value
+			})
+		}
+	}
+}
+
+// TestTwoOfADomainFollowTheStore, and one that hears neither of them does so as well.
+func TestTwoOfADomainFollowTheStore(t *testing.T) {
+	m := newMesh(t, 7, "north-a")
+	watching := func() (names []string) {
+		for name, n := range m.nodes {
+			if n.gossip.Watches() {
+				names = append(names, name)
+			}
+		}
+		return names
+	}
+	m.eventually("two watch", func() bool { return len(watching()) == watchers })
+	for _, name := range watching() {
+		m.kill(m.nodes[name])
+		delete(m.nodes, name)
+	}
+	m.eventually("two others do", func() bool { return len(watching()) == watchers })
+}
