--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -150,6 +150,7 @@
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
 	})
+	e.registerGauges()
 	return e, nil
 }
 
@@ -187,7 +188,7 @@
 	group.Go(func() error { e.followFleet(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
-	e.log.Info().Str("callers", e.settings.Listen.Callers).Str("region", e.settings.Region).Msg("start")
+	e.log.Info().Str("callers", e.settings.Listen.Callers).Str("region", e.settings.Region).Str("peers", e.settings.Listen.Peers).Msg("start")
 	select {
 	case <-ctx.Done():
 	case <-failed.Done():
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -406,3 +407,17 @@
 		return b.edge.tracker.Load("u-0").Ejected
 	})
 }
+
+func TestMetricsAreServedAsText(t *testing.T) {
+	b := newBed(t, safe, newUpstream(t, say(http.StatusOK, "ok")))
+	b.ask(http.MethodGet, "/r/", "")
+	b.ask(http.MethodGet, "/nowhere", "")
+	recorder := httptest.NewRecorder()
+	b.edge.metricsHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := recorder.Body.String()
+	for _, line := range []string{"requests.complete 1\n", "requests.refused.unknown-route 1\n", "configuration.version 1\n", "upstreams.dialed 1\n", "requests.ms.count 1\n"} {
+		if !strings.Contains(text, line) {
+			t.Errorf("no line %q in\n%s", line, text)
+		}
+	}
+}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -38,6 +38,39 @@
 
 func (c *counters) gone() { c.left.Inc(1) }
 
+// registerGauges adds what is read when the metrics are asked for.
+func (e *Edge) registerGauges() {
+	gauges := map[string]func() int64{
+		"upstreams.dialed": e.upstreams.Dialed,
+		"peers.dialed":     e.peers.Dialed,
+		"store.age_ms":     func() int64 { return e.now().Sub(e.store.Reached()).Milliseconds() },
+		"store.revision":   e.store.Revision,
+		"configuration.version": func() int64 {
+			if config := e.board.Routes.Load(); config != nil {
+				return int64(config.Version)
+			}
+			return 0
+		},
+		"peers.live":   func() int64 { return e.countPeers(true) },
+		"peers.silent": func() int64 { return e.countPeers(false) },
+	}
+	for name, read := range gauges {
+		metrics.NewRegisteredFunctionalGauge(name, e.registry, read)
+	}
+}
+
+func (e *Edge) countPeers(live bool) int64 {
+	count, now := int64(0), e.now()
+	if view := e.gossip.View().Load(); view != nil {
+		for i := range view.Others {
+			if view.Others[i].Live(now) == live {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // refused counts a refusal by its reason; reasons are few.
 func (c *counters) refused(refusal *outcome.Refusal) {
 	metrics.GetOrRegisterCounter("requests.refused."+string(refusal.Reason), c.registry).Inc(1)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -97,6 +97,13 @@
 	return !m.lost && !m.reached.IsZero() && m.options.Clock.Now().Sub(m.reached) < currentFor
 }
 
+// Reached returns when the store last answered this instance; zero: never.
+func (m *Mirror) Reached() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached
+}
+
 // Revision is the store's revision that the copy reflects; zero: there is none.
 func (m *Mirror) Revision() int64 { return m.revision() }
 
