End the lease of a registration whose answer was lost

Found by its own test, once in four runs: an instance that was stopped while its entry's write was under way left the entry until the lease ran out.

--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -52,15 +52,16 @@
 }
 
 func (r *Registration) register(ctx context.Context) (platform.LeaseID, error) {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	limited, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	lease, err := r.Store.Grant(ctx, r.TTL)
+	lease, err := r.Store.Grant(limited, r.TTL)
 	if err != nil {
 		return 0, err
 	}
-	_, err = r.Store.Swap(ctx, nil, []platform.Put{{Key: r.Key, Value: r.Value, Lease: lease}})
+	_, err = r.Store.Swap(limited, nil, []platform.Put{{Key: r.Key, Value: r.Value, Lease: lease}})
 	if err != nil {
-		return 0, err
+		// The write may have taken effect all the same: without its lease it cannot last.
+		return 0, errors.Join(err, r.revoke(context.WithoutCancel(ctx), lease))
 	}
 	r.Log.Info().Str("key", r.Key).Msg("registered")
 	return lease, nil
