--- /dev/null
+++ b/pkg/steer/steer_test.go
@@ -0,0 +1,222 @@
+package steer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+var now = time.Unix(1_000_000, 0)
+
+// loads is what an instance has in hand, by upstream.
+type loads map[string]limit.Load
+
+// Load implements steer.Local.
+func (l loads) Load(upstream string) limit.Load { return l[upstream] }
+
+var (
+	engine = &httproute.Service{Name: "llm", Engine: &httproute.Engine{Slots: 4, Copies: true}}
+	api    = &httproute.Service{Name: "api"}
+	prompt = &httproute.Route{Name: "ask", SharedPrompts: true, Kind: httproute.Streaming}
+	call   = &httproute.Route{Name: "get", Kind: httproute.Safe}
+)
+
+func upstream(id, service, region string) fleet.Upstream {
+	return fleet.Upstream{ID: id, Service: service, Domain: region + "-a", Region: region, Slots: 4}
+}
+
+func world(local loads, upstreams ...fleet.Upstream) *steer.World {
+	view := &fleet.View{Upstreams: upstreams, Evacuated: map[string]bool{}}
+	view.Index()
+	return &steer.World{
+		Region: "north", Fleet: view, Local: local, Recent: steer.NewRecent(), Now: now,
+		Cold: func(*fleet.Upstream, *httproute.Service) bool { return false },
+	}
+}
+
+// long is a request whose prompt has a shared part of 10,000 tokens.
+func long(part string) *steer.Request {
+	return &steer.Request{
+		Route: prompt, Service: engine, PromptTokens: 12_000,
+		Parts: []steer.Part{{ID: part, Tokens: 10_000}, {ID: "own", Tokens: 2000}},
+	}
+}
+
+// TestOnlyUsableUpstreamsOfTheRegionAreChosen over any state of the fleet.
+func TestOnlyUsableUpstreamsOfTheRegionAreChosen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		local := loads{}
+		var upstreams []fleet.Upstream
+		req := long("p")
+		for i := range rapid.IntRange(0, 8).Draw(t, "upstreams") {
+			u := upstream(fmt.Sprint("u", i), "llm", rapid.SampledFrom([]string{"north", "south"}).Draw(t, "region"))
+			u.Draining = rapid.Bool().Draw(t, "draining")
+			if rapid.Bool().Draw(t, "cold") {
+				u.ColdUntil = now.Add(time.Second)
+			}
+			local[u.ID] = limit.Load{
+				InFlight: rapid.IntRange(0, 9).Draw(t, "in flight"),
+				Ejected:  rapid.Bool().Draw(t, "ejected"),
+				Rest:     rapid.SampledFrom([]time.Duration{0, time.Second}).Draw(t, "rest"),
+			}
+			if rapid.Bool().Draw(t, "tried") {
+				req.Tried = append(req.Tried, u.ID)
+			}
+			upstreams = append(upstreams, u)
+		}
+		w := world(local, upstreams...)
+		w.Fleet.Evacuated["north-a"] = rapid.Bool().Draw(t, "evacuated")
+		w.Roll = rapid.Uint64().Draw(t, "roll")
+		chosen := w.Look(req).Best.Upstream
+		may := func(u *fleet.Upstream) bool {
+			load := local[u.ID]
+			for _, id := range req.Tried {
+				if id == u.ID {
+					return false
+				}
+			}
+			return u.Region == "north" && !u.Draining && !w.Fleet.Evacuated[u.Domain] && !u.Cold(now) && !load.Ejected && load.Rest == 0
+		}
+		any := false
+		for i := range upstreams {
+			any = any || may(&upstreams[i])
+		}
+		if any != (chosen != nil) || (chosen != nil && !may(chosen)) {
+			t.Fatalf("chose %+v, any usable: %v", chosen, any)
+		}
+	})
+}
+
+// TestInstancesThatKnowNothingOfEachOtherGatherAPart: the same part goes to the same
+// upstream, and parts spread over all.
+func TestInstancesThatKnowNothingOfEachOtherGatherAPart(t *testing.T) {
+	is := is.New(t)
+	var upstreams []fleet.Upstream
+	for i := range 5 {
+		upstreams = append(upstreams, upstream(fmt.Sprint("u", i), "llm", "north"))
+	}
+	used := map[string]int{}
+	for part := range 200 {
+		first := world(loads{}, upstreams...).Look(long(fmt.Sprint("p", part))).Best.Upstream.ID
+		second := world(loads{}, upstreams...).Look(long(fmt.Sprint("p", part))).Best.Upstream.ID
+		is.Equal(first, second)
+		used[first]++
+	}
+	for _, n := range used {
+		is.True(n > 20 && n < 70)
+	}
+}
+
+func TestABusyHolderIsLeftAndCopiedFrom(t *testing.T) {
+	is := is.New(t)
+	local := loads{}
+	w := world(local, upstream("u0", "llm", "north"), upstream("u1", "llm", "north"))
+	holder := w.Look(long("p")).Best.Upstream.ID
+	w.Recent.Add(long("p").Parts, holder, now)
+	is.Equal(w.Look(long("p")).Best.Upstream.ID, holder)
+	is.Equal(w.Look(long("p")).Best.Source, nil)
+	local[holder] = limit.Load{InFlight: 3, Prefill: 60_000}
+	best := w.Look(long("p")).Best
+	is.True(best.Upstream.ID != holder)
+	is.Equal(best.Source.ID, holder)
+}
+
+func TestPlainCallsDoNotAllGoToTheUpstreamThatLookedIdle(t *testing.T) {
+	is := is.New(t)
+	w := world(loads{"u0": {InFlight: 10}, "u1": {InFlight: 11}}, upstream("u0", "api", "north"), upstream("u1", "api", "north"))
+	used := map[string]int{}
+	for roll := range uint64(400) {
+		w.Roll = roll * 0x9e3779b97f4a7c15
+		used[w.Look(&steer.Request{Route: call, Service: api}).Best.Upstream.ID]++
+	}
+	is.True(used["u0"] > 100 && used["u1"] > 100)
+}
+
+// far returns regions as Regions would find them.
+func far(region string, inFlight, slots, prefill int) steer.Away {
+	return steer.Away{Region: region, Upstreams: max(1, slots/4), Slots: slots, InFlight: inFlight, Prefill: prefill, Peers: []*peer.Known{{}}}
+}
+
+func TestAPlainCallTravelsOnlyWhereItIsServedSooner(t *testing.T) {
+	is := is.New(t)
+	req := &steer.Request{Route: call, Service: api}
+	choose := func(inFlight int, away steer.Away) bool {
+		w := world(loads{"u0": {InFlight: inFlight, Holding: 50 * time.Millisecond}}, upstream("u0", "api", "north"))
+		return w.Choose(req, w.Look(req), []steer.Away{away}) != nil
+	}
+	is.True(!choose(3, far("south", 0, 8, 0)))
+	is.True(!choose(8, far("south", 0, 8, 0)))
+	is.True(choose(30, far("south", 0, 8, 0)))
+	is.True(!choose(30, far("south", 60, 8, 0)))
+}
+
+func TestALongPromptTravelsToTheRegionThatHoldsIt(t *testing.T) {
+	is := is.New(t)
+	w := world(loads{}, upstream("u0", "llm", "north"), upstream("u1", "llm", "south"))
+	req := long("p")
+	req.Parts[0].Tokens, req.PromptTokens = 30_000, 32_000
+	w.Recent.Add(req.Parts, "south", now)
+	away := w.Choose(req, w.Look(req), []steer.Away{far("south", 0, 4, 0)})
+	is.True(away != nil)
+	w.Recent.Add(req.Parts, "u0", now)
+	is.True(w.Choose(req, w.Look(req), []steer.Away{far("south", 0, 4, 0)}) == nil)
+}
+
+func TestWithNothingUsableHereAnyPermittedRegionWillDo(t *testing.T) {
+	is := is.New(t)
+	w := world(loads{})
+	req := &steer.Request{Route: call, Service: api}
+	is.Equal(w.Choose(req, w.Look(req), []steer.Away{far("south", 9, 4, 0), far("west", 1, 4, 0)}).Region, "west")
+}
+
+// TestRegionsAreThoseThatAreKnownAndPermitted: live instances, usable upstreams, homes.
+func TestRegionsAreThoseThatAreKnownAndPermitted(t *testing.T) {
+	is := is.New(t)
+	w := world(loads{}, upstream("u1", "api", "south"), upstream("u2", "api", "west"), upstream("u3", "api", "east"))
+	known := func(name, region string, change func(*peer.Known)) peer.Known {
+		k := peer.Known{Instance: fleet.Instance{Name: name, Region: region}, Ready: true, Heard: now}
+		change(&k)
+		return k
+	}
+	same := func(*peer.Known) {}
+	w.Peers = &peer.View{Others: []peer.Known{
+		known("e-1", "east", func(k *peer.Known) { k.Heard = now.Add(-time.Minute) }),
+		known("e-2", "east", func(k *peer.Known) { k.Leaving = true }),
+		known("e-3", "east", func(k *peer.Known) { k.Ready = false }),
+		known("s-1", "south", same), known("s-2", "south", same), known("w-1", "west", same),
+	}}
+	names := func(req *steer.Request) (all string) {
+		for _, away := range w.Regions(req) {
+			all += fmt.Sprint(away.Region, len(away.Peers), " ")
+		}
+		return all
+	}
+	req := &steer.Request{Route: call, Service: api}
+	is.Equal(names(req), "south2 west1 ")
+	is.Equal(names(&steer.Request{Route: &httproute.Route{Homes: []string{"west"}}, Service: api}), "west1 ")
+	req.Tried = []string{"s-1"}
+	is.Equal(names(req), "south1 west1 ")
+	w.Fleet.Evacuated["west-a"] = true
+	is.Equal(names(req), "south1 ")
+}
+
+func BenchmarkDecision(b *testing.B) {
+	var upstreams []fleet.Upstream
+	for i := range 72 {
+		upstreams = append(upstreams, upstream(fmt.Sprint("u", i), "llm", []string{"north", "south", "west"}[i%3]))
+	}
+	w := world(loads{}, upstreams...)
+	req := long("p")
+	for b.Loop() {
+		w.Choose(req, w.Look(req), w.Regions(req))
+	}
+}
