--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/header"
@@ -221,3 +222,9 @@
 	s := e.survey
 	return fmt.Sprintf("known=%d usable=%d cold=%d in_flight=%d slots=%d", s.Known, s.Usable, s.Cold, s.InFlight, s.Slots)
 }
+
+// path is the path of a request without its query, as it was sent.
+func path(uri string) string {
+	bare, _, _ := strings.Cut(uri, "?")
+	return bare
+}
--- /dev/null
+++ b/pkg/edge/known.go
@@ -0,0 +1,71 @@
+package edge
+
+import (
+	"context"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+)
+
+// report is what the instance says of itself.
+func (e *Edge) report() peer.Report {
+	return peer.Report{
+		Name:        e.self.Name,
+		Incarnation: e.self.Incarnation,
+		Sequence:    e.sequence.Add(1),
+		Leaving:     e.Leaving(),
+		Ready:       e.board.Routes.Load() != nil,
+		Store:       e.store.Revision(),
+		Upstreams:   e.loads(),
+	}
+}
+
+// loads is the work in hand by upstream, those without any left out.
+func (e *Edge) loads() []peer.Load {
+	view := e.board.Fleet.Load()
+	if view == nil {
+		return nil
+	}
+	var loads []peer.Load
+	for i := range view.Upstreams {
+		id := view.Upstreams[i].ID
+		if own := e.tracker.Load(id); own.InFlight > 0 {
+			loads = append(loads, peer.Load{Name: id, InFlight: own.InFlight, Prefill: own.Prefill})
+		}
+	}
+	return loads
+}
+
+// Watches says whether the instance should follow the store itself.
+func (e *Edge) Watches() bool { return e.gossip.Watches() }
+
+// followFleet tells the ejector which upstreams stand in for each other.
+func (e *Edge) followFleet(ctx context.Context) {
+	known := make(map[string]bool)
+	for {
+		changed := e.board.Fleet.Changed()
+		if view := e.board.Fleet.Load(); view != nil {
+			e.setPools(view, known)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// setPools makes a pool of each service's upstreams in the own region. Known holds the
+// services of earlier views, whose upstreams may all be gone.
+func (e *Edge) setPools(view *fleet.View, known map[string]bool) {
+	pools := make(map[string][]string)
+	for i := range view.Upstreams {
+		if upstream := &view.Upstreams[i]; upstream.Region == e.settings.Region {
+			pools[upstream.Service] = append(pools[upstream.Service], upstream.ID)
+			known[upstream.Service] = true
+		}
+	}
+	for service := range known {
+		e.ejector.SetPool(service, pools[service])
+	}
+}
--- /dev/null
+++ b/pkg/edge/listen.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/settings"
+)
+
+// door is one listener with what serves it.
+type door struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (d *door) serve() error {
+	if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", d.listener.Addr(), err)
+	}
+	return nil
+}
+
+// doors are the listeners of an instance.
+type doors struct {
+	http    []*door
+	control *control.Server
+}
+
+// Times that callers' connections may take; the declared limits are enforced on each
+// request as well.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeader bounds a request's header, in bytes; net/http allows 4 KiB more.
+	maxHeader = 64 << 10
+)
+
+func (e *Edge) open() (*doors, error) {
+	listen := e.settings.Listen
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{listen.Callers, http.HandlerFunc(e.serveCaller)},
+		{listen.Peers, http.HandlerFunc(e.servePeer)},
+		{listen.Metrics, e.metricsHandler()},
+	}
+	all := &doors{}
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		opened, err := e.listen(h.address, h.handler)
+		if err != nil {
+			return nil, err
+		}
+		all.http = append(all.http, opened)
+	}
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	if err != nil {
+		return nil, err
+	}
+	if all.control, err = control.NewServer(network, listen.Gossip); err != nil {
+		return nil, err
+	}
+	return all, e.gossip.Register(all.control)
+}
+
+func (e *Edge) listen(address string, handler http.Handler) (*door, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          logging.ServerErrors(e.log),
+	}
+	return &door{listener: listener, server: server}, nil
+}
--- /dev/null
+++ b/pkg/edge/roster.go
@@ -0,0 +1,130 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+)
+
+// instances is how many instances there are, this one included; never fewer than
+// are registered.
+func (e *Edge) instances() int { return e.countInstances(func(string) bool { return true }) }
+
+// regionInstances is how many there are in the own region.
+func (e *Edge) regionInstances() int {
+	return e.countInstances(func(region string) bool { return region == e.settings.Region })
+}
+
+func (e *Edge) countInstances(counts func(region string) bool) int {
+	names := map[string]bool{e.self.Name: true}
+	if view := e.board.Fleet.Load(); view != nil {
+		for i := range view.Instances {
+			if counts(view.Instances[i].Region) {
+				names[view.Instances[i].Name] = true
+			}
+		}
+	}
+	if peers := e.gossip.View().Load(); peers != nil {
+		now := e.now()
+		for i := range peers.Others {
+			known := &peers.Others[i]
+			if counts(known.Instance.Region) && known.Live(now) {
+				names[known.Instance.Name] = true
+			}
+		}
+	}
+	return len(names)
+}
+
+// leastInstances is how many instances of a region are taken to exist as long as
+// none other is known: after a restart of everything each knows only itself.
+const leastInstances = 3
+
+// coldStart is for how long after its start an instance sends nothing to cold
+// upstreams: what it sent before a restart still counts for that long.
+const coldStart = limit.ColdWindow
+
+// coldLeft says whether a cold upstream may get one more request of this instance.
+func (e *Edge) coldLeft(upstream *fleet.Upstream, service *httproute.Service) bool {
+	if service.ColdRate == 0 {
+		return true
+	}
+	if e.now().Sub(e.began) < coldStart {
+		return false
+	}
+	allowed := service.ColdRate*e.settings.Limits.ColdFactor + e.settings.Limits.ColdSlack
+	return e.cold.Left(upstream.ID, allowed, max(leastInstances, e.regionInstances()))
+}
+
+// Roster returns the instances that callers of a host in a region should use: the
+// live ones there, else those of regions that all of the host's routes permit, else
+// all.
+func (e *Edge) Roster(region, host string) []fleet.Instance {
+	all := e.usable()
+	if near := inRegions(all, func(r string) bool { return r == region }); len(near) > 0 {
+		return near
+	}
+	if config := e.board.Routes.Load(); config != nil {
+		permitted := func(r string) bool { return config.HostPermits(host, r) }
+		if homes := inRegions(all, permitted); len(homes) > 0 {
+			return homes
+		}
+	}
+	return all
+}
+
+func inRegions(all []fleet.Instance, wanted func(region string) bool) []fleet.Instance {
+	var kept []fleet.Instance
+	for _, instance := range all {
+		if wanted(instance.Region) {
+			kept = append(kept, instance)
+		}
+	}
+	return kept
+}
+
+// usable lists the instances that take callers, this one included unless it leaves.
+func (e *Edge) usable() []fleet.Instance {
+	byName := make(map[string]fleet.Instance)
+	if view := e.board.Fleet.Load(); view != nil {
+		for _, instance := range view.Instances {
+			byName[instance.Name] = instance
+		}
+	}
+	now := e.now()
+	if peers := e.gossip.View().Load(); peers != nil {
+		for i := range peers.Others {
+			known := &peers.Others[i]
+			registered, ok := byName[known.Instance.Name]
+			if ok && registered.Incarnation > known.Instance.Incarnation {
+				continue
+			}
+			if known.Leaving || !known.Live(now) {
+				delete(byName, known.Instance.Name)
+				continue
+			}
+			byName[known.Instance.Name] = known.Instance
+		}
+	}
+	delete(byName, e.self.Name)
+	if !e.Leaving() {
+		byName[e.self.Name] = e.self
+	}
+	list := make([]fleet.Instance, 0, len(byName))
+	for _, instance := range byName {
+		list = append(list, instance)
+	}
+	return list
+}
+
+// Ready says whether the instance takes callers: it has a configuration and does
+// not leave.
+func (e *Edge) Ready() bool { return !e.Leaving() && e.board.Routes.Load() != nil }
+
+// Leaving says whether the instance is on its way out.
+func (e *Edge) Leaving() bool { return e.leaving.Load() != nil }
+
+// DirectoryTTL is how long callers may keep what Roster says.
+func (e *Edge) DirectoryTTL() time.Duration { return e.settings.Limits.DirectoryTTL }
