--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -48,6 +48,9 @@
 	// connection that fell silent goes unnoticed: half of the time within which a
 	// configuration must be in force.
 	watchWait = 1500 * time.Millisecond
+	// changePause follows changes, so that those that come close together are read by one
+	// call: when a deployment starts, each instance and server writes its entry.
+	changePause = 100 * time.Millisecond
 	// callSlack is what a call may take beyond its waiting.
 	callSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of one page.
@@ -216,6 +219,9 @@
 	}
 	m.answered()
 	m.apply(changes)
+	if len(changes.Entries) > 0 {
+		clock.Sleep(ctx, changePause)
+	}
 	return max(after, changes.Revision), nil
 }
 
