--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -144,7 +144,7 @@
 	}
 	e.counts = newCounters(e.registry)
 	e.gossip = peer.New(peer.Options{
-		Self: e.self, Report: e.report, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
+		Self: e.self, Report: e.report, Placed: e.recent.Learn, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
 	})
 	e.registerGauges()
 	return e, nil
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -270,7 +270,7 @@
 func (j *job) forward(ctx context.Context, to *target) result {
 	j.tried = append(j.tried, to.name())
 	j.hops++
-	j.recent.Add(j.attributes.Parts, to.peer.Instance.Region, j.now())
+	j.recent.Sent(j.attributes.Parts, to.peer.Instance.Region, j.now())
 	call := &call{
 		job:    j,
 		pool:   j.peers,
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -17,6 +17,7 @@
 		Ready:       e.board.Routes.Load() != nil,
 		Store:       e.store.Revision(),
 		Upstreams:   e.loads(),
+		Placed:      e.recent.Told(e.now()),
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// RegionOf returns the region of an upstream; empty when it is not known.
+func (v *View) RegionOf(id string) string {
+	i, ok := slices.BinarySearchFunc(v.Upstreams, id, func(u Upstream, id string) int { return strings.Compare(u.ID, id) })
+	if !ok {
+		return ""
+	}
+	return v.Upstreams[i].Region
+}
+
 // Service returns the upstreams of a service, of all regions, sorted by ID.
 func (v *View) Service(name string) []*Upstream {
 	if v == nil {
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -21,6 +21,8 @@
 	// Self is this instance; Report is what it says of itself now.
 	Self   fleet.Instance
 	Report func() Report
+	// Placed is told of other instances' placements; nil: they are not needed.
+	Placed func(placement Placement, at time.Time)
 	Fleet  *board.Section[fleet.View]
 	// Store is this instance's copy of the platform's store.
 	Store  *mirror.Mirror
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -107,6 +107,7 @@
 func (d *Digest) add(report *Report, upstreams map[string]Load) {
 	d.Marks = append(d.Marks, Mark{Name: report.Name, Incarnation: report.Incarnation, Leaving: report.Leaving, Ready: report.Ready})
 	d.Store = max(d.Store, report.Store)
+	d.Placed = append(d.Placed, report.Placed...)
 	addLoads(upstreams, report.Upstreams)
 }
 
@@ -151,6 +152,7 @@
 	}
 	g.note(before, &report)
 	delete(g.avoided, report.Name)
+	g.placed(report.Placed, at)
 	g.reports[report.Name] = &heard[Report]{value: report, at: at}
 }
 
@@ -166,9 +168,20 @@
 	if before == nil || now.Sub(before.at) > SilentAfter {
 		g.options.Log.Info().Str("domain", digest.Domain).Int("instances", len(digest.Marks)).Msg("domain-heard")
 	}
+	g.placed(digest.Placed, at)
 	g.digests[digest.Domain] = &heard[Digest]{value: digest, at: at}
 }
 
+// placed passes placements on.
+func (g *Gossip) placed(placements []Placement, at time.Time) {
+	if g.options.Placed == nil {
+		return
+	}
+	for _, placement := range placements {
+		g.options.Placed(placement, at)
+	}
+}
+
 // note logs what is new of an instance.
 func (g *Gossip) note(before *heard[Report], report *Report) {
 	switch {
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -40,8 +40,13 @@
 	Store int64
 	// Upstreams is the work that it has at each upstream.
 	Upstreams []Load
+	// Placed is where it sent large prompt parts in the last seconds.
+	Placed []Placement
 }
 
+// Placement is a prompt part that was sent to an upstream.
+type Placement struct{ Part, Upstream string }
+
 // newer says whether r was said after other.
 func (r *Report) newer(other *Report) bool {
 	if r.Incarnation != other.Incarnation {
@@ -69,6 +74,8 @@
 	// Upstreams adds up their work by upstream, for the own region alone; Services by
 	// service.
 	Upstreams, Services []Load
+	// Placed is where large prompt parts were sent in the last seconds.
+	Placed []Placement
 }
 
 // Known is what is known of another instance.
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -153,8 +153,10 @@
 	if shared == nil {
 		return 0
 	}
-	if w.Recent.Held(shared.ID, away.Region, w.Now) {
-		return float64(sharedTokens(req))
+	for _, holder := range w.Recent.Holders(shared.ID, w.Now) {
+		if holder == away.Region || w.Fleet.RegionOf(holder) == away.Region {
+			return float64(sharedTokens(req))
+		}
 	}
 	if w.favouriteRegion(req, shared) == away.Region {
 		return favouriteTrust * float64(sharedTokens(req))
--- a/pkg/steer/recent.go
+++ b/pkg/steer/recent.go
@@ -6,6 +6,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/peer"
 )
 
 // leastShared is the size in tokens from which on a shared part is worth steering
@@ -139,11 +140,18 @@
 	return ""
 }
 
-// Recent remembers where prompt parts were sent lately. It is safe for concurrent
-// use; its size is bounded.
+// Recent remembers where prompt parts were sent lately, by this instance and, as far as
+// they told, by others. It is safe for concurrent use; its size is bounded.
 type Recent struct {
 	mu    sync.Mutex
 	parts map[string]map[string]time.Time
+	// told holds this instance's own placements of large parts, oldest first.
+	told []placed
+}
+
+type placed struct {
+	peer.Placement
+	at time.Time
 }
 
 // Bounds of what is remembered.
@@ -152,6 +160,13 @@
 	recentParts = 8192
 	// heldFor is how long an upstream is taken to hold a part that nobody used since.
 	heldFor = 20 * time.Second
+	// leastTold is the size in tokens from which on a placement is told to others: less
+	// is read sooner than told.
+	leastTold = 1000
+	// toldFor is for how long it is told: a few rounds, so that a lost one does no harm.
+	toldFor = 2 * time.Second
+	// mostTold bounds what is told at once.
+	mostTold = 64
 )
 
 // NewRecent returns an empty memory.
@@ -165,24 +180,84 @@
 	return ok && now.Sub(at) < heldFor
 }
 
-// Add notes that the parts were read at the upstream.
+// Holders returns the upstreams, and regions to which this instance has sent it, that
+// are taken to hold the part.
+func (r *Recent) Holders(part string, now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for name, at := range r.parts[part] {
+		if now.Sub(at) < heldFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Add notes that this instance has sent the parts to the upstream.
 func (r *Recent) Add(parts []Part, upstream string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, part := range parts {
+	for i, part := range parts {
 		if part.Tokens < leastShared {
 			continue
 		}
-		at := r.parts[part.ID]
-		if at == nil {
-			r.shrink(now)
-			at = make(map[string]time.Time, 1)
-			r.parts[part.ID] = at
+		r.note(part.ID, upstream, now)
+		// The last part is the request's own: nobody else will ask for it.
+		if part.Tokens >= leastTold && i < len(parts)-1 {
+			r.told = append(r.told, placed{peer.Placement{Part: part.ID, Upstream: upstream}, now})
+		}
+	}
+}
+
+// Sent notes that this instance has sent the parts to another region, whose instances
+// tell of the upstream.
+func (r *Recent) Sent(parts []Part, region string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, part := range parts {
+		if part.Tokens >= leastTold {
+			r.note(part.ID, region, now)
 		}
-		at[upstream] = now
 	}
 }
 
+// Learn notes a placement by another instance.
+func (r *Recent) Learn(placement peer.Placement, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.parts[placement.Part][placement.Upstream]) {
+		r.note(placement.Part, placement.Upstream, at)
+	}
+}
+
+// Told returns this instance's own placements that others should know of.
+func (r *Recent) Told(now time.Time) []peer.Placement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := 0
+	for old < len(r.told) && (now.Sub(r.told[old].at) > toldFor || len(r.told)-old > mostTold) {
+		old++
+	}
+	r.told = append(r.told[:0], r.told[old:]...)
+	told := make([]peer.Placement, len(r.told))
+	for i := range r.told {
+		told[i] = r.told[i].Placement
+	}
+	return told
+}
+
+// note records a placement. The caller holds r.mu.
+func (r *Recent) note(part, upstream string, at time.Time) {
+	held := r.parts[part]
+	if held == nil {
+		r.shrink(at)
+		held = make(map[string]time.Time, 1)
+		r.parts[part] = held
+	}
+	held[upstream] = at
+}
+
 // shrink makes room for one more part.
 func (r *Recent) shrink(now time.Time) {
 	if len(r.parts) < recentParts {
