Write an entry again that was taken away; reach instances whose entry has gone

Now an instance whose entry is missing in its copy writes it again; instances that are still heard of are reached at their last address; old digests are not passed on. Ruled out: load (the logs show no lost calls).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -82,6 +82,7 @@
 	retries   *limit.RetryShares
 	cold      *limit.ColdShares
 	recent    *steer.Recent
+	pace      *steer.Pace
 	upstreams *exchange.Pool
 	peers     *exchange.Pool
 	gossip    *peer.Gossip
@@ -137,6 +138,7 @@
 		retries:   limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
 		cold:      limit.NewColdShares(system.Now),
 		recent:    steer.NewRecent(),
+		pace:      steer.NewPace(),
 		upstreams: exchange.NewPool(dialer(), upstreamDial, system.Now),
 		peers:     exchange.NewPool(dialer(), peerDial, system.Now),
 		clients:   control.NewClients(network),
@@ -218,6 +220,7 @@
 		Key:   e.options.Key,
 		Value: value,
 		TTL:   max(registrationTTL, e.settings.Store.MinimumTTL),
+		Copy:  e.store,
 		Log:   e.log,
 	}
 	ended := make(chan struct{})
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -159,6 +159,7 @@
 		Local:  j.tracker,
 		Cold:   j.coldLeft,
 		Recent: j.recent,
+		Pace:   j.pace,
 		Now:    j.now(),
 		Roll:   rand.Uint64(),
 	}
@@ -261,8 +262,12 @@
 	if source := to.survey.Best.Source; source != nil {
 		call.send.Source = source.Address
 	}
+	sent := j.now()
 	ended := call.do(ctx)
 	flight.Done(call.verdict(ended))
+	if ended == done && j.service.Engine == nil {
+		j.pace.Add(j.service.Name, &to.survey.Best, j.now().Sub(sent))
+	}
 	return ended
 }
 
--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -25,7 +25,12 @@
 	Value []byte
 	// TTL is how long the entry outlives its owner.
 	TTL time.Duration
-	Log zerolog.Logger
+	// Copy is a copy of the store that shows whether the entry is there: it may be taken
+	// away while its lease lives on. Nil: the lease alone is looked at.
+	Copy *Mirror
+	Log  zerolog.Logger
+	// revision is the store's when the entry was last written.
+	revision int64
 }
 
 // Times of a Registration.
@@ -58,11 +63,12 @@
 	if err != nil {
 		return 0, err
 	}
-	_, err = r.Store.Swap(limited, nil, []platform.Put{{Key: r.Key, Value: r.Value, Lease: lease}})
+	revision, err := r.Store.Swap(limited, nil, []platform.Put{{Key: r.Key, Value: r.Value, Lease: lease}})
 	if err != nil {
 		// The write may have taken effect all the same: without its lease it cannot last.
 		return 0, errors.Join(err, r.revoke(context.WithoutCancel(ctx), lease))
 	}
+	r.revision = revision
 	r.Log.Info().Str("key", r.Key).Msg("registered")
 	return lease, nil
 }
@@ -70,6 +76,10 @@
 // keep renews the lease until it is lost, or ends it when ctx ends.
 func (r *Registration) keep(ctx context.Context, lease platform.LeaseID) {
 	for clock.Sleep(ctx, r.TTL/keepPart) {
+		if r.missing() {
+			r.Log.Warn().Str("key", r.Key).Msg("registration-taken-away")
+			return
+		}
 		if err := r.renew(ctx, lease); errors.Is(err, platform.ErrLeaseLost) {
 			r.Log.Warn().Str("key", r.Key).Msg("registration-lost")
 			return
@@ -80,6 +90,19 @@
 	}
 }
 
+// missing says whether a copy that is newer than the entry does not hold it.
+func (r *Registration) missing() bool {
+	if r.Copy == nil {
+		return false
+	}
+	snapshot := r.Copy.Snapshot().Load()
+	if snapshot == nil || snapshot.Revision < r.revision {
+		return false
+	}
+	_, there := snapshot.Entries[r.Key]
+	return !there
+}
+
 func (r *Registration) renew(ctx context.Context, lease platform.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -68,6 +68,8 @@
 	// reports holds the own domain's, digests the other domains'.
 	reports map[string]*heard[Report]
 	digests map[string]*heard[Digest]
+	// addresses holds the instances that were registered, and where to reach them.
+	addresses map[string]fleet.Instance
 	// avoided holds the instances that did not answer, and until when.
 	avoided map[string]time.Time
 	// urgent holds one value while a round should come early.
@@ -83,11 +85,12 @@
 // New returns a Gossip that knows nobody.
 func New(options Options) *Gossip {
 	return &Gossip{
-		options: options,
-		reports: make(map[string]*heard[Report]),
-		digests: make(map[string]*heard[Digest]),
-		avoided: make(map[string]time.Time),
-		urgent:  make(chan struct{}, 1),
+		options:   options,
+		reports:   make(map[string]*heard[Report]),
+		digests:   make(map[string]*heard[Digest]),
+		addresses: make(map[string]fleet.Instance),
+		avoided:   make(map[string]time.Time),
+		urgent:    make(chan struct{}, 1),
 	}
 }
 
@@ -145,16 +148,34 @@
 	return min(slowest, round*time.Duration(max(smallDomain, n))/smallDomain)
 }
 
-// registered returns the registered instances, this one left out.
+// registered returns the instances that can be reached, this one left out: those that
+// are registered, and those that were and are still heard of. An entry may be taken
+// away while its instance lives.
 func (g *Gossip) registered() []fleet.Instance {
 	view := g.options.Fleet.Load()
 	if view == nil {
 		return nil
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.options.Clock.Now()
 	others := make([]fleet.Instance, 0, len(view.Instances))
+	listed := make(map[string]bool, len(view.Instances))
 	for _, instance := range view.Instances {
+		listed[instance.Name] = true
 		if instance.Name != g.options.Self.Name {
 			others = append(others, instance)
+			g.addresses[instance.Name] = instance
+		}
+	}
+	for name, instance := range g.addresses {
+		if listed[name] {
+			continue
+		}
+		if known, ok := g.known(&instance); ok && known.Live(now) {
+			others = append(others, instance)
+		} else {
+			delete(g.addresses, name)
 		}
 	}
 	return others
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -240,6 +240,40 @@
 	}
 }
 
+// TestInstancesWhoseEntriesAreTakenAwayAreStillReached for as long as they are heard of:
+// in the own domain and beyond.
+func TestInstancesWhoseEntriesAreTakenAwayAreStillReached(t *testing.T) {
+	m := newMesh(t, 2, "north-a", "south-a")
+	observer := m.nodes["north-a-0"]
+	live := func() int {
+		n, now := 0, time.Now()
+		if view := observer.view(); view != nil {
+			for i := range view.Others {
+				if view.Others[i].Live(now) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	m.eventually("all are known", func() bool { return live() == 3 })
+	empty := &fleet.View{}
+	empty.Index()
+	for _, n := range m.nodes {
+		n.fleet.Store(empty)
+	}
+	since := time.Now()
+	m.eventually("they outlast their entries", func() bool {
+		if live() != 3 {
+			m.Fatalf("only %d of 3 are known", live())
+		}
+		return time.Since(since) > 2*SilentAfter
+	})
+	m.kill(m.nodes["south-a-1"])
+	delete(m.nodes, "south-a-1")
+	m.eventually("one that has gone is forgotten", func() bool { return live() == 2 })
+}
+
 // TestTwoOfADomainFollowTheStore, and one that hears neither of them does so as well.
 func TestTwoOfADomainFollowTheStore(t *testing.T) {
 	m := newMesh(t, 7, "north-a")
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -74,6 +74,9 @@
 	for _, digest := range g.digests {
 		told := digest.value
 		told.Age = now.Sub(digest.at)
+		if told.Age > SilentAfter {
+			continue
+		}
 		reply.Digests = append(reply.Digests, told)
 	}
 	return nil
@@ -157,7 +160,7 @@
 }
 
 func (g *Gossip) takeDigest(digest Digest, now time.Time) {
-	if digest.Domain == g.options.Self.Domain {
+	if digest.Domain == g.options.Self.Domain || digest.Age > SilentAfter {
 		return
 	}
 	at := now.Add(-digest.Age)
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -93,9 +93,9 @@
 	farTime = 110 * time.Millisecond
 	// farGain is how much sooner a plain service must answer far away.
 	farGain = 30 * time.Millisecond
-	// usualHolding is how long a call of a plain service is taken to last where none
-	// was measured.
-	usualHolding = 50 * time.Millisecond
+	// soonEnough is the part of the target below which a plain call that is served here
+	// gains nothing by going elsewhere.
+	soonEnough = 0.5
 )
 
 // Choose returns the region that is worth the way, given the survey of the own one;
@@ -117,21 +117,21 @@
 		}
 		return nil
 	}
-	holding := here.Holding
-	if holding == 0 {
-		holding = usualHolding
+	pace := w.Pace.Of(req.Service.Name)
+	local := served(pace, here.InFlight, here.Slots)
+	if float64(local) < soonEnough*float64(req.Route.TargetLatency) {
+		return nil
 	}
-	local := served(holding, here.InFlight, here.Slots)
-	if served(holding, best.InFlight, best.Slots)+farTime+farGain < local {
+	if served(pace, best.InFlight, best.Slots)+farTime+farGain < local {
 		return best
 	}
 	return nil
 }
 
 // served is how long a call of a plain service takes where so many are in hand.
-func served(holding time.Duration, inFlight, slots int) time.Duration {
+func served(pace time.Duration, inFlight, slots int) time.Duration {
 	load := float64(inFlight+1) / float64(max(1, slots))
-	return time.Duration(float64(holding) * max(1, load))
+	return time.Duration(float64(pace) * max(1, load))
 }
 
 // farCost is what the request costs in another region: for engines in prompt tokens,
--- /dev/null
+++ b/pkg/steer/pace.go
@@ -0,0 +1,48 @@
+package steer
+
+import (
+	"sync"
+	"time"
+)
+
+// Pace remembers how long calls of plain services take where nothing waits. It is safe
+// for concurrent use.
+type Pace struct {
+	mu        sync.Mutex
+	byService map[string]time.Duration
+}
+
+const (
+	// usualPace is how long a call is taken to last where none was measured.
+	usualPace = 50 * time.Millisecond
+	// paceSmoothing is the weight of the newest call.
+	paceSmoothing = 0.05
+)
+
+// NewPace returns a Pace that has measured nothing.
+func NewPace() *Pace { return &Pace{byService: make(map[string]time.Duration)} }
+
+// Of returns the mean time of a service's calls.
+func (p *Pace) Of(service string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pace, ok := p.byService[service]; ok {
+		return pace
+	}
+	return usualPace
+}
+
+// Add takes the time of a call at a candidate. One that may have waited there says
+// nothing of the service's pace.
+func (p *Pace) Add(service string, at *Candidate, took time.Duration) {
+	if 2*at.InFlight > at.Upstream.Slots {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pace, ok := p.byService[service]
+	if !ok {
+		pace = took
+	}
+	p.byService[service] = pace + time.Duration(paceSmoothing*float64(took-pace))
+}
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -52,8 +52,9 @@
 	Local  Local
 	// Cold says whether an upstream that is cold may get one more request now.
 	Cold func(u *fleet.Upstream, service *httproute.Service) bool
-	// Recent is where prompt parts went lately.
+	// Recent is where prompt parts went lately, Pace how long plain calls take.
 	Recent *Recent
+	Pace   *Pace
 	Now    time.Time
 	// Roll is a random number.
 	Roll uint64
@@ -114,9 +115,6 @@
 	// Known counts upstreams of the service in the region, Usable those that may get
 	// work, Slots and InFlight add up over the usable ones.
 	Known, Usable, Slots, InFlight, Prefill int
-	// Holding is the shortest mean time for which a request occupied one of them; zero
-	// when none is known.
-	Holding time.Duration
 	// Cold counts those that were passed over because they are cold.
 	Cold int
 }
@@ -138,9 +136,6 @@
 		survey.Slots += upstream.Slots
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
-		if own.Holding > 0 && (survey.Holding == 0 || own.Holding < survey.Holding) {
-			survey.Holding = own.Holding
-		}
 		if tried(req, upstream.ID) || own.Ejected || own.Rest > 0 {
 			continue
 		}
