--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -421,3 +422,18 @@
 		}
 	}
 }
+
+// TestWhileTheStoreIsDownCallersAreAskedToComeBackLater than when a configuration is only
+// being read.
+func TestWhileTheStoreIsDownCallersAreAskedToComeBackLater(t *testing.T) {
+	b := newBed(t, safe)
+	b.edge.board.Routes.Store(nil)
+	b.is.Equal(b.ask(http.MethodGet, "/r/", "").header.Get("Retry-After"), fmt.Sprint(noConfigurationRetry.Seconds()))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { b.edge.store.Run(ctx); close(ended) }()
+	b.eventually("the store is lost", b.edge.store.Lost)
+	b.is.Equal(b.ask(http.MethodGet, "/r/", "").header.Get("Retry-After"), fmt.Sprint(storeLostRetry.Seconds()))
+	cancel()
+	<-ended
+}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -26,6 +26,18 @@
 // it reads one as soon as the store or another instance answers.
 const noConfigurationRetry = 300 * time.Millisecond
 
+// storeLostRetry is the same while the store does not answer: outages last seconds, and a
+// caller that comes back too soon has used up a try.
+const storeLostRetry = 1200 * time.Millisecond
+
+// startRetry is when to come back to an instance that cannot serve anything yet.
+func (e *Edge) startRetry() time.Duration {
+	if e.store.Lost() {
+		return storeLostRetry
+	}
+	return noConfigurationRetry
+}
+
 // leavingRetry is when to come back to another instance, after one that leaves.
 const leavingRetry = 50 * time.Millisecond
 
@@ -82,7 +94,7 @@
 func (j *job) prepare() *outcome.Refusal {
 	j.config = j.board.Routes.Load()
 	if j.config == nil || j.board.Fleet.Load() == nil {
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, noConfigurationRetry, "this instance has no configuration yet")
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, j.startRetry(), "this instance has no configuration yet")
 	}
 	var err error
 	if j.attributes, err = j.dialect.Attributes(j.request.Header); err != nil {
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -100,6 +100,13 @@
 	return !m.lost && !m.reached.IsZero() && m.options.Clock.Now().Sub(m.reached) < currentFor
 }
 
+// Lost says whether the store's last call failed.
+func (m *Mirror) Lost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
 // Reached returns when the store last answered this instance; zero: never.
 func (m *Mirror) Reached() time.Time {
 	m.mu.Lock()
