--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -41,7 +41,7 @@
 	// every instance of the domain, costs about the same bytes a second.
 	smallDomain = 5
 	// slowest bounds the round of a large domain.
-	slowest = 800 * time.Millisecond
+	slowest = 300 * time.Millisecond
 	// hurryPause keeps rounds apart that were asked for.
 	hurryPause = 20 * time.Millisecond
 	// farEvery is every how many rounds a hub asks the domains of other regions; bytes
