--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -87,6 +87,7 @@
 	peers     *exchange.Pool
 	gossip    *peer.Gossip
 	clients   *control.Clients
+	copies    *control.Clients
 	registry  metrics.Registry
 	counts    counters
 }
@@ -142,11 +143,12 @@
 		upstreams: exchange.NewPool(dialer(), upstreamDial, system.Now),
 		peers:     exchange.NewPool(dialer(), peerDial, system.Now),
 		clients:   control.NewClients(network),
+		copies:    control.NewClients(network),
 		registry:  metrics.NewRegistry(),
 	}
 	e.counts = newCounters(e.registry)
 	e.gossip = peer.New(peer.Options{
-		Self: e.self, Report: e.report, Placed: e.recent.Learn, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Clock: system, Log: e.log,
+		Self: e.self, Report: e.report, Placed: e.recent.Learn, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.copies, Clock: system, Log: e.log,
 	})
 	e.registerGauges()
 	return e, nil
@@ -196,6 +198,7 @@
 	halt()
 	err = doors.control.Close()
 	e.clients.Close()
+	e.copies.Close()
 	e.upstreams.Close()
 	e.peers.Close()
 	err = errors.Join(group.Wait(), err)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -51,10 +51,10 @@
 	// changePause follows changes, so that those that come close together are read by one
 	// call: when a deployment starts, each instance and server writes its entry.
 	changePause = 100 * time.Millisecond
-	// callSlack is what a call may take beyond its waiting.
-	callSlack = 700 * time.Millisecond
-	// listTimeout bounds the reading of one page.
-	listTimeout = time.Second
+	// longestCall is what a call may take beyond its waiting: a configuration of half a
+	// megabyte over a link of 10 Mbit/s that others use as well. The store's client ends
+	// calls sooner that make no progress.
+	longestCall = 5 * time.Second
 	// firstRetry and longestRetry bound the pause after a failed call.
 	firstRetry   = 50 * time.Millisecond
 	longestRetry = 400 * time.Millisecond
@@ -211,13 +211,13 @@
 }
 
 func (m *Mirror) page(ctx context.Context, after string) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := context.WithTimeout(ctx, longestCall)
 	defer cancel()
 	return m.options.Source.List(ctx, m.options.Prefix, after)
 }
 
 func (m *Mirror) changes(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callSlack)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+longestCall)
 	defer cancel()
 	wait := min(watchWait, m.untilSweep())
 	changes, err := m.options.Source.Changes(ctx, m.options.Prefix, after, wait)
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,8 @@
 	// Store is this instance's copy of the platform's store.
 	Store  *mirror.Mirror
 	Client *control.Clients
+	// Copies is for copies of the store, which may be large; Client is for the rest.
+	Copies *control.Clients
 	Clock  clock.Clock
 	Log    zerolog.Logger
 }
@@ -51,6 +54,11 @@
 	// a connection's and a call's round trip, and some work.
 	nearTimeout = 300 * time.Millisecond
 	farTimeout  = 600 * time.Millisecond
+	// copyTimeout bounds the copying of what changed in the store: a large configuration
+	// over a slow link, beside others that copy it.
+	copyTimeout = 2 * time.Second
+	// followAfter is for how long an instance follows the store itself after a copy failed.
+	followAfter = 5 * time.Second
 	// avoidFor is for how long an instance that did not answer is not asked again.
 	avoidFor = time.Second
 	// forgetAfter is when a silent instance is dropped.
@@ -74,6 +82,13 @@
 	avoided map[string]time.Time
 	// urgent holds one value while a round should come early.
 	urgent chan struct{}
+	// copies has connections of its own: a large copy must not hold up reports.
+	copies *control.Clients
+	packer packer
+	// followUntil is until when, in Unix nanoseconds, the store is followed because a copy
+	// failed.
+	followUntil atomic.Int64
+	copying     atomic.Bool
 }
 
 // heard is something with the time at which it was true, by this process's clock.
@@ -91,6 +106,7 @@
 		addresses: make(map[string]fleet.Instance),
 		avoided:   make(map[string]time.Time),
 		urgent:    make(chan struct{}, 1),
+		copies:    options.Copies,
 	}
 }
 
@@ -125,10 +141,21 @@
 			g.exchangeFar(ctx, n%farEvery == 0)
 		}
 		g.publish()
-		g.catchUp(ctx)
+		g.startCatchUp(ctx)
 	}
 }
 
+// startCatchUp copies beside the rounds, one copy at a time.
+func (g *Gossip) startCatchUp(ctx context.Context) {
+	if !g.copying.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer g.copying.Store(false)
+		g.catchUp(ctx)
+	}()
+}
+
 // waitHurry waits until a round is due, and says whether one is wanted before.
 func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
 	timer := time.NewTimer(left)
@@ -229,6 +256,9 @@
 // Watches says whether this instance should follow the store itself: it is one of the
 // domain's watchers, or hears nobody who could tell it.
 func (g *Gossip) Watches() bool {
+	if g.options.Clock.Now().UnixNano() < g.followUntil.Load() {
+		return true
+	}
 	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
 	for _, name := range ranked[:min(watchers, len(ranked))] {
 		if name == g.options.Self.Name {
@@ -338,16 +368,31 @@
 	if newest == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, farTimeout)
-	defer cancel()
-	var reply CopyReply
-	if err := g.options.Client.Call(ctx, newest.Gossip, methodCopy, CopyArgs{Revision: revision}, &reply); err != nil {
-		g.options.Log.Debug().Err(err).Str("peer", newest.Name).Msg("copy-failed")
+	delta, err := g.copy(ctx, newest, revision)
+	if err != nil {
+		g.copyFailed(newest, err)
 		return
 	}
-	if store.Adopt(&reply.Delta) {
-		g.options.Log.Debug().Int64("revision", reply.Delta.Revision).Str("peer", newest.Name).Msg("copy-adopted")
+	if store.Adopt(&delta) {
+		g.options.Log.Debug().Int64("revision", delta.Revision).Str("peer", newest.Name).Msg("copy-adopted")
+	}
+}
+
+// copyFailed has the store followed for a while.
+func (g *Gossip) copyFailed(from *fleet.Instance, err error) {
+	g.options.Log.Warn().Err(err).Str("peer", from.Name).Msg("copy-failed")
+	g.followUntil.Store(g.options.Clock.Now().Add(followAfter).UnixNano())
+}
+
+// copy asks an instance for what changed in its copy of the store since a revision.
+func (g *Gossip) copy(ctx context.Context, from *fleet.Instance, since int64) (mirror.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	var reply CopyReply
+	if err := g.copies.Call(ctx, from.Gossip, methodCopy, CopyArgs{Revision: since}, &reply); err != nil {
+		return mirror.Delta{}, err
 	}
+	return unpack(reply.Packed)
 }
 
 // newest returns the live instance with the newest copy above a revision, of the own
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -105,7 +106,7 @@
 	n.store = mirror.New(mirror.Options{Source: silentStore{}, Clock: clock.System{}, Log: zerolog.Nop()})
 	n.gossip = New(Options{
 		Self: n.instance, Report: n.report, Fleet: &n.fleet, Store: n.store,
-		Client: control.NewClients(network), Clock: clock.System{}, Log: zerolog.Nop(),
+		Client: control.NewClients(network), Copies: control.NewClients(network), Clock: clock.System{}, Log: zerolog.Nop(),
 	})
 	m.is.NoErr(n.gossip.Register(server))
 	return n
@@ -135,6 +136,7 @@
 	}
 	n.stopped.Wait()
 	n.gossip.options.Client.Close()
+	n.gossip.options.Copies.Close()
 }
 
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
@@ -229,7 +231,8 @@
 		delta := snapshot.Since(m.nodes["north-a-0"].store.Revision())
 		m.is.True(m.nodes["north-a-0"].store.Adopt(&delta))
 	}
-	for i, value := range []string{"one", "two"} {
+	large := strings.Repeat(`{"name":"r","hostname":"a.example","prefix":"/x/"},`, 20_000)
+	for i, value := range []string{"one", "two", large} {
 		give(int64(10+i), value)
 		for _, n := range m.nodes {
 			m.eventually(n.instance.Name+" has it", func() bool {
@@ -292,3 +295,30 @@
 	}
 	m.eventually("two others do", func() bool { return len(watching()) == watchers })
 }
+
+// TestAnInstanceWhoseCopyFailedFollowsTheStoreItself.
+func TestAnInstanceWhoseCopyFailedFollowsTheStoreItself(t *testing.T) {
+	m := newMesh(t, 7, "north-a")
+	var idle *node
+	m.eventually("some do not follow the store", func() bool {
+		for _, n := range m.nodes {
+			if !n.gossip.Watches() {
+				idle = n
+				return true
+			}
+		}
+		return false
+	})
+	gone := fleet.Instance{Name: "gone", Gossip: "127.0.0.1:1"}
+	_, err := idle.gossip.copy(t.Context(), &gone, 0)
+	m.is.True(err != nil)
+	idle.gossip.copyFailed(&gone, err)
+	m.is.True(idle.gossip.Watches())
+}
+
+func TestACopyThatCannotBeReadIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := unpack([]byte("no copy"))
+	var failure *PackError
+	is.True(errors.As(err, &failure))
+}
--- /dev/null
+++ b/pkg/peer/pack.go
@@ -0,0 +1,59 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/gob"
+	"fmt"
+	"sync"
+
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+)
+
+// packer encodes and compresses what changed in a copy of the store. A configuration of
+// thousands of routes shrinks to about a tenth, which is what lets a whole domain copy it
+// from one instance behind a link of 10 Mbit/s. The last result is kept, since all of the
+// domain ask for the same.
+type packer struct {
+	mu              sync.Mutex
+	revision, since int64
+	packed          []byte
+}
+
+// PackError is a delta that could not be encoded or decoded.
+type PackError struct{ Err error }
+
+// Error implements error.
+func (e *PackError) Error() string { return fmt.Sprintf("copy of the store: %v", e.Err) }
+
+// Unwrap returns the cause.
+func (e *PackError) Unwrap() error { return e.Err }
+
+func (p *packer) pack(snapshot *mirror.Snapshot, since int64) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed != nil && p.revision == snapshot.Revision && p.since == since {
+		return p.packed, nil
+	}
+	var buffer bytes.Buffer
+	writer, err := flate.NewWriter(&buffer, flate.BestSpeed)
+	if err != nil {
+		return nil, &PackError{Err: err}
+	}
+	if err := gob.NewEncoder(writer).Encode(snapshot.Since(since)); err != nil {
+		return nil, &PackError{Err: err}
+	}
+	if err := writer.Close(); err != nil {
+		return nil, &PackError{Err: err}
+	}
+	p.revision, p.since, p.packed = snapshot.Revision, since, buffer.Bytes()
+	return p.packed, nil
+}
+
+func unpack(packed []byte) (mirror.Delta, error) {
+	var delta mirror.Delta
+	if err := gob.NewDecoder(flate.NewReader(bytes.NewReader(packed))).Decode(&delta); err != nil {
+		return mirror.Delta{}, &PackError{Err: err}
+	}
+	return delta, nil
+}
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -41,8 +41,8 @@
 // CopyArgs asks for what has changed in the copy of the store since a revision.
 type CopyArgs struct{ Revision int64 }
 
-// CopyReply holds the changes.
-type CopyReply struct{ Delta mirror.Delta }
+// CopyReply holds a mirror.Delta, encoded and compressed.
+type CopyReply struct{ Packed []byte }
 
 // Service is what other instances call.
 type Service struct{ gossip *Gossip }
@@ -84,10 +84,13 @@
 
 // Copy returns what has changed in this instance's copy of the store.
 func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
-	if snapshot := s.gossip.options.Store.Snapshot().Load(); snapshot != nil {
-		reply.Delta = snapshot.Since(args.Revision)
+	snapshot := s.gossip.options.Store.Snapshot().Load()
+	if snapshot == nil {
+		snapshot = &mirror.Snapshot{}
 	}
-	return nil
+	packed, err := s.gossip.packer.pack(snapshot, args.Revision)
+	reply.Packed = packed
+	return err
 }
 
 // digest sums up the own domain for a region. The caller holds g.mu.
