--- a/cmd/lilacweir-agent/main.go
+++ b/cmd/lilacweir-agent/main.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -33,29 +32,13 @@
 
 // commands are the program's command line.
 type commands struct {
-	Run     runCommand       `cmd:"" help:"Serve until SIGTERM, then leave gracefully."`
-	Check   checkCommand     `cmd:"" help:"Check the settings without starting."`
-	Version kong.VersionFlag `help:"Print the version."`
-}
-
-// checkCommand reads the settings and reports all their faults.
-type checkCommand struct {
-	Settings string `arg:"" help:"Settings file of the instance (YAML)."`
-}
-
-// Run implements the command.
-func (c *checkCommand) Run() error {
-	if _, err := settings.Check(c.Settings, time.Now()); err != nil {
-		return err
-	}
-	fmt.Printf("%s: ok\n", c.Settings)
-	return nil
+	Run     runCommand            `cmd:"" help:"Serve until SIGTERM, then leave gracefully."`
+	Check   settings.CheckCommand `cmd:"" help:"Check the settings without starting."`
+	Version kong.VersionFlag      `help:"Print the version."`
 }
 
 // runCommand serves.
-type runCommand struct {
-	Settings string `arg:"" help:"Settings file of the instance (YAML)."`
-}
+type runCommand struct{ settings.File }
 
 // Run implements the command.
 func (c *runCommand) Run() error {
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -138,15 +138,15 @@
 
 func TestChangesArriveOverSeveralPages(t *testing.T) {
 	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
-		for _, key := range []string{"servers/a", "servers/b", "servers/c", "op/config"} {
+		for _, key := range []string{"servers/a", "servers/b", "servers/c", "declared/config"} {
 			s.put(key, "1")
 		}
 		time.Sleep(time.Second)
 		is.Equal(len(m.Snapshot().Load().Entries), 4)
-		s.put("op/config", "2")
+		s.put("declared/config", "2")
 		s.remove("servers/b")
 		time.Sleep(100 * time.Millisecond)
-		is.Equal(string(m.Snapshot().Load().Entries["op/config"].Value), "2")
+		is.Equal(string(m.Snapshot().Load().Entries["declared/config"].Value), "2")
 		is.True(!has(m, "servers/b"))
 	})
 }
@@ -158,17 +158,17 @@
 	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
 		s.put("servers/back", "1")
 		s.put("servers/dead", "1")
-		s.put("op/evacuate/x", "1")
+		s.put("declared/evacuated/x", "1")
 		time.Sleep(time.Second)
 		s.set(func() { s.down = true })
 		time.Sleep(5 * time.Second)
-		for _, key := range []string{"servers/back", "servers/dead", "op/evacuate/x"} {
+		for _, key := range []string{"servers/back", "servers/dead", "declared/evacuated/x"} {
 			s.remove(key)
 		}
 		s.compact()
 		s.set(func() { s.down = false })
 		time.Sleep(time.Second)
-		is.True(!has(m, "op/evacuate/x"))
+		is.True(!has(m, "declared/evacuated/x"))
 		is.True(has(m, "servers/back"))
 		is.True(has(m, "servers/dead"))
 		s.put("servers/back", "2")
@@ -207,19 +207,19 @@
 
 func TestAMirrorNeverGoesBack(t *testing.T) {
 	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
-		s.put("op/config", "old")
+		s.put("declared/config", "old")
 		time.Sleep(time.Second)
 		old := m.Snapshot().Load().Since(0)
 		newer := &mirror.Snapshot{Revision: 50, Entries: map[string]platform.Entry{
-			"op/config": {Key: "op/config", Value: []byte("new"), ModRevision: 40},
+			"declared/config": {Key: "declared/config", Value: []byte("new"), ModRevision: 40},
 		}}
 		delta := newer.Since(m.Revision())
 		is.True(m.Adopt(&delta))
 		is.True(!m.Adopt(&old))
 		// The store tells again of what the copy already reflects.
-		s.put("op/config", "older than the copy")
+		s.put("declared/config", "older than the copy")
 		time.Sleep(3 * time.Second)
-		is.Equal(string(m.Snapshot().Load().Entries["op/config"].Value), "new")
+		is.Equal(string(m.Snapshot().Load().Entries["declared/config"].Value), "new")
 		is.Equal(m.Snapshot().Load().Revision, int64(50))
 	})
 }
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -226,7 +226,7 @@
 	m := newMesh(t, 3, "north-a", "south-a")
 	give := func(revision int64, value string) {
 		snapshot := &mirror.Snapshot{Revision: revision, Entries: map[string]platform.Entry{
-			"op/config": {Key: "op/config", Value: []byte(value), ModRevision: revision},
+			"declared/config": {Key: "declared/config", Value: []byte(value), ModRevision: revision},
 		}}
 		delta := snapshot.Since(m.nodes["north-a-0"].store.Revision())
 		m.is.True(m.nodes["north-a-0"].store.Adopt(&delta))
@@ -237,7 +237,7 @@
 		for _, n := range m.nodes {
 			m.eventually(n.instance.Name+" has it", func() bool {
 				copied := n.store.Snapshot().Load()
-				return copied != nil && string(copied.Entries["op/config"].Value) == value
+				return copied != nil && string(copied.Entries["declared/config"].Value) == value
 			})
 		}
 	}
