--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -13,9 +13,8 @@
 	RequestID string
 	// Deadline is for how long the caller waits; zero: it does not say.
 	Deadline time.Duration
-	// PromptTokens and OutputTokens are the prompt's size and the longest answer's;
-	// zero where they are not said.
-	PromptTokens, OutputTokens int
+	// PromptTokens is the prompt's size; zero where it is not said.
+	PromptTokens int
 	// Parts are the prompt's parts in order.
 	Parts []steer.Part
 	// After is the event after which a stream is to go on; empty: from its beginning.
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -173,35 +173,37 @@
 		Service:      j.service,
 		Parts:        j.attributes.Parts,
 		PromptTokens: j.attributes.PromptTokens,
-		OutputTokens: j.attributes.OutputTokens,
-		Deadline:     j.deadline,
 		Tried:        j.tried,
-		Forwarded:    j.forwarded,
 	}
+	chosen := &target{}
 	here := j.route.PermittedIn(world.Region)
-	var survey steer.Survey
 	if here {
-		survey = world.Look(query)
-		if survey.Best.Upstream == nil && j.kept != nil {
-			// A server that answered with a failure may well serve the next try, and
-			// is nearer than another region.
-			query.Tried = nil
-			survey = world.Look(query)
-		}
+		chosen.survey = j.look(world, query)
 	}
-	chosen := &target{survey: survey}
 	if !j.forwarded && j.hops < maxHops {
-		if away := world.Choose(query, survey, world.Regions(query)); away != nil {
+		if away := world.Choose(query, chosen.survey, world.Regions(query)); away != nil {
 			chosen.peer = away.Peers[world.Roll%uint64(len(away.Peers))]
 		}
 	}
-	if chosen.peer == nil && survey.Best.Upstream == nil {
-		return nil, j.noUpstream(here, &survey)
+	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
+		return nil, j.noUpstream(here, &chosen.survey)
 	}
 	j.noteChoice(chosen)
 	return chosen, nil
 }
 
+// look surveys the own region. A server that answered with a failure may well serve the
+// next try, and is nearer than another region: it is looked at again where there is no
+// other.
+func (j *job) look(world *steer.World, query *steer.Request) steer.Survey {
+	survey := world.Look(query)
+	if survey.Best.Upstream != nil || j.kept == nil {
+		return survey
+	}
+	query.Tried = nil
+	return world.Look(query)
+}
+
 // sharedID names the prompt's last shared part; empty when nothing is shared.
 func sharedID(parts []steer.Part) string {
 	if len(parts) < 2 {
@@ -220,7 +222,8 @@
 	event.Str("request", j.attributes.RequestID).Str("route", j.route.Name).Str("target", chosen.name()).
 		Int("send", j.sends+1).Bool("forwarded", j.forwarded).Int("prompt", j.attributes.PromptTokens).
 		Int("uncached", best.Uncached).Int("in_flight", best.InFlight).Int("prefill", best.Prefill).
-		Float64("cost", best.Cost).Str("part", sharedID(j.attributes.Parts)).Bool("copy", best.Source != nil).Int("usable", chosen.survey.Usable).Msg("request-routed")
+		Float64("cost", best.Cost).Str("part", sharedID(j.attributes.Parts)).Bool("copy", best.Source != nil).
+		Int("usable", chosen.survey.Usable).Msg("request-routed")
 }
 
 func (j *job) noUpstream(here bool, survey *steer.Survey) *outcome.Refusal {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -29,14 +29,10 @@
 	// Parts are the prompt's parts in order; the last belongs to the request or its
 	// session alone.
 	Parts []Part
-	// PromptTokens is the whole prompt, OutputTokens the longest answer.
-	PromptTokens, OutputTokens int
-	// Deadline is when the answer must be whole.
-	Deadline time.Time
-	// Tried names the upstreams that must not be chosen again.
+	// PromptTokens is the whole prompt.
+	PromptTokens int
+	// Tried names the upstreams and instances that must not be chosen again.
 	Tried []string
-	// Forwarded requests may not be sent to another region.
-	Forwarded bool
 }
 
 // Local is what this instance knows at first hand of an upstream.
