--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -51,6 +51,8 @@
 	Ask    AskCommand    `cmd:"" help:"Send a chat request as a caller, and print the answer as it arrives."`
 	Wait   WaitCommand   `cmd:"" help:"Wait until gateways serve."`
 	Call   CallCommand   `cmd:"" help:"Call a plain service as a caller."`
+
+	Explain ExplainCommand `cmd:"" help:"Tell a request's way and why it ended so, from the logs of lilacweir-edge."`
 }
 
 // KeyError reports that no key was given.
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
@@ -20,6 +22,7 @@
 // call is one attempt at one target.
 type call struct {
 	*job
+	to     *target
 	pool   *exchange.Pool
 	target exchange.Target
 	send   Send
@@ -78,8 +81,7 @@
 	if c.request.Context().Err() != nil {
 		return callerGone
 	}
-	c.requests.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
-		Bool("unsent", unsent).Dur("left_ms", c.deadline.Sub(c.now())).Err(err).Msg("attempt-failed")
+	c.noteAttempt(unsent)
 	if unsent {
 		return notRun
 	}
@@ -101,6 +103,7 @@
 	reading := c.dialect.Reading(answer.Status, answer.Header)
 	if reading.NotRun || c.refusedByPeer(answer) {
 		c.drain(answer)
+		c.noteRejection()
 		return notRun
 	}
 	if !reading.Proven && answer.Status < http.StatusMultipleChoices {
@@ -137,7 +140,7 @@
 // drain reads the rest of a refusal so that its connection can be kept.
 func (c *call) drain(answer *exchange.Answer) {
 	if n, err := io.CopyN(io.Discard, answer, maxHeld); err == nil {
-		c.log.Debug().Int64("bytes", n).Msg("refusal-too-long")
+		c.log.Debug().Int64(event.KeyBytes, n).Msg(string(event.RefusalTooLong))
 	}
 }
 
@@ -150,8 +153,8 @@
 func (c *call) odd(problem string) result {
 	c.err = &oddError{problem: problem}
 	c.lastError = c.err
-	c.requests.Warn().Str("request", c.attributes.RequestID).Str("target", c.target.ID).
-		Int("status", c.status).Str("problem", problem).Msg("answer-odd")
+	c.failedLog.Warn().Str(event.KeyRequest, c.attributes.RequestID).Str(event.KeyTarget, c.to.name()).
+		Int(event.KeyStatus, c.status).Str(event.KeyProblem, problem).Msg(string(event.AnswerOdd))
 	return broken
 }
 
@@ -169,6 +172,9 @@
 	whole := &held{status: answer.Status, header: c.dialect.Answer(answer.Header), body: body}
 	if answer.Status >= http.StatusInternalServerError && c.route.Repeatable() {
 		c.kept = whole
+		c.err = &oddError{problem: fmt.Sprintf("the upstream answered %d", answer.Status)}
+		c.lastError = c.err
+		c.noteAttempt(false)
 		return broken
 	}
 	return c.give(whole)
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
@@ -34,6 +35,7 @@
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/steer"
+	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
 // Board is the instance's blackboard. Each section has one writer.
@@ -55,8 +57,12 @@
 	Key   string
 	Value func(fleet.Instance) ([]byte, error)
 	Log   zerolog.Logger
-	// Sampler bounds the lines of single requests; nil: all are written.
-	Sampler zerolog.Sampler
+	// Registry holds the instance's metrics, Series those with labels.
+	Registry metrics.Registry
+	Series   *telemetry.Series
+	// Good, Steps and Failed bound the lines of requests that go well, of the steps of
+	// those that do not, and of their ends; nil: all are written.
+	Good, Steps, Failed zerolog.Sampler
 }
 
 // Edge is one instance.
@@ -65,12 +71,12 @@
 	dialect  Dialect
 	options  Options
 	log      zerolog.Logger
-	// requests is log for what concerns single requests.
-	requests zerolog.Logger
-	clock    clock.Clock
-	self     fleet.Instance
-	sequence atomic.Uint64
-	leaving  atomic.Pointer[departure]
+	// goodLog, stepLog and failedLog are log for what concerns single requests.
+	goodLog, stepLog, failedLog zerolog.Logger
+	clock                       clock.Clock
+	self                        fleet.Instance
+	sequence                    atomic.Uint64
+	leaving                     atomic.Pointer[departure]
 	// began is when the process began.
 	began  time.Time
 	active atomic.Int64
@@ -120,13 +126,16 @@
 	}
 	system := clock.System{}
 	ejector := limit.NewEjector(system)
+	ejector.Changed = func(change limit.Ejection) { noteEjection(options.Log, change) }
 	e := &Edge{
-		settings: s,
-		dialect:  options.Dialect,
-		options:  options,
-		log:      options.Log,
-		requests: options.Log.Sample(options.Sampler),
-		clock:    system,
+		settings:  s,
+		dialect:   options.Dialect,
+		options:   options,
+		log:       options.Log,
+		goodLog:   options.Log.Sample(options.Good),
+		stepLog:   options.Log.Sample(options.Steps),
+		failedLog: options.Log.Sample(options.Failed),
+		clock:     system,
 		self: fleet.Instance{
 			Name: s.Instance, Domain: s.FailureDomain, Region: s.Region,
 			Incarnation: uint64(system.Now().UnixNano()),
@@ -144,13 +153,13 @@
 		peers:     exchange.NewPool(dialer(), peerDial, system.Now),
 		clients:   control.NewClients(network),
 		copies:    control.NewClients(network),
-		registry:  metrics.NewRegistry(),
+		registry:  options.Registry,
+		counts:    counters{series: options.Series},
 	}
-	e.counts = newCounters(e.registry)
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Placed: e.recent.Learn, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.copies, Clock: system, Log: e.log,
 	})
-	e.registerGauges()
+	e.registerGauges(e.registry)
 	return e, nil
 }
 
@@ -188,7 +197,7 @@
 	group.Go(func() error { e.followFleet(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
-	e.log.Info().Str("callers", e.settings.Listen.Callers).Str("region", e.settings.Region).Str("peers", e.settings.Listen.Peers).Msg("start")
+	e.log.Info().Str(event.KeyCallers, e.settings.Listen.Callers).Str(event.KeyRegion, e.settings.Region).Str(event.KeyPeers, e.settings.Listen.Peers).Msg(string(event.Start))
 	select {
 	case <-ctx.Done():
 	case <-failed.Done():
@@ -202,7 +211,7 @@
 	e.upstreams.Close()
 	e.peers.Close()
 	err = errors.Join(group.Wait(), err)
-	e.log.Info().Err(err).Msg("stop")
+	e.log.Info().Err(err).Msg(string(event.Stop))
 	return err
 }
 
@@ -215,7 +224,7 @@
 func (e *Edge) register(ctx context.Context) (wait func()) {
 	value, err := e.options.Value(e.self)
 	if err != nil {
-		e.log.Error().Err(err).Msg("registration-failed")
+		e.log.Error().Err(err).Msg(string(event.RegistrationFailed))
 		return func() {}
 	}
 	registration := &mirror.Registration{
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -92,16 +92,16 @@
 
 // prepare finds the route and reads the request whole.
 func (j *job) prepare() *outcome.Refusal {
-	j.config = j.board.Routes.Load()
-	if j.config == nil || j.board.Fleet.Load() == nil {
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, j.startRetry(), "this instance has no configuration yet")
-	}
 	var err error
 	if j.attributes, err = j.dialect.Attributes(j.request.Header); err != nil {
 		refusal := outcome.Refuse(http.StatusBadRequest, outcome.ReasonBadRequest, 0, "bad header")
 		refusal.Err = err
 		return refusal
 	}
+	j.config = j.board.Routes.Load()
+	if j.config == nil || j.board.Fleet.Load() == nil {
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, j.startRetry(), "this instance has no configuration yet")
+	}
 	j.route = j.config.Match(j.request.Host, path(j.request.RequestURI))
 	if j.route == nil {
 		return outcome.Refuse(http.StatusNotFound, outcome.ReasonUnknownRoute, 0, "no route matches")
@@ -183,35 +183,25 @@
 // end tells the caller of a refusal, and logs and counts the end of the request.
 func (j *job) end(refusal *outcome.Refusal) {
 	took := j.now().Sub(j.started)
+	j.counts.ended(j, refusal, took)
 	if refusal == nil {
-		j.counts.served(took)
-		if e := j.requests.Info(); e.Enabled() {
-			e.Str("request", j.attributes.RequestID).Int("sends", j.sends).Bool("forwarded", j.forwarded).
-				Dur("first_ms", j.writer.first.Sub(j.started)).Dur("ms", took).Msg("request-ended")
-		}
-		if j.request.Context().Err() != nil {
-			j.counts.gone()
-		}
+		j.noteEnd(took)
 		return
 	}
-	j.counts.refused(refusal)
-	event := j.requests.Warn().Str("request", j.attributes.RequestID)
-	if j.route != nil {
-		event = event.Str("route", j.route.Name)
-	}
-	event.Str("outcome", string(refusal.Outcome)).Str("reason", string(refusal.Reason)).Int("status", refusal.Status).
-		Int("sends", j.sends).Int("runs", j.runs).Bool("forwarded", j.forwarded).Bool("begun", j.writer.begun).
-		Dur("ms", took).Str("detail", refusal.Detail).AnErr("cause", refusal.Err).AnErr("last", j.lastError).Msg("request-failed")
+	j.noteRefusal(refusal, took)
 	j.refuse(refusal)
 }
 
+// givesKept says whether the caller gets a server's own failure in place of a refusal.
+func (j *job) givesKept() bool { return !j.writer.begun && j.kept != nil && j.runs > 0 }
+
 // refuse gives the caller a server's own failure if one was kept, else the refusal.
 // An answer that has begun can only be broken off.
 func (j *job) refuse(refusal *outcome.Refusal) {
 	if j.writer.begun {
 		panic(http.ErrAbortHandler)
 	}
-	if j.kept != nil && j.runs > 0 {
+	if j.givesKept() {
 		j.give(j.kept)
 		return
 	}
@@ -232,7 +222,7 @@
 // Error implements error.
 func (e *surveyError) Error() string {
 	s := e.survey
-	return fmt.Sprintf("known=%d usable=%d cold=%d in_flight=%d slots=%d", s.Known, s.Usable, s.Cold, s.InFlight, s.Slots)
+	return fmt.Sprintf("known=%d usable=%d resting=%d cold=%d in_flight=%d slots=%d", s.Known, s.Usable, s.Resting, s.Cold, s.InFlight, s.Slots)
 }
 
 // path is the path of a request without its query, as it was sent.
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -49,6 +49,8 @@
 	kept *held
 	// lastError is why the last attempt failed.
 	lastError error
+	// unsaid holds steps for which there was no budget in the log.
+	unsaid []step
 }
 
 // target is where one attempt goes: an upstream of the own region, or an instance
@@ -66,6 +68,14 @@
 	return t.survey.Best.Upstream.ID
 }
 
+// domain is the failure domain of the upstream or instance.
+func (t *target) domain() string {
+	if t.peer != nil {
+		return t.peer.Instance.Domain
+	}
+	return t.survey.Best.Upstream.Domain
+}
+
 // grants is on how many upstreams the request may run by this attempt: an instance
 // of another region is lent all that are left, since it cannot ask for more in time.
 func (t *target) grants(j *job) int {
@@ -89,6 +99,11 @@
 	callerGone
 )
 
+// String is the result as metrics tell it.
+func (r result) String() string {
+	return [...]string{done: "done", notRun: "not-run", broken: "broken", callerGone: "caller-gone"}[r]
+}
+
 // run makes attempts until one succeeds or the request must be given up.
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
@@ -96,7 +111,10 @@
 		if refusal != nil {
 			return j.giveUp(refusal)
 		}
-		switch j.attempt(ctx, next) {
+		began := j.now()
+		ended := j.attempt(ctx, next)
+		j.counts.attempted(next, ended, j.now().Sub(began))
+		switch ended {
 		case done, callerGone:
 			return nil
 		case notRun:
@@ -188,7 +206,7 @@
 	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
 		return nil, j.noUpstream(here, &chosen.survey)
 	}
-	j.noteChoice(chosen)
+	j.noteChoice(world, chosen)
 	return chosen, nil
 }
 
@@ -204,28 +222,6 @@
 	return world.Look(query)
 }
 
-// sharedID names the prompt's last shared part; empty when nothing is shared.
-func sharedID(parts []steer.Part) string {
-	if len(parts) < 2 {
-		return ""
-	}
-	return parts[len(parts)-2].ID
-}
-
-// noteChoice logs a decision with the inputs that decided it.
-func (j *job) noteChoice(chosen *target) {
-	event := j.requests.Info()
-	if !event.Enabled() {
-		return
-	}
-	best := &chosen.survey.Best
-	event.Str("request", j.attributes.RequestID).Str("route", j.route.Name).Str("target", chosen.name()).
-		Int("send", j.sends+1).Bool("forwarded", j.forwarded).Int("prompt", j.attributes.PromptTokens).
-		Int("uncached", best.Uncached).Int("in_flight", best.InFlight).Int("prefill", best.Prefill).
-		Float64("cost", best.Cost).Str("part", sharedID(j.attributes.Parts)).Bool("copy", best.Source != nil).
-		Int("usable", chosen.survey.Usable).Msg("request-routed")
-}
-
 func (j *job) noUpstream(here bool, survey *steer.Survey) *outcome.Refusal {
 	detail := "no upstream of the service can take the request now"
 	if !here {
@@ -257,6 +253,7 @@
 	j.recent.Add(j.attributes.Parts, upstream.ID, j.now())
 	call := &call{
 		job:    j,
+		to:     to,
 		pool:   j.upstreams,
 		target: exchange.Target{ID: upstream.ID, Address: upstream.Address, MaxConnections: j.connectionShare()},
 		send:   Send{Left: j.deadline.Sub(j.now()), Upstream: upstream.ID, Priority: j.route.Priority, After: j.after()},
@@ -281,6 +278,7 @@
 	j.recent.Sent(j.attributes.Parts, to.peer.Instance.Region, j.now())
 	call := &call{
 		job:    j,
+		to:     to,
 		pool:   j.peers,
 		target: exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
 		send:   Send{Left: j.deadline.Sub(j.now()), After: j.after()},
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -43,10 +43,13 @@
 // followFleet tells the ejector which upstreams stand in for each other.
 func (e *Edge) followFleet(ctx context.Context) {
 	known := make(map[string]bool)
+	var last *fleet.View
 	for {
 		changed := e.board.Fleet.Changed()
 		if view := e.board.Fleet.Load(); view != nil {
 			e.setPools(view, known)
+			e.forgetGone(last, view)
+			last = view
 		}
 		select {
 		case <-changed:
@@ -56,6 +59,18 @@
 	}
 }
 
+// forgetGone removes the metrics of upstreams that are no longer there.
+func (e *Edge) forgetGone(last, view *fleet.View) {
+	if last == nil {
+		return
+	}
+	for i := range last.Upstreams {
+		if id := last.Upstreams[i].ID; view.RegionOf(id) == "" {
+			e.counts.series.Remove(label(labelTarget, id))
+		}
+	}
+}
+
 // setPools makes a pool of each service's upstreams in the own region. Known holds the
 // services of earlier views, whose upstreams may all be gone.
 func (e *Edge) setPools(view *fleet.View, known map[string]bool) {
--- a/pkg/edge/leave.go
+++ b/pkg/edge/leave.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/event"
 )
 
 // Times of leaving.
@@ -45,7 +46,7 @@
 func (e *Edge) leave(doors *doors, deregister context.CancelFunc) {
 	leaving := e.depart(e.now())
 	e.leaving.Store(leaving)
-	e.log.Info().Int64("active", e.active.Load()).Msg("leaving")
+	e.log.Info().Int64(event.KeyActive, e.active.Load()).Msg(string(event.Leaving))
 	deregister()
 	e.gossip.Tell(context.Background())
 	clock.Sleep(context.Background(), leaving.accept.Sub(e.now()))
@@ -59,6 +60,6 @@
 		all.Go(func() error { return door.server.Shutdown(ctx) })
 	}
 	if err := all.Wait(); err != nil {
-		e.log.Warn().Err(err).Int64("active", e.active.Load()).Msg("requests-cut-off")
+		e.log.Warn().Err(err).Int64(event.KeyActive, e.active.Load()).Msg(string(event.RequestsCutOff))
 	}
 }
--- /dev/null
+++ b/pkg/edge/lines.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+// slowFirst is from when on an answer's beginning is slow enough to be explained in the
+// log like a failure: quiet days have their 99th percentile below it.
+const slowFirst = time.Second
+
+// step is a line of a request that was over the budget when it happened.
+type step struct {
+	at     time.Time
+	name   event.Name
+	fields func(*zerolog.Event)
+}
+
+// note logs a step of the request. When the budget for requests that go well is used up
+// the step is held, and written if the request turns out to fail or to be slow. Fields
+// is called once, then or later, so what it reads must not change.
+func (j *job) note(name event.Name, fields func(*zerolog.Event)) {
+	if max(j.goodLog.GetLevel(), zerolog.GlobalLevel()) > zerolog.InfoLevel {
+		return
+	}
+	line := j.goodLog.Info()
+	if !line.Enabled() {
+		j.unsaid = append(j.unsaid, step{at: j.now(), name: name, fields: fields})
+		return
+	}
+	j.write(line, name, fields)
+}
+
+func (j *job) write(line *zerolog.Event, name event.Name, fields func(*zerolog.Event)) {
+	line.Str(event.KeyRequest, j.attributes.RequestID)
+	fields(line)
+	line.Msg(string(name))
+}
+
+// noteHeld writes the steps that were held.
+func (j *job) noteHeld() {
+	for _, held := range j.unsaid {
+		line := j.stepLog.Info().Str(event.KeyAt, held.at.UTC().Format(logging.TimeLayout))
+		j.write(line, held.name, held.fields)
+	}
+	j.unsaid = nil
+}
+
+// noteChoice logs where the request goes, with the inputs that decided it and their age.
+func (j *job) noteChoice(world *steer.World, chosen *target) {
+	send, forwarded, runs, after := j.sends+1, j.forwarded, j.runs, j.after()
+	storeAge := j.age(j.store.Reached())
+	j.note(event.RequestRouted, func(line *zerolog.Event) {
+		best := &chosen.survey.Best
+		line.Str(event.KeyRoute, j.route.Name).Str(event.KeyService, j.service.Name).
+			Str(event.KeyTarget, chosen.name()).Str(event.KeyDomain, chosen.domain()).
+			Int(event.KeySend, send).Int(event.KeyRuns, runs).Bool(event.KeyForwarded, forwarded).
+			Uint64(event.KeyVersion, j.config.Version).Uint64(event.KeyRevision, world.Fleet.Revision).
+			Int64(event.KeyStoreAgeMS, storeAge).
+			Int(event.KeyPrompt, j.attributes.PromptTokens).Int(event.KeyUncached, best.Uncached).
+			Int(event.KeyInFlight, best.InFlight).Int(event.KeyPrefill, best.Prefill).
+			Float64(event.KeyCost, best.Cost).Str(event.KeyPart, sharedID(j.attributes.Parts)).
+			Bool(event.KeyCopy, best.Source != nil).Int(event.KeyUsable, chosen.survey.Usable)
+		if chosen.peer != nil {
+			line.Int64(event.KeyHeardMS, world.Now.Sub(chosen.peer.Heard).Milliseconds())
+		}
+		if after != "" {
+			line.Str(event.KeyAfter, after)
+		}
+	})
+}
+
+// noteRejection logs that the target states that it did not run the request.
+func (c *call) noteRejection() {
+	target, send, status := c.to.name(), c.sends, c.status
+	c.note(event.AttemptRejected, func(line *zerolog.Event) {
+		line.Str(event.KeyTarget, target).Int(event.KeySend, send).Int(event.KeyStatus, status)
+	})
+}
+
+// noteAttempt logs why an attempt ended without an answer that can be passed on.
+func (c *call) noteAttempt(unsent bool) {
+	c.failedLog.Warn().Str(event.KeyRequest, c.attributes.RequestID).Str(event.KeyTarget, c.to.name()).
+		Int(event.KeySend, c.sends).Int(event.KeyStatus, c.status).Bool(event.KeyUnsent, unsent).
+		Bool(event.KeyBegun, c.writer.begun).Dur(event.KeyLeftMS, c.deadline.Sub(c.now())).
+		Err(c.err).Msg(string(event.AttemptFailed))
+}
+
+// noteEnd logs the end of a request that was answered, if only with a server's failure.
+func (j *job) noteEnd(took time.Duration) {
+	first := j.writer.first.Sub(j.started)
+	if first >= slowFirst || j.writer.status >= http.StatusInternalServerError {
+		j.noteHeld()
+		j.write(j.failedLog.Info(), event.RequestEnded, j.endFields(first, took))
+		return
+	}
+	j.note(event.RequestEnded, j.endFields(first, took))
+}
+
+func (j *job) endFields(first, took time.Duration) func(*zerolog.Event) {
+	return func(line *zerolog.Event) {
+		line.Int(event.KeyStatus, j.writer.status).Int(event.KeySends, j.sends).Bool(event.KeyForwarded, j.forwarded).
+			Dur(event.KeyFirstMS, first).Dur(event.KeyMS, took)
+	}
+}
+
+// noteRefusal logs why a request was not answered whole.
+func (j *job) noteRefusal(refusal *outcome.Refusal, took time.Duration) {
+	status := refusal.Status
+	if j.givesKept() {
+		status = j.kept.status
+	}
+	j.noteHeld()
+	j.write(j.failedLog.Warn(), event.RequestFailed, func(line *zerolog.Event) {
+		if j.route != nil {
+			line.Str(event.KeyRoute, j.route.Name)
+		}
+		line.Str(event.KeyOutcome, string(refusal.Outcome)).Str(event.KeyReason, string(refusal.Reason)).
+			Int(event.KeyStatus, status).Int64(event.KeyRetryMS, refusal.RetryAfter.Milliseconds()).
+			Int(event.KeySends, j.sends).Int(event.KeyRuns, j.runs).
+			Bool(event.KeyForwarded, j.forwarded).Bool(event.KeyBegun, j.writer.begun).Dur(event.KeyMS, took).
+			Str(event.KeyDetail, refusal.Detail).AnErr(event.KeyLast, j.lastError)
+		var none *surveyError
+		if !errors.As(refusal.Err, &none) {
+			line.AnErr(event.KeyCause, refusal.Err)
+			return
+		}
+		line.Int(event.KeyKnown, none.survey.Known).Int(event.KeyUsable, none.survey.Usable).
+			Int(event.KeyResting, none.survey.Resting).Int(event.KeyCold, none.survey.Cold).Int(event.KeyInFlight, none.survey.InFlight).
+			Int(event.KeySlots, none.survey.Slots)
+	})
+}
+
+// noteEjection logs that an upstream gets nothing for a while, or again.
+func noteEjection(log zerolog.Logger, change limit.Ejection) {
+	if change.For == 0 {
+		log.Info().Str(event.KeyUpstream, change.Upstream).Msg(string(event.UpstreamRestored))
+		return
+	}
+	log.Warn().Str(event.KeyUpstream, change.Upstream).Int64(event.KeyForMS, change.For.Milliseconds()).
+		Int(event.KeyFailures, change.Failures).Float64(event.KeyLateness, change.Lateness).Msg(string(event.UpstreamEjected))
+}
+
+// sharedID names the prompt's last shared part; empty when nothing is shared.
+func sharedID(parts []steer.Part) string {
+	if len(parts) < 2 {
+		return ""
+	}
+	return parts[len(parts)-2].ID
+}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -9,56 +8,116 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
-// counters count requests by how they ended.
-type counters struct {
-	registry metrics.Registry
-	complete metrics.Counter
-	left     metrics.Counter
-	latency  metrics.Histogram
-}
+// MostMetrics bounds the labelled metrics of an instance: three for each of 300 routes
+// and 300 targets leave half of it free, and full it takes 4 MB.
+const MostMetrics = 4000
+
+// Labels of metrics.
+const (
+	labelRoute   = "route"
+	labelService = "service"
+	labelTarget  = "target"
+	labelDomain  = "domain"
+	labelOutcome = "outcome"
+	labelReason  = "reason"
+	labelResult  = "result"
+	labelCall    = "call"
+)
+
+// noRoute is the route of requests that match none.
+const noRoute = "none"
+
+// outcomeCallerGone is the outcome, in metrics, of a request whose caller has left.
+const outcomeCallerGone outcome.Outcome = "caller-gone"
+
+// counters count and time requests and attempts.
+type counters struct{ series *telemetry.Series }
+
+func label(name, value string) telemetry.Label { return telemetry.Label{Name: name, Value: value} }
 
-// latencySample is how many times a histogram keeps.
-const latencySample = 512
+// ended counts the end of a request.
+func (c *counters) ended(j *job, refusal *outcome.Refusal, took time.Duration) {
+	route := label(labelRoute, noRoute)
+	if j.route != nil {
+		route.Value = j.route.Name
+	}
+	ended, reason := outcome.Complete, outcome.Reason("")
+	switch {
+	case refusal != nil:
+		ended, reason = refusal.Outcome, refusal.Reason
+	case j.request.Context().Err() != nil:
+		ended = outcomeCallerGone
+	}
+	c.series.Counter("requests", route, label(labelOutcome, string(ended)), label(labelReason, string(reason))).Inc(1)
+	if ended != outcome.Complete {
+		return
+	}
+	c.series.Latency("requests.ms", route).Add(took)
+	c.series.Latency("requests.first.ms", route).Add(j.writer.first.Sub(j.started))
+}
 
-func newCounters(registry metrics.Registry) counters {
-	return counters{
-		registry: registry,
-		complete: metrics.GetOrRegisterCounter("requests.complete", registry),
-		left:     metrics.GetOrRegisterCounter("requests.caller-gone", registry),
-		latency:  metrics.GetOrRegisterHistogram("requests.ms", registry, metrics.NewUniformSample(latencySample)),
+// attempted counts the end of an attempt at an upstream or another instance.
+func (c *counters) attempted(to *target, ended result, took time.Duration) {
+	domain, name := label(labelDomain, to.domain()), label(labelTarget, to.name())
+	c.series.Counter("attempts", domain, name, label(labelResult, ended.String())).Inc(1)
+	if ended == done {
+		c.series.Latency("attempts.ms", domain, name).Add(took)
 	}
 }
 
-func (c *counters) served(took time.Duration) {
-	c.complete.Inc(1)
-	c.latency.Update(took.Milliseconds())
+// StoreCall is one call to the platform's store.
+type StoreCall struct {
+	// Name is the kind of call, Result "ok" or what kind of failure there was.
+	Name, Result string
+	Took         time.Duration
 }
 
-func (c *counters) gone() { c.left.Inc(1) }
+// CountStoreCalls returns a function that counts calls to the store.
+func CountStoreCalls(series *telemetry.Series) func(StoreCall) {
+	return func(call StoreCall) {
+		name := label(labelCall, call.Name)
+		series.Counter("store.calls", name, label(labelResult, call.Result)).Inc(1)
+		series.Latency("store.ms", name).Add(call.Took)
+	}
+}
 
 // registerGauges adds what is read when the metrics are asked for.
-func (e *Edge) registerGauges() {
+func (e *Edge) registerGauges(registry metrics.Registry) {
 	gauges := map[string]func() int64{
-		"upstreams.dialed": e.upstreams.Dialed,
-		"peers.dialed":     e.peers.Dialed,
-		"store.age_ms":     func() int64 { return e.now().Sub(e.store.Reached()).Milliseconds() },
-		"store.revision":   e.store.Revision,
-		"configuration.version": func() int64 {
-			if config := e.board.Routes.Load(); config != nil {
-				return int64(config.Version)
-			}
-			return 0
-		},
-		"peers.live":   func() int64 { return e.countPeers(true) },
-		"peers.silent": func() int64 { return e.countPeers(false) },
+		"upstreams.dialed":      e.upstreams.Dialed,
+		"peers.dialed":          e.peers.Dialed,
+		"requests.active":       e.active.Load,
+		"store.age_ms":          func() int64 { return e.age(e.store.Reached()) },
+		"store.revision":        e.store.Revision,
+		"configuration.version": e.version,
+		"peers.live":            func() int64 { return e.countPeers(true) },
+		"peers.silent":          func() int64 { return e.countPeers(false) },
+		"peers.oldest_ms":       e.oldestPeer,
 	}
 	for name, read := range gauges {
-		metrics.NewRegisteredFunctionalGauge(name, e.registry, read)
+		metrics.NewRegisteredFunctionalGauge(name, registry, read)
 	}
 }
 
+// age is how long ago t was, in ms; -1 when it has never been.
+func (e *Edge) age(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return e.now().Sub(t).Milliseconds()
+}
+
+// version is that of the configuration in force; zero: there is none.
+func (e *Edge) version() int64 {
+	if config := e.board.Routes.Load(); config != nil {
+		return int64(config.Version)
+	}
+	return 0
+}
+
 func (e *Edge) countPeers(live bool) int64 {
 	count, now := int64(0), e.now()
 	if view := e.gossip.View().Load(); view != nil {
@@ -71,29 +130,51 @@
 	return count
 }
 
-// refused counts a refusal by its reason; reasons are few.
-func (c *counters) refused(refusal *outcome.Refusal) {
-	metrics.GetOrRegisterCounter("requests.refused."+string(refusal.Reason), c.registry).Inc(1)
+// oldestPeer is the age of the oldest report, in ms, among the instances that count as
+// live: what the loads of other instances are worth.
+func (e *Edge) oldestPeer() int64 {
+	oldest, now := int64(0), e.now()
+	if view := e.gossip.View().Load(); view != nil {
+		for i := range view.Others {
+			if known := &view.Others[i]; known.Live(now) {
+				oldest = max(oldest, now.Sub(known.Heard).Milliseconds())
+			}
+		}
+	}
+	return oldest
 }
 
-// metricsHandler serves the counters as text, one a line.
+// metricsHandler serves the metrics in the text format of Prometheus.
 func (e *Edge) metricsHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		e.registry.Each(func(name string, value any) { writeMetric(w, name, value) })
+	handler := telemetry.Handler(e.registry)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.readServices()
+		handler.ServeHTTP(w, r)
 	})
 }
 
-func writeMetric(w http.ResponseWriter, name string, value any) {
-	switch metric := value.(type) {
-	case metrics.Counter:
-		fmt.Fprintf(w, "%s %d\n", name, metric.Count())
-	case metrics.Gauge:
-		fmt.Fprintf(w, "%s %d\n", name, metric.Value())
-	case metrics.Histogram:
-		at := metric.Percentiles([]float64{0.5, 0.95, 0.99})
-		fmt.Fprintf(w, "%s.count %d\n%s.p50 %.0f\n%s.p95 %.0f\n%s.p99 %.0f\n",
-			name, metric.Count(), name, at[0], name, at[1], name, at[2])
+// readServices brings the gauges of single services up to date.
+func (e *Edge) readServices() {
+	config, view := e.board.Routes.Load(), e.board.Fleet.Load()
+	if config == nil || view == nil {
+		return
+	}
+	now := e.now()
+	for _, service := range config.ServiceNames() {
+		usable, cold := 0, 0
+		for _, upstream := range view.Service(service) {
+			switch {
+			case upstream.Region != e.settings.Region || !view.Usable(upstream):
+			case upstream.Cold(now):
+				cold++
+			default:
+				usable++
+			}
+		}
+		name := label(labelService, service)
+		e.counts.series.Gauge("upstreams.usable", name).Update(int64(usable))
+		e.counts.series.Gauge("upstreams.cold", name).Update(int64(cold))
+		e.counts.series.Gauge("retries.left", name).Update(int64(e.retries.Left(service, e.instances())))
 	}
 }
 
--- a/pkg/edge/writer.go
+++ b/pkg/edge/writer.go
@@ -14,6 +14,8 @@
 	// closing is true when the caller is asked to use another connection next.
 	closing func() bool
 	begun   bool
+	// status is that of the answer.
+	status int
 	// lastEvent is the ID of the last stream event that was passed on.
 	lastEvent string
 	bytes     int
@@ -31,7 +33,7 @@
 	if w.closing() {
 		w.Header().Set("Connection", "close")
 	}
-	w.begun = true
+	w.begun, w.status = true, status
 	w.first = w.now()
 	w.WriteHeader(status)
 	return nil
--- /dev/null
+++ b/pkg/event/event.go
@@ -0,0 +1,86 @@
+// Package event names the events that lilacweir-edge logs and the keys of their values.
+// Whoever writes a line and whoever reads one use the same constants.
+//
+// docs/OPERATIONS.md lists them for operators.
+package event
+
+// Name is the name of an event; in a line it is the value of the key "event".
+type Name string
+
+// Events of the process.
+const (
+	// Start: the instance serves from now on.
+	Start Name = "start"
+	// SettingsReloaded: the settings were read again; the level of the log is that of the
+	// file now, all else stays as it was at the start.
+	SettingsReloaded Name = "settings-reloaded"
+	// SettingsRejected: the settings cannot be read; everything stays.
+	SettingsRejected Name = "settings-rejected"
+	// Leaving: the instance was told to end.
+	Leaving Name = "leaving"
+	// RequestsCutOff: requests still ran at the end of the grace.
+	RequestsCutOff Name = "requests-cut-off"
+	// Stop: the instance has ended.
+	Stop Name = "stop"
+	// LinesLeftOut: lines were over budget, or nobody read them.
+	LinesLeftOut Name = "lines-left-out"
+)
+
+// Events of what the instance knows from the store.
+const (
+	ConfigurationInForce  Name = "configuration-in-force"
+	ConfigurationRejected Name = "configuration-rejected"
+	// ConfigurationOlder: the store holds an older one than that in force, which stays.
+	ConfigurationOlder Name = "configuration-older"
+	UpstreamChanged    Name = "upstream-changed"
+	UpstreamGone       Name = "upstream-gone"
+	// EntryRejected: an entry of the store cannot be read.
+	EntryRejected Name = "entry-rejected"
+	// EntryLapsed: an entry is missing after the store was away, and is still believed.
+	EntryLapsed Name = "entry-lapsed"
+	// EntryGone: the time of a lapsed entry is over.
+	EntryGone Name = "entry-gone"
+)
+
+// Events of dependencies.
+const (
+	StoreReached  Name = "store-reached"
+	StoreLost     Name = "store-lost"
+	StoreRegained Name = "store-regained"
+	// StoreHistoryGone: changes were missed; everything is read anew.
+	StoreHistoryGone     Name = "store-history-gone"
+	Registered           Name = "registered"
+	RegistrationLost     Name = "registration-lost"
+	RegistrationFailed   Name = "registration-failed"
+	RegistrationTaken    Name = "registration-taken-away"
+	DeregistrationFailed Name = "deregistration-failed"
+	PeerFound            Name = "peer-found"
+	PeerLeaving          Name = "peer-leaving"
+	PeerLost             Name = "peer-lost"
+	DomainHeard          Name = "domain-heard"
+	// CopyAdopted: changes of the store came from another instance.
+	CopyAdopted Name = "copy-adopted"
+	CopyFailed  Name = "copy-failed"
+	// UpstreamEjected: an upstream failed too often and gets nothing for a while.
+	UpstreamEjected Name = "upstream-ejected"
+	// UpstreamRestored: an ejected upstream has answered its probe.
+	UpstreamRestored Name = "upstream-restored"
+)
+
+// Events of single requests.
+const (
+	// RequestRouted: where a request is sent next, and why.
+	RequestRouted Name = "request-routed"
+	// AttemptRejected: the upstream states that it did not run the request.
+	AttemptRejected Name = "attempt-rejected"
+	// AttemptFailed: a send without a whole answer.
+	AttemptFailed Name = "attempt-failed"
+	// AnswerOdd: an answer that cannot be passed on.
+	AnswerOdd Name = "answer-odd"
+	// RefusalTooLong: a refusal's body was not read to its end.
+	RefusalTooLong Name = "refusal-too-long"
+	// RequestFailed: a request ended other than complete.
+	RequestFailed Name = "request-failed"
+	// RequestEnded: a request ended complete.
+	RequestEnded Name = "request-ended"
+)
--- /dev/null
+++ b/pkg/explain/cause.go
@@ -0,0 +1,248 @@
+package explain
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+)
+
+// Times within which other events may bear on a failure.
+const (
+	// before is how long ago an event may still be a cause: an ejection's first period and
+	// the time until a silent instance counts as gone are below it.
+	before = 5 * time.Second
+	// after is how much later what caused a failure may be told: an upstream's entry lapses
+	// some seconds after the upstream has gone.
+	after = 8 * time.Second
+	// beside is how far failures of other requests may be away to have the same cause.
+	beside = time.Second
+)
+
+// slow is from when on an answer that is late in beginning is explained.
+const slow = time.Second
+
+// causes tells why a visit ended as it did.
+func (l *Log) causes(visit *Visit) []string {
+	var all []string
+	told := make(map[string]bool)
+	for _, attempt := range visit.steps(event.AttemptFailed) {
+		if target := attempt.Get(event.KeyTarget); !told[target] {
+			told[target] = true
+			all = append(all, l.whyAttempt(attempt)...)
+		}
+	}
+	switch {
+	case visit.End == nil:
+		all = append(all, l.whyUnended(visit)...)
+	case visit.End.Event == event.RequestFailed:
+		all = append(all, l.whyRefused(visit)...)
+		all = append(all, l.store(visit)...)
+	case time.Duration(visit.End.Int(event.KeyFirstMS))*time.Millisecond >= slow:
+		all = append(all, l.whyLate(visit)...)
+	}
+	return slices.Compact(all)
+}
+
+// whyAttempt tells what else is known of the target of a failed attempt.
+func (l *Log) whyAttempt(attempt *Line) []string {
+	target := attempt.Get(event.KeyTarget)
+	how := "broke off"
+	if attempt.Is(event.KeyUnsent) {
+		how = "could not be reached"
+	}
+	all := []string{fmt.Sprintf("%s %s: %s", target, how, attempt.Get(event.KeyError))}
+	if others := l.failuresAt(target, attempt.Time); others > 0 {
+		all = append(all, fmt.Sprintf("attempts of other requests that failed at %[2]s within %[3]v: %[1]d", others, target, beside))
+	}
+	return append(all, l.fateOf(target, attempt.Time)...)
+}
+
+func (l *Log) failuresAt(target string, at time.Time) int {
+	count := 0
+	for _, line := range l.near(event.AttemptFailed, at.Add(-beside), at.Add(beside)) {
+		if line.Get(event.KeyTarget) == target {
+			count++
+		}
+	}
+	return count
+}
+
+// fates are events that tell what became of a target, with the key that names it.
+var fates = []struct {
+	name event.Name
+	key  string
+	says string
+}{
+	{event.UpstreamGone, event.KeyUpstream, "was gone from the store"},
+	{event.UpstreamEjected, event.KeyUpstream, "was ejected"},
+	{event.PeerLost, event.KeyPeer, "was no longer heard of"},
+	{event.PeerLeaving, event.KeyPeer, "was leaving"},
+	{event.Leaving, event.KeyInstance, "was told to end"},
+	{event.Start, event.KeyInstance, "started anew"},
+}
+
+// fateOf tells what became of an upstream or instance around a time.
+func (l *Log) fateOf(target string, at time.Time) []string {
+	var all []string
+	for _, fate := range fates {
+		for _, line := range l.near(fate.name, at.Add(-before), at.Add(after)) {
+			if line.Get(fate.key) == target {
+				all = append(all, fmt.Sprintf("%s %s %s", target, fate.says, distance(at, line.Time)))
+				break
+			}
+		}
+	}
+	return all
+}
+
+// distance tells one time by another.
+func distance(from, to time.Time) string {
+	apart := to.Sub(from).Round(time.Millisecond)
+	if apart < 0 {
+		return fmt.Sprintf("%v before", -apart)
+	}
+	return fmt.Sprintf("%v after", apart)
+}
+
+// whyUnended tells what became of an instance that did not log a visit's end.
+func (l *Log) whyUnended(visit *Visit) []string {
+	at := visit.last()
+	for _, line := range l.near(event.Start, at, at.Add(time.Hour)) {
+		if line.Instance == visit.Instance {
+			return []string{fmt.Sprintf("%s started anew %s: it ended with the request in work", visit.Instance, distance(at, line.Time))}
+		}
+	}
+	if left := l.spans[visit.Instance].last.Sub(at); left < before {
+		return []string{fmt.Sprintf("the log of %s ends %v later", visit.Instance, left.Round(time.Millisecond))}
+	}
+	return nil
+}
+
+// whyRefused tells what stands behind the reason of a refusal.
+func (l *Log) whyRefused(visit *Visit) []string {
+	end := visit.End
+	switch outcome.Reason(end.Get(event.KeyReason)) {
+	case outcome.ReasonNoUpstream:
+		return l.whyNoUpstream(visit)
+	case outcome.ReasonUnknownRoute:
+		return l.whyNoRoute(visit)
+	case outcome.ReasonNoConfiguration:
+		return []string{visit.Instance + " had no configuration yet" + l.since(visit, event.Start)}
+	case outcome.ReasonDraining:
+		return []string{visit.Instance + " was leaving" + l.since(visit, event.Leaving)}
+	case outcome.ReasonOverloaded:
+		return l.whyNoRepeat(visit)
+	case outcome.ReasonDeadline:
+		return []string{fmt.Sprintf("its time was over after %d ms and %d sends", end.Int(event.KeyMS), end.Int(event.KeySends))}
+	case outcome.ReasonBadRequest, outcome.ReasonTooLarge, outcome.ReasonSlowCaller:
+		return []string{"the caller: " + strings.TrimSuffix(end.Get(event.KeyDetail)+": "+end.Get(event.KeyCause), ": ")}
+	default:
+		return []string{end.Get(event.KeyDetail)}
+	}
+}
+
+// since tells how long before the visit's end an event was.
+func (l *Log) since(visit *Visit, name event.Name) string {
+	line := l.last(visit.Instance, visit.End.Time, name)
+	if line == nil {
+		return ""
+	}
+	return fmt.Sprintf(" (%s %s)", name, distance(visit.End.Time, line.Time))
+}
+
+// whyNoUpstream tells why none of a service's upstreams took the request.
+func (l *Log) whyNoUpstream(visit *Visit) []string {
+	end := visit.End
+	known, usable, cold := end.Int(event.KeyKnown), end.Int(event.KeyUsable), end.Int(event.KeyCold)
+	if known == 0 {
+		return append([]string{end.Get(event.KeyDetail)}, l.lostUpstreams(visit)...)
+	}
+	all := []string{fmt.Sprintf("of %d upstreams in the region %d are in service: %d rest after a failure or rejection, %d are cold; %d requests in work on %d slots",
+		known, usable, end.Int(event.KeyResting), cold, end.Int(event.KeyInFlight), end.Int(event.KeySlots))}
+	if rejections := len(visit.steps(event.AttemptRejected)); rejections > 0 {
+		all = append(all, fmt.Sprintf("%d of them rejected it", rejections))
+	}
+	return append(all, l.lostUpstreams(visit)...)
+}
+
+// lostUpstreams counts what the instance learned of upstreams shortly before the end.
+func (l *Log) lostUpstreams(visit *Visit) []string {
+	var all []string
+	until := visit.End.Time
+	for _, name := range []event.Name{event.UpstreamGone, event.UpstreamEjected} {
+		if count := l.countAt(visit.Instance, name, until.Add(-before), until); count > 0 {
+			all = append(all, fmt.Sprintf("%d × %s at %s in the %v before", count, name, visit.Instance, before))
+		}
+	}
+	return all
+}
+
+func (l *Log) countAt(instance string, name event.Name, from, to time.Time) int {
+	count := 0
+	for _, line := range l.near(name, from, to) {
+		if line.Instance == instance {
+			count++
+		}
+	}
+	return count
+}
+
+// whyNoRoute compares the configuration in force with that of other instances.
+func (l *Log) whyNoRoute(visit *Visit) []string {
+	end := visit.End
+	here := l.last(visit.Instance, end.Time, event.ConfigurationInForce)
+	if here == nil {
+		return []string{"no route matches; the log does not tell the configuration in force"}
+	}
+	version := here.Int(event.KeyVersion)
+	all := []string{fmt.Sprintf("no route matches in configuration %d", version)}
+	for _, line := range l.near(event.ConfigurationInForce, end.Time.Add(-before), end.Time.Add(after)) {
+		if line.Int(event.KeyVersion) > version {
+			return append(all, fmt.Sprintf("configuration %d came in force at %s %s", line.Int(event.KeyVersion), line.Instance, distance(end.Time, line.Time)))
+		}
+	}
+	return all
+}
+
+// retryWindow is the time over which repeats are bounded.
+const retryWindow = 10 * time.Second
+
+// whyNoRepeat tells what used up the retry budget.
+func (l *Log) whyNoRepeat(visit *Visit) []string {
+	until := visit.End.Time
+	failures := l.countAt(visit.Instance, event.AttemptFailed, until.Add(-retryWindow), until)
+	return []string{
+		visit.End.Get(event.KeyDetail),
+		fmt.Sprintf("%d × %s at %s in the %v before", failures, event.AttemptFailed, visit.Instance, retryWindow),
+	}
+}
+
+// store tells whether the store was lost to the instance.
+func (l *Log) store(visit *Visit) []string {
+	line := l.last(visit.Instance, visit.End.Time, event.StoreLost, event.StoreRegained, event.Start)
+	if line == nil || line.Event != event.StoreLost {
+		return nil
+	}
+	return []string{fmt.Sprintf("the store was lost to %s %s", visit.Instance, distance(visit.End.Time, line.Time))}
+}
+
+// whyLate tells what an answer that began late waited for.
+func (l *Log) whyLate(visit *Visit) []string {
+	all := []string{fmt.Sprintf("the answer began after %d ms", visit.End.Int(event.KeyFirstMS))}
+	routes := visit.steps(event.RequestRouted)
+	if len(routes) == 0 {
+		return all
+	}
+	if len(routes) > 1 {
+		spent := routes[len(routes)-1].Time.Sub(routes[0].Time)
+		all = append(all, fmt.Sprintf("%v went on %d earlier attempts", spent.Round(time.Millisecond), len(routes)-1))
+	}
+	chosen := routes[len(routes)-1]
+	all = append(all, fmt.Sprintf("%s had %d requests in work and %d prompt tokens to read, and %d of this one",
+		chosen.Get(event.KeyTarget), chosen.Int(event.KeyInFlight), chosen.Int(event.KeyPrefill), chosen.Int(event.KeyUncached)))
+	return append(all, l.fateOf(chosen.Get(event.KeyTarget), chosen.Time)...)
+}
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,202 @@
+package explain_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+	"unicode/utf8"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/explain"
+)
+
+// line is a log line at a second of the test's minute.
+func line(second, instance string, name event.Name, pairs string) string {
+	return fmt.Sprintf("time=2026-03-01T10:00:%sZ level=info event=%s instance=%s program=lilacweir-edge %s", second, name, instance, pairs)
+}
+
+// tell reads logs and tells the request r-1's way.
+func tell(t *testing.T, logs ...string) *explain.Story {
+	t.Helper()
+	story, err := read(t, logs...).Tell()
+	is.New(t).NoErr(err)
+	return story
+}
+
+func read(t *testing.T, logs ...string) *explain.Log {
+	t.Helper()
+	log := explain.NewLog("r-1")
+	for _, text := range logs {
+		is.New(t).NoErr(log.Add(strings.NewReader(text)))
+	}
+	return log
+}
+
+// crash is a request that front-a sent to the region of front-b, where its upstream went
+// away within its answer.
+var crash = []string{
+	line("01.000", "front-a", event.RequestRouted, "request=r-1 target=front-b domain=south-a send=1 heard_ms=80 usable=0 version=7 store_age_ms=300"),
+	line("01.020", "front-b", event.RequestRouted, "request=r-1 forwarded=true target=u-9 domain=south-a send=1 in_flight=4 prefill=900 prompt=500 uncached=20 usable=3 version=7 store_age_ms=40"),
+	line("02.500", "front-b", event.AttemptFailed, `request=r-1 target=u-9 send=1 unsent=false begun=true error="await: unexpected EOF"`),
+	line("02.510", "front-b", event.AttemptFailed, `request=r-2 target=u-9 send=1 unsent=false begun=true error="await: unexpected EOF"`),
+	line("02.501", "front-b", event.RequestFailed, `request=r-1 forwarded=true outcome=unknown reason=upstream-failed status=502 sends=1 runs=1 begun=true ms=1481 detail="no attempt is left"`),
+	line("02.530", "front-a", event.AttemptFailed, `request=r-1 target=front-b send=1 unsent=false begun=true error="await: connection reset"`),
+	line("02.531", "front-a", event.RequestFailed, `request=r-1 forwarded=false outcome=unknown reason=upstream-failed status=502 sends=1 runs=1 begun=true ms=1531 detail="no attempt is left"`),
+	line("05.000", "front-b", event.UpstreamGone, "upstream=u-9"),
+}
+
+func TestAWayThroughTwoInstancesIsToldInTheOrderOfTime(t *testing.T) {
+	is := is.New(t)
+	text := tell(t, strings.Join(crash, "\n")).Text(explain.Screen)
+	order := []string{"at front-a", "send 1 to front-b", "at front-b (sent by another instance)", "send 1 to u-9", "cause:", "u-9 broke off: await: unexpected EOF", "attempts of other requests that failed at u-9 within 1s: 1", "u-9 was gone from the store 2.5s after"}
+	from := 0
+	for _, part := range order {
+		at := strings.Index(text[from:], part)
+		if at < 0 {
+			t.Fatalf("no %q after %q in\n%s", part, text[:from], text)
+		}
+		from += at
+	}
+	is.True(!strings.Contains(text, "missing:"))
+	is.True(!strings.Contains(text, "r-2"))
+}
+
+// TestTheOrderOfLinesAndFilesDoesNotMatter, nor that a line is there twice.
+func TestTheOrderOfLinesAndFilesDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	want := tell(t, strings.Join(crash, "\n")).Text(explain.Screen)
+	shuffle := rand.New(rand.NewSource(1))
+	for range 20 {
+		lines := append([]string{crash[0], crash[3]}, crash...)
+		shuffle.Shuffle(len(lines), func(i, j int) { lines[i], lines[j] = lines[j], lines[i] })
+		is.Equal(tell(t, strings.Join(lines[:5], "\n"), strings.Join(lines[5:], "\n")).Text(explain.Screen), want)
+	}
+}
+
+func TestWhatIsMissingIsTold(t *testing.T) {
+	for name, c := range map[string]struct {
+		logs []string
+		says string
+	}{
+		"the other instance's log": {[]string{crash[0], crash[6]}, "the log of front-b"},
+		"its lines":                {[]string{crash[0], crash[6], crash[7]}, "lines of front-b about it; its log is here"},
+		"where it was sent":        {[]string{crash[6]}, "where front-a sent it (1 sends)"},
+		"the end":                  {[]string{crash[0]}, "its end at front-a"},
+		"a part of a line":         {[]string{crash[0], crash[6][:len(crash[6])-5]}, "parts of 1 lines about it, which are cut off"},
+		"the begin of a line":      {[]string{crash[0], crash[6], crash[3][30:]}, "1 other lines that could not be read"},
+		"lines over the budget": {
+			[]string{crash[0], crash[6], line("05.000", "front-a", event.LinesLeftOut, "failed=3 steps=4 good=5 reader_stalled=6")},
+			"front-a left out 3 lines of failures, 4 of their steps and 6 that nobody read",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story := tell(t, strings.Join(c.logs, "\n"))
+			if missing := strings.Join(story.Missing, "; "); !strings.Contains(missing, c.says) {
+				t.Errorf("no %q in %q", c.says, missing)
+			}
+		})
+	}
+}
+
+func TestCausesAreFoundInWhatTheInstanceKnew(t *testing.T) {
+	failed := func(pairs string) string {
+		return line("10.000", "front-a", event.RequestFailed, "request=r-1 outcome=not-run status=503 sends=0 runs=0 ms=3 "+pairs)
+	}
+	for name, c := range map[string]struct {
+		logs []string
+		says string
+	}{
+		"too few upstreams": {
+			[]string{failed("reason=no-upstream known=5 usable=3 resting=1 cold=2 in_flight=8 slots=16"), line("09.000", "front-a", event.UpstreamEjected, "upstream=u-1")},
+			"of 5 upstreams in the region 3 are in service: 1 rest after a failure or rejection, 2 are cold; 8 requests in work on 16 slots; 1 × upstream-ejected at front-a in the 5s before",
+		},
+		"an older configuration": {
+			[]string{
+				line("01.000", "front-a", event.ConfigurationInForce, "version=7"), failed("reason=unknown-route"),
+				line("10.400", "front-b", event.ConfigurationInForce, "version=8"),
+			},
+			"no route matches in configuration 7; configuration 8 came in force at front-b 400ms after",
+		},
+		"no configuration yet": {
+			[]string{line("09.500", "front-a", event.Start, ""), line("09.900", "front-a", event.StoreLost, ""), failed("reason=no-configuration")},
+			"front-a had no configuration yet (start 500ms before); the store was lost to front-a 100ms before",
+		},
+		"leaving": {
+			[]string{line("08.000", "front-a", event.Leaving, ""), failed("reason=instance-leaving")},
+			"front-a was leaving (leaving 2s before)",
+		},
+		"the retry budget": {
+			[]string{
+				line("09.000", "front-a", event.AttemptFailed, "request=r-2 target=u-1"), line("09.100", "front-a", event.AttemptFailed, "request=r-3 target=u-1"),
+				failed(`reason=overloaded detail="the retry budget is used up"`),
+			},
+			"the retry budget is used up; 2 × attempt-failed at front-a in the 10s before",
+		},
+		"killed with the request in work": {
+			[]string{line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1"), line("12.000", "front-a", event.Start, "")},
+			"front-a started anew 2s after: it ended with the request in work",
+		},
+		"a late answer": {
+			[]string{
+				line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1 in_flight=40 prefill=9000 uncached=500"),
+				line("13.000", "front-a", event.RequestEnded, "request=r-1 status=200 sends=1 first_ms=2100.5 ms=3000"),
+			},
+			"the answer began after 2100 ms; u-1 had 40 requests in work and 9000 prompt tokens to read, and 500 of this one",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			story := tell(t, strings.Join(c.logs, "\n"))
+			if causes := strings.Join(story.Visits[0].Causes, "; "); causes != c.says {
+				t.Errorf("causes are\n%s\nnot\n%s", causes, c.says)
+			}
+		})
+	}
+}
+
+func TestARequestThatNoLineIsAbout(t *testing.T) {
+	is := is.New(t)
+	log := explain.NewLog("r-9")
+	is.NoErr(log.Add(strings.NewReader(strings.Join(crash, "\n") + "\n" + line("06.000", "front-b", event.Start, ""))))
+	_, err := log.Tell()
+	var unknown *explain.UnknownRequestError
+	is.True(errors.As(err, &unknown))
+	is.Equal(unknown.Read, len(crash)+1)
+	is.Equal(unknown.Instances, 2)
+	is.Equal(unknown.Starts, 1)
+}
+
+// TestAnyLogFitsAPhone: whatever is cut out of logs, the story has no line longer than a
+// phone's and nothing panics.
+func TestAnyLogFitsAPhone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var lines []string
+		for _, whole := range crash {
+			from := rapid.IntRange(0, len(whole)).Draw(t, "from")
+			to := rapid.IntRange(from, len(whole)).Draw(t, "to")
+			switch rapid.IntRange(0, 2).Draw(t, "what is left") {
+			case 0:
+				lines = append(lines, whole)
+			case 1:
+				lines = append(lines, whole[from:to])
+			}
+		}
+		log := explain.NewLog("r-1")
+		if err := log.Add(strings.NewReader(strings.Join(lines, "\n"))); err != nil {
+			t.Fatal(err)
+		}
+		story, err := log.Tell()
+		if err != nil {
+			return
+		}
+		for _, printed := range strings.Split(story.Text(explain.Phone), "\n") {
+			if utf8.RuneCountInString(printed) > explain.Phone {
+				t.Fatalf("%d characters: %q", utf8.RuneCountInString(printed), printed)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/explain/log.go
@@ -0,0 +1,136 @@
+package explain
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/event"
+)
+
+// Log is what the logs of some instances say that matters for one request.
+type Log struct {
+	// Request is the request's ID.
+	Request string
+	// Own are the lines about the request, Others all that may bear on it: changes of
+	// what an instance believes, and failed attempts of other requests.
+	Own, Others []*Line
+	// Cut is how many lines are not whole, OwnCut how many of these are about the request.
+	Cut, OwnCut int
+	// Read is how many lines there are, whole or not.
+	Read int
+	// spans is the time over which there are lines, by instance.
+	spans map[string]span
+	seen  map[string]bool
+}
+
+type span struct{ first, last time.Time }
+
+// NewLog returns a Log without lines.
+func NewLog(request string) *Log {
+	return &Log{Request: request, spans: make(map[string]span), seen: make(map[string]bool)}
+}
+
+// longestLine bounds, in bytes, a line that can be read.
+const longestLine = 1 << 20
+
+// Add reads lines until the end of r. Lines may come in any order, also between files;
+// a line that is there twice counts once.
+func (l *Log) Add(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, longestLine)
+	for lines.Scan() {
+		l.add(lines.Text())
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("read line %d: %w", l.Read+1, err)
+	}
+	return nil
+}
+
+func (l *Log) add(text string) {
+	if strings.TrimSpace(text) == "" {
+		return
+	}
+	l.Read++
+	line, err := Parse(text)
+	if err != nil {
+		l.addCut(text, err)
+		return
+	}
+	l.extend(line)
+	request := line.Get(event.KeyRequest)
+	mine := request == l.Request
+	if !mine && request != "" && line.Event != event.AttemptFailed {
+		return
+	}
+	if l.seen[text] {
+		return
+	}
+	l.seen[text] = true
+	if mine {
+		l.Own = append(l.Own, line)
+	} else {
+		l.Others = append(l.Others, line)
+	}
+}
+
+func (l *Log) addCut(text string, err error) {
+	l.Cut++
+	var cut *CutError
+	if errors.As(err, &cut) && cut.Request == l.Request || strings.Contains(text, event.KeyRequest+"="+l.Request) {
+		l.OwnCut++
+	}
+}
+
+// extend makes the instance's span include the line.
+func (l *Log) extend(line *Line) {
+	known, ok := l.spans[line.Instance]
+	if !ok {
+		known = span{line.Time, line.Time}
+	}
+	if line.Time.Before(known.first) {
+		known.first = line.Time
+	}
+	if line.Time.After(known.last) {
+		known.last = line.Time
+	}
+	l.spans[line.Instance] = known
+}
+
+// sort puts the lines in the order of time.
+func (l *Log) sort() {
+	byTime := func(a, b *Line) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(l.Own, byTime)
+	slices.SortStableFunc(l.Others, byTime)
+}
+
+// near returns the other lines with an event, from one time to another.
+func (l *Log) near(name event.Name, from, to time.Time) []*Line {
+	start, _ := slices.BinarySearchFunc(l.Others, from, func(line *Line, at time.Time) int { return line.Time.Compare(at) })
+	var found []*Line
+	for _, line := range l.Others[start:] {
+		if line.Time.After(to) {
+			break
+		}
+		if line.Event == name {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// last returns the instance's last line with one of the events before a time, or nil.
+func (l *Log) last(instance string, before time.Time, names ...event.Name) *Line {
+	for i := len(l.Others) - 1; i >= 0; i-- {
+		line := l.Others[i]
+		if line.Instance == instance && !line.Time.After(before) && slices.Contains(names, line.Event) {
+			return line
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/explain/render.go
@@ -0,0 +1,170 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/event"
+)
+
+// Widths of what is printed, in characters.
+const (
+	// Phone fits an operator's phone.
+	Phone = 40
+	// Screen fits a terminal.
+	Screen = 100
+	// indent is that of lines that go on.
+	indent = "  "
+)
+
+// Text is the story in lines of at most so many characters.
+func (s *Story) Text(width int) string {
+	p := &page{width: width, start: s.Visits[0].Steps[0].Time}
+	p.add("", "request "+s.Request)
+	p.add("", "from "+p.start.UTC().Format("2006-01-02 15:04:05.000 MST"))
+	for _, visit := range s.Visits {
+		p.visit(visit)
+	}
+	p.list("cause", s.causes())
+	p.list("missing", s.Missing)
+	return p.text.String()
+}
+
+// causes are those of the last visit before those of earlier ones. Where there are
+// several visits each names its instance.
+func (s *Story) causes() []string {
+	var all []string
+	seen := make(map[string]bool)
+	for i := len(s.Visits) - 1; i >= 0; i-- {
+		for _, cause := range s.Visits[i].Causes {
+			if len(s.Visits) > 1 {
+				cause = s.Visits[i].Instance + ": " + cause
+			}
+			if !seen[cause] {
+				seen[cause] = true
+				all = append(all, cause)
+			}
+		}
+	}
+	return all
+}
+
+// page collects lines.
+type page struct {
+	width int
+	// start is what times are told from.
+	start time.Time
+	text  strings.Builder
+}
+
+// add writes a text with a first prefix, broken into lines at spaces.
+func (p *page) add(prefix, text string) {
+	line := prefix
+	for _, word := range strings.Fields(text) {
+		for {
+			gap := ""
+			if strings.TrimSpace(line) != "" && !strings.HasSuffix(line, " ") {
+				gap = " "
+			}
+			if room := p.width - len([]rune(line)) - len(gap); len([]rune(word)) <= room {
+				line += gap + word
+				break
+			}
+			if strings.TrimSpace(line) != "" {
+				p.line(line)
+				line = indent + indent
+				continue
+			}
+			room := p.width - len([]rune(line))
+			p.line(line + string([]rune(word)[:room]))
+			word, line = string([]rune(word)[room:]), indent+indent
+		}
+	}
+	p.line(line)
+}
+
+func (p *page) line(text string) {
+	p.text.WriteString(strings.TrimRight(text, " "))
+	p.text.WriteByte('\n')
+}
+
+func (p *page) list(title string, items []string) {
+	if len(items) == 0 {
+		return
+	}
+	p.line(title + ":")
+	for _, item := range items {
+		p.add("- ", item)
+	}
+}
+
+func (p *page) visit(visit *Visit) {
+	forwarded := ""
+	if visit.Steps[0].Is(event.KeyForwarded) {
+		forwarded = " (sent by another instance)"
+	}
+	p.add("", "at "+visit.Instance+forwarded)
+	for _, step := range visit.Steps {
+		after := fmt.Sprintf("%s%+.3f ", indent, step.Time.Sub(p.start).Seconds())
+		p.add(after, describe(step))
+	}
+	if visit.End == nil {
+		p.add(indent, "(no end is logged)")
+	}
+}
+
+// describe tells a step in a few words.
+func describe(step *Line) string {
+	switch step.Event {
+	case event.RequestRouted:
+		return describeRoute(step)
+	case event.AttemptRejected:
+		return fmt.Sprintf("%s rejected it, status %d", step.Get(event.KeyTarget), step.Int(event.KeyStatus))
+	case event.AttemptFailed:
+		how := "broke off: "
+		if step.Is(event.KeyUnsent) {
+			how = "not reached: "
+		}
+		return step.Get(event.KeyTarget) + " " + how + step.Get(event.KeyError)
+	case event.AnswerOdd:
+		return fmt.Sprintf("%s: %s, status %d", step.Get(event.KeyTarget), step.Get(event.KeyProblem), step.Int(event.KeyStatus))
+	case event.RequestFailed:
+		return describeFailure(step)
+	case event.RequestEnded:
+		return fmt.Sprintf("answered %d; first part after %d ms, all after %d ms", step.Int(event.KeyStatus), step.Int(event.KeyFirstMS), step.Int(event.KeyMS))
+	default:
+		return string(step.Event)
+	}
+}
+
+func describeRoute(step *Line) string {
+	text := fmt.Sprintf("send %d to %s in %s:", step.Int(event.KeySend), step.Get(event.KeyTarget), step.Get(event.KeyDomain))
+	if heard := step.Get(event.KeyHeardMS); heard != "" {
+		text += fmt.Sprintf(" an instance heard of %s ms ago;", heard)
+	} else {
+		text += fmt.Sprintf(" %d in work;", step.Int(event.KeyInFlight))
+	}
+	if prompt := step.Int(event.KeyPrompt); prompt > 0 {
+		text += fmt.Sprintf(" %d prompt tokens ahead of it, %d of its %d uncached;", step.Int(event.KeyPrefill), step.Int(event.KeyUncached), prompt)
+	}
+	text += fmt.Sprintf(" %d usable, configuration %d, store heard %s ms ago",
+		step.Int(event.KeyUsable), step.Int(event.KeyVersion), step.Get(event.KeyStoreAgeMS))
+	if after := step.Get(event.KeyAfter); after != "" {
+		text += ", goes on after event " + after
+	}
+	return text
+}
+
+func describeFailure(step *Line) string {
+	text := fmt.Sprintf("%s, %s, status %d after %d ms: %s; %d sends, may have run %d times",
+		step.Get(event.KeyOutcome), step.Get(event.KeyReason), step.Int(event.KeyStatus), step.Int(event.KeyMS),
+		step.Get(event.KeyDetail), step.Int(event.KeySends), step.Int(event.KeyRuns))
+	if step.Is(event.KeyBegun) {
+		return text + "; part of the answer was out, so the connection was broken off"
+	}
+	if retry := step.Int(event.KeyRetryMS); retry > 0 {
+		text += fmt.Sprintf("; asked to come back in %d ms", retry)
+	}
+	return text
+}
--- a/pkg/httproute/configuration.go
+++ b/pkg/httproute/configuration.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 )
 
@@ -102,6 +104,9 @@
 // Service returns a declared service, or nil.
 func (c *Configuration) Service(name string) *Service { return c.services[name] }
 
+// ServiceNames lists the declared services, in no order.
+func (c *Configuration) ServiceNames() []string { return slices.Collect(maps.Keys(c.services)) }
+
 // Match returns the route of a request, or nil: among those of the host, the one
 // with the longest prefix of the path.
 func (c *Configuration) Match(hostPort, path string) *Route {
--- a/pkg/limit/eject.go
+++ b/pkg/limit/eject.go
@@ -30,11 +30,32 @@
 // use for a while, and tries them again with one request. It is safe for
 // concurrent use.
 type Ejector struct {
+	// Changed is told of each ejection and each end of one, in order; nil: nobody is. It
+	// must not call the Ejector.
+	Changed func(Ejection)
+
 	clock clock.Clock
 	mu    sync.Mutex
 	all   atomic.Pointer[map[string]*health]
 }
 
+// Ejection is a change of an upstream's state.
+type Ejection struct {
+	Upstream string
+	// For is how long the upstream gets nothing; zero: its ejection has ended.
+	For time.Duration
+	// Failures is how many came in a row. One that is ejected without any is too late
+	// against its pool, by the factor Lateness against prediction.
+	Failures int
+	Lateness float64
+}
+
+func (e *Ejector) tell(change Ejection) {
+	if e.Changed != nil {
+		e.Changed(change)
+	}
+}
+
 // health is guarded by Ejector.mu, but for ejectedUntil and probing.
 type health struct {
 	// ejectedUntil is Unix nanoseconds; zero: not ejected.
@@ -114,29 +135,32 @@
 	switch result {
 	case Succeeded:
 		h.failures = 0
-		h.restore()
+		if h.restore() {
+			e.tell(Ejection{Upstream: upstream})
+		}
 	case Failed:
 		h.failures++
-		e.judgeFailures(h)
+		e.judgeFailures(upstream, h)
 	case Rejected, Abandoned:
 	}
 	h.probing.Store(false)
 }
 
-// restore ends an ejection.
-func (h *health) restore() {
+// restore ends an ejection; false when there is none.
+func (h *health) restore() bool {
 	if h.ejectedUntil.Load() == 0 {
-		return
+		return false
 	}
 	h.ejectedUntil.Store(0)
 	h.samples = 0
 	h.lateness.reset()
 	h.ejections = max(0, h.ejections-1)
+	return true
 }
 
-func (e *Ejector) judgeFailures(h *health) {
+func (e *Ejector) judgeFailures(upstream string, h *health) {
 	if h.ejectedUntil.Load() != 0 || h.failures >= failuresToEject {
-		e.eject(h)
+		e.eject(upstream, h)
 	}
 }
 
@@ -154,7 +178,7 @@
 		return
 	}
 	if median := e.medianLateness(h); median > 0 && h.lateness.value() > outlierRatio*median {
-		e.eject(h)
+		e.eject(upstream, h)
 	}
 }
 
@@ -174,7 +198,7 @@
 }
 
 // eject takes h out of use, unless too many of its pool are.
-func (e *Ejector) eject(h *health) {
+func (e *Ejector) eject(upstream string, h *health) {
 	if h.ejectedUntil.Load() == 0 && !e.mayEject(h.pool) {
 		return
 	}
@@ -182,6 +206,7 @@
 	h.ejections++
 	h.ejectedAt = e.clock.Now()
 	h.ejectedUntil.Store(h.ejectedAt.Add(period).UnixNano())
+	e.tell(Ejection{Upstream: upstream, For: period, Failures: h.failures, Lateness: h.lateness.value()})
 }
 
 func (e *Ejector) mayEject(pool string) bool {
--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -57,14 +57,27 @@
 	defer s.mu.Unlock()
 	counts := s.counts(service)
 	now := s.now()
-	allowed := retryPart * (s.Ratio*float64(counts.requests.sum(now, s.Window)) + s.Slack/float64(max(1, instances)))
-	if float64(counts.repeats.sum(now, s.Window)+1) > allowed {
+	if float64(counts.repeats.sum(now, s.Window)+1) > s.allowed(counts, now, instances) {
 		return false
 	}
 	counts.repeats.add(now, s.Window)
 	return true
 }
 
+// Left is how many repeats the service has left now, for one of so many instances.
+func (s *RetryShares) Left(service string, instances int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts := s.counts(service)
+	now := s.now()
+	return int(s.allowed(counts, now, instances)) - counts.repeats.sum(now, s.Window)
+}
+
+// allowed is how many repeats of a window may come from one of so many instances.
+func (s *RetryShares) allowed(counts *retryCounts, now time.Time, instances int) float64 {
+	return retryPart * (s.Ratio*float64(counts.requests.sum(now, s.Window)) + s.Slack/float64(max(1, instances)))
+}
+
 // window counts events over a sliding time in windowSteps steps. What is counted is
 // the time asked for and up to one step more.
 type window struct {
--- a/pkg/logging/bounded.go
+++ b/pkg/logging/bounded.go
@@ -11,15 +11,18 @@
 	"github.com/rs/zerolog/diode"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/event"
 )
 
-// Budgets of a Bounded logger, in lines a second. At 200 bytes a line both together
-// are 50 KB/s, and about half a percent of a core.
+// Budgets of a Bounded logger, in lines a second; none crowds the others out.
 const (
-	// goodBudget is for lines of what went well, failedBudget for warnings and errors,
-	// which have one of their own: what failed is not crowded out by what did not.
-	goodBudget   = 50
-	failedBudget = 200
+	// goodBudget is for the lines of requests that go well.
+	goodBudget = 50
+	// stepBudget is for the steps of requests that failed or were slow.
+	stepBudget = 200
+	// failedBudget is for the ends of those: when everything fails at once, hundreds of
+	// requests a second are refused by one instance, and each of them can be asked about.
+	failedBudget = 400
 	// heldLines is how many lines wait for a reader that has stalled; further ones are
 	// dropped and counted.
 	heldLines = 2000
@@ -30,16 +33,14 @@
 // Bounded writes lines within budgets and never waits for whoever reads them. Lines
 // that are left out are counted, and the count is logged.
 type Bounded struct {
-	writer     diode.Writer
-	suppressed atomic.Int64
-	dropped    atomic.Int64
-	good       budget
-	failed     budget
+	writer              diode.Writer
+	dropped             atomic.Int64
+	good, steps, failed budget
 }
 
 // NewBounded returns a Bounded that writes to w. Close it to write what waits.
 func NewBounded(w io.Writer) *Bounded {
-	b := &Bounded{good: budget{size: goodBudget}, failed: budget{size: failedBudget}}
+	b := &Bounded{good: budget{size: goodBudget}, steps: budget{size: stepBudget}, failed: budget{size: failedBudget}}
 	b.writer = diode.NewWriter(w, heldLines, drainEvery, func(missed int) { b.dropped.Add(int64(missed)) })
 	return b
 }
@@ -50,18 +51,14 @@
 // Close writes what waits.
 func (b *Bounded) Close() error { return b.writer.Close() }
 
-// Sample implements zerolog.Sampler.
-func (b *Bounded) Sample(level zerolog.Level) bool {
-	budget := &b.good
-	if level >= zerolog.WarnLevel {
-		budget = &b.failed
-	}
-	if budget.take(time.Now()) {
-		return true
-	}
-	b.suppressed.Add(1)
-	return false
-}
+// Good is the budget of lines about requests that go well.
+func (b *Bounded) Good() zerolog.Sampler { return &b.good }
+
+// Steps is the budget of the steps of requests that failed or were slow.
+func (b *Bounded) Steps() zerolog.Sampler { return &b.steps }
+
+// Failed is the budget of failures and of the ends of such requests.
+func (b *Bounded) Failed() zerolog.Sampler { return &b.failed }
 
 // tellEvery is how often left out lines are told of.
 const tellEvery = 5 * time.Second
@@ -75,20 +72,32 @@
 }
 
 func (b *Bounded) tell(log zerolog.Logger) {
-	suppressed, dropped := b.suppressed.Swap(0), b.dropped.Swap(0)
-	if suppressed+dropped > 0 {
-		log.Warn().Int64("over_budget", suppressed).Int64("reader_stalled", dropped).Msg("lines-left-out")
+	good, steps, failed := b.good.over.Swap(0), b.steps.over.Swap(0), b.failed.over.Swap(0)
+	dropped := b.dropped.Swap(0)
+	if good+steps+failed+dropped > 0 {
+		log.Warn().Int64(event.KeyGood, good).Int64(event.KeySteps, steps).Int64(event.KeyFailed, failed).
+			Int64(event.KeyReaderStalled, dropped).Msg(string(event.LinesLeftOut))
 	}
 }
 
-// budget permits size lines in each second.
+// budget permits size lines in each second, and counts those beyond.
 type budget struct {
 	size   int
+	over   atomic.Int64
 	mu     sync.Mutex
 	second int64
 	used   int
 }
 
+// Sample implements zerolog.Sampler.
+func (b *budget) Sample(zerolog.Level) bool {
+	if b.take(time.Now()) {
+		return true
+	}
+	b.over.Add(1)
+	return false
+}
+
 func (b *budget) take(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/logging/logging.go
+++ b/pkg/logging/logging.go
@@ -56,15 +56,29 @@
 	return logger, nil
 }
 
+// SetLevel has all loggers of the process leave out what is below a level, from now on;
+// a logger's own level holds as well. An empty level means info.
+func SetLevel(level string) error {
+	if level == "" {
+		level = zerolog.LevelInfoValue
+	}
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return &LevelError{Level: level}
+	}
+	zerolog.SetGlobalLevel(parsed)
+	return nil
+}
+
 // timestamp puts the time on each event, in UTC with milliseconds.
 type timestamp struct{}
 
-// timeLayout is RFC 3339 with milliseconds.
-const timeLayout = "2006-01-02T15:04:05.000Z07:00"
+// TimeLayout is that of times in lines: RFC 3339 with milliseconds.
+const TimeLayout = "2006-01-02T15:04:05.000Z07:00"
 
 // Run implements zerolog.Hook.
 func (timestamp) Run(event *zerolog.Event, _ zerolog.Level, _ string) {
-	event.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(timeLayout))
+	event.Str(zerolog.TimestampFieldName, time.Now().UTC().Format(TimeLayout))
 }
 
 // ServerErrors returns what net/http's server writes its errors to: one debug
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -18,6 +18,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -140,7 +141,7 @@
 			continue
 		}
 		if errors.Is(err, platform.ErrCompacted) {
-			m.options.Log.Warn().Int64("revision", m.revision()).Msg("store-history-gone")
+			m.options.Log.Warn().Int64(event.KeyRevision, m.revision()).Msg(string(event.StoreHistoryGone))
 			continue
 		}
 		pause = m.failed(err, pause)
@@ -154,7 +155,7 @@
 	defer m.mu.Unlock()
 	if !m.lost {
 		m.lost = true
-		m.options.Log.Warn().Err(err).Msg("store-lost")
+		m.options.Log.Warn().Err(err).Msg(string(event.StoreLost))
 		return firstRetry
 	}
 	return min(longestRetry, 2*pause)
@@ -170,9 +171,9 @@
 	if m.lost {
 		m.lost = false
 		m.returned = now
-		m.options.Log.Info().Msg("store-regained")
+		m.options.Log.Info().Msg(string(event.StoreRegained))
 	} else if first {
-		m.options.Log.Info().Msg("store-reached")
+		m.options.Log.Info().Msg(string(event.StoreReached))
 	}
 }
 
@@ -273,7 +274,7 @@
 func (m *Mirror) lapse(key string, end time.Time) {
 	if _, ok := m.lapsed[key]; !ok {
 		m.lapsed[key] = end
-		m.options.Log.Info().Str("key", key).Msg("entry-lapsed")
+		m.options.Log.Info().Str(event.KeyKey, key).Msg(string(event.EntryLapsed))
 	}
 }
 
@@ -319,7 +320,7 @@
 		if !now.Before(end) {
 			delete(entries, key)
 			delete(m.lapsed, key)
-			m.options.Log.Info().Str("key", key).Msg("entry-gone")
+			m.options.Log.Info().Str(event.KeyKey, key).Msg(string(event.EntryGone))
 		}
 	}
 	m.snapshot.Store(&Snapshot{Revision: revision, Entries: entries})
--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -48,7 +49,7 @@
 	for ctx.Err() == nil {
 		lease, err := r.register(ctx)
 		if err != nil {
-			r.Log.Warn().Err(err).Str("key", r.Key).Msg("registration-failed")
+			r.Log.Warn().Err(err).Str(event.KeyKey, r.Key).Msg(string(event.RegistrationFailed))
 			clock.Sleep(ctx, registerPause)
 			continue
 		}
@@ -69,7 +70,7 @@
 		return 0, errors.Join(err, r.revoke(context.WithoutCancel(ctx), lease))
 	}
 	r.revision = revision
-	r.Log.Info().Str("key", r.Key).Msg("registered")
+	r.Log.Info().Str(event.KeyKey, r.Key).Msg(string(event.Registered))
 	return lease, nil
 }
 
@@ -77,16 +78,16 @@
 func (r *Registration) keep(ctx context.Context, lease platform.LeaseID) {
 	for clock.Sleep(ctx, r.TTL/keepPart) {
 		if r.missing() {
-			r.Log.Warn().Str("key", r.Key).Msg("registration-taken-away")
+			r.Log.Warn().Str(event.KeyKey, r.Key).Msg(string(event.RegistrationTaken))
 			return
 		}
 		if err := r.renew(ctx, lease); errors.Is(err, platform.ErrLeaseLost) {
-			r.Log.Warn().Str("key", r.Key).Msg("registration-lost")
+			r.Log.Warn().Str(event.KeyKey, r.Key).Msg(string(event.RegistrationLost))
 			return
 		}
 	}
 	if err := r.revoke(context.WithoutCancel(ctx), lease); err != nil {
-		r.Log.Warn().Err(err).Str("key", r.Key).Msg("deregistration-failed")
+		r.Log.Warn().Err(err).Str(event.KeyKey, r.Key).Msg(string(event.DeregistrationFailed))
 	}
 }
 
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
@@ -351,7 +352,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if _, before := g.avoided[instance.Name]; !before {
-		g.options.Log.Info().Err(err).Str("peer", instance.Name).Msg("peer-lost")
+		g.options.Log.Info().Err(err).Str(event.KeyPeer, instance.Name).Msg(string(event.PeerLost))
 	}
 	g.avoided[instance.Name] = now.Add(avoidFor)
 }
@@ -374,13 +375,13 @@
 		return
 	}
 	if store.Adopt(&delta) {
-		g.options.Log.Debug().Int64("revision", delta.Revision).Str("peer", newest.Name).Msg("copy-adopted")
+		g.options.Log.Debug().Int64(event.KeyRevision, delta.Revision).Str(event.KeyPeer, newest.Name).Msg(string(event.CopyAdopted))
 	}
 }
 
 // copyFailed has the store followed for a while.
 func (g *Gossip) copyFailed(from *fleet.Instance, err error) {
-	g.options.Log.Warn().Err(err).Str("peer", from.Name).Msg("copy-failed")
+	g.options.Log.Warn().Err(err).Str(event.KeyPeer, from.Name).Msg(string(event.CopyFailed))
 	g.followUntil.Store(g.options.Clock.Now().Add(followAfter).UnixNano())
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
@@ -172,7 +173,7 @@
 		return
 	}
 	if before == nil || now.Sub(before.at) > SilentAfter {
-		g.options.Log.Info().Str("domain", digest.Domain).Int("instances", len(digest.Marks)).Msg("domain-heard")
+		g.options.Log.Info().Str(event.KeyDomain, digest.Domain).Int(event.KeyInstances, len(digest.Marks)).Msg(string(event.DomainHeard))
 	}
 	g.placed(digest.Placed, at)
 	g.digests[digest.Domain] = &heard[Digest]{value: digest, at: at}
@@ -192,9 +193,9 @@
 func (g *Gossip) note(before *heard[Report], report *Report) {
 	switch {
 	case before == nil, before.value.Incarnation != report.Incarnation:
-		g.options.Log.Info().Str("peer", report.Name).Msg("peer-found")
+		g.options.Log.Info().Str(event.KeyPeer, report.Name).Msg(string(event.PeerFound))
 	case report.Leaving && !before.value.Leaving:
-		g.options.Log.Info().Str("peer", report.Name).Msg("peer-leaving")
+		g.options.Log.Info().Str(event.KeyPeer, report.Name).Msg(string(event.PeerLeaving))
 	}
 }
 
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -111,8 +111,9 @@
 	// Known counts upstreams of the service in the region, Usable those that may get
 	// work, Slots and InFlight add up over the usable ones.
 	Known, Usable, Slots, InFlight, Prefill int
-	// Cold counts those that were passed over because they are cold.
-	Cold int
+	// Cold counts those that were passed over because they are cold, Resting those that
+	// were because they failed or rejected a request lately.
+	Cold, Resting int
 }
 
 // Look surveys the own region.
@@ -132,7 +133,11 @@
 		survey.Slots += upstream.Slots
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
-		if tried(req, upstream.ID) || own.Ejected || own.Rest > 0 {
+		if own.Ejected || own.Rest > 0 {
+			survey.Resting++
+			continue
+		}
+		if tried(req, upstream.ID) {
 			continue
 		}
 		if upstream.Cold(w.Now) && !w.Cold(upstream, req.Service) {
--- /dev/null
+++ b/pkg/telemetry/series.go
@@ -0,0 +1,116 @@
+package telemetry
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Label is one dimension of a metric.
+type Label struct{ Name, Value string }
+
+// overflow is the value of all labels of the one metric of a family that stands for
+// those for which there was no room.
+const overflow = "other"
+
+// Series hands out the labelled metrics of a registry, and bounds how many there are: a
+// metric too many is counted under labels with the value "other". It is safe for
+// concurrent use.
+type Series struct {
+	registry metrics.Registry
+	most     int
+	mu       sync.RWMutex
+	known    map[string]any
+	labels   map[string][]Label
+}
+
+// NewSeries returns Series with at most so many metrics.
+func NewSeries(registry metrics.Registry, most int) *Series {
+	return &Series{registry: registry, most: most, known: make(map[string]any), labels: make(map[string][]Label)}
+}
+
+// Counter returns the family's counter with the labels.
+func (s *Series) Counter(family string, labels ...Label) metrics.Counter {
+	return find(s, family, labels, metrics.NewCounter)
+}
+
+// Gauge returns the family's gauge with the labels.
+func (s *Series) Gauge(family string, labels ...Label) metrics.Gauge {
+	return find(s, family, labels, metrics.NewGauge)
+}
+
+// Latency returns the family's histogram with the labels.
+func (s *Series) Latency(family string, labels ...Label) *Latency {
+	return find(s, family, labels, NewLatency)
+}
+
+func find[M any](s *Series, family string, labels []Label, create func() M) M {
+	name := seriesName(family, labels)
+	s.mu.RLock()
+	found, ok := s.known[name]
+	s.mu.RUnlock()
+	if ok {
+		return found.(M)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.known) >= s.most && s.known[name] == nil {
+		labels = overflowed(labels)
+		name = seriesName(family, labels)
+	}
+	if found, ok := s.known[name]; ok {
+		return found.(M)
+	}
+	created := create()
+	s.known[name], s.labels[name] = created, labels
+	_ = s.registry.Register(name, created) // the name is new: known holds all
+	return created
+}
+
+// Remove forgets all metrics with the label, for instance those of an upstream that is
+// gone.
+func (s *Series) Remove(label Label) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, labels := range s.labels {
+		for _, has := range labels {
+			if has == label {
+				s.registry.Unregister(name)
+				delete(s.known, name)
+				delete(s.labels, name)
+				break
+			}
+		}
+	}
+}
+
+func overflowed(labels []Label) []Label {
+	others := make([]Label, len(labels))
+	for i, label := range labels {
+		others[i] = Label{Name: label.Name, Value: overflow}
+	}
+	return others
+}
+
+// seriesName is a metric's name in the registry, with its labels as they are exposed.
+func seriesName(family string, labels []Label) string {
+	if len(labels) == 0 {
+		return family
+	}
+	var name strings.Builder
+	name.WriteString(family)
+	for i, label := range labels {
+		if i == 0 {
+			name.WriteByte('{')
+		} else {
+			name.WriteByte(',')
+		}
+		name.WriteString(label.Name)
+		name.WriteByte('=')
+		name.WriteString(strconv.Quote(label.Value))
+	}
+	name.WriteByte('}')
+	return name.String()
+}
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -35,43 +35,73 @@
 		names = append(names, name)
 	}
 	sort.Strings(names)
+	last := ""
 	for _, name := range names {
-		write(w, exposed(name), named[name])
+		family, labels := exposed(name)
+		write(w, sample{family: family, labels: labels, first: family != last}, named[name])
+		last = family
 	}
 }
 
-// exposed turns a dotted metric name into a Prometheus one.
-func exposed(name string) string {
-	return "lilacweir_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+// exposed splits a metric's name into that of its family, in the form of Prometheus, and
+// its labels without braces.
+func exposed(name string) (family, labels string) {
+	family, labels, _ = strings.Cut(strings.TrimSuffix(name, "}"), "{")
+	return "lilacweir_" + strings.NewReplacer(".", "_", "-", "_").Replace(family), labels
 }
 
-func write(w io.Writer, name string, metric any) {
+func write(w io.Writer, s sample, metric any) {
 	switch m := metric.(type) {
 	case metrics.Counter:
-		single(w, name, "counter", float64(m.Count()))
+		s.single(w, "counter", float64(m.Count()))
 	case metrics.Gauge:
-		single(w, name, "gauge", float64(m.Value()))
+		s.single(w, "gauge", float64(m.Value()))
 	case metrics.GaugeFloat64:
-		single(w, name, "gauge", m.Value())
+		s.single(w, "gauge", m.Value())
 	case metrics.Meter:
-		single(w, name, "counter", float64(m.Snapshot().Count()))
+		s.single(w, "counter", float64(m.Snapshot().Count()))
 	case metrics.Histogram:
-		s := m.Snapshot()
-		summary(w, name, s.Percentiles(quantiles), float64(s.Sum()), s.Count())
+		h := m.Snapshot()
+		s.summary(w, h.Percentiles(quantiles), float64(h.Sum()), h.Count())
 	case metrics.Timer:
-		s := m.Snapshot()
-		summary(w, name, s.Percentiles(quantiles), float64(s.Sum()), s.Count())
+		t := m.Snapshot()
+		s.summary(w, t.Percentiles(quantiles), float64(t.Sum()), t.Count())
 	}
 }
 
-func single(w io.Writer, name, kind string, value float64) {
-	fmt.Fprintf(w, "# TYPE %s %s\n%s %g\n", name, kind, name, value)
+// sample is one metric as it is exposed. The first of a family tells its type.
+type sample struct {
+	family, labels string
+	first          bool
 }
 
-func summary(w io.Writer, name string, values []float64, sum float64, count int64) {
-	fmt.Fprintf(w, "# TYPE %s summary\n", name)
+func (s sample) kind(w io.Writer, kind string) {
+	if s.first {
+		fmt.Fprintf(w, "# TYPE %s %s\n", s.family, kind)
+	}
+}
+
+// name is the family's with a suffix, the labels and perhaps one label more.
+func (s sample) name(suffix, more string) string {
+	labels := s.labels
+	if labels != "" && more != "" {
+		labels += ","
+	}
+	if labels += more; labels == "" {
+		return s.family + suffix
+	}
+	return s.family + suffix + "{" + labels + "}"
+}
+
+func (s sample) single(w io.Writer, kind string, value float64) {
+	s.kind(w, kind)
+	fmt.Fprintf(w, "%s %g\n", s.name("", ""), value)
+}
+
+func (s sample) summary(w io.Writer, values []float64, sum float64, count int64) {
+	s.kind(w, "summary")
 	for i, value := range values {
-		fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, quantiles[i], value)
+		fmt.Fprintf(w, "%s %g\n", s.name("", fmt.Sprintf("quantile=\"%g\"", quantiles[i])), value)
 	}
-	fmt.Fprintf(w, "%s_sum %g\n%s_count %d\n", name, sum, name, count)
+	fmt.Fprintf(w, "%s %g\n%s %d\n", s.name("_sum", ""), sum, s.name("_count", ""), count)
 }
