An instance that begins while the store is away gets its copy from who asks it

Ruled out: copies too old to be adopted (it never asked for one).

Who asks an instance that is not known to have a copy says where to get one; nothing is added to other exchanges. The test, from the own domain and from another region, failed before.

--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -79,6 +79,8 @@
 	digests map[string]*heard[Digest]
 	// addresses holds the instances that were registered, and where to reach them.
 	addresses map[string]fleet.Instance
+	// askers holds who said where to get a copy of the store.
+	askers map[string]*heard[asker]
 	// avoided holds the instances that did not answer, and until when.
 	avoided map[string]time.Time
 	// urgent holds one value while a round should come early.
@@ -92,6 +94,13 @@
 	copying     atomic.Bool
 }
 
+// asker is an instance that has a copy of the store and offers it.
+type asker struct {
+	instance fleet.Instance
+	// store is the revision of its copy.
+	store int64
+}
+
 // heard is something with the time at which it was true, by this process's clock.
 type heard[T any] struct {
 	value T
@@ -105,6 +114,7 @@
 		reports:   make(map[string]*heard[Report]),
 		digests:   make(map[string]*heard[Digest]),
 		addresses: make(map[string]fleet.Instance),
+		askers:    make(map[string]*heard[asker]),
 		avoided:   make(map[string]time.Time),
 		urgent:    make(chan struct{}, 1),
 		copies:    options.Copies,
@@ -335,6 +345,9 @@
 	defer cancel()
 	var reply Reply
 	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report()}
+	if !g.hasCopy(&instance) {
+		ask.Gossip = g.options.Self.Gossip
+	}
 	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, ask, &reply)
 	if ctx.Err() != nil && err == nil {
 		return
@@ -346,6 +359,36 @@
 	g.take(&reply)
 }
 
+// hasCopy says whether an instance, or one of its domain, is known to have a copy of the
+// store.
+func (g *Gossip) hasCopy(instance *fleet.Instance) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if instance.Domain != g.options.Self.Domain {
+		digest := g.digests[instance.Domain]
+		return digest != nil && digest.value.Store > 0
+	}
+	report := g.reports[instance.Name]
+	return report != nil && report.value.Store > 0
+}
+
+// noteAsker remembers who offers a copy, as long as this instance has none. The caller
+// holds g.mu.
+func (g *Gossip) noteAsker(ask *Ask, own *Report, now time.Time) {
+	if own.Store > 0 {
+		clear(g.askers)
+		return
+	}
+	if ask.Gossip == "" || ask.Report.Store == 0 {
+		return
+	}
+	offers := asker{
+		instance: fleet.Instance{Name: ask.Report.Name, Domain: ask.Domain, Region: ask.Region, Gossip: ask.Gossip},
+		store:    ask.Report.Store,
+	}
+	g.askers[ask.Report.Name] = &heard[asker]{value: offers, at: now}
+}
+
 // unreached remembers that an instance did not answer.
 func (g *Gossip) unreached(instance fleet.Instance, err error) {
 	now := g.options.Clock.Now()
@@ -423,5 +466,13 @@
 			}
 		}
 	}
+	if best != nil {
+		return best
+	}
+	for _, offered := range g.askers {
+		if offer := &offered.value; offer.store > above && now.Sub(offered.at) <= SilentAfter && !now.Before(g.avoided[offer.instance.Name]) {
+			above, best = offer.store, &offer.instance
+		}
+	}
 	return best
 }
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -243,6 +243,35 @@
 	}
 }
 
+// TestWhoKnowsNobodyLearnsFromWhoAsksIt: an instance that began while the store does not
+// answer has no list of instances, but those that know where it is registered ask it, of
+// its domain and of others.
+func TestWhoKnowsNobodyLearnsFromWhoAsksIt(t *testing.T) {
+	for name, domains := range map[string][]string{"from its domain": {"north-a"}, "from another region": {"north-a", "south-a"}} {
+		t.Run(name, func(t *testing.T) {
+			each := 3 - len(domains)
+			m := newMesh(t, each, domains...)
+			began := m.nodes["north-a-0"]
+			began.fleet.Store(nil)
+			began.gossip.forget()
+			knows := m.nodes[fmt.Sprintf("%s-%d", domains[len(domains)-1], each-1)]
+			snapshot := &mirror.Snapshot{Revision: 10, Entries: map[string]platform.Entry{
+				"declared/config": {Key: "declared/config", Value: []byte("one"), ModRevision: 10},
+			}}
+			delta := snapshot.Since(0)
+			m.is.True(knows.store.Adopt(&delta))
+			m.eventually("it has the copy", func() bool { return began.store.Revision() == 10 })
+		})
+	}
+}
+
+// forget drops what was learned before the fleet was.
+func (g *Gossip) forget() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.addresses)
+}
+
 // TestInstancesWhoseEntriesAreTakenAwayAreStillReached for as long as they are heard of:
 // in the own domain and beyond.
 func TestInstancesWhoseEntriesAreTakenAwayAreStillReached(t *testing.T) {
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -24,6 +24,9 @@
 type Ask struct {
 	Domain, Region string
 	Report         Report
+	// Gossip is where the asking instance can be asked for its copy of the store; empty
+	// when the asked one is known to have a copy, and with it the addresses of all.
+	Gossip string
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -61,6 +64,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.avoided, ask.Report.Name)
+	g.noteAsker(&ask, &own, now)
 	if ask.Domain != g.options.Self.Domain {
 		reply.Digests = []Digest{g.digest(&own, now, ask.Region)}
 		return nil
