Instances that have just begun learn of other regions sooner

The first round waits until there is somebody to ask and includes the other regions; who asks from a domain that is not heard of is asked in turn at once.

--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -92,6 +92,9 @@
 	// failed.
 	followUntil atomic.Int64
 	copying     atomic.Bool
+	// farWanted is true when an instance of a domain has asked that is not heard of yet: it
+	// can be asked in turn at once.
+	farWanted atomic.Bool
 }
 
 // asker is an instance that has a copy of the store and offers it.
@@ -136,6 +139,7 @@
 
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
+	g.waitFleet(ctx)
 	var due time.Time
 	for n := 0; ctx.Err() == nil; clock.Sleep(ctx, hurryPause) {
 		now := g.options.Clock.Now()
@@ -148,14 +152,31 @@
 			n++
 		}
 		g.exchangeNear(ctx)
-		if !hurried && g.hub() == g.options.Self.Name {
-			g.exchangeFar(ctx, n%farEvery == 0)
+		if regions := g.farWanted.Swap(false); (regions || !hurried) && g.hub() == g.options.Self.Name {
+			g.exchangeFar(ctx, regions || n%farEvery == 1)
 		}
 		g.publish()
 		g.startCatchUp(ctx)
 	}
 }
 
+// waitFleet waits until there is somebody to ask, or for a round: an instance that has
+// just begun should know its peers as soon as it knows where they are, and those of other
+// regions too.
+func (g *Gossip) waitFleet(ctx context.Context) {
+	changed := g.options.Fleet.Changed()
+	if g.options.Fleet.Load() != nil {
+		return
+	}
+	limit := time.NewTimer(round)
+	defer limit.Stop()
+	select {
+	case <-changed:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // startCatchUp copies beside the rounds, one copy at a time.
 func (g *Gossip) startCatchUp(ctx context.Context) {
 	if !g.copying.CompareAndSwap(false, true) {
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -340,3 +340,23 @@
 	var failure *PackError
 	is.True(errors.As(err, &failure))
 }
+
+// TestWhoAsksFromADomainThatIsNotHeardOfIsAskedInTurnAtOnce: after a start of everything,
+// the first asks meet instances that do not run yet. A domain that is heard of is asked
+// in the usual rounds.
+func TestWhoAsksFromADomainThatIsNotHeardOfIsAskedInTurnAtOnce(t *testing.T) {
+	m := newMesh(t, 1, "north-a")
+	asked := m.nodes["north-a-0"].gossip
+	m.kill(m.nodes["north-a-0"])
+	ask := Ask{Domain: "south-a", Region: "south", Report: Report{Name: "south-a-0", Incarnation: 1, Sequence: 1}}
+	service := &Service{gossip: asked}
+	wanted := func() bool {
+		var reply Reply
+		m.is.NoErr(service.Exchange(ask, &reply))
+		return asked.farWanted.Swap(false)
+	}
+	m.is.True(wanted())
+	m.is.Equal(len(asked.urgent), 1)
+	asked.takeDigest(Digest{Domain: "south-a", Region: "south"}, time.Now())
+	m.is.True(!wanted())
+}
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -67,6 +67,10 @@
 	g.noteAsker(&ask, &own, now)
 	if ask.Domain != g.options.Self.Domain {
 		reply.Digests = []Digest{g.digest(&own, now, ask.Region)}
+		if digest := g.digests[ask.Domain]; digest == nil || now.Sub(digest.at) > SilentAfter {
+			g.farWanted.Store(true)
+			g.Hurry()
+		}
 		return nil
 	}
 	g.takeReport(ask.Report, now)
