A stream that breaks off counts as one send; callers that left are logged as failures

The count bounds how often a request is sent, so a resumable stream had fewer sends than allowed. The test failed before (4 sends for 2).

--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -70,12 +70,12 @@
 	return c.judge(ctx, answer)
 }
 
-// failed classifies an attempt without an answer.
+// failed classifies an attempt without a whole answer.
 func (c *call) failed(ctx context.Context, err error) result {
 	c.err, c.lastError = err, err
 	var failure *exchange.Error
 	unsent := errors.As(err, &failure) && failure.Stage == exchange.Unsent
-	if !unsent {
+	if !unsent && c.status == 0 {
 		c.sends++
 	}
 	if c.request.Context().Err() != nil {
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -437,6 +437,21 @@
 	}
 }
 
+// TestAStreamThatBreaksOffCountsAsOneSend: counted twice, it would use up the sends that
+// bound how often a request may go elsewhere.
+func TestAStreamThatBreaksOffCountsAsOneSend(t *testing.T) {
+	begin := func(conn net.Conn, request *http.Request) bool {
+		write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "c\r\nid: 1\ndata:\n\n\r\n")
+		return reset(conn, request)
+	}
+	u, arrivals := both(t, begin)
+	b := newBed(t, resumable, u...)
+	b.ask(http.MethodPost, "/r/", "body")
+	b.is.Equal(arrivals(), 2)
+	b.eventually("the end is logged", func() bool { return len(b.lines.with("event=request-failed")) == 1 })
+	b.is.Equal(len(b.lines.with("event=request-failed", "sends=2", "runs=2")), 1)
+}
+
 // TestARefusalNamesItsRequestAlsoWithoutAConfiguration: so does its line in the log.
 func TestARefusalNamesItsRequestAlsoWithoutAConfiguration(t *testing.T) {
 	b := newBed(t, safe)
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -18,6 +18,9 @@
 // log like a failure: quiet days have their 99th percentile below it.
 const slowFirst = time.Second
 
+// noFirst stands for the time of a first part that was never passed on.
+const noFirst = -time.Millisecond
+
 // step is a line of a request that was over the budget when it happened.
 type step struct {
 	at     time.Time
@@ -95,10 +98,14 @@
 		Err(c.err).Msg(string(event.AttemptFailed))
 }
 
-// noteEnd logs the end of a request that was answered, if only with a server's failure.
+// noteEnd logs the end of a request that was answered, if only with a server's failure,
+// or whose caller has left.
 func (j *job) noteEnd(took time.Duration) {
-	first := j.writer.first.Sub(j.started)
-	if first >= slowFirst || j.writer.status >= http.StatusInternalServerError {
+	first := noFirst
+	if !j.writer.first.IsZero() {
+		first = j.writer.first.Sub(j.started)
+	}
+	if first >= slowFirst || j.writer.status >= http.StatusInternalServerError || j.callerLeft() {
 		j.noteHeld()
 		j.write(j.failedLog.Info(), event.RequestEnded, j.endFields(first, took))
 		return
@@ -106,9 +113,20 @@
 	j.note(event.RequestEnded, j.endFields(first, took))
 }
 
+// callerLeft says whether the caller has closed its connection.
+func (j *job) callerLeft() bool { return j.request.Context().Err() != nil }
+
+// answered is the outcome of a request that was not refused.
+func (j *job) answered() outcome.Outcome {
+	if j.callerLeft() {
+		return outcomeCallerGone
+	}
+	return outcome.Complete
+}
+
 func (j *job) endFields(first, took time.Duration) func(*zerolog.Event) {
 	return func(line *zerolog.Event) {
-		line.Int(event.KeyStatus, j.writer.status).Int(event.KeySends, j.sends).Bool(event.KeyForwarded, j.forwarded).
+		line.Str(event.KeyOutcome, string(j.answered())).Int(event.KeyStatus, j.writer.status).Int(event.KeySends, j.sends).Bool(event.KeyForwarded, j.forwarded).
 			Dur(event.KeyFirstMS, first).Dur(event.KeyMS, took)
 	}
 }
--- a/pkg/edge/lines_test.go
+++ b/pkg/edge/lines_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -58,3 +60,30 @@
 	b.edge.forgetGone(b.edge.board.Fleet.Load(), empty)
 	b.is.True(!shown())
 }
+
+// TestACallerThatLeftIsLoggedWithItsSteps: for its user the request has failed.
+func TestACallerThatLeftIsLoggedWithItsSteps(t *testing.T) {
+	gone := make(chan struct{})
+	b := newBed(t, unsafe, newUpstream(t, func(net.Conn, *http.Request) bool { <-gone; return false }))
+	b.good.off.Store(true)
+	ctx, leave := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, b.caller.URL+"/r/", nil)
+	b.is.NoErr(err)
+	request.Header.Set(testID, "id-8")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+			t.Error("an answer came")
+		}
+	}()
+	b.eventually("the request is at the upstream", func() bool { return b.edge.tracker.Load("u-0").InFlight == 1 })
+	leave()
+	b.eventually("its end is logged", func() bool {
+		return len(b.lines.with("event=request-ended", "request=id-8", "outcome=caller-gone", "first_ms=-1")) == 1
+	})
+	b.is.Equal(len(b.lines.with("event=request-routed", "request=id-8", "at=")), 1)
+	<-ended
+	close(gone)
+}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -30,7 +30,7 @@
 // noRoute is the route of requests that match none.
 const noRoute = "none"
 
-// outcomeCallerGone is the outcome, in metrics, of a request whose caller has left.
+// outcomeCallerGone is the outcome, in lines and metrics, of a request whose caller has left.
 const outcomeCallerGone outcome.Outcome = "caller-gone"
 
 // counters count and time requests and attempts.
@@ -44,12 +44,9 @@
 	if j.route != nil {
 		route.Value = j.route.Name
 	}
-	ended, reason := outcome.Complete, outcome.Reason("")
-	switch {
-	case refusal != nil:
+	ended, reason := j.answered(), outcome.Reason("")
+	if refusal != nil {
 		ended, reason = refusal.Outcome, refusal.Reason
-	case j.request.Context().Err() != nil:
-		ended = outcomeCallerGone
 	}
 	c.series.Counter("requests", route, label(labelOutcome, string(ended)), label(labelReason, string(reason))).Inc(1)
 	if ended != outcome.Complete {
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -41,6 +41,8 @@
 	case visit.End.Event == event.RequestFailed:
 		all = append(all, l.whyRefused(visit)...)
 		all = append(all, l.store(visit)...)
+	case visit.End.Get(event.KeyOutcome) == callerGone:
+		all = append(all, l.whyLeft(visit)...)
 	case time.Duration(visit.End.Int(event.KeyFirstMS))*time.Millisecond >= slow:
 		all = append(all, l.whyLate(visit)...)
 	}
@@ -230,9 +232,21 @@
 	return []string{fmt.Sprintf("the store was lost to %s %s", visit.Instance, distance(visit.End.Time, line.Time))}
 }
 
+// whyLeft tells what a caller that has left was waiting for.
+func (l *Log) whyLeft(visit *Visit) []string {
+	all := []string{fmt.Sprintf("the caller left after %d ms", visit.End.Int(event.KeyMS))}
+	return append(all, l.whyWaited(visit)...)
+}
+
 // whyLate tells what an answer that began late waited for.
 func (l *Log) whyLate(visit *Visit) []string {
 	all := []string{fmt.Sprintf("the answer began after %d ms", visit.End.Int(event.KeyFirstMS))}
+	return append(all, l.whyWaited(visit)...)
+}
+
+// whyWaited tells what the attempts of a request met.
+func (l *Log) whyWaited(visit *Visit) []string {
+	var all []string
 	routes := visit.steps(event.RequestRouted)
 	if len(routes) == 0 {
 		return all
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -141,6 +141,13 @@
 			[]string{line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1"), line("12.000", "front-a", event.Start, "")},
 			"front-a started anew 2s after: it ended with the request in work",
 		},
+		"a caller that left": {
+			[]string{
+				line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1 in_flight=40 prefill=9000 uncached=500"),
+				line("14.000", "front-a", event.RequestEnded, "request=r-1 outcome=caller-gone status=0 sends=1 first_ms=-1 ms=4000"),
+			},
+			"the caller left after 4000 ms; u-1 had 40 requests in work and 9000 prompt tokens to read, and 500 of this one",
+		},
 		"a late answer": {
 			[]string{
 				line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1 in_flight=40 prefill=9000 uncached=500"),
--- a/pkg/explain/render.go
+++ b/pkg/explain/render.go
@@ -132,12 +132,26 @@
 	case event.RequestFailed:
 		return describeFailure(step)
 	case event.RequestEnded:
+		if step.Get(event.KeyOutcome) == callerGone {
+			return fmt.Sprintf("the caller left after %d ms; first part after %s, status %d", step.Int(event.KeyMS), firstPart(step), step.Int(event.KeyStatus))
+		}
 		return fmt.Sprintf("answered %d; first part after %d ms, all after %d ms", step.Int(event.KeyStatus), step.Int(event.KeyFirstMS), step.Int(event.KeyMS))
 	default:
 		return string(step.Event)
 	}
 }
 
+// callerGone is the outcome of a request whose caller left before its end.
+const callerGone = "caller-gone"
+
+// firstPart is when the first part of an answer was passed on.
+func firstPart(step *Line) string {
+	if ms := step.Int(event.KeyFirstMS); ms >= 0 {
+		return fmt.Sprintf("%d ms", ms)
+	}
+	return "none"
+}
+
 func describeRoute(step *Line) string {
 	text := fmt.Sprintf("send %d to %s in %s:", step.Int(event.KeySend), step.Get(event.KeyTarget), step.Get(event.KeyDomain))
 	if heard := step.Get(event.KeyHeardMS); heard != "" {
