Entries that count only for a while travel as such with copies of the store

Cause: an instance that has just regained the store keeps a missing leased entry for 2.3 s. Others that copied its copy in that time got the entry as if it were there. When its time was over it went without a new revision of the store, so nobody asked again: 9 instances sent requests to a server for 5 s after it had left, until the store changed next. In a quiet store it would have been for good. The kept packed copy had the same fault.

Ruled out: late or failed copies (the copiers had the revision of the removal), two watchers without the store (others told them), steering (it only made a request fall into the gap).

A copy now tells for how long an entry still counts; who adopts it drops it then, also when it does not hear the store. The test, for an instance that does not follow the store and for one that does not reach it, failed before.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -27,6 +27,9 @@
 	// Revision is the store's revision that the copy reflects.
 	Revision int64
 	Entries  map[string]platform.Entry
+	// Lapsed holds the entries that are missing in the store and still counted, and until
+	// when, by this process's clock.
+	Lapsed map[string]time.Time
 }
 
 // Options of a Mirror.
@@ -83,6 +86,8 @@
 	reached time.Time
 	// lapsed holds the entries that are missing and still counted, and until when.
 	lapsed map[string]time.Time
+	// told is true while lapsed is as another instance told it.
+	told bool
 }
 
 // New returns a Mirror that holds nothing yet.
@@ -129,6 +134,7 @@
 	pause := firstRetry
 	for ctx.Err() == nil {
 		if !m.active() {
+			m.sweep()
 			clock.Sleep(ctx, idlePause)
 			continue
 		}
@@ -145,6 +151,7 @@
 			continue
 		}
 		pause = m.failed(err, pause)
+		m.sweep()
 		clock.Sleep(ctx, pause)
 	}
 }
@@ -273,7 +280,7 @@
 // lapse keeps a missing entry until end, or as long as was said before.
 func (m *Mirror) lapse(key string, end time.Time) {
 	if _, ok := m.lapsed[key]; !ok {
-		m.lapsed[key] = end
+		m.lapsed[key], m.told = end, false
 		m.options.Log.Info().Str(event.KeyKey, key).Msg(string(event.EntryLapsed))
 	}
 }
@@ -323,7 +330,20 @@
 			m.options.Log.Info().Str(event.KeyKey, key).Msg(string(event.EntryGone))
 		}
 	}
-	m.snapshot.Store(&Snapshot{Revision: revision, Entries: entries})
+	m.snapshot.Store(&Snapshot{Revision: revision, Entries: entries, Lapsed: maps.Clone(m.lapsed)})
+}
+
+// sweep drops the lapsed entries whose time is over while no answer of the store does. As
+// long as the store does not answer, the own word that one was missing may be out of
+// date; that of an instance that hears the store counts.
+func (m *Mirror) sweep() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	present, now := m.snapshot.Load(), m.options.Clock.Now()
+	if present == nil || !m.due(now) || (m.lost && !m.told) {
+		return
+	}
+	m.publish(present.Revision, maps.Clone(present.Entries), now)
 }
 
 func (m *Mirror) due(now time.Time) bool {
@@ -364,10 +384,18 @@
 	// Changed holds the entries that were written since, Keys all keys that there are.
 	Changed []platform.Entry
 	Keys    []string
+	// Lapsed holds those of the keys that are missing in the store and still counted.
+	Lapsed []Lapse
+}
+
+// Lapse is a key that counts for a while longer.
+type Lapse struct {
+	Key  string
+	Left time.Duration
 }
 
 // Since returns what has changed in the copy since a revision.
-func (s *Snapshot) Since(revision int64) Delta {
+func (s *Snapshot) Since(revision int64, now time.Time) Delta {
 	if s.Revision <= revision {
 		return Delta{}
 	}
@@ -378,6 +406,9 @@
 			delta.Changed = append(delta.Changed, entry)
 		}
 	}
+	for key, end := range s.Lapsed {
+		delta.Lapsed = append(delta.Lapsed, Lapse{Key: key, Left: end.Sub(now)})
+	}
 	return delta
 }
 
@@ -407,7 +438,11 @@
 		}
 		entries[key] = entry
 	}
-	m.lapsed = make(map[string]time.Time)
-	m.snapshot.Store(&Snapshot{Revision: delta.Revision, Entries: entries})
+	now := m.options.Clock.Now()
+	m.lapsed, m.told = make(map[string]time.Time, len(delta.Lapsed)), true
+	for _, lapse := range delta.Lapsed {
+		m.lapsed[lapse.Key] = now.Add(min(lapse.Left, lapseGrace))
+	}
+	m.publish(delta.Revision, entries, now)
 	return true
 }
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -178,6 +178,47 @@
 	})
 }
 
+// TestALapsedEntryIsGoneFromCopiesOfTheCopyToo: it goes without a new revision of the store,
+// so that nobody would ask for a newer copy. It is kept no longer than where it was
+// copied from, also by an instance that hears nothing of the store.
+func TestALapsedEntryIsGoneFromCopiesOfTheCopyToo(t *testing.T) {
+	for name, active := range map[string]bool{"does not follow the store": false, "does not reach the store": true} {
+		t.Run(name, func(t *testing.T) {
+			follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+				s.put("servers/a", "1")
+				s.put("servers/b", "1")
+				time.Sleep(time.Second)
+				s.set(func() { s.down = true })
+				time.Sleep(5 * time.Second)
+				s.set(func() { s.down = false })
+				s.remove("servers/a")
+				time.Sleep(time.Second)
+				is.True(has(m, "servers/a")) // its owner may write it again
+
+				unreached := newStore()
+				unreached.down = true
+				copied := mirror.New(mirror.Options{
+					Source: unreached, Leased: []string{"servers/"}, Clock: clock.System{}, Log: zerolog.Nop(),
+					Active: func() bool { return active },
+				})
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() { copied.Run(ctx); close(ended) }()
+				delta := m.Snapshot().Load().Since(0, time.Now())
+				is.True(copied.Adopt(&delta))
+				is.True(has(copied, "servers/a"))
+				time.Sleep(2 * time.Second)
+				is.True(!has(m, "servers/a"))
+				is.True(!has(copied, "servers/a"))
+				is.True(has(copied, "servers/b"))
+				is.Equal(len(copied.Snapshot().Load().Lapsed), 0)
+				cancel()
+				<-ended
+			})
+		})
+	}
+}
+
 // TestEntriesRemovedWhileTheStoreAnswersAreGoneAtOnce: no grace in calm times.
 func TestEntriesRemovedWhileTheStoreAnswersAreGoneAtOnce(t *testing.T) {
 	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
@@ -209,11 +250,11 @@
 	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
 		s.put("declared/config", "old")
 		time.Sleep(time.Second)
-		old := m.Snapshot().Load().Since(0)
+		old := m.Snapshot().Load().Since(0, time.Now())
 		newer := &mirror.Snapshot{Revision: 50, Entries: map[string]platform.Entry{
 			"declared/config": {Key: "declared/config", Value: []byte("new"), ModRevision: 40},
 		}}
-		delta := newer.Since(m.Revision())
+		delta := newer.Since(m.Revision(), time.Now())
 		is.True(m.Adopt(&delta))
 		is.True(!m.Adopt(&old))
 		// The store tells again of what the copy already reflects.
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -225,7 +225,7 @@
 		snapshot := &mirror.Snapshot{Revision: revision, Entries: map[string]platform.Entry{
 			"declared/config": {Key: "declared/config", Value: []byte(value), ModRevision: revision},
 		}}
-		delta := snapshot.Since(m.nodes["north-a-0"].store.Revision())
+		delta := snapshot.Since(m.nodes["north-a-0"].store.Revision(), time.Now())
 		m.is.True(m.nodes["north-a-0"].store.Adopt(&delta))
 	}
 	large := strings.Repeat(`{"name":"r","hostname":"a.example","prefix":"/x/"},`, 20_000)
@@ -254,7 +254,7 @@
 			snapshot := &mirror.Snapshot{Revision: 10, Entries: map[string]platform.Entry{
 				"declared/config": {Key: "declared/config", Value: []byte("one"), ModRevision: 10},
 			}}
-			delta := snapshot.Since(0)
+			delta := snapshot.Since(0, time.Now())
 			m.is.True(knows.store.Adopt(&delta))
 			m.eventually("it has the copy", func() bool { return began.store.Revision() == 10 })
 		})
--- a/pkg/peer/pack.go
+++ b/pkg/peer/pack.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
@@ -15,9 +16,10 @@
 // from one instance behind a link of 10 Mbit/s. The last result is kept, since all of the
 // domain ask for the same.
 type packer struct {
-	mu              sync.Mutex
-	revision, since int64
-	packed          []byte
+	mu     sync.Mutex
+	of     *mirror.Snapshot
+	since  int64
+	packed []byte
 }
 
 // PackError is a delta that could not be encoded or decoded.
@@ -29,10 +31,10 @@
 // Unwrap returns the cause.
 func (e *PackError) Unwrap() error { return e.Err }
 
-func (p *packer) pack(snapshot *mirror.Snapshot, since int64) ([]byte, error) {
+func (p *packer) pack(snapshot *mirror.Snapshot, since int64, now time.Time) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.packed != nil && p.revision == snapshot.Revision && p.since == since {
+	if p.packed != nil && p.of == snapshot && p.since == since {
 		return p.packed, nil
 	}
 	var buffer bytes.Buffer
@@ -40,13 +42,17 @@
 	if err != nil {
 		return nil, &PackError{Err: err}
 	}
-	if err := gob.NewEncoder(writer).Encode(snapshot.Since(since)); err != nil {
+	if err := gob.NewEncoder(writer).Encode(snapshot.Since(since, now)); err != nil {
 		return nil, &PackError{Err: err}
 	}
 	if err := writer.Close(); err != nil {
 		return nil, &PackError{Err: err}
 	}
-	p.revision, p.since, p.packed = snapshot.Revision, since, buffer.Bytes()
+	if len(snapshot.Lapsed) > 0 {
+		// How long an entry still counts changes from moment to moment.
+		return buffer.Bytes(), nil
+	}
+	p.of, p.since, p.packed = snapshot, since, buffer.Bytes()
 	return p.packed, nil
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -97,7 +97,7 @@
 	if snapshot == nil {
 		snapshot = &mirror.Snapshot{}
 	}
-	packed, err := s.gossip.packer.pack(snapshot, args.Revision)
+	packed, err := s.gossip.packer.pack(snapshot, args.Revision, s.gossip.options.Clock.Now())
 	reply.Packed = packed
 	return err
 }
