--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -52,17 +53,25 @@
 // whyAttempt tells what else is known of the target of a failed attempt.
 func (l *Log) whyAttempt(attempt *Line) []string {
 	target := attempt.Get(event.KeyTarget)
-	how := "broke off"
-	if attempt.Is(event.KeyUnsent) {
-		how = "could not be reached"
-	}
-	all := []string{fmt.Sprintf("%s %s: %s", target, how, attempt.Get(event.KeyError))}
+	all := []string{target + " " + howFailed(attempt)}
 	if others := l.failuresAt(target, attempt.Time); others > 0 {
 		all = append(all, fmt.Sprintf("attempts of other requests that failed at %[2]s within %[3]v: %[1]d", others, target, beside))
 	}
 	return append(all, l.fateOf(target, attempt.Time)...)
 }
 
+// howFailed tells a failed attempt in a few words.
+func howFailed(attempt *Line) string {
+	switch {
+	case attempt.Is(event.KeyUnsent):
+		return "could not be reached: " + attempt.Get(event.KeyError)
+	case attempt.Int(event.KeyStatus) >= http.StatusInternalServerError:
+		return fmt.Sprintf("answered %d", attempt.Int(event.KeyStatus))
+	default:
+		return "broke off: " + attempt.Get(event.KeyError)
+	}
+}
+
 func (l *Log) failuresAt(target string, at time.Time) int {
 	count := 0
 	for _, line := range l.near(event.AttemptFailed, at.Add(-beside), at.Add(beside)) {
@@ -175,7 +184,7 @@
 func (l *Log) lostUpstreams(visit *Visit) []string {
 	var all []string
 	until := visit.End.Time
-	for _, name := range []event.Name{event.UpstreamGone, event.UpstreamEjected} {
+	for _, name := range []event.Name{event.UpstreamGone, event.UpstreamEjected, event.AttemptFailed} {
 		if count := l.countAt(visit.Instance, name, until.Add(-before), until); count > 0 {
 			all = append(all, fmt.Sprintf("%d × %s at %s in the %v before", count, name, visit.Instance, before))
 		}
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -165,6 +165,19 @@
 	}
 }
 
+// TestAHeldStepComesBeforeWhatItLedTo although it is written after it and clocks have
+// milliseconds only.
+func TestAHeldStepComesBeforeWhatItLedTo(t *testing.T) {
+	story := tell(t, strings.Join([]string{
+		line("10.000", "front-a", event.AttemptFailed, "request=r-1 target=u-1 send=1"),
+		line("10.002", "front-a", event.RequestRouted, "at=2026-03-01T10:00:10.000Z request=r-1 target=u-1 send=1"),
+		line("10.002", "front-a", event.RequestFailed, "request=r-1 outcome=unknown reason=upstream-failed"),
+	}, "\n"))
+	is := is.New(t)
+	is.Equal(len(story.Visits), 1)
+	is.Equal(story.Visits[0].Steps[0].Event, event.RequestRouted)
+}
+
 func TestARequestThatNoLineIsAbout(t *testing.T) {
 	is := is.New(t)
 	log := explain.NewLog("r-9")
--- a/pkg/explain/log.go
+++ b/pkg/explain/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -104,11 +105,24 @@
 
 // sort puts the lines in the order of time.
 func (l *Log) sort() {
-	byTime := func(a, b *Line) int { return a.Time.Compare(b.Time) }
+	byTime := func(a, b *Line) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(phase(a), phase(b))) }
 	slices.SortStableFunc(l.Own, byTime)
 	slices.SortStableFunc(l.Others, byTime)
 }
 
+// phase orders the lines of one attempt that have the same time: a step that was held
+// back is written after what it led to.
+func phase(line *Line) int {
+	switch line.Event {
+	case event.RequestRouted:
+		return 0
+	case event.RequestEnded, event.RequestFailed:
+		return 2
+	default:
+		return 1
+	}
+}
+
 // near returns the other lines with an event, from one time to another.
 func (l *Log) near(name event.Name, from, to time.Time) []*Line {
 	start, _ := slices.BinarySearchFunc(l.Others, from, func(line *Line, at time.Time) int { return line.Time.Compare(at) })
--- a/pkg/explain/render.go
+++ b/pkg/explain/render.go
@@ -122,11 +122,7 @@
 	case event.AttemptRejected:
 		return fmt.Sprintf("%s rejected it, status %d", step.Get(event.KeyTarget), step.Int(event.KeyStatus))
 	case event.AttemptFailed:
-		how := "broke off: "
-		if step.Is(event.KeyUnsent) {
-			how = "not reached: "
-		}
-		return step.Get(event.KeyTarget) + " " + how + step.Get(event.KeyError)
+		return step.Get(event.KeyTarget) + " " + howFailed(step)
 	case event.AnswerOdd:
 		return fmt.Sprintf("%s: %s, status %d", step.Get(event.KeyTarget), step.Get(event.KeyProblem), step.Int(event.KeyStatus))
 	case event.RequestFailed:
