--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -171,11 +171,17 @@
 	story := tell(t, strings.Join([]string{
 		line("10.000", "front-a", event.AttemptFailed, "request=r-1 target=u-1 send=1"),
 		line("10.002", "front-a", event.RequestRouted, "at=2026-03-01T10:00:10.000Z request=r-1 target=u-1 send=1"),
-		line("10.002", "front-a", event.RequestFailed, "request=r-1 outcome=unknown reason=upstream-failed"),
+		line("10.002", "front-a", event.RequestRouted, "at=2026-03-01T10:00:10.000Z request=r-1 target=u-2 send=2"),
+		line("10.000", "front-a", event.AttemptFailed, "request=r-1 target=u-2 send=1 unsent=true"),
+		line("10.000", "front-a", event.RequestFailed, "request=r-1 outcome=unknown reason=upstream-failed"),
 	}, "\n"))
 	is := is.New(t)
 	is.Equal(len(story.Visits), 1)
-	is.Equal(story.Visits[0].Steps[0].Event, event.RequestRouted)
+	var events []event.Name
+	for _, step := range story.Visits[0].Steps {
+		events = append(events, step.Event)
+	}
+	is.Equal(events, []event.Name{event.RequestRouted, event.AttemptFailed, event.RequestRouted, event.AttemptFailed, event.RequestFailed})
 }
 
 func TestARequestThatNoLineIsAbout(t *testing.T) {
--- a/pkg/explain/log.go
+++ b/pkg/explain/log.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -105,22 +106,33 @@
 
 // sort puts the lines in the order of time.
 func (l *Log) sort() {
-	byTime := func(a, b *Line) int { return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(phase(a), phase(b))) }
+	byTime := func(a, b *Line) int {
+		return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(attempt(a), attempt(b)), cmp.Compare(phase(a), phase(b)))
+	}
 	slices.SortStableFunc(l.Own, byTime)
 	slices.SortStableFunc(l.Others, byTime)
 }
 
+// attempt is the number of the attempt that a line is about: those of the same time are in
+// the order of the attempts, and the end comes last.
+func attempt(line *Line) int {
+	switch {
+	case line.Event == event.RequestEnded, line.Event == event.RequestFailed:
+		return math.MaxInt
+	case line.Event == event.AttemptFailed && line.Is(event.KeyUnsent):
+		return line.Int(event.KeySend) + 1
+	default:
+		return line.Int(event.KeySend)
+	}
+}
+
 // phase orders the lines of one attempt that have the same time: a step that was held
 // back is written after what it led to.
 func phase(line *Line) int {
-	switch line.Event {
-	case event.RequestRouted:
+	if line.Event == event.RequestRouted {
 		return 0
-	case event.RequestEnded, event.RequestFailed:
-		return 2
-	default:
-		return 1
 	}
+	return 1
 }
 
 // near returns the other lines with an event, from one time to another.
