--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -9,9 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,6 +23,7 @@
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/logging"
+	"github.com/lilacweir/lilacweir/pkg/logging/logtest"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
@@ -174,7 +173,7 @@
 // bed is one instance with upstreams of one service.
 type bed struct {
 	*testing.T
-	lines lines
+	lines logtest.Lines
 	// good is the budget of lines about requests that go well.
 	good   switchable
 	is     *is.I
@@ -183,32 +182,6 @@
 	peers  *httptest.Server
 }
 
-// lines are the log of an instance.
-type lines struct {
-	mu   sync.Mutex
-	text strings.Builder
-}
-
-// Write implements io.Writer.
-func (l *lines) Write(line []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(line)
-}
-
-// with returns the lines that hold all of the texts.
-func (l *lines) with(texts ...string) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var found []string
-	for _, line := range strings.Split(l.text.String(), "\n") {
-		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
-			found = append(found, line)
-		}
-	}
-	return found
-}
-
 // switchable is a budget that is used up once it is switched off.
 type switchable struct{ off atomic.Bool }
 
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -448,8 +448,8 @@
 	b := newBed(t, resumable, u...)
 	b.ask(http.MethodPost, "/r/", "body")
 	b.is.Equal(arrivals(), 2)
-	b.eventually("the end is logged", func() bool { return len(b.lines.with("event=request-failed")) == 1 })
-	b.is.Equal(len(b.lines.with("event=request-failed", "sends=2", "runs=2")), 1)
+	b.eventually("the end is logged", func() bool { return len(b.lines.With("event=request-failed")) == 1 })
+	b.is.Equal(len(b.lines.With("event=request-failed", "sends=2", "runs=2")), 1)
 }
 
 // TestARefusalNamesItsRequestAlsoWithoutAConfiguration: so does its line in the log.
@@ -458,7 +458,7 @@
 	b.edge.board.Routes.Store(nil)
 	got := b.askAt(b.caller.URL, http.MethodGet, "/r/", "", testID, "id-7")
 	b.is.Equal(got.header.Get(testID), "id-7")
-	b.is.Equal(len(b.lines.with("event=request-failed", "request=id-7", "reason=no-configuration")), 1)
+	b.is.Equal(len(b.lines.With("event=request-failed", "request=id-7", "reason=no-configuration")), 1)
 }
 
 // TestWhileTheStoreIsDownCallersAreAskedToComeBackLater than when a configuration is only
--- a/pkg/edge/lines_test.go
+++ b/pkg/edge/lines_test.go
@@ -17,22 +17,22 @@
 	b := newBed(t, unsafe, u...)
 	b.good.off.Store(true)
 	b.ask(http.MethodPost, "/r/", "body")
-	b.is.Equal(len(b.lines.with("event=request-failed", "outcome=not-run", "sends=2")), 1)
-	b.is.Equal(len(b.lines.with("event=request-routed", "target=u-", "at=", "usable=", "version=1")), 2)
-	b.is.Equal(len(b.lines.with("event=attempt-rejected", "at=", "status=503")), 2)
+	b.is.Equal(len(b.lines.With("event=request-failed", "outcome=not-run", "sends=2")), 1)
+	b.is.Equal(len(b.lines.With("event=request-routed", "target=u-", "at=", "usable=", "version=1")), 2)
+	b.is.Equal(len(b.lines.With("event=attempt-rejected", "at=", "status=503")), 2)
 }
 
 func TestTheStepsOfARequestThatGoesWellAreLeftOutOverTheBudget(t *testing.T) {
 	b := newBed(t, unsafe, newUpstream(t, say(http.StatusOK, "ok")))
 	b.ask(http.MethodPost, "/r/", "body")
-	b.is.Equal(len(b.lines.with("event=request-routed")), 1)
+	b.is.Equal(len(b.lines.With("event=request-routed")), 1)
 	b.eventually("the end is logged", func() bool {
-		return len(b.lines.with("event=request-ended", "status=200", "sends=1")) == 1
+		return len(b.lines.With("event=request-ended", "status=200", "sends=1")) == 1
 	})
 	b.good.off.Store(true)
 	b.ask(http.MethodPost, "/r/", "body")
-	b.is.Equal(len(b.lines.with("event=request-routed")), 1)
-	b.is.Equal(len(b.lines.with("event=request-ended")), 1)
+	b.is.Equal(len(b.lines.With("event=request-routed")), 1)
+	b.is.Equal(len(b.lines.With("event=request-ended")), 1)
 }
 
 func TestAnEjectionIsLogged(t *testing.T) {
@@ -42,7 +42,7 @@
 		b.ask(http.MethodGet, "/r/", "")
 		return b.edge.tracker.Load("u-0").Ejected
 	})
-	b.is.Equal(len(b.lines.with("event=upstream-ejected", "upstream=u-0", "failures=3", "for_ms=2000")), 1)
+	b.is.Equal(len(b.lines.With("event=upstream-ejected", "upstream=u-0", "failures=3", "for_ms=2000")), 1)
 }
 
 // TestTheMetricsOfAnUpstreamThatIsGoneAreRemoved: upstreams have new IDs at each start.
@@ -81,9 +81,9 @@
 	b.eventually("the request is at the upstream", func() bool { return b.edge.tracker.Load("u-0").InFlight == 1 })
 	leave()
 	b.eventually("its end is logged", func() bool {
-		return len(b.lines.with("event=request-ended", "request=id-8", "outcome=caller-gone", "first_ms=-1")) == 1
+		return len(b.lines.With("event=request-ended", "request=id-8", "outcome=caller-gone", "first_ms=-1")) == 1
 	})
-	b.is.Equal(len(b.lines.with("event=request-routed", "request=id-8", "at=")), 1)
+	b.is.Equal(len(b.lines.With("event=request-routed", "request=id-8", "at=")), 1)
 	<-ended
 	close(gone)
 }
--- /dev/null
+++ b/pkg/logging/logtest/lines.go
@@ -0,0 +1,38 @@
+// Package logtest collects log lines for tests.
+package logtest
+
+import (
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Lines collects what is written to it. The zero value is empty; it is safe for
+// concurrent use.
+type Lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *Lines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// With returns the lines that hold all of the texts.
+func (l *Lines) With(texts ...string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []string
+	for _, line := range strings.Split(l.text.String(), "\n") {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// Has says whether there is a line that holds all of the texts.
+func (l *Lines) Has(texts ...string) bool { return len(l.With(texts...)) > 0 }
