--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -429,7 +429,8 @@
 		`lilacweir_attempts_ms_count{domain="n-a",target="u-0"} 1` + "\n",
 		`lilacweir_upstreams_usable{service="llm"} 1` + "\n",
 		`lilacweir_retries_left{service="llm"} 40` + "\n",
-		"lilacweir_configuration_version 1\n", "lilacweir_upstreams_dialed 1\n",
+		"lilacweir_configuration_version 1\n", "lilacweir_configuration_age_ms -1\n",
+		"lilacweir_store_age_ms -1\n", "lilacweir_upstreams_dialed 1\n",
 	} {
 		if !strings.Contains(text, line) {
 			t.Errorf("no line %q in\n%s", line, text)
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -249,6 +249,7 @@
 	}
 	if upstream.Cold(j.now()) {
 		j.cold.Sent(upstream.ID)
+		j.counts.cold(upstream.ID)
 	}
 	j.recent.Add(j.attributes.Parts, upstream.ID, j.now())
 	call := &call{
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -15,7 +15,8 @@
 )
 
 // slowFirst is from when on an answer's beginning is slow enough to be explained in the
-// log like a failure: quiet days have their 99th percentile below it.
+// log like a failure: on quiet days all kinds of request but the longest prompts have the
+// 99th percentile of their whole time below 0.4 s.
 const slowFirst = time.Second
 
 // noFirst stands for the time of a first part that was never passed on.
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -12,7 +12,8 @@
 )
 
 // MostMetrics bounds the labelled metrics of an instance: three for each of 300 routes
-// and 300 targets leave half of it free, and full it takes 4 MB.
+// and 300 targets leave half of it free. Full, with a third of them histograms of 1.7 KB,
+// it takes some 3 MB (worked out).
 const MostMetrics = 4000
 
 // Labels of metrics.
@@ -65,6 +66,11 @@
 	}
 }
 
+// cold counts a request that is sent to a cold upstream.
+func (c *counters) cold(upstream string) {
+	c.series.Counter("cold.sent", label(labelTarget, upstream)).Inc(1)
+}
+
 // StoreCall is one call to the platform's store.
 type StoreCall struct {
 	// Name is the kind of call, Result "ok" or what kind of failure there was.
@@ -90,6 +96,7 @@
 		"store.age_ms":          func() int64 { return e.age(e.store.Reached()) },
 		"store.revision":        e.store.Revision,
 		"configuration.version": e.version,
+		"configuration.age_ms":  e.configurationAge,
 		"peers.live":            func() int64 { return e.countPeers(true) },
 		"peers.silent":          func() int64 { return e.countPeers(false) },
 		"peers.oldest_ms":       e.oldestPeer,
@@ -115,6 +122,15 @@
 	return 0
 }
 
+// configurationAge is for how long the configuration has been in force, in ms; -1: there
+// is none.
+func (e *Edge) configurationAge() int64 {
+	if config := e.board.Routes.Load(); config != nil {
+		return e.age(config.InForce)
+	}
+	return -1
+}
+
 func (e *Edge) countPeers(live bool) int64 {
 	count, now := int64(0), e.now()
 	if view := e.gossip.View().Load(); view != nil {
--- a/pkg/httproute/configuration.go
+++ b/pkg/httproute/configuration.go
@@ -6,12 +6,15 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Configuration is one version of the declared routes, ready for lookups.
 type Configuration struct {
 	// Version orders configurations; it grows in uneven steps.
-	Version  uint64
+	Version uint64
+	// InForce is since when it is in force here; zero: it is not.
+	InForce  time.Time
 	Limits   Limits
 	Routes   []Route
 	services map[string]*Service
