Two tests of the log and the metrics wait for what is done after the answer

Cause: an attempt is counted after the caller has its answer, and the test looked at once. An ejection is logged after it holds; its test had the same fault and had not failed yet. Both now wait for it; what they check is the same.

--- a/pkg/edge/lines_test.go
+++ b/pkg/edge/lines_test.go
@@ -42,7 +42,9 @@
 		b.ask(http.MethodGet, "/r/", "")
 		return b.edge.tracker.Load("u-0").Ejected
 	})
-	b.is.Equal(len(b.lines.With("event=upstream-ejected", "upstream=u-0", "failures=3", "for_ms=2000")), 1)
+	b.eventually("it is logged", func() bool {
+		return len(b.lines.With("event=upstream-ejected", "upstream=u-0", "failures=3", "for_ms=2000")) == 1
+	})
 }
 
 // TestTheMetricsOfAnUpstreamThatIsGoneAreRemoved: upstreams have new IDs at each start.
@@ -54,7 +56,7 @@
 		b.edge.registry.Each(func(name string, _ any) { names += name })
 		return strings.Contains(names, `target="u-0"`)
 	}
-	b.is.True(shown())
+	b.eventually("the attempt is counted", shown)
 	empty := &fleet.View{}
 	empty.Index()
 	b.edge.forgetGone(b.edge.board.Fleet.Load(), empty)
