A server that starts again under its ID is another upstream; foreign entries name none

Cause: an upstream was known by the ID of its entry alone, and entries were taken as they came. What was learned of a former start (cached parts, work in hand, rests, cold rate, reports of others) outlived it, a former start's late entry put a drained server back into use, an unknown state counted as ready, and one value that is no base64 cost all others of its page.

Now an upstream's ID names its start, reports and placements of peers name it with it, and what a former start writes late changes nothing. Entries are checked once for each revision, with one line in the log for each that names nothing.

Ruled out: resetting each memory when a start changes; eight places keep something by upstream, and what peers tell would still be about the start before.

--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -216,7 +216,7 @@
 	view := &fleet.View{}
 	for i, u := range upstreams {
 		view.Upstreams = append(view.Upstreams, fleet.Upstream{
-			ID: fmt.Sprintf("u-%d", i), Service: testService, Address: u.listener.Addr().String(),
+			ID: fmt.Sprintf("u-%d", i), Name: fmt.Sprintf("u-%d", i), Service: testService, Address: u.listener.Addr().String(),
 			Domain: "n-a", Region: testRegion, Slots: 4,
 		})
 	}
--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -25,7 +25,7 @@
 type Send struct {
 	// Left is the time in which the answer must be whole.
 	Left time.Duration
-	// Upstream is the ID of the upstream that must answer; empty for an instance.
+	// Upstream is the name of the upstream that must answer; empty for an instance.
 	Upstream string
 	// Priority is the rank at the upstream; 0 goes first.
 	Priority int
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -257,7 +257,7 @@
 		to:     to,
 		pool:   j.upstreams,
 		target: exchange.Target{ID: upstream.ID, Address: upstream.Address, MaxConnections: j.connectionShare()},
-		send:   Send{Left: j.deadline.Sub(j.now()), Upstream: upstream.ID, Priority: j.route.Priority, After: j.after()},
+		send:   Send{Left: j.deadline.Sub(j.now()), Upstream: upstream.Name, Priority: j.route.Priority, After: j.after()},
 		begun:  flight.FirstByte,
 	}
 	if source := to.survey.Best.Source; source != nil {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -10,8 +10,15 @@
 
 // Upstream is one start of an upstream server.
 type Upstream struct {
-	// ID is drawn anew at each start.
-	ID      string
+	// ID names this start alone. All that is kept by upstream is kept by it, here and in
+	// what instances tell each other, so that nothing outlives the start that it was
+	// learned of.
+	ID string
+	// Name is what the upstream calls itself; it may keep it from start to start.
+	Name string
+	// Began is the Unix millisecond of the start by the upstream's clock; zero where it
+	// does not say, and then each start has a name of its own.
+	Began   int64
 	Service string
 	// Address is an IP number and a port; it may be used again by another upstream
 	// after this one has gone.
--- a/pkg/logging/logtest/lines.go
+++ b/pkg/logging/logtest/lines.go
@@ -36,3 +36,6 @@
 
 // Has says whether there is a line that holds all of the texts.
 func (l *Lines) Has(texts ...string) bool { return len(l.With(texts...)) > 0 }
+
+// Count is how many lines hold all of the texts.
+func (l *Lines) Count(texts ...string) int { return len(l.With(texts...)) }
