An upstream that may have started again unnoticed gets no more than a cold one

Cause: behind a cut a server can start again under its ID while its entry still tells of the former start. Requests name the ID, so the new start takes them, cold, at the rate that the former one could bear.

A failed connection now opens a doubt; until the upstream has said which start it is, by one call, it gets the share of a cold one. Ruled out: waiting for the next change of the entry (it need not change for minutes), and a doubt at each broken answer without a pause (servers that break off two answers of a hundred would be asked all the time).

--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/logging"
@@ -63,6 +64,12 @@
 	return Reading{RequestID: fields.Get(testID), NotRun: fields.Get(testNotRun) != "", Proven: fields.Get(testProof) != ""}
 }
 
+func (plain) StatusRequest(address string) *exchange.Request {
+	return &exchange.Request{Method: http.MethodGet, URI: "/status", Host: address, Header: http.Header{}}
+}
+
+func (plain) Started(_ int, body []byte) (int64, error) { return strconv.ParseInt(string(body), 10, 64) }
+
 func (plain) Answer(from http.Header) http.Header {
 	fields := from.Clone()
 	for _, name := range []string{"Content-Length", "Transfer-Encoding", "Connection"} {
--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
 
@@ -60,6 +61,11 @@
 	Outgoing(from http.Header, send Send) http.Header
 	// Reading reads an answer's header.
 	Reading(status int, header http.Header) Reading
+	// StatusRequest asks an upstream at an address what it says of itself; Started reads
+	// from the answer when it began, in Unix milliseconds by its clock (zero: it does not
+	// say).
+	StatusRequest(address string) *exchange.Request
+	Started(status int, body []byte) (int64, error)
 	// Answer returns the end-to-end fields of an answer's header.
 	Answer(from http.Header) http.Header
 	// Refusal returns the header of a refusal of this instance: whether the request
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -87,6 +87,7 @@
 	ejector   *limit.Ejector
 	retries   *limit.RetryShares
 	cold      *limit.ColdShares
+	doubts    *doubts
 	recent    *steer.Recent
 	pace      *steer.Pace
 	upstreams *exchange.Pool
@@ -147,6 +148,7 @@
 		tracker:   limit.NewTracker(system, ejector),
 		retries:   limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
 		cold:      limit.NewColdShares(system.Now),
+		doubts:    newDoubts(),
 		recent:    steer.NewRecent(),
 		pace:      steer.NewPace(),
 		upstreams: exchange.NewPool(dialer(), upstreamDial, system.Now),
--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -380,9 +380,9 @@
 	cold := &fleet.Upstream{ID: "u", ColdUntil: time.Now().Add(time.Hour)}
 	service := &httproute.Service{ColdRate: 10}
 	b.edge.began = time.Now()
-	b.is.True(!b.edge.coldLeft(cold, service))
+	b.is.True(!b.edge.admits(cold, service))
 	b.edge.began = time.Now().Add(-time.Minute)
-	b.is.True(b.edge.coldLeft(cold, service))
+	b.is.True(b.edge.admits(cold, service))
 }
 
 // TestAnUpstreamThatCannotBeReachedRests: the next requests do not each lose an attempt
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -175,7 +175,7 @@
 		Fleet:  j.board.Fleet.Load(),
 		Peers:  j.gossip.View().Load(),
 		Local:  j.tracker,
-		Cold:   j.coldLeft,
+		Admits: j.admits,
 		Recent: j.recent,
 		Pace:   j.pace,
 		Now:    j.now(),
@@ -247,7 +247,7 @@
 	if to.survey.Best.Uncached >= hurryTokens {
 		j.gossip.Hurry()
 	}
-	if upstream.Cold(j.now()) {
+	if j.mayBeCold(upstream) {
 		j.cold.Sent(upstream.ID)
 		j.counts.cold(upstream.ID)
 	}
@@ -266,6 +266,9 @@
 	sent := j.now()
 	ended := call.do(ctx)
 	flight.Done(call.verdict(ended))
+	if ended != done {
+		j.suspect(upstream, call.err)
+	}
 	if ended == done && j.service.Engine == nil {
 		j.pace.Add(j.service.Name, &to.survey.Best, j.now().Sub(sent))
 	}
--- a/pkg/edge/roster.go
+++ b/pkg/edge/roster.go
@@ -46,9 +46,10 @@
 // upstreams: what it sent before a restart still counts for that long.
 const coldStart = limit.ColdWindow
 
-// coldLeft says whether a cold upstream may get one more request of this instance.
-func (e *Edge) coldLeft(upstream *fleet.Upstream, service *httproute.Service) bool {
-	if service.ColdRate == 0 {
+// admits says whether an upstream may get one more request of this instance, as far as it
+// is, or may be, cold.
+func (e *Edge) admits(upstream *fleet.Upstream, service *httproute.Service) bool {
+	if service.ColdRate == 0 || !e.mayBeCold(upstream) {
 		return true
 	}
 	if e.now().Sub(e.began) < coldStart {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -63,6 +63,10 @@
 	CopyFailed  Name = "copy-failed"
 	// UpstreamEjected: an upstream failed too often and gets nothing for a while.
 	UpstreamEjected Name = "upstream-ejected"
+	// UpstreamReborn: an upstream says that it has started again; its entry does not yet.
+	UpstreamReborn Name = "upstream-reborn"
+	// UpstreamSilent: an upstream does not say which of its starts it is.
+	UpstreamSilent Name = "upstream-silent"
 	// UpstreamRestored: an ejected upstream has answered its probe.
 	UpstreamRestored Name = "upstream-restored"
 )
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -15,6 +15,7 @@
 	KeyActive        = "active" // requests in work
 	KeyAfter         = "after"  // ID of the last stream event that the caller has
 	KeyAt            = "at"     // when it happened, on a line that was held back and written later
+	KeyBegan         = "began"  // when an upstream started, Unix milliseconds by its clock
 	KeyBegun         = "begun"  // whether the caller already has a part of the answer
 	KeyBytes         = "bytes"
 	KeyCallers       = "callers" // address of callers' HTTP
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -46,8 +46,9 @@
 	Fleet  *fleet.View
 	Peers  *peer.View
 	Local  Local
-	// Cold says whether an upstream that is cold may get one more request now.
-	Cold func(u *fleet.Upstream, service *httproute.Service) bool
+	// Admits says whether an upstream may get one more request now, as far as it is, or
+	// may be, cold.
+	Admits func(u *fleet.Upstream, service *httproute.Service) bool
 	// Recent is where prompt parts went lately, Pace how long plain calls take.
 	Recent *Recent
 	Pace   *Pace
@@ -146,7 +147,7 @@
 		if tried(req, upstream.ID) {
 			continue
 		}
-		if upstream.Cold(w.Now) && !w.Cold(upstream, req.Service) {
+		if !w.Admits(upstream, req.Service) {
 			survey.Cold++
 			continue
 		}
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -39,7 +39,7 @@
 	view.Index()
 	return &steer.World{
 		Region: "north", Fleet: view, Local: local, Recent: steer.NewRecent(), Pace: steer.NewPace(), Now: now,
-		Cold: func(*fleet.Upstream, *httproute.Service) bool { return false },
+		Admits: func(u *fleet.Upstream, _ *httproute.Service) bool { return !u.Cold(now) },
 	}
 }
 
@@ -241,3 +241,13 @@
 	pace.Add("api", &steer.Candidate{Upstream: &u, InFlight: 1}, 80*time.Millisecond)
 	is.Equal(pace.Of("api"), 80*time.Millisecond)
 }
+
+// TestWhatOthersToldOfAFormerStartDrawsNothing to the start that followed it.
+func TestWhatOthersToldOfAFormerStartDrawsNothing(t *testing.T) {
+	is := is.New(t)
+	w := world(loads{}, upstream("u@2", "llm", "north"))
+	w.Recent.Learn(peer.Placement{Part: "p", Upstream: "u@1"}, now)
+	is.Equal(w.Look(long("p")).Best.Uncached > 2000, true)
+	w.Recent.Learn(peer.Placement{Part: "p", Upstream: "u@2"}, now)
+	is.Equal(w.Look(long("p")).Best.Uncached, 2000)
+}
