The directory names regions that most of a host's routes permit

Ruled out: naming leaving instances once more; they close their connections and callers would lose requests. Before: the new test fails and names both regions. After: passes.

--- a/pkg/edge/edge_test.go
+++ b/pkg/edge/edge_test.go
@@ -373,6 +373,31 @@
 	b.is.Equal(len(b.edge.Roster("west", "other.example")), 2)
 }
 
+// TestWhereNoRegionIsPermittedToAllRoutesOfAHostThatOfMostIsNamed: while all instances of a
+// region restart in turn, callers must not be led to a region where only a few of their
+// requests may be processed, since two further routes of the host exclude each other.
+func TestWhereNoRegionIsPermittedToAllRoutesOfAHostThatOfMostIsNamed(t *testing.T) {
+	b := newBed(t, safe)
+	declared := func(prefix string, homes ...string) httproute.Route {
+		return httproute.Route{
+			Name: prefix, Host: "a.example", Prefix: prefix, Kind: httproute.Safe, Homes: homes,
+			Timeout: time.Second, Backends: []httproute.Backend{{Service: testService, Weight: 1}},
+		}
+	}
+	config, err := httproute.Compile(2, httproute.Limits{}, []httproute.Route{
+		declared("/both/", "east", "south"), declared("/e/", "east"), declared("/s/", "south"), declared("/all/"),
+	}, []httproute.Service{{Name: testService}})
+	b.is.NoErr(err)
+	b.edge.board.Routes.Store(config)
+	view := &fleet.View{Instances: []fleet.Instance{{Name: "s-1", Region: "south"}, {Name: "w-1", Region: "west"}}}
+	view.Index()
+	b.edge.board.Fleet.Store(view)
+	b.edge.leaving.Store(&departure{})
+	named := b.edge.Roster("east", "a.example")
+	b.is.Equal(len(named), 1)
+	b.is.Equal(named[0].Name, "s-1")
+}
+
 // TestAColdUpstreamGetsNothingRightAfterAStart: what the instance sent before it was
 // restarted still counts.
 func TestAColdUpstreamGetsNothingRightAfterAStart(t *testing.T) {
--- a/pkg/edge/roster.go
+++ b/pkg/edge/roster.go
@@ -60,20 +60,22 @@
 }
 
 // Roster returns the instances that callers of a host in a region should use: the
-// live ones there, else those of regions that all of the host's routes permit, else
-// all.
+// live ones there, else those of the regions that most of the host's routes permit. Its
+// routes may exclude each other's regions.
 func (e *Edge) Roster(region, host string) []fleet.Instance {
 	all := e.usable()
 	if near := inRegions(all, func(r string) bool { return r == region }); len(near) > 0 {
 		return near
 	}
-	if config := e.board.Routes.Load(); config != nil {
-		permitted := func(r string) bool { return config.HostPermits(host, r) }
-		if homes := inRegions(all, permitted); len(homes) > 0 {
-			return homes
-		}
+	config := e.board.Routes.Load()
+	if config == nil {
+		return all
+	}
+	most := 0
+	for _, instance := range all {
+		most = max(most, config.PermittedRoutes(host, instance.Region))
 	}
-	return all
+	return inRegions(all, func(r string) bool { return config.PermittedRoutes(host, r) == most })
 }
 
 func inRegions(all []fleet.Instance, wanted func(region string) bool) []fleet.Instance {
--- a/pkg/httproute/configuration.go
+++ b/pkg/httproute/configuration.go
@@ -79,15 +79,15 @@
 	return nil
 }
 
-// HostPermits says whether requests on every route of a host may be processed in a
-// region.
-func (c *Configuration) HostPermits(host, region string) bool {
+// PermittedRoutes counts the routes of a host whose requests may be processed in a region.
+func (c *Configuration) PermittedRoutes(host, region string) int {
+	permitted := 0
 	for _, route := range c.byHost[bareHost(host)] {
-		if !route.PermittedIn(region) {
-			return false
+		if route.PermittedIn(region) {
+			permitted++
 		}
 	}
-	return true
+	return permitted
 }
 
 // bareHost is a host in lower case, without its port.
--- a/pkg/httproute/configuration_test.go
+++ b/pkg/httproute/configuration_test.go
@@ -92,12 +92,13 @@
 	is.True(older.Newer(nil))
 }
 
-func TestAHostPermitsOnlyWhatAllItsRoutesDo(t *testing.T) {
+// TestTheRoutesOfAHostThatARegionIsPermittedToAreCounted, without regard to a port.
+func TestTheRoutesOfAHostThatARegionIsPermittedToAreCounted(t *testing.T) {
 	is := is.New(t)
 	bound, free := route("bound", "a.example", "/x/"), route("free", "a.example", "/y/")
 	bound.Homes = []string{"north"}
 	config := compile(t, 1, bound, free)
-	is.True(config.HostPermits("a.example:1", "north"))
-	is.True(!config.HostPermits("a.example", "south"))
-	is.True(config.HostPermits("b.example", "south"))
+	is.Equal(config.PermittedRoutes("a.example:1", "north"), 2)
+	is.Equal(config.PermittedRoutes("a.example", "south"), 1)
+	is.Equal(config.PermittedRoutes("b.example", "south"), 0)
 }
