Regions that are not heard are asked in each round

Cause: an instance that begins far from the store learned where the others are after its first round, and asked other regions again only three rounds later: 1.0 s from its start to the first region that it hears, 0.8 s of them after the copy of the store was there. Requests whose homes lie elsewhere were refused meanwhile, and a caller has one retry.

Ruled out: the store (answers after 0.23 s), the calls themselves (0.22 s).

--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -139,20 +139,23 @@
 
 // Run exchanges until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
-	g.waitFleet(ctx)
 	var due time.Time
+	// met is true once there was somebody to ask.
+	met := false
 	for n := 0; ctx.Err() == nil; clock.Sleep(ctx, hurryPause) {
 		now := g.options.Clock.Now()
 		hurried := now.Before(due)
-		if hurried && !g.waitHurry(ctx, due.Sub(now)) {
+		first := !met && g.options.Fleet.Load() != nil
+		if hurried && !first && !g.waitHurry(ctx, due.Sub(now)) {
 			continue
 		}
+		met = met || first
 		if !hurried {
 			due = now.Add(g.period())
 			n++
 		}
 		g.exchangeNear(ctx)
-		if regions := g.farWanted.Swap(false); (regions || !hurried) && g.hub() == g.options.Self.Name {
+		if regions := g.farWanted.Swap(false) || g.unheard(); (regions || !hurried) && g.hub() == g.options.Self.Name {
 			g.exchangeFar(ctx, regions || n%farEvery == 1)
 		}
 		g.publish()
@@ -160,21 +163,25 @@
 	}
 }
 
-// waitFleet waits until there is somebody to ask, or for a round: an instance that has
-// just begun should know its peers as soon as it knows where they are, and those of other
-// regions too.
-func (g *Gossip) waitFleet(ctx context.Context) {
-	changed := g.options.Fleet.Changed()
-	if g.options.Fleet.Load() != nil {
-		return
-	}
-	limit := time.NewTimer(round)
-	defer limit.Stop()
-	select {
-	case <-changed:
-	case <-limit.C:
-	case <-ctx.Done():
+// unheard says whether there is a registered domain that is not heard. It is asked in each
+// round: an instance that begins far from the store is told where the others are after
+// its first rounds, and a further 0.6 s until the next round for other regions cost half
+// of the requests that came meanwhile for want of a region that might process them.
+func (g *Gossip) unheard() bool {
+	others := g.registered()
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i := range others {
+		domain := others[i].Domain
+		if domain == g.options.Self.Domain {
+			continue
+		}
+		if digest := g.digests[domain]; digest == nil || now.Sub(digest.at) > SilentAfter {
+			return true
+		}
 	}
+	return false
 }
 
 // startCatchUp copies beside the rounds, one copy at a time.
@@ -188,13 +195,20 @@
 	}()
 }
 
-// waitHurry waits until a round is due, and says whether one is wanted before.
+// waitHurry waits until a round is due, and says whether one is wanted before: it was asked
+// for, or there is somebody to ask for the first time.
 func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
 	timer := time.NewTimer(left)
 	defer timer.Stop()
+	changed := g.options.Fleet.Changed()
+	if g.options.Fleet.Load() != nil {
+		changed = nil
+	}
 	select {
 	case <-g.urgent:
 		return true
+	case <-changed:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -360,3 +360,36 @@
 	asked.takeDigest(Digest{Domain: "south-a", Region: "south"}, time.Now())
 	m.is.True(!wanted())
 }
+
+// TestOtherRegionsAreAskedAsSoonAsTheyAreKnown: an instance that begins far from the store
+// learns where others are only after its first rounds; until it hears other regions it can
+// send nobody there. The usual round for them is the third.
+func TestOtherRegionsAreAskedAsSoonAsTheyAreKnown(t *testing.T) {
+	m := newMesh(t, 1, "south-a")
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	m.is.NoErr(err)
+	late := m.newNode(network, "north-a-0", "north-a")
+	m.start(late)
+	m.eventually("its first round is over", func() bool { return late.view() != nil })
+	view := &fleet.View{Instances: []fleet.Instance{late.instance, m.nodes["south-a-0"].instance}}
+	view.Index()
+	began := time.Now()
+	late.fleet.Store(view)
+	m.eventually("the other region is heard", func() bool {
+		known := late.view().Find("south-a-0")
+		return known != nil && known.Live(time.Now())
+	})
+	m.is.True(time.Since(began) < 9*round/4)
+}
+
+// TestARegionThatIsNotHeardIsAskedInEachRound, one that is heard in each third.
+func TestARegionThatIsNotHeardIsAskedInEachRound(t *testing.T) {
+	m := newMesh(t, 1, "north-a")
+	g := m.nodes["north-a-0"].gossip
+	view := &fleet.View{Instances: []fleet.Instance{{Name: "south-a-0", Domain: "south-a", Region: "south", Gossip: "127.0.0.1:1"}}}
+	view.Index()
+	m.nodes["north-a-0"].fleet.Store(view)
+	m.is.True(g.unheard())
+	g.takeDigest(Digest{Domain: "south-a", Region: "south"}, time.Now())
+	m.is.True(!g.unheard())
+}
