Requests wait half a second for what an instance that begins is about to learn

Cause: after a restart of everything callers come back at once, each with its last try, while instances read the configuration (0.25 s) and hear other regions (0.5 s). They were refused as not run, and the second refusal ended them.

Now a request waits for at most 0.6 s, in the first 2 s of an instance, while the store answers and something is still to be learned. Where the store is lost, or all others are heard, it is refused at once as before. Ruled out: a longer Retry-After (the time of a start is known to be short, and a caller that waits on its own learns of it later).

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -76,6 +76,7 @@
 // serve takes the request to its end; the refusal is what the caller must still be
 // told.
 func (j *job) serve() *outcome.Refusal {
+	j.await(j.request.Context(), j.configured)
 	if refusal := j.prepare(); refusal != nil {
 		return refusal
 	}
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -108,7 +108,10 @@
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
 		next, refusal := j.next()
-		if refusal != nil {
+		if refusal != nil && j.gossip.Unheard() {
+			next = j.nextAtStart(ctx)
+		}
+		if next == nil {
 			return j.giveUp(refusal)
 		}
 		began := j.now()
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -155,7 +155,7 @@
 			n++
 		}
 		g.exchangeNear(ctx)
-		if regions := g.farWanted.Swap(false) || g.unheard(); (regions || !hurried) && g.hub() == g.options.Self.Name {
+		if regions := g.farWanted.Swap(false) || g.Unheard(); (regions || !hurried) && g.hub() == g.options.Self.Name {
 			g.exchangeFar(ctx, regions || n%farEvery == 1)
 		}
 		g.publish()
@@ -163,11 +163,11 @@
 	}
 }
 
-// unheard says whether there is a registered domain that is not heard. It is asked in each
+// Unheard says whether there is a registered domain that is not heard. It is asked in each
 // round: an instance that begins far from the store is told where the others are after
 // its first rounds, and a further 0.6 s until the next round for other regions cost half
 // of the requests that came meanwhile for want of a region that might process them.
-func (g *Gossip) unheard() bool {
+func (g *Gossip) Unheard() bool {
 	others := g.registered()
 	now := g.options.Clock.Now()
 	g.mu.Lock()
