--- a/pkg/steer/admit_test.go
+++ b/pkg/steer/admit_test.go
@@ -112,7 +112,7 @@
 // shared part and has a long queue.
 func TestAnUpstreamInTimeGoesBeforeACheaperOneThatIsLate(t *testing.T) {
 	is := is.New(t)
-	w := world(loads{"u1": limit.Load{Prefill: 25_000}, "u2": limit.Load{Prefill: 14_000}}, upstream("u1", "llm", "north"), upstream("u2", "llm", "north"))
+	w := world(loads{"u1": limit.Load{Prefill: 29_000}, "u2": limit.Load{Prefill: 14_000}}, upstream("u1", "llm", "north"), upstream("u2", "llm", "north"))
 	w.Estimates = taught(100, 0.02)
 	request := long("p")
 	request.Route = timed(0, 800*time.Millisecond, 0).Route
