--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -88,7 +88,7 @@
 	retries   *limit.RetryShares
 	cold      *limit.ColdShares
 	doubts    *doubts
-	overload  *overload
+	overload  *steer.Overload
 	recent    *steer.Recent
 	pace      *steer.Pace
 	estimates *steer.Estimator
@@ -151,7 +151,7 @@
 		retries:   limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
 		cold:      limit.NewColdShares(system.Now),
 		doubts:    newDoubts(),
-		overload:  newOverload(),
+		overload:  steer.NewOverload(),
 		recent:    steer.NewRecent(),
 		pace:      steer.NewPace(),
 		estimates: steer.NewEstimator(),
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -198,7 +198,7 @@
 		Service:      j.service,
 		Parts:        j.attributes.Parts,
 		PromptTokens: j.attributes.PromptTokens,
-		Contended:    j.overload.contended(j.service.Name, j.route.Priority, j.now()),
+		Contended:    j.overload.Contended(j.service.Name, j.route.Priority, j.now()),
 		Tried:        j.tried,
 	}
 	chosen := &target{}
@@ -214,7 +214,8 @@
 	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
 		return nil, j.noUpstream(here, &chosen.survey)
 	}
-	if chosen.peer == nil && chosen.survey.Best.Late && j.refuses() {
+	// What was sent before goes on: its caller would rather have it late.
+	if chosen.peer == nil && chosen.survey.Best.Late && j.sends == 0 && j.overload.Refuses(query, world.Now) {
 		return nil, j.overloaded(&chosen.survey)
 	}
 	j.noteChoice(world, chosen)
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -77,6 +77,10 @@
 	// reports holds the own domain's, digests the other domains'.
 	reports map[string]*heard[Report]
 	digests map[string]*heard[Digest]
+	// sums is the work of the others of the own domain, as its hub told it; nil: never.
+	sums *heard[[]Load]
+	// news holds the placements that those who ask may not know yet.
+	news *news
 	// addresses holds the instances that were registered, and where to reach them.
 	addresses map[string]fleet.Instance
 	// askers holds who said where to get a copy of the store.
@@ -120,6 +124,7 @@
 		askers:    make(map[string]*heard[asker]),
 		avoided:   make(map[string]time.Time),
 		urgent:    make(chan struct{}, 1),
+		news:      newNews(),
 		copies:    options.Copies,
 	}
 }
@@ -221,6 +226,10 @@
 	return min(slowest, round*time.Duration(max(smallDomain, n))/smallDomain)
 }
 
+// large says whether the own domain has a hub through which its instances learn of each
+// other.
+func (g *Gossip) large() bool { return len(g.domain()) >= smallDomain }
+
 // registered returns the instances that can be reached, this one left out: those that
 // are registered, and those that were and are still heard of. An entry may be taken
 // away while its instance lives.
@@ -326,7 +335,7 @@
 func (g *Gossip) exchangeNear(ctx context.Context) {
 	others := g.domain()
 	hub := g.hub()
-	small := len(others) < smallDomain
+	small := !g.large()
 	var all errgroup.Group
 	for _, instance := range others {
 		if small || instance.Name == hub {
@@ -379,7 +388,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
-	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report()}
+	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(), Sums: g.large()}
 	if !g.hasCopy(&instance) {
 		ask.Gossip = g.options.Self.Gossip
 	}
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -1,7 +1,9 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
 	"errors"
 	"fmt"
 	"net"
@@ -393,3 +395,66 @@
 	g.takeDigest(Digest{Domain: "south-a", Region: "south"}, time.Now())
 	m.is.True(!g.Unheard())
 }
+
+// TestWhatAnInstanceOfALargeDomainIsToldStaysSmall: sixteen instances have work at each of
+// 28 upstreams and have just made 64 placements each, in all six domains.
+func TestWhatAnInstanceOfALargeDomainIsToldStaysSmall(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 1, "north-a")
+	m.kill(m.nodes["north-a-0"])
+	g := m.nodes["north-a-0"].gossip
+	report := func(n int) Report {
+		r := Report{Name: fmt.Sprint("n-", n), Incarnation: 1, Sequence: 1, Ready: true}
+		for u := range 28 {
+			r.Upstreams = append(r.Upstreams, Load{Name: fmt.Sprintf("i-%010d@1764712345678", u), InFlight: 20, Prefill: 30_000})
+		}
+		for p := range 64 {
+			r.Placed = append(r.Placed, Placement{Part: fmt.Sprintf("part-%d-%d", n, p), Upstream: "i-0000000001@1764712345678"})
+		}
+		return r
+	}
+	now := time.Now()
+	for n := range 15 {
+		g.takeReport(report(n), now)
+	}
+	for d := range 5 {
+		digest := Digest{Domain: fmt.Sprint("d-", d), Region: "north", Upstreams: report(0).Upstreams}
+		for n := range 15 {
+			digest.Placed = append(digest.Placed, report(100+16*d+n).Placed...)
+			digest.Marks = append(digest.Marks, Mark{Name: fmt.Sprint("d-", d, "-", n), Incarnation: 1, Ready: true})
+		}
+		g.takeDigest(digest, now)
+	}
+	ask := Ask{Domain: "north-a", Region: "north", Report: Report{Name: "n-0", Incarnation: 1, Sequence: 2}, Sums: true}
+	told := func() (Reply, int) {
+		var reply Reply
+		ask.Report.Sequence++
+		is.NoErr((&Service{gossip: g}).Exchange(ask, &reply))
+		var wire bytes.Buffer
+		is.NoErr(gob.NewEncoder(&wire).Encode(reply))
+		return reply, wire.Len()
+	}
+	first, _ := told()
+	is.True(len(first.Placed) > 4000)
+	is.Equal(first.Sums[0].InFlight, 14*20)
+	again, size := told()
+	is.Equal(len(again.Placed), 0)
+	t.Log(size, "bytes")
+	is.True(size < 12_000)
+}
+
+// TestEachPlacementIsToldOnce, and other domains are told only of the own one's.
+func TestEachPlacementIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	n, now := newNews(), time.Now()
+	near, far := Placement{"p", "u"}, Placement{"q", "v"}
+	n.add([]Placement{near}, true, now)
+	n.add([]Placement{far, near}, false, now)
+	is.Equal(n.since("n-1", false, now), []Placement{near, far})
+	is.Equal(len(n.since("n-1", false, now)), 0)
+	is.Equal(n.since("s-1", true, now), []Placement{near})
+	n.add([]Placement{near}, true, now.Add(newsFor/2))
+	is.Equal(len(n.since("n-1", false, now)), 0)
+	n.add([]Placement{near}, true, now.Add(2*newsFor))
+	is.Equal(n.since("n-1", false, now), []Placement{near})
+}
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -27,6 +27,9 @@
 	// Gossip is where the asking instance can be asked for its copy of the store; empty
 	// when the asked one is known to have a copy, and with it the addresses of all.
 	Gossip string
+	// Sums is true in a large domain: the asking instance learns of all through this one,
+	// and wants the work of the others as a sum.
+	Sums bool
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -34,6 +37,12 @@
 type Reply struct {
 	Reports []AgedReport
 	Digests []Digest
+	// Summed is true when Sums adds up the work of the domain's instances but the asking
+	// one, by upstream; the reports then hold no work, and all placements that are new to
+	// the asking instance stand in Placed.
+	Summed bool
+	Sums   []Load
+	Placed []Placement
 }
 
 // AgedReport is a report with its age where it is told.
@@ -65,8 +74,11 @@
 	defer g.mu.Unlock()
 	delete(g.avoided, ask.Report.Name)
 	g.noteAsker(&ask, &own, now)
+	g.news.add(own.Placed, true, now)
 	if ask.Domain != g.options.Self.Domain {
-		reply.Digests = []Digest{g.digest(&own, now, ask.Region)}
+		digest := g.digest(&own, now, ask.Region)
+		digest.Placed = g.news.since(ask.Report.Name, true, now)
+		reply.Digests = []Digest{digest}
 		if digest := g.digests[ask.Domain]; digest == nil || now.Sub(digest.at) > SilentAfter {
 			g.farWanted.Store(true)
 			g.Hurry()
@@ -88,9 +100,30 @@
 		}
 		reply.Digests = append(reply.Digests, told)
 	}
+	if ask.Sums {
+		reply.sum()
+		reply.Placed = g.news.since(ask.Report.Name, false, now)
+	}
 	return nil
 }
 
+// sum replaces the work of single instances by its sum, and leaves out placements. In a
+// domain of 16 instances that send 600 requests a second, a reply with all of them took
+// 180 KB; the hub's link was full, and what it told of loads was up to two seconds old.
+func (r *Reply) sum() {
+	r.Summed = true
+	sums := make(map[string]Load)
+	for i := range r.Reports {
+		report := &r.Reports[i].Report
+		addLoads(sums, report.Upstreams)
+		report.Upstreams, report.Placed = nil, nil
+	}
+	r.Sums = sorted(sums)
+	for i := range r.Digests {
+		r.Digests[i].Placed = nil
+	}
+}
+
 // Copy returns what has changed in this instance's copy of the store.
 func (s *Service) Copy(args CopyArgs, reply *CopyReply) error {
 	snapshot := s.gossip.options.Store.Snapshot().Load()
@@ -122,7 +155,6 @@
 func (d *Digest) add(report *Report, upstreams map[string]Load) {
 	d.Marks = append(d.Marks, Mark{Name: report.Name, Incarnation: report.Incarnation, Leaving: report.Leaving, Ready: report.Ready})
 	d.Store = max(d.Store, report.Store)
-	d.Placed = append(d.Placed, report.Placed...)
 	addLoads(upstreams, report.Upstreams)
 }
 
@@ -155,6 +187,10 @@
 	for i := range reply.Digests {
 		g.takeDigest(reply.Digests[i], now)
 	}
+	if reply.Summed {
+		g.sums = &heard[[]Load]{value: reply.Sums, at: now}
+		g.placed(reply.Placed, false, now)
+	}
 }
 
 func (g *Gossip) takeReport(report Report, at time.Time) {
@@ -167,7 +203,7 @@
 	}
 	g.note(before, &report)
 	delete(g.avoided, report.Name)
-	g.placed(report.Placed, at)
+	g.placed(report.Placed, true, at)
 	g.reports[report.Name] = &heard[Report]{value: report, at: at}
 }
 
@@ -183,12 +219,13 @@
 	if before == nil || now.Sub(before.at) > SilentAfter {
 		g.options.Log.Info().Str(event.KeyDomain, digest.Domain).Int(event.KeyInstances, len(digest.Marks)).Msg(string(event.DomainHeard))
 	}
-	g.placed(digest.Placed, at)
+	g.placed(digest.Placed, false, at)
 	g.digests[digest.Domain] = &heard[Digest]{value: digest, at: at}
 }
 
-// placed passes placements on.
-func (g *Gossip) placed(placements []Placement, at time.Time) {
+// placed passes placements on, to this instance and to those that ask it.
+func (g *Gossip) placed(placements []Placement, own bool, at time.Time) {
+	g.news.add(placements, own, g.options.Clock.Now())
 	if g.options.Placed == nil {
 		return
 	}
@@ -211,12 +248,17 @@
 func (g *Gossip) publish() {
 	now := g.options.Clock.Now()
 	others := g.registered()
+	hub := g.hub() == g.options.Self.Name
 	view := &View{upstreams: make(map[string]Load), services: make(map[regionService]Load)}
 	g.mu.Lock()
+	summed := !hub && g.sums != nil && now.Sub(g.sums.at) <= SilentAfter
+	if summed {
+		addLoads(view.upstreams, g.sums.value)
+	}
 	for name, report := range g.reports {
 		if now.Sub(report.at) > forgetAfter {
 			delete(g.reports, name)
-		} else if now.Sub(report.at) <= SilentAfter {
+		} else if !summed && now.Sub(report.at) <= SilentAfter {
 			addLoads(view.upstreams, report.value.Upstreams)
 		}
 	}
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -105,6 +105,14 @@
 	services  map[regionService]Load
 }
 
+// NewView is a view of the others' work at the upstreams of the own region, for who
+// emulates a deployment.
+func NewView(others []Known, upstreams []Load) *View {
+	view := &View{Others: others, upstreams: make(map[string]Load), services: make(map[regionService]Load)}
+	addLoads(view.upstreams, upstreams)
+	return view
+}
+
 type regionService struct{ region, service string }
 
 // Upstream returns the others' work at an upstream of the own region.
--- /dev/null
+++ b/pkg/steer/overload_test.go
@@ -0,0 +1,45 @@
+package steer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+)
+
+var began = time.Unix(1_000_000, 0)
+
+// TestAQueueIsServedForTheLengthOfATargetAndThenRefused.
+func TestAQueueIsServedForTheLengthOfATargetAndThenRefused(t *testing.T) {
+	is := is.New(t)
+	o := NewOverload()
+	req := &Request{Service: &httproute.Service{Name: "llm"}, Route: &httproute.Route{TargetLatency: 600 * time.Millisecond}}
+	is.True(!o.Refuses(req, began))
+	is.True(!o.Refuses(req, began.Add(500*time.Millisecond)))
+	is.True(o.Refuses(req, began.Add(700*time.Millisecond)))
+	is.True(!o.Refuses(req, began.Add(700*time.Millisecond+2*episodePause)))
+}
+
+// TestCallersAreSpreadOverTheTimeThatAnOverloadIsExpectedToLast, as far as they honour it.
+func TestCallersAreSpreadOverTheTimeThatAnOverloadIsExpectedToLast(t *testing.T) {
+	is := is.New(t)
+	is.Equal(ReturnAfter(0, time.Minute, 0), leastReturn/2)
+	is.Equal(ReturnAfter(4*time.Second, time.Minute, 0), 2*time.Second)
+	is.Equal(ReturnAfter(4*time.Second, time.Minute, 1), 6*time.Second)
+	is.Equal(ReturnAfter(time.Minute, 3*time.Second, 0.5), time.Second)
+}
+
+// TestOnlyMoreUrgentRequestsContend, and only while they find no room.
+func TestOnlyMoreUrgentRequestsContend(t *testing.T) {
+	is := is.New(t)
+	o := NewOverload()
+	is.Equal(o.Late("llm", 1, began), time.Duration(0))
+	is.True(!o.Contended("llm", 1, began))
+	is.True(o.Contended("llm", 2, began))
+	is.True(!o.Contended("api", 2, began))
+	is.True(!o.Contended("llm", 2, began.Add(2*episodePause)))
+	is.Equal(o.Late("llm", 0, began.Add(episodePause/2)), episodePause/2)
+	is.Equal(o.Late("llm", 0, began.Add(3*episodePause)), time.Duration(0))
+}
