--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -78,9 +78,12 @@
 	// strayTrust is the same for parts that are gathered in another region: little, but
 	// enough for those that stay here to meet at one upstream.
 	strayTrust = 0.15
-	// backlogWeight is the part of the prompts in hand that is still to be read: they
-	// count whole until their answer begins, and are half read on the average.
-	backlogWeight = 0.5
+	// backlogWeight is what an unread token in hand at an upstream counts. They count whole
+	// until their answer begins and are half read on the average, and what is known of them
+	// is old: with 0.9, 0.5 and 0.3 the mean worth of two days of high load at 88 instances
+	// was 0.537, 0.564 and 0.589, and with 0.5 and 0.3 that of ten days at six instances
+	// 0.674 and 0.676.
+	backlogWeight = 0.3
 	// plainSpread is by how much the load of a plain service's upstream is taken to be
 	// higher, at random: what is known of the others' work is up to a round old, and
 	// instances that all believe the same would all send to the same upstream.
