Split gossip, service and job by what they do; one way to wait with a context

The copy of the store, the hub's choice and the published view have files of their own beside the gossip's loop, attempts one beside the job. Two copies of clock.Sleep go.

--- a/pkg/agent/ask.go
+++ b/pkg/agent/ask.go
@@ -43,7 +43,7 @@
 // newExecutor returns what answers operators' lines.
 func (a *Agent) newExecutor() *command.Executor {
 	pause := func(ctx context.Context, wait time.Duration) error {
-		sleep(ctx, wait)
+		clock.Sleep(ctx, wait)
 		return ctx.Err()
 	}
 	s := a.Settings
--- a/pkg/agent/beat.go
+++ b/pkg/agent/beat.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/member"
@@ -74,7 +75,7 @@
 
 // awaitBeat waits until the next heartbeat is due: the peer's own calls count.
 func (a *Agent) awaitBeat(ctx context.Context, name string, wake signal, wait, interval time.Duration) bool {
-	if !sleep(ctx, BeatSpacing) {
+	if !clock.Sleep(ctx, BeatSpacing) {
 		return false
 	}
 	for {
@@ -151,11 +152,11 @@
 			return
 		case <-a.catchUp:
 		}
-		if !sleep(ctx, CatchUpDelay) {
+		if !clock.Sleep(ctx, CatchUpDelay) {
 			return
 		}
 		if !a.catchUpOnce(ctx) {
-			sleep(ctx, jitter(CatchUpRetry))
+			clock.Sleep(ctx, jitter(CatchUpRetry))
 		}
 	}
 }
--- a/pkg/agent/calls.go
+++ b/pkg/agent/calls.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -63,15 +62,3 @@
 	half := bound / 2
 	return half + time.Duration(rand.Int64N(int64(half)+1))
 }
-
-// sleep waits for d or until ctx ends; it says whether ctx is still open.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/digest"
@@ -87,10 +88,10 @@
 	for ctx.Err() == nil {
 		if f.fetch(ctx) {
 			retry = DigestSpacing
-			sleep(ctx, DigestSpacing)
+			clock.Sleep(ctx, DigestSpacing)
 			continue
 		}
-		sleep(ctx, jitter(retry))
+		clock.Sleep(ctx, jitter(retry))
 		retry = min(2*retry, DigestRetryMax)
 	}
 }
--- a/pkg/agent/exchange.go
+++ b/pkg/agent/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/spread"
@@ -65,7 +66,7 @@
 func (a *Agent) exchangeLoop(ctx context.Context) {
 	for {
 		a.exchangeOnce(ctx)
-		if !sleep(ctx, ExchangeSpacing) {
+		if !clock.Sleep(ctx, ExchangeSpacing) {
 			return
 		}
 		timer := time.NewTimer(ExchangeInterval)
--- a/pkg/agent/platform.go
+++ b/pkg/agent/platform.go
@@ -94,14 +94,14 @@
 	}
 	registered, retry := false, time.Second
 	var renewal time.Time
-	for sleep(ctx, ReadinessCheck) {
+	for clock.Sleep(ctx, ReadinessCheck) {
 		ready := a.ready()
 		if ready == registered && (!ready || time.Now().Before(renewal)) {
 			continue
 		}
 		err := a.tellDirectory(ctx, ready)
 		if err != nil {
-			sleep(ctx, jitter(retry))
+			clock.Sleep(ctx, jitter(retry))
 			retry = min(2*retry, DirectoryRetryMax)
 			continue
 		}
@@ -135,13 +135,13 @@
 		return
 	}
 	retry := ListInterval
-	for sleep(ctx, jitter(ListInterval)) {
+	for clock.Sleep(ctx, jitter(ListInterval)) {
 		now := time.Now()
 		if !member.Owns(member.Key("list", "instances"), a.mesh.workers(now), a.Settings.Instance, 1) {
 			continue
 		}
 		if err := a.readList(ctx); err != nil {
-			sleep(ctx, jitter(retry))
+			clock.Sleep(ctx, jitter(retry))
 			retry = min(2*retry, ListRetryMax)
 			continue
 		}
--- a/pkg/agent/poll.go
+++ b/pkg/agent/poll.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
@@ -74,7 +75,7 @@
 		if load.Name != "" && a.mesh.setUpstream(load) {
 			a.beat.raise()
 		}
-		if !sleep(ctx, jitter(PollInterval)+PollInterval/4) {
+		if !clock.Sleep(ctx, jitter(PollInterval)+PollInterval/4) {
 			return
 		}
 	}
--- a/pkg/agent/tend.go
+++ b/pkg/agent/tend.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 )
@@ -181,7 +182,7 @@
 func (a *Agent) awaitGateway(ctx context.Context) {
 	notice := time.Now().Add(GatewayNotice)
 	limit := time.Now().Add(a.drainLimit())
-	for time.Now().Before(limit) && sleep(ctx, ReadinessCheck) {
+	for time.Now().Before(limit) && clock.Sleep(ctx, ReadinessCheck) {
 		up, reply := a.gateway.state()
 		if !up || (!reply.Leaving && time.Now().After(notice)) {
 			return
--- /dev/null
+++ b/pkg/edge/attempt.go
@@ -0,0 +1,143 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/steer"
+)
+
+// attempt sends the request once.
+func (j *job) attempt(ctx context.Context, to *target) result {
+	if to.peer != nil {
+		return j.forward(ctx, to)
+	}
+	upstream := to.survey.Best.Upstream
+	flight, ok := j.tracker.Start(upstream.ID, to.survey.Best.Uncached, 0)
+	j.tried = append(j.tried, upstream.ID)
+	if !ok {
+		return notRun
+	}
+	if to.survey.Best.Uncached >= hurryTokens {
+		j.gossip.Hurry()
+	}
+	if j.mayBeCold(upstream) {
+		j.cold.Sent(upstream.ID)
+		j.counts.cold(upstream.ID)
+	}
+	j.recent.Add(j.attributes.Parts, upstream.ID, j.now())
+	j.flow.Add(j.service.Name, to.survey.Best.Uncached, j.now())
+	call := &call{
+		job:    j,
+		to:     to,
+		pool:   j.upstreams,
+		target: exchange.Target{ID: upstream.ID, Address: upstream.Address, MaxConnections: j.connectionShare()},
+		send:   Send{Left: j.deadline.Sub(j.now()), Upstream: upstream.Name, Priority: j.route.Priority, After: j.after()},
+		begun:  j.begun(flight, &to.survey.Best),
+	}
+	if source := to.survey.Best.Source; source != nil {
+		call.send.Source = source.Address
+	}
+	sent := j.now()
+	ended := call.do(ctx)
+	flight.Done(call.verdict(ended))
+	if ended != done {
+		j.suspect(upstream, call.err)
+	}
+	if ended == done && j.service.Engine == nil {
+		j.pace.Add(j.service.Name, &to.survey.Best, j.now().Sub(sent))
+	}
+	return ended
+}
+
+// begun returns what is to be called each time that a part of the answer comes; the first time counts.
+func (j *job) begun(flight *limit.Flight, at *steer.Candidate) func() {
+	sent := j.now()
+	first := true
+	return func() {
+		flight.FirstByte()
+		if first && j.service.Engine != nil {
+			now := j.now()
+			j.estimates.Observe(at, now.Sub(sent), now)
+		}
+		first = false
+	}
+}
+
+// forward sends the request to an instance of another region.
+func (j *job) forward(ctx context.Context, to *target) result {
+	j.tried = append(j.tried, to.name())
+	j.hops++
+	region := steer.RegionKey(to.peer.Instance.Region, &steer.Request{Service: j.service, Route: j.route})
+	flight, ok := j.tracker.Start(region, 0, 0)
+	if !ok {
+		return notRun
+	}
+	j.recent.Sent(j.attributes.Parts, to.peer.Instance.Region, j.now())
+	call := &call{
+		job:    j,
+		to:     to,
+		pool:   j.peers,
+		target: exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
+		send:   Send{Left: j.deadline.Sub(j.now()), After: j.after()},
+		begun:  flight.FirstByte,
+		peer:   true,
+		grants: to.grants(j),
+	}
+	ended := call.do(ctx)
+	flight.Done(call.regionVerdict(ended))
+	return ended
+}
+
+// regionVerdict tells how the attempt ended to the tracker of the other region: that one
+// of its instances leaves or has no configuration says nothing of the region.
+func (c *call) regionVerdict(ended result) limit.Result {
+	switch {
+	case c.regionFull:
+		return limit.Rejected
+	case ended == done:
+		return limit.Succeeded
+	default:
+		return limit.Abandoned
+	}
+}
+
+// after is the event after which a stream goes on.
+func (j *job) after() string {
+	if j.writer.lastEvent != "" {
+		return j.writer.lastEvent
+	}
+	return j.attributes.After
+}
+
+// connectionShare is how many connections this instance may have to one upstream.
+func (j *job) connectionShare() int {
+	if j.service.MaxConnections == 0 {
+		return 0
+	}
+	return max(1, j.service.MaxConnections/(j.regionInstances()+1))
+}
+
+// verdict tells how the attempt ended to the upstream's tracker.
+func (c *call) verdict(ended result) limit.Result {
+	switch ended {
+	case done:
+		if c.status >= http.StatusInternalServerError {
+			return limit.Abandoned
+		}
+		return limit.Succeeded
+	case callerGone:
+		return limit.Abandoned
+	case notRun:
+		// Also one that cannot be reached rests: trying it again costs the next request
+		// an attempt, and it may be back at any time.
+		return limit.Rejected
+	default:
+		if c.status != 0 && c.whole {
+			return limit.Abandoned
+		}
+		return limit.Failed
+	}
+}
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -14,7 +14,6 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
-	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
@@ -195,17 +194,6 @@
 	return false
 }
 
-// startCatchUp copies beside the rounds, one copy at a time.
-func (g *Gossip) startCatchUp(ctx context.Context) {
-	if !g.copying.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer g.copying.Store(false)
-		g.catchUp(ctx)
-	}()
-}
-
 // waitHurry waits until a round is due, and says whether one is wanted before: it was asked
 // for, or there is somebody to ask for the first time.
 func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
@@ -232,43 +220,6 @@
 	return min(slowest, round*time.Duration(max(smallDomain, n))/smallDomain)
 }
 
-// large says whether the own domain has a hub through which its instances learn of each
-// other.
-func (g *Gossip) large() bool { return len(g.domain()) >= smallDomain }
-
-// registered returns the instances that can be reached, this one left out: those that
-// are registered, and those that were and are still heard of. An entry may be taken
-// away while its instance lives.
-func (g *Gossip) registered() []fleet.Instance {
-	view := g.options.Fleet.Load()
-	if view == nil {
-		return nil
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.options.Clock.Now()
-	others := make([]fleet.Instance, 0, len(view.Instances))
-	listed := make(map[string]bool, len(view.Instances))
-	for _, instance := range view.Instances {
-		listed[instance.Name] = true
-		if instance.Name != g.options.Self.Name {
-			others = append(others, instance)
-			g.addresses[instance.Name] = instance
-		}
-	}
-	for name, instance := range g.addresses {
-		if listed[name] {
-			continue
-		}
-		if known, ok := g.known(&instance); ok && known.Live(now) {
-			others = append(others, instance)
-		} else {
-			delete(g.addresses, name)
-		}
-	}
-	return others
-}
-
 // domain returns the other registered instances of the own domain.
 func (g *Gossip) domain() []fleet.Instance {
 	var others []fleet.Instance
@@ -280,63 +231,8 @@
 	return others
 }
 
-// ranked orders the instances that may be asked by the hashing of a job.
-func (g *Gossip) ranked(job, domain string, instances []fleet.Instance) []string {
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var names []string
-	for _, instance := range instances {
-		if instance.Domain == domain && !g.avoid(instance.Name, now) {
-			names = append(names, instance.Name)
-		}
-	}
-	if domain == g.options.Self.Domain {
-		names = append(names, g.options.Self.Name)
-	}
-	return member.Rank(member.Key(job, domain), names)
-}
-
-// avoid says whether an instance should not be asked: it did not answer, fell silent,
-// or leaves.
-func (g *Gossip) avoid(name string, now time.Time) bool {
-	if now.Before(g.avoided[name]) {
-		return true
-	}
-	report := g.reports[name]
-	return report != nil && (report.value.Leaving || now.Sub(report.at) > SilentAfter)
-}
-
 const jobHub = "hub"
 
-// hub names the hub of the own domain.
-func (g *Gossip) hub() string {
-	return g.ranked(jobHub, g.options.Self.Domain, g.registered())[0]
-}
-
-// Watches says whether this instance should follow the store itself: it is one of the
-// domain's watchers, or hears nobody who could tell it.
-func (g *Gossip) Watches() bool {
-	if g.options.Clock.Now().UnixNano() < g.followUntil.Load() {
-		return true
-	}
-	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if name == g.options.Self.Name {
-			return true
-		}
-	}
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if report := g.reports[name]; report != nil && now.Sub(report.at) <= SilentAfter {
-			return false
-		}
-	}
-	return true
-}
-
 // exchangeNear reports to the hub, or to everyone in a small domain.
 func (g *Gossip) exchangeNear(ctx context.Context) {
 	others := g.domain()
@@ -409,36 +305,6 @@
 	g.take(&reply)
 }
 
-// hasCopy says whether an instance, or one of its domain, is known to have a copy of the
-// store.
-func (g *Gossip) hasCopy(instance *fleet.Instance) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if instance.Domain != g.options.Self.Domain {
-		digest := g.digests[instance.Domain]
-		return digest != nil && digest.value.Store > 0
-	}
-	report := g.reports[instance.Name]
-	return report != nil && report.value.Store > 0
-}
-
-// noteAsker remembers who offers a copy, as long as this instance has none. The caller
-// holds g.mu.
-func (g *Gossip) noteAsker(ask *Ask, own *Report, now time.Time) {
-	if own.Store > 0 {
-		clear(g.askers)
-		return
-	}
-	if ask.Gossip == "" || ask.Report.Store == 0 {
-		return
-	}
-	offers := asker{
-		instance: fleet.Instance{Name: ask.Report.Name, Domain: ask.Domain, Region: ask.Region, Gossip: ask.Gossip},
-		store:    ask.Report.Store,
-	}
-	g.askers[ask.Report.Name] = &heard[asker]{value: offers, at: now}
-}
-
 // unreached remembers that an instance did not answer.
 func (g *Gossip) unreached(instance fleet.Instance, err error) {
 	now := g.options.Clock.Now()
@@ -449,80 +315,3 @@
 	}
 	g.avoided[instance.Name] = now.Add(avoidFor)
 }
-
-// catchUp takes a peer's newer copy of the store, when this instance does not follow
-// the store itself or does not hear it.
-func (g *Gossip) catchUp(ctx context.Context) {
-	store := g.options.Store
-	revision := store.Revision()
-	if store.Current() {
-		return
-	}
-	newest := g.newest(revision)
-	if newest == nil {
-		return
-	}
-	delta, err := g.copy(ctx, newest, revision)
-	if err != nil {
-		g.copyFailed(newest, err)
-		return
-	}
-	if store.Adopt(&delta) {
-		g.options.Log.Debug().Int64(event.KeyRevision, delta.Revision).Str(event.KeyPeer, newest.Name).Msg(string(event.CopyAdopted))
-	}
-}
-
-// copyFailed has the store followed for a while.
-func (g *Gossip) copyFailed(from *fleet.Instance, err error) {
-	g.options.Log.Warn().Err(err).Str(event.KeyPeer, from.Name).Msg(string(event.CopyFailed))
-	g.followUntil.Store(g.options.Clock.Now().Add(followAfter).UnixNano())
-}
-
-// copy asks an instance for what changed in its copy of the store since a revision.
-func (g *Gossip) copy(ctx context.Context, from *fleet.Instance, since int64) (mirror.Delta, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	var reply CopyReply
-	if err := g.copies.Call(ctx, from.Gossip, methodCopy, CopyArgs{Revision: since}, &reply); err != nil {
-		return mirror.Delta{}, err
-	}
-	return unpack(reply.Packed)
-}
-
-// newest returns the live instance with the newest copy above a revision, of the own
-// domain if there is one; nil when there is none.
-func (g *Gossip) newest(above int64) *fleet.Instance {
-	now := g.options.Clock.Now()
-	others := g.registered()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var best *fleet.Instance
-	for i := range others {
-		report := g.reports[others[i].Name]
-		if report != nil && report.value.Store > above && now.Sub(report.at) <= SilentAfter && !now.Before(g.avoided[others[i].Name]) {
-			above, best = report.value.Store, &others[i]
-		}
-	}
-	if best != nil {
-		return best
-	}
-	for domain, digest := range g.digests {
-		if digest.value.Store <= above || now.Sub(digest.at) > SilentAfter {
-			continue
-		}
-		for i := range others {
-			if others[i].Domain == domain && !now.Before(g.avoided[others[i].Name]) {
-				above, best = digest.value.Store, &others[i]
-			}
-		}
-	}
-	if best != nil {
-		return best
-	}
-	for _, offered := range g.askers {
-		if offer := &offered.value; offer.store > above && now.Sub(offered.at) <= SilentAfter && !now.Before(g.avoided[offer.instance.Name]) {
-			above, best = offer.store, &offer.instance
-		}
-	}
-	return best
-}
--- a/test/scenario/random_callers_test.go
+++ b/test/scenario/random_callers_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/client"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/load"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/prefix"
@@ -104,7 +105,7 @@
 	for number, due := range load.Arrivals(c.seed, randomRate, length) {
 		drawn := draw(source, number)
 		pick := source.IntN(len(c.addresses))
-		if !waitFor(ctx, time.Until(begin.Add(due))) {
+		if !clock.Sleep(ctx, time.Until(begin.Add(due))) {
 			break
 		}
 		c.sent.Go(func() { c.send(drawn, c.addresses[pick]) })
@@ -176,7 +177,7 @@
 	}
 	if r.again >= 0 {
 		c.sent.Go(func() {
-			waitFor(context.Background(), r.again)
+			clock.Sleep(context.Background(), r.again)
 			c.attempt(&told{request: r, id: r.id + "-again"}, other)
 		})
 	}
--- a/test/scenario/random_faults_test.go
+++ b/test/scenario/random_faults_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // interval is when something was so.
@@ -63,7 +65,7 @@
 	begin := time.Now()
 	var running sync.WaitGroup
 	for _, f := range faults {
-		if !waitFor(ctx, time.Until(begin.Add(f.at))) {
+		if !clock.Sleep(ctx, time.Until(begin.Add(f.at))) {
 			break
 		}
 		running.Go(func() { x.carryOut(ctx, f) })
@@ -71,18 +73,6 @@
 	running.Wait()
 }
 
-// waitFor waits for a time that the schedule gives; false when ctx ended first.
-func waitFor(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (x *disturber) carryOut(ctx context.Context, f *fault) {
 	held := slices.Compact(slices.Sorted(slices.Values(f.holds)))
 	for _, name := range held {
@@ -91,7 +81,7 @@
 	}
 	begun := time.Now()
 	x.begin(f)
-	waitFor(ctx, f.length)
+	clock.Sleep(ctx, f.length)
 	if f.alone != "" {
 		x.note(func() {
 			x.alone[f.alone] = append(x.alone[f.alone], interval{begun.Add(settleFirst), time.Now()})
--- a/test/scenario/random_watch_test.go
+++ b/test/scenario/random_watch_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"sync"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // watchEvery is the pace at which each process is asked for its revision.
@@ -43,7 +45,7 @@
 }
 
 func (w *watcher) watch(ctx context.Context, process, url string) {
-	for waitFor(ctx, watchEvery) {
+	for clock.Sleep(ctx, watchEvery) {
 		before := w.started(process)
 		if before%2 == 1 {
 			continue
