--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -106,7 +106,7 @@
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
 		next, refusal := j.next()
-		if refusal != nil && j.gossip.Unheard() {
+		if refusal != nil && j.begins() && j.gossip.Unheard() {
 			next = j.nextAtStart(ctx)
 		}
 		if next == nil && j.awaitRoom(ctx, refusal) {
--- a/pkg/edge/start.go
+++ b/pkg/edge/start.go
@@ -19,6 +19,12 @@
 // await waits until ready, if the instance has just begun and the store answers, and says
 // whether it is.
 func (j *job) await(ctx context.Context, ready func() bool) bool {
+	if ready() {
+		return true
+	}
+	if !j.begins() {
+		return false
+	}
 	until := j.started.Add(startPatience)
 	if end := j.began.Add(startWindow); end.Before(until) {
 		until = end
@@ -42,6 +48,9 @@
 	}
 }
 
+// begins says whether the instance has just begun.
+func (e *Edge) begins() bool { return e.now().Sub(e.began) < startWindow }
+
 // configured says whether the instance can route anything.
 func (e *Edge) configured() bool {
 	return e.board.Routes.Load() != nil && e.board.Fleet.Load() != nil
