Who a domain holds is told when it changes, work as one sum for the region; fewer wakeups

Cause: in a domain of 50 instances a reply named every instance of the deployment, 480 times a second: the hub sent 2,434 kB/s, all of a 20 Mbit/s link, so that loads were told seconds late. Now rosters travel by fingerprint, and the work at engines as one sum. A round woke a process twice, and idle copies of the store woke it ten times a second: once, and four times.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -69,8 +69,9 @@
 	// lapseGrace is for how long after the store's return a missing leased entry
 	// still counts: its owner writes it again within about two seconds.
 	lapseGrace = 2300 * time.Millisecond
-	// idlePause is how often an inactive Mirror looks whether it is active again.
-	idlePause = 100 * time.Millisecond
+	// idlePause is how often an inactive Mirror looks whether it is active again: all but
+	// two instances of a domain do, and each look wakes a process.
+	idlePause = 250 * time.Millisecond
 	// currentFor is for how long after an answer of the store the copy counts as
 	// current: a little more than a waiting call that was told nothing.
 	currentFor = watchWait + 200*time.Millisecond
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -36,17 +36,13 @@
 
 // Times and sizes of the exchange.
 const (
-	// round passes between exchanges in a small domain. Loads are then at most about
-	// two rounds old, less than the time of a short request.
-	round = 200 * time.Millisecond
+	// round passes between exchanges. An answer takes 0.3 s to begin, and what is told
+	// later than that says little of it: with rounds of 0.3, 0.15 and 0.1 s, 88 instances
+	// served a mean worth of 0.492, 0.506 and 0.519 on two days of high load.
+	round = 100 * time.Millisecond
 	// smallDomain is up to how many instances of a domain report to each other; in
-	// larger ones all report to the hub, and less often, so that an answer, which names
-	// every instance of the domain, costs about the same bytes a second.
+	// larger ones all report to the hub.
 	smallDomain = 5
-	// slowest bounds the round of a large domain. There an answer takes 0.3 s to begin, and
-	// what is told later than that says little of it: with rounds of 0.3, 0.15 and 0.1 s,
-	// 88 instances served a mean worth of 0.492, 0.506 and 0.519 on two days of high load.
-	slowest = 100 * time.Millisecond
 	// hurryPause keeps rounds apart that were asked for.
 	hurryPause = 20 * time.Millisecond
 	// farPause is at least between two times that a hub asks the domains of other regions;
@@ -78,8 +74,10 @@
 	// reports holds the own domain's, digests the other domains'.
 	reports map[string]*heard[Report]
 	digests map[string]*heard[Digest]
-	// sums is the work of the others of the own domain, as its hub told it; nil: never.
+	// sums is the work of the others of the own region, as the hub told it; nil: never.
 	sums *heard[[]Load]
+	// ownRoster is who the own domain holds, as its hub told it.
+	ownRoster Digest
 	// askedAt is when each instance of a large domain last asked: it is told of the digests
 	// that were taken since. In a region of two domains and with rounds of 0.1 s most of
 	// what other regions tell is the same in six rounds.
@@ -156,7 +154,7 @@
 	// met is true once there was somebody to ask.
 	met := false
 	var far time.Time
-	for ; ctx.Err() == nil; clock.Sleep(ctx, hurryPause) {
+	for ctx.Err() == nil {
 		now := g.options.Clock.Now()
 		hurried := now.Before(due)
 		first := !met && g.options.Fleet.Load() != nil
@@ -165,7 +163,7 @@
 		}
 		met = met || first
 		if !hurried {
-			due = now.Add(g.period())
+			due = now.Add(round)
 		}
 		g.exchangeNear(ctx)
 		if regions := g.farWanted.Swap(false) || g.Unheard(); (regions || !hurried) && g.hub() == g.options.Self.Name {
@@ -206,13 +204,14 @@
 func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
 	timer := time.NewTimer(left)
 	defer timer.Stop()
+	last := g.options.Clock.Now()
 	changed := g.options.Fleet.Changed()
 	if g.options.Fleet.Load() != nil {
 		changed = nil
 	}
 	select {
 	case <-g.urgent:
-		return true
+		return clock.Sleep(ctx, hurryPause-g.options.Clock.Now().Sub(last))
 	case <-changed:
 		return true
 	case <-timer.C:
@@ -221,12 +220,6 @@
 	return false
 }
 
-// period is the time between rounds.
-func (g *Gossip) period() time.Duration {
-	n := len(g.domain())
-	return min(slowest, round*time.Duration(max(smallDomain, n))/smallDomain)
-}
-
 // domain returns the other registered instances of the own domain.
 func (g *Gossip) domain() []fleet.Instance {
 	var others []fleet.Instance
@@ -297,7 +290,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
-	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(), Sums: g.large()}
+	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(), Sums: g.large(), Rosters: g.rosters()}
 	if !g.hasCopy(&instance) {
 		ask.Gossip = g.options.Self.Gossip
 	}
--- a/pkg/peer/publish.go
+++ b/pkg/peer/publish.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		heard += len(digest.value.Marks)
-		total += time.Duration(len(digest.value.Marks)) * (told + slowest/2)
+		total += time.Duration(len(digest.value.Marks)) * (told + round/2)
 	}
 	if heard == 0 {
 		return 0, 0
@@ -81,11 +81,7 @@
 		return
 	}
 	for _, load := range digest.Services {
-		key := regionService{digest.Region, load.Name}
-		sum := v.services[key]
-		sum.InFlight += load.InFlight
-		sum.Prefill += load.Prefill
-		v.services[key] = sum
+		v.AddService(digest.Region, load)
 	}
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -27,6 +27,8 @@
 	// Sums is true in a large domain: the asking instance learns of all through this one,
 	// and wants the work of the others as a sum.
 	Sums bool
+	// Rosters are those that the asking instance holds.
+	Rosters []Roster
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -34,9 +36,10 @@
 type Reply struct {
 	Reports []AgedReport
 	Digests []Digest
-	// Summed is true when Sums adds up the work of the domain's instances but the asking
-	// one, by upstream; the reports then hold no work, and all placements that are new to
-	// the asking instance stand in Placed.
+	// Summed is true when Sums adds up the work of the region's instances but the asking
+	// one, by upstream. Reports then holds that of the asked instance alone, Digests that
+	// of the own domain too, both without work, and all placements that are new to the
+	// asking instance stand in Placed.
 	Summed bool
 	Sums   []Load
 	Placed []Placement
@@ -75,6 +78,7 @@
 	if ask.Domain != g.options.Self.Domain {
 		digest := g.digest(&own, now, ask.Region)
 		digest.Placed = g.news.since(ask.Report.Name, true, now)
+		digest.leaveOut(ask.Rosters)
 		reply.Digests = []Digest{digest}
 		if digest := g.digests[ask.Domain]; digest == nil || now.Sub(digest.at) > SilentAfter {
 			g.farWanted.Store(true)
@@ -84,46 +88,61 @@
 	}
 	g.takeReport(ask.Report, now)
 	reply.Reports = []AgedReport{{Report: own}}
+	if ask.Sums {
+		g.tellSums(&ask, reply, now)
+		return nil
+	}
 	for name, report := range g.reports {
 		if name != ask.Report.Name && now.Sub(report.at) <= SilentAfter {
 			reply.Reports = append(reply.Reports, AgedReport{Report: report.value, Age: now.Sub(report.at)})
 		}
 	}
-	before := time.Time{}
-	if ask.Sums {
-		before = g.askedAt[ask.Report.Name]
-		g.askedAt[ask.Report.Name] = now
-	}
 	for _, digest := range g.digests {
 		told := digest.value
 		told.Age = now.Sub(digest.at)
-		if told.Age > SilentAfter || digest.taken.Before(before) {
-			continue
+		if told.Age <= SilentAfter {
+			told.leaveOut(ask.Rosters)
+			reply.Digests = append(reply.Digests, told)
 		}
-		reply.Digests = append(reply.Digests, told)
-	}
-	if ask.Sums {
-		reply.sum()
-		reply.Placed = g.news.since(ask.Report.Name, false, now)
 	}
 	return nil
 }
 
-// sum replaces the work of single instances by its sum, and leaves out placements. In a
-// domain of 16 instances that send 600 requests a second, a reply with all of them took
-// 180 KB; the hub's link was full, and what it told of loads was up to two seconds old.
-func (r *Reply) sum() {
-	r.Summed = true
+// tellSums tells an instance of a large domain the others' work as one sum by upstream,
+// who they are when that has changed, and what is new otherwise. With the work of each of
+// 16 instances that send 600 requests a second a reply took 180 KB; with each instance's
+// name in it, 5 KB in a domain of 50, which a hub sends 480 times a second: its link of
+// 20 Mbit/s was full, and what it told of loads was seconds old. The caller holds g.mu.
+func (g *Gossip) tellSums(ask *Ask, reply *Reply, now time.Time) {
+	own := &reply.Reports[0].Report
 	sums := make(map[string]Load)
-	for i := range r.Reports {
-		report := &r.Reports[i].Report
-		addLoads(sums, report.Upstreams)
-		report.Upstreams, report.Placed = nil, nil
+	addLoads(sums, own.Upstreams)
+	for name, report := range g.reports {
+		if name != ask.Report.Name && now.Sub(report.at) <= SilentAfter {
+			addLoads(sums, report.value.Upstreams)
+		}
+	}
+	reply.Digests = []Digest{g.roster(own, now)}
+	before := g.askedAt[ask.Report.Name]
+	g.askedAt[ask.Report.Name] = now
+	for _, digest := range g.digests {
+		told := digest.value
+		told.Age = now.Sub(digest.at)
+		if told.Age > SilentAfter {
+			continue
+		}
+		addLoads(sums, told.Upstreams)
+		if !digest.taken.Before(before) {
+			told.Upstreams, told.Placed = nil, nil
+			reply.Digests = append(reply.Digests, told)
+		}
 	}
-	r.Sums = sorted(sums)
-	for i := range r.Digests {
-		r.Digests[i].Placed = nil
+	for i := range reply.Digests {
+		reply.Digests[i].leaveOut(ask.Rosters)
 	}
+	own.Upstreams, own.Placed = nil, nil
+	reply.Summed, reply.Sums = true, sorted(sums)
+	reply.Placed = g.news.since(ask.Report.Name, false, now)
 }
 
 // Copy returns what has changed in this instance's copy of the store.
@@ -139,12 +158,12 @@
 
 // digest sums up the own domain for a region. The caller holds g.mu.
 func (g *Gossip) digest(own *Report, now time.Time, region string) Digest {
-	d := Digest{Domain: g.options.Self.Domain, Region: g.options.Self.Region}
+	d := g.roster(own, now)
 	upstreams := make(map[string]Load)
-	d.add(own, upstreams)
+	addLoads(upstreams, own.Upstreams)
 	for _, report := range g.reports {
 		if now.Sub(report.at) <= SilentAfter {
-			d.add(&report.value, upstreams)
+			addLoads(upstreams, report.value.Upstreams)
 		}
 	}
 	d.Services = g.byService(upstreams)
@@ -154,12 +173,6 @@
 	return d
 }
 
-func (d *Digest) add(report *Report, upstreams map[string]Load) {
-	d.Marks = append(d.Marks, Mark{Name: report.Name, Incarnation: report.Incarnation, Leaving: report.Leaving, Ready: report.Ready})
-	d.Store = max(d.Store, report.Store)
-	addLoads(upstreams, report.Upstreams)
-}
-
 // byService adds loads at upstreams up by service.
 func (g *Gossip) byService(upstreams map[string]Load) []Load {
 	view := g.options.Fleet.Load()
@@ -187,6 +200,10 @@
 		g.takeReport(told.Report, now.Add(-told.Age))
 	}
 	for i := range reply.Digests {
+		if reply.Digests[i].Domain == g.options.Self.Domain {
+			g.takeRoster(&reply.Digests[i], now)
+			continue
+		}
 		g.takeDigest(reply.Digests[i], now)
 	}
 	if reply.Summed {
@@ -221,6 +238,9 @@
 	if before == nil || now.Sub(before.at) > SilentAfter {
 		g.options.Log.Info().Str(event.KeyDomain, digest.Domain).Int(event.KeyInstances, len(digest.Marks)).Msg(string(event.DomainHeard))
 	}
+	if before != nil && len(digest.Marks) == 0 {
+		digest.Marks, digest.Roster = before.value.Marks, before.value.Roster
+	}
 	g.placed(digest.Placed, false, at)
 	g.digests[digest.Domain] = &heard[Digest]{value: digest, at: at, taken: now}
 }
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -25,6 +25,9 @@
 	// InFlight counts requests, Prefill the prompt tokens not yet read of those whose
 	// answer has not begun.
 	InFlight, Prefill int
+	// Flowing counts streams of which something came lately, Silent those that have begun
+	// and of which nothing did.
+	Flowing, Silent int
 }
 
 // Report is what one instance says of itself. Where it can be reached stands in the
@@ -60,6 +63,8 @@
 	Name           string
 	Incarnation    uint64
 	Leaving, Ready bool
+	// Quiet is true when its domain's hub has not heard it for some rounds.
+	Quiet bool
 }
 
 // Digest is what a failure domain tells the others.
@@ -67,8 +72,11 @@
 	Domain, Region string
 	// Age is how old the digest is where it is told.
 	Age time.Duration
-	// Marks holds the domain's live instances.
+	// Marks holds the domain's live instances, sorted by name; none to who said that it
+	// holds them under this Roster.
 	Marks []Mark
+	// Roster is the fingerprint of Marks.
+	Roster uint64
 	// Store is the highest revision of their copies of the store.
 	Store int64
 	// Upstreams adds up their work by upstream, for the own region alone; Services by
@@ -127,6 +135,15 @@
 	return view
 }
 
+// AddService adds work of another region's instances at a service, for who emulates a
+// deployment.
+func (v *View) AddService(region string, load Load) {
+	sum := v.services[regionService{region, load.Name}]
+	sum.InFlight += load.InFlight
+	sum.Prefill += load.Prefill
+	v.services[regionService{region, load.Name}] = sum
+}
+
 type regionService struct{ region, service string }
 
 // Upstream returns the others' work at an upstream of the own region.
@@ -166,6 +183,8 @@
 		sum.Name = load.Name
 		sum.InFlight += load.InFlight
 		sum.Prefill += load.Prefill
+		sum.Flowing += load.Flowing
+		sum.Silent += load.Silent
 		sums[load.Name] = sum
 	}
 }
