Plain calls travel by plan when a region is full; news that is older than a call counts less

And 98 instances, told alike, sent to the same server. Weighed and not built: a wait at the instance (the two other regions idle); permits for single places (one message a call). Idle servers are now used alike; before, the first and the last of them were.

--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -74,38 +73,11 @@
 	others *peer.View
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // emulation is one day.
 type emulation struct {
+	timeline
 	options   Options
 	random    *rand.Rand
-	now       time.Time
-	order     int
-	events    events
 	engines   map[string]*engine
 	instances []*instance
 	view      *fleet.View
@@ -122,7 +94,7 @@
 // Run plays a day and returns what callers met, by kind.
 func Run(o Options) map[string]*Result {
 	m := &emulation{
-		options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), now: time.Unix(1_000_000, 0),
+		timeline: newTimeline(), options: o, random: rand.New(rand.NewPCG(o.Seed, 1)),
 		engines: make(map[string]*engine), view: &fleet.View{},
 		service: &httproute.Service{Name: serviceName, Engine: &httproute.Engine{Slots: o.Model.Slots}},
 		routes:  make(map[string]*httproute.Route), results: make(map[string]*Result),
@@ -136,19 +108,10 @@
 	for i := range m.instances {
 		m.at(m.now.Add(o.Told*time.Duration(i)/time.Duration(o.Instances)), func() { m.tell(end) })
 	}
-	for len(m.events) > 0 {
-		next := heap.Pop(&m.events).(event)
-		m.now = next.at
-		next.do()
-	}
+	m.play()
 	return m.results
 }
 
-func (m *emulation) at(when time.Time, do func()) {
-	m.order++
-	heap.Push(&m.events, event{at: when, order: m.order, do: do})
-}
-
 // build makes engines, instances and routes.
 func (m *emulation) build() {
 	for i := range m.options.Engines {
--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -68,9 +68,6 @@
 // predict fills in when the answer would begin at a candidate, and whether that is too
 // late.
 func (w *World) predict(req *Request, c *Candidate, forecast *Forecast, holding time.Duration) {
-	if req.Service.Engine == nil {
-		return
-	}
 	factor := forecast.Factor(c.Upstream.ID)
 	own := factor * forecast.Reading(float64(c.Uncached))
 	ahead := places(c.InFlight, c.Upstream.Slots, holding) + factor*forecast.perToken*float64(c.Prefill)
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -123,6 +123,9 @@
 		}
 		return nil
 	}
+	if away := w.spill(req, &here, regions); away != nil {
+		return away
+	}
 	pace := w.Pace.Of(req.Service.Name)
 	local := served(pace, here.InFlight, here.Slots)
 	if float64(local) < soonEnough*float64(req.Route.TargetLatency) {
--- /dev/null
+++ b/pkg/steer/plain.go
@@ -0,0 +1,101 @@
+package steer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/peer"
+)
+
+// Calls of plain services last some tens of milliseconds, less than what is told of the
+// others' work is old. So an upstream's load as it was told says little of what a call
+// meets there: hundreds of instances that all believe it send to the same upstream. What
+// does hold for seconds is how much a region as a whole has in hand. Inside a region calls
+// are spread by what is left of the news; a region that has more in hand than its slots
+// serve well sends a share of its calls, by plan, to where there is room, before upstreams
+// queue and reject.
+
+// Parameters of the spreading of plain calls. A load is requests in hand by slots.
+const (
+	// spillFrom is the load from which on a region sends calls away. With Poisson arrivals
+	// one call in six finds all six slots of an upstream taken at a load of 0.8, one in
+	// four at 0.9 (Erlang's loss formula).
+	spillFrom = 0.8
+	// spillRange is over how much more load the share of calls that are sent away grows to
+	// all: a region that is offered 1.5 times its slots settles at a load of about 1.
+	spillRange = 0.5
+	// wayLoad is how much lower the load far away must be at least. What is known of it is
+	// half a second old, and the way costs 0.11 s of the target.
+	wayLoad = 0.2
+)
+
+// expected is the load of other instances at an upstream by now: as it was told, as far as
+// calls of that age still run, and the region's mean otherwise.
+func expected(told, mean float64, age, pace time.Duration) float64 {
+	stays := math.Exp(-float64(age) / float64(max(pace, time.Millisecond)))
+	return stays*told + (1-stays)*mean
+}
+
+// meanOf is the mean work of the others at the upstreams.
+func meanOf(loads []peer.Load) float64 {
+	if len(loads) == 0 {
+		return 0
+	}
+	total := 0
+	for i := range loads {
+		total += loads[i].InFlight
+	}
+	return float64(total) / float64(len(loads))
+}
+
+// spill returns the region to which a plain call goes by plan; nil when it stays.
+func (w *World) spill(req *Request, here *Survey, regions []Away) *Away {
+	if !w.wayFits(req) || here.Slots == 0 {
+		return nil
+	}
+	load := float64(here.InFlight) / float64(here.Slots)
+	away := w.roomiest(load, regions)
+	if away == nil {
+		return nil
+	}
+	there := away.load()
+	share := (load - max(spillFrom, there+wayLoad)) / spillRange
+	// More than what makes both equal would come back.
+	share = min(share, (load-there)/load)
+	if w.fraction(req.Service.Name) >= share {
+		return nil
+	}
+	return away
+}
+
+// wayFits says whether a call that goes to another region can still be in time.
+func (w *World) wayFits(req *Request) bool {
+	took := farTime + w.Pace.Of(req.Service.Name)
+	return float64(took) <= inTime*float64(req.Route.TargetLatency)
+}
+
+// roomiest draws one of the regions with a lower load, each by its free slots: if all
+// instances chose the emptiest, it would be full before they hear of it.
+func (w *World) roomiest(load float64, regions []Away) *Away {
+	room := make([]float64, len(regions))
+	total := 0.0
+	for i := range regions {
+		room[i] = max(0, (load-wayLoad-regions[i].load())*float64(regions[i].Slots))
+		total += room[i]
+	}
+	if total == 0 {
+		return nil
+	}
+	drawn := w.fraction("region") * total
+	for i := range regions {
+		if drawn < room[i] {
+			return &regions[i]
+		}
+		drawn -= room[i]
+	}
+	return &regions[slices.Index(room, slices.Max(room))]
+}
+
+// load is the region's requests in hand by its slots.
+func (a *Away) load() float64 { return float64(a.InFlight) / float64(max(1, a.Slots)) }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -147,14 +147,15 @@
 	shared := w.sharing(req, upstreams)
 	forecast := w.Estimates.Forecast(req.Service.Name, w.Now)
 	unseen := w.unseen(req.Service.Name, len(upstreams))
-	for _, upstream := range upstreams {
+	others, mean := w.told(upstreams)
+	_, age := w.Peers.Near(w.Now)
+	for i, upstream := range upstreams {
 		survey.Known++
 		if !w.Fleet.Usable(upstream) {
 			continue
 		}
 		own := w.Local.Load(upstream.ID)
-		others := w.Peers.Upstream(upstream.ID)
-		c := Candidate{Upstream: upstream, InFlight: own.InFlight + others.InFlight, Prefill: own.Prefill + others.Prefill}
+		c := Candidate{Upstream: upstream, InFlight: own.InFlight + others[i].InFlight, Prefill: own.Prefill + others[i].Prefill}
 		survey.Usable++
 		survey.Slots += upstream.Slots
 		survey.InFlight += c.InFlight
@@ -162,9 +163,15 @@
 		if !survey.usable(w, req, upstream, own.Ejected || own.Rest > 0) {
 			continue
 		}
-		w.cost(req, &c, &shared)
-		c.Cost += spread * backlogWeight * unseen * w.fraction(upstream.ID)
-		w.predict(req, &c, &forecast, own.Holding)
+		if req.Service.Engine == nil {
+			// The call itself counts: idle upstreams are chosen at random as well.
+			load := 1 + float64(own.InFlight) + expected(float64(others[i].InFlight), mean, age, w.Pace.Of(req.Service.Name))
+			c.Cost = load * (1 + plainSpread*w.fraction(upstream.ID))
+		} else {
+			w.cost(req, &c, &shared)
+			c.Cost += spread * backlogWeight * unseen * w.fraction(upstream.ID)
+			w.predict(req, &c, &forecast, own.Holding)
+		}
 		if survey.Best.Upstream == nil || w.better(&c, &survey.Best) {
 			survey.Best = c
 		}
@@ -223,13 +230,18 @@
 	return false
 }
 
-// cost estimates what the request would cost at the candidate.
+// told is the others' work at the upstreams, and their mean requests at one.
+func (w *World) told(upstreams []*fleet.Upstream) (others []peer.Load, mean float64) {
+	others = make([]peer.Load, len(upstreams))
+	for i, upstream := range upstreams {
+		others[i] = w.Peers.Upstream(upstream.ID)
+	}
+	return others, meanOf(others)
+}
+
+// cost estimates what the request would cost at an engine.
 func (w *World) cost(req *Request, c *Candidate, shared *sharing) {
 	beyond := max(0, c.InFlight+1-c.Upstream.Slots)
-	if req.Service.Engine == nil {
-		c.Cost = float64(c.InFlight) * (1 + plainSpread*w.fraction(c.Upstream.ID))
-		return
-	}
 	c.Uncached = max(0, req.PromptTokens-shared.held(c.Upstream))
 	read := float64(c.Uncached)
 	if copied := shared.copied(c.Upstream); copied > 0 {
