An engine that nobody hears gets nothing new, and its resumable streams go on elsewhere

Cause: a machine that fails without a word closes no connection; keep-alive probes find it after 3 s, in which its engine got new requests. Now instances tell how many of an engine's streams flow and how many are silent (five usual gaps, 0.25 to 1 s), and one of which no instance hears any stream is dark.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -41,6 +41,17 @@
 		call.send.Source = source.Address
 	}
 	sent := j.now()
+	if j.service.Engine != nil {
+		attempt, end := context.WithCancelCause(ctx)
+		defer end(nil)
+		ctx = attempt
+		stream := &pulse{service: j.service.Name, sent: sent}
+		if j.route.Repeatable() {
+			stream.end = end
+		}
+		defer j.pulses.begin(upstream.ID, stream)()
+		call.heard = func() { j.pulses.hear(stream, j.now()) }
+	}
 	ended := call.do(ctx)
 	flight.Done(call.verdict(ended))
 	if ended != done {
@@ -52,7 +63,8 @@
 	return ended
 }
 
-// begun returns what is to be called each time that a part of the answer comes; the first time counts.
+// begun returns what is to be called each time that a part of the answer comes; the first
+// time counts.
 func (j *job) begun(flight *limit.Flight, at *steer.Candidate) func() {
 	sent := j.now()
 	first := true
--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -183,6 +183,8 @@
 type bed struct {
 	*testing.T
 	lines logtest.Lines
+	// engine makes the upstreams engines, from the next configuration on.
+	engine *httproute.Engine
 	// good is the budget of lines about requests that go well.
 	good   switchable
 	is     *is.I
@@ -245,7 +247,7 @@
 	if route.Timeout == 0 {
 		route.Timeout = 10 * time.Second
 	}
-	services := []httproute.Service{{Name: testService}}
+	services := []httproute.Service{{Name: testService, Engine: b.engine}}
 	config, err := httproute.Compile(version, httproute.Limits{BodyBytes: 1 << 20}, []httproute.Route{route}, services)
 	b.is.NoErr(err)
 	b.edge.board.Routes.Store(config)
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -26,8 +26,9 @@
 	pool   *exchange.Pool
 	target exchange.Target
 	send   Send
-	// begun is called when the answer's first part has come.
+	// begun is called when a part of the answer has come, and so is heard if it is not nil.
 	begun func()
+	heard func()
 	// peer is true when the target is another instance, which may run the request on
 	// as many upstreams as grants says.
 	peer   bool
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -88,6 +88,7 @@
 	retries   *limit.RetryShares
 	cold      *limit.ColdShares
 	doubts    *doubts
+	pulses    *pulses
 	overload  *steer.Overload
 	recent    *steer.Recent
 	pace      *steer.Pace
@@ -152,6 +153,7 @@
 		retries:   limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
 		cold:      limit.NewColdShares(system.Now),
 		doubts:    newDoubts(),
+		pulses:    newPulses(),
 		overload:  steer.NewOverload(),
 		recent:    steer.NewRecent(),
 		pace:      steer.NewPace(),
@@ -203,6 +205,7 @@
 	group.Go(func() error { e.gossip.Run(running); return nil })
 	group.Go(func() error { e.sweep(running); return nil })
 	group.Go(func() error { e.followFleet(running); return nil })
+	group.Go(func() error { e.watchStreams(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
 	e.log.Info().Str(event.KeyCallers, e.settings.Listen.Callers).Str(event.KeyRegion, e.settings.Region).Str(event.KeyPeers, e.settings.Listen.Peers).Msg(string(event.Start))
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -178,7 +178,7 @@
 		Region:    j.settings.Region,
 		Fleet:     j.board.Fleet.Load(),
 		Peers:     j.gossip.View().Load(),
-		Local:     j.tracker,
+		Local:     seen{j.Edge},
 		Admits:    j.admits,
 		Recent:    j.recent,
 		Pace:      j.pace,
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -31,7 +31,8 @@
 	for i := range view.Upstreams {
 		id := view.Upstreams[i].ID
 		if own := e.tracker.Load(id); own.InFlight > 0 {
-			loads = append(loads, peer.Load{Name: id, InFlight: own.InFlight, Prefill: own.Prefill})
+			flowing, silent := e.pulses.count(id, e.now())
+			loads = append(loads, peer.Load{Name: id, InFlight: own.InFlight, Prefill: own.Prefill, Flowing: flowing, Silent: silent})
 		}
 	}
 	return loads
@@ -68,6 +69,7 @@
 		if id := last.Upstreams[i].ID; view.RegionOf(id) == "" {
 			e.counts.series.Remove(label(labelTarget, id))
 			e.doubts.forget(id)
+			e.pulses.forget(id)
 		}
 	}
 }
--- /dev/null
+++ b/pkg/edge/silence_test.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+)
+
+// TestAnEngineIsDarkWhenNobodyHearsIt, not when one of its streams stands still.
+func TestAnEngineIsDarkWhenNobodyHearsIt(t *testing.T) {
+	is := is.New(t)
+	is.True(dark(0, 2, peer.Load{}))
+	is.True(dark(0, 1, peer.Load{Silent: 1}))
+	is.True(dark(0, 0, peer.Load{Silent: 2}))
+	is.True(!dark(0, 1, peer.Load{}))
+	is.True(!dark(1, 5, peer.Load{}))
+	is.True(!dark(0, 5, peer.Load{Flowing: 1, Silent: 3}))
+}
+
+// TestStreamsAreSilentAfterSomeOfTheirUsualGaps: engines whose events come every 200 ms
+// are given longer than such whose events come every 20 ms.
+func TestStreamsAreSilentAfterSomeOfTheirUsualGaps(t *testing.T) {
+	is := is.New(t)
+	silent := func(gap time.Duration) time.Duration {
+		p, s, at := newPulses(), &pulse{service: testService}, time.Unix(1000, 0)
+		defer p.begin("u", s)()
+		for range 500 {
+			p.hear(s, at)
+			at = at.Add(gap)
+		}
+		at = s.heard
+		for {
+			flowing, silent := p.count("u", at)
+			is.Equal(flowing+silent, 1)
+			if silent == 1 {
+				return at.Sub(s.heard)
+			}
+			at = at.Add(10 * time.Millisecond)
+		}
+	}
+	is.Equal(silent(20*time.Millisecond), leastSilence)
+	is.True(silent(150*time.Millisecond) > 700*time.Millisecond)
+	is.Equal(silent(time.Second), mostSilence)
+}
+
+// TestStreamsOfADarkEngineGoOnElsewhere: three streams begin at an engine that falls silent
+// with its connections open. All go on elsewhere after what their callers have, and the engine gets nothing new.
+func TestStreamsOfADarkEngineGoOnElsewhere(t *testing.T) {
+	is := is.New(t)
+	hang, enough := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	fallSilent := newUpstream(t, func(conn net.Conn, request *http.Request) bool {
+		write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "", "Content-Type: text/event-stream")
+		chunk(conn, "id: 1\ndata: piece\n\n")
+		<-hang
+		return false
+	})
+	sound := newUpstream(t, func(conn net.Conn, request *http.Request) bool {
+		if request.Header.Get(testAfter) == "" {
+			<-enough
+			return events(1, 6, true)(conn, request)
+		}
+		is.Equal(request.Header.Get(testAfter), "1")
+		return events(2, 6, true)(conn, request)
+	})
+	b := newBed(t, resumable, fallSilent, sound)
+	b.engine = &httproute.Engine{Slots: 4}
+	b.declare(2, resumable)
+	go b.edge.watchStreams(t.Context())
+	go b.edge.gossip.Run(t.Context())
+	var answers sync.WaitGroup
+	ask := func() {
+		got := b.ask(http.MethodPost, "/r/", "x")
+		is.NoErr(got.err)
+		is.Equal(strings.Count(got.body, "id:"), 6)
+	}
+	b.eventually("three streams at the engine", func() bool {
+		if fallSilent.arrivals.Load() < 3 {
+			answers.Go(ask)
+		}
+		return fallSilent.arrivals.Load() >= 3
+	})
+	close(enough)
+	answers.Wait()
+	b.eventually("the engine is found dark", func() bool { return b.lines.Has("upstream-dark") })
+	arrived := fallSilent.arrivals.Load()
+	for range 20 {
+		ask()
+	}
+	is.Equal(fallSilent.arrivals.Load(), arrived)
+}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -41,6 +41,9 @@
 		if n > 0 && fill == 0 {
 			c.begun()
 		}
+		if n > 0 && c.heard != nil {
+			c.heard()
+		}
 		fill += n
 		whole := bytes.LastIndex(buffer[:fill], eventEnd)
 		if whole >= 0 {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -67,6 +67,9 @@
 	UpstreamReborn Name = "upstream-reborn"
 	// UpstreamSilent: an upstream does not say which of its starts it is.
 	UpstreamSilent Name = "upstream-silent"
+	// UpstreamDark: no instance hears any of an engine's streams; it gets nothing for a
+	// while, and what can goes on elsewhere.
+	UpstreamDark Name = "upstream-dark"
 	// UpstreamRestored: an ejected upstream has answered its probe.
 	UpstreamRestored Name = "upstream-restored"
 )
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -73,6 +73,11 @@
 	KeyUncached      = "uncached"     // the request's prompt tokens that the target must read
 	KeyUnsent        = "unsent"       // whether nothing had left
 	KeyUpstream      = "upstream"
-	KeyUsable        = "usable"  // upstreams that may get work
-	KeyVersion       = "version" // the configuration's
+	// KeySilent and KeySilentElsewhere count an engine's silent streams, of this instance
+	// and of the others; KeyEnded those of this instance that were ended to go on elsewhere.
+	KeySilent          = "silent"
+	KeySilentElsewhere = "silent_elsewhere"
+	KeyEnded           = "ended"
+	KeyUsable          = "usable"  // upstreams that may get work
+	KeyVersion         = "version" // the configuration's
 )
