A region keeps its plain calls longer where their places are known

Cause: with two instances and one server in a region, as on the small deployments, nothing is unknown, and a call that waits for the end of another waits less than the 0.11 s of the way; the share sent away at a load of 1 was made for a hundred instances that hear of each other late.

--- a/pkg/steer/plain.go
+++ b/pkg/steer/plain.go
@@ -18,10 +18,14 @@
 
 // Parameters of the spreading of plain calls. A load is requests in hand by slots.
 const (
-	// spillFrom is the load from which on a region sends calls away. With Poisson arrivals
-	// one call in six finds all six slots of an upstream taken at a load of 0.8, one in
-	// four at 0.9 (Erlang's loss formula).
+	// spillFrom is the load from which on a region sends calls away whose instances know
+	// nothing of each other's present work: with Poisson arrivals one call in six finds all
+	// six slots of an upstream taken at a load of 0.8, one in four at 0.9 (Erlang's loss
+	// formula).
 	spillFrom = 0.8
+	// spillKnown is how much higher that load is where all is known: calls can be placed
+	// evenly then, and one that waits for the end of another waits less than the way takes.
+	spillKnown = 0.5
 	// spillRange is over how much more load the share of calls that are sent away grows to
 	// all: a region that is offered 1.5 times its slots settles at a load of about 1.
 	spillRange = 0.5
@@ -33,8 +37,13 @@
 // expected is the load of other instances at an upstream by now: as it was told, as far as
 // calls of that age still run, and the region's mean otherwise.
 func expected(told, mean float64, age, pace time.Duration) float64 {
-	stays := math.Exp(-float64(age) / float64(max(pace, time.Millisecond)))
-	return stays*told + (1-stays)*mean
+	part := stays(age, pace)
+	return part*told + (1-part)*mean
+}
+
+// stays is the part of the calls in hand that still run after a time.
+func stays(age, pace time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(max(pace, time.Millisecond)))
 }
 
 // meanOf is the mean work of the others at the upstreams.
@@ -60,7 +69,8 @@
 		return nil
 	}
 	there := away.load()
-	share := (load - max(spillFrom, there+wayLoad)) / spillRange
+	from := spillFrom + spillKnown*w.knownPart(req.Service.Name, here)
+	share := (load - max(from, there+wayLoad)) / spillRange
 	// More than what makes both equal would come back.
 	share = min(share, (load-there)/load)
 	if w.fraction(req.Service.Name) >= share {
@@ -69,6 +79,18 @@
 	return away
 }
 
+// knownPart is the part of a plain service's calls in hand in the own region of which this
+// instance knows where they are: its own, and those of others that still run as told. With
+// one upstream there is nothing to know.
+func (w *World) knownPart(service string, here *Survey) float64 {
+	if here.Usable <= 1 {
+		return 1
+	}
+	others, age := w.Peers.Near(w.Now)
+	own := 1 / float64(1+others)
+	return own + (1-own)*stays(age, w.Pace.Of(service))
+}
+
 // wayFits says whether a call that goes to another region can still be in time.
 func (w *World) wayFits(req *Request) bool {
 	took := farTime + w.Pace.Of(req.Service.Name)
