--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
 )
 
 // counter counts the bytes that are written to it.
@@ -126,3 +128,20 @@
 	}
 	return placed
 }
+
+// BenchmarkRegistered lists the other instances of a deployment of 295, as several steps of
+// a round do.
+func BenchmarkRegistered(b *testing.B) {
+	g := newHub("hall-0", "region")
+	view := &fleet.View{}
+	for i := range 295 {
+		domain := fmt.Sprintf("hall-%d", i%6)
+		view.Instances = append(view.Instances, fleet.Instance{Name: fmt.Sprintf("front-%s-%d", domain, i), Domain: domain, Region: "region"})
+	}
+	view.Index()
+	g.options.Fleet.Store(view)
+	b.ReportAllocs()
+	for b.Loop() {
+		g.registered()
+	}
+}
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -84,6 +84,8 @@
 	askedAt map[string]time.Time
 	// news holds the placements that those who ask may not know yet.
 	news *news
+	// roll is the newest list of the instances that can be reached.
+	roll roll
 	// addresses holds the instances that were registered, and where to reach them.
 	addresses map[string]fleet.Instance
 	// askers holds who said where to get a copy of the store.
--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -66,9 +66,20 @@
 // other.
 func (g *Gossip) large() bool { return len(g.domain()) >= smallDomain }
 
+// roll is the instances that can be reached, as they were worked out from a view.
+type roll struct {
+	view   *fleet.View
+	at     time.Time
+	others []fleet.Instance
+}
+
+// rollFor is for how long a roll counts: several steps of a round ask for it, and with 295
+// instances it takes 0.06 ms and 46 KB to make.
+const rollFor = round / 2
+
 // registered returns the instances that can be reached, this one left out: those that
 // are registered, and those that were and are still heard of. An entry may be taken
-// away while its instance lives.
+// away while its instance lives. Callers must not change the result.
 func (g *Gossip) registered() []fleet.Instance {
 	view := g.options.Fleet.Load()
 	if view == nil {
@@ -77,6 +88,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock.Now()
+	if g.roll.view != view || now.Sub(g.roll.at) >= rollFor {
+		g.roll = roll{view: view, at: now, others: g.listRegistered(view, now)}
+	}
+	return g.roll.others
+}
+
+// listRegistered makes the list. The caller holds g.mu.
+func (g *Gossip) listRegistered(view *fleet.View, now time.Time) []fleet.Instance {
 	others := make([]fleet.Instance, 0, len(view.Instances))
 	listed := make(map[string]bool, len(view.Instances))
 	for _, instance := range view.Instances {
