--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -42,9 +42,10 @@
 	// registerTimeout bounds each call.
 	registerTimeout = time.Second
 	// registerPause follows a first failed call; it doubles up to longestPause, of which a
-	// random half is left out. While a store turns a third of 295 instances away, tries
-	// four times a second were a seventh of all calls that it got; the others know an
-	// instance without an entry from its peers meanwhile.
+	// random half is left out. With tries four times a second, failed ones were a
+	// seventh of all calls on a day on which the store turned a third of 295 instances away
+	// and later answered nobody for 4 s; the others know an instance without an entry from
+	// its peers meanwhile.
 	registerPause = 250 * time.Millisecond
 	longestPause  = 2 * time.Second
 )
