Gossip ends after its copy: a race between a copy under way and the closing of its connections

Cause: Run returned while the goroutine of the last copy of the store still used the connections that its owner closes next.

--- a/pkg/order/give.go
+++ b/pkg/order/give.go
@@ -15,6 +15,9 @@
 // ErrStaleFence: an engine has seen a higher fencing number.
 var ErrStaleFence = errors.New("engine has seen a higher fencing number")
 
+// ErrWeightsBusy: the weight store lends no further load now.
+var ErrWeightsBusy = errors.New("weight store is busy")
+
 // readLimit bounds the engines that are read at the same time.
 const readLimit = 8
 
@@ -46,6 +49,7 @@
 func (c *Controller) read(ctx context.Context, engines []config.Upstream) map[string]State {
 	var mu sync.Mutex
 	states := make(map[string]State, len(engines))
+	failed := make(map[string]error)
 	var group errgroup.Group
 	group.SetLimit(readLimit)
 	for _, engine := range engines {
@@ -54,16 +58,18 @@
 		}
 		group.Go(func() error {
 			state, err := c.Engines.State(ctx, engine)
-			if err != nil {
-				return nil // without a state the engine gets no order
-			}
 			mu.Lock()
 			defer mu.Unlock()
+			if err != nil {
+				failed[engine.Name] = err
+				return nil
+			}
 			states[engine.Name] = state
 			return nil
 		})
 	}
 	_ = group.Wait()
+	c.noteUnread(failed)
 	for name, state := range states {
 		delete(c.last.doubt, name)
 		delete(c.last.confirmed, name)
@@ -74,6 +80,20 @@
 	return states
 }
 
+// noteUnread remembers which engines could not be read, and logs the first failure of each
+// in a row: without a state an engine gets no order.
+func (c *Controller) noteUnread(failed map[string]error) {
+	for name, err := range failed {
+		if !c.last.unread[name] {
+			c.Log.Warn().Str("upstream", name).Err(err).Msg("order-state-unread")
+		}
+	}
+	clear(c.last.unread)
+	for name := range failed {
+		c.last.unread[name] = true
+	}
+}
+
 // settled reports whether an engine was read to be as declared, and its load
 // report says the same.
 func (c *Controller) settled(engine config.Upstream) bool {
@@ -97,14 +117,16 @@
 // sendOne sends an engine its order; false ends this round.
 func (c *Controller) sendOne(ctx context.Context, engine config.Upstream) bool {
 	permit := func() error { return c.permit(c.last.lease, engine.ChecksFencing) }
-	if permit() != nil {
+	if err := permit(); err != nil {
 		// The weight store need not be asked. The check that counts is in Send.
+		c.noteHeld(engine, err)
 		return true
 	}
 	if !c.reserve(ctx, engine) {
 		return false
 	}
 	c.last.sent++
+	c.last.held = ""
 	load := c.load(engine)
 	c.last.doubt[engine.Name] = c.Clock.Now()
 	err := c.Engines.Send(ctx, load, permit)
@@ -153,9 +175,24 @@
 		return false
 	}
 	wait, err := c.Weights.Reserve(ctx, engine.Serves, engine.Version)
-	if err != nil || wait > 0 {
+	if err != nil {
+		c.noteHeld(engine, fmt.Errorf("weight store: %w", err))
+		return false
+	}
+	if wait > 0 {
 		c.last.wait = c.Clock.Now().Add(wait)
+		c.noteHeld(engine, ErrWeightsBusy)
 		return false
 	}
 	return true
 }
+
+// noteHeld logs why an engine's order is held back, when the reason is another than before.
+func (c *Controller) noteHeld(engine config.Upstream, reason error) {
+	text := reason.Error()
+	if c.last.held == text {
+		return
+	}
+	c.last.held = text
+	c.Log.Info().Str("upstream", engine.Name).Str("reason", text).Msg("order-held")
+}
--- a/pkg/order/tally.go
+++ b/pkg/order/tally.go
@@ -20,6 +20,10 @@
 	doubt map[string]time.Time
 	// confirmed holds the versions that engines were read to have.
 	confirmed map[string]string
+	// unread holds the engines whose state the last reading did not get.
+	unread map[string]bool
+	// held is why the last order was held back; empty when it was sent.
+	held string
 	// wait is until when the weight store is busy.
 	wait time.Time
 }
@@ -30,6 +34,7 @@
 		revision:  held.revision,
 		doubt:     make(map[string]time.Time),
 		confirmed: make(map[string]string),
+		unread:    make(map[string]bool),
 	}
 }
 
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/event"
@@ -9,15 +10,16 @@
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
-// startCatchUp copies beside the rounds, one copy at a time.
-func (g *Gossip) startCatchUp(ctx context.Context) {
+// startCatchUp copies beside the rounds, one copy at a time. Its goroutine is added to
+// running.
+func (g *Gossip) startCatchUp(ctx context.Context, running *sync.WaitGroup) {
 	if !g.copying.CompareAndSwap(false, true) {
 		return
 	}
-	go func() {
+	running.Go(func() {
 		defer g.copying.Store(false)
 		g.catchUp(ctx)
-	}()
+	})
 }
 
 // catchUp takes a peer's newer copy of the store, when this instance does not follow
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -151,8 +151,11 @@
 	}
 }
 
-// Run exchanges until ctx ends.
+// Run exchanges until ctx ends. When it returns, no copy of its is under way any more: the
+// connections that a copy uses are the caller's to close.
 func (g *Gossip) Run(ctx context.Context) {
+	var copies sync.WaitGroup
+	defer copies.Wait()
 	var due time.Time
 	// met is true once there was somebody to ask.
 	met := false
@@ -177,7 +180,7 @@
 			g.exchangeFar(ctx, regions)
 		}
 		g.publish()
-		g.startCatchUp(ctx)
+		g.startCatchUp(ctx, &copies)
 	}
 }
 
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -460,3 +460,37 @@
 	n.add([]Placement{near}, true, now.Add(2*newsFor))
 	is.Equal(n.since("n-1", false, now), []Placement{near})
 }
+
+// lateWriter is a log that takes a while over a line.
+type lateWriter struct {
+	begun   chan struct{}
+	written atomic.Bool
+}
+
+func (w *lateWriter) Write(line []byte) (int, error) {
+	close(w.begun)
+	time.Sleep(50 * time.Millisecond)
+	w.written.Store(true)
+	return len(line), nil
+}
+
+// TestRunEndsAfterItsCopy: who stops the loop closes what a copy uses next. The copy here
+// has failed and still writes its line when the loop is told to end.
+func TestRunEndsAfterItsCopy(t *testing.T) {
+	m := newMesh(t, 0)
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	m.is.NoErr(err)
+	n := m.newNode(network, "north-a-0", "north-a")
+	defer n.server.Close()
+	log := &lateWriter{begun: make(chan struct{})}
+	n.gossip.options.Log = zerolog.New(log)
+	offered := asker{instance: fleet.Instance{Name: "south-a-0", Domain: "south-a", Gossip: "127.0.0.1:1"}, store: 5}
+	n.gossip.askers["south-a-0"] = &heard[asker]{value: offered, at: time.Now()}
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { n.gossip.Run(ctx) })
+	<-log.begun
+	stop()
+	running.Wait()
+	m.is.True(log.written.Load())
+}
