A hub tells the region's work in columns, adds it up once in 20 ms, and asks others without its own

Cause: an upstream's ID is longer than what is said of its work, and a hub added up the reports of its domain anew for each of 500 asks a second. Where both sides know the same upstreams (fingerprint of their IDs) the IDs are left out; else the work travels by name as before. Asks to other domains carry no work nor placements: these are not read there.

Ruled out: columns by a list that each side remembers of the other (state to lose; the copy of the store is the same list already).

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -61,6 +61,8 @@
 	// CopyAdopted: changes of the store came from another instance.
 	CopyAdopted Name = "copy-adopted"
 	CopyFailed  Name = "copy-failed"
+	// SumsRejected: a hub told of the others' work in a form that was not asked for.
+	SumsRejected Name = "sums-rejected"
 	// UpstreamEjected: an upstream failed too often and gets nothing for a while.
 	UpstreamEjected Name = "upstream-ejected"
 	// UpstreamReborn: an upstream says that it has started again; its entry does not yet.
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 )
 
@@ -22,9 +24,9 @@
 // encode it as it travels once the types are known: by the instances of its domain, the
 // other domains of its region and those of other regions.
 func BenchmarkReply(b *testing.B) {
-	for _, size := range []struct{ domain, near, far int }{{3, 0, 2}, {15, 1, 4}, {50, 1, 4}, {9, 2, 38}} {
-		b.Run(fmt.Sprintf("domain=%d/near=%d/far=%d", size.domain, size.near, size.far), func(b *testing.B) {
-			hub := newSampleHub(size.domain, size.near, size.far)
+	for _, size := range []sample{{3, 0, 2, 24}, {15, 1, 4, 24}, {50, 1, 4, 24}, {50, 1, 4, 47}, {9, 2, 38, 24}, {9, 2, 38, 71}} {
+		b.Run(fmt.Sprintf("domain=%d/near=%d/far=%d/upstreams=%d", size.domain, size.near, size.far, size.upstreams), func(b *testing.B) {
+			hub := newSampleHub(size)
 			sink := &counter{}
 			encoder := gob.NewEncoder(sink)
 			tell := func() {
@@ -42,29 +44,57 @@
 	}
 }
 
-// sampleHub is a hub without network, under load: its region has 24 engines, each
-// instance has work at six of them and places a long prompt a second.
+// BenchmarkExchange has the instances of a domain of 50 ask their hub in turn, 500 times a
+// second, each with work at 20 of the region's 47 upstreams.
+func BenchmarkExchange(b *testing.B) {
+	hub := newSampleHub(sample{50, 1, 4, 47})
+	now := time.Unix(1_000_000, 0)
+	hub.gossip.options.Clock = clock.Func(func() time.Time { return now })
+	asks := make([]Ask, 50)
+	for i := range asks {
+		asks[i] = hub.ask
+		asks[i].Report = sampleReport(i)
+		asks[i].Report.Upstreams = sampleLoads(20, sampleUpstream)
+	}
+	service := &Service{gossip: hub.gossip}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(round / 50)
+		ask := &asks[n%len(asks)]
+		ask.Report.Sequence++
+		if err := service.Exchange(*ask, &Reply{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// sampleHub is a hub without network, under load: all of its region's upstreams have work,
+// each instance has some at six of them and places a long prompt a second.
 type sampleHub struct {
 	gossip *Gossip
 	ask    Ask
 	sample sample
 }
 
-// sample is how many instances a domain has, and how many other domains the region and
-// the other regions have.
-type sample struct{ domain, near, far int }
+// sample is how many instances a domain has, how many other domains the region and the
+// other regions have, and how many upstreams the region has.
+type sample struct{ domain, near, far, upstreams int }
 
-func newSampleHub(domain, near, far int) *sampleHub {
+func newSampleHub(s sample) *sampleHub {
 	g := newHub("some-hall", "region")
-	h := &sampleHub{gossip: g, sample: sample{domain, near, far}}
+	g.options.Fleet.Store(sampleFleet(s.upstreams))
+	h := &sampleHub{gossip: g, sample: s}
 	now := g.options.Clock.Now()
-	for i := range domain - 1 {
+	for i := range s.domain - 1 {
 		g.takeReport(sampleReport(i), now)
 	}
-	for i := range near + far {
-		g.takeDigest(sampleDigest(i, domain, i < near), now)
+	for i := range s.near + s.far {
+		g.takeDigest(sampleDigest(i, s, i < s.near), now)
+	}
+	h.ask = Ask{
+		Domain: "some-hall", Region: "region", Report: sampleReport(0),
+		Sums: s.domain > smallDomain, Lineup: g.lineup().fingerprint,
 	}
-	h.ask = Ask{Domain: "some-hall", Region: "region", Report: sampleReport(0), Sums: domain > smallDomain}
 	for _, told := range h.tell().Digests {
 		h.ask.Rosters = append(h.ask.Rosters, Roster{Domain: told.Domain, Fingerprint: told.Roster})
 	}
@@ -84,7 +114,7 @@
 	// Digests of other regions come every farPause, and are told once.
 	far := math.Ceil(float64(h.sample.far) * round.Seconds() / farPause.Seconds())
 	for i := range h.sample.near + int(far) {
-		digest := sampleDigest(i, h.sample.domain, false)
+		digest := sampleDigest(i, h.sample, false)
 		digest.leaveOut(h.ask.Rosters)
 		reply.Digests = append(reply.Digests[:1+i], digest)
 	}
@@ -96,27 +126,39 @@
 func sampleReport(i int) Report {
 	return Report{
 		Name: fmt.Sprintf("front-some-hall-%d", i), Incarnation: 1 << 60, Sequence: 1 << 20, Ready: true, Store: 1 << 20,
-		Upstreams: sampleLoads(6, "i-7f3a91c%x"), Placed: samplePlaced(2),
+		Upstreams: sampleLoads(6, sampleUpstream), Placed: samplePlaced(2),
 	}
 }
 
-func sampleDigest(i, instances int, near bool) Digest {
+func sampleDigest(i int, s sample, near bool) Digest {
 	digest := Digest{Domain: fmt.Sprintf("hall-%d", i), Region: "other", Age: 1 << 27, Store: 1 << 20, Services: sampleLoads(6, "service-%x")}
-	for n := range instances {
+	for n := range s.domain {
 		digest.Marks = append(digest.Marks, Mark{Name: fmt.Sprintf("front-other-hall-%d", n), Incarnation: 1 << 60, Ready: true})
 	}
 	digest.Roster = fingerprint(digest.Marks)
 	if near {
 		digest.Region = "region"
-		digest.Upstreams = sampleLoads(24, "i-7f3a91c%x")
+		digest.Upstreams = sampleLoads(s.upstreams, sampleUpstream)
 	}
 	return digest
 }
 
+// sampleUpstream is the form of an upstream's ID.
+const sampleUpstream = "i-7f3a91%02x"
+
+func sampleFleet(upstreams int) *fleet.View {
+	view := &fleet.View{}
+	for i := range upstreams {
+		view.Upstreams = append(view.Upstreams, fleet.Upstream{ID: fmt.Sprintf(sampleUpstream, i), Region: "region"})
+	}
+	view.Index()
+	return view
+}
+
 func sampleLoads(n int, form string) []Load {
 	loads := make([]Load, n)
 	for i := range loads {
-		loads[i] = Load{Name: fmt.Sprintf(form, i), InFlight: 7, Prefill: 12_000}
+		loads[i] = Load{Name: fmt.Sprintf(form, i), InFlight: 7, Prefill: 12_000, Flowing: 5}
 	}
 	return loads
 }
--- /dev/null
+++ b/pkg/peer/columns_test.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+)
+
+// TestWorkIsToldWithoutIDsWhereBothKnowTheSameUpstreams, and all of it in either case: an
+// upstream may have left the list while requests run there.
+func TestWorkIsToldWithoutIDsWhereBothKnowTheSameUpstreams(t *testing.T) {
+	is := is.New(t)
+	loads := sampleLoads(30, sampleUpstream)
+	hub, member := newHub("north-a", "region"), newHub("north-a", "region")
+	member.options.Self.Name = "north-a-member"
+	hub.options.Report = func() Report { return Report{Name: "north-a-self", Incarnation: 1, Upstreams: loads} }
+	hub.options.Fleet.Store(sampleFleet(24))
+	member.options.Fleet.Store(sampleFleet(24))
+
+	reply := exchange(is, member, hub, 1)
+	is.Equal(len(reply.Sums), 6)
+	is.Equal(len(reply.Columns.InFlight), 24)
+	is.Equal(member.sums.value, loads)
+
+	member.options.Fleet.Store(sampleFleet(23))
+	reply = exchange(is, member, hub, 2)
+	is.Equal(reply.Columns, Columns{})
+	is.Equal(reply.Sums, loads)
+}
+
+// TestNoWorkIsToldInNoColumn.
+func TestNoWorkIsToldInNoColumn(t *testing.T) {
+	is := is.New(t)
+	l := newLineup(sampleFleet(3), "region")
+	c, rest := l.columns([]Load{{Name: l.ids[1], InFlight: 2}})
+	is.Equal(c, Columns{Lineup: l.fingerprint, InFlight: []int{0, 2, 0}})
+	is.Equal(len(rest), 0)
+	loads, err := l.loads(&c)
+	is.NoErr(err)
+	is.Equal(loads, []Load{{Name: l.ids[1], InFlight: 2}})
+}
+
+// TestALineupIsThatOfOneRegion.
+func TestALineupIsThatOfOneRegion(t *testing.T) {
+	is := is.New(t)
+	view := sampleFleet(2)
+	view.Upstreams = append(view.Upstreams, fleet.Upstream{ID: "z", Region: "other"})
+	is.Equal(newLineup(view, "region").ids, newLineup(sampleFleet(2), "region").ids)
+	is.Equal(newLineup(view, "other").ids, []string{"z"})
+	is.Equal(newLineup(view, "nowhere").fingerprint, uint64(0))
+}
+
+// TestColumnsThatDoNotFitAreNotTaken: what was known before counts on.
+func TestColumnsThatDoNotFitAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	l := newLineup(sampleFleet(3), "region")
+	var wrong *LineupError
+	_, err := l.loads(&Columns{Lineup: l.fingerprint, Silent: []int{1}})
+	is.True(errors.As(err, &wrong))
+	_, err = l.loads(&Columns{Lineup: l.fingerprint + 1})
+	is.True(errors.As(err, &wrong))
+
+	g := newHub("north-a", "region")
+	g.sums = &heard[[]Load]{value: sampleLoads(1, sampleUpstream)}
+	g.take(&Reply{Summed: true, Columns: Columns{Lineup: 7, InFlight: []int{1}}}, l)
+	is.Equal(g.sums.value, sampleLoads(1, sampleUpstream))
+}
+
+// TestAnUpstreamCostsFewBytesInARound: 1,000 upstreams in 14 regions are 71 in one, and an
+// instance is told of their work ten times a second.
+func TestAnUpstreamCostsFewBytesInARound(t *testing.T) {
+	is := is.New(t)
+	told := func(upstreams int) int {
+		hub := newSampleHub(sample{9, 2, 38, upstreams})
+		sink := &counter{}
+		encoder := gob.NewEncoder(sink)
+		is.NoErr(encoder.Encode(hub.tell()))
+		sink.n = 0
+		is.NoErr(encoder.Encode(hub.tell()))
+		return sink.n
+	}
+	few, many := told(24), told(71)
+	t.Logf("%d bytes with 24 upstreams, %d with 71", few, many)
+	is.True(many-few <= 8*(71-24))
+}
+
+// TestOtherDomainsAreNotToldOfTheOwnWorkInAnAsk.
+func TestOtherDomainsAreNotToldOfTheOwnWorkInAnAsk(t *testing.T) {
+	is := is.New(t)
+	g := newHub("north-a", "north")
+	report := sampleReport(0)
+	g.options.Report = func() Report { return report }
+	near := g.ask(&fleet.Instance{Name: "n", Domain: "north-a"}, g.lineup())
+	is.True(slices.Equal(near.Report.Upstreams, report.Upstreams))
+	is.True(slices.Equal(near.Report.Placed, report.Placed))
+	far := g.ask(&fleet.Instance{Name: "s", Domain: "south-a"}, g.lineup())
+	is.Equal(len(far.Report.Upstreams)+len(far.Report.Placed), 0)
+	is.Equal(far.Report.Name, report.Name)
+}
+
+// TestAHubAddsUpOnceForAllThatAskTogether: it tells each the work of the others alone.
+func TestAHubAddsUpOnceForAllThatAskTogether(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	hub := newHub("north-a", "north")
+	hub.options.Clock = clock.Func(func() time.Time { return now })
+	made := 0
+	hub.options.Report = func() Report {
+		made++
+		return Report{Name: "north-a-self", Incarnation: 1, Upstreams: []Load{{Name: "u-1", InFlight: 1}}}
+	}
+	ask := func(i int) []Load {
+		reply := &Reply{}
+		report := Report{Name: fmt.Sprint("n-", i), Incarnation: 1, Sequence: uint64(made + 1), Upstreams: []Load{{Name: fmt.Sprint("u-", i%2), InFlight: 10, Prefill: i, Silent: 1}}}
+		is.NoErr((&Service{gossip: hub}).Exchange(Ask{Domain: "north-a", Region: "north", Report: report, Sums: true}, reply))
+		return reply.Sums
+	}
+	for i := range 50 {
+		ask(i)
+	}
+	now = now.Add(round)
+	before := made
+	for i := range 50 {
+		ask(i)
+	}
+	is.Equal(made, before+1)
+	is.Equal(ask(0), []Load{{Name: "u-0", InFlight: 240, Prefill: 24 * 25, Silent: 24}, {Name: "u-1", InFlight: 251, Prefill: 25 * 25, Silent: 25}})
+	now = now.Add(totalsFor)
+	ask(0)
+	is.Equal(made, before+2)
+}
+
+// TestWhoAloneHasWorkIsToldOfNone.
+func TestWhoAloneHasWorkIsToldOfNone(t *testing.T) {
+	is := is.New(t)
+	load := Load{Name: "u", InFlight: 3, Prefill: 100, Flowing: 2, Silent: 1}
+	all := totals{sums: []Load{load}, parts: map[string][]Load{"n": {load}}}
+	is.Equal(len(all.without("n")), 0)
+	is.Equal(all.without("m"), []Load{load})
+	is.Equal(all.sums, []Load{load})
+}
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -87,6 +87,10 @@
 	news *news
 	// roll is the newest list of the instances that can be reached.
 	roll roll
+	// totals is what a hub tells of the region's work, nil before anyone asked.
+	totals *totals
+	// lined is the newest lineup.
+	lined atomic.Pointer[lineup]
 	// addresses holds the instances that were registered, and where to reach them.
 	addresses map[string]fleet.Instance
 	// askers holds who said where to get a copy of the store.
@@ -296,10 +300,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
-	ask := Ask{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(), Sums: g.large(), Rosters: g.rosters()}
-	if !g.hasCopy(&instance) {
-		ask.Gossip = g.options.Self.Gossip
-	}
+	lineup := g.lineup()
+	ask := g.ask(&instance, lineup)
 	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, ask, &reply)
 	if ctx.Err() != nil && err == nil {
 		return
@@ -308,7 +310,24 @@
 		g.unreached(instance, err)
 		return
 	}
-	g.take(&reply)
+	g.take(&reply, lineup)
+}
+
+// ask is what an instance is asked. One of another domain hears of this one's work through
+// the digests that it asks for itself: at 1,000 upstreams the work of a busy instance is
+// 25 KB, and it went to the hubs of all domains.
+func (g *Gossip) ask(instance *fleet.Instance, lineup *lineup) Ask {
+	ask := Ask{
+		Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(),
+		Sums: g.large(), Rosters: g.rosters(), Lineup: lineup.fingerprint,
+	}
+	if instance.Domain != g.options.Self.Domain {
+		ask.Report.Upstreams, ask.Report.Placed = nil, nil
+	}
+	if !g.hasCopy(instance) {
+		ask.Gossip = g.options.Self.Gossip
+	}
+	return ask
 }
 
 // unreached remembers that an instance did not answer.
--- a/pkg/peer/roster_test.go
+++ b/pkg/peer/roster_test.go
@@ -35,9 +35,9 @@
 	report := from.options.Report()
 	report.Sequence = sequence
 	reply := &Reply{}
-	ask := Ask{Domain: from.options.Self.Domain, Region: from.options.Self.Region, Report: report, Sums: true, Rosters: from.rosters()}
+	ask := Ask{Domain: from.options.Self.Domain, Region: from.options.Self.Region, Report: report, Sums: true, Rosters: from.rosters(), Lineup: from.lineup().fingerprint}
 	is.NoErr((&Service{gossip: to}).Exchange(ask, reply))
-	from.take(reply)
+	from.take(reply, from.lineup())
 	return reply
 }
 
@@ -47,7 +47,7 @@
 func TestWhatAnInstanceIsToldDoesNotGrowWithItsDomain(t *testing.T) {
 	is := is.New(t)
 	told := func(instances int) int {
-		hub := newSampleHub(instances, 1, 4)
+		hub := newSampleHub(sample{instances, 1, 4, 24})
 		sink := &counter{}
 		encoder := gob.NewEncoder(sink)
 		is.NoErr(encoder.Encode(hub.tell()))
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -27,8 +27,10 @@
 	// Sums is true in a large domain: the asking instance learns of all through this one,
 	// and wants the work of the others as a sum.
 	Sums bool
-	// Rosters are those that the asking instance holds.
+	// Rosters are those that the asking instance holds, Lineup is the fingerprint of the
+	// region's upstreams as it knows them.
 	Rosters []Roster
+	Lineup  uint64
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -36,13 +38,16 @@
 type Reply struct {
 	Reports []AgedReport
 	Digests []Digest
-	// Summed is true when Sums adds up the work of the region's instances but the asking
-	// one, by upstream. Reports then holds that of the asked instance alone, Digests that
-	// of the own domain too, both without work, and all placements that are new to the
-	// asking instance stand in Placed.
+	// Summed is true when Columns and Sums add up the work of the region's instances but
+	// the asking one, by upstream. Reports then holds that of the asked instance alone,
+	// Digests that of the own domain too, both without work, and all placements that are
+	// new to the asking instance stand in Placed.
 	Summed bool
-	Sums   []Load
-	Placed []Placement
+	// Columns is the work at the upstreams that both know, where they know the same; Sums
+	// is the rest.
+	Columns Columns
+	Sums    []Load
+	Placed  []Placement
 }
 
 // AgedReport is a report with its age where it is told.
@@ -69,7 +74,7 @@
 func (s *Service) Exchange(ask Ask, reply *Reply) error {
 	g := s.gossip
 	now := g.options.Clock.Now()
-	own := g.options.Report()
+	own := g.ownReport(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.avoided, ask.Report.Name)
@@ -115,14 +120,8 @@
 // 20 Mbit/s was full, and what it told of loads was seconds old. The caller holds g.mu.
 func (g *Gossip) tellSums(ask *Ask, reply *Reply, now time.Time) {
 	own := &reply.Reports[0].Report
-	sums := make(map[string]Load)
-	addLoads(sums, own.Upstreams)
-	for name, report := range g.reports {
-		if name != ask.Report.Name && now.Sub(report.at) <= SilentAfter {
-			addLoads(sums, report.value.Upstreams)
-		}
-	}
-	reply.Digests = []Digest{g.roster(own, now)}
+	total := g.total(own, now)
+	reply.Digests = []Digest{total.roster}
 	before := g.askedAt[ask.Report.Name]
 	g.askedAt[ask.Report.Name] = now
 	for _, digest := range g.digests {
@@ -131,7 +130,6 @@
 		if told.Age > SilentAfter {
 			continue
 		}
-		addLoads(sums, told.Upstreams)
 		if !digest.taken.Before(before) {
 			told.Upstreams, told.Placed = nil, nil
 			reply.Digests = append(reply.Digests, told)
@@ -141,7 +139,10 @@
 		reply.Digests[i].leaveOut(ask.Rosters)
 	}
 	own.Upstreams, own.Placed = nil, nil
-	reply.Summed, reply.Sums = true, sorted(sums)
+	reply.Summed, reply.Sums = true, total.without(ask.Report.Name)
+	if lineup := g.lineup(); lineup.fingerprint == ask.Lineup {
+		reply.Columns, reply.Sums = lineup.columns(reply.Sums)
+	}
 	reply.Placed = g.news.since(ask.Report.Name, false, now)
 }
 
@@ -190,8 +191,8 @@
 	return sorted(services)
 }
 
-// take learns from a reply.
-func (g *Gossip) take(reply *Reply) {
+// take learns from a reply to an ask that named a lineup.
+func (g *Gossip) take(reply *Reply, asked *lineup) {
 	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -207,11 +208,21 @@
 		g.takeDigest(reply.Digests[i], now)
 	}
 	if reply.Summed {
-		g.sums = &heard[[]Load]{value: reply.Sums, at: now}
+		g.takeSums(reply, asked, now)
 		g.placed(reply.Placed, false, now)
 	}
 }
 
+// takeSums learns the others' work. The caller holds g.mu.
+func (g *Gossip) takeSums(reply *Reply, asked *lineup, now time.Time) {
+	loads, err := asked.loads(&reply.Columns)
+	if err != nil {
+		g.options.Log.Warn().Err(err).Msg(string(event.SumsRejected))
+		return
+	}
+	g.sums = &heard[[]Load]{value: append(loads, reply.Sums...), at: now}
+}
+
 func (g *Gossip) takeReport(report Report, at time.Time) {
 	if report.Name == g.options.Self.Name {
 		return
@@ -220,6 +231,9 @@
 	if before != nil && !report.newer(&before.value) {
 		return
 	}
+	if before == nil || before.value.mark() != report.mark() {
+		g.totals = nil
+	}
 	g.note(before, &report)
 	delete(g.avoided, report.Name)
 	g.placed(report.Placed, true, at)
