--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -20,8 +20,8 @@
 	if !ok {
 		return notRun
 	}
-	if to.survey.Best.Uncached >= hurryTokens {
-		j.gossip.Hurry()
+	if to.survey.Best.Uncached >= urgentTokens {
+		j.gossip.RequestRound()
 	}
 	if j.mayBeCold(upstream) {
 		j.cold.Sent(upstream.ID)
@@ -89,14 +89,14 @@
 	}
 	j.recent.Sent(j.attributes.Parts, to.peer.Instance.Region, j.now())
 	call := &call{
-		job:    j,
-		to:     to,
-		pool:   j.peers,
-		target: exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
-		send:   Send{Left: j.deadline.Sub(j.now()), After: j.after()},
-		begun:  flight.FirstByte,
-		peer:   true,
-		grants: to.grants(j),
+		job:      j,
+		to:       to,
+		pool:     j.peers,
+		target:   exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
+		send:     Send{Left: j.deadline.Sub(j.now()), After: j.after()},
+		begun:    flight.FirstByte,
+		peer:     true,
+		attempts: to.attempts(j),
 	}
 	ended := call.do(ctx)
 	flight.Done(call.regionVerdict(ended))
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -30,9 +30,9 @@
 	begun func()
 	heard func()
 	// peer is true when the target is another instance, which may run the request on
-	// as many upstreams as grants says.
-	peer   bool
-	grants int
+	// as many upstreams as attempts says.
+	peer     bool
+	attempts int
 	// status is that of the answer; zero: none came. whole is true once all of it was
 	// read.
 	status int
@@ -54,7 +54,7 @@
 	fields := c.dialect.Outgoing(c.request.Header, c.send)
 	fields.Del(header.Attempts)
 	if c.peer {
-		fields.Set(header.Attempts, strconv.Itoa(c.grants))
+		fields.Set(header.Attempts, strconv.Itoa(c.attempts))
 	}
 	answer, err := c.pool.Do(ctx, c.target, &exchange.Request{
 		Method: c.request.Method,
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -81,26 +81,26 @@
 	began  time.Time
 	active atomic.Int64
 
-	board     Board
-	store     *mirror.Mirror
-	tracker   *limit.Tracker
-	ejector   *limit.Ejector
-	retries   *limit.RetryShares
-	cold      *limit.ColdShares
-	doubts    *doubts
-	pulses    *pulses
-	overload  *steer.Overload
-	recent    *steer.Recent
-	pace      *steer.Pace
-	estimates *steer.Estimator
-	flow      *steer.Flow
-	upstreams *exchange.Pool
-	peers     *exchange.Pool
-	gossip    *peer.Gossip
-	clients   *control.Clients
-	copies    *control.Clients
-	registry  metrics.Registry
-	counts    counters
+	board      Board
+	store      *mirror.Mirror
+	tracker    *limit.Tracker
+	ejector    *limit.Ejector
+	retries    *limit.RetryShares
+	cold       *limit.ColdShares
+	suspicions *suspicions
+	pulses     *pulses
+	overload   *steer.Overload
+	recent     *steer.Recent
+	pace       *steer.Pace
+	estimates  *steer.Estimator
+	flow       *steer.Flow
+	upstreams  *exchange.Pool
+	peers      *exchange.Pool
+	gossip     *peer.Gossip
+	clients    *control.Clients
+	copies     *control.Clients
+	registry   metrics.Registry
+	counts     counters
 	// tally is the newest count of the instances.
 	tally atomic.Pointer[tally]
 }
@@ -148,25 +148,25 @@
 			Incarnation: uint64(system.Now().UnixNano()),
 			Callers:     s.Listen.Callers, Peers: s.Listen.Peers, Gossip: s.Listen.Gossip,
 		},
-		began:     system.Now(),
-		store:     options.Store,
-		ejector:   ejector,
-		tracker:   limit.NewTracker(system, ejector),
-		retries:   limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
-		cold:      limit.NewColdShares(system.Now),
-		doubts:    newDoubts(),
-		pulses:    newPulses(),
-		overload:  steer.NewOverload(),
-		recent:    steer.NewRecent(),
-		pace:      steer.NewPace(),
-		estimates: steer.NewEstimator(),
-		flow:      steer.NewFlow(),
-		upstreams: exchange.NewPool(dialer(), upstreamDial, system.Now),
-		peers:     exchange.NewPool(dialer(), peerDial, system.Now),
-		clients:   control.NewClients(network),
-		copies:    control.NewClients(network),
-		registry:  options.Registry,
-		counts:    counters{series: options.Series},
+		began:      system.Now(),
+		store:      options.Store,
+		ejector:    ejector,
+		tracker:    limit.NewTracker(system, ejector),
+		retries:    limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
+		cold:       limit.NewColdShares(system.Now),
+		suspicions: newSuspicions(),
+		pulses:     newPulses(),
+		overload:   steer.NewOverload(),
+		recent:     steer.NewRecent(),
+		pace:       steer.NewPace(),
+		estimates:  steer.NewEstimator(),
+		flow:       steer.NewFlow(),
+		upstreams:  exchange.NewPool(dialer(), upstreamDial, system.Now),
+		peers:      exchange.NewPool(dialer(), peerDial, system.Now),
+		clients:    control.NewClients(network),
+		copies:     control.NewClients(network),
+		registry:   options.Registry,
+		counts:     counters{series: options.Series},
 	}
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Placed: e.recent.Learn, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.copies, Clock: system, Log: e.log,
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -12,9 +12,9 @@
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
 
-// hurryTokens is from how many prompt tokens to be read on a request is told to the
+// urgentTokens is from how many prompt tokens to be read on a request is told to the
 // other instances at once: engines take longer over it than a round of gossip.
-const hurryTokens = 4000
+const urgentTokens = 4000
 
 // maxSends bounds how often one request is sent, whatever its route permits: those
 // that were rejected without being run count here as well.
@@ -47,8 +47,8 @@
 	kept *held
 	// lastError is why the last attempt failed.
 	lastError error
-	// unsaid holds steps for which there was no budget in the log.
-	unsaid []step
+	// withheld holds steps for which there was no budget in the log.
+	withheld []step
 }
 
 // target is where one attempt goes: an upstream of the own region, or an instance
@@ -74,9 +74,9 @@
 	return t.survey.Best.Upstream.Domain
 }
 
-// grants is on how many upstreams the request may run by this attempt: an instance
+// attempts is on how many upstreams the request may run by this attempt: an instance
 // of another region is lent all that are left, since it cannot ask for more in time.
-func (t *target) grants(j *job) int {
+func (t *target) attempts(j *job) int {
 	if t.peer != nil {
 		return j.attemptsLeft
 	}
@@ -106,7 +106,7 @@
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
 		next, refusal := j.next()
-		if refusal != nil && j.begins() && j.gossip.Unheard() {
+		if refusal != nil && j.starting() && j.gossip.Unheard() {
 			next = j.nextAtStart(ctx)
 		}
 		if next == nil && j.awaitRoom(ctx, refusal) {
@@ -124,7 +124,7 @@
 		case notRun:
 		case broken:
 			j.runs++
-			j.attemptsLeft -= next.grants(j)
+			j.attemptsLeft -= next.attempts(j)
 		}
 		if refusal := j.mayRepeat(ctx); refusal != nil {
 			return j.giveUp(refusal)
@@ -138,7 +138,7 @@
 	case context.Cause(ctx) != nil || !j.now().Before(j.deadline):
 		return j.late()
 	case j.runs > 0 && !j.route.Repeatable():
-		return outcome.Doubt(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
+		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
 	case j.attemptsLeft <= 0 || j.sends >= maxSends:
 		return j.exhausted("no attempt is left")
 	case j.sends > 0 && !j.retries.Take(j.service.Name, j.instances()):
@@ -150,7 +150,7 @@
 // exhausted is the refusal of a request that may not be sent again.
 func (j *job) exhausted(detail string) *outcome.Refusal {
 	if j.runs > 0 {
-		return outcome.Doubt(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, detail)
+		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, detail)
 	}
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, steer.RetryAfter(j.now(), j.deadline), detail)
 }
@@ -158,7 +158,7 @@
 // late is the refusal of a request whose time is over.
 func (j *job) late() *outcome.Refusal {
 	if j.runs > 0 {
-		return outcome.Doubt(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the time is over")
+		return outcome.MayHaveRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the time is over")
 	}
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDeadline, steer.RetryAfter(j.now(), j.deadline), "the time is over")
 }
@@ -167,7 +167,7 @@
 // never called not run.
 func (j *job) giveUp(refusal *outcome.Refusal) *outcome.Refusal {
 	if j.runs > 0 && refusal.Outcome == outcome.NotRun {
-		return outcome.Doubt(http.StatusBadGateway, refusal.Reason, 0, refusal.Detail)
+		return outcome.MayHaveRun(http.StatusBadGateway, refusal.Reason, 0, refusal.Detail)
 	}
 	return refusal
 }
@@ -186,7 +186,7 @@
 		Estimates: j.estimates,
 		Flow:      j.flow,
 		Now:       now,
-		Roll:      rand.Uint64(),
+		Random:    rand.Uint64(),
 	}
 }
 
@@ -208,7 +208,7 @@
 	}
 	if !j.forwarded && j.hops < maxHops {
 		if away := world.Choose(query, chosen.survey, world.Regions(query)); away != nil {
-			chosen.peer = away.Peers[world.Roll%uint64(len(away.Peers))]
+			chosen.peer = away.Peers[world.Random%uint64(len(away.Peers))]
 		}
 	}
 	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -68,7 +68,7 @@
 	for i := range last.Upstreams {
 		if id := last.Upstreams[i].ID; view.RegionOf(id) == "" {
 			e.counts.series.Remove(label(labelTarget, id))
-			e.doubts.forget(id)
+			e.suspicions.forget(id)
 			e.pulses.forget(id)
 		}
 	}
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -38,7 +38,7 @@
 	}
 	line := j.goodLog.Info()
 	if !line.Enabled() {
-		j.unsaid = append(j.unsaid, step{at: j.now(), name: name, fields: fields})
+		j.withheld = append(j.withheld, step{at: j.now(), name: name, fields: fields})
 		return
 	}
 	j.write(line, name, fields)
@@ -52,11 +52,11 @@
 
 // noteHeld writes the steps that were held.
 func (j *job) noteHeld() {
-	for _, held := range j.unsaid {
+	for _, held := range j.withheld {
 		line := j.stepLog.Info().Str(event.KeyAt, held.at.UTC().Format(logging.TimeLayout))
 		j.write(line, held.name, held.fields)
 	}
-	j.unsaid = nil
+	j.withheld = nil
 }
 
 // noteChoice logs where the request goes, with the inputs that decided it and their age.
--- a/pkg/edge/start.go
+++ b/pkg/edge/start.go
@@ -22,7 +22,7 @@
 	if ready() {
 		return true
 	}
-	if !j.begins() {
+	if !j.starting() {
 		return false
 	}
 	until := j.started.Add(startPatience)
@@ -48,8 +48,8 @@
 	}
 }
 
-// begins says whether the instance has just begun.
-func (e *Edge) begins() bool { return e.now().Sub(e.began) < startWindow }
+// starting says whether the instance has just begun.
+func (e *Edge) starting() bool { return e.now().Sub(e.began) < startWindow }
 
 // configured says whether the instance can route anything.
 func (e *Edge) configured() bool {
--- a/pkg/edge/doubt.go
+++ b/pkg/edge/suspicion.go
@@ -12,32 +12,32 @@
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 )
 
-// Times of doubts.
+// Times of suspicions.
 const (
-	// doubtPause is for how long after an upstream has said which start it is an answer
-	// that broke off raises no new doubt: servers that break off a few answers of a
+	// suspicionPause is for how long after an upstream has said which start it is an answer
+	// that broke off raises no new suspicion: servers that break off a few answers of a
 	// hundred would be asked all the time, and one that starts again takes longer.
-	doubtPause = time.Second
+	suspicionPause = time.Second
 	// askPause passes between questions to an upstream that does not answer them.
 	askPause = 300 * time.Millisecond
 	// askTimeout bounds a question: a round trip inside the region, and some work.
 	askTimeout = 300 * time.Millisecond
-	// silentFor is for how long an upstream that says nothing of its start stays in doubt:
+	// silentFor is for how long an upstream that says nothing of its start stays under suspicion:
 	// the usual time for which an upstream is cold.
 	silentFor = 10 * time.Second
 )
 
-// doubts holds the upstreams that may have started again under their names without this
+// suspicions holds the upstreams that may have started again under their names without this
 // instance knowing it: a connection failed, and their entries in the store may be old. A
 // new start is cold and would be overrun by what its former one could bear, so that each
 // gets no more than a cold upstream may until it has said which start it is.
 // It is safe for concurrent use.
-type doubts struct {
+type suspicions struct {
 	mu   sync.Mutex
-	byID map[string]*doubt
+	byID map[string]*suspicion
 }
 
-type doubt struct {
+type suspicion struct {
 	// open since; zero: settled.
 	open time.Time
 	// settled is when it was last found that the start is the known one.
@@ -47,28 +47,28 @@
 	asking bool
 }
 
-func newDoubts() *doubts { return &doubts{byID: make(map[string]*doubt)} }
+func newSuspicions() *suspicions { return &suspicions{byID: make(map[string]*suspicion)} }
 
-// raise opens a doubt. Unreached says that no connection could be made.
-func (d *doubts) raise(id string, unreached bool, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	entry := d.byID[id]
+// raise opens a suspicion. Unreached says that no connection could be made.
+func (s *suspicions) raise(id string, unreached bool, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.byID[id]
 	if entry == nil {
-		entry = &doubt{}
-		d.byID[id] = entry
+		entry = &suspicion{}
+		s.byID[id] = entry
 	}
-	if entry.open.IsZero() && (unreached || now.Sub(entry.settled) >= doubtPause) {
+	if entry.open.IsZero() && (unreached || now.Sub(entry.settled) >= suspicionPause) {
 		entry.open = now
 	}
 }
 
-// about says whether there is a doubt about an upstream, and whether it should be asked
+// about says whether there is a suspicion about an upstream, and whether it should be asked
 // now; whoever is told so must call answered.
-func (d *doubts) about(id string, now time.Time) (open, ask bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	entry := d.byID[id]
+func (s *suspicions) about(id string, now time.Time) (open, ask bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.byID[id]
 	if entry == nil || entry.open.IsZero() {
 		return false, false
 	}
@@ -81,10 +81,10 @@
 
 // answered takes the answer to a question: the upstream's start, and the known one; zero:
 // it does not say. Asked is false when no answer came.
-func (d *doubts) answered(id string, answered bool, began, known int64, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	entry := d.byID[id]
+func (s *suspicions) answered(id string, answered bool, began, known int64, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry := s.byID[id]
 	if entry == nil {
 		return
 	}
@@ -97,21 +97,21 @@
 }
 
 // forget drops what is known of an upstream that is gone.
-func (d *doubts) forget(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.byID, id)
+func (s *suspicions) forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byID, id)
 }
 
-// suspect opens a doubt about an upstream after a failed exchange, if the failure may be
-// the end of its start. One whose name is new at each start needs no doubt: it would
+// suspect opens a suspicion about an upstream after a failed exchange, if the failure may be
+// the end of its start. One whose name is new at each start needs no suspicion: it would
 // refuse requests for another.
 func (e *Edge) suspect(upstream *fleet.Upstream, err error) {
 	var failure *exchange.Error
 	if upstream.Began == 0 || !errors.As(err, &failure) || errors.Is(err, exchange.ErrFull) || errors.Is(err, context.Canceled) {
 		return
 	}
-	e.doubts.raise(upstream.ID, failure.Stage == exchange.Unsent, e.now())
+	e.suspicions.raise(upstream.ID, failure.Stage == exchange.Unsent, e.now())
 	e.mayBeCold(upstream)
 }
 
@@ -119,7 +119,7 @@
 // where that is due.
 func (e *Edge) mayBeCold(upstream *fleet.Upstream) bool {
 	now := e.now()
-	open, ask := e.doubts.about(upstream.ID, now)
+	open, ask := e.suspicions.about(upstream.ID, now)
 	if ask {
 		go e.ask(upstream)
 	}
@@ -131,7 +131,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	began, err := e.startOf(ctx, upstream)
-	e.doubts.answered(upstream.ID, err == nil, began, upstream.Began, e.now())
+	e.suspicions.answered(upstream.ID, err == nil, began, upstream.Began, e.now())
 	switch {
 	case err != nil:
 		e.log.Debug().Err(err).Str(event.KeyUpstream, upstream.ID).Msg(string(event.UpstreamSilent))
--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -179,7 +179,7 @@
 	i := m.instances[m.random.IntN(len(m.instances))]
 	world := &steer.World{
 		Region: region, Fleet: m.view, Peers: i.others, Local: i.tracker, Recent: i.recent, Pace: steer.NewPace(),
-		Estimates: i.estimates, Flow: i.flow, Now: m.now, Roll: m.random.Uint64(),
+		Estimates: i.estimates, Flow: i.flow, Now: m.now, Random: m.random.Uint64(),
 		Admits: func(*fleet.Upstream, *httproute.Service) bool { return true },
 	}
 	r.Contended = i.overload.Contended(serviceName, r.rank(), m.now)
--- a/pkg/emulator/plain.go
+++ b/pkg/emulator/plain.go
@@ -161,7 +161,7 @@
 func (d *plainDay) decide(i *plainInstance, c *plainCall) {
 	world := &steer.World{
 		Region: i.region, Fleet: d.view, Peers: i.others, Local: i.tracker, Recent: steer.NewRecent(), Pace: i.pace,
-		Estimates: steer.NewEstimator(), Flow: steer.NewFlow(), Now: d.now, Roll: d.random.Uint64(),
+		Estimates: steer.NewEstimator(), Flow: steer.NewFlow(), Now: d.now, Random: d.random.Uint64(),
 		Admits: func(*fleet.Upstream, *httproute.Service) bool { return true },
 	}
 	survey := world.Look(&c.request)
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -94,8 +94,8 @@
 	return &Refusal{Outcome: NotRun, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: detail}
 }
 
-// Doubt returns an Unknown refusal.
-func Doubt(status int, reason Reason, retryAfter time.Duration, detail string) *Refusal {
+// MayHaveRun returns an Unknown refusal: a repeat might run the request twice.
+func MayHaveRun(status int, reason Reason, retryAfter time.Duration, detail string) *Refusal {
 	return &Refusal{Outcome: Unknown, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: detail}
 }
 
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -44,8 +44,8 @@
 	// smallDomain is up to how many instances of a domain report to each other; in
 	// larger ones all report to the hub.
 	smallDomain = 5
-	// hurryPause keeps rounds apart that were asked for.
-	hurryPause = 20 * time.Millisecond
+	// urgentPause keeps rounds apart that were asked for.
+	urgentPause = 20 * time.Millisecond
 	// farPause is at least between two times that a hub asks the domains of other regions;
 	// bytes between regions are dear, and what is asked for there changes slowly.
 	farPause = 600 * time.Millisecond
@@ -85,8 +85,8 @@
 	askedAt map[string]time.Time
 	// news holds the placements that those who ask may not know yet.
 	news *news
-	// roll is the newest list of the instances that can be reached.
-	roll roll
+	// reachable is the newest list of the instances that can be reached.
+	reachable reachable
 	// totals is what a hub tells of the region's work, nil before anyone asked.
 	totals *totals
 	// lined is the newest lineup.
@@ -145,10 +145,10 @@
 // View returns the section that holds what is known of the others.
 func (g *Gossip) View() *board.Section[View] { return &g.view }
 
-// Hurry asks for an exchange inside the domain before the next round is due: this
+// RequestRound asks for an exchange inside the domain before the next round is due: this
 // instance has just sent so much to an upstream that the others would choose
 // differently if they knew. It never waits.
-func (g *Gossip) Hurry() {
+func (g *Gossip) RequestRound() {
 	select {
 	case g.urgent <- struct{}{}:
 	default:
@@ -166,17 +166,17 @@
 	var far time.Time
 	for ctx.Err() == nil {
 		now := g.options.Clock.Now()
-		hurried := now.Before(due)
+		early := now.Before(due)
 		first := !met && g.options.Fleet.Load() != nil
-		if hurried && !first && !g.waitHurry(ctx, due.Sub(now)) {
+		if early && !first && !g.waitUrgent(ctx, due.Sub(now)) {
 			continue
 		}
 		met = met || first
-		if !hurried {
+		if !early {
 			due = now.Add(round)
 		}
 		g.exchangeNear(ctx)
-		if regions := g.farWanted.Swap(false) || g.Unheard(); (regions || !hurried) && g.hub() == g.options.Self.Name {
+		if regions := g.farWanted.Swap(false) || g.Unheard(); (regions || !early) && g.hub() == g.options.Self.Name {
 			regions = regions || !now.Before(far)
 			if regions {
 				far = now.Add(farPause)
@@ -209,9 +209,9 @@
 	return false
 }
 
-// waitHurry waits until a round is due, and says whether one is wanted before: it was asked
+// waitUrgent waits until a round is due, and says whether one is wanted before: it was asked
 // for, or there is somebody to ask for the first time.
-func (g *Gossip) waitHurry(ctx context.Context, left time.Duration) bool {
+func (g *Gossip) waitUrgent(ctx context.Context, left time.Duration) bool {
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	last := g.options.Clock.Now()
@@ -221,7 +221,7 @@
 	}
 	select {
 	case <-g.urgent:
-		return clock.Sleep(ctx, hurryPause-g.options.Clock.Now().Sub(last))
+		return clock.Sleep(ctx, urgentPause-g.options.Clock.Now().Sub(last))
 	case <-changed:
 		return true
 	case <-timer.C:
--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -66,16 +66,16 @@
 // other.
 func (g *Gossip) large() bool { return len(g.domain()) >= smallDomain }
 
-// roll is the instances that can be reached, as they were worked out from a view.
-type roll struct {
+// reachable is the instances that can be reached, as they were worked out from a view.
+type reachable struct {
 	view   *fleet.View
 	at     time.Time
 	others []fleet.Instance
 }
 
-// rollFor is for how long a roll counts: several steps of a round ask for it, and with 295
-// instances it takes 0.06 ms and 46 KB to make.
-const rollFor = round / 2
+// reachableFor is for how long such a list counts: several steps of a round ask for it, and
+// with 295 instances it takes 0.06 ms and 46 KB to make.
+const reachableFor = round / 2
 
 // registered returns the instances that can be reached, this one left out: those that
 // are registered, and those that were and are still heard of. An entry may be taken
@@ -88,10 +88,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Clock.Now()
-	if g.roll.view != view || now.Sub(g.roll.at) >= rollFor {
-		g.roll = roll{view: view, at: now, others: g.listRegistered(view, now)}
+	if g.reachable.view != view || now.Sub(g.reachable.at) >= reachableFor {
+		g.reachable = reachable{view: view, at: now, others: g.listRegistered(view, now)}
 	}
-	return g.roll.others
+	return g.reachable.others
 }
 
 // listRegistered makes the list. The caller holds g.mu.
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -87,7 +87,7 @@
 		reply.Digests = []Digest{digest}
 		if digest := g.digests[ask.Domain]; digest == nil || now.Sub(digest.at) > SilentAfter {
 			g.farWanted.Store(true)
-			g.Hurry()
+			g.RequestRound()
 		}
 		return nil
 	}
--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -114,5 +114,5 @@
 
 // better says whether a candidate is to be preferred.
 func (w *World) better(c, best *Candidate) bool {
-	return c.Cost < best.Cost || (c.Cost == best.Cost && w.Roll&1 == 0)
+	return c.Cost < best.Cost || (c.Cost == best.Cost && w.Random&1 == 0)
 }
--- a/pkg/steer/far.go
+++ b/pkg/steer/far.go
@@ -172,7 +172,7 @@
 		}
 	}
 	if w.favouriteRegion(req, shared) == away.Region {
-		return favouriteTrust * float64(sharedTokens(req))
+		return affinity * float64(sharedTokens(req))
 	}
 	return 0
 }
--- a/pkg/steer/overload.go
+++ b/pkg/steer/overload.go
@@ -72,8 +72,8 @@
 
 // ReturnAfter is when a caller that is refused should come back. An overload that has
 // lasted for some time is expected to last about as long again; callers are spread over
-// that time by a roll from 0 to 1, as far as they honour it.
-func ReturnAfter(lasted, left time.Duration, roll float64) time.Duration {
-	wait := time.Duration((0.5 + roll) * float64(max(leastReturn, lasted)))
+// that time by a random number from 0 to 1, as far as they honour it.
+func ReturnAfter(lasted, left time.Duration, random float64) time.Duration {
+	wait := time.Duration((0.5 + random) * float64(max(leastReturn, lasted)))
 	return min(wait, time.Duration(honoured*float64(left)))
 }
--- a/pkg/steer/recent.go
+++ b/pkg/steer/recent.go
@@ -83,9 +83,9 @@
 	}
 	s.trust = 1
 	if s.holder == nil {
-		s.holder, s.trust = favourite, strayTrust
+		s.holder, s.trust = favourite, remoteAffinity
 		if !worthTheWay(s.tokens) || w.favouriteRegion(req, part) == w.Region {
-			s.trust = favouriteTrust
+			s.trust = affinity
 		}
 	}
 	if s.holder != nil && !w.Fleet.Usable(s.holder) {
@@ -97,7 +97,7 @@
 // worthTheWay says whether shared parts of that size are gathered in one region, since
 // reading them costs more than the way there. Smaller ones are gathered in each.
 func worthTheWay(tokens int) bool {
-	return cachedWeight*favouriteTrust*float64(tokens) > wayTokens+farMargin
+	return cachedWeight*affinity*float64(tokens) > wayTokens+farMargin
 }
 
 // known says whether the holder was sent the parts, as opposed to being where they would
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -59,8 +59,8 @@
 	// Flow is what this instance sends.
 	Flow *Flow
 	Now  time.Time
-	// Roll is a random number.
-	Roll uint64
+	// Random is a random number.
+	Random uint64
 	// gathered is the last answer of favouriteRegion.
 	gathered gathered
 }
@@ -77,9 +77,6 @@
 	// With 2,000, prompts leave the upstreams that hold their parts as soon as these have
 	// queues, and are read again.
 	queuedPenalty = 500
-	// strayTrust is the same for parts that are gathered in another region: little, but
-	// enough for those that stay here to meet at one upstream.
-	strayTrust = 0.15
 	// backlogWeight is what an unread token in hand at an upstream counts. They count whole
 	// until their answer begins and are half read on the average, and what is known of them
 	// is old: at 88 instances under high load the answers were worth a tenth more to their
@@ -94,9 +91,12 @@
 	// of that on the average. At 88 instances under high load the answers were worth 7 % more
 	// to their callers than without it, with 2 units 4 %.
 	spread = 5.0
-	// favouriteTrust is the part of a shared prompt part that counts as cached at the
+	// affinity is the part of a shared prompt part that counts as cached at the
 	// upstream to which it is hashed, when nothing is known of it.
-	favouriteTrust = 0.75
+	affinity = 0.75
+	// remoteAffinity is the same for parts that are gathered in another region: little, but
+	// enough for those that stay here to meet at one upstream.
+	remoteAffinity = 0.15
 	// copyCost is what a token costs that is to be copied from an upstream that is known to
 	// hold it, in tokens that are read. The way itself takes a third of the time of reading
 	// (164 KB over 260 Gbit/s); the rest stands for copies that come to nothing, as the
@@ -220,7 +220,7 @@
 
 // fraction is a random number from 0 to 1 for one upstream and this decision.
 func (w *World) fraction(upstream string) float64 {
-	return float64(member.Key("spread", upstream)*(w.Roll|1)>>11) / (1 << 53)
+	return float64(member.Key("spread", upstream)*(w.Random|1)>>11) / (1 << 53)
 }
 
 func tried(req *Request, id string) bool {
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -75,7 +75,7 @@
 		}
 		w := world(local, upstreams...)
 		w.Fleet.Evacuated["north-a"] = rapid.Bool().Draw(t, "evacuated")
-		w.Roll = rapid.Uint64().Draw(t, "roll")
+		w.Random = rapid.Uint64().Draw(t, "random")
 		chosen := w.Look(req).Best.Upstream
 		may := func(u *fleet.Upstream) bool {
 			load := local[u.ID]
@@ -145,8 +145,8 @@
 	is := is.New(t)
 	w := world(loads{"u0": {InFlight: 10}, "u1": {InFlight: 11}}, upstream("u0", "api", "north"), upstream("u1", "api", "north"))
 	used := map[string]int{}
-	for roll := range uint64(400) {
-		w.Roll = roll * 0x9e3779b97f4a7c15
+	for random := range uint64(400) {
+		w.Random = random * 0x9e3779b97f4a7c15
 		used[w.Look(&steer.Request{Route: call, Service: api}).Best.Upstream.ID]++
 	}
 	is.True(used["u0"] > 100 && used["u1"] > 100)
@@ -170,8 +170,8 @@
 		w.Peers = peer.NewView(others, nil, now.Add(-200*time.Millisecond))
 		req := &steer.Request{Route: &httproute.Route{TargetLatency: target}, Service: api}
 		went := map[string]int{}
-		for roll := range uint64(1000) {
-			w.Roll = roll * 0x9e3779b97f4a7c15
+		for random := range uint64(1000) {
+			w.Random = random * 0x9e3779b97f4a7c15
 			if to := w.Choose(req, w.Look(req), regions); to != nil {
 				went[to.Region]++
 			}
@@ -197,8 +197,8 @@
 func TestIdleUpstreamsAreAllUsed(t *testing.T) {
 	w := world(loads{}, upstream("u0", "api", "north"), upstream("u1", "api", "north"), upstream("u2", "api", "north"))
 	used := map[string]int{}
-	for roll := range uint64(300) {
-		w.Roll = roll * 0x9e3779b97f4a7c15
+	for random := range uint64(300) {
+		w.Random = random * 0x9e3779b97f4a7c15
 		used[w.Look(&steer.Request{Route: call, Service: api}).Best.Upstream.ID]++
 	}
 	for _, id := range []string{"u0", "u1", "u2"} {
