--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -7,12 +7,10 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
-	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
@@ -229,114 +227,3 @@
 	}
 	return false
 }
-
-// domain returns the other registered instances of the own domain.
-func (g *Gossip) domain() []fleet.Instance {
-	var others []fleet.Instance
-	for _, instance := range g.registered() {
-		if instance.Domain == g.options.Self.Domain {
-			others = append(others, instance)
-		}
-	}
-	return others
-}
-
-const jobHub = "hub"
-
-// exchangeNear reports to the hub, or to everyone in a small domain.
-func (g *Gossip) exchangeNear(ctx context.Context) {
-	others := g.domain()
-	hub := g.hub()
-	small := !g.large()
-	var all errgroup.Group
-	for _, instance := range others {
-		if small || instance.Name == hub {
-			all.Go(func() error { g.exchange(ctx, instance, nearTimeout); return nil })
-		}
-	}
-	// Failures are logged and remembered by exchange.
-	_ = all.Wait()
-}
-
-// exchangeFar asks the hubs of other domains.
-func (g *Gossip) exchangeFar(ctx context.Context, regions bool) {
-	others := g.registered()
-	byName := make(map[string]fleet.Instance, len(others))
-	domains := make(map[string]bool)
-	for _, instance := range others {
-		byName[instance.Name] = instance
-		near := instance.Region == g.options.Self.Region
-		if instance.Domain != g.options.Self.Domain && (near || regions) {
-			domains[instance.Domain] = true
-		}
-	}
-	var all errgroup.Group
-	for domain := range domains {
-		ranked := g.ranked(jobHub, domain, others)
-		if len(ranked) == 0 {
-			continue
-		}
-		instance := byName[ranked[0]]
-		timeout := nearTimeout
-		if instance.Region != g.options.Self.Region {
-			timeout = farTimeout
-		}
-		all.Go(func() error { g.exchange(ctx, instance, timeout); return nil })
-	}
-	_ = all.Wait()
-}
-
-// Tell tells everyone of the own domain, and the other domains' hubs, at once: a
-// leaving mark must not wait.
-func (g *Gossip) Tell(ctx context.Context) {
-	var all errgroup.Group
-	for _, instance := range g.domain() {
-		all.Go(func() error { g.exchange(ctx, instance, nearTimeout); return nil })
-	}
-	_ = all.Wait()
-}
-
-func (g *Gossip) exchange(ctx context.Context, instance fleet.Instance, timeout time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var reply Reply
-	lineup := g.lineup()
-	ask := g.ask(&instance, lineup)
-	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, ask, &reply)
-	if ctx.Err() != nil && err == nil {
-		return
-	}
-	if err != nil {
-		g.unreached(instance, err)
-		return
-	}
-	g.take(&reply, lineup)
-}
-
-// ask is what an instance is asked. One of another domain hears of this one's work through
-// the digests that it asks for itself: at 1,000 upstreams the work of a busy instance is
-// 25 KB, and it went to the hubs of all domains.
-func (g *Gossip) ask(instance *fleet.Instance, lineup *lineup) Ask {
-	ask := Ask{
-		Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(),
-		Sums: g.large(), Rosters: g.rosters(), Lineup: lineup.fingerprint,
-	}
-	if instance.Domain != g.options.Self.Domain {
-		ask.Report.Upstreams, ask.Report.Placed = nil, nil
-	}
-	if !g.hasCopy(instance) {
-		ask.Gossip = g.options.Self.Gossip
-	}
-	return ask
-}
-
-// unreached remembers that an instance did not answer.
-func (g *Gossip) unreached(instance fleet.Instance, err error) {
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if _, before := g.avoided[instance.Name]; !before {
-		g.options.Log.Info().Err(err).Str(event.KeyPeer, instance.Name).Msg(string(event.PeerLost))
-	}
-	g.avoided[instance.Name] = now.Add(avoidFor)
-}
--- /dev/null
+++ b/pkg/steer/sharing.go
@@ -0,0 +1,163 @@
+package steer
+
+import (
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/member"
+)
+
+// leastShared is the size in tokens from which on a shared part is worth steering
+// for: engines cache whole blocks of about that size.
+const leastShared = 16
+
+// sharedPart returns the prompt's last shared part, nil when nothing is shared that
+// matters. Prompts that share a later part share what comes before it as well.
+func sharedPart(req *Request) *Part {
+	if !req.Route.SharedPrompts || len(req.Parts) < 2 {
+		return nil
+	}
+	shared := &req.Parts[len(req.Parts)-2]
+	if shared.Tokens < leastShared {
+		return nil
+	}
+	return shared
+}
+
+// sharedTokens is the prompt without its last part, which is the request's own.
+func sharedTokens(req *Request) int {
+	total := 0
+	for _, part := range req.Parts[:len(req.Parts)-1] {
+		total += part.Tokens
+	}
+	return total
+}
+
+// favouriteOf returns the upstream to which a shared part is hashed, so that
+// instances that know nothing of each other choose alike. That of one region is that
+// of all regions together where it lies in that region.
+func favouriteOf(shared *Part, upstreams []*fleet.Upstream) *fleet.Upstream {
+	if shared == nil || len(upstreams) == 0 {
+		return nil
+	}
+	names := make([]string, len(upstreams))
+	for i, upstream := range upstreams {
+		names[i] = upstream.ID
+	}
+	first := member.First(member.Key("prompt", shared.ID), names)
+	return upstreams[first]
+}
+
+// sharing is where the shared parts of one request's prompt are thought to be.
+type sharing struct {
+	// tokens is the size of the shared parts; zero: nothing is shared that matters.
+	tokens int
+	// holders are the upstreams that were sent the parts lately, holder the one that
+	// others should copy from: one of these, else the one to which the parts are hashed.
+	holders map[string]bool
+	holder  *fleet.Upstream
+	// trust is how likely the holder holds them.
+	trust float64
+	// copies is true when engines can copy from each other.
+	copies bool
+}
+
+// sharing looks for the request's shared parts among the upstreams of the region.
+func (w *World) sharing(req *Request, upstreams []*fleet.Upstream) sharing {
+	part := sharedPart(req)
+	if part == nil {
+		return sharing{}
+	}
+	s := sharing{tokens: sharedTokens(req), holders: make(map[string]bool), copies: req.Service.Engine != nil && req.Service.Engine.Copies}
+	favourite := favouriteOf(part, upstreams)
+	for _, upstream := range upstreams {
+		if w.Recent.Held(part.ID, upstream.ID, w.Now) {
+			s.holders[upstream.ID] = true
+			if s.holder == nil || upstream == favourite {
+				s.holder = upstream
+			}
+		}
+	}
+	s.trust = 1
+	if s.holder == nil {
+		s.holder, s.trust = favourite, remoteAffinity
+		if !worthTheWay(s.tokens) || w.favouriteRegion(req, part) == w.Region {
+			s.trust = affinity
+		}
+	}
+	if s.holder != nil && !w.Fleet.Usable(s.holder) {
+		s.holder = nil
+	}
+	return s
+}
+
+// worthTheWay says whether shared parts of that size are gathered in one region, since
+// reading them costs more than the way there. Smaller ones are gathered in each.
+func worthTheWay(tokens int) bool {
+	return cachedWeight*affinity*float64(tokens) > wayTokens+farMargin
+}
+
+// known says whether the holder was sent the parts, as opposed to being where they would
+// be gathered.
+func (s *sharing) known() bool { return s.trust == 1 }
+
+// held estimates how many of the shared tokens the upstream holds.
+func (s *sharing) held(upstream *fleet.Upstream) int {
+	switch {
+	case s.tokens == 0:
+		return 0
+	case s.holders[upstream.ID]:
+		return s.tokens
+	case s.holder == upstream:
+		return int(s.trust * float64(s.tokens))
+	default:
+		return 0
+	}
+}
+
+// copied is how many tokens the upstream should copy from the holder.
+func (s *sharing) copied(upstream *fleet.Upstream) int {
+	if !s.copies || s.holder == nil || s.holder == upstream || s.holders[upstream.ID] || s.tokens < leastCopied {
+		return 0
+	}
+	return s.tokens
+}
+
+// leastCopied is the size in tokens from which on copying is worth setting up, which
+// takes about 3 ms: the time of reading that many.
+const leastCopied = 256
+
+// favouriteRegion returns the region of the upstream to which a shared part is hashed
+// among all that the request may go to; empty when there is none.
+func (w *World) favouriteRegion(req *Request, shared *Part) string {
+	key := gathering{service: req.Service.Name, route: req.Route, part: shared.ID}
+	if w.gathered.gathering != key {
+		w.gathered = gathered{key, w.hashedRegion(req, shared)}
+	}
+	return w.gathered.region
+}
+
+// gathering is a shared part that a route's requests gather in one region, gathered where
+// that is. A decision asks for it several times, and hashes all upstreams for it.
+type gathering struct {
+	service string
+	route   *httproute.Route
+	part    string
+}
+
+type gathered struct {
+	gathering
+	region string
+}
+
+func (w *World) hashedRegion(req *Request, shared *Part) string {
+	var permitted []*fleet.Upstream
+	for _, upstream := range w.Fleet.Service(req.Service.Name) {
+		if w.Fleet.Usable(upstream) && req.Route.PermittedIn(upstream.Region) {
+			permitted = append(permitted, upstream)
+		}
+	}
+	if favourite := favouriteOf(shared, permitted); favourite != nil {
+		return favourite.Region
+	}
+	return ""
+}
