--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -5,12 +5,12 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/steer"
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // Kind is one kind of request.
@@ -75,7 +75,9 @@
 
 // emulation is one day.
 type emulation struct {
-	timeline
+	timeline.Timeline
+	// requests counts those that were made.
+	requests  int
 	options   Options
 	random    *rand.Rand
 	engines   map[string]*engine
@@ -94,21 +96,21 @@
 // Run plays a day and returns what callers met, by kind.
 func Run(o Options) map[string]*Result {
 	m := &emulation{
-		timeline: newTimeline(), options: o, random: rand.New(rand.NewPCG(o.Seed, 1)),
+		Timeline: timeline.New(), options: o, random: rand.New(rand.NewPCG(o.Seed, 1)),
 		engines: make(map[string]*engine), view: &fleet.View{},
 		service: &httproute.Service{Name: serviceName, Engine: &httproute.Engine{Slots: o.Model.Slots}},
 		routes:  make(map[string]*httproute.Route), results: make(map[string]*Result),
 	}
 	m.build()
-	end := m.now.Add(o.For)
+	end := m.Now().Add(o.For)
 	for i := range o.Kinds {
 		m.results[o.Kinds[i].Name] = &Result{}
-		m.arrivals(&o.Kinds[i], m.now, end)
+		m.arrivals(&o.Kinds[i], m.Now(), end)
 	}
 	for i := range m.instances {
-		m.at(m.now.Add(o.Told*time.Duration(i)/time.Duration(o.Instances)), func() { m.tell(end) })
+		m.At(m.Now().Add(o.Told*time.Duration(i)/time.Duration(o.Instances)), func() { m.tell(end) })
 	}
-	m.play()
+	m.Play()
 	return m.results
 }
 
@@ -122,9 +124,9 @@
 	m.view.Index()
 	for range m.options.Instances {
 		m.instances = append(m.instances, &instance{
-			tracker: limit.NewTracker(clock.Func(func() time.Time { return m.now }), nil),
+			tracker: limit.NewTracker(&m.Timeline, nil),
 			recent:  steer.NewRecent(), estimates: steer.NewEstimator(), overload: steer.NewOverload(),
-			flow: steer.NewFlow(), others: peer.NewView(nil, nil, m.now),
+			flow: steer.NewFlow(), others: peer.NewView(nil, nil, m.Now()),
 		})
 	}
 	least := time.Duration(0)
@@ -154,22 +156,23 @@
 	if next.After(end) {
 		return
 	}
-	m.at(next, func() {
+	m.At(next, func() {
 		m.results[kind.Name].Asked++
 		m.arrive(m.made(kind))
-		m.arrivals(kind, m.now, end)
+		m.arrivals(kind, m.Now(), end)
 	})
 }
 
 // made draws a request.
 func (m *emulation) made(kind *Kind) *request {
 	own := max(1, int(float64(kind.Own)*(0.5+m.random.Float64())))
-	r := &request{kind: kind, asked: m.now}
+	m.requests++
+	r := &request{kind: kind, asked: m.Now()}
 	r.Route, r.Service = m.routes[kind.Name], m.service
 	r.PromptTokens = kind.Shared + own
 	r.Parts = []steer.Part{
 		{ID: fmt.Sprint(kind.Name, "-", m.random.IntN(max(1, kind.Things))), Tokens: kind.Shared},
-		{ID: fmt.Sprint("own-", m.order), Tokens: own},
+		{ID: fmt.Sprint("own-", m.requests), Tokens: own},
 	}
 	return r
 }
@@ -179,12 +182,12 @@
 	i := m.instances[m.random.IntN(len(m.instances))]
 	world := &steer.World{
 		Region: region, Fleet: m.view, Peers: i.others, Local: i.tracker, Recent: i.recent, Pace: steer.NewPace(),
-		Estimates: i.estimates, Flow: i.flow, Now: m.now, Random: m.random.Uint64(),
+		Estimates: i.estimates, Flow: i.flow, Now: m.Now(), Random: m.random.Uint64(),
 		Admits: func(*fleet.Upstream, *httproute.Service) bool { return true },
 	}
-	r.Contended = i.overload.Contended(serviceName, r.rank(), m.now)
+	r.Contended = i.overload.Contended(serviceName, r.rank(), m.Now())
 	best := world.Look(&r.Request).Best
-	if m.options.Admits && best.Late && i.overload.Refuses(&r.Request, m.now) {
+	if m.options.Admits && best.Late && i.overload.Refuses(&r.Request, m.Now()) {
 		m.refuse(i, r)
 		return
 	}
@@ -198,17 +201,17 @@
 		return
 	}
 	r.returned = true
-	lasted := i.overload.Late(serviceName, r.rank(), m.now)
-	m.at(m.now.Add(steer.ReturnAfter(lasted, 5*r.kind.Patience, m.random.Float64())), func() { m.arrive(r) })
+	lasted := i.overload.Late(serviceName, r.rank(), m.Now())
+	m.At(m.Now().Add(steer.ReturnAfter(lasted, 5*r.kind.Patience, m.random.Float64())), func() { m.arrive(r) })
 }
 
 // send has an engine run a request.
 func (m *emulation) send(i *instance, r *request, to steer.Candidate) {
 	flight, _ := i.tracker.Start(to.Upstream.ID, to.Uncached, 0)
-	i.recent.Add(r.Parts, to.Upstream.ID, m.now)
-	i.flow.Add(serviceName, to.Uncached, m.now)
+	i.recent.Add(r.Parts, to.Upstream.ID, m.Now())
+	i.flow.Add(serviceName, to.Uncached, m.Now())
 	engine := m.engines[to.Upstream.ID]
-	sent := m.now
+	sent := m.Now()
 	started := &run{request: r, owed: r.kind.Answer}
 	started.begun = func(now time.Time) {
 		flight.FirstByte()
@@ -216,7 +219,7 @@
 		m.begun(r, now)
 	}
 	started.ended = func(time.Time) { flight.Done(limit.Succeeded) }
-	m.at(sent.Add(r.kind.Patience), func() { m.leave(started, flight) })
+	m.At(sent.Add(r.kind.Patience), func() { m.leave(started, flight) })
 	engine.accept(started)
 	m.run(engine)
 }
@@ -250,12 +253,12 @@
 		return
 	}
 	e.stepping = true
-	m.at(m.now.Add(took), func() {
+	m.At(m.Now().Add(took), func() {
 		for _, r := range begun {
-			r.begun(m.now)
+			r.begun(m.Now())
 		}
 		for _, r := range ended {
-			r.ended(m.now)
+			r.ended(m.Now())
 		}
 		e.stepping = false
 		m.run(e)
@@ -268,10 +271,10 @@
 	for n, i := range m.instances {
 		reports[n] = m.loads(i)
 	}
-	m.at(m.now.Add(m.options.Way), func() { m.told(reports) })
-	next := m.now.Add(m.options.Told)
+	m.At(m.Now().Add(m.options.Way), func() { m.told(reports) })
+	next := m.Now().Add(m.options.Told)
 	if next.Before(end) {
-		m.at(next, func() { m.tell(end) })
+		m.At(next, func() { m.tell(end) })
 	}
 }
 
@@ -296,6 +299,6 @@
 				others = append(others, loads...)
 			}
 		}
-		i.others = peer.NewView(known, others, m.now.Add(-m.options.Way))
+		i.others = peer.NewView(known, others, m.Now().Add(-m.options.Way))
 	}
 }
--- a/pkg/emulator/plain.go
+++ b/pkg/emulator/plain.go
@@ -5,13 +5,13 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/steer"
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // PlainOptions describe a plain service in several regions, and a day.
@@ -76,7 +76,7 @@
 
 // plainDay is one day.
 type plainDay struct {
-	timeline
+	timeline.Timeline
 	options   PlainOptions
 	random    *rand.Rand
 	view      *fleet.View
@@ -92,30 +92,22 @@
 // RunPlain plays a day of a plain service, and returns what callers met by region.
 func RunPlain(o PlainOptions) map[string]*PlainResult {
 	d := &plainDay{
-		timeline: newTimeline(), options: o, random: rand.New(rand.NewPCG(o.Seed, 2)), view: &fleet.View{},
+		Timeline: timeline.New(), options: o, random: rand.New(rand.NewPCG(o.Seed, 2)), view: &fleet.View{},
 		servers: make(map[string]*plainServer), instances: make(map[string][]*plainInstance), known: make(map[string][]peer.Known),
 		far: make(map[string]int), service: &httproute.Service{Name: "api"}, results: make(map[string]*PlainResult),
 	}
 	d.build()
-	end := d.now.Add(o.For)
-	d.every(o.Told, end, func() { d.tell(end) })
-	d.every(o.FarTold, end, d.tellFar)
+	end := d.Now().Add(o.For)
+	d.Every(o.Told, end, func() { d.tell(end) })
+	d.Every(o.FarTold, end, d.tellFar)
 	for i := range o.Regions {
 		d.results[o.Regions[i].Name] = &PlainResult{}
 		d.arrivals(&o.Regions[i], end)
 	}
-	d.play()
+	d.Play()
 	return d.results
 }
 
-// every does something now and again, until end.
-func (d *plainDay) every(pause time.Duration, end time.Time, do func()) {
-	do()
-	if d.now.Add(pause).Before(end) {
-		d.after(pause, func() { d.every(pause, end, do) })
-	}
-}
-
 func (d *plainDay) build() {
 	for _, region := range d.options.Regions {
 		for i := range region.Servers {
@@ -127,7 +119,7 @@
 			d.known[region.Name] = append(d.known[region.Name], peer.Known{Instance: fleet.Instance{Name: fmt.Sprint(region.Name, "-edge-", i), Region: region.Name}, Ready: true})
 			d.instances[region.Name] = append(d.instances[region.Name], &plainInstance{
 				region:  region.Name,
-				tracker: limit.NewTracker(clock.Func(func() time.Time { return d.now }), nil),
+				tracker: limit.NewTracker(&d.Timeline, nil),
 				pace:    steer.NewPace(),
 			})
 		}
@@ -138,13 +130,13 @@
 // arrivals schedules a region's calls.
 func (d *plainDay) arrivals(region *PlainRegion, end time.Time) {
 	wait := time.Duration(d.random.ExpFloat64() / region.PerSecond * float64(time.Second))
-	if d.now.Add(wait).After(end) {
+	if d.Now().Add(wait).After(end) {
 		return
 	}
-	d.after(wait, func() {
+	d.After(wait, func() {
 		result := d.results[region.Name]
 		result.Asked++
-		c := &plainCall{result: result, asked: d.now}
+		c := &plainCall{result: result, asked: d.Now()}
 		c.request = steer.Request{Route: &httproute.Route{TargetLatency: d.options.Target}, Service: d.service}
 		d.decide(d.one(region.Name), c)
 		d.arrivals(region, end)
@@ -161,7 +153,7 @@
 func (d *plainDay) decide(i *plainInstance, c *plainCall) {
 	world := &steer.World{
 		Region: i.region, Fleet: d.view, Peers: i.others, Local: i.tracker, Recent: steer.NewRecent(), Pace: i.pace,
-		Estimates: steer.NewEstimator(), Flow: steer.NewFlow(), Now: d.now, Random: d.random.Uint64(),
+		Estimates: steer.NewEstimator(), Flow: steer.NewFlow(), Now: d.Now(), Random: d.random.Uint64(),
 		Admits: func(*fleet.Upstream, *httproute.Service) bool { return true },
 	}
 	survey := world.Look(&c.request)
@@ -169,7 +161,7 @@
 		if away := world.Choose(&c.request, survey, world.Regions(&c.request)); away != nil {
 			c.crossed = true
 			c.result.Away++
-			d.after(crossing, func() { d.decide(d.one(away.Region), c) })
+			d.After(crossing, func() { d.decide(d.one(away.Region), c) })
 			return
 		}
 	}
@@ -191,13 +183,13 @@
 			flight.Done(limit.Rejected)
 		}
 		c.request.Tried = append(c.request.Tried, to.Upstream.ID)
-		d.after(time.Millisecond, func() { d.decide(i, c) })
+		d.After(time.Millisecond, func() { d.decide(i, c) })
 		return
 	}
-	sent := d.now
+	sent := d.Now()
 	server.queue = append(server.queue, func() {
 		flight.Done(limit.Succeeded)
-		i.pace.Add(d.service.Name, &to, d.now.Sub(sent))
+		i.pace.Add(d.service.Name, &to, d.Now().Sub(sent))
 		d.answered(c)
 	})
 	d.work(server)
@@ -209,7 +201,7 @@
 		ended := server.queue[0]
 		server.queue = server.queue[1:]
 		server.running++
-		d.after(time.Duration(d.random.ExpFloat64()*float64(d.options.Work)), func() {
+		d.After(time.Duration(d.random.ExpFloat64()*float64(d.options.Work)), func() {
 			server.running--
 			ended()
 			d.work(server)
@@ -219,7 +211,7 @@
 
 // answered counts an answer, by when it comes to the caller.
 func (d *plainDay) answered(c *plainCall) {
-	took := d.now.Sub(c.asked)
+	took := d.Now().Sub(c.asked)
 	if c.crossed {
 		took += crossing
 	}
@@ -243,7 +235,7 @@
 			reports = append(reports, report{i, d.othersOf(i)})
 		}
 	}
-	taken := d.now
+	taken := d.Now()
 	bring := func() {
 		for _, r := range reports {
 			r.to.others = peer.NewView(d.others(r.to), r.loads, taken)
@@ -255,7 +247,7 @@
 		}
 	}
 	if taken.Add(d.options.Age).Before(end) {
-		d.after(d.options.Age, bring)
+		d.After(d.options.Age, bring)
 	}
 	if d.instances[d.options.Regions[0].Name][0].others == nil {
 		bring()
@@ -284,7 +276,7 @@
 		}
 	}
 	for n := range others {
-		others[n].Heard = d.now
+		others[n].Heard = d.Now()
 	}
 	return others
 }
@@ -296,7 +288,7 @@
 		server := d.servers[d.view.Upstreams[n].ID]
 		work[d.view.Upstreams[n].Region] += server.running + len(server.queue)
 	}
-	d.after(d.options.FarAge, func() { d.far = work })
+	d.After(d.options.FarAge, func() { d.far = work })
 }
 
 // PlainPeak is a deployment of three regions whose peaks come one after another: the
--- a/pkg/load/decide/course.go
+++ b/pkg/load/decide/course.go
@@ -32,8 +32,8 @@
 	e.prefilling = e.prefilling[1:]
 	e.prefillBusy = true
 	length := e.prefillTime(f.job)
-	e.record.prefills = append(e.record.prefills, span{s.now, s.now.Add(length)})
-	s.after(length, func() {
+	e.record.prefills = append(e.record.prefills, span{s.Now(), s.Now().Add(length)})
+	s.After(length, func() {
 		e.prefillBusy = false
 		e.nextPrefill(s)
 		e.decode(s, f)
@@ -45,14 +45,14 @@
 	token := e.tokenTime()
 	s.result.between(s, f.job, token)
 	e.decodeSeconds += tokenCost() * float64(f.job.answer)
-	s.after(token, func() {
+	s.After(token, func() {
 		f.flight.FirstByte()
 		s.result.first(s, f.job, e.wayBack(f.job))
 	})
 	if e.failureDomain.index != f.job.failureDomain {
 		s.spills.bytes += f.job.answerBytes()
 	}
-	s.after(token*time.Duration(f.job.answer), func() { e.done(s, f) })
+	s.After(token*time.Duration(f.job.answer), func() { e.done(s, f) })
 }
 
 func (e *engine) done(s *simulation, f *flight) {
--- a/pkg/load/decide/day.go
+++ b/pkg/load/decide/day.go
@@ -114,7 +114,7 @@
 		s.lose(s.failureDomains[0].engines, warmUp+lostFrom*o.Day.Hour, warmUp+lostUpto*o.Day.Hour)
 	}
 	var out dayResult
-	s.after(warmUp, func() {
+	s.After(warmUp, func() {
 		s.every(queueInterval, func() { out.queue = append(out.queue, s.failureDomains[0].waiting()) })
 	})
 	all := s.measure()
@@ -137,13 +137,13 @@
 
 // lose takes engines away for a while; they return with cold caches.
 func (s *simulation) lose(engines []*engine, from, to time.Duration) {
-	s.after(from, func() {
+	s.After(from, func() {
 		for _, e := range engines {
 			e.lost = true
 			e.note(s)
 		}
 	})
-	s.after(to, func() {
+	s.After(to, func() {
 		for _, e := range engines {
 			e.lost = false
 			e.note(s)
--- a/pkg/load/decide/domain.go
+++ b/pkg/load/decide/domain.go
@@ -43,14 +43,14 @@
 // tell sends the failure domain's digest to the others.
 func (h *failureDomain) tell(s *simulation) {
 	made := digest.Build(digest.Input{
-		Domain: h.name, Region: h.region, Sequence: uint64(s.now.UnixNano()),
+		Domain: h.name, Region: h.region, Sequence: uint64(s.Now().UnixNano()),
 		Members: h.members(), Upstreams: h.polled, Head: h.gateways[0].head,
 	})
 	for i := range made.Pools {
 		s.variant.offer(&made.Pools[i])
 	}
-	s.after(linkDelay, func() {
-		made.HeardAt = s.now
+	s.After(linkDelay, func() {
+		made.HeardAt = s.Now()
 		for _, other := range s.failureDomains {
 			if other != h && !other.cutFrom[h.name] {
 				other.heard[h.name] = made
--- a/pkg/load/decide/forward.go
+++ b/pkg/load/decide/forward.go
@@ -15,19 +15,19 @@
 	j.tried = append(j.tried, to.name)
 	g.sim.spills.sent(j, to)
 	if to.cutFrom[g.failureDomain.name] {
-		g.sim.after(connectTimeout, func() { g.arrive(j) })
+		g.sim.After(connectTimeout, func() { g.arrive(j) })
 		return
 	}
 	g.sim.spills.bytes += j.prompt() * bytesPerToken
 	receiver := to.gateways[g.rnd.IntN(len(to.gateways))]
-	g.sim.after(linkDelay, func() { receiver.arrive(j) })
+	g.sim.After(linkDelay, func() { receiver.arrive(j) })
 }
 
 // giveBack returns a refused request to the gateway that forwarded it.
 func (g *gateway) giveBack(j *job) {
 	g.sim.spills.refusedThere++
 	origin := g.sim.failureDomains[j.failureDomain].gateways[j.gateway]
-	g.sim.after(linkDelay, func() { origin.arrive(j) })
+	g.sim.After(linkDelay, func() { origin.arrive(j) })
 }
 
 func (s *simulation) failureDomain(name string) *failureDomain {
--- a/pkg/load/decide/gateway.go
+++ b/pkg/load/decide/gateway.go
@@ -96,7 +96,7 @@
 	g.table = route.Compile(route.Input{
 		Head: g.head, Members: g.failureDomain.members(), Upstreams: g.failureDomain.polled, Domains: g.failureDomain.domains(g.sim),
 		Self: g.name, Domain: g.failureDomain.name, Region: g.failureDomain.region,
-		Previous: g.table, Strategy: g.strategy, Spill: g.spill, Now: g.sim.now,
+		Previous: g.table, Strategy: g.strategy, Spill: g.spill, Now: g.sim.Now(),
 	})
 	g.tracker.SetShares(g.table.Shares())
 	for _, pool := range g.table.Pools() {
@@ -123,7 +123,7 @@
 func (g *gateway) arrive(j *job) {
 	request := g.request(j)
 	request.Waiting = g.queue.Predict(g.ticket(j, route.PoolKey(model, version), 0))
-	decision, refusal := g.table.Pick(request, g.tracker, g.rnd, g.sim.now)
+	decision, refusal := g.table.Pick(request, g.tracker, g.rnd, g.sim.Now())
 	if refusal != nil {
 		g.refuse(j, refusal)
 		return
@@ -203,7 +203,7 @@
 	}
 	w.request.Waiting = 0
 	w.request.Admitted = true
-	decision, refusal := g.table.Pick(w.request, g.tracker, g.rnd, g.sim.now)
+	decision, refusal := g.table.Pick(w.request, g.tracker, g.rnd, g.sim.Now())
 	if refusal != nil {
 		w.entry.Release()
 		g.refuse(w.job, refusal)
--- a/pkg/load/decide/mix.go
+++ b/pkg/load/decide/mix.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // Names of the mixes.
@@ -56,7 +57,7 @@
 	roll            uint64
 }
 
-func (j *job) deadline() time.Time { return epoch.Add(j.at + j.kind.deadline) }
+func (j *job) deadline() time.Time { return timeline.Epoch.Add(j.at + j.kind.deadline) }
 
 func (j *job) prompt() int { return j.tokens[len(j.tokens)-1] }
 
--- a/pkg/load/decide/oracle.go
+++ b/pkg/load/decide/oracle.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // record is what an engine had in hand over a run, for judgements afterwards.
@@ -27,11 +29,11 @@
 		busy = max(busy, engineSlots)
 	}
 	steps := e.record.steps
-	if n := len(steps); n > 0 && steps[n-1].at.Equal(s.now) {
+	if n := len(steps); n > 0 && steps[n-1].at.Equal(s.Now()) {
 		steps[n-1].busy = busy
 		return
 	}
-	e.record.steps = append(steps, step{s.now, busy})
+	e.record.steps = append(steps, step{s.Now(), busy})
 }
 
 // verdicts counts refused requests by what a place that knew the whole run could
@@ -85,7 +87,7 @@
 	until := j.deadline().Add(-way)
 	slow := max(1, e.slow)
 	prefill := time.Duration(slow * float64(missing) / enginePrefillRate * float64(time.Second))
-	start := epoch.Add(j.at + way)
+	start := timeline.Epoch.Add(j.at + way)
 	for {
 		free, ok := e.record.next(start, until, func(busy int) bool { return busy < engineSlots })
 		if !ok {
--- a/pkg/load/decide/oracle_test.go
+++ b/pkg/load/decide/oracle_test.go
@@ -5,11 +5,15 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 func TestRefusalIsWarrantedWhereNoPlaceHadRoomInTime(t *testing.T) {
 	is := is.New(t)
-	at := func(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
+	at := func(seconds float64) time.Time {
+		return timeline.Epoch.Add(time.Duration(seconds * float64(time.Second)))
+	}
 	e := newEngine(&failureDomain{}, 0)
 	kind := &mixKind{deadline: 10 * time.Second}
 	j := &job{kind: kind, answer: 60, tokens: []int{8000, 8800}} // 1.1 s of prefill, or 0.1 s warm, and 1 s alone
--- a/pkg/load/decide/result.go
+++ b/pkg/load/decide/result.go
@@ -7,6 +7,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/admission"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // result is what one run showed.
@@ -67,7 +68,7 @@
 
 // first records a first token that reaches the caller's gateway after the way back.
 func (r *result) first(s *simulation, j *job, wayBack time.Duration) {
-	j.first = s.now.Add(wayBack).Sub(epoch.Add(j.at))
+	j.first = s.Now().Add(wayBack).Sub(timeline.Epoch.Add(j.at))
 	if s.measured(j) {
 		_ = r.firstToken.RecordValue(int64(j.first / time.Microsecond))
 	}
@@ -82,12 +83,12 @@
 
 // whole records a whole answer.
 func (r *result) whole(s *simulation, j *job, wayBack time.Duration) {
-	j.inTime = !s.now.Add(wayBack).After(j.deadline())
+	j.inTime = !s.Now().Add(wayBack).After(j.deadline())
 	if !s.measured(j) {
 		return
 	}
 	r.served++
-	_ = r.wholeAnswer.RecordValue(int64(s.now.Add(wayBack).Sub(epoch.Add(j.at)) / time.Microsecond))
+	_ = r.wholeAnswer.RecordValue(int64(s.Now().Add(wayBack).Sub(timeline.Epoch.Add(j.at)) / time.Microsecond))
 	if j.inTime {
 		r.workDone += work(j) / s.options.Length.Seconds()
 		r.inTime++
--- a/pkg/load/decide/simulation.go
+++ b/pkg/load/decide/simulation.go
@@ -1,12 +1,12 @@
 package decide
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // Lags and the warm-up, virtual time. The lags are those of the stand-in engines
@@ -25,19 +25,14 @@
 	tail = time.Minute
 )
 
-// epoch is the start of virtual time.
-var epoch = time.Unix(1_000_000, 0)
-
 // seedStream separates this package's random streams from others of one seed.
 const seedStream = 0x64656369
 
 // simulation is one run of one policy.
 type simulation struct {
+	timeline.Timeline
 	options        Options
 	mix            *mix
-	now            time.Time
-	events         events
-	order          int
 	variant        variant
 	failureDomains []*failureDomain
 	spills         spills
@@ -48,8 +43,8 @@
 }
 
 func newSimulation(o Options, m *mix, p policy, rate float64, seed uint64) *simulation {
-	s := &simulation{options: o, mix: m, now: epoch}
-	s.end = epoch.Add(warmUp + o.Length)
+	s := &simulation{options: o, mix: m, Timeline: timeline.New()}
+	s.end = timeline.Epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
 	s.build(max(1, o.FailureDomains))
 	s.spoil()
@@ -101,14 +96,11 @@
 	}
 }
 
-// Now implements clock.Clock in virtual time.
-func (s *simulation) Now() time.Time { return s.now }
-
 // measure runs to the end and returns what was seen.
 func (s *simulation) measure() result {
 	s.every(sampleInterval, func() {
 		for _, e := range s.engines {
-			e.sample(s.now)
+			e.sample(s.Now())
 		}
 	})
 	for _, h := range s.failureDomains {
@@ -116,7 +108,7 @@
 		s.every(digestInterval, func() { h.tell(s) })
 		for i, g := range h.gateways {
 			g.compile()
-			s.after(time.Duration(i+1)*compileInterval/time.Duration(len(h.gateways)), func() {
+			s.After(time.Duration(i+1)*compileInterval/time.Duration(len(h.gateways)), func() {
 				s.every(compileInterval, g.compile)
 				s.every(gossipInterval, g.gossip)
 			})
@@ -124,13 +116,9 @@
 	}
 	for i := range s.jobs {
 		j := &s.jobs[i]
-		s.after(j.at, func() { s.failureDomains[j.failureDomain].gateways[j.gateway].arrive(j) })
-	}
-	for s.events.Len() > 0 {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
-		next.run()
+		s.After(j.at, func() { s.failureDomains[j.failureDomain].gateways[j.gateway].arrive(j) })
 	}
+	s.Play()
 	s.result.finish(s)
 	return s.result
 }
@@ -138,41 +126,7 @@
 // measured says whether an arrival counts.
 func (s *simulation) measured(j *job) bool { return j.at >= warmUp }
 
-func (s *simulation) after(delay time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.events, event{at: s.now.Add(delay), order: s.order, run: run})
-}
-
 // every runs now and then again until the tail is over.
 func (s *simulation) every(interval time.Duration, run func()) {
-	run()
-	if s.now.Before(s.end.Add(tail)) {
-		s.after(interval, func() { s.every(interval, run) })
-	}
-}
-
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-// events implements heap.Interface.
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].order < h[j].order
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
+	s.Every(interval, s.end.Add(tail+interval), run)
 }
--- a/pkg/load/decide/spill.go
+++ b/pkg/load/decide/spill.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lilacweir/lilacweir/pkg/timeline"
 )
 
 // failureDomains is the number of failure domains in the comparison of sending away, each
@@ -108,8 +110,8 @@
 
 // newRegions makes a run of several regions that send work to each other.
 func newRegions(o Options, m *mix, v variant, seed uint64) *simulation {
-	s := &simulation{options: o, mix: m, variant: v, now: epoch}
-	s.end = epoch.Add(warmUp + o.Length)
+	s := &simulation{options: o, mix: m, variant: v, Timeline: timeline.New()}
+	s.end = timeline.Epoch.Add(warmUp + o.Length)
 	s.result = newResult(m)
 	s.spills.bins = map[int][]float64{}
 	s.build(failureDomains)
@@ -120,11 +122,11 @@
 // troubles schedules the cut link and the loss of engines.
 func (s *simulation) troubles() {
 	first, second := s.failureDomains[0], s.failureDomains[1]
-	s.after(warmUp+cutFrom, func() {
+	s.After(warmUp+cutFrom, func() {
 		first.cutFrom = map[string]bool{second.name: true}
 		second.cutFrom = map[string]bool{first.name: true}
 	})
-	s.after(warmUp+cutTo, func() { first.cutFrom, second.cutFrom = nil, nil })
+	s.After(warmUp+cutTo, func() { first.cutFrom, second.cutFrom = nil, nil })
 	s.lose(second.engines[1:], warmUp+shortFrom, warmUp+shortTo)
 }
 
--- /dev/null
+++ b/pkg/timeline/timeline_test.go
@@ -0,0 +1,35 @@
+package timeline
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestWhatIsDueAtOneTimeHappensInTheOrderInWhichItWasAsked.
+func TestWhatIsDueAtOneTimeHappensInTheOrderInWhichItWasAsked(t *testing.T) {
+	is := is.New(t)
+	line := New()
+	var seen []string
+	note := func(what string) func() { return func() { seen = append(seen, what) } }
+	line.After(2*time.Second, note("later"))
+	line.After(time.Second, func() {
+		note("first")()
+		line.After(time.Second, note("last"))
+	})
+	line.After(time.Second, note("second"))
+	line.Play()
+	is.Equal(seen, []string{"first", "second", "later", "last"})
+	is.Equal(line.Now(), Epoch.Add(2*time.Second))
+}
+
+// TestEveryEndsAtItsEnd.
+func TestEveryEndsAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	line, times := New(), 0
+	line.Every(time.Second, Epoch.Add(3500*time.Millisecond), func() { times++ })
+	line.Play()
+	is.Equal(times, 4)
+	is.Equal(line.Now(), Epoch.Add(3*time.Second))
+}
