--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -93,7 +93,7 @@
 	}
 	h.ask = Ask{
 		Domain: "some-hall", Region: "region", Report: sampleReport(0),
-		Sums: s.domain > smallDomain, Lineup: g.lineup().fingerprint,
+		Sums: s.domain > smallDomain, Dictionary: g.dictionary().fingerprint,
 	}
 	for _, told := range h.tell().Digests {
 		h.ask.Rosters = append(h.ask.Rosters, Roster{Domain: told.Domain, Fingerprint: told.Roster})
--- a/pkg/peer/columns.go
+++ b/pkg/peer/columns.go
@@ -13,8 +13,8 @@
 // platform's store, nearly all of the time: where the lists of both sides are the same, the
 // IDs are left out.
 
-// lineup is the upstreams of a region in the order in which work there is told.
-type lineup struct {
+// dictionary is the upstreams of a region in the order in which work there is told.
+type dictionary struct {
 	view *fleet.View
 	ids  []string
 	// places holds each one's index.
@@ -23,10 +23,10 @@
 	fingerprint uint64
 }
 
-func newLineup(view *fleet.View, region string) *lineup {
-	l := &lineup{view: view, places: make(map[string]int)}
+func newDictionary(view *fleet.View, region string) *dictionary {
+	d := &dictionary{view: view, places: make(map[string]int)}
 	if view == nil {
-		return l
+		return d
 	}
 	sum := xxhash.New()
 	for i := range view.Upstreams {
@@ -34,68 +34,68 @@
 		if upstream.Region != region {
 			continue
 		}
-		l.places[upstream.ID] = len(l.ids)
-		l.ids = append(l.ids, upstream.ID)
+		d.places[upstream.ID] = len(d.ids)
+		d.ids = append(d.ids, upstream.ID)
 		// A Digest of package xxhash takes all that is written.
 		_, _ = sum.WriteString(upstream.ID)
 		_, _ = sum.Write([]byte{0})
 	}
-	if len(l.ids) > 0 {
-		l.fingerprint = sum.Sum64()
+	if len(d.ids) > 0 {
+		d.fingerprint = sum.Sum64()
 	}
-	return l
+	return d
 }
 
-// lineup returns that of the own region as the fleet is known now.
-func (g *Gossip) lineup() *lineup {
+// dictionary returns that of the own region as the fleet is known now.
+func (g *Gossip) dictionary() *dictionary {
 	view := g.options.Fleet.Load()
-	if l := g.lined.Load(); l != nil && l.view == view {
-		return l
+	if d := g.newestDictionary.Load(); d != nil && d.view == view {
+		return d
 	}
-	l := newLineup(view, g.options.Self.Region)
-	g.lined.Store(l)
-	return l
+	d := newDictionary(view, g.options.Self.Region)
+	g.newestDictionary.Store(d)
+	return d
 }
 
-// Columns is work at the upstreams of a lineup, without their IDs. One of its columns is
+// Columns is work at the upstreams of a dictionary, without their IDs. One of its columns is
 // empty when all upstreams have none of that.
 type Columns struct {
-	// Lineup is the fingerprint of the IDs; zero: there is no work told in columns.
-	Lineup                             uint64
+	// Dictionary is the fingerprint of the IDs; zero: there is no work told in columns.
+	Dictionary                         uint64
 	InFlight, Prefill, Flowing, Silent []int
 }
 
 // columns puts what can be told without IDs into columns, and returns the rest, which is
-// work at upstreams that the lineup does not hold.
-func (l *lineup) columns(loads []Load) (Columns, []Load) {
-	c := Columns{Lineup: l.fingerprint}
+// work at upstreams that the dictionary does not hold.
+func (d *dictionary) columns(loads []Load) (Columns, []Load) {
+	c := Columns{Dictionary: d.fingerprint}
 	var rest []Load
 	for _, load := range loads {
-		place, ok := l.places[load.Name]
+		place, ok := d.places[load.Name]
 		if !ok {
 			rest = append(rest, load)
 			continue
 		}
-		l.set(&c.InFlight, place, load.InFlight)
-		l.set(&c.Prefill, place, load.Prefill)
-		l.set(&c.Flowing, place, load.Flowing)
-		l.set(&c.Silent, place, load.Silent)
+		d.set(&c.InFlight, place, load.InFlight)
+		d.set(&c.Prefill, place, load.Prefill)
+		d.set(&c.Flowing, place, load.Flowing)
+		d.set(&c.Silent, place, load.Silent)
 	}
 	return c, rest
 }
 
-func (l *lineup) set(column *[]int, place, value int) {
+func (d *dictionary) set(column *[]int, place, value int) {
 	if value == 0 {
 		return
 	}
 	if *column == nil {
-		*column = make([]int, len(l.ids))
+		*column = make([]int, len(d.ids))
 	}
 	(*column)[place] = value
 }
 
-// LineupError: columns that do not fit the lineup that was asked for.
-type LineupError struct {
+// DictionaryError: columns that do not fit the dictionary that was asked for.
+type DictionaryError struct {
 	// Told and Asked are fingerprints.
 	Told, Asked uint64
 	// Length is that of a column that is neither empty nor one of Upstreams values.
@@ -103,22 +103,22 @@
 }
 
 // Error implements error.
-func (e *LineupError) Error() string {
-	return fmt.Sprintf("told of lineup %x with a column of %d, asked for %x of %d upstreams", e.Told, e.Length, e.Asked, e.Upstreams)
+func (e *DictionaryError) Error() string {
+	return fmt.Sprintf("told of dictionary %x with a column of %d, asked for %x of %d upstreams", e.Told, e.Length, e.Asked, e.Upstreams)
 }
 
-// loads is what columns say. The error is a *LineupError.
-func (l *lineup) loads(c *Columns) ([]Load, error) {
-	if c.Lineup == 0 {
+// loads is what columns say. The error is a *DictionaryError.
+func (d *dictionary) loads(c *Columns) ([]Load, error) {
+	if c.Dictionary == 0 {
 		return nil, nil
 	}
 	for _, column := range [...][]int{c.InFlight, c.Prefill, c.Flowing, c.Silent} {
-		if c.Lineup != l.fingerprint || (len(column) != 0 && len(column) != len(l.ids)) {
-			return nil, &LineupError{Told: c.Lineup, Asked: l.fingerprint, Length: len(column), Upstreams: len(l.ids)}
+		if c.Dictionary != d.fingerprint || (len(column) != 0 && len(column) != len(d.ids)) {
+			return nil, &DictionaryError{Told: c.Dictionary, Asked: d.fingerprint, Length: len(column), Upstreams: len(d.ids)}
 		}
 	}
-	loads := make([]Load, 0, len(l.ids))
-	for place, id := range l.ids {
+	loads := make([]Load, 0, len(d.ids))
+	for place, id := range d.ids {
 		load := Load{
 			InFlight: at(c.InFlight, place), Prefill: at(c.Prefill, place),
 			Flowing: at(c.Flowing, place), Silent: at(c.Silent, place),
--- a/pkg/peer/columns_test.go
+++ b/pkg/peer/columns_test.go
@@ -39,38 +39,38 @@
 // TestNoWorkIsToldInNoColumn.
 func TestNoWorkIsToldInNoColumn(t *testing.T) {
 	is := is.New(t)
-	l := newLineup(sampleFleet(3), "region")
+	l := newDictionary(sampleFleet(3), "region")
 	c, rest := l.columns([]Load{{Name: l.ids[1], InFlight: 2}})
-	is.Equal(c, Columns{Lineup: l.fingerprint, InFlight: []int{0, 2, 0}})
+	is.Equal(c, Columns{Dictionary: l.fingerprint, InFlight: []int{0, 2, 0}})
 	is.Equal(len(rest), 0)
 	loads, err := l.loads(&c)
 	is.NoErr(err)
 	is.Equal(loads, []Load{{Name: l.ids[1], InFlight: 2}})
 }
 
-// TestALineupIsThatOfOneRegion.
-func TestALineupIsThatOfOneRegion(t *testing.T) {
+// TestADictionaryHoldsOneRegion.
+func TestADictionaryHoldsOneRegion(t *testing.T) {
 	is := is.New(t)
 	view := sampleFleet(2)
 	view.Upstreams = append(view.Upstreams, fleet.Upstream{ID: "z", Region: "other"})
-	is.Equal(newLineup(view, "region").ids, newLineup(sampleFleet(2), "region").ids)
-	is.Equal(newLineup(view, "other").ids, []string{"z"})
-	is.Equal(newLineup(view, "nowhere").fingerprint, uint64(0))
+	is.Equal(newDictionary(view, "region").ids, newDictionary(sampleFleet(2), "region").ids)
+	is.Equal(newDictionary(view, "other").ids, []string{"z"})
+	is.Equal(newDictionary(view, "nowhere").fingerprint, uint64(0))
 }
 
 // TestColumnsThatDoNotFitAreNotTaken: what was known before counts on.
 func TestColumnsThatDoNotFitAreNotTaken(t *testing.T) {
 	is := is.New(t)
-	l := newLineup(sampleFleet(3), "region")
-	var wrong *LineupError
-	_, err := l.loads(&Columns{Lineup: l.fingerprint, Silent: []int{1}})
+	l := newDictionary(sampleFleet(3), "region")
+	var wrong *DictionaryError
+	_, err := l.loads(&Columns{Dictionary: l.fingerprint, Silent: []int{1}})
 	is.True(errors.As(err, &wrong))
-	_, err = l.loads(&Columns{Lineup: l.fingerprint + 1})
+	_, err = l.loads(&Columns{Dictionary: l.fingerprint + 1})
 	is.True(errors.As(err, &wrong))
 
 	g := newHub("north-a", "region")
 	g.sums = &heard[[]Load]{value: sampleLoads(1, sampleUpstream)}
-	g.take(&Reply{Summed: true, Columns: Columns{Lineup: 7, InFlight: []int{1}}}, l)
+	g.take(&Reply{Summed: true, Columns: Columns{Dictionary: 7, InFlight: []int{1}}}, l)
 	is.Equal(g.sums.value, sampleLoads(1, sampleUpstream))
 }
 
@@ -98,10 +98,10 @@
 	g := newHub("north-a", "north")
 	report := sampleReport(0)
 	g.options.Report = func() Report { return report }
-	near := g.ask(&fleet.Instance{Name: "n", Domain: "north-a"}, g.lineup())
+	near := g.ask(&fleet.Instance{Name: "n", Domain: "north-a"}, g.dictionary())
 	is.True(slices.Equal(near.Report.Upstreams, report.Upstreams))
 	is.True(slices.Equal(near.Report.Placed, report.Placed))
-	far := g.ask(&fleet.Instance{Name: "s", Domain: "south-a"}, g.lineup())
+	far := g.ask(&fleet.Instance{Name: "s", Domain: "south-a"}, g.dictionary())
 	is.Equal(len(far.Report.Upstreams)+len(far.Report.Placed), 0)
 	is.Equal(far.Report.Name, report.Name)
 }
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -80,8 +80,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply Reply
-	lineup := g.lineup()
-	ask := g.ask(&instance, lineup)
+	dict := g.dictionary()
+	ask := g.ask(&instance, dict)
 	err := g.options.Client.Call(ctx, instance.Gossip, methodExchange, ask, &reply)
 	if ctx.Err() != nil && err == nil {
 		return
@@ -90,16 +90,16 @@
 		g.unreached(instance, err)
 		return
 	}
-	g.take(&reply, lineup)
+	g.take(&reply, dict)
 }
 
 // ask is what an instance is asked. One of another domain hears of this one's work through
 // the digests that it asks for itself: at 1,000 upstreams the work of a busy instance is
 // 25 KB, and it went to the hubs of all domains.
-func (g *Gossip) ask(instance *fleet.Instance, lineup *lineup) Ask {
+func (g *Gossip) ask(instance *fleet.Instance, dict *dictionary) Ask {
 	ask := Ask{
 		Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(),
-		Sums: g.large(), Rosters: g.rosters(), Lineup: lineup.fingerprint,
+		Sums: g.large(), Rosters: g.rosters(), Dictionary: dict.fingerprint,
 	}
 	if instance.Domain != g.options.Self.Domain {
 		ask.Report.Upstreams, ask.Report.Placed = nil, nil
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -87,8 +87,8 @@
 	reachable reachable
 	// totals is what a hub tells of the region's work, nil before anyone asked.
 	totals *totals
-	// lined is the newest lineup.
-	lined atomic.Pointer[lineup]
+	// newestDictionary belongs to the newest view of the fleet.
+	newestDictionary atomic.Pointer[dictionary]
 	// addresses holds the instances that were registered, and where to reach them.
 	addresses map[string]fleet.Instance
 	// askers holds who said where to get a copy of the store.
--- a/pkg/peer/roster_test.go
+++ b/pkg/peer/roster_test.go
@@ -35,9 +35,9 @@
 	report := from.options.Report()
 	report.Sequence = sequence
 	reply := &Reply{}
-	ask := Ask{Domain: from.options.Self.Domain, Region: from.options.Self.Region, Report: report, Sums: true, Rosters: from.rosters(), Lineup: from.lineup().fingerprint}
+	ask := Ask{Domain: from.options.Self.Domain, Region: from.options.Self.Region, Report: report, Sums: true, Rosters: from.rosters(), Dictionary: from.dictionary().fingerprint}
 	is.NoErr((&Service{gossip: to}).Exchange(ask, reply))
-	from.take(reply, from.lineup())
+	from.take(reply, from.dictionary())
 	return reply
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -27,10 +27,10 @@
 	// Sums is true in a large domain: the asking instance learns of all through this one,
 	// and wants the work of the others as a sum.
 	Sums bool
-	// Rosters are those that the asking instance holds, Lineup is the fingerprint of the
+	// Rosters are those that the asking instance holds, Dictionary is the fingerprint of the
 	// region's upstreams as it knows them.
-	Rosters []Roster
-	Lineup  uint64
+	Rosters    []Roster
+	Dictionary uint64
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -140,8 +140,8 @@
 	}
 	own.Upstreams, own.Placed = nil, nil
 	reply.Summed, reply.Sums = true, total.without(ask.Report.Name)
-	if lineup := g.lineup(); lineup.fingerprint == ask.Lineup {
-		reply.Columns, reply.Sums = lineup.columns(reply.Sums)
+	if dict := g.dictionary(); dict.fingerprint == ask.Dictionary {
+		reply.Columns, reply.Sums = dict.columns(reply.Sums)
 	}
 	reply.Placed = g.news.since(ask.Report.Name, false, now)
 }
@@ -191,8 +191,8 @@
 	return sorted(services)
 }
 
-// take learns from a reply to an ask that named a lineup.
-func (g *Gossip) take(reply *Reply, asked *lineup) {
+// take learns from a reply to an ask that named a dictionary.
+func (g *Gossip) take(reply *Reply, asked *dictionary) {
 	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -214,7 +214,7 @@
 }
 
 // takeSums learns the others' work. The caller holds g.mu.
-func (g *Gossip) takeSums(reply *Reply, asked *lineup, now time.Time) {
+func (g *Gossip) takeSums(reply *Reply, asked *dictionary, now time.Time) {
 	loads, err := asked.loads(&reply.Columns)
 	if err != nil {
 		g.options.Log.Warn().Err(err).Msg(string(event.SumsRejected))
