Order-givers take turns at the weight store

A domain in another region, whose asks come last, is served last each time.

Ruled out, by the lines that are logged now: engines that cannot be read, a lease that ended, a weight store that does not answer.

Mend: who was lent a load lets others go first, the less the longer it waits. The test fails without it.

--- a/pkg/order/give.go
+++ b/pkg/order/give.go
@@ -171,7 +171,8 @@
 	if c.Weights == nil {
 		return true
 	}
-	if c.Clock.Now().Before(c.last.wait) {
+	asked := c.Clock.Now()
+	if asked.Before(c.last.wait) {
 		return false
 	}
 	wait, err := c.Weights.Reserve(ctx, engine.Serves, engine.Version)
@@ -180,10 +181,11 @@
 		return false
 	}
 	if wait > 0 {
-		c.last.wait = c.Clock.Now().Add(wait)
+		c.last.wait = c.last.turns.next(asked, wait)
 		c.noteHeld(engine, ErrWeightsBusy)
 		return false
 	}
+	c.last.turns.served()
 	return true
 }
 
--- a/pkg/order/tally.go
+++ b/pkg/order/tally.go
@@ -24,8 +24,9 @@
 	unread map[string]bool
 	// held is why the last order was held back; empty when it was sent.
 	held string
-	// wait is until when the weight store is busy.
-	wait time.Time
+	// wait is until when the weight store is busy, or others go first.
+	wait  time.Time
+	turns turns
 }
 
 func newTally(held *tenure) tally {
--- /dev/null
+++ b/pkg/order/turns_test.go
@@ -0,0 +1,142 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/config"
+	"github.com/lilacweir/lilacweir/pkg/platform/platformtest"
+)
+
+// lender lends one load in each slot, to who asks first.
+type lender struct {
+	slot time.Duration
+	mu   sync.Mutex
+	free time.Time
+}
+
+// reserve is a reservation as it reaches the store.
+func (l *lender) reserve() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if wait := l.free.Sub(now); wait > 0 {
+		return wait
+	}
+	l.free = now.Add(l.slot)
+	return 0
+}
+
+// distant is the lender as it is reached from a failure domain, a way off.
+type distant struct {
+	lender *lender
+	way    time.Duration
+}
+
+// Reserve implements platform.WeightStore.
+func (d *distant) Reserve(context.Context, string, string) (time.Duration, error) {
+	time.Sleep(d.way)
+	defer time.Sleep(d.way)
+	return d.lender.reserve(), nil
+}
+
+// domainOfThree is a failure domain with three engines and its order-giver.
+type domainOfThree struct {
+	engines map[string]*fakeEngine
+	names   []string
+	process *process
+}
+
+func newDomainOfThree(t *testing.T, name string, service *platformtest.Service, weights *distant) *domainOfThree {
+	d := &domainOfThree{engines: make(map[string]*fakeEngine)}
+	declaration := &config.Declaration{}
+	for i := range 3 {
+		engine := fmt.Sprint(name, "-", i)
+		d.names = append(d.names, engine)
+		d.engines[engine] = &fakeEngine{state: State{Version: "v1"}}
+		declaration.Upstreams = append(declaration.Upstreams, config.Upstream{
+			Name: engine, Kind: config.KindEngine, Serves: "llm", Version: "v2", Domain: name,
+		})
+	}
+	declaration.Policy.WeightLoads = 1
+	source := &fakeSource{engines: d.engines, declaration: declaration}
+	p := &process{pause: &pause{}, done: make(chan struct{})}
+	p.engines = &fakeEngines{engines: d.engines, pause: p.pause}
+	p.controller = New(Dependencies{
+		Domain: name, Holder: name + "-1", KeyValue: service.Connect(name, p.pause.wait), Weights: weights,
+		Engines: p.engines, Source: source, Clock: clock.System{}, Log: zerolog.Nop(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	p.cancel = cancel
+	go func() {
+		defer close(p.done)
+		p.controller.Run(ctx)
+	}()
+	d.process = p
+	return d
+}
+
+// loaded is how many of the domain's engines have taken their order.
+func (d *domainOfThree) loaded() int {
+	count := 0
+	for _, engine := range d.engines {
+		if engine.read().Version == "v2" {
+			count++
+		}
+	}
+	return count
+}
+
+// TestDomainsTakeTurnsAtTheWeightStore: a new version is declared for the engines of three
+// failure domains at once, and the weight store lends one load in two seconds. Two domains lie
+// beside it, one in another region, 55 ms away, whose asks come last each time. Without turns
+// it got nothing until the others had all their loads: its callers stayed on the old version
+// for as long as all others together took.
+func TestDomainsTakeTurnsAtTheWeightStore(t *testing.T) {
+	for _, slot := range []time.Duration{2 * time.Second, 500 * time.Millisecond} {
+		t.Run(slot.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := platformtest.New(clock.System{})
+				store := &lender{slot: slot}
+				domains := []*domainOfThree{
+					newDomainOfThree(t, "north-a", service, &distant{store, time.Millisecond}),
+					newDomainOfThree(t, "north-b", service, &distant{store, 2 * time.Millisecond}),
+					newDomainOfThree(t, "south-a", service, &distant{store, 55 * time.Millisecond}),
+				}
+				begun, first := time.Now(), time.Time{}
+				all := func() (loaded int) {
+					for _, d := range domains {
+						loaded += d.loaded()
+					}
+					return loaded
+				}
+				for all() < 9 {
+					if first.IsZero() && all() > 0 {
+						first = time.Now()
+					}
+					far := domains[2].loaded()
+					if all()-far >= 4 {
+						is.True(far >= 1)
+					}
+					is.True(time.Since(begun) < time.Minute)
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := time.Since(first)
+				t.Logf("nine loads in %v", took)
+				is.True(took < 8*slot*6/5+interval)
+				for _, d := range domains {
+					d.process.stop()
+				}
+			})
+		})
+	}
+}
