--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -202,10 +202,10 @@
 	b.units = max(b.units-units, -2*(b.limit.Burst+b.limit.Rate))
 }
 
-// chance is the part of the caller's requests that fits: all above an empty balance, none
-// where what is lent is used up.
+// chance is the part of the caller's requests that fits: all while the balance is not
+// negative, none where what is lent is used up.
 func (l *Limiter) chance(b *balance) float64 {
-	if b.units > 0 {
+	if b.units >= 0 {
 		return 1
 	}
 	depth := l.heard * l.tolerance.depth(b.limit)
