An instance that stops following the store takes others' copies at once

Cause: the copy of an instance that had followed the store for a moment counted as current for 3.2 s after it stopped. Ruled out by the log: the store (it answered), the links (no cut at that time).

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -85,8 +85,10 @@
 	// back, zero when it was never lost.
 	lost     bool
 	returned time.Time
-	// reached is when the store last answered.
-	reached time.Time
+	// reached is when the store last answered; following is true while changes are waited
+	// for, or were just taken.
+	reached   time.Time
+	following bool
 	// lapsed holds the entries that are missing and still counted, and until when.
 	lapsed map[string]time.Time
 	// told is true while lapsed is as another instance told it.
@@ -103,12 +105,12 @@
 // Snapshot returns the section that holds the newest copy.
 func (m *Mirror) Snapshot() *board.Section[Snapshot] { return &m.snapshot }
 
-// Current says whether the store answered lately, so that a peer's copy can be newer
-// by moments only.
+// Current says whether the store is followed and answered lately, so that a peer's copy can
+// be newer by moments only.
 func (m *Mirror) Current() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.lost && !m.reached.IsZero() && m.options.Clock.Now().Sub(m.reached) < currentFor
+	return m.following && !m.lost && !m.reached.IsZero() && m.options.Clock.Now().Sub(m.reached) < currentFor
 }
 
 // Lost says whether the store's last call failed.
@@ -192,6 +194,8 @@
 // follow lists everything and then follows the changes, until a call fails or the
 // Mirror is no longer active.
 func (m *Mirror) follow(ctx context.Context) error {
+	m.setFollowing(true)
+	defer m.setFollowing(false)
 	revision, err := m.list(ctx)
 	for err == nil && m.active() {
 		revision, err = m.changes(ctx, revision)
@@ -199,6 +203,12 @@
 	return err
 }
 
+func (m *Mirror) setFollowing(following bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.following = following
+}
+
 func (m *Mirror) list(ctx context.Context) (int64, error) {
 	entries := make(map[string]platform.Entry)
 	first, after := int64(0), ""
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -317,3 +317,30 @@
 		is.New(t).True(s.calls.Load() <= 21)
 	})
 }
+
+// TestAMirrorThatNoLongerFollowsIsNotCurrent: an instance follows the store while a watcher
+// of its domain is restarted, and stops when that one is back. From then on it must take
+// others' copies at once, not when its own last answer is old.
+func TestAMirrorThatNoLongerFollowsIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newStore()
+		var active atomic.Bool
+		active.Store(true)
+		m := mirror.New(mirror.Options{Source: s, Clock: clock.System{}, Log: zerolog.Nop(), Active: active.Load})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() { m.Run(ctx); close(ended) }()
+		time.Sleep(time.Second)
+		is.True(m.Current())
+		active.Store(false)
+		s.put("servers/a", "1") // ends the waiting call
+		time.Sleep(time.Second)
+		is.True(!m.Current())
+		active.Store(true)
+		time.Sleep(time.Second)
+		is.True(m.Current())
+		cancel()
+		<-ended
+	})
+}
