--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -44,9 +44,7 @@
 // Times and sizes of the exchange.
 const (
 	// round passes between exchanges. An answer takes 0.3 s to begin, and what is told
-	// later than that says little of it: with rounds of 0.1 s the answers of 88 instances
-	// under high load were worth 5 % more to their callers than with 0.3 s, and 3 % more
-	// than with 0.15 s.
+	// later than that says little of it.
 	round = 100 * time.Millisecond
 	// smallDomain is up to how many instances of a domain report to each other; in
 	// larger ones all report to the hub.
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -47,6 +47,8 @@
 	// gathered, in multiples of their part: the sides of a partition must not each spend a
 	// whole burst, but a region that is cut off at its peak needs more than its part.
 	aloneBurst = 3
+	// mostDebt bounds a negative balance, in multiples of the burst and a second's rate.
+	mostDebt = 2
 	// tellerSilence is when a teller's usage no longer connects to what it told before.
 	tellerSilence = 2500 * time.Millisecond
 )
@@ -195,11 +197,11 @@
 	b.units = min(b.units, b.limit.Burst*min(1, aloneBurst*heard))
 }
 
-// charge takes units, or gives them back when negative. No more than a second of the limit
-// below an empty balance is remembered: a caller that is back within its limit is not made
-// to wait for what was let in for want of news.
+// charge takes units, or gives them back when negative. A debt beyond mostDebt is forgotten:
+// a caller that is back within its limit is not made to wait long for what was let in for
+// want of news.
 func (b *balance) charge(units float64) {
-	b.units = max(b.units-units, -2*(b.limit.Burst+b.limit.Rate))
+	b.units = max(b.units-units, -mostDebt*(b.limit.Burst+b.limit.Rate))
 }
 
 // chance is the part of the caller's requests that fits: all while the balance is not
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,12 +1,14 @@
 // Package quota keeps each caller to its declared limits over all gateways of all
 // failure domains, with no leader and no call on the request's path.
 //
-// Each gateway lets in a part of a limit: the failure domain's part by the demand
+// There are two ways: Limiter, a copy of one balance at each instance, is that of
+// lilacweir-edge; Gate, parts of a limit that follow demand, that of lilacweir-gateway.
+// With Gate each gateway lets in a part of a limit: the failure domain's part by the demand
 // that the digests tell, and of that its own by the demand that the heartbeats
 // tell. Told demand is late, so a part grows only once every other gateway has had
 // the time to hear of it, and shrinks at once.
 //
-// Guarantee: while what is told arrives within the windows, the gateways' parts of
+// Guarantee of Gate: while what is told arrives within the windows, the gateways' parts of
 // a limit add up to at most the limit, whatever the demand does; a failure domain
 // that is cut off keeps its part. See docs/design/quotas.md for the bound.
 package quota
--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-// An engine takes whatever it is sent, and everyone in its queue is late together: at 1.3
-// times its capacity hardly one answer in three began within its target, and two thirds of
-// the callers were served late or left. So a request is only sent where its answer is
-// predicted to begin in time, and refused at once where there is no such place. On days
-// with bursts the value of what was served rose by 3 %, in their worst seconds by half.
+// An engine takes whatever it is sent, and everyone in its queue is late together. So a
+// request is only sent where its answer is predicted to begin in time, and refused at once
+// where there is no such place.
 
 // Parameters of what counts as in time.
 const (
@@ -20,9 +18,7 @@
 	// its own prompt takes the rest: the largest prompts are served too, if late.
 	aheadAtLeast = 0.3
 	// yields is the part of the wait that a more urgent route of the same service bears
-	// for which a less urgent one may wait: what it leaves is room for the others. With
-	// 0.2 and 0.8 the answers of days with bursts were worth 7 % less to their callers, with
-	// 0.6 4 % less.
+	// for which a less urgent one may wait: what it leaves is room for the others.
 	yields = 0.4
 	// usualHolding is for how long a request holds its place where that was not measured.
 	usualHolding = time.Second
@@ -40,9 +36,8 @@
 
 // tooLate says whether an answer after such a wait is no longer worth beginning now: it
 // comes after the route's target, or takes what more urgent requests need. The doubt is the
-// caller's, by the mean error of predictions: 88 instances, which hear of each other late,
-// were wrong by half a target, and refused what would have been in time; without the doubt
-// admission cost a twentieth of what is served there, with it a fiftieth.
+// caller's, by the mean error of predictions: instances that hear of each other late would
+// refuse what would have been in time.
 func (w *wait) tooLate(req *Request, forecast *Forecast) bool {
 	target := inMilliseconds(req.Route.TargetLatency)
 	if target == 0 {
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -68,28 +68,22 @@
 // Weights of a candidate's cost, in prompt tokens that an engine would have to read.
 const (
 	// tokensPerRequest is what a running request costs those beside it: its share of
-	// each step of the batch. Measured on engines whose step takes about 4 ms and
-	// grows little with the batch: the difference between 8 and 40 running requests
-	// is about that of one prompt of 2,000 tokens.
+	// each step of the batch.
 	tokensPerRequest = 15
 	// queuedPenalty is added for each request beyond the slots: it waits until one of those
-	// that run ends, 10 to 50 ms, in which an engine reads 700 to 3,500 tokens (worked out).
-	// With 2,000, prompts leave the upstreams that hold their parts as soon as these have
-	// queues, and are read again.
+	// that run ends. It is below what an engine reads meanwhile, so that a short queue does
+	// not drive prompts from the upstreams that hold their parts.
 	queuedPenalty = 500
-	// backlogWeight is what an unread token in hand at an upstream counts. They count whole
+	// backlogWeight is what an unread token in hand at an upstream counts: they count whole
 	// until their answer begins and are half read on the average, and what is known of them
-	// is old: at 88 instances under high load the answers were worth a tenth more to their
-	// callers with 0.3 than with 0.9, and a twentieth more than with 0.5. At six instances
-	// it makes no difference.
+	// is old.
 	backlogWeight = 0.3
 	// plainSpread is by how much the load of a plain service's upstream is taken to be
 	// higher, at random: what is known of the others' work is up to a round old, and
 	// instances that all believe the same would all send to the same upstream.
 	plainSpread = 0.5
 	// spread is the largest random cost in units of what others have sent unseen; it is half
-	// of that on the average. At 88 instances under high load the answers were worth 7 % more
-	// to their callers than without it, with 2 units 4 %.
+	// of that on the average.
 	spread = 5.0
 	// affinity is the part of a shared prompt part that counts as cached at the
 	// upstream to which it is hashed, when nothing is known of it.
@@ -101,8 +95,7 @@
 	// hold it, in tokens that are read. The way itself takes a third of the time of reading
 	// (164 KB over 260 Gbit/s); the rest stands for copies that come to nothing, as the
 	// holder has not read the part yet or has dropped it, and for the room that a further
-	// copy takes from other parts. With 0.3 instead, a loaded deployment of 58 instances
-	// read 15 million tokens again where it reads 11 million.
+	// copy takes from other parts.
 	copyCost = 0.6
 	// cachedWeight raises what a second reading costs: it also drives out what other
 	// requests would have found.
