--- a/pkg/quota/limiter_test.go
+++ b/pkg/quota/limiter_test.go
@@ -509,4 +509,7 @@
 	is.Equal(told(""), Usage{}) // silent for too long to know when it was used
 	sums.Take("i", 2, []Usage{{Caller: "a", Asked: 8, Used: 7}}, now)
 	is.Equal(told("j"), Usage{Caller: "a", Asked: 37, Used: 26})
+	now = now.Add(partSilence + time.Second)
+	sums.Take("j", 1, nil, now)
+	is.Equal(len(sums.parts), 1) // instances that are gone are forgotten
 }
--- a/pkg/quota/usage.go
+++ b/pkg/quota/usage.go
@@ -110,34 +110,57 @@
 	ledger ledger
 	all    counters
 	// parts is what each instance has of it.
-	parts map[string]counters
+	parts map[string]*part
 }
 
+// part is what one instance has used, and when it was last heard.
+type part struct {
+	counters
+	at time.Time
+}
+
+// partSilence is when the part of an instance that is not heard is dropped: long after the
+// instance itself has forgotten what it was told, so that it is not charged its own use.
+const partSilence = 10 * tellerSilence
+
 // NewSums returns Sums of nothing.
 func NewSums() *Sums {
-	return &Sums{ledger: make(ledger), all: make(counters), parts: make(map[string]counters)}
+	return &Sums{ledger: make(ledger), all: make(counters), parts: make(map[string]*part)}
 }
 
 // Take notes an instance's list.
 func (s *Sums) Take(instance string, start uint64, list []Usage, now time.Time) {
-	s.ledger.forget(now, tellerSilence)
+	s.forget(now)
+	known := s.parts[instance]
+	if known == nil {
+		known = &part{counters: make(counters)}
+		s.parts[instance] = known
+	}
+	known.at = now
 	for _, added := range s.ledger.added(instance, start, list, now) {
-		part := s.parts[instance]
-		if part == nil {
-			part = make(counters)
-			s.parts[instance] = part
-		}
-		part.of(added.Caller, now).add(added.Asked, added.Used, now)
+		known.of(added.Caller, now).add(added.Asked, added.Used, now)
 		s.all.of(added.Caller, now).add(added.Asked, added.Used, now)
 	}
 }
 
+func (s *Sums) forget(now time.Time) {
+	s.ledger.forget(now, tellerSilence)
+	for instance, known := range s.parts {
+		if now.Sub(known.at) > partSilence {
+			delete(s.parts, instance)
+		}
+	}
+}
+
 // Tell returns the domain's usage without that of one instance; empty: of all.
 func (s *Sums) Tell(without string, now time.Time) []Usage {
 	list := s.all.list(now)
-	part := s.parts[without]
+	known := s.parts[without]
+	if known == nil {
+		return list
+	}
 	for i := range list {
-		if own := part[list[i].Caller]; own != nil {
+		if own := known.counters[list[i].Caller]; own != nil {
 			list[i].Asked -= own.asked
 			list[i].Used -= own.used
 		}
