--- /dev/null
+++ b/pkg/edge/cold_test.go
@@ -0,0 +1,53 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
+	"github.com/lilacweir/lilacweir/pkg/peer"
+)
+
+// TestWhileInstancesAppearNothingGoesToColdUpstreams: a region's instances and upstreams are
+// back together, and the instances are registered one after the other, late. Each that knows
+// eight others would send an eighth of what a cold upstream bears, and there are 28.
+func TestWhileInstancesAppearNothingGoesToColdUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		settings := &Settings{Instance: "n-0", Region: testRegion}
+		settings.Limits.ColdFactor = 1
+		e := &Edge{
+			settings: settings, clock: clock.System{}, began: time.Now(), suspicions: newSuspicions(),
+			self: fleet.Instance{Name: "n-0", Region: testRegion},
+			cold: limit.NewColdShares(time.Now), gossip: peer.New(peer.Options{Clock: clock.System{}}),
+		}
+		upstream := &fleet.Upstream{ID: "u", Region: testRegion, ColdUntil: time.Now().Add(time.Minute)}
+		service := &httproute.Service{Name: testService, ColdRate: 11}
+		know := func(instances int) {
+			view := &fleet.View{}
+			for i := range instances {
+				view.Instances = append(view.Instances, fleet.Instance{Name: fmt.Sprint("n-", i), Region: testRegion})
+			}
+			view.Index()
+			e.board.Fleet.Store(view)
+		}
+		for instances := 1; instances <= 28; instances++ {
+			know(instances)
+			is.True(!e.admits(upstream, service))
+			time.Sleep(100 * time.Millisecond)
+		}
+		know(8) // three regions away from here it would be these
+		e.admits(upstream, service)
+		time.Sleep(2 * coldStart)
+		is.True(e.admits(upstream, service)) // their number has not grown for long enough
+		know(9)
+		is.True(!e.admits(upstream, service))
+	})
+}
--- a/pkg/edge/roster.go
+++ b/pkg/edge/roster.go
@@ -22,6 +22,8 @@
 	fleet       *fleet.View
 	peers       *peer.View
 	all, region int
+	// grew is when region last grew.
+	grew time.Time
 }
 
 // counted counts the instances, once for each of the snapshots.
@@ -31,6 +33,14 @@
 		return last
 	}
 	counted := e.count(view, peers)
+	switch last := e.tally.Load(); {
+	case last == nil:
+		counted.grew = e.began
+	case counted.region > last.region:
+		counted.grew = e.now()
+	default:
+		counted.grew = last.grew
+	}
 	e.tally.Store(counted)
 	return counted
 }
@@ -63,8 +73,9 @@
 // none other is known: after a restart of everything each knows only itself.
 const leastInstances = 3
 
-// coldStart is for how long after its start an instance sends nothing to cold
-// upstreams: what it sent before a restart still counts for that long.
+// coldStart is for how long after its start, and after it has learned of one more instance
+// of its region, an instance sends nothing to cold upstreams: what was sent before a restart
+// still counts for that long, and while instances appear its share would be too large.
 const coldStart = limit.ColdWindow
 
 // admits says whether an upstream may get one more request of this instance, as far as it
@@ -73,7 +84,7 @@
 	if service.ColdRate == 0 || !e.mayBeCold(upstream) {
 		return true
 	}
-	if e.now().Sub(e.began) < coldStart {
+	if e.now().Sub(e.began) < coldStart || e.now().Sub(e.counted().grew) < coldStart {
 		return false
 	}
 	allowed := service.ColdRate*e.settings.Limits.ColdFactor + e.settings.Limits.ColdSlack
