Failed attempts name the content of their request; explain counts its other tries

An attempt's line had the request's ID alone, which is new in each try of a caller. That tells engines that end under one request from engines that end for being cold or full.

--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -9,6 +9,7 @@
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/peer"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
@@ -37,11 +38,13 @@
 	organisation *httproute.Organisation
 	keyDigest    httproute.KeyDigest
 	grant        quota.Grant
-	body         []byte
-	forwarded    bool
-	started      time.Time
-	deadline     time.Time
-	writer       *writer
+	// content is the fingerprint of what the request asks for; nil: not worked out yet.
+	content   *quarantine.Fingerprint
+	body      []byte
+	forwarded bool
+	started   time.Time
+	deadline  time.Time
+	writer    *writer
 
 	// attemptsLeft is on how many more upstreams the request may run.
 	attemptsLeft int
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -95,8 +95,11 @@
 
 // noteAttempt logs why an attempt ended without an answer that can be passed on.
 func (c *call) noteAttempt(unsent bool) {
-	c.failedLog.Warn().Str(event.KeyRequest, c.attributes.RequestID).Str(event.KeyTarget, c.to.name()).
-		Int(event.KeySend, c.sends).Int(event.KeyStatus, c.status).Bool(event.KeyUnsent, unsent).
+	line := c.failedLog.Warn().Str(event.KeyRequest, c.attributes.RequestID).Str(event.KeyTarget, c.to.name())
+	if !unsent {
+		line.Stringer(event.KeyContent, c.fingerprint())
+	}
+	line.Int(event.KeySend, c.sends).Int(event.KeyStatus, c.status).Bool(event.KeyUnsent, unsent).
 		Bool(event.KeyBegun, c.writer.begun).Dur(event.KeyLeftMS, c.deadline.Sub(c.now())).
 		Err(c.err).Msg(string(event.AttemptFailed))
 }
--- a/pkg/edge/lines_test.go
+++ b/pkg/edge/lines_test.go
@@ -89,3 +89,19 @@
 	<-ended
 	close(gone)
 }
+
+// TestTriesOfTheSameRequestBearTheSameContent guards against logs in which a request that
+// ends its upstreams cannot be found again, as each try has an ID of its own.
+func TestTriesOfTheSameRequestBearTheSameContent(t *testing.T) {
+	b := newBed(t, unsafe, newUpstream(t, reset))
+	for _, body := range []string{"one", "one", "two"} {
+		b.ask(http.MethodPost, "/r/x", body)
+	}
+	contents := make(map[string]int)
+	for _, line := range b.lines.With("event=attempt-failed") {
+		_, content, _ := strings.Cut(line, " content=")
+		content, _, _ = strings.Cut(content, " ")
+		contents[content]++
+	}
+	b.is.Equal(len(contents), 2) // one content for the two tries with the same body
+}
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -25,6 +25,7 @@
 	KeyCopy          = "copy"    // whether cached blocks are fetched from another upstream
 	KeyCost          = "cost"    // prompt tokens that the choice is worth waiting for
 	KeyDetail        = "detail"  // one sentence
+	KeyContent       = "content" // fingerprint of what a request asks for, the same in each try of its caller
 	KeyDemand        = "demand"  // what an organisation asks for everywhere, in units a second
 	KeyDomain        = "domain"  // failure domain
 	KeyDraining      = "draining"
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -21,6 +21,8 @@
 	after = 8 * time.Second
 	// beside is how far failures of other requests may be away to have the same cause.
 	beside = time.Second
+	// contentWindow is over which time tries of the same request are counted together.
+	contentWindow = 10 * time.Minute
 )
 
 // slow is from when on an answer that is late in beginning is explained.
@@ -57,9 +59,33 @@
 	if others := l.failuresAt(target, attempt.Time); others > 0 {
 		all = append(all, fmt.Sprintf("attempts of other requests that failed at %[2]s within %[3]v: %[1]d", others, target, beside))
 	}
+	all = append(all, l.sameContent(attempt)...)
 	return append(all, l.fateOf(target, attempt.Time)...)
 }
 
+// sameContent tells where the same request, as other tries of callers sent it, broke off.
+func (l *Log) sameContent(attempt *Line) []string {
+	content := attempt.Get(event.KeyContent)
+	if content == "" {
+		return nil
+	}
+	places := make(map[string]bool)
+	tries := make(map[string]bool)
+	for _, line := range l.near(event.AttemptFailed, attempt.Time.Add(-contentWindow), attempt.Time.Add(contentWindow)) {
+		if line.Get(event.KeyContent) != content || line.Int(event.KeyStatus) >= http.StatusInternalServerError {
+			continue
+		}
+		tries[line.Get(event.KeyRequest)] = true
+		if target := line.Get(event.KeyTarget); target != attempt.Get(event.KeyTarget) {
+			places[target] = true
+		}
+	}
+	if len(tries) == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("the same request, in %d other tries, broke off at %d other targets within %v", len(tries), len(places), contentWindow)}
+}
+
 // howFailed tells a failed attempt in a few words.
 func howFailed(attempt *Line) string {
 	switch {
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -78,6 +78,19 @@
 	}
 }
 
+// TestTriesOfTheSameRequestAreCountedTogether guards against taking engines that end one
+// after the other under one request for faults of their own.
+func TestTriesOfTheSameRequestAreCountedTogether(t *testing.T) {
+	broke := func(second, request, target, content string) string {
+		return line(second, "front-a", event.AttemptFailed, fmt.Sprintf(`request=%s target=%s send=1 unsent=false content=%s status=200 error="await: unexpected EOF"`, request, target, content))
+	}
+	text := tell(t, strings.Join([]string{
+		crash[0], broke("01.500", "r-1", "u-1", "c1"), crash[6],
+		broke("02.100", "r-2", "u-2", "c1"), broke("03.100", "r-3", "u-3", "c1"), broke("02.100", "r-4", "u-4", "c2"),
+	}, "\n")).Text(explain.Screen)
+	is.New(t).True(strings.Contains(strings.Join(strings.Fields(text), " "), "the same request, in 2 other tries, broke off at 2 other targets"))
+}
+
 func TestWhatIsMissingIsTold(t *testing.T) {
 	for name, c := range map[string]struct {
 		logs []string
--- /dev/null
+++ b/pkg/quarantine/doc.go
@@ -0,0 +1,3 @@
+// Package quarantine keeps requests that end the upstreams that run them from being run
+// again.
+package quarantine
