--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -37,9 +37,17 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Err }
 
+// Medium carries connections between processes.
+type Medium interface {
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+	Listen(ctx context.Context, network, address string) (net.Listener, error)
+}
+
 // Network dials and listens for links between lilacweir's own processes, with
 // mutual TLS unless plain text on loopback was asked for and no certificate named.
 type Network struct {
+	// medium carries the connections; nil: TCP.
+	medium      Medium
 	via         map[string]string
 	credentials *credential.Store
 	client      *credential.Client
@@ -72,6 +80,9 @@
 	return network, nil
 }
 
+// NewNetworkOver returns a network of plain connections over a medium.
+func NewNetworkOver(medium Medium) *Network { return &Network{medium: medium} }
+
 // Credentials returns the store that the network's certificates are in.
 func (n *Network) Credentials() *credential.Store { return n.credentials }
 
@@ -85,8 +96,11 @@
 
 // DialPlain connects without TLS, for the platform and upstreams.
 func (n *Network) DialPlain(ctx context.Context, _, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", n.Translate(address))
+	dial := (&net.Dialer{Timeout: DialTimeout}).DialContext
+	if n.medium != nil {
+		dial = n.medium.Dial
+	}
+	conn, err := dial(ctx, "tcp", n.Translate(address))
 	if err != nil {
 		return nil, err
 	}
@@ -103,7 +117,11 @@
 
 // Listen listens for other lilacweir processes.
 func (n *Network) Listen(address string) (net.Listener, error) {
-	plain, err := net.Listen("tcp", address)
+	listen := (&net.ListenConfig{}).Listen
+	if n.medium != nil {
+		listen = n.medium.Listen
+	}
+	plain, err := listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -34,7 +33,6 @@
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/quota"
-	"github.com/lilacweir/lilacweir/pkg/settings"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -54,6 +52,9 @@
 	// Store is this instance's copy of the platform's store, and Registrar the store.
 	Store     *mirror.Mirror
 	Registrar mirror.Registrar
+	// Medium carries all connections but those to the store; nil: TCP with keep-alive
+	// probes.
+	Medium control.Medium
 	// Key is under which the instance is registered, and Value encodes it.
 	Key   string
 	Value func(fleet.Instance) ([]byte, error)
@@ -129,10 +130,8 @@
 // New returns an instance that serves nothing yet.
 func New(options Options) (*Edge, error) {
 	s := options.Settings
-	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
-	if err != nil {
-		return nil, err
-	}
+	medium := options.medium()
+	network := control.NewNetworkOver(medium)
 	system := clock.System{}
 	ejector := limit.NewEjector(system)
 	ejector.Changed = func(change limit.Ejection) { noteEjection(options.Log, change) }
@@ -164,8 +163,8 @@
 		pace:       steer.NewPace(),
 		estimates:  steer.NewEstimator(),
 		flow:       steer.NewFlow(),
-		upstreams:  exchange.NewPool(dialer(), upstreamDial, system.Now),
-		peers:      exchange.NewPool(dialer(), peerDial, system.Now),
+		upstreams:  exchange.NewPool(medium.Dial, upstreamDial, system.Now),
+		peers:      exchange.NewPool(medium.Dial, peerDial, system.Now),
 		clients:    control.NewClients(network),
 		copies:     control.NewClients(network),
 		registry:   options.Registry,
@@ -178,14 +177,6 @@
 	return e, nil
 }
 
-// dialer connects with keep-alive probes.
-func dialer() exchange.Dialer {
-	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	return d.DialContext
-}
-
 // Board returns the instance's blackboard, for the reconcilers that fill it.
 func (e *Edge) Board() *Board { return &e.board }
 
--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -10,7 +10,6 @@
 
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/logging"
-	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
 // door is one listener with what serves it.
@@ -62,21 +61,15 @@
 		}
 		all.http = append(all.http, opened)
 	}
-	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
-	if err != nil {
-		return nil, err
-	}
-	if all.control, err = control.NewServer(network, listen.Gossip); err != nil {
+	var err error
+	if all.control, err = control.NewServer(control.NewNetworkOver(e.options.medium()), listen.Gossip); err != nil {
 		return nil, err
 	}
 	return all, e.gossip.Register(all.control)
 }
 
 func (e *Edge) listen(address string, handler http.Handler) (*door, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	listener, err := e.options.medium().Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
