A request that ends its upstreams is quarantined, by what all instances saw

What callers saw: one in three questions failed or was refused while engines of two regions ended one after the other, each under the same request, which came again under new IDs at any instance.

Cause: what an instance learned from an upstream's end was kept by upstream alone, and by that instance alone. Nothing belonged to the request, so that each try was new everywhere. Class: knowledge of one instance, where all together are held to something.

Refuted: repeats of the instances (routes with one attempt do it too), engines that are cold or full (none is, in the test).

Why it works: an answer that breaks off has the upstream's address tried; one that refuses has ended. All that was in work there is suspect under a fingerprint that does not change from try to try. Suspects are told to all instances, each until the other side has it, within about a second. Three ends quarantine a request: refused at once, before each send. The ends are then explained, and taken off what ran beside it; a good end clears a request.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -54,6 +54,12 @@
 	}
 	ended := call.do(ctx)
 	flight.Done(call.verdict(ended))
+	switch {
+	case ended == broken && !call.whole && context.Cause(ctx) == nil:
+		j.brokeOff(ctx, upstream)
+	case ended == done && call.status < http.StatusMultipleChoices:
+		j.ranWell()
+	}
 	if ended != done {
 		j.suspect(upstream, call.err)
 	}
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
@@ -108,6 +109,7 @@
 	reading := c.dialect.Reading(answer.Status, answer.Header)
 	if reading.NotRun || c.refusedByPeer(answer) {
 		c.regionFull = c.full(answer)
+		c.quarantineAsTold(answer, reading.RetryAfter)
 		c.drain(answer)
 		c.noteRejection()
 		return notRun
@@ -153,6 +155,13 @@
 	}
 }
 
+// quarantineAsTold takes another instance's word that the request is quarantined.
+func (c *call) quarantineAsTold(answer *exchange.Answer, left time.Duration) {
+	if c.refusedByPeer(answer) && outcome.Reason(answer.Header.Get(header.Reason)) == outcome.ReasonQuarantined {
+		c.noteQuarantine(c.fingerprint(), c.quarantine.Hold(c.fingerprint(), left))
+	}
+}
+
 // drain reads the rest of a refusal so that its connection can be kept.
 func (c *call) drain(answer *exchange.Answer) {
 	if n, err := io.CopyN(io.Discard, answer, maxHeld); err == nil {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -32,6 +32,7 @@
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/peer"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
@@ -92,6 +93,8 @@
 	cold       *limit.ColdShares
 	suspicions *suspicions
 	pulses     *pulses
+	quarantine *quarantine.Table
+	inquiries  *inquiries
 	overload   *steer.Overload
 	recent     *steer.Recent
 	pace       *steer.Pace
@@ -158,6 +161,8 @@
 		cold:       limit.NewColdShares(system.Now),
 		suspicions: newSuspicions(),
 		pulses:     newPulses(),
+		quarantine: quarantine.NewTable(system),
+		inquiries:  newInquiries(),
 		overload:   steer.NewOverload(),
 		recent:     steer.NewRecent(),
 		pace:       steer.NewPace(),
@@ -171,7 +176,7 @@
 		counts:     counters{series: options.Series},
 	}
 	e.gossip = peer.New(peer.Options{
-		Self: e.self, Report: e.report, Placed: e.recent.Learn, Usage: e.limiter, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.copies, Clock: system, Log: e.log,
+		Self: e.self, Report: e.report, Placed: e.recent.Learn, Usage: e.limiter, Evidence: e.learnEvidence, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.copies, Clock: system, Log: e.log,
 	})
 	e.registerGauges(e.registry)
 	return e, nil
@@ -203,6 +208,7 @@
 	group.Go(func() error { e.followFleet(running); return nil })
 	group.Go(func() error { e.watchStreams(running); return nil })
 	group.Go(func() error { e.followLimits(running); return nil })
+	group.Go(func() error { e.sweepQuarantine(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
 	e.log.Info().Str(event.KeyCallers, e.settings.Listen.Callers).Str(event.KeyRegion, e.settings.Region).Str(event.KeyPeers, e.settings.Listen.Peers).Msg(string(event.Start))
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -114,6 +114,9 @@
 // run makes attempts until one succeeds or the request must be given up.
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
+		if refusal := j.refusedHere(); refusal != nil {
+			return j.giveUp(refusal)
+		}
 		next, refusal := j.next()
 		if refusal != nil && j.starting() && j.gossip.Unheard() {
 			next = j.nextAtStart(ctx)
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -71,6 +71,7 @@
 			e.counts.series.Remove(label(labelTarget, id))
 			e.suspicions.forget(id)
 			e.pulses.forget(id)
+			e.inquiries.forget(id)
 		}
 	}
 }
--- a/pkg/edge/lethal_test.go
+++ b/pkg/edge/lethal_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
 // Bounds of what a request that ends its upstreams may do: it may end three, and once
@@ -29,21 +31,134 @@
 	return len(w.sent(body, w.ends[endsBorne-1].Add(reachTime)))
 }
 
+// play asks 20 innocent questions a second, each of its own, and with every so many of them
+// the request that ends its engines, until a time has passed and all are answered.
+func (w *world) play(length time.Duration, lethalEvery int) {
+	n := 0
+	w.every(50*time.Millisecond, length, func() {
+		n++
+		w.ask(fmt.Sprintf("innocent %d of %s", n, time.Now()))
+		if n%lethalEvery == 0 {
+			w.ask(lethal)
+		}
+	})
+	w.running.Wait()
+}
+
+// checkLethal judges what became of the request that ends its engines, and of the innocent.
+func (w *world) checkLethal(t *testing.T) {
+	t.Helper()
+	if sends := w.sendsAfterBorne(lethal); sends > endsBorne {
+		t.Errorf("sent %d times later than %v after the third end; %d engines ended", sends, reachTime, len(w.ends))
+	}
+	if refused := w.refusedInnocents(); refused > 0 {
+		t.Errorf("%d innocent requests quarantined", refused)
+	}
+	t.Logf("%d engines ended", len(w.ends))
+}
+
+// refusedInnocents counts the innocent requests that were refused for ends of upstreams.
+func (w *world) refusedInnocents() int {
+	refused := 0
+	for _, told := range w.answers {
+		if told.reason == string(outcome.ReasonQuarantined) && !strings.HasPrefix(told.body, lethal) {
+			refused++
+		}
+	}
+	return refused
+}
+
 // TestARequestThatEndsItsUpstreamsIsNotSentAgain guards against a request that ends each
 // engine that runs it, and comes again at any instance under a new ID: it went on to end all
 // engines of the regions that may process it, one after the other.
 func TestARequestThatEndsItsUpstreamsIsNotSentAgain(t *testing.T) {
 	inWorld(t, 1, question, threeRegions, func(w *world) {
+		w.play(30*time.Second, 8)
+		w.checkLethal(t)
+	})
+}
+
+// TestNoDeploymentSendsALethalRequestAgain guards against the same in deployments and under
+// loads in which news travels other ways, or comes too late for what is sent at once.
+func TestNoDeploymentSendsALethalRequestAgain(t *testing.T) {
+	repeated := httproute.Route{Kind: httproute.Safe, Timeout: 4 * time.Second, TargetLatency: time.Second, MaxAttempts: 4}
+	resumed := httproute.Route{Kind: httproute.Streaming, Resumable: true, Timeout: 4 * time.Second, TargetLatency: time.Second, MaxAttempts: 3}
+	bound := question
+	bound.Homes = []string{"north"}
+	for name, c := range map[string]struct {
+		route   httproute.Route
+		regions []worldRegion
+	}{
+		"it may be repeated":             {repeated, threeRegions},
+		"it may be resumed":              {resumed, threeRegions},
+		"it is bound to a region":        {bound, threeRegions},
+		"the region learns through hubs": {question, []worldRegion{{"north", 14, 9}, {"south", 8, 6}}},
+		"one instance serves all":        {question, []worldRegion{{"north", 1, 5}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, c.route, c.regions, func(w *world) {
+				w.play(15*time.Second, 3)
+				w.checkLethal(t)
+			})
+		})
+	}
+}
+
+// TestManyLethalRequestsAtOnceEndTheirEnginesOnce guards against what comes after: a burst is
+// at work on all engines before anybody has seen one end.
+func TestManyLethalRequestsAtOnceEndTheirEnginesOnce(t *testing.T) {
+	inWorld(t, 3, question, threeRegions, func(w *world) {
+		for range 40 {
+			w.ask(lethal)
+		}
+		w.play(20*time.Second, 4)
+		w.checkLethal(t)
+		w.is.True(len(w.ends) <= 12) // each engine once at most
+	})
+}
+
+// TestTheLargestLethalBodyIsKnownAgain guards against a fingerprint of a part of the body, or
+// of how it came: callers send it in chunks.
+func TestTheLargestLethalBodyIsKnownAgain(t *testing.T) {
+	inWorld(t, 4, question, threeRegions, func(w *world) {
+		body := lethal + strings.Repeat("x", 4<<20-len(lethal))
+		w.every(300*time.Millisecond, 12*time.Second, func() {
+			w.ask(body)
+			w.ask(body[:len(body)-1] + "y")
+		})
+		w.running.Wait()
+		w.is.True(w.sendsAfterBorne(body) <= endsBorne)
+		w.is.True(len(w.ends) >= 2*endsBorne) // two requests, each known by its own ends
+	})
+}
+
+// TestARestartedInstanceLearnsWhichRequestsAreQuarantined guards against an instance that
+// begins anew, knows nothing and sends the request on.
+func TestARestartedInstanceLearnsWhichRequestsAreQuarantined(t *testing.T) {
+	inWorld(t, 5, question, threeRegions, func(w *world) {
+		w.play(10*time.Second, 4)
+		for _, i := range w.instances {
+			w.restart(i)
+			w.play(2*time.Second, 4)
+		}
+		w.checkLethal(t)
+	})
+}
+
+// TestACommonRequestIsNotQuarantinedForEndsOfOthers guards against refusing what many callers
+// ask in the same words because it is always at work somewhere when an upstream ends.
+func TestACommonRequestIsNotQuarantinedForEndsOfOthers(t *testing.T) {
+	inWorld(t, 6, question, threeRegions, func(w *world) {
 		n := 0
-		w.every(50*time.Millisecond, 30*time.Second, func() {
+		w.every(25*time.Millisecond, 20*time.Second, func() {
 			n++
-			w.ask(fmt.Sprintf("innocent %d", n))
-			if n%8 == 0 {
-				w.ask(lethal)
+			w.ask("common")
+			if n%40 == 0 {
+				w.ask(fmt.Sprintf("%s %d", lethal, n))
 			}
 		})
-		if sends := w.sendsAfterBorne(lethal); sends > endsBorne {
-			t.Errorf("sent %d times later than %v after the third end; %d engines ended", sends, reachTime, len(w.ends))
-		}
+		w.running.Wait()
+		w.is.True(len(w.ends) > 10)
+		w.is.Equal(w.refusedInnocents(), 0)
 	})
 }
--- a/pkg/edge/lines.go
+++ b/pkg/edge/lines.go
@@ -96,7 +96,7 @@
 // noteAttempt logs why an attempt ended without an answer that can be passed on.
 func (c *call) noteAttempt(unsent bool) {
 	line := c.failedLog.Warn().Str(event.KeyRequest, c.attributes.RequestID).Str(event.KeyTarget, c.to.name())
-	if !unsent {
+	if !unsent && line.Enabled() {
 		line.Stringer(event.KeyContent, c.fingerprint())
 	}
 	line.Int(event.KeySend, c.sends).Int(event.KeyStatus, c.status).Bool(event.KeyUnsent, unsent).
@@ -153,6 +153,9 @@
 			Int(event.KeySends, j.sends).Int(event.KeyRuns, j.runs).
 			Bool(event.KeyForwarded, j.forwarded).Bool(event.KeyBegun, j.writer.begun).Dur(event.KeyMS, took).
 			Str(event.KeyDetail, refusal.Detail).AnErr(event.KeyLast, j.lastError)
+		if refusal.Reason == outcome.ReasonQuarantined {
+			line.Stringer(event.KeyContent, j.fingerprint())
+		}
 		j.noteIdentity(line, refusal)
 		var none *surveyError
 		if !errors.As(refusal.Err, &none) {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -102,6 +102,14 @@
 		"peers.live":            func() int64 { return e.countPeers(true) },
 		"peers.silent":          func() int64 { return e.countPeers(false) },
 		"peers.oldest_ms":       e.oldestPeer,
+		"requests.suspected": func() int64 {
+			suspected, _ := e.quarantine.Counts()
+			return int64(suspected)
+		},
+		"requests.quarantined": func() int64 {
+			_, quarantined := e.quarantine.Counts()
+			return int64(quarantined)
+		},
 	}
 	for name, read := range gauges {
 		metrics.NewRegisteredFunctionalGauge(name, registry, read)
--- /dev/null
+++ b/pkg/edge/quarantine.go
@@ -0,0 +1,69 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
+)
+
+// quarantineSweep is how often what is over is forgotten.
+const quarantineSweep = time.Minute
+
+// refusedHere refuses a request under which upstreams have ended; nil: it may run.
+func (j *job) refusedHere() *outcome.Refusal {
+	if !j.quarantine.Concerns(len(j.body)) {
+		return nil
+	}
+	left, refused := j.quarantine.Refuses(j.fingerprint())
+	if !refused {
+		return nil
+	}
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonQuarantined, left, "upstreams that ran this request have ended one after the other")
+}
+
+// ranWell clears a request that upstreams had ended under and that has run to a good end.
+func (j *job) ranWell() {
+	if j.quarantine.Concerns(len(j.body)) {
+		j.observe(quarantine.Observation{Request: j.fingerprint()})
+	}
+}
+
+// observe notes what this instance saw of a request, and tells the others if it is news.
+func (e *Edge) observe(seen quarantine.Observation) {
+	change := e.quarantine.Observe(seen)
+	if change == quarantine.Known {
+		return
+	}
+	e.noteQuarantine(seen.Request, change)
+	e.gossip.Observe(seen)
+}
+
+// learnEvidence takes what other instances saw.
+func (e *Edge) learnEvidence(told []quarantine.Observation) {
+	for _, seen := range told {
+		e.noteQuarantine(seen.Request, e.quarantine.Observe(seen))
+	}
+}
+
+// noteQuarantine logs what has become of a request.
+func (e *Edge) noteQuarantine(request quarantine.Fingerprint, change quarantine.Change) {
+	switch change {
+	case quarantine.Quarantined:
+		e.log.Warn().Stringer(event.KeyContent, request).Msg(string(event.RequestQuarantined))
+	case quarantine.Cleared:
+		e.log.Info().Stringer(event.KeyContent, request).Msg(string(event.RequestCleared))
+	case quarantine.Known, quarantine.Suspected:
+	}
+}
+
+// sweepQuarantine forgets what is over until ctx ends.
+func (e *Edge) sweepQuarantine(ctx context.Context) {
+	for clock.Sleep(ctx, quarantineSweep) {
+		e.quarantine.Sweep()
+	}
+}
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -158,6 +158,17 @@
 	}()
 }
 
+// restart ends an instance's process gracefully, and begins another one at its place.
+func (w *world) restart(i *worldInstance) {
+	i.stop()
+	<-i.ended
+	w.mu.Lock()
+	i.down = true
+	w.mu.Unlock()
+	w.discover()
+	w.start(i)
+}
+
 // configure puts the world's route in force at an instance.
 func (w *world) configure(e *Edge) {
 	route := w.route
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -72,6 +72,12 @@
 	// UpstreamDark: no instance hears any of an engine's streams; it gets nothing for a
 	// while, and what can goes on elsewhere.
 	UpstreamDark Name = "upstream-dark"
+	// UpstreamEnded: answers of an upstream broke off, and nobody listens at its address.
+	UpstreamEnded Name = "upstream-ended"
+	// RequestQuarantined: upstreams ended one after the other under a request, which is
+	// refused from now on. RequestCleared: a suspected one has run to a good end.
+	RequestQuarantined Name = "request-quarantined"
+	RequestCleared     Name = "request-cleared"
 	// UpstreamRestored: an ejected upstream has answered its probe.
 	UpstreamRestored Name = "upstream-restored"
 )
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -23,6 +23,8 @@
 	beside = time.Second
 	// contentWindow is over which time tries of the same request are counted together.
 	contentWindow = 10 * time.Minute
+	// quarantineWindow is how far back a quarantine's causes are looked for.
+	quarantineWindow = time.Hour
 )
 
 // slow is from when on an answer that is late in beginning is explained.
@@ -115,6 +117,7 @@
 	says string
 }{
 	{event.UpstreamGone, event.KeyUpstream, "was gone from the store"},
+	{event.UpstreamEnded, event.KeyUpstream, "had ended: nobody listened at its address"},
 	{event.UpstreamEjected, event.KeyUpstream, "was ejected"},
 	{event.PeerLost, event.KeyPeer, "was no longer heard of"},
 	{event.PeerLeaving, event.KeyPeer, "was leaving"},
@@ -174,6 +177,8 @@
 	case outcome.ReasonCallerLimit:
 		return []string{fmt.Sprintf("%s asks for %s units a second, its limit is %s by configuration %s; %s had a balance of %s, from the use that a part of %s of the instances told it",
 			end.Get(event.KeyOrganisation), end.Get(event.KeyDemand), end.Get(event.KeyLimit), end.Get(event.KeyVersion), visit.Instance, end.Get(event.KeyBalance), end.Get(event.KeyHeard))}
+	case outcome.ReasonQuarantined:
+		return l.whyQuarantined(visit)
 	case outcome.ReasonDraining:
 		return []string{visit.Instance + " was leaving" + l.since(visit, event.Leaving)}
 	case outcome.ReasonOverloaded:
@@ -187,6 +192,40 @@
 	}
 }
 
+// whyQuarantined tells which upstreams ended under a request that is refused for it.
+func (l *Log) whyQuarantined(visit *Visit) []string {
+	content := visit.End.Get(event.KeyContent)
+	until := visit.End.Time
+	all := []string{"the same request, " + content + ", is quarantined: upstreams that ran it ended one after the other"}
+	for _, line := range l.near(event.RequestQuarantined, until.Add(-quarantineWindow), until) {
+		if line.Get(event.KeyContent) == content {
+			all = append(all, fmt.Sprintf("%s quarantined it %s", line.Instance, distance(until, line.Time)))
+			break
+		}
+	}
+	var ended []string
+	for _, line := range l.near(event.AttemptFailed, until.Add(-quarantineWindow), until) {
+		target := line.Get(event.KeyTarget)
+		if line.Get(event.KeyContent) == content && !slices.Contains(ended, target) && l.ended(target, line.Time) {
+			ended = append(ended, target)
+		}
+	}
+	if len(ended) > 0 {
+		all = append(all, "ended with it in work, as far as these logs show: "+strings.Join(ended, ", "))
+	}
+	return all
+}
+
+// ended says whether an instance found an upstream ended around a time.
+func (l *Log) ended(upstream string, at time.Time) bool {
+	for _, line := range l.near(event.UpstreamEnded, at.Add(-beside), at.Add(beside)) {
+		if line.Get(event.KeyUpstream) == upstream {
+			return true
+		}
+	}
+	return false
+}
+
 // since tells how long before the visit's end an event was.
 func (l *Log) since(visit *Visit, name event.Name) string {
 	line := l.last(visit.Instance, visit.End.Time, name)
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -91,6 +91,25 @@
 	is.New(t).True(strings.Contains(strings.Join(strings.Fields(text), " "), "the same request, in 2 other tries, broke off at 2 other targets"))
 }
 
+// TestAQuarantineIsExplainedByTheUpstreamsThatEnded guards against an operator who is told that
+// a request is refused, and not which upstreams it cost.
+func TestAQuarantineIsExplainedByTheUpstreamsThatEnded(t *testing.T) {
+	logs := []string{
+		line("01.000", "front-b", event.AttemptFailed, `request=r-7 target=u-1 send=1 unsent=false content=c1 status=200 error="await: unexpected EOF"`),
+		line("01.010", "front-b", event.UpstreamEnded, "upstream=u-1 active=3"),
+		line("01.500", "front-b", event.AttemptFailed, `request=r-8 target=u-2 send=1 unsent=false content=c1 status=200 error="await: unexpected EOF"`),
+		line("02.000", "front-b", event.RequestQuarantined, "content=c1"),
+		line("03.000", "front-a", event.RequestFailed, `request=r-1 outcome=not-run reason=quarantined content=c1 status=503 sends=0 runs=0 ms=1 detail="ended"`),
+	}
+	text := strings.Join(strings.Fields(tell(t, strings.Join(logs, "\n")).Text(explain.Screen)), " ")
+	for _, says := range []string{"c1, is quarantined", "front-b quarantined it 1s before", "as far as these logs show: u-1"} {
+		if !strings.Contains(text, says) {
+			t.Errorf("no %q in %s", says, text)
+		}
+	}
+	is.New(t).True(!strings.Contains(text, "u-2")) // nobody found that it had ended
+}
+
 func TestWhatIsMissingIsTold(t *testing.T) {
 	for name, c := range map[string]struct {
 		logs []string
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -43,6 +43,7 @@
 	ReasonDeadline         Reason = "deadline-unreachable"
 	ReasonNoUpstream       Reason = "no-upstream"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
+	ReasonQuarantined      Reason = "quarantined"
 	ReasonUpstreamMismatch Reason = "upstream-mismatch"
 	ReasonDraining         Reason = "instance-leaving"
 	ReasonLoop             Reason = "loop"
--- a/pkg/peer/columns_test.go
+++ b/pkg/peer/columns_test.go
@@ -70,7 +70,7 @@
 
 	g := newHub("north-a", "region")
 	g.sums = &heard[[]Load]{value: sampleLoads(1, sampleUpstream)}
-	g.take(&Reply{Summed: true, Columns: Columns{Dictionary: 7, InFlight: []int{1}}}, l)
+	g.take(&fleet.Instance{}, &Reply{Summed: true, Columns: Columns{Dictionary: 7, InFlight: []int{1}}}, l)
 	is.Equal(g.sums.value, sampleLoads(1, sampleUpstream))
 }
 
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -90,7 +90,7 @@
 		g.unreached(instance, err)
 		return
 	}
-	g.take(&reply, dict)
+	g.take(&instance, &reply, dict)
 }
 
 // ask is what an instance is asked. One of another domain hears of this one's work through
@@ -107,6 +107,7 @@
 	if !g.hasCopy(instance) {
 		ask.Gossip = g.options.Self.Gossip
 	}
+	g.askEvidence(&ask, instance)
 	return ask
 }
 
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 )
 
@@ -23,6 +24,9 @@
 	Report func() Report
 	// Placed is told of other instances' placements; nil: they are not needed.
 	Placed func(placement Placement, at time.Time)
+	// Evidence is told what other instances saw of requests that may end upstreams; nil: it
+	// is not needed. It must not call the Gossip.
+	Evidence func(seen []quarantine.Observation)
 	// Usage learns what limited callers have used elsewhere; nil: it is not needed.
 	Usage UsageListener
 	Fleet *board.Section[fleet.View]
@@ -90,6 +94,8 @@
 	askedAt map[string]time.Time
 	// news holds the placements that those who ask may not know yet.
 	news *news
+	// evidence holds what is told of requests that may end upstreams.
+	evidence *evidence
 	// reachable is the newest list of the instances that can be reached.
 	reachable reachable
 	// totals is what a hub tells of the region's work, nil before anyone asked.
@@ -147,6 +153,7 @@
 		avoided:   make(map[string]time.Time),
 		urgent:    make(chan struct{}, 1),
 		news:      newNews(),
+		evidence:  newEvidence(),
 		askedAt:   make(map[string]time.Time),
 		copies:    options.Copies,
 		used:      quota.NewSums(),
--- a/pkg/peer/publish.go
+++ b/pkg/peer/publish.go
@@ -38,6 +38,7 @@
 			view.addDigest(&digest.value, g.options.Self.Region)
 		}
 	}
+	g.forgetEvidence(others)
 	view.near, view.age = g.newsAge(now)
 	view.at = now
 	for i := range others {
--- a/pkg/peer/roster_test.go
+++ b/pkg/peer/roster_test.go
@@ -37,7 +37,7 @@
 	reply := &Reply{}
 	ask := Ask{Domain: from.options.Self.Domain, Region: from.options.Self.Region, Report: report, Sums: true, Rosters: from.rosters(), Dictionary: from.dictionary().fingerprint}
 	is.NoErr((&Service{gossip: to}).Exchange(ask, reply))
-	from.take(reply, from.dictionary())
+	from.take(&fleet.Instance{}, reply, from.dictionary())
 	return reply
 }
 
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -5,7 +5,9 @@
 
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 )
 
@@ -32,6 +34,11 @@
 	// region's upstreams as it knows them.
 	Rosters    []Roster
 	Dictionary uint64
+	// Evidence is what the asking instance saw and the asked one may not have, up to the
+	// number Last; Have is up to where the asking one has the other's.
+	Evidence []quarantine.Observation
+	Last     uint64
+	Have     Cursor
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -53,6 +60,11 @@
 	// asked one, with the incarnation Counter, has counted it.
 	Used    []quota.Usage
 	Counter uint64
+	// Evidence is what was seen of requests and the asking instance does not have, up to
+	// Told; Given is up to where the asked one now has the other's.
+	Evidence []quarantine.Observation
+	Told     Cursor
+	Given    uint64
 }
 
 // AgedReport is a report with its age where it is told.
@@ -85,6 +97,7 @@
 	delete(g.avoided, ask.Report.Name)
 	g.noteAsker(&ask, &own, now)
 	g.news.add(own.Placed, true, now)
+	g.tellEvidence(&ask, &own, reply, now)
 	if ask.Domain != g.options.Self.Domain {
 		digest := g.digest(&own, now, ask.Region)
 		digest.Placed = g.news.since(ask.Report.Name, true, now)
@@ -200,11 +213,12 @@
 	return sorted(services)
 }
 
-// take learns from a reply to an ask that named a dictionary.
-func (g *Gossip) take(reply *Reply, asked *dictionary) {
+// take learns from an instance's reply to an ask that named a dictionary.
+func (g *Gossip) take(instance *fleet.Instance, reply *Reply, asked *dictionary) {
 	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.takeEvidence(instance, reply, now)
 	for i := range reply.Reports {
 		told := &reply.Reports[i]
 		g.takeReport(told.Report, now.Add(-told.Age))
--- /dev/null
+++ b/pkg/quarantine/table.go
@@ -0,0 +1,323 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// Parameters of a Table.
+const (
+	// EndsToQuarantine is under how many ended upstreams a request is quarantined. One end
+	// leaves all that ran there suspect, two may still be chance for a request that is sent
+	// again when its upstream ends.
+	EndsToQuarantine = 3
+	// FirstTerm is for how long a request is quarantined at first. LongestTerm bounds the
+	// doubling.
+	FirstTerm   = 10 * time.Minute
+	LongestTerm = 24 * time.Hour
+	// trialTime is for how long one request of a quarantine whose term is over keeps others
+	// from being tried as well.
+	trialTime = time.Minute
+	// suspectedFor is for how long an end counts against a request that never comes again,
+	// or only to be refused.
+	suspectedFor = time.Hour
+	// clearedFor is for how long after a good end no upstream's end counts: what others saw
+	// before may be told later.
+	clearedFor = 10 * time.Second
+	// mostRequests and mostEnds bound the table; full, it takes about 1 MB.
+	mostRequests = 4096
+	mostEnds     = 1024
+)
+
+// Upstream names one start of an upstream, by a hash of its ID.
+type Upstream uint64
+
+// UpstreamOf returns the name of the start with an ID.
+func UpstreamOf(id string) Upstream { return Upstream(xxhash.Sum64String(id)) }
+
+// Observation is what an instance saw of a request.
+type Observation struct {
+	Request Fingerprint
+	// Ended is the upstream that ended with the request in work; zero: the request ran to a
+	// good end.
+	Ended Upstream
+}
+
+// Change is what became of a request by an observation.
+type Change int
+
+// Changes of a request.
+const (
+	// Known: nothing new.
+	Known Change = iota
+	// Suspected: one more upstream has ended under it.
+	Suspected
+	// Quarantined: it is refused from now on.
+	Quarantined
+	// Cleared: it is no longer suspected or quarantined.
+	Cleared
+)
+
+// Table holds the requests under which upstreams ended. It is safe for concurrent use.
+type Table struct {
+	clock clock.Clock
+	// size is the number of entries, read without the lock.
+	size    atomic.Int64
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	// lengths counts the entries by the length of their bodies: for other lengths no
+	// fingerprint needs to be worked out.
+	lengths map[int]int
+	// explained holds the upstreams that ended under quarantined requests, and when.
+	explained map[Upstream]time.Time
+}
+
+type entry struct {
+	ends []Upstream
+	// last is when something was last learned of the request.
+	last time.Time
+	// until is when the term of the quarantine ends, zero: it is not quarantined.
+	until time.Time
+	term  time.Duration
+	// trial is until when one request is tried after the term.
+	trial time.Time
+	// cleared is when it last ran to a good end.
+	cleared time.Time
+}
+
+func (e *entry) held() bool { return !e.until.IsZero() }
+
+// NewTable returns an empty table.
+func NewTable(c clock.Clock) *Table {
+	return &Table{clock: c, entries: make(map[Fingerprint]*entry), lengths: make(map[int]int), explained: make(map[Upstream]time.Time)}
+}
+
+// Concerns says whether a request with a body of a length may be in the table. It costs
+// nothing while the table is empty.
+func (t *Table) Concerns(length int) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lengths[length] > 0
+}
+
+// Suspect says whether an upstream has ended under a request.
+func (t *Table) Suspect(request Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	return e != nil && len(e.ends) > 0
+}
+
+// Refuses says whether a request must not be run, and for how long. When a term is over, one
+// request is let through as a trial.
+func (t *Table) Refuses(request Fingerprint) (left time.Duration, refused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	if e == nil || !e.held() {
+		return 0, false
+	}
+	now := t.clock.Now()
+	if now.Before(e.until) {
+		return e.until.Sub(now), true
+	}
+	if now.Before(e.trial) {
+		return e.trial.Sub(now), true
+	}
+	e.trial = now.Add(trialTime)
+	return 0, false
+}
+
+// Observe takes what this instance or another one saw.
+func (t *Table) Observe(seen Observation) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	e := t.entries[seen.Request]
+	if seen.Ended == 0 {
+		return clearEntry(e, now)
+	}
+	if _, explained := t.explained[seen.Ended]; explained && (e == nil || !e.held()) {
+		return Known
+	}
+	if e == nil {
+		e = t.add(seen.Request, now)
+	}
+	if slices.Contains(e.ends, seen.Ended) || now.Sub(e.cleared) < clearedFor {
+		return Known
+	}
+	e.last = now
+	if !e.held() {
+		e.ends = append(e.ends, seen.Ended)
+		if len(e.ends) < EndsToQuarantine {
+			return Suspected
+		}
+	}
+	return t.quarantine(seen.Request, e, seen.Ended, now)
+}
+
+// clearEntry takes a good end of a request that is in the table.
+func clearEntry(e *entry, now time.Time) Change {
+	if e == nil || (len(e.ends) == 0 && !e.held()) {
+		return Known
+	}
+	*e = entry{cleared: now, last: now}
+	return Cleared
+}
+
+// quarantine begins a term, or a longer one once a trial has ended another upstream. An end
+// that belongs to the running term changes nothing.
+func (t *Table) quarantine(request Fingerprint, e *entry, ended Upstream, now time.Time) Change {
+	t.explain(request, ended, now)
+	if e.held() && now.Before(e.until) {
+		return Known
+	}
+	e.term = min(LongestTerm, max(FirstTerm, 2*e.term))
+	// Instances that try again after a term do so one after the other.
+	e.until = now.Add(e.term + rand.N(e.term/4))
+	e.trial = time.Time{}
+	for _, end := range e.ends {
+		t.explain(request, end, now)
+	}
+	return Quarantined
+}
+
+// explain takes an end off all requests but the one that caused it.
+func (t *Table) explain(cause Fingerprint, end Upstream, now time.Time) {
+	if len(t.explained) >= mostEnds {
+		t.forgetEnds(now)
+	}
+	t.explained[end] = now
+	for request, e := range t.entries {
+		if request != cause && !e.held() {
+			e.ends = slices.DeleteFunc(e.ends, func(known Upstream) bool { return known == end })
+		}
+	}
+}
+
+func (t *Table) forgetEnds(now time.Time) {
+	oldest := now
+	for _, at := range t.explained {
+		if at.Before(oldest) {
+			oldest = at
+		}
+	}
+	limit := oldest.Add(now.Sub(oldest) / 2)
+	for end, at := range t.explained {
+		if !at.After(limit) {
+			delete(t.explained, end)
+		}
+	}
+}
+
+// Hold quarantines a request for what an instance that knows more has told; zero: for the
+// first term.
+func (t *Table) Hold(request Fingerprint, left time.Duration) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	e := t.entries[request]
+	if e == nil {
+		e = t.add(request, now)
+	}
+	if e.held() || now.Sub(e.cleared) < clearedFor {
+		return Known
+	}
+	if left <= 0 {
+		left = FirstTerm
+	}
+	e.last, e.term, e.until = now, FirstTerm, now.Add(min(left, LongestTerm))
+	return Quarantined
+}
+
+// add makes room for a request. The caller holds t.mu.
+func (t *Table) add(request Fingerprint, now time.Time) *entry {
+	if len(t.entries) >= mostRequests {
+		t.shrink(now)
+	}
+	e := &entry{last: now}
+	t.entries[request] = e
+	t.lengths[request.Length]++
+	t.size.Store(int64(len(t.entries)))
+	return e
+}
+
+// shrink forgets what is over, or else the older half of those that are not quarantined, or
+// else the older half of all.
+func (t *Table) shrink(now time.Time) {
+	t.forget(func(e *entry) bool { return !e.held() && now.Sub(e.last) > suspectedFor })
+	for _, among := range [...]func(*entry) bool{
+		func(e *entry) bool { return !e.held() },
+		func(*entry) bool { return true },
+	} {
+		if len(t.entries) < mostRequests {
+			return
+		}
+		var times []time.Time
+		for _, e := range t.entries {
+			if among(e) {
+				times = append(times, e.last)
+			}
+		}
+		if len(times) == 0 {
+			continue
+		}
+		slices.SortFunc(times, time.Time.Compare)
+		median := times[len(times)/2]
+		t.forget(func(e *entry) bool { return among(e) && !e.last.After(median) })
+	}
+}
+
+func (t *Table) forget(over func(*entry) bool) {
+	for request, e := range t.entries {
+		if !over(e) {
+			continue
+		}
+		delete(t.entries, request)
+		if t.lengths[request.Length]--; t.lengths[request.Length] == 0 {
+			delete(t.lengths, request.Length)
+		}
+	}
+	t.size.Store(int64(len(t.entries)))
+}
+
+// Sweep forgets what is over. Call it every minute or so.
+func (t *Table) Sweep() {
+	if t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.clock.Now()
+	t.forget(func(e *entry) bool {
+		if e.held() {
+			return now.Sub(e.until) > suspectedFor
+		}
+		return now.Sub(e.last) > suspectedFor || (len(e.ends) == 0 && now.Sub(e.cleared) > clearedFor)
+	})
+}
+
+// Counts returns how many requests are suspected and how many quarantined.
+func (t *Table) Counts() (suspected, quarantined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		switch {
+		case e.held():
+			quarantined++
+		case len(e.ends) > 0:
+			suspected++
+		}
+	}
+	return suspected, quarantined
+}
