--- a/pkg/edge/lethal_test.go
+++ b/pkg/edge/lethal_test.go
@@ -162,3 +162,14 @@
 		w.is.Equal(w.refusedInnocents(), 0)
 	})
 }
+
+// TestARestartOfAllInstancesForgetsNoQuarantine guards against a request that is run again
+// three times over after an upgrade or a loss of power, as no instance is left that knew it.
+func TestARestartOfAllInstancesForgetsNoQuarantine(t *testing.T) {
+	inWorld(t, 7, question, threeRegions, func(w *world) {
+		w.play(10*time.Second, 4)
+		w.restartAll()
+		w.play(20*time.Second, 2)
+		w.checkLethal(t)
+	})
+}
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -169,6 +169,24 @@
 	w.start(i)
 }
 
+// restartAll ends all processes at once, and begins others at their places.
+func (w *world) restartAll() {
+	for _, i := range w.instances {
+		i.stop()
+	}
+	for _, i := range w.instances {
+		<-i.ended
+	}
+	w.mu.Lock()
+	for _, i := range w.instances {
+		i.down = true
+	}
+	w.mu.Unlock()
+	for _, i := range w.instances {
+		w.start(i)
+	}
+}
+
 // configure puts the world's route in force at an instance.
 func (w *world) configure(e *Edge) {
 	route := w.route
