Quarantines outlive a restart of all instances, in the platform's store

What callers would have seen: after an upgrade or a loss of power of all instances the same request ends three more engines, and what runs beside it with them.

Cause: the quarantine lived in the instances' memory alone.

Why it works: who saw an end under the request writes its quarantine under a lease of one term, unless it is there already; instances read it with all else at their start. A store that is away is tried again for half a minute; a good end removes the entry.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -44,6 +44,8 @@
 	Routes board.Section[httproute.Configuration]
 	// Fleet is the discovered upstreams and the registered instances.
 	Fleet board.Section[fleet.View]
+	// Quarantined is the requests that the store holds as quarantined.
+	Quarantined board.Section[[]quarantine.Fingerprint]
 }
 
 // Options of an Edge.
@@ -59,7 +61,9 @@
 	// Key is under which the instance is registered, and Value encodes it.
 	Key   string
 	Value func(fleet.Instance) ([]byte, error)
-	Log   zerolog.Logger
+	// QuarantineKey is under which a quarantined request is kept in the store; nil: none is.
+	QuarantineKey func(quarantine.Fingerprint) string
+	Log           zerolog.Logger
 	// Registry holds the instance's metrics, Series those with labels.
 	Registry metrics.Registry
 	Series   *telemetry.Series
@@ -95,18 +99,20 @@
 	pulses     *pulses
 	quarantine *quarantine.Table
 	inquiries  *inquiries
-	overload   *steer.Overload
-	recent     *steer.Recent
-	pace       *steer.Pace
-	estimates  *steer.Estimator
-	flow       *steer.Flow
-	upstreams  *exchange.Pool
-	peers      *exchange.Pool
-	gossip     *peer.Gossip
-	clients    *control.Clients
-	copies     *control.Clients
-	registry   metrics.Registry
-	counts     counters
+	// kept holds the requests whose quarantine is to be written to the store.
+	kept      chan quarantine.Fingerprint
+	overload  *steer.Overload
+	recent    *steer.Recent
+	pace      *steer.Pace
+	estimates *steer.Estimator
+	flow      *steer.Flow
+	upstreams *exchange.Pool
+	peers     *exchange.Pool
+	gossip    *peer.Gossip
+	clients   *control.Clients
+	copies    *control.Clients
+	registry  metrics.Registry
+	counts    counters
 	// tally is the newest count of the instances.
 	tally atomic.Pointer[tally]
 }
@@ -163,6 +169,7 @@
 		pulses:     newPulses(),
 		quarantine: quarantine.NewTable(system),
 		inquiries:  newInquiries(),
+		kept:       make(chan quarantine.Fingerprint, mostKept),
 		overload:   steer.NewOverload(),
 		recent:     steer.NewRecent(),
 		pace:       steer.NewPace(),
@@ -209,6 +216,8 @@
 	group.Go(func() error { e.watchStreams(running); return nil })
 	group.Go(func() error { e.followLimits(running); return nil })
 	group.Go(func() error { e.sweepQuarantine(running); return nil })
+	group.Go(func() error { e.writeQuarantines(running); return nil })
+	group.Go(func() error { e.followQuarantines(running); return nil })
 	registered, deregister := context.WithCancel(running)
 	registrations := e.register(registered)
 	e.log.Info().Str(event.KeyCallers, e.settings.Listen.Callers).Str(event.KeyRegion, e.settings.Region).Str(event.KeyPeers, e.settings.Listen.Peers).Msg(string(event.Start))
--- a/pkg/edge/lethal_test.go
+++ b/pkg/edge/lethal_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 )
 
 // Bounds of what a request that ends its upstreams may do: it may end three, and once
@@ -173,3 +175,33 @@
 		w.checkLethal(t)
 	})
 }
+
+// TestAQuarantineIsWrittenOnceTheStoreIsBack guards against one that is lost because the store
+// was away for some seconds, and against hundreds of instances that all write it.
+func TestAQuarantineIsWrittenOnceTheStoreIsBack(t *testing.T) {
+	inWorld(t, 8, question, threeRegions, func(w *world) {
+		w.store.setAway(true)
+		w.play(6*time.Second, 4)
+		w.is.Equal(w.store.writes, 0)
+		w.store.setAway(false)
+		w.play(15*time.Second, 4)
+		w.is.True(w.store.writes >= 1 && w.store.writes <= endsBorne)
+	})
+}
+
+// TestAClearedQuarantineIsTakenBack guards against a request that stays refused in the store
+// after it has run to a good end.
+func TestAClearedQuarantineIsTakenBack(t *testing.T) {
+	inWorld(t, 9, question, threeRegions, func(w *world) {
+		w.play(10*time.Second, 4)
+		edge := w.instances[0].edge
+		quarantined := edge.storedQuarantines()
+		w.is.Equal(len(quarantined), 1)
+		edge.observe(quarantine.Observation{Request: quarantined[0]})
+		clock.Sleep(w.Context(), 5*time.Second)
+		w.is.Equal(len(edge.storedQuarantines()), 0)
+		for _, i := range w.instances {
+			w.is.True(!i.edge.quarantine.Held(quarantined[0]))
+		}
+	})
+}
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -35,18 +35,27 @@
 
 // observe notes what this instance saw of a request, and tells the others if it is news.
 func (e *Edge) observe(seen quarantine.Observation) {
-	change := e.quarantine.Observe(seen)
+	change := e.quarantine.Witness(seen)
 	if change == quarantine.Known {
 		return
 	}
-	e.noteQuarantine(seen.Request, change)
+	e.take(seen.Request, change)
 	e.gossip.Observe(seen)
 }
 
 // learnEvidence takes what other instances saw.
 func (e *Edge) learnEvidence(told []quarantine.Observation) {
 	for _, seen := range told {
-		e.noteQuarantine(seen.Request, e.quarantine.Observe(seen))
+		e.take(seen.Request, e.quarantine.Observe(seen))
+	}
+}
+
+// take does what follows from a change of a request. Its quarantine is kept by those who saw
+// an upstream end under it, or run it to a good end.
+func (e *Edge) take(request quarantine.Fingerprint, change quarantine.Change) {
+	e.noteQuarantine(request, change)
+	if (change == quarantine.Quarantined || change == quarantine.Cleared) && e.quarantine.Witnessed(request) {
+		e.keepQuarantine(request)
 	}
 }
 
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -24,6 +24,7 @@
 	"github.com/lilacweir/lilacweir/pkg/logging/logtest"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
@@ -36,6 +37,7 @@
 	random *rand.Rand
 	route  httproute.Route
 	lines  logtest.Lines
+	store  *worldStore
 
 	mu        sync.Mutex
 	instances []*worldInstance
@@ -100,6 +102,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{T: t, is: is.New(t), fabric: newFabric(), random: rand.New(rand.NewPCG(seed, 1)), route: route}
+		w.store = &worldStore{world: w, values: make(map[string]bool)}
 		for _, region := range regions {
 			w.add(region)
 		}
@@ -141,8 +144,9 @@
 	e, err := New(Options{
 		Settings: settings, Dialect: plain{}, Medium: w.fabric.from(i.Name, i.Region),
 		Store:     mirror.New(mirror.Options{Source: emptyStore{}, Clock: clock.System{}, Log: zerolog.Nop()}),
-		Registrar: noRegistrar{}, Value: func(fleet.Instance) ([]byte, error) { return nil, nil },
-		Log: zerolog.New(&w.lines), Registry: registry, Series: telemetry.NewSeries(registry, MostMetrics),
+		Registrar: w.store, QuarantineKey: func(request quarantine.Fingerprint) string { return "quarantine/" + request.Key() },
+		Value: func(fleet.Instance) ([]byte, error) { return nil, nil },
+		Log:   zerolog.New(&w.lines), Registry: registry, Series: telemetry.NewSeries(registry, MostMetrics),
 	})
 	w.is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -151,6 +155,7 @@
 	w.mu.Unlock()
 	w.configure(e)
 	w.discover()
+	w.store.publish()
 	go func() {
 		defer close(i.ended)
 		// Run returns what went wrong while it ended; a world that stops does so at once.
@@ -442,19 +447,73 @@
 	})
 }
 
-// noRegistrar registers nobody.
-type noRegistrar struct{}
+// worldStore is the platform's store, as far as quarantines need it; instances see what is in
+// it after a while. It implements mirror.Registrar.
+type worldStore struct {
+	*world
+	// values is by key; away is true while the store answers nobody.
+	values map[string]bool
+	away   bool
+	writes int
+}
 
-func (noRegistrar) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
-	return 0, platform.ErrUnavailable
+func (s *worldStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return 0, platform.ErrUnavailable
+	}
+	return 1, nil
 }
 
-func (noRegistrar) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
-	return 0, platform.ErrUnavailable
+func (s *worldStore) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
+	return time.Minute, nil
 }
 
-func (noRegistrar) Revoke(context.Context, platform.LeaseID) error { return platform.ErrUnavailable }
+func (s *worldStore) Revoke(context.Context, platform.LeaseID) error { return nil }
 
-func (noRegistrar) Swap(context.Context, map[string]int64, []platform.Put) (int64, error) {
-	return 0, platform.ErrUnavailable
+func (s *worldStore) Swap(_ context.Context, _ map[string]int64, puts []platform.Put) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return 0, platform.ErrUnavailable
+	}
+	for _, put := range puts {
+		if !strings.Contains(put.Key, "quarantine/") {
+			continue
+		}
+		s.writes++
+		s.values[put.Key] = !put.Delete
+	}
+	s.running.Go(func() {
+		clock.Sleep(context.Background(), discovery)
+		s.publish()
+	})
+	return 1, nil
+}
+
+func (s *worldStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// publish tells all instances what the store holds.
+func (s *worldStore) publish() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var held []quarantine.Fingerprint
+	for key, present := range s.values {
+		if !present {
+			continue
+		}
+		request, err := quarantine.Parse(strings.TrimPrefix(key, "quarantine/"))
+		s.is.NoErr(err)
+		held = append(held, request)
+	}
+	for _, i := range s.instances {
+		if !i.down {
+			i.edge.board.Quarantined.Store(&held)
+		}
+	}
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -78,6 +78,8 @@
 	// refused from now on. RequestCleared: a suspected one has run to a good end.
 	RequestQuarantined Name = "request-quarantined"
 	RequestCleared     Name = "request-cleared"
+	// QuarantineNotKept: the store could not be told of a quarantine, or of its end.
+	QuarantineNotKept Name = "quarantine-not-kept"
 	// UpstreamRestored: an ejected upstream has answered its probe.
 	UpstreamRestored Name = "upstream-restored"
 )
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -1,9 +1,13 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"fmt"
+	"strconv"
+	"strings"
 )
 
 // Fingerprint names a request by what it asks for: requests with the same one have the same
@@ -43,5 +47,35 @@
 	}
 }
 
+// Compare orders fingerprints.
+func (f Fingerprint) Compare(other Fingerprint) int {
+	return cmp.Or(cmp.Compare(f.High, other.High), cmp.Compare(f.Low, other.Low), cmp.Compare(f.Length, other.Length))
+}
+
+// ParseError is a text that is no fingerprint.
+type ParseError struct{ Text string }
+
+// Error implements error.
+func (e *ParseError) Error() string {
+	return fmt.Sprintf("no fingerprint of a request: %.100q", e.Text)
+}
+
+// Key is the fingerprint as a key of a store; Parse reads it.
+func (f Fingerprint) Key() string { return fmt.Sprintf("%s-%d", f, f.Length) }
+
+// Parse reads a Key. The error is a *ParseError.
+func Parse(key string) (Fingerprint, error) {
+	sum, length, _ := strings.Cut(key, "-")
+	digest, err := hex.DecodeString(sum)
+	if err != nil || len(digest) != 16 {
+		return Fingerprint{}, &ParseError{Text: key}
+	}
+	n, err := strconv.Atoi(length)
+	if err != nil || n < 0 {
+		return Fingerprint{}, &ParseError{Text: key}
+	}
+	return Fingerprint{High: binary.BigEndian.Uint64(digest[:8]), Low: binary.BigEndian.Uint64(digest[8:]), Length: n}, nil
+}
+
 // String is the fingerprint in hexadecimal, as logs tell it.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x%016x", f.High, f.Low) }
--- a/pkg/quarantine/fingerprint_test.go
+++ b/pkg/quarantine/fingerprint_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -29,3 +30,32 @@
 	}
 	is.Equal(len(base.Fingerprint().String()), 32)
 }
+
+// TestKeysAreReadBack guards against a quarantine that is written and not found again.
+func TestKeysAreReadBack(t *testing.T) {
+	is := is.New(t)
+	content := quarantine.Content{Method: "POST", Path: "/a", Body: []byte("body")}
+	read, err := quarantine.Parse(content.Fingerprint().Key())
+	is.NoErr(err)
+	is.Equal(read, content.Fingerprint())
+	for _, bad := range []string{"", "-", "00-1", content.Fingerprint().String(), content.Fingerprint().String() + "--1", "zz" + content.Fingerprint().Key()} {
+		_, err := quarantine.Parse(bad)
+		var parse *quarantine.ParseError
+		is.True(errors.As(err, &parse))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	content := quarantine.Content{Method: "POST", Path: "/a", Body: []byte("body")}
+	f.Add(content.Fingerprint().Key())
+	f.Fuzz(func(t *testing.T, key string) {
+		read, err := quarantine.Parse(key)
+		if err != nil {
+			return
+		}
+		again, err := quarantine.Parse(read.Key())
+		if err != nil || again != read {
+			t.Errorf("%q is read as %v, and that as %v, %v", key, read, again, err)
+		}
+	})
+}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -90,6 +90,8 @@
 	trial time.Time
 	// cleared is when it last ran to a good end.
 	cleared time.Time
+	// witnessed is true once this instance itself saw what is known of it, or a part.
+	witnessed bool
 }
 
 func (e *entry) held() bool { return !e.until.IsZero() }
@@ -138,10 +140,42 @@
 	return 0, false
 }
 
-// Observe takes what this instance or another one saw.
+// Witness takes what this instance itself saw.
+func (t *Table) Witness(seen Observation) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change := t.observe(seen)
+	if e := t.entries[seen.Request]; e != nil && change != Known {
+		e.witnessed = true
+	}
+	return change
+}
+
+// Witnessed says whether this instance itself saw something of what is known of a request.
+func (t *Table) Witnessed(request Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	return e != nil && e.witnessed
+}
+
+// Held says whether a request is quarantined, be it that its term is over.
+func (t *Table) Held(request Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[request]
+	return e != nil && e.held()
+}
+
+// Observe takes what another instance saw.
 func (t *Table) Observe(seen Observation) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.observe(seen)
+}
+
+// observe is Observe. The caller holds t.mu.
+func (t *Table) observe(seen Observation) Change {
 	now := t.clock.Now()
 	e := t.entries[seen.Request]
 	if seen.Ended == 0 {
