--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -41,6 +41,7 @@
 		call.send.Source = source.Address
 	}
 	sent := j.now()
+	call.sent = sent
 	if j.service.Engine != nil {
 		attempt, end := context.WithCancelCause(ctx)
 		defer end(nil)
--- a/pkg/edge/bed_test.go
+++ b/pkg/edge/bed_test.go
@@ -23,6 +23,7 @@
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/logging"
 	"github.com/lilacweir/lilacweir/pkg/logging/logtest"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
@@ -40,6 +41,7 @@
 	testNotRun   = "X-Test-Not-Run"
 	testProof    = "X-Test-Proof"
 	testAfter    = "Last-Event-Id"
+	testLimit    = "X-Test-Limit"
 	testTokens   = "X-Test-Tokens"
 	// testOrganisation tells an upstream whose request it is.
 	testOrganisation = "X-Test-Organisation"
@@ -72,7 +74,12 @@
 }
 
 func (plain) Reading(_ int, fields http.Header) Reading {
-	return Reading{RequestID: fields.Get(testID), NotRun: fields.Get(testNotRun) != "", Proven: fields.Get(testProof) != ""}
+	reading := Reading{RequestID: fields.Get(testID), NotRun: fields.Get(testNotRun) != "", Proven: fields.Get(testProof) != ""}
+	if text := fields.Get(testLimit); text != "" {
+		perSecond, err := strconv.ParseFloat(text, 64)
+		reading.Limit, reading.LimitErr = limit.Named{PerSecond: perSecond, Limited: err == nil}, err
+	}
+	return reading
 }
 
 func (plain) StatusRequest(address string) *exchange.Request {
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -34,6 +34,8 @@
 	// as many upstreams as attempts says.
 	peer     bool
 	attempts int
+	// sent is when the request was sent.
+	sent time.Time
 	// status is that of the answer; zero: none came. whole is true once all of it was
 	// read.
 	status int
@@ -107,6 +109,9 @@
 // judge decides from the answer's head what becomes of it.
 func (c *call) judge(ctx context.Context, answer *exchange.Answer) result {
 	reading := c.dialect.Reading(answer.Status, answer.Header)
+	if !c.peer {
+		c.noteNamed(c.to.survey.Best.Upstream, &reading, c.sent)
+	}
 	if reading.NotRun || c.refusedByPeer(answer) {
 		c.regionFull = c.full(answer)
 		c.quarantineAsTold(answer, reading.RetryAfter)
--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
 
@@ -53,6 +54,10 @@
 	Proven bool
 	// RetryAfter is when the server asks to come back; zero when it does not say.
 	RetryAfter time.Duration
+	// Limit is how many requests a second the server says that it takes from all instances
+	// together. LimitErr is set where it says something that is no number.
+	Limit    limit.Named
+	LimitErr error
 }
 
 // Dialect reads and writes the headers by which callers, upstreams and instances of
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -95,6 +95,7 @@
 	retries    *limit.RetryShares
 	limiter    *quota.Limiter
 	cold       *limit.ColdShares
+	named      *limit.NamedLimits
 	suspicions *suspicions
 	pulses     *pulses
 	quarantine *quarantine.Table
@@ -165,6 +166,7 @@
 		retries:    limit.NewRetryShares(s.Limits.RetryRatio, s.Limits.RetrySlack, s.Limits.RetryWindow, system.Now),
 		limiter:    quota.NewLimiter(system, s.Limits.usageTolerance()),
 		cold:       limit.NewColdShares(system.Now),
+		named:      limit.NewNamedLimits(system.Now),
 		suspicions: newSuspicions(),
 		pulses:     newPulses(),
 		quarantine: quarantine.NewTable(system),
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -72,6 +72,7 @@
 			e.suspicions.forget(id)
 			e.pulses.forget(id)
 			e.inquiries.forget(id)
+			e.named.Forget(id)
 		}
 	}
 }
--- a/pkg/edge/suspicion.go
+++ b/pkg/edge/suspicion.go
@@ -144,11 +144,14 @@
 // not say.
 func (e *Edge) startOf(ctx context.Context, upstream *fleet.Upstream) (int64, error) {
 	target := exchange.Target{ID: upstream.ID, Address: upstream.Address}
+	sent := e.now()
 	answer, err := e.upstreams.Do(ctx, target, e.dialect.StatusRequest(upstream.Address))
 	if err != nil {
 		return 0, err
 	}
 	defer answer.Close()
+	reading := e.dialect.Reading(answer.Status, answer.Header)
+	e.noteNamed(upstream, &reading, sent)
 	body, err := io.ReadAll(io.LimitReader(answer, maxHeld))
 	if err != nil {
 		return 0, err
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -80,6 +80,12 @@
 	RequestCleared     Name = "request-cleared"
 	// QuarantineNotKept: the store could not be told of a quarantine, or of its end.
 	QuarantineNotKept Name = "quarantine-not-kept"
+	// UpstreamLimited: an upstream names how many requests a second it takes, or another
+	// number than before. UpstreamUnlimited: it names none any more. UpstreamLimitOdd: it names
+	// something that is no number, and what was known counts on.
+	UpstreamLimited   Name = "upstream-limited"
+	UpstreamUnlimited Name = "upstream-unlimited"
+	UpstreamLimitOdd  Name = "upstream-limit-odd"
 	// UpstreamRestored: an ejected upstream has answered its probe.
 	UpstreamRestored Name = "upstream-restored"
 )
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -43,7 +43,7 @@
 	KeyKnown         = "known"        // upstreams of the service in the region
 	KeyLast          = "last"         // error of the last attempt
 	KeyLateness      = "lateness"     // answers' time to begin, over the predicted time
-	KeyLimit         = "limit"        // an organisation's, in units a second
+	KeyLimit         = "limit"        // an organisation's, in units a second, or an upstream's, in requests
 	KeyLogLevel      = "log_level"    // from which level on lines are written
 	KeyLeftMS        = "left_ms"      // time left until the deadline
 	KeyMS            = "ms"           // time since the request came
