--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -331,6 +331,17 @@
 	starts   int
 	listener net.Listener
 	conns    map[net.Conn]struct{}
+	// limit is the requests a second that it names in its answers; empty: none.
+	limit string
+	// told holds since when it names a limit to each instance.
+	told map[string]time.Time
+}
+
+// setLimit has the engine name a limit from now on; empty: none.
+func (e *worldEngine) setLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
 }
 
 func (e *worldEngine) start() {
@@ -405,21 +416,27 @@
 		}
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), body: string(body)})
+		limit := e.limit
 		e.mu.Unlock()
 		if strings.HasPrefix(string(body), lethal) {
 			clock.Sleep(context.Background(), lethalTime)
 			e.crash(id)
 			return
 		}
-		if !e.answer(conn, request) {
+		if !e.answer(conn, request, limit) {
 			return
 		}
 	}
 }
 
 // answer streams events.
-func (e *worldEngine) answer(conn net.Conn, request *http.Request) bool {
-	write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "")
+func (e *worldEngine) answer(conn net.Conn, request *http.Request, limit string) bool {
+	var fields []string
+	if limit != "" {
+		fields = append(fields, testLimit+": "+limit)
+	}
+	write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "", fields...)
+	e.hasTold(conn.RemoteAddr().String(), limit)
 	for i := range answerEvents {
 		clock.Sleep(context.Background(), usualGap)
 		event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
@@ -447,6 +464,21 @@
 	})
 }
 
+// hasTold notes to whom the engine names its limit.
+func (e *worldEngine) hasTold(instance, limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if limit == "" {
+		return
+	}
+	if e.told == nil {
+		e.told = make(map[string]time.Time)
+	}
+	if _, before := e.told[instance]; !before {
+		e.told[instance] = time.Now()
+	}
+}
+
 // worldStore is the platform's store, as far as quarantines need it; instances see what is in
 // it after a while. It implements mirror.Registrar.
 type worldStore struct {
