Stand-in engines in virtual time end once for two lethal requests at the same moment

Seen once under the race detector, then in three of six runs beside load (TestManyLethalRequestsAtOnceEndTheirEnginesOnce): two requests both found their engine alive and began it anew twice (address in use, 17 ends of 12 engines).

--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -386,6 +386,7 @@
 	crashed := e.id == id
 	if crashed {
 		e.ends = append(e.ends, time.Now())
+		e.id = ""
 	}
 	e.mu.Unlock()
 	if !crashed {
