The limits that upstreams name hold over all instances together

What callers saw: nothing, but engines in need that named limits of 2.6 and 3.2 requests a second got 170 and 234 in 4 s.

Cause: an answer's limit was passed on and read by nobody. Class: what one instance learns from an upstream's answer, although all together are held to it.

Why it works: the limit is divided among as many of the region's instances as it allows one request a second, chosen by hashing; parts are not saved up for longer than half a second. It is told to the region with its age, followed as it is raised, lowered or withdrawn, and belongs to one start of the upstream. What it does not allow goes to other upstreams and regions, or is refused at once with the time at which the part allows the next request.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -15,6 +15,10 @@
 		return j.forward(ctx, to)
 	}
 	upstream := to.survey.Best.Upstream
+	if !j.takeLimited(upstream) {
+		j.tried = append(j.tried, upstream.ID)
+		return notRun
+	}
 	flight, ok := j.tracker.Start(upstream.ID, to.survey.Best.Uncached, 0)
 	j.tried = append(j.tried, upstream.ID)
 	if !ok {
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -193,6 +193,8 @@
 		Peers:     j.gossip.View().Load(),
 		Local:     seen{j.Edge, now},
 		Admits:    j.admits,
+		Named:     j.named.Of,
+		LimitWait: j.limitWait,
 		Recent:    j.recent,
 		Pace:      j.pace,
 		Estimates: j.estimates,
@@ -265,6 +267,9 @@
 		detail = "no instance in a permitted region can be reached"
 	}
 	retry := steer.RetryAfter(j.now(), j.deadline)
+	if survey.Limited > 0 {
+		retry = max(retry, survey.LimitWait)
+	}
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, retry, detail)
 	refusal.Err = &surveyError{survey: *survey}
 	return refusal
--- a/pkg/edge/limited_test.go
+++ b/pkg/edge/limited_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // Bounds of what an upstream that names a limit may get, once it has named it for reachTime
@@ -67,3 +71,151 @@
 		}
 	})
 }
+
+// TestNoDeploymentSendsMoreThanALimit guards against the same where shares of a limit are far
+// below one request a second, where instances learn of it through hubs, and where it changes.
+func TestNoDeploymentSendsMoreThanALimit(t *testing.T) {
+	hubs := []worldRegion{{"north", 30, 6}, {"south", 4, 2}}
+	for name, c := range map[string]struct {
+		regions []worldRegion
+		limits  []string
+		rates   []float64
+	}{
+		"less than one for each instance":      {hubs, []string{"2.5", "0.4"}, []float64{2.5, 0.4}},
+		"more than one for each instance":      {threeRegions, []string{"30", "12.5"}, []float64{30, 12.5}},
+		"nothing at all":                       {threeRegions, []string{"0", "0.0"}, []float64{0, 0}},
+		"all engines of a region name a limit": {threeRegions, []string{"3", "3", "3", "3", "3"}, []float64{3, 3, 3, 3, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, question, c.regions, func(w *world) {
+				w.questions(120, 2*time.Second)
+				for n, text := range c.limits {
+					w.engines[n].setLimit(text)
+				}
+				named := time.Now()
+				w.questions(120, 15*time.Second)
+				w.running.Wait()
+				for n, rate := range c.rates {
+					most := w.engines[n].most(named.Add(reachTime), time.Now())
+					if most > allowedOf(rate) {
+						t.Errorf("at %v a second got %d in %v; allowed %d", rate, most, limitWindow, allowedOf(rate))
+					}
+					if got := len(w.gotAt(w.engines[n], named.Add(reachTime))); rate > 0 && float64(got) < 0.25*rate*10 {
+						t.Errorf("at %v a second got %d in 10 s: what it takes is not used", rate, got)
+					}
+				}
+				w.checkAnswered(t, 0.1)
+			})
+		})
+	}
+}
+
+// gotAt are the requests that a start of an engine got after a time.
+func (w *world) gotAt(e *worldEngine, after time.Time) []arrival {
+	var got []arrival
+	for _, a := range w.sent("", after) {
+		if a.engine == e.id {
+			got = append(got, a)
+		}
+	}
+	return got
+}
+
+// checkAnswered judges which part of the callers was not served.
+func (w *world) checkAnswered(t *testing.T, unserved float64) {
+	t.Helper()
+	failed := 0
+	for _, told := range w.answers {
+		if told.err != nil || told.status != http.StatusOK {
+			failed++
+		}
+	}
+	t.Logf("%d of %d callers not served", failed, len(w.answers))
+	if float64(failed) > unserved*float64(len(w.answers)) {
+		t.Errorf("%d of %d callers not served", failed, len(w.answers))
+	}
+}
+
+// TestALimitIsFollowedAsItChanges guards against one that is kept when its upstream takes more
+// or all again, and against one that is learned too late when it takes less.
+func TestALimitIsFollowedAsItChanges(t *testing.T) {
+	inWorld(t, 3, question, threeRegions, func(w *world) {
+		engine := w.engines[0]
+		for _, limit := range []struct {
+			text string
+			rate float64
+		}{{"8", 8}, {"2", 2}, {"6", 6}} {
+			engine.setLimit(limit.text)
+			changed := time.Now()
+			w.questions(100, 10*time.Second)
+			if most := engine.most(changed.Add(reachTime), time.Now()); most > allowedOf(limit.rate) {
+				t.Errorf("at %v a second got %d in %v; allowed %d", limit.rate, most, limitWindow, allowedOf(limit.rate))
+			}
+		}
+		engine.setLimit("")
+		w.questions(100, 8*time.Second)
+		ended := time.Now()
+		w.questions(100, 4*time.Second)
+		w.running.Wait()
+		w.is.True(len(w.gotAt(engine, ended)) > 20) // a full load again
+		w.checkAnswered(t, 0.01)
+	})
+}
+
+// TestARestartedInstanceLearnsTheLimits guards against an instance that knew of a limit, begins
+// anew and sends a full load, and against one that alone knew of it.
+func TestARestartedInstanceLearnsTheLimits(t *testing.T) {
+	inWorld(t, 4, question, []worldRegion{{"north", 7, 4}}, func(w *world) {
+		w.engines[0].setLimit("2.5")
+		w.questions(100, 5*time.Second)
+		for _, i := range w.instances[:3] {
+			w.restart(i)
+			restarted := time.Now()
+			w.questions(100, 4*time.Second)
+			if got := len(w.gotAt(w.engines[0], restarted)); got > allowedOf(2.5) {
+				t.Errorf("got %d in 4 s after a restart; allowed %d", got, allowedOf(2.5))
+			}
+		}
+		w.running.Wait()
+	})
+}
+
+// TestAnotherUpstreamAtTheAddressIsNotLimited guards against holding a limit against an
+// address: the next start there names none.
+func TestAnotherUpstreamAtTheAddressIsNotLimited(t *testing.T) {
+	inWorld(t, 5, question, []worldRegion{{"north", 3, 3}}, func(w *world) {
+		w.engines[0].setLimit("1")
+		w.questions(60, 5*time.Second)
+		w.engines[0].setLimit("")
+		w.engines[0].crash(w.engines[0].id)
+		w.questions(60, 6*time.Second)
+		after := time.Now()
+		w.questions(60, 4*time.Second)
+		w.running.Wait()
+		w.is.True(len(w.gotAt(w.engines[0], after)) > 30)
+	})
+}
+
+// TestWhatLimitsDoNotAllowIsRefusedAtOnce guards against callers that are held until their time
+// is over, or told to come back at a time at which they are refused again.
+func TestWhatLimitsDoNotAllowIsRefusedAtOnce(t *testing.T) {
+	inWorld(t, 6, question, []worldRegion{{"north", 3, 2}}, func(w *world) {
+		w.engines[0].setLimit("3")
+		w.engines[1].setLimit("3")
+		w.questions(60, 3*time.Second)
+		w.running.Wait()
+		named := time.Now()
+		for n := range 100 {
+			asked := time.Now()
+			told := w.exchange(w.instances[n%3], fmt.Sprint("id-", n), "question")
+			if told.status == http.StatusServiceUnavailable {
+				w.is.True(time.Since(asked) < 10*time.Millisecond)
+				seconds, err := strconv.ParseFloat(told.header.Get("Retry-After"), 64)
+				w.is.NoErr(err)
+				w.is.True(seconds > 0 && seconds <= 2) // each instance has a part of 2 a second
+			}
+			clock.Sleep(w.Context(), 20*time.Millisecond)
+		}
+		w.is.True(len(w.sent("", named)) >= 6)
+	})
+}
--- a/pkg/edge/roster.go
+++ b/pkg/edge/roster.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/fleet"
@@ -22,6 +23,11 @@
 	fleet       *fleet.View
 	peers       *peer.View
 	all, region int
+	// regions holds the region of each instance by name.
+	regions map[string]string
+	// parts holds this instance's part of each upstream that names a limit, as far as it was
+	// asked for.
+	parts sync.Map
 	// grew is when region last grew.
 	grew time.Time
 }
@@ -60,7 +66,7 @@
 			}
 		}
 	}
-	counted := &tally{fleet: view, peers: peers, all: len(regions)}
+	counted := &tally{fleet: view, peers: peers, all: len(regions), regions: regions}
 	for _, region := range regions {
 		if region == e.self.Region {
 			counted.region++
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -44,6 +44,7 @@
 	KeyLast          = "last"         // error of the last attempt
 	KeyLateness      = "lateness"     // answers' time to begin, over the predicted time
 	KeyLimit         = "limit"        // an organisation's, in units a second, or an upstream's, in requests
+	KeyLimited       = "limited"      // upstreams that take no more from this instance now, by the limits that they name
 	KeyLogLevel      = "log_level"    // from which level on lines are written
 	KeyLeftMS        = "left_ms"      // time left until the deadline
 	KeyMS            = "ms"           // time since the request came
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -245,6 +245,9 @@
 	}
 	all := []string{fmt.Sprintf("of %d upstreams in the region %d are in service: %d rest after a failure or rejection, %d are cold; %d requests in work on %d slots",
 		known, usable, end.Int(event.KeyResting), cold, end.Int(event.KeyInFlight), end.Int(event.KeySlots))}
+	if limited := end.Int(event.KeyLimited); limited > 0 {
+		all = append(all, fmt.Sprintf("%d of them name limits on their requests, of which the part of %s was used", limited, visit.Instance))
+	}
 	if rejections := len(visit.steps(event.AttemptRejected)); rejections > 0 {
 		all = append(all, fmt.Sprintf("%d of them rejected it", rejections))
 	}
--- a/pkg/limit/named.go
+++ b/pkg/limit/named.go
@@ -1,9 +1,12 @@
 package limit
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Named is what an upstream says of how much it takes.
@@ -14,6 +17,51 @@
 	Limited bool
 }
 
+// ToldLimit is what an instance tells others of an upstream's limit.
+type ToldLimit struct {
+	Upstream string
+	Named    Named
+	// Age is how long ago the upstream said so, where it is told.
+	Age time.Duration
+}
+
+// Parameters of shares of a named limit.
+const (
+	// leastShare, in requests a second, is the smallest part that an instance gets of a limit.
+	// Below it so many requests would be saved up, one at each instance, that all instances
+	// together could send them in a moment.
+	leastShare = 1.0
+	// leastRate, in requests a second, is what an upstream gets that takes less: without any
+	// request nobody would hear when it takes more.
+	leastRate = 0.25
+	// savedFor is for how long an instance's share may be saved up; at least one request is.
+	savedFor = 500 * time.Millisecond
+	// staleAfter is how long an upstream may be silent before instances that have no share
+	// try it as well: those that have one may have nothing to send.
+	staleAfter = 5 * time.Second
+	// freshFor is for how long a change is told in each message, and tellEvery how often an
+	// unchanged limit is told, for a round and a half (tellFor).
+	freshFor  = time.Second
+	tellEvery = 3 * time.Second
+	tellFor   = 150 * time.Millisecond
+	// sameTime is by how much news must be newer to be news: what goes from hand to hand ages
+	// by the ways, which nobody measures.
+	sameTime = 50 * time.Millisecond
+)
+
+// Senders is how many of a region's instances send to an upstream that takes so many requests
+// a second.
+func Senders(perSecond float64, instances int) int {
+	return min(max(1, int(perSecond/leastShare)), max(1, instances))
+}
+
+// Part is one instance's place among those that send to an upstream.
+type Part struct {
+	// Instances is how many the region has, Place this one's among them by a ranking that all
+	// of them make alike, from 0.
+	Instances, Place int
+}
+
 // NamedLimits holds the limits that upstreams name in their answers. An upstream that is not
 // in need names none. It is safe for concurrent use.
 type NamedLimits struct {
@@ -26,8 +74,12 @@
 
 type namedLimit struct {
 	Named
-	// heard is when the upstream last named a limit, or last answered without one.
-	heard time.Time
+	// heard is when the upstream last named a limit, or answered without one; changed is when
+	// this instance learned that it is another.
+	heard, changed time.Time
+	// tokens is what this instance may send at once, as of filled.
+	tokens float64
+	filled time.Time
 }
 
 // NewNamedLimits returns limits of which none is known.
@@ -45,18 +97,45 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	known := n.byID[upstream]
-	switch {
-	case known == nil && !said.Limited:
+	if !said.Limited && (known == nil || sent.Before(known.heard)) {
+		return false
+	}
+	return n.set(upstream, said, n.now())
+}
+
+// Learn takes what another instance tells, and says whether that is news.
+func (n *NamedLimits) Learn(told ToldLimit) (changed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at := n.now().Add(-told.Age)
+	known := n.byID[told.Upstream]
+	if known == nil && !told.Named.Limited {
+		return false
+	}
+	if known != nil && at.Sub(known.heard) < sameTime {
 		return false
-	case known == nil:
-		known = &namedLimit{}
+	}
+	return n.set(told.Upstream, told.Named, at)
+}
+
+// set notes what an upstream said at a time. The caller holds n.mu.
+func (n *NamedLimits) set(upstream string, said Named, at time.Time) (changed bool) {
+	now := n.now()
+	known := n.byID[upstream]
+	if known == nil {
+		known = &namedLimit{filled: now}
 		n.byID[upstream] = known
 		n.size.Store(int64(len(n.byID)))
-	case !said.Limited && sent.Before(known.heard):
-		return false
 	}
 	changed = known.Named != said
-	known.Named, known.heard = said, n.now()
+	if changed {
+		known.changed = now
+	}
+	if said.Limited && !known.Limited {
+		// Nothing is saved up from before.
+		known.tokens, known.filled = 0, now
+	}
+	known.Named, known.heard = said, at
 	return changed
 }
 
@@ -73,6 +152,88 @@
 	return Named{}
 }
 
+// Any says whether there may be an upstream with a limit.
+func (n *NamedLimits) Any() bool { return n.size.Load() > 0 }
+
+// Wait returns how long this instance must wait until it may send a request to an upstream;
+// zero: it may now.
+func (n *NamedLimits) Wait(upstream string, part Part) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.byID[upstream]
+	if known == nil || !known.Limited {
+		return 0
+	}
+	rate := known.fill(part, n.now())
+	switch {
+	case known.tokens >= 1:
+		return 0
+	case rate == 0:
+		return staleAfter
+	default:
+		return time.Duration((1 - known.tokens) / rate * float64(time.Second))
+	}
+}
+
+// Take counts a request that is about to be sent; false: it must not be.
+func (n *NamedLimits) Take(upstream string, part Part) bool {
+	if n.size.Load() == 0 {
+		return true
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known := n.byID[upstream]
+	if known == nil || !known.Limited {
+		return true
+	}
+	if known.fill(part, n.now()); known.tokens < 1 {
+		return false
+	}
+	known.tokens--
+	return true
+}
+
+// fill adds what has come in since it was last asked, and returns this instance's part of
+// the limit, in requests a second.
+func (k *namedLimit) fill(part Part, now time.Time) float64 {
+	total := max(leastRate, k.PerSecond)
+	senders := Senders(total, part.Instances)
+	rate := 0.0
+	switch {
+	case part.Place < senders:
+		rate = total / float64(senders)
+	case now.Sub(k.heard) > staleAfter:
+		rate = total / float64(max(1, part.Instances))
+	}
+	k.tokens = min(k.tokens+rate*max(0, now.Sub(k.filled).Seconds()), max(1, rate*savedFor.Seconds()))
+	k.filled = now
+	return rate
+}
+
+// Told returns what to tell other instances now: what changed lately, and each of the others
+// from time to time.
+func (n *NamedLimits) Told() []ToldLimit {
+	if n.size.Load() == 0 {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.now()
+	var told []ToldLimit
+	for upstream, known := range n.byID {
+		if now.Sub(known.changed) < freshFor || (known.Limited && isTurn(upstream, now)) {
+			told = append(told, ToldLimit{Upstream: upstream, Named: known.Named, Age: now.Sub(known.heard)})
+		}
+	}
+	return told
+}
+
+// isTurn spreads the upstreams over the time in which each is told once.
+func isTurn(upstream string, now time.Time) bool {
+	phase := time.Duration(xxhash.Sum64String(upstream) % uint64(tellEvery))
+	return time.Duration(now.UnixNano()+int64(phase))%tellEvery < tellFor
+}
+
 // Forget drops what is known of an upstream that is gone.
 func (n *NamedLimits) Forget(upstream string) {
 	n.mu.Lock()
@@ -80,3 +241,12 @@
 	delete(n.byID, upstream)
 	n.size.Store(int64(len(n.byID)))
 }
+
+// Slots is how many of an upstream's slots a limit leaves to use, where requests hold one for
+// a time.
+func (k Named) Slots(slots int, holding time.Duration) int {
+	if !k.Limited {
+		return slots
+	}
+	return min(slots, int(math.Ceil(k.PerSecond*holding.Seconds())))
+}
--- a/pkg/limit/named_test.go
+++ b/pkg/limit/named_test.go
@@ -30,3 +30,114 @@
 	named.Forget("u")
 	is.Equal(named.Of("u"), limit.Named{})
 }
+
+// TestPartsOfALimitAddUpToIt guards against instances that save up a request each, and against
+// a limit that is not used.
+func TestPartsOfALimitAddUpToIt(t *testing.T) {
+	for _, instances := range []int{1, 3, 7, 85, 300} {
+		for _, perSecond := range []float64{0, 0.4, 1, 2.5, 40, 700} {
+			is := is.New(t)
+			now := time.Unix(1_000_000, 0)
+			all := make([]*limit.NamedLimits, instances)
+			for i := range all {
+				all[i] = limit.NewNamedLimits(func() time.Time { return now })
+				all[i].Answered("u", limit.Named{PerSecond: perSecond, Limited: true}, now)
+			}
+			var sent []time.Time
+			for range 1500 { // 15 s: all want to send at any time
+				now = now.Add(10 * time.Millisecond)
+				for i := range all {
+					part := limit.Part{Instances: instances, Place: i}
+					all[i].Answered("u", limit.Named{PerSecond: perSecond, Limited: true}, now) // it is heard
+					wait := all[i].Wait("u", part)
+					for all[i].Take("u", part) {
+						is.Equal(wait, time.Duration(0))
+						sent = append(sent, now)
+					}
+				}
+			}
+			first, most := 0, 0
+			for last := range sent {
+				for sent[last].Sub(sent[first]) > 4*time.Second {
+					first++
+				}
+				most = max(most, last-first+1)
+			}
+			if allowed := 1.5*4*perSecond + 5; float64(most) > allowed {
+				t.Errorf("%d instances, %v a second: %d in 4 s, allowed %v", instances, perSecond, most, allowed)
+			}
+			if wanted := 0.9 * 14 * perSecond; float64(len(sent)) < wanted-1 {
+				t.Errorf("%d instances, %v a second: only %d in 15 s", instances, perSecond, len(sent))
+			}
+		}
+	}
+}
+
+// TestWhatNobodyHearsIsTriedAgain guards against an upstream that nobody sends to any more, as
+// those with a part of its limit have no requests.
+func TestWhatNobodyHearsIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	named := limit.NewNamedLimits(func() time.Time { return now })
+	named.Answered("u", limit.Named{PerSecond: 2, Limited: true}, now)
+	part := limit.Part{Instances: 10, Place: 9}
+	for range 5 {
+		now = now.Add(time.Second)
+		is.True(!named.Take("u", part))
+	}
+	tries := 0
+	for range 20 {
+		now = now.Add(time.Second)
+		if named.Take("u", part) {
+			tries++
+		}
+	}
+	is.Equal(tries, 4) // a tenth of two a second, for 20 s
+}
+
+// TestLimitsGoFromHandToHand guards against news that go round for ever, that are lost, or that
+// take the place of newer ones.
+func TestLimitsGoFromHandToHand(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	clock := func() time.Time { return now }
+	a, b := limit.NewNamedLimits(clock), limit.NewNamedLimits(clock)
+	a.Answered("u", limit.Named{PerSecond: 2, Limited: true}, now)
+	told := a.Told()
+	is.Equal(len(told), 1)
+	is.True(b.Learn(told[0]))
+	is.True(!b.Learn(told[0]))
+	now = now.Add(2 * time.Second)
+	a.Answered("u", limit.Named{PerSecond: 5, Limited: true}, now)
+	old := b.Told()
+	for _, told := range old {
+		is.True(!a.Learn(told)) // older than what it knows
+	}
+	is.True(b.Learn(a.Told()[0]))
+	is.Equal(b.Of("u").PerSecond, 5.0)
+	now = now.Add(2 * time.Second)
+	a.Answered("u", limit.Named{}, now)
+	is.True(b.Learn(a.Told()[0]))
+	is.True(!b.Of("u").Limited)
+
+	// Without news each limit is told once in three seconds, for more than one message.
+	a.Answered("u", limit.Named{PerSecond: 1, Limited: true}, now)
+	now = now.Add(10 * time.Second)
+	rounds := 0
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		rounds += len(a.Told())
+	}
+	is.Equal(rounds, 15)
+	is.True(!b.Learn(limit.ToldLimit{Upstream: "v"})) // no limit that was not known is no news
+	is.True(!b.Any() || b.Of("v") == limit.Named{})
+}
+
+func BenchmarkNoLimits(b *testing.B) {
+	named := limit.NewNamedLimits(time.Now)
+	b.ReportAllocs()
+	for b.Loop() {
+		named.Of("u")
+		named.Answered("u", limit.Named{}, time.Time{})
+	}
+}
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -108,6 +108,9 @@
 		ask.Gossip = g.options.Self.Gossip
 	}
 	g.askEvidence(&ask, instance)
+	if instance.Region == g.options.Self.Region {
+		ask.Limits = g.limits()
+	}
 	return ask
 }
 
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
@@ -27,6 +28,10 @@
 	// Evidence is told what other instances saw of requests that may end upstreams; nil: it
 	// is not needed. It must not call the Gossip.
 	Evidence func(seen []quarantine.Observation)
+	// Limits is what this instance tells of the limits of upstreams, LearnLimits is told what
+	// others of the region tell; nil: they are not needed.
+	Limits      LimitTeller
+	LearnLimits func(told []limit.ToldLimit)
 	// Usage learns what limited callers have used elsewhere; nil: it is not needed.
 	Usage UsageListener
 	Fleet *board.Section[fleet.View]
@@ -45,6 +50,9 @@
 	Hear(teller string, start uint64, used []quota.Usage)
 }
 
+// LimitTeller tells which limits upstreams name.
+type LimitTeller interface{ Told() []limit.ToldLimit }
+
 // Times and sizes of the exchange.
 const (
 	// round passes between exchanges. An answer takes 0.3 s to begin, and what is told
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -6,6 +6,7 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
@@ -39,6 +40,8 @@
 	Evidence []quarantine.Observation
 	Last     uint64
 	Have     Cursor
+	// Limits are those that upstreams of the region name.
+	Limits []limit.ToldLimit
 }
 
 // Reply is what the asked instance knows: to its own domain, the reports of the domain
@@ -65,6 +68,8 @@
 	Evidence []quarantine.Observation
 	Told     Cursor
 	Given    uint64
+	// Limits are those that upstreams of the region name.
+	Limits []limit.ToldLimit
 }
 
 // AgedReport is a report with its age where it is told.
@@ -98,6 +103,10 @@
 	g.noteAsker(&ask, &own, now)
 	g.news.add(own.Placed, true, now)
 	g.tellEvidence(&ask, &own, reply, now)
+	if ask.Region == g.options.Self.Region {
+		g.learnLimits(ask.Limits)
+		reply.Limits = g.limits()
+	}
 	if ask.Domain != g.options.Self.Domain {
 		digest := g.digest(&own, now, ask.Region)
 		digest.Placed = g.news.since(ask.Report.Name, true, now)
@@ -219,6 +228,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.takeEvidence(instance, reply, now)
+	g.learnLimits(reply.Limits)
 	for i := range reply.Reports {
 		told := &reply.Reports[i]
 		g.takeReport(told.Report, now.Add(-told.Age))
@@ -237,6 +247,21 @@
 	}
 }
 
+// limits is what this instance tells of the limits of its region's upstreams.
+func (g *Gossip) limits() []limit.ToldLimit {
+	if g.options.Limits == nil {
+		return nil
+	}
+	return g.options.Limits.Told()
+}
+
+// learnLimits passes limits on.
+func (g *Gossip) learnLimits(told []limit.ToldLimit) {
+	if len(told) > 0 && g.options.LearnLimits != nil {
+		g.options.LearnLimits(told)
+	}
+}
+
 // instanceTeller and domainTeller name who tells usage.
 func instanceTeller(name string) string { return "instance " + name }
 func domainTeller(name string) string   { return "domain " + name }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -51,6 +51,10 @@
 	// Admits says whether an upstream may get one more request now, as far as it is, or
 	// may be, cold.
 	Admits func(u *fleet.Upstream, service *httproute.Service) bool
+	// Named is the limit that an upstream names, and LimitWait how long this instance must not
+	// send to it for that; nil: there are none.
+	Named     func(upstream string) limit.Named
+	LimitWait func(u *fleet.Upstream) time.Duration
 	// Recent is where prompt parts went lately, Pace how long plain calls take, Estimates
 	// how long engines take to begin an answer.
 	Recent    *Recent
@@ -133,6 +137,10 @@
 	// Cold counts those that were passed over because they are cold, Resting those that
 	// were because they failed or rejected a request lately.
 	Cold, Resting int
+	// Limited counts those that were passed over for the limit that they name, LimitWait is
+	// the shortest time until one of them may get a request.
+	Limited   int
+	LimitWait time.Duration
 }
 
 // Look surveys the own region.
@@ -152,7 +160,7 @@
 		own := w.Local.Load(upstream.ID)
 		c := Candidate{Upstream: upstream, InFlight: own.InFlight + others[i].InFlight, Prefill: own.Prefill + others[i].Prefill}
 		survey.Usable++
-		survey.Slots += upstream.Slots
+		survey.Slots += w.slots(upstream, req.Service)
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
 		if !survey.usable(w, req, upstream, own.Ejected || own.Rest > 0) {
@@ -182,12 +190,39 @@
 	case tried(req, upstream.ID):
 	case !w.Admits(upstream, req.Service):
 		s.Cold++
+	case w.LimitWait != nil && s.limited(w.LimitWait(upstream)):
 	default:
 		return true
 	}
 	return false
 }
 
+// limited says whether an upstream's limit keeps this instance from sending to it, and counts
+// it if so.
+func (s *Survey) limited(wait time.Duration) bool {
+	if wait == 0 {
+		return false
+	}
+	if s.Limited == 0 || wait < s.LimitWait {
+		s.LimitWait = wait
+	}
+	s.Limited++
+	return true
+}
+
+// slots is how many requests an upstream works on at once, as far as the limit that it names
+// lets it.
+func (w *World) slots(upstream *fleet.Upstream, service *httproute.Service) int {
+	if w.Named == nil {
+		return upstream.Slots
+	}
+	holding := usualHolding
+	if service.Engine == nil {
+		holding = w.Pace.Of(service.Name)
+	}
+	return w.Named(upstream.ID).Slots(upstream.Slots, holding)
+}
+
 // regional returns the service's upstreams in the own region.
 func (w *World) regional(service string) []*fleet.Upstream {
 	all := w.Fleet.Service(service)
