An instance that was cut off learns what is quarantined; inquiries are kept for a shorter time

Test of an instance that is cut off from the others while they see a request end its engines. An upstream that was found alive is asked again after 0.1 s, not 1 s: one that breaks off answers and is then ended by a request was not counted. Inquiries of upstreams that are gone are swept.

--- a/pkg/edge/ended.go
+++ b/pkg/edge/ended.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"syscall"
 	"time"
@@ -19,8 +20,12 @@
 	// inquirySettle passes before an upstream is tried: all that was in work there breaks off
 	// within it, and its listener is gone.
 	inquirySettle = 5 * time.Millisecond
-	// inquiryKept is for how long the answer counts for answers that broke off as well.
-	inquiryKept = time.Second
+	// inquiryKept is for how long an upstream that has not ended is not tried again: servers
+	// that break off a part of their answers would be asked all the time.
+	inquiryKept = 100 * time.Millisecond
+	// endRemembered is for how long it is remembered that an upstream has ended: all that was
+	// in work there has broken off by then.
+	endRemembered = time.Minute
 	// mostSuspects bounds the requests that one end makes suspect here: more were not at work
 	// at one upstream for one instance.
 	mostSuspects = 256
@@ -69,13 +74,13 @@
 	return about.suspects
 }
 
-// forget drops what is known of an upstream that is gone.
-func (q *inquiries) forget(id string) {
+// sweep drops the inquiries that are long answered.
+func (q *inquiries) sweep(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if about := q.byID[id]; about != nil && !about.at.IsZero() {
-		delete(q.byID, id)
-	}
+	maps.DeleteFunc(q.byID, func(_ string, about *inquiry) bool {
+		return !about.at.IsZero() && now.Sub(about.at) > endRemembered
+	})
 }
 
 // brokeOff notes that an attempt at an upstream ended without its answer. If the upstream has
--- a/pkg/edge/fabric_test.go
+++ b/pkg/edge/fabric_test.go
@@ -20,13 +20,16 @@
 	mu        sync.Mutex
 	listeners map[string]*fabricListener
 	regions   map[string]string
+	// apart holds the processes that are cut off from those that are named in peers.
+	apart map[string]bool
+	peers map[string]bool
 }
 
 // betweenRegions is the one-way delay of a connection from region to region.
 const betweenRegions = 55 * time.Millisecond
 
 func newFabric() *fabric {
-	return &fabric{listeners: make(map[string]*fabricListener), regions: make(map[string]string)}
+	return &fabric{listeners: make(map[string]*fabricListener), regions: make(map[string]string), apart: make(map[string]bool), peers: make(map[string]bool)}
 }
 
 // place says in which region an address lies.
@@ -36,6 +39,20 @@
 	f.regions[address] = region
 }
 
+// setApart cuts a process off from its peers, or ends that: what is sent between them is lost.
+func (f *fabric) setApart(name string, apart bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apart[name] = apart
+}
+
+// cut says whether two processes are cut off from each other.
+func (f *fabric) cut(one, other string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peers[one] && f.peers[other] && (f.apart[one] || f.apart[other])
+}
+
 // from returns the fabric as a process of a region sees it.
 func (f *fabric) from(name, region string) *endpoint {
 	return &endpoint{fabric: f, name: name, region: region}
@@ -52,6 +69,10 @@
 	e.mu.Lock()
 	listener, region := e.listeners[address], e.regions[address]
 	e.mu.Unlock()
+	if listener != nil && e.cut(e.name, listener.owner) {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	way := time.Duration(0)
 	if region != e.region {
 		way = betweenRegions
@@ -60,6 +81,10 @@
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
 	near, far := newFabricPair(way, e.name, address)
+	if listener != nil {
+		lost := func() bool { return e.cut(e.name, listener.owner) }
+		near.out.lost, far.out.lost = lost, lost
+	}
 	if listener == nil || !listener.offer(far) {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
@@ -73,7 +98,7 @@
 	if e.listeners[address] != nil {
 		return nil, &net.OpError{Op: "listen", Net: network, Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}
 	}
-	listener := &fabricListener{fabric: e.fabric, address: address, offered: make(chan net.Conn), closed: make(chan struct{})}
+	listener := &fabricListener{fabric: e.fabric, owner: e.name, address: address, offered: make(chan net.Conn), closed: make(chan struct{})}
 	e.listeners[address] = listener
 	e.regions[address] = e.region
 	return listener, nil
@@ -82,10 +107,10 @@
 // fabricListener accepts the connections to one address.
 type fabricListener struct {
 	*fabric
-	address string
-	offered chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
+	owner, address string
+	offered        chan net.Conn
+	closed         chan struct{}
+	once           sync.Once
 }
 
 func (l *fabricListener) offer(conn net.Conn) bool {
@@ -133,6 +158,8 @@
 // holds a lock does.
 type halfConn struct {
 	way time.Duration
+	// lost says whether what is written now is lost; nil: it never is.
+	lost func() bool
 
 	mu     sync.Mutex
 	pieces []piece
@@ -158,6 +185,9 @@
 }
 
 func (s *halfConn) write(p []byte) (int, error) {
+	if s.lost != nil && s.lost() {
+		return len(p), nil
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
--- a/pkg/edge/known.go
+++ b/pkg/edge/known.go
@@ -71,7 +71,6 @@
 			e.counts.series.Remove(label(labelTarget, id))
 			e.suspicions.forget(id)
 			e.pulses.forget(id)
-			e.inquiries.forget(id)
 			e.named.Forget(id)
 		}
 	}
--- a/pkg/edge/lethal_test.go
+++ b/pkg/edge/lethal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -56,7 +57,22 @@
 	if refused := w.refusedInnocents(); refused > 0 {
 		t.Errorf("%d innocent requests quarantined", refused)
 	}
-	t.Logf("%d engines ended", len(w.ends))
+	asked, unserved := w.innocents()
+	t.Logf("%d engines ended; %d of %d innocent requests not served", len(w.ends), unserved, asked)
+}
+
+// innocents counts the innocent requests, and those that were not served.
+func (w *world) innocents() (asked, unserved int) {
+	for _, told := range w.answers {
+		if strings.HasPrefix(told.body, lethal) {
+			continue
+		}
+		asked++
+		if told.err != nil || told.status != http.StatusOK {
+			unserved++
+		}
+	}
+	return asked, unserved
 }
 
 // refusedInnocents counts the innocent requests that were refused for ends of upstreams.
@@ -147,6 +163,23 @@
 	})
 }
 
+// TestAnInstanceThatWasCutOffLearnsWhatIsQuarantined guards against one that knows only what it
+// saw itself, and sends the request on once it is back.
+func TestAnInstanceThatWasCutOffLearnsWhatIsQuarantined(t *testing.T) {
+	inWorld(t, 10, question, threeRegions, func(w *world) {
+		apart := w.instances[0]
+		w.fabric.setApart(apart.Name, true)
+		clock.Sleep(w.Context(), 4*time.Second)
+		w.play(10*time.Second, 4)
+		w.fabric.setApart(apart.Name, false)
+		clock.Sleep(w.Context(), reachTime)
+		healed := time.Now()
+		w.play(10*time.Second, 2)
+		w.is.True(len(w.ends) <= 3*endsBorne) // by those together, by the one alone, and under way
+		w.is.Equal(len(w.sent(lethal, healed)), 0)
+	})
+}
+
 // TestACommonRequestIsNotQuarantinedForEndsOfOthers guards against refusing what many callers
 // ask in the same words because it is always at work somewhere when an upstream ends.
 func TestACommonRequestIsNotQuarantinedForEndsOfOthers(t *testing.T) {
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -74,5 +74,6 @@
 func (e *Edge) sweepQuarantine(ctx context.Context) {
 	for clock.Sleep(ctx, quarantineSweep) {
 		e.quarantine.Sweep()
+		e.inquiries.sweep(e.now())
 	}
 }
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -119,6 +119,7 @@
 func (w *world) add(region worldRegion) {
 	for i := range region.instances {
 		name := fmt.Sprintf("%s-%d", region.name, i)
+		w.fabric.peers[name] = true
 		w.instances = append(w.instances, &worldInstance{down: true, Instance: fleet.Instance{
 			Name: name, Domain: region.name + "-a", Region: region.name,
 			Callers: name + ":callers", Peers: name + ":peers", Gossip: name + ":gossip",
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,3 +172,22 @@
 		})
 	}
 }
+
+// BenchmarkFullTable reports what a full table takes, in bytes.
+func BenchmarkFullTable(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := quarantine.NewTable(clock.System{})
+		for i := range 8000 {
+			table.Observe(quarantine.Observation{
+				Request: quarantine.Fingerprint{High: uint64(i), Length: i}, Ended: quarantine.Upstream(i%2000 + 1),
+			})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "bytes")
+		runtime.KeepAlive(table)
+	}
+}
