A request that waits for an inquiry counts its end before it goes on; names, files

A suspected request that waited until its upstream was known to have ended could go on before that end was counted: the inquiry is told first, and its suspects after. It now counts it itself.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -100,8 +100,8 @@
 	pulses     *pulses
 	quarantine *quarantine.Table
 	inquiries  *inquiries
-	// kept holds the requests whose quarantine is to be written to the store.
-	kept      chan quarantine.Fingerprint
+	// toKeep holds the requests whose quarantine is to be written to the store.
+	toKeep    chan quarantine.Fingerprint
 	overload  *steer.Overload
 	recent    *steer.Recent
 	pace      *steer.Pace
@@ -171,7 +171,7 @@
 		pulses:     newPulses(),
 		quarantine: quarantine.NewTable(system),
 		inquiries:  newInquiries(),
-		kept:       make(chan quarantine.Fingerprint, mostKept),
+		toKeep:     make(chan quarantine.Fingerprint, mostToKeep),
 		overload:   steer.NewOverload(),
 		recent:     steer.NewRecent(),
 		pace:       steer.NewPace(),
--- a/pkg/edge/ended.go
+++ b/pkg/edge/inquiry.go
@@ -92,20 +92,24 @@
 	if fresh {
 		go j.inquire(upstream, about)
 	}
-	select {
-	case <-about.answered:
-		if about.ended {
-			j.observe(quarantine.Observation{Request: request, Ended: quarantine.UpstreamOf(upstream.ID)})
+	if j.quarantine.Suspect(request) {
+		select {
+		case <-about.answered:
+		case <-ctx.Done():
 		}
-		return
-	default:
 	}
-	if !j.quarantine.Suspect(request) {
-		return
+	if about.knownToHaveEnded() {
+		j.observe(quarantine.Observation{Request: request, Ended: quarantine.UpstreamOf(upstream.ID)})
 	}
+}
+
+// knownToHaveEnded says whether the inquiry has found that its upstream has ended.
+func (i *inquiry) knownToHaveEnded() bool {
 	select {
-	case <-about.answered:
-	case <-ctx.Done():
+	case <-i.answered:
+		return i.ended
+	default:
+		return false
 	}
 }
 
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -114,7 +114,7 @@
 // run makes attempts until one succeeds or the request must be given up.
 func (j *job) run(ctx context.Context) *outcome.Refusal {
 	for {
-		if refusal := j.refusedHere(); refusal != nil {
+		if refusal := j.quarantined(); refusal != nil {
 			return j.giveUp(refusal)
 		}
 		next, refusal := j.next()
--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -14,8 +14,8 @@
 // quarantineSweep is how often what is over is forgotten.
 const quarantineSweep = time.Minute
 
-// refusedHere refuses a request under which upstreams have ended; nil: it may run.
-func (j *job) refusedHere() *outcome.Refusal {
+// quarantined returns the refusal of a request that is quarantined; nil: it may run.
+func (j *job) quarantined() *outcome.Refusal {
 	if !j.quarantine.Concerns(len(j.body)) {
 		return nil
 	}
@@ -39,20 +39,20 @@
 	if change == quarantine.Known {
 		return
 	}
-	e.take(seen.Request, change)
+	e.changed(seen.Request, change)
 	e.gossip.Observe(seen)
 }
 
 // learnEvidence takes what other instances saw.
 func (e *Edge) learnEvidence(told []quarantine.Observation) {
 	for _, seen := range told {
-		e.take(seen.Request, e.quarantine.Observe(seen))
+		e.changed(seen.Request, e.quarantine.Observe(seen))
 	}
 }
 
-// take does what follows from a change of a request. Its quarantine is kept by those who saw
+// changed does what follows from a change of a request. Its quarantine is kept by those who saw
 // an upstream end under it, or run it to a good end.
-func (e *Edge) take(request quarantine.Fingerprint, change quarantine.Change) {
+func (e *Edge) changed(request quarantine.Fingerprint, change quarantine.Change) {
 	e.noteQuarantine(request, change)
 	if (change == quarantine.Quarantined || change == quarantine.Cleared) && e.quarantine.Witnessed(request) {
 		e.keepQuarantine(request)
--- a/pkg/edge/durable.go
+++ b/pkg/edge/quarantine_store.go
@@ -24,8 +24,8 @@
 	// tried, each time after twice the pause: the store may be away for some seconds.
 	keepTimeout = 2 * time.Second
 	keepTries   = 6
-	// mostKept bounds the quarantines that wait to be written.
-	mostKept = 64
+	// mostToKeep bounds the quarantines that wait to be written.
+	mostToKeep = 64
 )
 
 // keepQuarantine has a quarantine written, or taken back. It never waits: one that finds no
@@ -35,7 +35,7 @@
 		return
 	}
 	select {
-	case e.kept <- request:
+	case e.toKeep <- request:
 	default:
 	}
 }
@@ -44,7 +44,7 @@
 func (e *Edge) writeQuarantines(ctx context.Context) {
 	for {
 		select {
-		case request := <-e.kept:
+		case request := <-e.toKeep:
 			e.writeQuarantine(ctx, request)
 		case <-ctx.Done():
 			return
--- /dev/null
+++ b/pkg/edge/world_engine_test.go
@@ -0,0 +1,156 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// worldEngine is the place of an engine, and the start that runs there.
+type worldEngine struct {
+	*world
+	region, address string
+	// id names the start; empty: none runs, or is known.
+	id       string
+	starts   int
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	// limit is the requests a second that it names in its answers; empty: none.
+	limit string
+	// told holds since when it names a limit to each instance.
+	told map[string]time.Time
+}
+
+// setLimit has the engine name a limit from now on; empty: none.
+func (e *worldEngine) setLimit(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = limit
+}
+
+func (e *worldEngine) start() {
+	listener, err := e.fabric.from(e.address, e.region).Listen(context.Background(), "tcp", e.address)
+	e.is.NoErr(err)
+	e.mu.Lock()
+	e.starts++
+	e.id = fmt.Sprintf("%s-start-%d", e.address, e.starts)
+	e.listener, e.conns = listener, make(map[net.Conn]struct{})
+	id := e.id
+	e.mu.Unlock()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			if e.id == id {
+				e.conns[conn] = struct{}{}
+			}
+			e.mu.Unlock()
+			go e.serve(conn, id)
+		}
+	}()
+}
+
+// end ends the engine at once, as a crash does.
+func (e *worldEngine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.id = ""
+	_ = e.listener.Close()
+	for conn := range e.conns {
+		_ = conn.Close()
+	}
+}
+
+// crash ends a start, unless that has happened already; another one follows.
+func (e *worldEngine) crash(id string) {
+	e.mu.Lock()
+	crashed := e.id == id
+	if crashed {
+		e.ends = append(e.ends, time.Now())
+		e.id = ""
+	}
+	e.mu.Unlock()
+	if !crashed {
+		return
+	}
+	e.end()
+	e.running.Go(func() {
+		clock.Sleep(context.Background(), discovery)
+		e.discover()
+		clock.Sleep(context.Background(), engineDown-discovery)
+		e.start()
+		clock.Sleep(context.Background(), discovery)
+		e.discover()
+	})
+}
+
+func (e *worldEngine) serve(conn net.Conn, id string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), body: string(body)})
+		limit := e.limit
+		e.mu.Unlock()
+		if strings.HasPrefix(string(body), lethal) {
+			clock.Sleep(context.Background(), lethalTime)
+			e.crash(id)
+			return
+		}
+		if !e.answer(conn, request, limit) {
+			return
+		}
+	}
+}
+
+// answer streams events.
+func (e *worldEngine) answer(conn net.Conn, request *http.Request, limit string) bool {
+	var fields []string
+	if limit != "" {
+		fields = append(fields, testLimit+": "+limit)
+	}
+	write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "", fields...)
+	e.hasTold(conn.RemoteAddr().String(), limit)
+	for i := range answerEvents {
+		clock.Sleep(context.Background(), usualGap)
+		event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
+			return false
+		}
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err == nil
+}
+
+// hasTold notes to whom the engine names its limit.
+func (e *worldEngine) hasTold(instance, limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if limit == "" {
+		return
+	}
+	if e.told == nil {
+		e.told = make(map[string]time.Time)
+	}
+	if _, before := e.told[instance]; !before {
+		e.told[instance] = time.Now()
+	}
+}
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -23,7 +22,6 @@
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/logging/logtest"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
-	"github.com/lilacweir/lilacweir/pkg/platform"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -323,133 +321,6 @@
 	return found
 }
 
-// worldEngine is the place of an engine, and the start that runs there.
-type worldEngine struct {
-	*world
-	region, address string
-	// id names the start; empty: none runs, or is known.
-	id       string
-	starts   int
-	listener net.Listener
-	conns    map[net.Conn]struct{}
-	// limit is the requests a second that it names in its answers; empty: none.
-	limit string
-	// told holds since when it names a limit to each instance.
-	told map[string]time.Time
-}
-
-// setLimit has the engine name a limit from now on; empty: none.
-func (e *worldEngine) setLimit(limit string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = limit
-}
-
-func (e *worldEngine) start() {
-	listener, err := e.fabric.from(e.address, e.region).Listen(context.Background(), "tcp", e.address)
-	e.is.NoErr(err)
-	e.mu.Lock()
-	e.starts++
-	e.id = fmt.Sprintf("%s-start-%d", e.address, e.starts)
-	e.listener, e.conns = listener, make(map[net.Conn]struct{})
-	id := e.id
-	e.mu.Unlock()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			e.mu.Lock()
-			if e.id == id {
-				e.conns[conn] = struct{}{}
-			}
-			e.mu.Unlock()
-			go e.serve(conn, id)
-		}
-	}()
-}
-
-// end ends the engine at once, as a crash does.
-func (e *worldEngine) end() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.id = ""
-	_ = e.listener.Close()
-	for conn := range e.conns {
-		_ = conn.Close()
-	}
-}
-
-// crash ends a start, unless that has happened already; another one follows.
-func (e *worldEngine) crash(id string) {
-	e.mu.Lock()
-	crashed := e.id == id
-	if crashed {
-		e.ends = append(e.ends, time.Now())
-		e.id = ""
-	}
-	e.mu.Unlock()
-	if !crashed {
-		return
-	}
-	e.end()
-	e.running.Go(func() {
-		clock.Sleep(context.Background(), discovery)
-		e.discover()
-		clock.Sleep(context.Background(), engineDown-discovery)
-		e.start()
-		clock.Sleep(context.Background(), discovery)
-		e.discover()
-	})
-}
-
-func (e *worldEngine) serve(conn net.Conn, id string) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
-		e.mu.Lock()
-		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), body: string(body)})
-		limit := e.limit
-		e.mu.Unlock()
-		if strings.HasPrefix(string(body), lethal) {
-			clock.Sleep(context.Background(), lethalTime)
-			e.crash(id)
-			return
-		}
-		if !e.answer(conn, request, limit) {
-			return
-		}
-	}
-}
-
-// answer streams events.
-func (e *worldEngine) answer(conn net.Conn, request *http.Request, limit string) bool {
-	var fields []string
-	if limit != "" {
-		fields = append(fields, testLimit+": "+limit)
-	}
-	write(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "", fields...)
-	e.hasTold(conn.RemoteAddr().String(), limit)
-	for i := range answerEvents {
-		clock.Sleep(context.Background(), usualGap)
-		event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
-		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
-			return false
-		}
-	}
-	_, err := io.WriteString(conn, "0\r\n\r\n")
-	return err == nil
-}
-
 // TestADeploymentInVirtualTimeServesItsCallers guards the other tests of whole deployments
 // against a stand-in in which nothing could go well.
 func TestADeploymentInVirtualTimeServesItsCallers(t *testing.T) {
@@ -465,89 +336,3 @@
 		w.is.Equal(len(w.sent("question", time.Time{})), 50)
 	})
 }
-
-// hasTold notes to whom the engine names its limit.
-func (e *worldEngine) hasTold(instance, limit string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if limit == "" {
-		return
-	}
-	if e.told == nil {
-		e.told = make(map[string]time.Time)
-	}
-	if _, before := e.told[instance]; !before {
-		e.told[instance] = time.Now()
-	}
-}
-
-// worldStore is the platform's store, as far as quarantines need it; instances see what is in
-// it after a while. It implements mirror.Registrar.
-type worldStore struct {
-	*world
-	// values is by key; away is true while the store answers nobody.
-	values map[string]bool
-	away   bool
-	writes int
-}
-
-func (s *worldStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return 0, platform.ErrUnavailable
-	}
-	return 1, nil
-}
-
-func (s *worldStore) KeepAlive(context.Context, platform.LeaseID) (time.Duration, error) {
-	return time.Minute, nil
-}
-
-func (s *worldStore) Revoke(context.Context, platform.LeaseID) error { return nil }
-
-func (s *worldStore) Swap(_ context.Context, _ map[string]int64, puts []platform.Put) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away {
-		return 0, platform.ErrUnavailable
-	}
-	for _, put := range puts {
-		if !strings.Contains(put.Key, "quarantine/") {
-			continue
-		}
-		s.writes++
-		s.values[put.Key] = !put.Delete
-	}
-	s.running.Go(func() {
-		clock.Sleep(context.Background(), discovery)
-		s.publish()
-	})
-	return 1, nil
-}
-
-func (s *worldStore) setAway(away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.away = away
-}
-
-// publish tells all instances what the store holds.
-func (s *worldStore) publish() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var held []quarantine.Fingerprint
-	for key, present := range s.values {
-		if !present {
-			continue
-		}
-		request, err := quarantine.Parse(strings.TrimPrefix(key, "quarantine/"))
-		s.is.NoErr(err)
-		held = append(held, request)
-	}
-	for _, i := range s.instances {
-		if !i.down {
-			i.edge.board.Quarantined.Store(&held)
-		}
-	}
-}
