Instances do not save up parts of a limit while nobody asks

Without callers for ten minutes each of 300 instances had one request saved up for an upstream that takes 2.5 a second, since all try one that nobody hears: 308 in 4 s, allowed 20 (TestAnIdleLimitIsNotOverrunWhenCallersReturn, which failed so). The instances that are no senders now take turns of 5 s, as many at a time as there are senders, and have nothing saved up before. TestWhatNobodyHearsIsTriedAgain expects a part in each turn in place of a steady tenth: an instance still tries again without news, and not more often than its part.

--- a/pkg/limit/named.go
+++ b/pkg/limit/named.go
@@ -36,8 +36,8 @@
 	leastRate = 0.25
 	// savedFor is for how long an instance's share may be saved up; at least one request is.
 	savedFor = 500 * time.Millisecond
-	// staleAfter is how long an upstream may be silent before instances that have no share
-	// try it as well: those that have one may have nothing to send.
+	// staleAfter is how long an upstream may be silent before instances that have no part try
+	// it as well, and how long the turn of each of them lasts.
 	staleAfter = 5 * time.Second
 	// freshFor is for how long a change is told in each message, and tellEvery how often an
 	// unchanged limit is told, for a round and a half (tellFor).
@@ -199,17 +199,32 @@
 	total := max(leastRate, k.PerSecond)
 	senders := Senders(total, part.Instances)
 	rate := 0.0
-	switch {
-	case part.Place < senders:
+	if k.sends(part, senders, now) {
 		rate = total / float64(senders)
-	case now.Sub(k.heard) > staleAfter:
-		rate = total / float64(max(1, part.Instances))
 	}
 	k.tokens = min(k.tokens+rate*max(0, now.Sub(k.filled).Seconds()), max(1, rate*savedFor.Seconds()))
+	if rate == 0 {
+		// One that becomes a sender has nothing saved up.
+		k.tokens = 0
+	}
 	k.filled = now
 	return rate
 }
 
+// sends says whether this instance is one of the senders. As long as the upstream is not heard,
+// further ones take turns beside the first: those may have nothing to send.
+func (k *namedLimit) sends(part Part, senders int, now time.Time) bool {
+	if part.Place < senders {
+		return true
+	}
+	turn := int(now.Sub(k.heard) / staleAfter)
+	place := (part.Place - turn*senders) % max(1, part.Instances)
+	if place < 0 {
+		place += part.Instances
+	}
+	return turn > 0 && place < senders
+}
+
 // Told returns what to tell other instances now: what changed lately, and each of the others
 // from time to time.
 func (n *NamedLimits) Told() []ToldLimit {
