--- a/pkg/edge/limited_test.go
+++ b/pkg/edge/limited_test.go
@@ -187,7 +187,7 @@
 		w.engines[0].setLimit("1")
 		w.questions(60, 5*time.Second)
 		w.engines[0].setLimit("")
-		w.engines[0].crash(w.engines[0].id)
+		w.engines[0].crash(w.engines[0].id, "")
 		w.questions(60, 6*time.Second)
 		after := time.Now()
 		w.questions(60, 4*time.Second)
--- a/pkg/edge/world_engine_test.go
+++ b/pkg/edge/world_engine_test.go
@@ -71,12 +71,14 @@
 	}
 }
 
-// crash ends a start, unless that has happened already; another one follows.
-func (e *worldEngine) crash(id string) {
+// crash ends a start for the request that it runs, unless that has happened already; another
+// one follows.
+func (e *worldEngine) crash(id, body string) {
 	e.mu.Lock()
 	crashed := e.id == id
 	if crashed {
 		e.ends = append(e.ends, time.Now())
+		e.endsUnder[body] = append(e.endsUnder[body], time.Now())
 		e.id = ""
 	}
 	e.mu.Unlock()
@@ -112,7 +114,7 @@
 		e.mu.Unlock()
 		if strings.HasPrefix(string(body), lethal) {
 			clock.Sleep(context.Background(), lethalTime)
-			e.crash(id)
+			e.crash(id, string(body))
 			return
 		}
 		if !e.answer(conn, request, limit) {
--- a/pkg/edge/world_test.go
+++ b/pkg/edge/world_test.go
@@ -43,9 +43,11 @@
 	// arrivals are what engines were sent, in order.
 	arrivals []arrival
 	// ends are when engines ended for the request that they ran.
-	ends    []time.Time
-	answers []answered
-	running sync.WaitGroup
+	ends []time.Time
+	// endsUnder are the same by the request's body.
+	endsUnder map[string][]time.Time
+	answers   []answered
+	running   sync.WaitGroup
 }
 
 // worldInstance is one place of an instance, and the process that runs there.
@@ -99,7 +101,7 @@
 func inWorld(t *testing.T, seed uint64, route httproute.Route, regions []worldRegion, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{T: t, is: is.New(t), fabric: newFabric(), random: rand.New(rand.NewPCG(seed, 1)), route: route}
+		w := &world{T: t, is: is.New(t), fabric: newFabric(), random: rand.New(rand.NewPCG(seed, 1)), route: route, endsUnder: make(map[string][]time.Time)}
 		w.store = &worldStore{world: w, values: make(map[string]bool)}
 		for _, region := range regions {
 			w.add(region)
