pkg/limit, pkg/edge: log and count the use of the retry budget

Retries taken and refused, the window's counts and bound, the number of instances and the process's age tell apart whether a start, the number of instances or uncounted sends use up more than is allowed.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -219,6 +219,7 @@
 	group.Go(func() error { e.sweep(running); return nil })
 	group.Go(func() error { e.followFleet(running); return nil })
 	group.Go(func() error { e.watchStreams(running); return nil })
+	group.Go(func() error { e.reportRetries(running); return nil })
 	group.Go(func() error { e.followLimits(running); return nil })
 	group.Go(func() error { e.sweepQuarantine(running); return nil })
 	group.Go(func() error { e.writeQuarantines(running); return nil })
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -201,6 +201,11 @@
 		e.counts.series.Gauge("upstreams.cold", name).Update(int64(cold))
 		e.counts.series.Gauge("retries.left", name).Update(int64(e.retries.Remaining(service, e.instances())))
 	}
+	for _, usage := range e.retries.Usage(e.instances()) {
+		name := label(labelService, usage.Service)
+		e.counts.series.Gauge("retries.taken", name).Update(int64(usage.Taken))
+		e.counts.series.Gauge("retries.refused", name).Update(int64(usage.Refused))
+	}
 }
 
 // hash returns a hash of a request's ID that is the same in each attempt.
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -97,6 +97,9 @@
 	UpstreamLimited   Name = "upstream-limited"
 	UpstreamUnlimited Name = "upstream-unlimited"
 	UpstreamLimitOdd  Name = "upstream-limit-odd"
+	// RetryBudgetUsed records the retries at a service since the last such line, and the state of
+	// the budget.
+	RetryBudgetUsed Name = "retry-budget-used"
 	// UpstreamLeaving means that an upstream reported in an answer that it is leaving.
 	UpstreamLeaving Name = "upstream-leaving"
 	// UpstreamResting means that an upstream rejected a request and requested a backoff.
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -14,6 +14,8 @@
 const (
 	KeyActive        = "active"  // requests in flight
 	KeyAfter         = "after"   // ID of the last stream event that the caller has
+	KeyAgeMS         = "age_ms"  // time since the process started
+	KeyAllowed       = "allowed" // upper bound of a count
 	KeyAt            = "at"      // time of the event, on a line that was written later
 	KeyBegan         = "began"   // when an upstream started, Unix milliseconds by its clock
 	KeyBegun         = "begun"   // whether the caller already has a part of the answer
@@ -68,6 +70,9 @@
 	KeyReason        = "reason"         // reason of a refusal
 	KeyRegion        = "region"
 	KeyRequest       = "request"  // the request's ID
+	KeyRequests      = "requests" // number of requests
+	KeyRefused       = "refused"  // number of refusals
+	KeyRetries       = "retries"  // number of retries
 	KeyResting       = "resting"  // upstreams ejected or backing off
 	KeyRetryMS       = "retry_ms" // retry delay sent to the caller
 	KeyRevision      = "revision" // revision of the store
@@ -81,6 +86,7 @@
 	KeyStatus        = "status"       // HTTP status
 	KeySteps         = "steps"        // number of lines about steps of failed or slow requests
 	KeyStoreAgeMS    = "store_age_ms" // time since the last answer of the store
+	KeyTaken         = "taken"        // number of grants
 	KeyTarget        = "target"       // an upstream's ID or an instance's name
 	KeyUncached      = "uncached"     // the request's prompt tokens that the target has to prefill
 	KeyUnsent        = "unsent"       // whether no byte of the request was sent
--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,7 +26,21 @@
 	byName map[string]*retryCounts
 }
 
-type retryCounts struct{ requests, retries window }
+type retryCounts struct {
+	requests, retries window
+	// taken and refused count since the start.
+	taken, refused int
+}
+
+// RetryUsage describes the retries at one service, as one instance counts them.
+type RetryUsage struct {
+	Service string
+	// Requests and Retries are those of the current window, and Allowed the bound of Retries.
+	Requests, Retries int
+	Allowed           float64
+	// Taken and Refused count since the instance's start.
+	Taken, Refused int
+}
 
 // retryMargin is the share of the allowance that is used: requests of one window are
 // counted by other instances in a window that begins slightly earlier or later.
@@ -58,12 +74,31 @@
 	counts := s.counts(service)
 	now := s.now()
 	if float64(counts.retries.sum(now, s.Window)+1) > s.allowed(counts, now, instances) {
+		counts.refused++
 		return false
 	}
 	counts.retries.add(now, s.Window)
+	counts.taken++
 	return true
 }
 
+// Usage returns the usage of all services that had requests, as one of so many instances, in the
+// order of their names.
+func (s *RetryShares) Usage(instances int) []RetryUsage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	usage := make([]RetryUsage, 0, len(s.byName))
+	for _, service := range slices.Sorted(maps.Keys(s.byName)) {
+		counts := s.byName[service]
+		usage = append(usage, RetryUsage{
+			Service: service, Requests: counts.requests.sum(now, s.Window), Retries: counts.retries.sum(now, s.Window),
+			Allowed: s.allowed(counts, now, instances), Taken: counts.taken, Refused: counts.refused,
+		})
+	}
+	return usage
+}
+
 // Remaining returns how many retries the service has left now, for one of so many instances.
 func (s *RetryShares) Remaining(service string, instances int) int {
 	s.mu.Lock()
