--- a/pkg/edge/sim_engine_test.go
+++ b/pkg/edge/sim_engine_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -40,6 +41,9 @@
 	retryAfterSeconds float64
 	rejectedInstance  string
 	backoffs          []requestedBackoff
+	// failedShare is the share of its requests that the engine answers with an error.
+	failedShare float64
+	draws       *rand.Rand
 	// leavingReportedAt holds the time at which the running process first reported to each
 	// instance that it is leaving.
 	leavingReportedAt map[string]time.Time
@@ -134,6 +138,13 @@
 	return true
 }
 
+// setFailedShare makes the engine answer a share of its requests with an error.
+func (e *simEngine) setFailedShare(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failedShare = share
+}
+
 func (e *simEngine) setLimit(limit string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -215,8 +226,8 @@
 			return
 		}
 		e.mu.Lock()
-		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), body: string(body)})
-		limit := e.limit
+		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), id: request.Header.Get(testID), body: string(body)})
+		limit, fails := e.limit, e.failedShare > e.draws.Float64()
 		e.mu.Unlock()
 		if request.URL.Path == testHealthPath {
 			fields := []string{testInstance + ": " + id, fmt.Sprintf("%s: %d", testColdMS, e.coldLeft().Milliseconds())}
@@ -232,6 +243,10 @@
 			writeResponse(conn, request, http.StatusServiceUnavailable, "Content-Length: 0\r\n", "", testNotRun+": 1", fmt.Sprintf("Retry-After: %g", seconds))
 			continue
 		}
+		if fails {
+			writeResponse(conn, request, http.StatusInternalServerError, "Content-Length: 0\r\n", "")
+			continue
+		}
 		if !e.answer(conn, request, limit) {
 			return
 		}
--- a/pkg/edge/sim_network_test.go
+++ b/pkg/edge/sim_network_test.go
@@ -82,6 +82,35 @@
 type endpoint struct {
 	*simNetwork
 	name, region string
+
+	held sync.Mutex
+	// killed is true once the process was killed; open holds its listeners and connections.
+	killed bool
+	open   []io.Closer
+}
+
+// kill cuts the process off from the network for good: its listeners and connections are closed.
+func (e *endpoint) kill() {
+	e.held.Lock()
+	e.killed = true
+	open := e.open
+	e.open = nil
+	e.held.Unlock()
+	for _, closer := range open {
+		_ = closer.Close()
+	}
+}
+
+// hold records what a kill closes. It reports false, and closes it, if the process was killed.
+func (e *endpoint) hold(closer io.Closer) bool {
+	e.held.Lock()
+	defer e.held.Unlock()
+	if e.killed {
+		_ = closer.Close()
+		return false
+	}
+	e.open = append(e.open, closer)
+	return true
 }
 
 // Dial implements control.Transport.
@@ -105,7 +134,7 @@
 		lost := func() bool { return e.separated(e.name, listener.owner) }
 		ours.out.lost, theirs.out.lost = lost, lost
 	}
-	if listener == nil || !listener.offer(theirs) {
+	if !e.hold(ours) || listener == nil || !listener.endpoint.hold(theirs) || !listener.offer(theirs) {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	return ours, nil
@@ -113,19 +142,30 @@
 
 // Listen implements control.Transport.
 func (e *endpoint) Listen(_ context.Context, network, address string) (net.Listener, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.listeners[address] != nil {
+	listener := &simListener{endpoint: e, owner: e.name, address: address, offered: make(chan net.Conn), closed: make(chan struct{})}
+	if !e.bind(listener) {
 		return nil, &net.OpError{Op: "listen", Net: network, Err: os.NewSyscallError("bind", syscall.EADDRINUSE)}
 	}
-	listener := &simListener{simNetwork: e.simNetwork, owner: e.name, address: address, offered: make(chan net.Conn), closed: make(chan struct{})}
-	e.listeners[address] = listener
-	e.regions[address] = e.region
+	if !e.hold(listener) {
+		return nil, &net.OpError{Op: "listen", Net: network, Err: net.ErrClosed}
+	}
 	return listener, nil
 }
 
+// bind reports false if the address is in use.
+func (e *endpoint) bind(listener *simListener) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listeners[listener.address] != nil {
+		return false
+	}
+	e.listeners[listener.address] = listener
+	e.regions[listener.address] = e.region
+	return true
+}
+
 type simListener struct {
-	*simNetwork
+	endpoint       *endpoint
 	owner, address string
 	offered        chan net.Conn
 	closed         chan struct{}
@@ -154,9 +194,10 @@
 // Close implements net.Listener.
 func (l *simListener) Close() error {
 	l.once.Do(func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.listeners, l.address)
+		network := l.endpoint.simNetwork
+		network.mu.Lock()
+		defer network.mu.Unlock()
+		delete(network.listeners, l.address)
 		close(l.closed)
 	})
 	return nil
--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -38,8 +38,10 @@
 	// coldRate is the number of requests a second that an engine bears while it is cold, zero if
 	// unlimited.
 	coldRate float64
-	lines    logtest.Lines
-	store    *simStore
+	// limits are the limits in the settings of all instances.
+	limits Limits
+	lines  logtest.Lines
+	store  *simStore
 
 	mu        sync.Mutex
 	instances []*simInstance
@@ -62,8 +64,9 @@
 // simInstance is the slot of an instance, and the process that runs there.
 type simInstance struct {
 	fleet.Instance
-	edge *Edge
-	stop context.CancelFunc
+	edge     *Edge
+	endpoint *endpoint
+	stop     context.CancelFunc
 	// ended is closed once the process has ended.
 	ended chan struct{}
 	down  bool
@@ -72,7 +75,8 @@
 type arrival struct {
 	at           time.Time
 	engine, from string
-	body         string
+	// id is the request's ID.
+	id, body string
 }
 
 type callerAnswer struct {
@@ -112,10 +116,16 @@
 // runColdSimulation is runSimulation with engines that bear only coldRate requests a second while
 // cold.
 func runColdSimulation(t *testing.T, seed uint64, coldRate float64, route httproute.Route, regions []simRegion, test func(s *simulation)) {
+	t.Helper()
+	runLimitedSimulation(t, seed, coldRate, Limits{}, route, regions, test)
+}
+
+// runLimitedSimulation is runColdSimulation with limits in the settings of all instances.
+func runLimitedSimulation(t *testing.T, seed uint64, coldRate float64, limits Limits, route httproute.Route, regions []simRegion, test func(s *simulation)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &simulation{
-			T: t, is: is.New(t), network: newSimNetwork(), random: rand.New(rand.NewPCG(seed, 1)), route: route, coldRate: coldRate,
+			T: t, is: is.New(t), network: newSimNetwork(), random: rand.New(rand.NewPCG(seed, 1)), route: route, coldRate: coldRate, limits: limits,
 			crashesByBody: make(map[string][]time.Time), evacuated: make(map[string]bool),
 		}
 		t.Cleanup(s.tearDown)
@@ -144,7 +154,7 @@
 	for i := range region.engines {
 		address := fmt.Sprintf("engine-%s-%d", region.name, i)
 		s.network.setRegion(address, region.name)
-		e := &simEngine{simulation: s, region: region.name, address: address}
+		e := &simEngine{simulation: s, region: region.name, address: address, draws: rand.New(rand.NewPCG(uint64(len(s.engines)), 2))}
 		s.engines = append(s.engines, e)
 		e.start()
 	}
@@ -154,11 +164,13 @@
 	settings := &Settings{
 		Instance: i.Name, FailureDomain: i.Domain, Region: i.Region,
 		Listen: Listen{Callers: i.Callers, Peers: i.Peers, Gossip: i.Gossip},
+		Limits: s.limits,
 	}
 	settings.Limits.fill()
+	endpoint := s.network.endpointOf(i.Name, i.Region)
 	registry := metrics.NewRegistry()
 	e, err := New(Options{
-		Settings: settings, Dialect: testDialect{}, Transport: s.network.endpointOf(i.Name, i.Region),
+		Settings: settings, Dialect: testDialect{}, Transport: endpoint,
 		Store:     mirror.New(mirror.Options{Source: unavailableStore{}, Clock: clock.System{}, Log: zerolog.Nop()}),
 		Registrar: s.store, QuarantineKey: func(request quarantine.Fingerprint) string { return "quarantine/" + request.Key() },
 		Value: func(fleet.Instance) ([]byte, error) { return nil, nil },
@@ -167,13 +179,14 @@
 	s.is.NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.mu.Lock()
-	i.edge, i.stop, i.ended, i.down, i.Incarnation = e, cancel, make(chan struct{}), false, e.self.Incarnation
+	ended := make(chan struct{})
+	i.edge, i.endpoint, i.stop, i.ended, i.down, i.Incarnation = e, endpoint, cancel, ended, false, e.self.Incarnation
 	s.mu.Unlock()
 	s.configure(e)
 	s.discover()
 	s.store.publish()
 	go func() {
-		defer close(i.ended)
+		defer close(ended)
 		// Run returns the errors of its shutdown, which are expected when a simulation stops.
 		_ = e.Run(ctx)
 	}()
@@ -190,6 +203,28 @@
 	s.start(i)
 }
 
+// kill ends an instance's process without a shutdown. The others learn of it by its silence.
+func (s *simulation) kill(i *simInstance) {
+	s.mu.Lock()
+	i.down = true
+	s.mu.Unlock()
+	i.endpoint.kill()
+	i.stop()
+	ended := i.ended
+	s.running.Go(func() { <-ended })
+}
+
+// killAll kills all processes, and starts others in their slots after a pause.
+func (s *simulation) killAll(pause time.Duration) {
+	for _, i := range s.instances {
+		s.kill(i)
+	}
+	clock.Sleep(s.Context(), pause)
+	for _, i := range s.instances {
+		s.start(i)
+	}
+}
+
 // restartAll stops all processes at once, and starts others in their slots.
 func (s *simulation) restartAll() {
 	for _, i := range s.instances {
