pkg/limit: retry budgets that hold over restarts and moves of callers

Cause: each instance counted requests and retries in a window of its own memory. A start emptied both, so the slack was granted once more by each start, and retries earned by the requests before a kill were earned again by those after it. The same holds where callers move from one instance to another within a window.

Fix: a token bucket that starts empty. A window holds at most what was kept before it and what was earned in it, and the two parts together stay within the allowance, whichever process used them.

--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -239,6 +239,8 @@
 const (
 	testRegion  = "north"
 	testService = "llm"
+	// requestsBefore is the number of earlier requests that earned the instance's retries.
+	requestsBefore = 2000
 )
 
 // newHarness returns an instance with a single route of the given kind and the given upstreams,
@@ -260,6 +262,9 @@
 	})
 	h.is.NoErr(err)
 	h.edge = edge
+	for range requestsBefore {
+		edge.retries.RecordRequest(testService)
+	}
 	h.declare(1, route)
 	view := &fleet.View{}
 	for i, u := range upstreams {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -199,10 +199,10 @@
 		name := label(labelService, service)
 		e.counts.series.Gauge("upstreams.usable", name).Update(int64(usable))
 		e.counts.series.Gauge("upstreams.cold", name).Update(int64(cold))
-		e.counts.series.Gauge("retries.left", name).Update(int64(e.retries.Remaining(service, e.instances())))
 	}
 	for _, usage := range e.retries.Usage(e.instances()) {
 		name := label(labelService, usage.Service)
+		e.counts.series.Gauge("retries.left", name).Update(int64(usage.Left))
 		e.counts.series.Gauge("retries.taken", name).Update(int64(usage.Taken))
 		e.counts.series.Gauge("retries.refused", name).Update(int64(usage.Refused))
 	}
--- a/pkg/edge/retry_report.go
+++ b/pkg/edge/retry_report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
@@ -23,7 +24,7 @@
 			}
 			reported[usage.Service] = usage
 			e.log.Info().Str(event.KeyService, usage.Service).Int(event.KeyTaken, usage.Taken-last.Taken).Int(event.KeyRefused, usage.Refused-last.Refused).
-				Int(event.KeyRequests, usage.Requests).Int(event.KeyRetries, usage.Retries).Float64(event.KeyAllowed, usage.Allowed).
+				Int(event.KeyRequests, usage.Requests).Int(event.KeyRetries, usage.Retries).Float64(event.KeyLeft, math.Round(usage.Left*10)/10).
 				Int(event.KeyInstances, e.instances()).Int64(event.KeyAgeMS, e.ageMS(e.startedAt)).Msg(string(event.RetryBudgetUsed))
 		}
 	}
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -15,7 +15,6 @@
 	KeyActive        = "active"  // requests in flight
 	KeyAfter         = "after"   // ID of the last stream event that the caller has
 	KeyAgeMS         = "age_ms"  // time since the process started
-	KeyAllowed       = "allowed" // upper bound of a count
 	KeyAt            = "at"      // time of the event, on a line that was written later
 	KeyBegan         = "began"   // when an upstream started, Unix milliseconds by its clock
 	KeyBegun         = "begun"   // whether the caller already has a part of the answer
@@ -52,6 +51,7 @@
 	KeyLimit         = "limit"          // limit of an organisation, in units a second, or of an upstream, in requests
 	KeyLimited       = "limited"        // upstreams at their advertised limits for this instance
 	KeyLogLevel      = "log_level"      // minimum level of lines that are written
+	KeyLeft          = "left"           // what remains of a budget
 	KeyLeftMS        = "left_ms"        // time left until the deadline
 	KeyMS            = "ms"             // time since the request arrived
 	KeyNew           = "new"            // whether the upstream was unknown before
--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -12,9 +12,12 @@
 // agree on their number add up to the total; if they disagree, the callers of these limits
 // count the larger number.
 
-// RetryShares bounds retries of requests, by service and over a sliding window, so that all
-// instances together stay within ratio times the requests plus slack. It is safe for
-// concurrent use.
+// RetryShares bounds retries of requests, by service, so that all instances together stay within
+// Ratio times the requests plus Slack in any window. It is safe for concurrent use.
+//
+// It is a token bucket that starts empty: requests and time earn retries, and what is not used is
+// kept up to a bound. So the total holds without any memory of earlier processes, also when
+// instances restart in series or callers move between instances within a window.
 type RetryShares struct {
 	// Ratio is retries for each request; Slack is further retries in a window, for all
 	// instances together; Window is the window's length.
@@ -23,10 +26,25 @@
 	Window time.Duration
 	now    func() time.Time
 	mu     sync.Mutex
-	byName map[string]*retryCounts
+	byName map[string]*retryBucket
 }
 
-type retryCounts struct {
+// Shares of the allowance of a window. An instance may use in a window what it had kept before,
+// and what it earns within it: the parts of the ratio and those of the slack add up to 0.9, since
+// requests are counted somewhat earlier or later than their retries.
+const (
+	earnedByRequests = 0.55
+	keptOfRequests   = 0.35
+	earnedOfSlack    = 0.4
+	keptOfSlack      = 0.5
+)
+
+// retryBucket holds the retries at one service.
+type retryBucket struct {
+	// balance is what may be used, and settledAt the time until which the slack is earned.
+	balance   float64
+	settledAt time.Time
+	// requests and retries count those of the current window.
 	requests, retries window
 	// taken and refused count since the start.
 	taken, refused int
@@ -35,53 +53,62 @@
 // RetryUsage describes the retries at one service, as one instance counts them.
 type RetryUsage struct {
 	Service string
-	// Requests and Retries are those of the current window, and Allowed the bound of Retries.
+	// Requests and Retries are those of the current window, and Left what may still be used.
 	Requests, Retries int
-	Allowed           float64
+	Left              float64
 	// Taken and Refused count since the instance's start.
 	Taken, Refused int
 }
 
-// retryMargin is the share of the allowance that is used: requests of one window are
-// counted by other instances in a window that begins slightly earlier or later.
-const retryMargin = 0.8
-
-// NewRetryShares returns RetryShares that have counted nothing.
+// NewRetryShares returns RetryShares that have earned nothing.
 func NewRetryShares(ratio, slack float64, length time.Duration, now func() time.Time) *RetryShares {
-	return &RetryShares{Ratio: ratio, Slack: slack, Window: length, now: now, byName: make(map[string]*retryCounts)}
+	return &RetryShares{Ratio: ratio, Slack: slack, Window: length, now: now, byName: make(map[string]*retryBucket)}
 }
 
-func (s *RetryShares) counts(service string) *retryCounts {
-	counts := s.byName[service]
-	if counts == nil {
-		counts = &retryCounts{}
-		s.byName[service] = counts
+func (s *RetryShares) bucket(service string) *retryBucket {
+	bucket := s.byName[service]
+	if bucket == nil {
+		bucket = &retryBucket{settledAt: s.now()}
+		s.byName[service] = bucket
 	}
-	return counts
+	return bucket
 }
 
 // RecordRequest counts a request for the service.
 func (s *RetryShares) RecordRequest(service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts(service).requests.add(s.now(), s.Window)
+	bucket := s.bucket(service)
+	bucket.requests.add(s.now(), s.Window)
+	bucket.balance += earnedByRequests * s.Ratio
 }
 
 // Take uses one retry at the service, as one of so many instances.
 func (s *RetryShares) Take(service string, instances int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	counts := s.counts(service)
-	now := s.now()
-	if float64(counts.retries.sum(now, s.Window)+1) > s.allowed(counts, now, instances) {
-		counts.refused++
+	bucket, now := s.bucket(service), s.now()
+	s.settle(bucket, now, instances)
+	if bucket.balance < 1 {
+		bucket.refused++
 		return false
 	}
-	counts.retries.add(now, s.Window)
-	counts.taken++
+	bucket.balance--
+	bucket.retries.add(now, s.Window)
+	bucket.taken++
 	return true
 }
 
+// settle adds the slack that was earned since the last time, and drops what may not be kept.
+func (s *RetryShares) settle(bucket *retryBucket, now time.Time, instances int) {
+	slack := s.Slack / float64(max(1, instances))
+	passed := max(0, now.Sub(bucket.settledAt))
+	bucket.settledAt = now
+	earned := earnedOfSlack * slack * passed.Seconds() / s.Window.Seconds()
+	most := keptOfRequests*s.Ratio*float64(bucket.requests.sum(now, s.Window)) + keptOfSlack*slack
+	bucket.balance = min(bucket.balance+earned, most)
+}
+
 // Usage returns the usage of all services that had requests, as one of so many instances, in the
 // order of their names.
 func (s *RetryShares) Usage(instances int) []RetryUsage {
@@ -90,29 +117,16 @@
 	now := s.now()
 	usage := make([]RetryUsage, 0, len(s.byName))
 	for _, service := range slices.Sorted(maps.Keys(s.byName)) {
-		counts := s.byName[service]
+		bucket := s.byName[service]
+		s.settle(bucket, now, instances)
 		usage = append(usage, RetryUsage{
-			Service: service, Requests: counts.requests.sum(now, s.Window), Retries: counts.retries.sum(now, s.Window),
-			Allowed: s.allowed(counts, now, instances), Taken: counts.taken, Refused: counts.refused,
+			Service: service, Requests: bucket.requests.sum(now, s.Window), Retries: bucket.retries.sum(now, s.Window),
+			Left: bucket.balance, Taken: bucket.taken, Refused: bucket.refused,
 		})
 	}
 	return usage
 }
 
-// Remaining returns how many retries the service has left now, for one of so many instances.
-func (s *RetryShares) Remaining(service string, instances int) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	counts := s.counts(service)
-	now := s.now()
-	return int(s.allowed(counts, now, instances)) - counts.retries.sum(now, s.Window)
-}
-
-// allowed returns how many retries of a window may come from one of so many instances.
-func (s *RetryShares) allowed(counts *retryCounts, now time.Time, instances int) float64 {
-	return retryMargin * (s.Ratio*float64(counts.requests.sum(now, s.Window)) + s.Slack/float64(max(1, instances)))
-}
-
 // window counts events over a sliding time in windowSteps steps. The window covers the
 // configured length and up to one step more.
 type window struct {
--- a/pkg/limit/window_test.go
+++ b/pkg/limit/window_test.go
@@ -89,6 +89,68 @@
 	})
 }
 
+// TestRetriesOfRestartedInstancesStayWithinTheTotal guards against retries that each start of an
+// instance grants anew, and against retries earned once by the requests before a start or a move
+// of the callers and once more by those after it.
+func TestRetriesOfRestartedInstancesStayWithinTheTotal(t *testing.T) {
+	const ratio, slack, window = 0.2, 54.0, 10 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 8).Draw(t, "instances")
+		clock := newManualClock()
+		start := func() *limit.RetryShares { return limit.NewRetryShares(ratio, slack, window, clock.now) }
+		shares := make([]*limit.RetryShares, instances)
+		for i := range shares {
+			shares[i] = start()
+		}
+		var requests, retries []time.Time
+		for range rapid.IntRange(2, 12).Draw(t, "phases") {
+			first := rapid.IntRange(0, instances-1).Draw(t, "first instance with callers")
+			serving := rapid.IntRange(1, instances-first).Draw(t, "instances with callers")
+			failing := rapid.Bool().Draw(t, "failing")
+			end := clock.at.Add(time.Duration(rapid.IntRange(100, 12_000).Draw(t, "length")) * time.Millisecond)
+			for n := 0; clock.at.Before(end); n++ {
+				clock.at = clock.at.Add(10 * time.Millisecond)
+				share := shares[first+n%serving]
+				share.RecordRequest("s")
+				requests = append(requests, clock.at)
+				for failing && share.Take("s", instances) {
+					retries = append(retries, clock.at)
+				}
+			}
+			for i := range shares {
+				if rapid.Bool().Draw(t, "restart") {
+					shares[i] = start()
+				}
+			}
+		}
+		for i, start := range retries {
+			within := 0
+			for _, at := range retries[i:] {
+				if at.Sub(start) < window {
+					within++
+				}
+			}
+			most := max(countIn(requests, start, window), countIn(requests, start.Add(-window/2), window), countIn(requests, start.Add(-window), window))
+			if float64(within) > ratio*float64(most)+slack {
+				t.Fatalf("%d retries for %d requests", within, most)
+			}
+		}
+	})
+}
+
+// TestStartedInstanceEarnsRetriesSoon guards against callers whose requests are not sent again for
+// seconds after a planned restart.
+func TestStartedInstanceEarnsRetriesSoon(t *testing.T) {
+	is := is.New(t)
+	clock := newManualClock()
+	shares := limit.NewRetryShares(0.2, 54, 10*time.Second, clock.now)
+	for range 20 {
+		clock.at = clock.at.Add(50 * time.Millisecond)
+		shares.RecordRequest("s")
+	}
+	is.True(shares.Take("s", 7))
+}
+
 func countIn(times []time.Time, start time.Time, length time.Duration) int {
 	n := 0
 	for _, at := range times {
