--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -118,6 +118,8 @@
 	counts           counters
 	// latestCounts holds the newest counts of the instances.
 	latestCounts atomic.Pointer[instanceCounts]
+	// mostInstances is the largest number of instances known lately.
+	mostInstances recentMaximum
 }
 
 // Timeouts and intervals of connections.
--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -14,6 +14,10 @@
 // number of registered ones.
 func (e *Edge) instances() int { return e.countInstances().all }
 
+// sharingInstances returns the number of instances among which a limit of the whole deployment is
+// divided. It counts those that may exist unknown to this one, and those known until recently.
+func (e *Edge) sharingInstances() int { return e.countInstances().sharing }
+
 // regionInstances returns the number of instances in the own region.
 func (e *Edge) regionInstances() int { return e.countInstances().inRegion }
 
@@ -23,8 +27,12 @@
 	fleet         *fleet.View
 	peers         *peer.View
 	all, inRegion int
-	// regionByName holds the region of each instance.
+	// sharing is the number of instances among which limits of the whole deployment are divided.
+	sharing int
+	// regionByName holds the region of each instance, and inDomain the number of instances by
+	// failure domain.
 	regionByName map[string]string
+	inDomain     map[string]int
 	// shares caches this instance's share of each upstream with a limit.
 	shares sync.Map
 	// grewAt is the time at which inRegion last grew.
@@ -38,6 +46,7 @@
 		return last
 	}
 	counted := e.countFrom(view, peers)
+	counted.sharing = e.mostInstances.observe(counted.all+counted.inUnknownDomains(e.settings), e.now())
 	switch last := e.latestCounts.Load(); {
 	case last == nil:
 		counted.grewAt = e.startedAt
@@ -51,21 +60,28 @@
 }
 
 func (e *Edge) countFrom(view *fleet.View, peers *peer.View) *instanceCounts {
-	regions := map[string]string{e.self.Name: e.self.Region}
+	regions, inDomain := make(map[string]string), make(map[string]int)
+	add := func(instance *fleet.Instance) {
+		if _, known := regions[instance.Name]; !known {
+			inDomain[instance.Domain]++
+		}
+		regions[instance.Name] = instance.Region
+	}
+	add(&e.self)
 	if view != nil {
 		for i := range view.Instances {
-			regions[view.Instances[i].Name] = view.Instances[i].Region
+			add(&view.Instances[i])
 		}
 	}
 	if peers != nil {
 		now := e.now()
 		for i := range peers.Others {
 			if known := &peers.Others[i]; known.Live(now) {
-				regions[known.Instance.Name] = known.Instance.Region
+				add(&known.Instance)
 			}
 		}
 	}
-	counted := &instanceCounts{fleet: view, peers: peers, all: len(regions), regionByName: regions}
+	counted := &instanceCounts{fleet: view, peers: peers, all: len(regions), regionByName: regions, inDomain: inDomain}
 	for _, region := range regions {
 		if region == e.self.Region {
 			counted.inRegion++
@@ -74,6 +90,42 @@
 	return counted
 }
 
+// inUnknownDomains estimates the instances of the declared failure domains of which no instance is
+// known: they may be there, cut off from this one. Each is taken to be as large as the own one.
+func (t *instanceCounts) inUnknownDomains(settings *Settings) int {
+	unknown := 0
+	for domain := range settings.Domains {
+		if t.inDomain[domain] == 0 {
+			unknown++
+		}
+	}
+	return unknown * max(1, t.inDomain[settings.FailureDomain])
+}
+
+// instanceMemory is the time for which an instance that is no longer known counts among those that
+// share a limit of the whole deployment: it may be cut off, and still use its share.
+const instanceMemory = 5 * time.Minute
+
+// recentMaximum is the largest of the numbers observed in about the last instanceMemory. It is
+// safe for concurrent use; the zero value has observed nothing.
+type recentMaximum struct {
+	mu sync.Mutex
+	// current is the largest number since its start, and previous that of the time before.
+	current, previous int
+	since             time.Time
+}
+
+// observe records a number and returns the maximum.
+func (m *recentMaximum) observe(n int, now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.since) >= instanceMemory {
+		m.previous, m.current, m.since = m.current, 0, now
+	}
+	m.current = max(m.current, n)
+	return max(m.current, m.previous)
+}
+
 // minInstances is the number of instances that a region is assumed to have at least: after a
 // restart of all instances each knows only itself.
 const minInstances = 3
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -153,7 +153,7 @@
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
 	case j.attemptsLeft <= 0 || j.sends >= maxSends:
 		return j.retriesExhausted("no attempt is left")
-	case j.sends > 0 && !j.retries.Take(j.service.Name, j.instances()):
+	case j.sends > 0 && !j.retries.Take(j.service.Name, j.sharingInstances()):
 		return j.retriesExhausted("the retry budget is used up")
 	}
 	return nil
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -200,7 +200,7 @@
 		e.counts.series.Gauge("upstreams.usable", name).Update(int64(usable))
 		e.counts.series.Gauge("upstreams.cold", name).Update(int64(cold))
 	}
-	for _, usage := range e.retries.Usage(e.instances()) {
+	for _, usage := range e.retries.Usage(e.sharingInstances()) {
 		name := label(labelService, usage.Service)
 		e.counts.series.Gauge("retries.left", name).Update(int64(usage.Left))
 		e.counts.series.Gauge("retries.taken", name).Update(int64(usage.Taken))
--- a/pkg/edge/retry_budget_test.go
+++ b/pkg/edge/retry_budget_test.go
@@ -107,3 +107,26 @@
 		})
 	}
 }
+
+// TestRetriesOfSeparatedRegionsStayWithinTheBudget guards against instances that take the shares
+// of those that they no longer know, or do not know yet.
+func TestRetriesOfSeparatedRegionsStayWithinTheBudget(t *testing.T) {
+	for name, restart := range map[string]bool{"instances that knew the others": false, "instances that started since": true} {
+		t.Run(name, func(t *testing.T) {
+			runLimitedSimulation(t, 22, 0, retryLimits, retryRoute, threeRegions, func(s *simulation) {
+				requests := s.sendTimes(20, func() {
+					s.separateRegions()
+					clock.Sleep(s.Context(), 6*time.Second)
+					if restart {
+						s.killAll(500 * time.Millisecond)
+					}
+					clock.Sleep(s.Context(), 20*time.Second)
+					s.failEngines(1)
+					clock.Sleep(s.Context(), 12*time.Second)
+				})
+				s.running.Wait()
+				s.checkRetryBudget(t, requests)
+			})
+		})
+	}
+}
--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -49,6 +50,8 @@
 	arrivals  []arrival
 	// evacuated holds the failure domains with engines that must get no requests.
 	evacuated map[string]bool
+	// expired is true while registrations expire that an instance of another region made.
+	expired bool
 	// historyLost is the time at which a part of the store's history was last found to be lost.
 	historyLost time.Time
 	// view is the last published view of engines and instances.
@@ -164,7 +167,10 @@
 	settings := &Settings{
 		Instance: i.Name, FailureDomain: i.Domain, Region: i.Region,
 		Listen: Listen{Callers: i.Callers, Peers: i.Peers, Gossip: i.Gossip},
-		Limits: s.limits,
+		Limits: s.limits, Domains: make(map[string]string),
+	}
+	for _, other := range s.instances {
+		settings.Domains[other.Domain] = other.Region
 	}
 	settings.Limits.fill()
 	endpoint := s.network.endpointOf(i.Name, i.Region)
@@ -278,11 +284,33 @@
 	s.view = view
 	for _, i := range s.instances {
 		if !i.down {
-			i.edge.board.Fleet.Store(view)
+			i.edge.board.Fleet.Store(s.seenFrom(i.Region, view))
 		}
 	}
 }
 
+// seenFrom returns a view as instances of a region see it.
+func (s *simulation) seenFrom(region string, view *fleet.View) *fleet.View {
+	if !s.expired {
+		return view
+	}
+	seen := *view
+	seen.Instances = slices.DeleteFunc(slices.Clone(view.Instances), func(i fleet.Instance) bool { return i.Region != region })
+	return &seen
+}
+
+// separateRegions partitions all regions from each other. Each sees the registrations of the
+// others expire.
+func (s *simulation) separateRegions() {
+	for _, i := range s.instances {
+		s.network.setRegionPartitioned(i.Region, true)
+	}
+	s.mu.Lock()
+	s.expired = true
+	s.mu.Unlock()
+	s.discover()
+}
+
 // evacuate starts or ends an evacuation of a region's engines. The published view of the engines
 // is that of their entries.
 func (s *simulation) evacuate(region string, evacuated bool) {
