pkg/edge: record upstreams to which an instance can make no connection

Until now a refusal's resting counted upstreams that rejected a request and those that cannot be reached as one. Lost paths are probed, logged (path-lost, path-restored), counted by service and named in request-failed. No decision uses them yet.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -70,6 +70,7 @@
 		j.ranToCompletion()
 	}
 	if ended != done {
+		j.recordUnreachable(upstream, call.err)
 		j.suspect(upstream, call.err)
 	}
 	if ended == done && j.service.Engine == nil {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -100,6 +100,7 @@
 	departures     *limit.Departures
 	suspicions     *suspicions
 	streams        *streamMonitor
+	paths          *paths
 	quarantine     *quarantine.Table
 	crashProbes    *crashProbes
 	// quarantineWrites holds the requests with quarantine records to be written to the store.
@@ -174,6 +175,7 @@
 		departures:       limit.NewDepartures(system.Now),
 		suspicions:       newSuspicions(),
 		streams:          newStreamMonitor(),
+		paths:            newPaths(),
 		quarantine:       quarantine.NewTable(system),
 		crashProbes:      newCrashProbes(),
 		quarantineWrites: make(chan quarantineWrite, maxPendingWrites),
@@ -221,6 +223,7 @@
 	group.Go(func() error { e.sweep(running); return nil })
 	group.Go(func() error { e.followFleet(running); return nil })
 	group.Go(func() error { e.watchStreams(running); return nil })
+	group.Go(func() error { e.probePaths(running); return nil })
 	group.Go(func() error { e.reportRetries(running); return nil })
 	group.Go(func() error { e.followLimits(running); return nil })
 	group.Go(func() error { e.sweepQuarantine(running); return nil })
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -193,6 +193,7 @@
 		Admits:    j.admits,
 		Named:     j.upstreamLimits.Of,
 		LimitWait: j.limitWait,
+		PathLost:  j.paths.isLost,
 		Leaving:   j.leavingFilter(),
 		Recent:    j.recent,
 		CallTimes: j.pace,
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -186,10 +186,12 @@
 	}
 	now := e.now()
 	for _, service := range config.ServiceNames() {
-		usable, cold := 0, 0
+		usable, cold, unreachable := 0, 0, 0
 		for _, upstream := range view.Service(service) {
 			switch {
 			case upstream.Region != e.settings.Region || !view.Usable(upstream) || e.departures.Leaving(upstream.ID):
+			case e.paths.isLost(upstream.ID):
+				unreachable++
 			case upstream.Cold(now):
 				cold++
 			default:
@@ -199,6 +201,7 @@
 		name := label(labelService, service)
 		e.counts.series.Gauge("upstreams.usable", name).Update(int64(usable))
 		e.counts.series.Gauge("upstreams.cold", name).Update(int64(cold))
+		e.counts.series.Gauge("upstreams.unreachable", name).Update(int64(unreachable))
 	}
 	for _, usage := range e.retries.Usage(e.sharingInstances()) {
 		name := label(labelService, usage.Service)
--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -74,6 +74,7 @@
 			e.counts.series.Remove(label(labelTarget, id))
 			e.suspicions.forget(id)
 			e.streams.forget(id)
+			e.paths.remove(id, e.now())
 			e.upstreamLimits.Forget(id)
 		}
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -100,6 +100,10 @@
 	// RetryBudgetUsed records the retries at a service since the last such line, and the state of
 	// the budget.
 	RetryBudgetUsed Name = "retry-budget-used"
+	// PathLost means that no connection to an upstream can be made from this instance, and
+	// PathRestored that one was made again.
+	PathLost     Name = "path-lost"
+	PathRestored Name = "path-restored"
 	// UpstreamLeaving means that an upstream reported in an answer that it is leaving.
 	UpstreamLeaving Name = "upstream-leaving"
 	// UpstreamResting means that an upstream rejected a request and requested a backoff.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -73,6 +73,9 @@
 // ErrFull means that all of the target's connections are in use.
 var ErrFull = errors.New("all connections to the target are in use")
 
+// ErrUnreachable means that no connection to the target could be made in time.
+var ErrUnreachable = errors.New("no connection can be made")
+
 // Answer is the head of an answer and its body, which must be read to its end or
 // closed.
 type Answer struct {
--- a/pkg/exchange/pool.go
+++ b/pkg/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -77,7 +78,6 @@
 	conns := p.targets[target.ID]
 	if conns == nil {
 		conns = &connections{}
-		p.targets[target.ID] = conns
 	}
 	if last := len(conns.idle) - 1; last >= 0 {
 		c = conns.idle[last]
@@ -87,22 +87,48 @@
 	if target.MaxConnections > 0 && conns.open >= target.MaxConnections {
 		return nil, false, ErrFull
 	}
-	conns.open++
-	p.dialed++
+	p.open(target.ID)
 	return nil, true, nil
 }
 
 func (p *Pool) connect(ctx context.Context, target Target) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	dialling, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
-	plain, err := p.dial(ctx, "tcp", target.Address)
+	plain, err := p.dial(dialling, "tcp", target.Address)
 	if err != nil {
 		p.release(target.ID)
+		if ctx.Err() == nil {
+			err = fmt.Errorf("%w: %w", ErrUnreachable, err)
+		}
 		return nil, err
 	}
 	return &conn{Conn: plain, target: target.ID, reader: newReader(plain)}, nil
 }
 
+// Probe opens a new connection to the target and keeps it for later requests. Errors are *Error.
+func (p *Pool) Probe(ctx context.Context, target Target) error {
+	p.mu.Lock()
+	p.open(target.ID)
+	p.mu.Unlock()
+	c, err := p.connect(ctx, target)
+	if err != nil {
+		return &Error{Stage: Unsent, Target: target, Err: err}
+	}
+	p.putIdle(c, defaultIdleTimeout)
+	return nil
+}
+
+// open counts a connection that is about to be opened. The caller holds p.mu.
+func (p *Pool) open(target string) {
+	conns := p.targets[target]
+	if conns == nil {
+		conns = &connections{}
+		p.targets[target] = conns
+	}
+	conns.open++
+	p.dialed++
+}
+
 func (p *Pool) release(target string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -86,11 +86,22 @@
 
 // RegionOf returns the region of an upstream; empty when it is not known.
 func (v *View) RegionOf(id string) string {
+	if upstream := v.Find(id); upstream != nil {
+		return upstream.Region
+	}
+	return ""
+}
+
+// Find returns an upstream, nil if it is not known.
+func (v *View) Find(id string) *Upstream {
+	if v == nil {
+		return nil
+	}
 	i, ok := slices.BinarySearchFunc(v.Upstreams, id, func(u Upstream, id string) int { return strings.Compare(u.ID, id) })
 	if !ok {
-		return ""
+		return nil
 	}
-	return v.Upstreams[i].Region
+	return &v.Upstreams[i]
 }
 
 // Service returns the upstreams of a service, of all regions, sorted by ID.
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -56,6 +56,9 @@
 	// limits.
 	Named     func(upstream string) limit.Named
 	LimitWait func(u *fleet.Upstream) time.Duration
+	// PathLost reports whether this instance can make no connection to an upstream; nil if it
+	// can to all.
+	PathLost func(upstream string) bool
 	// Leaving reports whether an upstream has announced that it is leaving; nil if none
 	// has.
 	Leaving func(upstream string) bool
@@ -142,6 +145,8 @@
 	// BackoffWait is the shortest time until one of the latter gets a request.
 	Cold, BackingOff int
 	BackoffWait      time.Duration
+	// Unreachable counts the usable upstreams to which this instance can make no connection.
+	Unreachable int
 	// Limited counts the upstreams skipped because of the limit that they advertise,
 	// LimitWait is the shortest time until one of them may get a request.
 	Limited   int
@@ -174,6 +179,9 @@
 		survey.Slots += w.slots(upstream, req.Service)
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
+		if w.PathLost != nil && w.PathLost(upstream.ID) {
+			survey.Unreachable++
+		}
 		if !survey.usable(w, req, upstream, &own) {
 			continue
 		}
