--- a/pkg/edge/sim_network_test.go
+++ b/pkg/edge/sim_network_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,15 +28,30 @@
 	// partitioned from all others.
 	homes              map[string]string
 	partitionedRegions map[string]bool
+	// withoutEngines holds how each process is partitioned from all engines.
+	withoutEngines map[string]enginePartition
 }
 
+// enginePartition is the way in which a process is partitioned from all engines.
+type enginePartition int
+
+const (
+	notPartitioned enginePartition = iota
+	// silent: no data arrives, and connections are not made.
+	silent
+	// refusing: connections are reset, and new ones refused.
+	refusing
+	// refusingNew: new connections are refused, and others live on.
+	refusingNew
+)
+
 // interRegionDelay is the one-way delay of a connection between regions.
 const interRegionDelay = 55 * time.Millisecond
 
 func newSimNetwork() *simNetwork {
 	return &simNetwork{
 		listeners: make(map[string]*simListener), regions: make(map[string]string), partitioned: make(map[string]bool), peers: make(map[string]bool),
-		homes: make(map[string]string), partitionedRegions: make(map[string]bool),
+		homes: make(map[string]string), partitionedRegions: make(map[string]bool), withoutEngines: make(map[string]enginePartition),
 	}
 }
 
@@ -59,12 +76,40 @@
 	n.partitionedRegions[region] = partitioned
 }
 
+// setWithoutEngines starts or ends a partition between a process and all engines.
+func (n *simNetwork) setWithoutEngines(endpoint *endpoint, partition enginePartition) {
+	n.mu.Lock()
+	n.withoutEngines[endpoint.name] = partition
+	n.mu.Unlock()
+	if partition == refusing {
+		endpoint.resetEngines()
+	}
+}
+
+// partitionFromEngine returns the partition between two processes, one of which is an engine.
+func (n *simNetwork) partitionFromEngine(one, other string) enginePartition {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.enginePartition(one, other)
+}
+
+// enginePartition is partitionFromEngine. The caller holds n.mu.
+func (n *simNetwork) enginePartition(one, other string) enginePartition {
+	if isEngine(one) == isEngine(other) {
+		return notPartitioned
+	}
+	return max(n.withoutEngines[one], n.withoutEngines[other])
+}
+
+// isEngine reports whether an address or process is an engine's.
+func isEngine(name string) bool { return strings.HasPrefix(name, "engine-") }
+
 // separated reports whether two processes are partitioned from each other.
 func (n *simNetwork) separated(one, other string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.peers[one] || !n.peers[other] {
-		return false
+		return n.enginePartition(one, other) == silent
 	}
 	home, otherHome := n.homes[one], n.homes[other]
 	return n.partitioned[one] || n.partitioned[other] || (home != otherHome && (n.partitionedRegions[home] || n.partitionedRegions[otherHome]))
@@ -101,6 +146,18 @@
 	}
 }
 
+// resetEngines closes the connections to engines.
+func (e *endpoint) resetEngines() {
+	e.held.Lock()
+	open := slices.Clone(e.open)
+	e.held.Unlock()
+	for _, closer := range open {
+		if conn, ok := closer.(*simConn); ok && isEngine(conn.remote) {
+			_ = conn.Close()
+		}
+	}
+}
+
 // hold records what a kill closes. It reports false, and closes it, if the process was killed.
 func (e *endpoint) hold(closer io.Closer) bool {
 	e.held.Lock()
@@ -122,6 +179,9 @@
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
 	}
+	if listener != nil && e.partitionFromEngine(e.name, listener.owner) >= refusing {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	}
 	delay := time.Duration(0)
 	if region != e.region {
 		delay = interRegionDelay
--- /dev/null
+++ b/pkg/edge/without_upstreams_test.go
@@ -0,0 +1,163 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
+
+// Bounds of the requests at instances that are partitioned from all engines, from partitionSettled
+// after the cut on: they are served at least two thirds as often as those at the others, or at
+// most so many fail.
+const (
+	partitionSettled  = 5 * time.Second
+	allowedFailures   = 10
+	allowedFailedPart = 50
+)
+
+// twelveEngines is a deployment with instances 0 to 2 in the first region, 3 and 4 in the second,
+// 5 and 6 in the third.
+var twelveEngines = []simRegion{{"north", 3, 5}, {"middle", 2, 4}, {"south", 2, 3}}
+
+// partitionFromEngines starts or ends a partition between some instances and all engines.
+func (s *simulation) partitionFromEngines(partition enginePartition, instances []int) {
+	for _, i := range instances {
+		s.network.setWithoutEngines(s.instances[i].endpoint, partition)
+	}
+}
+
+// servedAt counts the requests of a time at some instances that were answered completely, and all
+// of them.
+func (s *simulation) servedAt(asked map[string]askedRequest, from, until time.Time, at func(instance int) bool) (served, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, answer := range s.answers {
+		request := asked[answer.body]
+		if request.at.Before(from) || !request.at.Before(until) || !at(request.instance) {
+			continue
+		}
+		all++
+		if answer.err == nil && answer.status == http.StatusOK {
+			served++
+		}
+	}
+	return served, all
+}
+
+type askedRequest struct {
+	at       time.Time
+	instance int
+}
+
+// askAll sends requests to all instances at random for a time.
+func (s *simulation) askAll(perSecond int, length time.Duration, asked map[string]askedRequest) {
+	s.askSome(perSecond, length, len(s.instances), asked)
+}
+
+// askSome sends requests with bodies of their own to the first instances at random for a time.
+func (s *simulation) askSome(perSecond int, length time.Duration, instances int, asked map[string]askedRequest) {
+	s.every(time.Second/time.Duration(perSecond), length, func() {
+		instance := s.random.IntN(instances)
+		body := fmt.Sprintf("question %d", len(asked))
+		asked[body] = askedRequest{at: time.Now(), instance: instance}
+		s.askAt(s.instances[instance], body)
+	})
+}
+
+// checkServedWithout checks the bounds of a partition that has lasted from one time to another.
+func (s *simulation) checkServedWithout(t *testing.T, asked map[string]askedRequest, cut []int, from, until time.Time) {
+	t.Helper()
+	isCut := make(map[int]bool)
+	for _, i := range cut {
+		isCut[i] = true
+	}
+	served, all := s.servedAt(asked, from, until, func(i int) bool { return isCut[i] })
+	otherServed, others := s.servedAt(asked, from, until, func(i int) bool { return !isCut[i] })
+	t.Logf("partitioned instances served %d of %d, the others %d of %d", served, all, otherServed, others)
+	if served*3*others < 2*otherServed*all && all-served > allowedFailures+all/allowedFailedPart {
+		t.Errorf("partitioned instances served %d of %d, the others %d of %d", served, all, otherServed, others)
+	}
+	if others-otherServed > allowedFailures+others/allowedFailedPart {
+		t.Errorf("the other instances served %d of %d", otherServed, others)
+	}
+}
+
+// TestInstancesWithoutUpstreamsServeTheirCallers guards against refused callers at instances that
+// reach no upstream while other instances do.
+func TestInstancesWithoutUpstreamsServeTheirCallers(t *testing.T) {
+	for name, cut := range map[string][]int{
+		"one": {0}, "two of a region": {0, 1}, "a region": {0, 1, 2}, "one of each region": {0, 3, 5},
+		"four of seven": {0, 1, 4, 5}, "two regions": {0, 1, 2, 3, 4}, "all but one": {0, 1, 2, 3, 4, 5},
+	} {
+		for how, partition := range map[string]enginePartition{"silent": silent, "refusing": refusing, "refusing new ones": refusingNew} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				runSimulation(t, 31, chatRoute, twelveEngines, func(s *simulation) { s.checkPartition(t, partition, cut) })
+			})
+		}
+	}
+	t.Run("four of seven, two attempts", func(t *testing.T) {
+		route := chatRoute
+		route.MaxAttempts = 2
+		runSimulation(t, 31, route, twelveEngines, func(s *simulation) { s.checkPartition(t, silent, []int{0, 1, 4, 5}) })
+	})
+}
+
+// checkPartition partitions some instances from all engines for a time, and checks what they serve
+// meanwhile and afterwards.
+func (s *simulation) checkPartition(t *testing.T, partition enginePartition, cut []int) {
+	t.Helper()
+	asked := make(map[string]askedRequest)
+	s.askAll(100, time.Second, asked)
+	s.partitionFromEngines(partition, cut)
+	began := time.Now()
+	s.askAll(100, 11*time.Second, asked)
+	s.partitionFromEngines(notPartitioned, cut)
+	ended := time.Now()
+	s.askAll(100, 5*time.Second, asked)
+	s.running.Wait()
+	s.checkServedWithout(t, asked, cut, began.Add(partitionSettled), ended)
+	s.checkServedWithout(t, asked, cut, ended.Add(2*time.Second), ended.Add(5*time.Second))
+	s.checkSendsAgain(t, cut, ended.Add(2*time.Second))
+}
+
+// checkSendsAgain checks that instances send to engines themselves after a time.
+func (s *simulation) checkSendsAgain(t *testing.T, cut []int, after time.Time) {
+	t.Helper()
+	sent := make(map[string]int)
+	for _, a := range s.sent("question", after) {
+		sent[a.from]++
+	}
+	for _, i := range cut {
+		if name := s.instances[i].Name; sent[name] == 0 {
+			t.Errorf("%s sends nothing itself after the partition", name)
+		}
+	}
+}
+
+// TestHalfOfARegionWithoutUpstreamsIsServedByTheRest guards against the same where no other region
+// may process the request, in a larger region of which half is partitioned.
+func TestHalfOfARegionWithoutUpstreamsIsServedByTheRest(t *testing.T) {
+	regions := []simRegion{{"north", 27, 24}, {"south", 4, 4}}
+	route := chatRoute
+	route.Homes = []string{"north"}
+	runSimulation(t, 32, route, regions, func(s *simulation) {
+		asked := make(map[string]askedRequest)
+		var cut []int
+		for i := range 13 {
+			cut = append(cut, i)
+		}
+		ask := func(length time.Duration) { s.askSome(400, length, 27, asked) }
+		ask(time.Second)
+		s.partitionFromEngines(silent, cut)
+		clock.Sleep(s.Context(), partitionSettled-time.Second)
+		ask(time.Second)
+		from := time.Now()
+		ask(3 * time.Second)
+		until := time.Now()
+		s.running.Wait()
+		s.checkServedWithout(t, asked, cut, from, until)
+	})
+}
