pkg/standin/link: the test of delays starts its clock before it dials

TestDelayAppliesToEachDirection failed once beside other tests. The delay of the handshake runs from the dial on, the test's clock from after it, so a pause between the two lines made the measured time too short: with one of 8 ms put in there, 10 of 10 runs fail. The bound stays the same.

--- a/pkg/standin/link/link_test.go
+++ b/pkg/standin/link/link_test.go
@@ -130,8 +130,8 @@
 	is := is.New(t)
 	const delay = 40 * time.Millisecond
 	_, address := startLink(t, delay)
-	conn := dial(t, address)
 	started := time.Now()
+	conn := dial(t, address)
 	_, err := roundTrip(conn, "one", time.Minute)
 	is.NoErr(err)
 	is.True(time.Since(started) >= 4*delay) // handshake and one round trip
