pkg/edge, pkg/steer, pkg/peer: instances without a path to upstreams use neighbours

What callers saw: while four of seven instances were partitioned from all upstreams, 98 of 609 first tries there were served, 1761 of 1834 at the others.

Cause: whether an upstream can be reached was taken for a property of the upstream. An instance without paths could only forward to other regions, drew partitioned instances there as well, and took the refusal of one for the state of its region, so that sound instances there got nothing either. Evidence: at the partitioned instances all refusals are no-upstream with every upstream resting, most 0.1 ms after the arrival, before any send; no attempt at a neighbour is in any log.

Fix: a lost path is a state of its own. It is probed by opening connections instead of by callers' requests, and told to all instances by service. Who reaches no upstream of its region asks a neighbour that does, then another region; a refusal for want of a path concerns that instance alone. Streams that stall have their path probed, and go on elsewhere if it is lost.

Tests of one instance run its prober, since requests no longer try lost paths.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"github.com/lilacweir/lilacweir/pkg/exchange"
@@ -94,7 +95,7 @@
 	}
 }
 
-// forward sends the request to an instance of another region.
+// forward sends the request to an instance of another region, or to a neighbour.
 func (j *job) forward(ctx context.Context, to *target) result {
 	j.tried = append(j.tried, to.name())
 	j.hops++
@@ -116,6 +117,9 @@
 	}
 	ended := call.do(ctx)
 	flight.Done(call.regionResult(ended))
+	if call.hopWithoutPath {
+		j.hopRefusals.record(to.name(), j.service.Name, j.now())
+	}
 	return ended
 }
 
@@ -159,8 +163,9 @@
 	case callerGone:
 		return limit.Abandoned
 	case notRun:
-		// Unreachable upstreams back off as well: trying one again costs the next request an
-		// attempt, and it may be reachable again at any time.
+		if errors.Is(c.err, exchange.ErrUnreachable) {
+			return limit.Abandoned
+		}
 		return limit.Rejected
 	default:
 		if c.status != 0 && c.complete {
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -41,7 +41,9 @@
 	complete bool
 	// regionOverloaded is true if another instance refused for lack of capacity.
 	regionOverloaded bool
-	err              error
+	// hopWithoutPath is true if another instance refused because it reaches no upstream.
+	hopWithoutPath bool
+	err            error
 }
 
 type bufferedAnswer struct {
@@ -112,6 +114,7 @@
 	}
 	if reading.NotRun || c.refusedByPeer(answer) {
 		c.regionOverloaded = c.reportsOverload(answer)
+		c.hopWithoutPath = c.refusedByPeer(answer) && outcome.Reason(answer.Header.Get(header.Reason)) == outcome.ReasonUnreachable
 		c.adoptQuarantine(answer, reading.RetryAfter)
 		c.discardBody(answer)
 		c.logRejection()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -101,6 +101,7 @@
 	suspicions     *suspicions
 	streams        *streamMonitor
 	paths          *paths
+	hopRefusals    *hopRefusals
 	quarantine     *quarantine.Table
 	crashProbes    *crashProbes
 	// quarantineWrites holds the requests with quarantine records to be written to the store.
@@ -176,6 +177,7 @@
 		suspicions:       newSuspicions(),
 		streams:          newStreamMonitor(),
 		paths:            newPaths(),
+		hopRefusals:      newHopRefusals(),
 		quarantine:       quarantine.NewTable(system),
 		crashProbes:      newCrashProbes(),
 		quarantineWrites: make(chan quarantineWrite, maxPendingWrites),
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -275,6 +275,9 @@
 	}
 	view.Index()
 	edge.board.Fleet.Store(view)
+	probing, stop := context.WithCancel(context.Background())
+	go edge.probePaths(probing)
+	t.Cleanup(stop)
 	h.caller = httptest.NewServer(http.HandlerFunc(edge.serveCaller))
 	h.peers = httptest.NewServer(http.HandlerFunc(edge.servePeer))
 	t.Cleanup(h.caller.Close)
--- /dev/null
+++ b/pkg/edge/hops.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// hopRefusalTime is the time for which an instance that refused a request because it reaches no
+// upstream of the service is asked for that service by nobody here. Its reports tell by then.
+const hopRefusalTime = time.Second
+
+// hopRefusals holds the instances that refused for want of a path. Another instance of their region
+// may well serve, so such a refusal says nothing about the region. It is safe for concurrent use.
+type hopRefusals struct {
+	mu sync.Mutex
+	// until holds the end of each refusal's effect.
+	until map[hop]time.Time
+	// size is the length of until. While it is zero, a decision takes no lock.
+	size atomic.Int64
+}
+
+// hop is an instance and the service that it was asked for.
+type hop struct{ instance, service string }
+
+func newHopRefusals() *hopRefusals { return &hopRefusals{until: make(map[hop]time.Time)} }
+
+func (r *hopRefusals) record(instance, service string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for refused, until := range r.until {
+		if !now.Before(until) {
+			delete(r.until, refused)
+		}
+	}
+	r.until[hop{instance, service}] = now.Add(hopRefusalTime)
+	r.size.Store(int64(len(r.until)))
+}
+
+func (r *hopRefusals) recent(instance, service string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.until[hop{instance, service}])
+}
+
+// recentHopRefusals returns the function with which a decision asks for recent refusals, nil if
+// there are none.
+func (j *job) recentHopRefusals() func(instance, service string) bool {
+	if j.hopRefusals.size.Load() == 0 {
+		return nil
+	}
+	now := j.now()
+	return func(instance, service string) bool { return j.hopRefusals.recent(instance, service, now) }
+}
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -22,7 +22,7 @@
 // without being run count as well.
 const maxSends = 4
 
-// maxHops bounds the instances of other regions that are asked to serve one request.
+// maxHops bounds the other instances that are asked to serve one request.
 const maxHops = 2
 
 // job is one request while it is served.
@@ -60,8 +60,7 @@
 	deferredSteps []step
 }
 
-// target is the destination of one attempt: an upstream of the own region, or an instance of
-// another region.
+// target is the destination of one attempt: an upstream of the own region, or another instance.
 type target struct {
 	survey steer.Survey
 	peer   *peer.Known
@@ -83,8 +82,8 @@
 	return t.survey.Best.Upstream.Domain
 }
 
-// grantedAttempts returns the number of upstreams that may run the request in this attempt. An
-// instance of another region is granted all that are left, since it cannot ask for more in time.
+// grantedAttempts returns the number of upstreams that may run the request in this attempt. Another
+// instance is granted all that are left, since it cannot ask for more in time.
 func (t *target) grantedAttempts(j *job) int {
 	if t.peer != nil {
 		return j.attemptsLeft
@@ -186,21 +185,22 @@
 func (j *job) snapshots() *steer.Snapshot {
 	now := j.now()
 	return &steer.Snapshot{
-		Region:    j.settings.Region,
-		Fleet:     j.board.Fleet.Load(),
-		Peers:     j.gossip.View().Load(),
-		Local:     localLoads{j.Edge, now},
-		Admits:    j.admits,
-		Named:     j.upstreamLimits.Of,
-		LimitWait: j.limitWait,
-		PathLost:  j.paths.isLost,
-		Leaving:   j.leavingFilter(),
-		Recent:    j.recent,
-		CallTimes: j.pace,
-		Estimates: j.estimates,
-		Flow:      j.flow,
-		Now:       now,
-		Random:    rand.Uint64(),
+		Region:     j.settings.Region,
+		Fleet:      j.board.Fleet.Load(),
+		Peers:      j.gossip.View().Load(),
+		Local:      localLoads{j.Edge, now},
+		Admits:     j.admits,
+		Named:      j.upstreamLimits.Of,
+		LimitWait:  j.limitWait,
+		PathLost:   j.paths.isLost,
+		HopRefused: j.recentHopRefusals(),
+		Leaving:    j.leavingFilter(),
+		Recent:     j.recent,
+		CallTimes:  j.pace,
+		Estimates:  j.estimates,
+		Flow:       j.flow,
+		Now:        now,
+		Random:     rand.Uint64(),
 	}
 }
 
@@ -220,9 +220,11 @@
 		chosen.survey = j.surveyRegion(world, query)
 	}
 	if !j.forwarded && j.hops < maxHops {
-		if remote := world.Choose(query, chosen.survey, world.Regions(query)); remote != nil {
-			chosen.peer = j.choosePeer(remote.Peers, world.Random)
-		}
+		chosen.peer = j.chooseHop(world, query, &chosen.survey)
+	}
+	if chosen.peer == nil && chosen.survey.Best.Upstream == nil && chosen.survey.Unreachable > 0 {
+		world.PathLost = j.withoutConnection
+		chosen.survey = j.surveyRegion(world, query)
 	}
 	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
 		return nil, j.noUpstreamRefusal(permitted, &chosen.survey)
@@ -236,7 +238,22 @@
 	return chosen, nil
 }
 
-// choosePeer draws one of the instances of another region, preferring those with an idle
+// chooseHop returns the instance that gets the request, nil if it stays here. Neighbours serve what
+// this instance cannot for want of a path; they are nearer than another region, and hold what the
+// region's engines have cached.
+func (j *job) chooseHop(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) *peer.Known {
+	if survey.Best.Upstream == nil && survey.Unreachable > 0 {
+		if neighbours := world.Neighbours(query); len(neighbours) > 0 {
+			return j.choosePeer(neighbours, world.Random)
+		}
+	}
+	if remote := world.Choose(query, *survey, world.Regions(query)); remote != nil {
+		return j.choosePeer(remote.Peers, world.Random)
+	}
+	return nil
+}
+
+// choosePeer draws one of the instances, preferring those with an idle
 // connection: making a new one costs the request a round trip.
 func (j *job) choosePeer(peers []*peer.Known, random uint64) *peer.Known {
 	first := int(random % uint64(len(peers)))
@@ -261,12 +278,15 @@
 }
 
 func (j *job) noUpstreamRefusal(permitted bool, survey *steer.Survey) *outcome.Refusal {
-	detail := "no upstream of the service can take the request now"
-	if !permitted {
+	reason, detail := outcome.ReasonNoUpstream, "no upstream of the service can take the request now"
+	switch {
+	case !permitted:
 		detail = "no instance in a permitted region can be reached"
+	case survey.Unreachable > 0:
+		reason, detail = outcome.ReasonUnreachable, "this instance reaches no upstream that can take the request, and no instance that does"
 	}
 	retry := max(steer.RetryAfter(j.now(), j.deadline), survey.Wait())
-	refusal := outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, retry, detail)
+	refusal := outcome.Refuse(http.StatusServiceUnavailable, reason, retry, detail)
 	refusal.Err = &surveyError{survey: *survey}
 	return refusal
 }
--- a/pkg/edge/paths.go
+++ b/pkg/edge/paths.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,27 +22,53 @@
 	// them. Each is varied by up to a quarter, so that instances do not return all at once.
 	minPathProbeInterval = 100 * time.Millisecond
 	maxPathProbeInterval = time.Second
+	// suspicionInterval separates the probes of a path that are caused by stalled streams.
+	suspicionInterval = time.Second
 )
 
 // paths holds the upstreams to which this instance can make no connection. It is safe for
 // concurrent use.
 type paths struct {
-	mu   sync.Mutex
-	lost map[string]*lostPath
-	// size is the length of lost. While it is zero, a decision takes no lock.
+	mu sync.Mutex
+	// byUpstream holds the paths that are lost or suspected to be.
+	byUpstream map[string]*pathState
+	// reachedAt holds the time of the last successful probe of each suspected path.
+	reachedAt map[string]time.Time
+	// size is the length of byUpstream. While it is zero, a decision takes no lock.
 	size atomic.Int64
-	// changed wakes the prober after a path was lost.
+	// changed wakes the prober after a path was added.
 	changed chan struct{}
 }
 
-type lostPath struct {
+type pathState struct {
+	// lost is false while a suspicion is not confirmed.
+	lost            bool
 	since, probeDue time.Time
 	interval        time.Duration
 	probing         bool
 }
 
 func newPaths() *paths {
-	return &paths{lost: make(map[string]*lostPath), changed: make(chan struct{}, 1)}
+	return &paths{byUpstream: make(map[string]*pathState), reachedAt: make(map[string]time.Time), changed: make(chan struct{}, 1)}
+}
+
+// add adds a path to probe. The caller holds p.mu.
+func (p *paths) add(upstream string, added *pathState) {
+	p.byUpstream[upstream] = added
+	p.size.Store(int64(len(p.byUpstream)))
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+// suspect has the path to an upstream probed, unless one is or was lately.
+func (p *paths) suspect(upstream string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byUpstream[upstream] == nil && now.Sub(p.reachedAt[upstream]) >= suspicionInterval {
+		p.add(upstream, &pathState{since: now, probeDue: now, interval: minPathProbeInterval})
+	}
 }
 
 // markLost records that no connection to an upstream could be made. It returns false if that was
@@ -49,29 +76,38 @@
 func (p *paths) markLost(upstream string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.lost[upstream] != nil {
-		return false
-	}
-	p.lost[upstream] = &lostPath{since: now, probeDue: now.Add(vary(minPathProbeInterval)), interval: minPathProbeInterval}
-	p.size.Store(int64(len(p.lost)))
-	select {
-	case p.changed <- struct{}{}:
-	default:
+	known := p.byUpstream[upstream]
+	if known == nil {
+		p.add(upstream, &pathState{lost: true, since: now, probeDue: now.Add(vary(minPathProbeInterval)), interval: minPathProbeInterval})
+		return true
 	}
-	return true
+	found := !known.lost
+	known.lost = true
+	return found
 }
 
-// remove deletes the record of an upstream, and returns for how long its path was lost.
-func (p *paths) remove(upstream string, now time.Time) (lostFor time.Duration, found bool) {
+// reached records that a connection to an upstream was made, and returns for how long its path
+// was lost.
+func (p *paths) reached(upstream string, now time.Time) (lostFor time.Duration, wasLost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	path := p.lost[upstream]
-	if path == nil {
+	known := p.byUpstream[upstream]
+	if known == nil {
 		return 0, false
 	}
-	delete(p.lost, upstream)
-	p.size.Store(int64(len(p.lost)))
-	return now.Sub(path.since), true
+	delete(p.byUpstream, upstream)
+	p.size.Store(int64(len(p.byUpstream)))
+	p.reachedAt[upstream] = now
+	return now.Sub(known.since), known.lost
+}
+
+// forget deletes the records of an upstream that was removed.
+func (p *paths) forget(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.byUpstream, upstream)
+	delete(p.reachedAt, upstream)
+	p.size.Store(int64(len(p.byUpstream)))
 }
 
 // isLost reports whether no connection to an upstream can be made.
@@ -81,7 +117,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lost[upstream] != nil
+	known := p.byUpstream[upstream]
+	return known != nil && known.lost
 }
 
 // due returns the upstreams to probe now.
@@ -89,7 +126,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var due []string
-	for upstream, path := range p.lost {
+	for upstream, path := range p.byUpstream {
 		if !path.probing && !now.Before(path.probeDue) {
 			path.probing = true
 			due = append(due, upstream)
@@ -102,7 +139,7 @@
 func (p *paths) probeFailed(upstream string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if path := p.lost[upstream]; path != nil {
+	if path := p.byUpstream[upstream]; path != nil {
 		path.probing, path.interval = false, min(2*path.interval, maxPathProbeInterval)
 		path.probeDue = now.Add(vary(path.interval))
 	}
@@ -148,15 +185,47 @@
 func (e *Edge) probePath(ctx context.Context, id string) {
 	upstream := e.board.Fleet.Load().Find(id)
 	if upstream == nil {
-		e.paths.remove(id, e.now())
+		e.paths.forget(id)
 		return
 	}
 	err := e.upstreams.Probe(ctx, exchange.Target{ID: upstream.ID, Address: upstream.Address})
 	if err != nil {
+		e.recordUnreachable(upstream, err)
 		e.paths.probeFailed(id, e.now())
 		return
 	}
-	if lostFor, found := e.paths.remove(id, e.now()); found {
+	if lostFor, wasLost := e.paths.reached(id, e.now()); wasLost {
 		e.log.Info().Str(event.KeyUpstream, id).Int64(event.KeyForMS, lostFor.Milliseconds()).Msg(string(event.PathRestored))
 	}
 }
+
+// withoutConnection reports whether an upstream's path is lost and no earlier connection is kept
+// either: such connections may live on while no new one can be made.
+func (e *Edge) withoutConnection(upstream string) bool {
+	return e.paths.isLost(upstream) && !e.upstreams.Connected(upstream)
+}
+
+// unreachableServices returns the services of which no upstream of the own region can be reached,
+// sorted by name.
+func (e *Edge) unreachableServices() []string {
+	view := e.board.Fleet.Load()
+	if e.paths.size.Load() == 0 || view == nil {
+		return nil
+	}
+	reached := make(map[string]bool)
+	for i := range view.Upstreams {
+		upstream := &view.Upstreams[i]
+		if upstream.Region != e.settings.Region || !view.Usable(upstream) {
+			continue
+		}
+		reached[upstream.Service] = reached[upstream.Service] || !e.paths.isLost(upstream.ID)
+	}
+	var without []string
+	for service, reaches := range reached {
+		if !reaches {
+			without = append(without, service)
+		}
+	}
+	slices.Sort(without)
+	return without
+}
--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -16,6 +16,7 @@
 		Sequence:    e.sequence.Add(1),
 		Leaving:     e.Leaving(),
 		Ready:       e.board.Routes.Load() != nil,
+		Unreachable: peer.JoinServices(e.unreachableServices()),
 		Store:       position.Revision,
 		Era:         position.Era,
 		Held:        e.store.RetainedSum(),
@@ -74,7 +75,7 @@
 			e.counts.series.Remove(label(labelTarget, id))
 			e.suspicions.forget(id)
 			e.streams.forget(id)
-			e.paths.remove(id, e.now())
+			e.paths.forget(id)
 			e.upstreamLimits.Forget(id)
 		}
 	}
--- a/pkg/edge/unresponsive.go
+++ b/pkg/edge/unresponsive.go
@@ -131,13 +131,25 @@
 	defer p.mu.Unlock()
 	found = !now.Before(p.unresponsiveUntil[upstream])
 	p.unresponsiveUntil[upstream] = now.Add(unresponsiveFor)
+	return p.cancelStalledLocked(upstream, now), found
+}
+
+// cancelStalled cancels the stalled attempts at an upstream that may be resumed elsewhere.
+func (p *streamMonitor) cancelStalled(upstream string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancelStalledLocked(upstream, now)
+}
+
+// cancelStalledLocked is cancelStalled and returns the number of attempts. The caller holds p.mu.
+func (p *streamMonitor) cancelStalledLocked(upstream string, now time.Time) (cancelled int) {
 	for stream := range p.running[upstream] {
 		if stream.cancel != nil && now.Sub(stream.lastActivity()) >= p.stallTime(stream.service) {
 			stream.cancel(errUnresponsive)
 			cancelled++
 		}
 	}
-	return cancelled, found
+	return cancelled
 }
 
 // lastActivity returns the time of the last data of the stream, or of its request.
@@ -195,6 +207,13 @@
 func (e *Edge) checkUpstream(upstream *fleet.Upstream) {
 	now := e.now()
 	flowing, stalled := e.streams.count(upstream.ID, now)
+	switch {
+	case e.paths.isLost(upstream.ID):
+		// The upstream may be well, and the streams of other instances flow.
+		e.streams.cancelStalled(upstream.ID, now)
+	case stalled > 0:
+		e.paths.suspect(upstream.ID, now)
+	}
 	others := e.gossip.View().Load().Upstream(upstream.ID)
 	if !unresponsive(flowing, stalled, others) {
 		return
--- a/pkg/edge/without_upstreams_test.go
+++ b/pkg/edge/without_upstreams_test.go
@@ -161,3 +161,53 @@
 		s.checkServedWithout(t, asked, cut, from, until)
 	})
 }
+
+// TestKeptConnectionsServeWhereNoOtherInstanceCan guards against refused callers of an instance
+// without neighbours whose connections live on while new ones are refused.
+func TestKeptConnectionsServeWhereNoOtherInstanceCan(t *testing.T) {
+	runSimulation(t, 33, chatRoute, []simRegion{{"north", 1, 2}}, func(s *simulation) {
+		asked := make(map[string]askedRequest)
+		s.askAll(5, 3*time.Second, asked)
+		s.partitionFromEngines(refusingNew, []int{0})
+		began := time.Now()
+		s.askAll(1, 10*time.Second, asked)
+		s.running.Wait()
+		served, all := s.servedAt(asked, began, time.Now(), func(int) bool { return true })
+		t.Logf("%d of %d served", served, all)
+		if 2*served < all {
+			t.Errorf("%d of %d served", served, all)
+		}
+	})
+}
+
+// TestStalledStreamsOfALostPathAreResumed guards against callers that wait until their streams are
+// given up by keep-alive probes.
+func TestStalledStreamsOfALostPathAreResumed(t *testing.T) {
+	route := chatRoute
+	route.MaxAttempts, route.Resumable = 2, true
+	runLimitedSimulation(t, 34, 0, Limits{RetryRatio: 0.5, RetrySlack: 500}, route, twelveEngines, func(s *simulation) {
+		asked := make(map[string]askedRequest)
+		s.askAll(100, 10*time.Second, asked)
+		s.partitionFromEngines(silent, []int{0, 1, 3, 5})
+		cut := time.Now()
+		s.askAll(100, 2*time.Second, asked)
+		s.running.Wait()
+		late, running := 0, 0
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, answer := range s.answers {
+			request := asked[answer.body]
+			if request.at.Before(cut.Add(-300*time.Millisecond)) || request.at.After(cut) {
+				continue
+			}
+			running++
+			if answer.err != nil || answer.status != http.StatusOK || answer.at.Sub(cut) > 2*time.Second {
+				late++
+			}
+		}
+		t.Logf("%d of %d that ran at the cut ended late or not at all", late, running)
+		if running < 20 || late*10 > running {
+			t.Errorf("%d of %d that ran at the cut ended late or not at all", late, running)
+		}
+	})
+}
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -169,7 +169,7 @@
 func (l *Log) refusalCauses(span *Span) []string {
 	end := span.End
 	switch outcome.Reason(end.Get(event.KeyReason)) {
-	case outcome.ReasonNoUpstream:
+	case outcome.ReasonNoUpstream, outcome.ReasonUnreachable:
 		return l.noUpstreamCauses(span)
 	case outcome.ReasonUnknownRoute:
 		return l.noRouteCauses(span)
@@ -247,6 +247,9 @@
 	}
 	all := []string{fmt.Sprintf("of %d upstreams in the region %d are in service: %d rest after a failure or rejection, %d are cold; %d requests in work on %d slots",
 		known, usable, end.Int(event.KeyResting), cold, end.Int(event.KeyInFlight), end.Int(event.KeySlots))}
+	if unreachable := end.Int(event.KeyUnreachable); unreachable > 0 {
+		all = append(all, fmt.Sprintf("to %d of them %s could make no connection%s, and it found no instance that could", unreachable, span.Instance, l.sinceEvent(span, event.PathLost)))
+	}
 	if limited := end.Int(event.KeyLimited); limited > 0 {
 		all = append(all, fmt.Sprintf("%d of them name limits on their requests, of which the part of %s was used", limited, span.Instance))
 	}
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -147,6 +147,10 @@
 			[]string{failed("reason=no-upstream known=5 usable=3 resting=1 cold=2 in_flight=8 slots=16"), line("09.000", "front-a", event.UpstreamEjected, "upstream=u-1")},
 			"of 5 upstreams in the region 3 are in service: 1 rest after a failure or rejection, 2 are cold; 8 requests in work on 16 slots; 1 × upstream-ejected at front-a in the 5s before",
 		},
+		"no path to upstreams": {
+			[]string{line("08.000", "front-a", event.PathLost, "upstream=u-1"), failed("reason=upstreams-unreachable known=2 usable=2 unreachable=2 resting=0 cold=0 in_flight=0 slots=4")},
+			"of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 0 requests in work on 4 slots; to 2 of them front-a could make no connection (path-lost 2s before), and it found no instance that could",
+		},
 		"limits of upstreams": {
 			[]string{failed("reason=no-upstream known=2 usable=2 resting=0 cold=0 limited=2 in_flight=0 slots=4")},
 			"of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 0 requests in work on 4 slots; 2 of them name limits on their requests, of which the part of front-a was used",
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -42,6 +42,7 @@
 	ReasonCallerLimit      Reason = "caller-limit"
 	ReasonDeadline         Reason = "deadline-unreachable"
 	ReasonNoUpstream       Reason = "no-upstream"
+	ReasonUnreachable      Reason = "upstreams-unreachable"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonUpstreamMismatch Reason = "upstream-mismatch"
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -45,19 +45,25 @@
 	fleet    board.Section[fleet.View]
 	sequence atomic.Uint64
 	leaving  atomic.Bool
-	mu       sync.Mutex
-	loads    []Load
-	stop     context.CancelFunc
-	stopped  sync.WaitGroup
+	// unreachable names the services of which it reaches no upstream.
+	unreachable atomic.Pointer[string]
+	mu          sync.Mutex
+	loads       []Load
+	stop        context.CancelFunc
+	stopped     sync.WaitGroup
 }
 
 func (n *node) report() Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	position := n.store.Position()
+	unreachable := ""
+	if services := n.unreachable.Load(); services != nil {
+		unreachable = *services
+	}
 	return Report{
 		Name: n.instance.Name, Incarnation: n.instance.Incarnation, Sequence: n.sequence.Add(1),
-		Leaving: n.leaving.Load(), Ready: true, Store: position.Revision, Era: position.Era, Held: n.store.RetainedSum(), Upstreams: n.loads,
+		Leaving: n.leaving.Load(), Ready: true, Unreachable: unreachable, Store: position.Revision, Era: position.Era, Held: n.store.RetainedSum(), Upstreams: n.loads,
 	}
 }
 
@@ -223,6 +229,29 @@
 
 // TestStoreReplicaReachesInstancesWithoutTheStore covers the transfer of deltas across domains and
 // regions.
+// TestUnreachableServicesAreReportedAndWithdrawn guards against hops to an instance that reaches no
+// upstream, and against none to one that does again, in small domains and through hubs.
+func TestUnreachableServicesAreReportedAndWithdrawn(t *testing.T) {
+	for _, each := range []int{2, smallDomain + 2} {
+		m := newMesh(t, each, "north-a", "north-b", "south-a")
+		for name, n := range m.nodes {
+			m.eventually("all are known at "+name, func() bool { return n.view() != nil && len(n.view().Others) == 3*each-1 })
+		}
+		told := m.nodes["north-a-1"]
+		for _, services := range []string{"api,llm", "llm", ""} {
+			told.unreachable.Store(&services)
+			for name, n := range m.nodes {
+				if n != told {
+					m.eventually("what it reaches is known at "+name, func() bool {
+						known := n.view().Find("north-a-1")
+						return known != nil && known.Unreachable == services && known.Reaches("llm") == (services == "") && known.Reaches("web")
+					})
+				}
+			}
+		}
+	}
+}
+
 func TestStoreReplicaReachesInstancesWithoutTheStore(t *testing.T) {
 	m := newMesh(t, 3, "north-a", "south-a")
 	setStore := func(revision int64, value string) {
--- a/pkg/peer/publish.go
+++ b/pkg/peer/publish.go
@@ -98,7 +98,7 @@
 		if report == nil || report.value.Incarnation < instance.Incarnation {
 			return Known{}, false
 		}
-		return Known{Instance: *instance, Leaving: report.value.Leaving, Ready: report.value.Ready, ReportedAt: report.at}, true
+		return Known{Instance: *instance, Leaving: report.value.Leaving, Ready: report.value.Ready, Unreachable: report.value.Unreachable, ReportedAt: report.at}, true
 	}
 	digest := g.digests[instance.Domain]
 	if digest == nil {
@@ -106,7 +106,7 @@
 	}
 	for _, mark := range digest.value.Marks {
 		if mark.Name == instance.Name && mark.Incarnation >= instance.Incarnation {
-			return Known{Instance: *instance, Leaving: mark.Leaving, Ready: mark.Ready, ReportedAt: digest.at}, true
+			return Known{Instance: *instance, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable, ReportedAt: digest.at}, true
 		}
 	}
 	// Its domain's hub has no report of it. A newly registered instance may not have reached the
--- a/pkg/peer/roster.go
+++ b/pkg/peer/roster.go
@@ -46,6 +46,7 @@
 		// Writes to an xxhash.Digest never fail.
 		_, _ = sum.WriteString(mark.Name)
 		_, _ = sum.Write(append(number[:], 0, flags))
+		_, _ = sum.WriteString(mark.Unreachable)
 	}
 	return sum.Sum64()
 }
@@ -72,7 +73,7 @@
 }
 
 func (r *Report) mark() Mark {
-	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready}
+	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready, Unreachable: r.Unreachable}
 }
 
 // omitKnownMarks removes the marks if the receiver has them already.
@@ -123,7 +124,7 @@
 			return
 		}
 		g.reports[mark.Name] = &received[Report]{value: Report{
-			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready,
+			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable,
 		}, at: at}
 		g.options.Log.Info().Str(event.KeyPeer, mark.Name).Msg(string(event.PeerFound))
 		return
@@ -134,6 +135,6 @@
 	before.value.Leaving = before.value.Leaving || mark.Leaving
 	before.value.Ready = before.value.Ready || mark.Ready
 	if !mark.Quiet && at.After(before.at) {
-		before.at = at
+		before.at, before.value.Unreachable = at, mark.Unreachable
 	}
 }
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -40,6 +40,9 @@
 	// Leaving is true once the instance accepts no new callers, Ready once it has a
 	// configuration.
 	Leaving, Ready bool
+	// Unreachable names the services of which the instance reaches no upstream of its region,
+	// see JoinServices.
+	Unreachable string
 	// Store and Era are the revision and epoch of its replica of the store. Held is the
 	// fingerprint of the entries that the replica retains from former epochs; zero if there are
 	// none.
@@ -75,6 +78,8 @@
 	Name           string
 	Incarnation    uint64
 	Leaving, Ready bool
+	// Unreachable is that of the instance's report.
+	Unreachable string
 	// Quiet is true if its domain's hub has received no report for some rounds.
 	Quiet bool
 }
@@ -107,11 +112,33 @@
 type Known struct {
 	Instance       fleet.Instance
 	Leaving, Ready bool
+	// Unreachable is that of its last report.
+	Unreachable string
 	// ReportedAt is the time of its last report, directly or through its domain's hub, by this
 	// process's clock; zero if its hub has no current report.
 	ReportedAt time.Time
 }
 
+// serviceSeparator separates the names of services; no name contains it.
+const serviceSeparator = ","
+
+// JoinServices returns the names of services as one comparable value.
+func JoinServices(names []string) string { return strings.Join(names, serviceSeparator) }
+
+// Reaches reports whether the instance reaches an upstream of a service in its region, as far as
+// it has reported otherwise.
+func (k *Known) Reaches(service string) bool {
+	if k.Unreachable == "" {
+		return true
+	}
+	for name := range strings.SplitSeq(k.Unreachable, serviceSeparator) {
+		if name == service {
+			return false
+		}
+	}
+	return true
+}
+
 // SilentAfter is the time without reports after which an instance counts as unreachable: several
 // rounds, and well below the time after which callers must not be sent to it.
 const SilentAfter = 2500 * time.Millisecond
--- a/pkg/steer/remote.go
+++ b/pkg/steer/remote.go
@@ -38,7 +38,7 @@
 			at = len(regions)
 			regions = append(regions, RemoteRegion{Region: region, excluded: w.excluded(req, region), Peers: make([]*peer.Known, 0, len(w.Peers.Others)/2)})
 		}
-		if regions[at].excluded || known.Leaving || !known.Ready || !known.Live(w.Now) || tried(req, known.Instance.Name) {
+		if regions[at].excluded || !w.servesHops(req, known) {
 			continue
 		}
 		regions[at].Peers = append(regions[at].Peers, known)
@@ -53,6 +53,26 @@
 	return kept
 }
 
+// Neighbours returns the other instances of the own region that may serve the request.
+func (w *Snapshot) Neighbours(req *Request) []*peer.Known {
+	if w.excluded(req, w.Region) {
+		return nil
+	}
+	var neighbours []*peer.Known
+	for i := range w.peers() {
+		if known := &w.Peers.Others[i]; known.Instance.Region == w.Region && w.servesHops(req, known) {
+			neighbours = append(neighbours, known)
+		}
+	}
+	return neighbours
+}
+
+// servesHops reports whether another instance can serve the request, as far as is known.
+func (w *Snapshot) servesHops(req *Request, known *peer.Known) bool {
+	return !known.Leaving && known.Ready && known.Live(w.Now) && !tried(req, known.Instance.Name) &&
+		known.Reaches(req.Service.Name) && (w.HopRefused == nil || !w.HopRefused(known.Instance.Name, req.Service.Name))
+}
+
 func (w *Snapshot) excluded(req *Request, region string) bool {
 	return !req.Route.PermittedIn(region) || w.Local.Load(RegionKey(region, req)).Backoff > 0
 }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -59,6 +59,9 @@
 	// PathLost reports whether this instance can make no connection to an upstream; nil if it
 	// can to all.
 	PathLost func(upstream string) bool
+	// HopRefused reports whether an instance has refused a request for a service lately because
+	// it reaches no upstream; nil if none has.
+	HopRefused func(instance, service string) bool
 	// Leaving reports whether an upstream has announced that it is leaving; nil if none
 	// has.
 	Leaving func(upstream string) bool
@@ -145,7 +148,8 @@
 	// BackoffWait is the shortest time until one of the latter gets a request.
 	Cold, BackingOff int
 	BackoffWait      time.Duration
-	// Unreachable counts the usable upstreams to which this instance can make no connection.
+	// Unreachable counts the upstreams skipped because this instance can make no connection
+	// to them.
 	Unreachable int
 	// Limited counts the upstreams skipped because of the limit that they advertise,
 	// LimitWait is the shortest time until one of them may get a request.
@@ -179,9 +183,6 @@
 		survey.Slots += w.slots(upstream, req.Service)
 		survey.InFlight += c.InFlight
 		survey.Prefill += c.Prefill
-		if w.PathLost != nil && w.PathLost(upstream.ID) {
-			survey.Unreachable++
-		}
 		if !survey.usable(w, req, upstream, &own) {
 			continue
 		}
@@ -204,6 +205,8 @@
 // usable reports whether the upstream may be considered, and counts the reason if not.
 func (s *Survey) usable(w *Snapshot, req *Request, upstream *fleet.Upstream, own *limit.Load) bool {
 	switch {
+	case w.pathLost(upstream):
+		s.Unreachable++
 	case own.Ejected:
 		s.BackingOff++
 	case own.Backoff > 0:
@@ -219,6 +222,8 @@
 	return false
 }
 
+func (w *Snapshot) pathLost(u *fleet.Upstream) bool { return w.PathLost != nil && w.PathLost(u.ID) }
+
 // limited reports whether an upstream's advertised limit forbids sending to it now, and
 // counts it if so.
 func (s *Survey) limited(wait time.Duration) bool {
--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -257,6 +257,51 @@
 	is.Equal(names(req), "south1 ")
 }
 
+// TestNeighboursServeWhatIsUnreachableHere guards against hops to instances that cannot serve the
+// request either.
+func TestNeighboursServeWhatIsUnreachableHere(t *testing.T) {
+	is := is.New(t)
+	w := newSnapshot(loads{}, upstream("u0", "llm", "north"), upstream("v0", "llm", "south"))
+	known := func(name, region string) peer.Known {
+		return peer.Known{Instance: fleet.Instance{Name: name, Region: region}, Ready: true, ReportedAt: now}
+	}
+	sound := known("n-sound", "north")
+	leaving, starting, silent, without, refused, tried := known("n-leaving", "north"), known("n-starting", "north"), known("n-silent", "north"), known("n-without", "north"), known("n-refused", "north"), known("n-tried", "north")
+	leaving.Leaving, starting.Ready, silent.ReportedAt = true, false, now.Add(-time.Minute)
+	without.Unreachable = peer.JoinServices([]string{"api", "llm"})
+	other := known("n-other", "north")
+	other.Unreachable = "api"
+	away, awayWithout := known("s-sound", "south"), known("s-without", "south")
+	awayWithout.Unreachable = "llm"
+	w.Peers = peer.NewView([]peer.Known{sound, leaving, starting, silent, without, refused, tried, other, away, awayWithout}, nil, now)
+	w.HopRefused = func(instance, service string) bool { return instance == "n-refused" && service == "llm" }
+	req := longRequest("p")
+	req.Tried = []string{"n-tried"}
+	names := func(peers []*peer.Known) (names []string) {
+		for _, p := range peers {
+			names = append(names, p.Instance.Name)
+		}
+		return names
+	}
+	is.Equal(names(w.Neighbours(req)), []string{"n-sound", "n-other"})
+	regions := w.Regions(req)
+	is.Equal(len(regions), 1)
+	is.Equal(names(regions[0].Peers), []string{"s-sound"})
+	w.Local = loads{steer.RegionKey("north", req): limit.Load{Backoff: time.Second}}
+	is.Equal(len(w.Neighbours(req)), 0) // the own region refuses for lack of capacity
+}
+
+// TestUnreachableUpstreamsAreNotChosen guards against sending where no connection can be made.
+func TestUnreachableUpstreamsAreNotChosen(t *testing.T) {
+	is := is.New(t)
+	w := newSnapshot(loads{}, upstream("u0", "llm", "north"), upstream("u1", "llm", "north"))
+	w.PathLost = func(id string) bool { return id == "u0" }
+	survey := w.SurveyRegion(longRequest("p"))
+	is.Equal(survey.Best.Upstream.ID, "u1")
+	is.Equal(survey.Unreachable, 1)
+	is.Equal(survey.Usable, 2)
+}
+
 // BenchmarkDecision chooses among the engines of a region and the other regions, with as
 // many instances as the deployment has.
 func BenchmarkDecision(b *testing.B) {
