--- a/pkg/edge/without_upstreams_test.go
+++ b/pkg/edge/without_upstreams_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -211,3 +213,90 @@
 		}
 	})
 }
+
+var partitionSeeds = flag.Int("partition-seeds", 2, "number of seeds of TestRandomPartitionsFromUpstreams")
+
+// TestRandomPartitionsFromUpstreams guards against refused callers in series of partitions of
+// random instances, with kills, restarts and crashed engines meanwhile.
+func TestRandomPartitionsFromUpstreams(t *testing.T) {
+	for seed := range *partitionSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			route := chatRoute
+			route.MaxAttempts, route.Resumable = 2, true
+			runLimitedSimulation(t, uint64(seed), 0, retryLimits, route, twelveEngines, func(s *simulation) {
+				p := &partitions{simulation: s, random: rand.New(rand.NewPCG(uint64(seed), 3)), asked: make(map[string]askedRequest), disturbed: make(map[int]time.Time)}
+				for range 3 {
+					p.episode(t)
+				}
+			})
+		})
+	}
+}
+
+// partitions draws partitions from engines and what happens meanwhile.
+type partitions struct {
+	*simulation
+	random *rand.Rand
+	asked  map[string]askedRequest
+	// disturbed holds the time at which each instance was last started or stopped.
+	disturbed map[int]time.Time
+}
+
+// episode partitions some but not all instances for some seconds, and checks what is served by
+// those that were not disturbed otherwise.
+func (p *partitions) episode(t *testing.T) {
+	t.Helper()
+	cut := p.random.Perm(len(p.instances))[:1+p.random.IntN(len(p.instances)-1)]
+	partition := silent + enginePartition(p.random.IntN(3))
+	p.partitionFromEngines(partition, cut)
+	settled := time.Now().Add(partitionSettled)
+	end := settled.Add(time.Duration(2+p.random.IntN(6)) * time.Second)
+	for time.Now().Before(end) {
+		p.disturb(cut, partition)
+		p.askAll(100, time.Duration(200+p.random.IntN(1500))*time.Millisecond, p.asked)
+	}
+	p.partitionFromEngines(notPartitioned, cut)
+	until := time.Now()
+	p.running.Wait()
+	p.checkUndisturbed(t, cut, settled, until)
+	p.askAll(100, time.Duration(p.random.IntN(3000))*time.Millisecond, p.asked)
+}
+
+// disturb may kill or restart an instance, or crash an engine.
+func (p *partitions) disturb(cut []int, partition enginePartition) {
+	i := p.random.IntN(len(p.instances))
+	switch p.random.IntN(8) {
+	case 0:
+		p.kill(p.instances[i])
+		p.start(p.instances[i])
+	case 1:
+		// A graceful end takes some seconds, as callers that are served end first.
+		p.running.Go(func() { p.instances[i].stop() })
+		<-p.instances[i].ended
+		p.start(p.instances[i])
+	case 2:
+		e := p.engines[p.random.IntN(len(p.engines))]
+		p.mu.Lock()
+		id := e.id
+		p.mu.Unlock()
+		e.crash(id, "")
+		return
+	default:
+		return
+	}
+	p.disturbed[i] = time.Now()
+	p.partitionFromEngines(partition, cut)
+}
+
+// checkUndisturbed is checkServedWithout for requests at instances that were not started or
+// stopped in the partitionSettled before them.
+func (p *partitions) checkUndisturbed(t *testing.T, cut []int, from, until time.Time) {
+	t.Helper()
+	asked := make(map[string]askedRequest)
+	for body, request := range p.asked {
+		if at, ok := p.disturbed[request.instance]; !ok || request.at.Before(at.Add(-partitionSettled)) || request.at.After(at.Add(partitionSettled)) {
+			asked[body] = request
+		}
+	}
+	p.checkServedWithout(t, asked, cut, from, until)
+}
