--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -51,15 +51,15 @@
 	}
 	sent := j.now()
 	call.sent = sent
+	attempt, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	ctx = attempt
+	stream := &monitoredStream{service: j.service.Name, upstream: upstream.ID, sent: sent}
+	if j.route.Repeatable() {
+		stream.cancel = end
+	}
+	defer j.streams.add(upstream.ID, stream)()
 	if j.service.Engine != nil {
-		attempt, end := context.WithCancelCause(ctx)
-		defer end(nil)
-		ctx = attempt
-		stream := &monitoredStream{service: j.service.Name, sent: sent}
-		if j.route.Repeatable() {
-			stream.cancel = end
-		}
-		defer j.streams.add(upstream.ID, stream)()
 		call.onData = func() { j.streams.received(stream, j.now()) }
 	}
 	ended := call.do(ctx)
--- a/pkg/edge/paths.go
+++ b/pkg/edge/paths.go
@@ -22,8 +22,11 @@
 	// them. Each is varied by up to a quarter, so that instances do not return all at once.
 	minPathProbeInterval = 100 * time.Millisecond
 	maxPathProbeInterval = time.Second
-	// suspicionInterval separates the probes of a path that are caused by stalled streams.
+	// suspicionInterval separates the probes of a path that is not known to be lost.
 	suspicionInterval = time.Second
+	// sampledPaths is the number of other paths that are probed after one was lost. If all of
+	// them are lost as well, the rest is probed.
+	sampledPaths = 2
 )
 
 // paths holds the upstreams to which this instance can make no connection. It is safe for
@@ -62,12 +65,43 @@
 	}
 }
 
-// suspect has the path to an upstream probed, unless one is or was lately.
+// suspect has the path to an upstream probed, unless it is or was lately.
 func (p *paths) suspect(upstream string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.byUpstream[upstream] == nil && now.Sub(p.reachedAt[upstream]) >= suspicionInterval {
-		p.add(upstream, &pathState{since: now, probeDue: now, interval: minPathProbeInterval})
+	p.suspectLocked(upstream, now)
+}
+
+// suspectLocked is suspect and reports whether the path is to be probed. The caller holds p.mu.
+func (p *paths) suspectLocked(upstream string, now time.Time) bool {
+	if p.byUpstream[upstream] != nil || now.Sub(p.reachedAt[upstream]) < suspicionInterval {
+		return false
+	}
+	p.add(upstream, &pathState{since: now, probeDue: now, interval: minPathProbeInterval})
+	return true
+}
+
+// suspectOthers has some of the paths to other upstreams probed after one was lost. It probes more
+// of them the more are lost, and none while one of those that it probed before is reached.
+func (p *paths) suspectOthers(upstreams []string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	lost := 0
+	for _, upstream := range upstreams {
+		if known := p.byUpstream[upstream]; known != nil && known.lost {
+			lost++
+		} else if now.Sub(p.reachedAt[upstream]) < suspicionInterval {
+			return
+		}
+	}
+	probes := sampledPaths
+	if lost > sampledPaths {
+		probes = len(upstreams)
+	}
+	for _, n := range rand.Perm(len(upstreams)) {
+		if probes > 0 && p.suspectLocked(upstreams[n], now) {
+			probes--
+		}
 	}
 }
 
@@ -155,7 +189,23 @@
 func (e *Edge) recordUnreachable(upstream *fleet.Upstream, err error) {
 	if errors.Is(err, exchange.ErrUnreachable) && e.paths.markLost(upstream.ID, e.now()) {
 		e.log.Warn().Err(err).Str(event.KeyUpstream, upstream.ID).Msg(string(event.PathLost))
+		e.paths.suspectOthers(e.regionalUpstreams(), e.now())
+	}
+}
+
+// regionalUpstreams returns the IDs of the usable upstreams of the own region.
+func (e *Edge) regionalUpstreams() []string {
+	view := e.board.Fleet.Load()
+	if view == nil {
+		return nil
+	}
+	var ids []string
+	for i := range view.Upstreams {
+		if upstream := &view.Upstreams[i]; upstream.Region == e.settings.Region && view.Usable(upstream) {
+			ids = append(ids, upstream.ID)
+		}
 	}
+	return ids
 }
 
 // probePaths probes the lost paths until ctx ends.
--- a/pkg/edge/unresponsive.go
+++ b/pkg/edge/unresponsive.go
@@ -47,14 +47,16 @@
 	running map[string]map[*monitoredStream]struct{}
 	// meanGaps holds the usual gap of each service.
 	meanGaps map[string]time.Duration
+	// lastData holds the time of the last data of each upstream.
+	lastData map[string]time.Time
 	// unresponsiveUntil holds, by upstream, the end of the time in which it gets no requests.
 	unresponsiveUntil map[string]time.Time
 }
 
 // monitoredStream is one stream of an engine.
 type monitoredStream struct {
-	service string
-	sent    time.Time
+	service, upstream string
+	sent              time.Time
 	// lastData is the arrival time of the last part of the answer, zero if none arrived.
 	lastData time.Time
 	// cancel ends the attempt, so that the request is resumed elsewhere, nil if that is not
@@ -63,7 +65,7 @@
 }
 
 func newStreamMonitor() *streamMonitor {
-	return &streamMonitor{running: make(map[string]map[*monitoredStream]struct{}), meanGaps: make(map[string]time.Duration), unresponsiveUntil: make(map[string]time.Time)}
+	return &streamMonitor{running: make(map[string]map[*monitoredStream]struct{}), meanGaps: make(map[string]time.Duration), lastData: make(map[string]time.Time), unresponsiveUntil: make(map[string]time.Time)}
 }
 
 // add watches a stream until the returned function is called.
@@ -93,6 +95,7 @@
 		p.meanGaps[stream.service] = usual + time.Duration(gapSmoothing*float64(gap-usual))
 	}
 	stream.lastData = now
+	p.lastData[stream.upstream] = now
 }
 
 func (p *streamMonitor) meanGap(service string) time.Duration {
@@ -118,6 +121,22 @@
 	return flowing, stalled
 }
 
+// isSilent reports whether an attempt at an upstream has waited for maxStallTime, and nothing came
+// from the upstream meanwhile.
+func (p *streamMonitor) isSilent(upstream string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	silent := false
+	for stream := range p.running[upstream] {
+		waited := now.Sub(stream.lastActivity()) >= maxStallTime
+		if !waited && !stream.lastData.IsZero() {
+			return false
+		}
+		silent = silent || waited
+	}
+	return silent && now.Sub(p.lastData[upstream]) >= maxStallTime
+}
+
 // stallTime returns the time without data after which a stream of a service is stalled.
 func (p *streamMonitor) stallTime(service string) time.Duration {
 	return min(maxStallTime, max(minStallTime, stallGaps*p.meanGap(service)))
@@ -172,6 +191,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.unresponsiveUntil, upstream)
+	delete(p.lastData, upstream)
 }
 
 // unresponsive reports whether an engine is unresponsive, by the streams of this instance and
@@ -211,7 +231,7 @@
 	case e.paths.isLost(upstream.ID):
 		// The upstream may be well, and the streams of other instances flow.
 		e.streams.cancelStalled(upstream.ID, now)
-	case stalled > 0:
+	case stalled > 0 || e.streams.isSilent(upstream.ID, now):
 		e.paths.suspect(upstream.ID, now)
 	}
 	others := e.gossip.View().Load().Upstream(upstream.ID)
--- a/pkg/edge/without_upstreams_test.go
+++ b/pkg/edge/without_upstreams_test.go
@@ -142,28 +142,42 @@
 // TestHalfOfARegionWithoutUpstreamsIsServedByTheRest guards against the same where no other region
 // may process the request, in a larger region of which half is partitioned.
 func TestHalfOfARegionWithoutUpstreamsIsServedByTheRest(t *testing.T) {
-	regions := []simRegion{{"north", 27, 24}, {"south", 4, 4}}
 	route := chatRoute
 	route.Homes = []string{"north"}
-	runSimulation(t, 32, route, regions, func(s *simulation) {
-		asked := make(map[string]askedRequest)
-		var cut []int
-		for i := range 13 {
-			cut = append(cut, i)
-		}
-		ask := func(length time.Duration) { s.askSome(400, length, 27, asked) }
-		ask(time.Second)
-		s.partitionFromEngines(silent, cut)
-		clock.Sleep(s.Context(), partitionSettled-time.Second)
-		ask(time.Second)
-		from := time.Now()
-		ask(3 * time.Second)
-		until := time.Now()
-		s.running.Wait()
-		s.checkServedWithout(t, asked, cut, from, until)
+	runSimulation(t, 32, route, []simRegion{{"north", 27, 24}, {"south", 4, 4}}, func(s *simulation) {
+		s.checkLargePartition(t, 400, 27, 13, partitionSettled-time.Second)
 	})
 }
 
+// TestInstancesWithFewRequestsFindTheirPathsLost guards against requests that find one upstream
+// after the other without a path, or wait on connections of which nothing comes any more.
+func TestInstancesWithFewRequestsFindTheirPathsLost(t *testing.T) {
+	runSimulation(t, 35, chatRoute, []simRegion{{"north", 27, 30}, {"south", 27, 30}}, func(s *simulation) {
+		s.checkLargePartition(t, 70, 54, 27, 0)
+	})
+}
+
+// checkLargePartition partitions the first instances from their engines, and checks what they
+// serve. Requests to some instances go on, but pause for a time after the cut.
+func (s *simulation) checkLargePartition(t *testing.T, perSecond, instances, partitioned int, pause time.Duration) {
+	t.Helper()
+	asked := make(map[string]askedRequest)
+	var cut []int
+	for i := range partitioned {
+		cut = append(cut, i)
+	}
+	ask := func(length time.Duration) { s.askSome(perSecond, length, instances, asked) }
+	ask(3 * time.Second)
+	s.partitionFromEngines(silent, cut)
+	clock.Sleep(s.Context(), pause)
+	ask(partitionSettled - pause)
+	from := time.Now()
+	ask(5 * time.Second)
+	until := time.Now()
+	s.running.Wait()
+	s.checkServedWithout(t, asked, cut, from, until)
+}
+
 // TestKeptConnectionsServeWhereNoOtherInstanceCan guards against refused callers of an instance
 // without neighbours whose connections live on while new ones are refused.
 func TestKeptConnectionsServeWhereNoOtherInstanceCan(t *testing.T) {
