--- a/pkg/edge/hops.go
+++ b/pkg/edge/hops.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// hopRefusalTime is the time for which an instance that refused a request because it reaches no
-// upstream of the service is asked for that service by nobody here. Its reports tell by then.
+// hopRefusalTime is the time for which an instance gets no requests for a service after it refused
+// one because it reaches no upstream of it. Its reports arrive within that time.
 const hopRefusalTime = time.Second
 
-// hopRefusals holds the instances that refused for want of a path. Another instance of their region
-// may well serve, so such a refusal says nothing about the region. It is safe for concurrent use.
+// hopRefusals holds the instances that refused because they reach no upstream. Other instances of
+// their regions may serve, so such a refusal is no evidence about a region. It is safe for
+// concurrent use.
 type hopRefusals struct {
 	mu sync.Mutex
 	// until holds the end of each refusal's effect.
--- a/pkg/edge/paths.go
+++ b/pkg/edge/paths.go
@@ -18,8 +18,9 @@
 // instance to which no connection is possible probes for one, and sends no requests meanwhile.
 
 const (
-	// pathProbeInterval separates the probes of a lost path, minPathProbeInterval the first of
-	// them. Each is varied by up to a quarter, so that instances do not return all at once.
+	// minPathProbeInterval and maxPathProbeInterval bound the pauses between the probes of a lost
+	// path. They double from probe to probe, and are varied by up to a quarter, so that instances
+	// do not return all at once.
 	minPathProbeInterval = 100 * time.Millisecond
 	maxPathProbeInterval = time.Second
 	// suspicionInterval separates the probes of a path that is not known to be lost.
@@ -29,8 +30,8 @@
 	sampledPaths = 2
 )
 
-// paths holds the upstreams to which this instance can make no connection. It is safe for
-// concurrent use.
+// paths holds the upstreams to which this instance can make no connection, or may not. It is safe
+// for concurrent use.
 type paths struct {
 	mu sync.Mutex
 	// byUpstream holds the paths that are lost or suspected to be.
@@ -47,8 +48,9 @@
 	// lost is false while a suspicion is not confirmed.
 	lost            bool
 	since, probeDue time.Time
-	interval        time.Duration
-	probing         bool
+	// interval is the pause before the next probe. probing is true while one runs.
+	interval time.Duration
+	probing  bool
 }
 
 func newPaths() *paths {
@@ -81,8 +83,8 @@
 	return true
 }
 
-// suspectOthers has some of the paths to other upstreams probed after one was lost. It probes more
-// of them the more are lost, and none while one of those that it probed before is reached.
+// suspectOthers has paths to other upstreams probed after one was lost: some, or all once several
+// are lost, unless a probe has reached one of them lately.
 func (p *paths) suspectOthers(upstreams []string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
