pkg/claim: keys are decided while their owner hands over

What callers saw: an upload answered unknown with idempotency-key-owner-lost while instances were replaced in turn.

Cause: between the owner's stop and the successor's adoption nobody decides; a successor that was named and said that it does not decide was not asked again. Evidence: TestClaimsDuringAHandoverAreDecided, owner-lost through four of four instances before.

A named successor is asked again for half a second.

--- a/pkg/claim/begin.go
+++ b/pkg/claim/begin.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
@@ -99,6 +100,8 @@
 	bestCopy *Record
 	decided  *Decision
 	decider  *Decider
+	// pending was named as a successor and does not decide yet.
+	pending *Decider
 	// unanswered is true if a possible decider did not reply, so a retry may help.
 	unanswered bool
 }
@@ -109,6 +112,7 @@
 	first, others := s.coordinator.localDeciders(s.key)
 	if successor != nil {
 		first = append([]Decider{*successor}, first...)
+		s.pending = successor
 	}
 	s.unanswered = !s.coordinator.replaced(s.key.Origin)
 	for _, decider := range first {
@@ -117,6 +121,27 @@
 		}
 	}
 	s.askAll(ctx, others)
+	s.awaitHandover(ctx)
+}
+
+const (
+	// handoverWait bounds the wait for a successor that has not adopted the keys yet: a handover
+	// takes a call or two.
+	handoverWait = 500 * time.Millisecond
+	// handoverPoll separates the queries meanwhile.
+	handoverPoll = 20 * time.Millisecond
+)
+
+// awaitHandover queries the pending successor until it decides, names another, or handoverWait
+// has passed.
+func (s *search) awaitHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	for s.decided == nil && s.pending != nil && s.coordinator.options.Sleep(ctx, handoverPoll) == nil {
+		if next := s.call(ctx, *s.pending, false); next != nil {
+			s.pending = next
+		}
+	}
 }
 
 // followSuccessors queries a decider, then the chain of successors that the
@@ -128,6 +153,9 @@
 		if s.decided != nil {
 			return true
 		}
+		if next != nil {
+			s.pending = next
+		}
 	}
 	return false
 }
--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -91,6 +91,36 @@
 	}
 }
 
+// TestClaimsDuringAHandoverAreDecided guards against answers that nobody decides a key, given while
+// its owner hands over and the successor has not adopted it yet.
+func TestClaimsDuringAHandoverAreDecided(t *testing.T) {
+	for _, through := range []string{"a1", "a2", "a3", "b1"} {
+		t.Run(through, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(1)
+			key := w.issued("a1")
+			leaving, successor := w.processes["a1"].coordinator.owner, w.processes["a2"].coordinator.owner
+			transfer, parts, err := leaving.Export("transfer", asDecider(successor))
+			is.NoErr(err)
+			w.pause = func() { is.Equal(successor.adoptAll(transfer, parts), FaultNone) }
+			_, got := w.begin(through, key)
+			is.Equal(got, "granted")
+		})
+	}
+}
+
+// TestClaimsDuringAHandoverThatDoesNotEndAreRefused covers a successor that never adopts.
+func TestClaimsDuringAHandoverThatDoesNotEndAreRefused(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("a1")
+	_, _, err := w.processes["a1"].coordinator.owner.Export("transfer", asDecider(w.processes["a2"].coordinator.owner))
+	is.NoErr(err)
+	_, _, refusal := w.processes["a3"].coordinator.Begin(context.Background(), Claim{Key: key, Caller: propertyCaller})
+	is.Equal(refusal.Reason, outcome.ReasonKeyOwnerLost)
+	is.Equal(refusal.RetryAfter, RetryOwnerLost) // the successor may adopt it later
+}
+
 // leave hands over an instance's keys and refreshes all memberships.
 func (w *simulation) leave(instance string) {
 	p := w.processes[instance]
