pkg/edge: lost paths are no evidence against requests

What callers see: a common request refused as quarantined everywhere, after instances were partitioned so that connections to upstreams are reset and refused.

Cause: a connection refused after a broken answer was taken for the crash of the upstream; such a partition refuses all of them. A refused connection counts now if a sibling accepts one, or if no other instance receives data from the region.

--- a/pkg/edge/crash_probe.go
+++ b/pkg/edge/crash_probe.go
@@ -4,10 +4,13 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
@@ -15,7 +18,7 @@
 
 // A broken answer is weak evidence: servers break single answers and go on. Whether the upstream
 // has crashed is detected by connecting to it, since a process that has ended refuses
-// connections.
+// connections. So does a partition that resets connections, but to all upstreams at once.
 
 const (
 	// crashProbeDelay passes before an upstream is probed. After a crash, all answers of the
@@ -30,6 +33,11 @@
 	// maxSuspects bounds the requests that one crash makes suspect here. No more run at one
 	// upstream for one instance.
 	maxSuspects = 256
+	// maxSiblingProbes bounds the other upstreams that are probed after one refused a connection.
+	maxSiblingProbes = 4
+	// corroborationTime is the time after which the reports of other instances show whether they
+	// still receive data from the region's upstreams.
+	corroborationTime = 300 * time.Millisecond
 )
 
 // crashProbes detects crashed upstreams. It is safe for concurrent use.
@@ -128,19 +136,48 @@
 	}
 }
 
-// hasCrashed reports whether connections to an upstream's address are refused. An upstream that
-// does not answer at all may be partitioned, which is no evidence.
+// hasCrashed reports whether connections to an upstream's address are refused, and not because this
+// instance is partitioned. An upstream that does not answer at all may be partitioned, which is no
+// evidence.
 func (e *Edge) hasCrashed(upstream *fleet.Upstream) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashProbeDelay+upstreamDial)
+	ctx := context.Background()
+	clock.Sleep(ctx, crashProbeDelay)
+	if !errors.Is(e.connect(ctx, upstream), syscall.ECONNREFUSED) {
+		return false
+	}
+	if e.reachesSibling(ctx, upstream) {
+		return true
+	}
+	clock.Sleep(ctx, corroborationTime)
+	return !e.othersReceiveData()
+}
+
+// connect opens a connection to an upstream and closes it.
+func (e *Edge) connect(ctx context.Context, upstream *fleet.Upstream) error {
+	ctx, cancel := context.WithTimeout(ctx, upstreamDial)
 	defer cancel()
-	timer := time.NewTimer(crashProbeDelay)
-	defer timer.Stop()
-	<-timer.C
 	conn, err := e.options.transport().Dial(ctx, "tcp", upstream.Address)
 	if err == nil {
 		// Nothing was sent on it.
 		_ = conn.Close()
-		return false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
+}
+
+// reachesSibling reports whether one of some other upstreams of the region accepts a connection.
+func (e *Edge) reachesSibling(ctx context.Context, upstream *fleet.Upstream) bool {
+	siblings := slices.DeleteFunc(e.regionalUpstreams(), func(id string) bool { return id == upstream.ID || e.paths.isLost(id) })
+	rand.Shuffle(len(siblings), func(i, j int) { siblings[i], siblings[j] = siblings[j], siblings[i] })
+	for _, id := range siblings[:min(len(siblings), maxSiblingProbes)] {
+		if sibling := e.board.Fleet.Load().Find(id); sibling != nil && e.connect(ctx, sibling) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// othersReceiveData reports whether other instances receive data from upstreams of the own region.
+func (e *Edge) othersReceiveData() bool {
+	view := e.gossip.View().Load()
+	return slices.ContainsFunc(e.regionalUpstreams(), func(id string) bool { return view.Upstream(id).Flowing > 0 })
 }
--- a/pkg/edge/without_upstreams_test.go
+++ b/pkg/edge/without_upstreams_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
 // Bounds of the requests at instances that are partitioned from all engines, from partitionSettled
@@ -314,3 +315,28 @@
 	}
 	p.checkServedWithout(t, asked, cut, from, until)
 }
+
+// TestLostPathsAreNoEvidenceAgainstRequests guards against a quarantine of requests that were in
+// work at upstreams to which an instance has lost its paths.
+func TestLostPathsAreNoEvidenceAgainstRequests(t *testing.T) {
+	runSimulation(t, 36, chatRoute, twelveEngines, func(s *simulation) {
+		cut := []int{0, 1, 4, 5}
+		for range 3 {
+			s.every(10*time.Millisecond, time.Second, func() { s.ask("common question") })
+			s.partitionFromEngines(refusing, cut)
+			s.every(10*time.Millisecond, 2*time.Second, func() { s.ask("common question") })
+			s.partitionFromEngines(notPartitioned, cut)
+			s.every(10*time.Millisecond, 2*time.Second, func() { s.ask("common question") })
+		}
+		s.running.Wait()
+		quarantined := 0
+		for _, answer := range s.answers {
+			if answer.reason == string(outcome.ReasonQuarantined) {
+				quarantined++
+			}
+		}
+		if quarantined > 0 {
+			t.Errorf("%d of %d requests were refused as quarantined", quarantined, len(s.answers))
+		}
+	})
+}
