--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -1,11 +1,11 @@
 // Package edge implements one instance of the gateway for declared HTTP routes: it accepts callers'
 // requests as they are, forwards them to an upstream that was discovered through the platform's
-// store, or to an instance of another region, and passes the answer on.
+// store, or to another instance that can serve them, and passes the answer on.
 //
 // Guarantees: a request that may not be repeated is not sent again once its first byte was sent,
 // unless the server states that it did not run it. "Not run" is reported only if it is true. An
-// answer is passed on complete or visibly broken. A request is forwarded to another region at
-// most once on its path. The configuration never reverts to an older version.
+// answer is passed on complete or visibly broken. A request is forwarded to another instance
+// at most once on its path. The configuration never reverts to an older version.
 //
 // The package is independent of the platform: a Dialect reads and writes headers, and the program
 // that assembles the instance fills its Board.
--- a/pkg/edge/paths.go
+++ b/pkg/edge/paths.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
@@ -225,12 +226,7 @@
 			}
 			continue
 		}
-		timer := time.NewTimer(minPathProbeInterval / 2)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
+		clock.Sleep(ctx, minPathProbeInterval/2)
 	}
 }
 
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -1,5 +1,5 @@
-// Package steer decides which discovered upstream, or which other region, gets a request of
-// a declared route.
+// Package steer decides which discovered upstream gets a request of a declared route, or which
+// instances may serve it: neighbours, or those of another region.
 //
 // A decision is a pure function of snapshots, local counts, a clock and a random number: it
 // does no I/O and does not block.
