pkg/claim: one line in the log for each claim that found no decider

The line key-owner-lost has the key's origin, the attempt, each call with its time and result, and the instances that were known. Nothing else changes.

--- a/pkg/claim/begin.go
+++ b/pkg/claim/begin.go
@@ -17,8 +17,7 @@
 	if decision.Verdict != VerdictNotMine {
 		return decision, nil
 	}
-	search := &search{coordinator: c, key: key, claim: claim, queried: make(map[string]bool)}
-	search.offerCopy(c.copies.Get(claim))
+	search := c.newSearch(key, claim, c.copies.Get(claim))
 	if key.Domain == c.options.Self.Domain {
 		search.inDomain(ctx, decision.Successor)
 	} else {
@@ -97,6 +96,7 @@
 	queried     map[string]bool
 
 	mu       sync.Mutex
+	trail    trail
 	bestCopy *Record
 	decided  *Decision
 	decider  *Decider
@@ -106,6 +106,13 @@
 	unanswered bool
 }
 
+func (c *Coordinator) newSearch(key Key, claim Claim, copy *Record) *search {
+	return &search{
+		coordinator: c, key: key, claim: claim, queried: make(map[string]bool), bestCopy: copy,
+		trail: trail{began: c.options.Clock.Now()},
+	}
+}
+
 // inDomain queries the gateways of the own domain: the likely deciders in
 // sequence, then all others concurrently.
 func (s *search) inDomain(ctx context.Context, successor *Decider) {
@@ -196,14 +203,15 @@
 	defer cancel()
 	var reply BeginReply
 	args := BeginArgs{Claim: s.claim, Relay: relay}
-	if err := s.coordinator.options.Peers.Call(ctx, decider.Control, MethodBegin, args, &reply); err != nil {
-		s.mu.Lock()
-		defer s.mu.Unlock()
+	sent := s.coordinator.options.Clock.Now()
+	err := s.coordinator.options.Peers.Call(ctx, decider.Control, MethodBegin, args, &reply)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trail.add(query{decider: decider, successor: reply.Decision.Successor, err: err}, sent, s.coordinator.options.Clock.Now())
+	if err != nil {
 		s.unanswered = true
 		return nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.offerCopyLocked(reply.Copy)
 	s.unanswered = s.unanswered || reply.Silent
 	if reply.Decision.Verdict == VerdictNotMine {
@@ -215,12 +223,6 @@
 	return nil
 }
 
-func (s *search) offerCopy(copy *Record) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.offerCopyLocked(copy)
-}
-
 // offerCopyLocked prefers a complete copy to any other.
 func (s *search) offerCopyLocked(copy *Record) {
 	if copy != nil && (s.bestCopy == nil || copy.State == StateComplete) {
@@ -236,11 +238,17 @@
 		return *s.decided, s.decider
 	case s.bestCopy != nil:
 		return s.bestCopy.answer(s.claim), nil
-	case s.unanswered:
-		return Decision{Verdict: VerdictRefused, Refusal: unknownOwnerLost(RetryOwnerLost)}, nil
-	default:
-		return Decision{Verdict: VerdictRefused, Refusal: unknownOwnerLost(0)}, nil
 	}
+	s.logLost()
+	return Decision{Verdict: VerdictRefused, Refusal: unknownOwnerLost(s.retryAfter())}, nil
+}
+
+// retryAfter returns when a repeat may find the decider; zero means never.
+func (s *search) retryAfter() time.Duration {
+	if s.unanswered {
+		return RetryOwnerLost
+	}
+	return 0
 }
 
 // answer returns the decision that a copy supports. It never grants.
--- a/pkg/claim/coordinator.go
+++ b/pkg/claim/coordinator.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
@@ -51,6 +53,8 @@
 	Limits Limits
 	// Background runs work that no caller waits for; nil means a goroutine.
 	Background func(func())
+	// Log receives one line for each claim that found no decider.
+	Log zerolog.Logger
 	// Sleep waits between retries until ctx ends; nil means a system timer.
 	Sleep func(ctx context.Context, pause time.Duration) error
 }
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -68,9 +68,10 @@
 func (c *Coordinator) relayBegin(key Key, claim Claim, held *Record, successor *Decider) BeginReply {
 	ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
 	defer cancel()
-	search := &search{coordinator: c, key: key, claim: claim, queried: make(map[string]bool), bestCopy: held}
+	search := c.newSearch(key, claim, held)
 	search.inDomain(ctx, successor)
 	if search.decided == nil {
+		search.logLost()
 		return BeginReply{Copy: search.bestCopy, Silent: search.unanswered}
 	}
 	return BeginReply{Decision: *search.decided}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -140,6 +140,7 @@
 		Domains:  g.board.Domains.Load,
 		KeyValue: keyValue,
 		TTL:      g.keyTTL,
+		Log:      g.log,
 	}
 }
 
