pkg/control: connections that the peer has closed are not used for new calls

What callers saw: an upload answered unknown with idempotency-key-owner-lost, at once, while the instance that decides its key served.

Cause: Clients keeps a connection for each address, and took it out of use only when a call on it had failed. After a peer was replaced, the first call to the new process was made on the connection to the former one, and failed unsent. Most such calls are copies of ended requests, whose loss is not seen; if the first is a claim, its only decider is given up after one call.

Why this works: the goroutine that waits for replies reads the end of a connection when the peer closes it; the connection is forgotten there, and the next call dials. A call in the moment between the close and that read can still fail.

Whether this is what graceful-shutdown.txtar showed once is not proved: its log did not say who was asked.

--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -5,8 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -159,37 +161,55 @@
 	return netutil.LimitListener(listener, limit), nil
 }
 
-// Clients keeps one net/rpc connection for each address.
+// Clients keeps one net/rpc connection for each address, for as long as the peer keeps it
+// open: the process at an address may have been replaced.
 type Clients struct {
 	network *Network
 	mu      sync.Mutex
-	byAddr  map[string]*rpc.Client
+	byAddr  map[string]*connection
 	closed  bool
 }
 
+// connection is a net/rpc client that is forgotten once its peer has closed it.
+type connection struct {
+	net.Conn
+	rpc    *rpc.Client
+	forget func()
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.forget()
+		_ = c.Close()
+	}
+	return n, err
+}
+
 // NewClients returns an empty set of connections.
 func NewClients(network *Network) *Clients {
-	return &Clients{network: network, byAddr: make(map[string]*rpc.Client)}
+	return &Clients{network: network, byAddr: make(map[string]*connection)}
 }
 
 // Call calls a method and waits for the reply until ctx ends. The context must have
 // a deadline. A connection on which a call timed out is dropped, so that an
 // unresponsive peer does not delay later calls.
 func (c *Clients) Call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := c.client(ctx, address)
+	conn, err := c.connect(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Err: err}
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call := conn.rpc.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		c.drop(address, client)
+		c.drop(address, conn)
 		return &CallError{Address: address, Method: method, Err: ctx.Err()}
 	}
 	var serverError rpc.ServerError
 	if call.Error != nil && !errors.As(call.Error, &serverError) {
-		c.drop(address, client)
+		c.drop(address, conn)
 	}
 	if call.Error != nil {
 		return &CallError{Address: address, Method: method, Err: call.Error}
@@ -200,52 +220,61 @@
 // Close closes all connections.
 func (c *Clients) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.closed = true
-	for address, client := range c.byAddr {
-		_ = client.Close()
-		delete(c.byAddr, address)
+	open := slices.Collect(maps.Values(c.byAddr))
+	clear(c.byAddr)
+	c.mu.Unlock()
+	for _, conn := range open {
+		_ = conn.rpc.Close()
 	}
 }
 
-func (c *Clients) client(ctx context.Context, address string) (*rpc.Client, error) {
+func (c *Clients) connect(ctx context.Context, address string) (*connection, error) {
 	c.mu.Lock()
-	client, ok := c.byAddr[address]
+	conn, ok := c.byAddr[address]
 	closed := c.closed
 	c.mu.Unlock()
 	if closed {
 		return nil, ErrClosed
 	}
 	if ok {
-		return client, nil
+		return conn, nil
 	}
-	conn, err := c.network.Dial(ctx, "tcp", address)
+	dialed, err := c.network.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return c.add(address, rpc.NewClient(conn))
+	return c.add(address, dialed)
 }
 
-func (c *Clients) add(address string, fresh *rpc.Client) (*rpc.Client, error) {
+func (c *Clients) add(address string, dialed net.Conn) (*connection, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		_ = fresh.Close()
+		_ = dialed.Close()
 		return nil, ErrClosed
 	}
 	if earlier, ok := c.byAddr[address]; ok {
-		_ = fresh.Close()
+		_ = dialed.Close()
 		return earlier, nil
 	}
+	fresh := &connection{Conn: dialed}
+	fresh.forget = func() { c.forget(address, fresh) }
+	fresh.rpc = rpc.NewClient(fresh)
 	c.byAddr[address] = fresh
 	return fresh, nil
 }
 
-func (c *Clients) drop(address string, client *rpc.Client) {
+// drop closes a connection and takes it out of use. Calls that wait for a reply fail.
+func (c *Clients) drop(address string, conn *connection) {
+	c.forget(address, conn)
+	_ = conn.rpc.Close()
+}
+
+func (c *Clients) forget(address string, conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.byAddr[address] == client {
+	if c.byAddr[address] == conn {
 		delete(c.byAddr, address)
 	}
-	_ = client.Close()
 }
