pkg/claim: a search that leaves a doubt asks again

What callers saw: unknown with idempotency-key-owner-lost for a key that a live instance decides, while the key's instance was replaced.

Cause: a claim looked once at a list that may be a heartbeat behind, asked each instance once, and took a lost call, or a neighbour whose present incarnation it did not know, for the absence of a decider. Only a successor that had been named was asked again.

Evidence: six shapes in the simulation (TestKeyOfAReplacedInstanceIsDecided), each owner-lost before and granted now: a neighbour listed as left, or none listed; the only call lost; the keys handed to the asking instance after it had looked; another domain that asks through one lost call, or knows the owner alone.

Why this works: the search goes in rounds for half a second after the first, as long as there is a doubt: the own records, then the lists of that moment. A repeated call names the same attempt, so that a grant whose reply was lost is given again to it and to no other; what no one decides any more is refused after the first round.

TestLostGrantIsWithdrawn loses the replies of both rounds now, as one lost reply no longer ends the search; TestLostGrantIsRepeated checks that case.

--- a/pkg/claim/coordinator.go
+++ b/pkg/claim/coordinator.go
@@ -63,6 +63,7 @@
 // safe for concurrent use.
 type Coordinator struct {
 	options Options
+	started time.Time
 	owner   *Owner
 	copies  *Copies
 	store   *Store
@@ -78,6 +79,7 @@
 	}
 	return &Coordinator{
 		options: options,
+		started: options.Clock.Now(),
 		owner:   NewOwner(options.Self, options.Clock, options.TTL, options.Limits),
 		copies:  NewCopies(options.Clock, options.TTL, 0),
 		store:   NewStore(options.KeyValue, options.Clock, DefaultRetention),
--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -189,13 +189,25 @@
 	is := is.New(t)
 	w := newSimulation(1)
 	key := w.issued("a1")
-	w.nextFaults["a2>a1"] = []fault{faultReplyLost}
+	w.nextFaults["a2>a1"] = []fault{faultReplyLost, faultReplyLost} // of both rounds
 	_, got := w.begin("a2", key)
 	is.Equal(got, "unknown idempotency-key-owner-lost")
 	_, got = w.begin("a3", key)
 	is.Equal(got, "granted")
 }
 
+// A grant whose reply was lost is given again to the same attempt, and to no other.
+func TestLostGrantIsRepeated(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("a1")
+	w.nextFaults["a2>a1"] = []fault{faultReplyLost}
+	_, got := w.begin("a2", key)
+	is.Equal(got, "granted")
+	_, got = w.begin("a3", key)
+	is.Equal(got, "unknown idempotency-key-in-progress")
+}
+
 // A gateway that relays a claim of another domain must not withdraw the attempt,
 // since its holder may get the grant through another relay and run.
 func TestRelayDoesNotWithdraw(t *testing.T) {
--- /dev/null
+++ b/pkg/claim/replacement_test.go
@@ -0,0 +1,83 @@
+package claim
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+)
+
+// replace lets an instance leave gracefully and starts its next incarnation. Other instances
+// keep the lists that they have.
+func (w *simulation) replace(instance string) {
+	p := w.processes[instance]
+	p.leaving = true
+	_, _ = p.coordinator.Handover(context.Background())
+	p.dead = true
+	w.start(instance)
+}
+
+// setState changes how an instance appears in the list of another.
+func (p *process) setState(instance string, state board.InstanceState) {
+	for i := range p.members.Instances {
+		if p.members.Instances[i].Name == instance {
+			p.members.Instances[i].State = state
+		}
+	}
+}
+
+// A key that was never used is granted while its owner is replaced gracefully, though a list is
+// a step behind or a call is lost. b has two instances, which all leave gracefully or serve.
+func TestKeyOfAReplacedInstanceIsDecided(t *testing.T) {
+	cases := []struct {
+		name, through string
+		event         func(w *simulation)
+	}{
+		{"the new instance lists its neighbour as left", "b2", func(w *simulation) {
+			w.replace("b2")
+			b2 := w.processes["b2"]
+			b2.setState("b1", board.InstanceLeft)
+			w.pause = func() { b2.refresh() }
+		}},
+		{"the new instance lists nobody", "b2", func(w *simulation) {
+			w.replace("b2")
+			b2 := w.processes["b2"]
+			b2.members = &board.Members{Self: "b2"}
+			w.pause = func() { b2.refresh() }
+		}},
+		{"the call to the only decider is lost", "b2", func(w *simulation) {
+			w.replace("b2")
+			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
+		}},
+		{"the owner hands over to the asking instance and ends before it is asked", "b1", func(w *simulation) {
+			w.beforeCall = func(link string) {
+				if link == "b1>b2" {
+					w.beforeCall = nil
+					w.replace("b2")
+				}
+			}
+		}},
+		{"another domain asks, and one call is lost in the domain", "a1", func(w *simulation) {
+			w.replace("b2")
+			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
+			w.nextFaults["a1>b1"] = []fault{faultRequestLost}
+		}},
+		{"another domain asks that lists the owner alone", "a1", func(w *simulation) {
+			w.processes["a1"].domains.Remote[0].Entries = w.processes["a1"].domains.Remote[0].Entries[1:]
+			w.replace("b2")
+			w.nextFaults["a1>b2"] = []fault{faultRequestLost}
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newSimulation(1)
+			key := w.issued("b2")
+			c.event(w)
+			_, got := w.begin(c.through, key)
+			is.Equal(got, "granted")
+		})
+	}
+}
--- a/pkg/claim/routing.go
+++ b/pkg/claim/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 )
@@ -43,6 +44,26 @@
 	return instance.State != board.InstanceLeft && instance.Incarnation != 0
 }
 
+// listSettles is the time after its start in which a gateway may know no neighbour though there
+// are some: a heartbeat and its retry.
+const listSettles = 5 * time.Second
+
+// mayMissNeighbours reports whether the present incarnation of another instance of the own domain
+// may not be known yet, and so neither whether it decides.
+func (c *Coordinator) mayMissNeighbours() bool {
+	alone := true
+	for _, instance := range c.knownInstances(c.options.Self.Domain) {
+		if instance.Name == c.options.Self.Instance {
+			continue
+		}
+		if !c.canQuery(&instance) {
+			return true
+		}
+		alone = false
+	}
+	return alone && c.options.Clock.Now().Sub(c.started) < listSettles
+}
+
 // replaced reports whether a gateway's instance is known to run a later incarnation,
 // so that this one cannot return. Incarnations increase.
 func (c *Coordinator) replaced(gateway Origin) bool {
--- /dev/null
+++ b/pkg/claim/search.go
@@ -0,0 +1,198 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// searchWait bounds the rounds after the first: a handover takes a call or two, and
+	// another heartbeat tells of a new incarnation.
+	searchWait = 500 * time.Millisecond
+	// The pause between two rounds doubles from searchPause to searchPauseMax.
+	searchPause    = 20 * time.Millisecond
+	searchPauseMax = 160 * time.Millisecond
+)
+
+// search queries other gateways about one claim, in rounds: a decider may be found in a
+// later one, since authority moves, lists lag and calls are lost.
+type search struct {
+	coordinator *Coordinator
+	key         Key
+	claim       Claim
+	// queried holds the addresses queried in this round.
+	queried map[string]bool
+
+	mu       sync.Mutex
+	trail    trail
+	bestCopy *Record
+	decided  *Decision
+	// decider is nil if this gateway decides.
+	decider *Decider
+	// pending was named as a successor and does not decide yet.
+	pending *Decider
+	// unanswered is true if a possible decider did not reply in this round, or may not be
+	// known yet, so that a retry may help.
+	unanswered bool
+}
+
+func (c *Coordinator) newSearch(key Key, claim Claim, copy *Record) *search {
+	return &search{
+		coordinator: c, key: key, claim: claim, bestCopy: copy,
+		trail: trail{began: c.options.Clock.Now()},
+	}
+}
+
+// run searches until a decider replies, none can be left, or searchWait has passed since the
+// first round. successor is the one that this gateway knows.
+func (s *search) run(ctx context.Context, successor *Decider) {
+	s.round(ctx, successor)
+	ctx, cancel := context.WithTimeout(ctx, searchWait)
+	defer cancel()
+	for pause := searchPause; s.mayBeDecided(); pause = min(2*pause, searchPauseMax) {
+		if s.coordinator.options.Sleep(ctx, pause) != nil {
+			return
+		}
+		own := s.coordinator.decide(s.key, s.claim)
+		if own.Verdict != VerdictNotMine {
+			s.decided = &own
+			return
+		}
+		s.round(ctx, own.Successor)
+	}
+}
+
+func (s *search) mayBeDecided() bool {
+	return s.decided == nil && (s.unanswered || s.pending != nil)
+}
+
+// round queries each possible decider of the current lists once.
+func (s *search) round(ctx context.Context, successor *Decider) {
+	s.queried = make(map[string]bool)
+	if s.key.Domain == s.coordinator.options.Self.Domain {
+		s.inDomain(ctx, successor)
+	} else {
+		s.inRemoteDomain(ctx)
+	}
+}
+
+// inDomain queries the gateways of the own domain: the likely deciders in
+// sequence, then all others concurrently.
+func (s *search) inDomain(ctx context.Context, successor *Decider) {
+	first, others := s.coordinator.localDeciders(s.key)
+	if s.pending != nil {
+		first = append([]Decider{*s.pending}, first...)
+	}
+	if successor != nil {
+		first = append([]Decider{*successor}, first...)
+		s.pending = successor
+	}
+	s.unanswered = !s.coordinator.replaced(s.key.Origin) || s.coordinator.mayMissNeighbours()
+	for _, decider := range first {
+		if s.followSuccessors(ctx, decider) {
+			return
+		}
+	}
+	s.askAll(ctx, others)
+}
+
+// followSuccessors queries a decider, then the chain of successors that the
+// replies name.
+func (s *search) followSuccessors(ctx context.Context, decider Decider) bool {
+	next := &decider
+	for next != nil && !s.queried[next.Control] {
+		next = s.query(ctx, *next, false)
+		if s.decided != nil {
+			return true
+		}
+		if next != nil {
+			s.pending = next
+		}
+	}
+	return false
+}
+
+func (s *search) askAll(ctx context.Context, deciders []Decider) {
+	var group sync.WaitGroup
+	for _, decider := range deciders {
+		if s.queried[decider.Control] {
+			continue
+		}
+		s.queried[decider.Control] = true
+		group.Go(func() { s.call(ctx, decider, false) })
+	}
+	group.Wait()
+}
+
+// inRemoteDomain queries entry instances of the key's domain, which query that
+// domain's gateways.
+func (s *search) inRemoteDomain(ctx context.Context) {
+	relays := s.coordinator.relays(s.key)
+	s.unanswered = len(relays) == 0
+	for _, relay := range relays {
+		s.query(ctx, relay, true)
+		if s.decided != nil {
+			return
+		}
+	}
+}
+
+func (s *search) query(ctx context.Context, decider Decider, relay bool) *Decider {
+	s.queried[decider.Control] = true
+	return s.call(ctx, decider, relay)
+}
+
+// call sends the claim to one gateway and returns the successor that it names.
+func (s *search) call(ctx context.Context, decider Decider, relay bool) *Decider {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(relay))
+	defer cancel()
+	var reply BeginReply
+	args := BeginArgs{Claim: s.claim, Relay: relay}
+	sent := s.coordinator.options.Clock.Now()
+	err := s.coordinator.options.Peers.Call(ctx, decider.Control, MethodBegin, args, &reply)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trail.add(query{decider: decider, successor: reply.Decision.Successor, err: err}, sent, s.coordinator.options.Clock.Now())
+	if err != nil {
+		s.unanswered = true
+		return nil
+	}
+	s.offerCopyLocked(reply.Copy)
+	s.unanswered = s.unanswered || reply.Silent
+	if reply.Decision.Verdict == VerdictNotMine {
+		return reply.Decision.Successor
+	}
+	if s.decided == nil {
+		s.decided, s.decider = &reply.Decision, &decider
+	}
+	return nil
+}
+
+// offerCopyLocked prefers a complete copy to any other.
+func (s *search) offerCopyLocked(copy *Record) {
+	if copy != nil && (s.bestCopy == nil || copy.State == StateComplete) {
+		s.bestCopy = copy
+	}
+}
+
+// answer returns the decision after all replies. Only a decider grants; without
+// one the best answer is a copy, then unknown.
+func (s *search) answer() (Decision, *Decider) {
+	switch {
+	case s.decided != nil:
+		return *s.decided, s.decider
+	case s.bestCopy != nil:
+		return s.bestCopy.answer(s.claim), nil
+	}
+	s.logLost()
+	return Decision{Verdict: VerdictRefused, Refusal: unknownOwnerLost(s.retryAfter())}, nil
+}
+
+// retryAfter returns when a repeat may find the decider; zero means never.
+func (s *search) retryAfter() time.Duration {
+	if s.unanswered {
+		return RetryOwnerLost
+	}
+	return 0
+}
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
 	defer cancel()
 	search := c.newSearch(key, claim, held)
-	search.inDomain(ctx, successor)
+	search.run(ctx, successor)
 	if search.decided == nil {
 		search.logLost()
 		return BeginReply{Copy: search.bestCopy, Silent: search.unanswered}
--- a/pkg/claim/simulation_test.go
+++ b/pkg/claim/simulation_test.go
@@ -46,9 +46,11 @@
 	seed       uint64
 	counter    map[string]uint64
 	delayed    []func()
-	// pause is called between two attempts of a handover.
-	pause  func()
-	codecs map[reflect.Type]*codec
+	// pause is called between two attempts of a handover or a search.
+	pause func()
+	// beforeCall, unless nil, is called before each call on a link.
+	beforeCall func(link string)
+	codecs     map[reflect.Type]*codec
 }
 
 // process is one incarnation of a gateway.
@@ -150,6 +152,9 @@
 // Call implements Peers. Arguments and replies pass through gob, as in net/rpc.
 func (p *process) Call(_ context.Context, address, method string, args, reply any) error {
 	w := p.simulation
+	if w.beforeCall != nil {
+		w.beforeCall(p.self.Instance + ">" + address)
+	}
 	w.mu.Lock()
 	target := w.processes[address]
 	chosen := w.choose(p.self.Instance + ">" + address)
