pkg/claim: a leaving instance finds the present incarnation of its successor

What callers saw: unknown with idempotency-key-owner-lost, for good, for keys of an instance that left gracefully while another of its domain served.

Cause: the leaving instance chose among the incarnations that it had listed, and gave its keys up after one call to each. A restarted neighbour under an older incarnation took the parts without a word and refused the transfer, which proves nothing of the former incarnation; a lost call, or a neighbour listed as left, left no candidate.

Evidence: three shapes in TestKeyOfAReplacedInstanceIsDecided (former incarnation listed, neighbour listed as left, first call lost), owner-lost before, granted now.

Why this works: the reply to the records names the incarnation that received them. Records carry no authority, so that the transfer may be withdrawn and made anew for that incarnation; a refusal of the authority itself still proves nothing about another incarnation. Until its time to end has come it tries again with the list of that moment, unless all neighbours are leaving too, which would wait for one another.

Instances of earlier versions reply without a name and are used as before (TestStageReplyOfAnEarlierVersion).

--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
@@ -14,25 +15,48 @@
 
 // Handover stops deciding and passes all records and the authority over them to
 // one live peer. Once the authority was sent it retries that peer until ctx ends,
-// and tries another only if the first itself refused. Without any live peer it
-// continues to decide and returns ErrNoSuccessor. After any other error no instance
-// may decide these keys: repeats are answered from copies, or with unknown.
+// and tries another only if the first itself refused. Until ctx ends it looks for a peer that
+// adopts, as long as one may come back. Without any live peer it continues to decide and returns
+// ErrNoSuccessor. After any other error no instance may decide these keys: repeats are answered
+// from copies, or with unknown.
 func (c *Coordinator) Handover(ctx context.Context) (Decider, error) {
-	candidates := c.candidates()
-	for _, candidate := range candidates {
-		transfer, parts, err := c.owner.Export(c.newID(), candidate)
+	for {
+		for _, candidate := range c.candidates() {
+			adopted, err := c.offer(ctx, &candidate)
+			if adopted || err != nil {
+				return candidate, err
+			}
+		}
+		if !c.expectsPeers() || c.options.Sleep(ctx, retryTransfer) != nil {
+			return Decider{}, ErrNoSuccessor
+		}
+	}
+}
+
+// offer hands over to one peer. If a later incarnation serves at its address, it becomes the
+// candidate. False means that the peer has not adopted and never will.
+func (c *Coordinator) offer(ctx context.Context, candidate *Decider) (bool, error) {
+	for {
+		transfer, parts, err := c.owner.Export(c.newID(), *candidate)
 		if err != nil {
-			return Decider{}, err
+			return false, err
 		}
-		adopted, err := c.transfer(ctx, candidate, transfer, parts)
+		present, err := c.stage(ctx, *candidate, parts)
 		if err != nil {
-			return candidate, err
+			c.owner.Unsent(transfer)
+			return false, nil
 		}
-		if adopted {
-			return candidate, nil
+		if !isLater(present, candidate.Origin) {
+			return c.transfer(ctx, *candidate, transfer)
 		}
+		c.owner.Unsent(transfer)
+		candidate.Origin = present
 	}
-	return Decider{}, ErrNoSuccessor
+}
+
+// isLater reports whether an incarnation is a later one of the same instance.
+func isLater(present, former Origin) bool {
+	return present.Domain == former.Domain && present.Instance == former.Instance && present.Incarnation > former.Incarnation
 }
 
 // retryTransfer is the pause between attempts to reach the successor.
@@ -51,16 +75,30 @@
 	return rendezvousOrder(c.options.Self.String(), live)
 }
 
-// transfer stages the records, then sends the authority until the successor replies
-// or ctx ends. False means that this successor has not adopted and never will: it
-// refused, or the authority was not sent to it.
-func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer, parts []Part) (bool, error) {
+// expectsPeers reports whether an instance of the own domain may serve soon: one whose call
+// failed, or whose next incarnation is starting. One that is leaving first has to end.
+func (c *Coordinator) expectsPeers() bool {
+	return slices.ContainsFunc(c.knownInstances(c.options.Self.Domain), func(instance board.Instance) bool {
+		return instance.Name != c.options.Self.Instance && instance.State != board.InstanceLeaving
+	})
+}
+
+// stage sends the records and returns the incarnation that received them, which is zero if its
+// version does not say so. Records carry no authority.
+func (c *Coordinator) stage(ctx context.Context, successor Decider, parts []Part) (Origin, error) {
+	var reply StageReply
 	for i := range parts {
-		if c.callSuccessor(ctx, successor, MethodStage, &parts[i], &StageReply{}) != nil {
-			c.owner.Unsent(transfer)
-			return false, nil
+		reply = StageReply{}
+		if err := c.callSuccessor(ctx, successor, MethodStage, &parts[i], &reply); err != nil {
+			return Origin{}, err
 		}
 	}
+	return reply.By, nil
+}
+
+// transfer sends the authority until the successor replies or ctx ends. False means that this
+// successor has refused and will never adopt.
+func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer) (bool, error) {
 	for {
 		var reply TransferReply
 		err := c.callSuccessor(ctx, successor, MethodAdopt, transfer, &reply)
--- a/pkg/claim/messages.go
+++ b/pkg/claim/messages.go
@@ -50,5 +50,8 @@
 // CopyReply holds the copy, or nil if there is none.
 type CopyReply struct{ Copy *Record }
 
-// StageReply confirms that a part was received.
-type StageReply struct{}
+// StageReply confirms that a part was received. Only the addressed incarnation keeps it.
+type StageReply struct {
+	// By is the replying incarnation.
+	By Origin
+}
--- a/pkg/claim/replacement_test.go
+++ b/pkg/claim/replacement_test.go
@@ -1,7 +1,10 @@
 package claim
 
 import (
+	"bytes"
 	"context"
+	"encoding/gob"
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,6 +38,10 @@
 		name, through string
 		event         func(w *simulation)
 	}{
+		{"the leaving instance lists the former incarnation of its successor", "b1", func(w *simulation) {
+			w.replace("b1")
+			w.replace("b2")
+		}},
 		{"the new instance lists its neighbour as left", "b2", func(w *simulation) {
 			w.replace("b2")
 			b2 := w.processes["b2"]
@@ -59,6 +66,16 @@
 				}
 			}
 		}},
+		{"the leaving instance lists its neighbour as left", "b1", func(w *simulation) {
+			b2 := w.processes["b2"]
+			b2.setState("b1", board.InstanceLeft)
+			w.pause = func() { b2.refresh() }
+			w.replace("b2")
+		}},
+		{"the transfer's first call is lost", "b1", func(w *simulation) {
+			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
+			w.replace("b2")
+		}},
 		{"another domain asks, and one call is lost in the domain", "a1", func(w *simulation) {
 			w.replace("b2")
 			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
@@ -81,3 +98,27 @@
 		})
 	}
 }
+
+// An instance does not wait for a successor if its neighbours leave too.
+func TestHandoverDoesNotWaitForLeavingNeighbours(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	w.processes["b1"].leaving = true
+	w.refreshAll()
+	w.pause = func() { t.Error("waited") }
+	_, err := w.processes["b2"].coordinator.Handover(context.Background())
+	is.True(errors.Is(err, ErrNoSuccessor))
+}
+
+// The reply of an instance of an earlier version does not name its incarnation.
+func TestStageReplyOfAnEarlierVersion(t *testing.T) {
+	is := is.New(t)
+	var buffer bytes.Buffer
+	is.NoErr(gob.NewEncoder(&buffer).Encode(struct{}{}))
+	var reply StageReply
+	is.NoErr(gob.NewDecoder(&buffer).Decode(&reply))
+	is.Equal(reply.By, Origin{})
+	buffer.Reset()
+	is.NoErr(gob.NewEncoder(&buffer).Encode(StageReply{By: Origin{Domain: "b", Instance: "b1", Incarnation: 1}}))
+	is.NoErr(gob.NewDecoder(&buffer).Decode(&struct{}{}))
+}
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -40,8 +40,9 @@
 }
 
 // Stage receives a part of a leaving gateway's records.
-func (s *Service) Stage(args Part, _ *StageReply) error {
+func (s *Service) Stage(args Part, reply *StageReply) error {
 	s.coordinator.owner.Stage(args)
+	reply.By = s.coordinator.options.Self
 	return nil
 }
 
