pkg/claim: a transfer whose only call reached another incarnation may go elsewhere

What callers saw: unknown with idempotency-key-owner-lost, for good, for keys of an instance whose successor was replaced while it handed over.

Cause: an answer by another incarnation than the addressed one was never taken as proof, even if it answered the first call with the authority. That call was then received by the new incarnation, and by no other.

Evidence: TestSuccessorIsReplacedDuringAHandover, owner-lost before, granted now.

Why this works: a call is delivered once, to the process that answers it. After a call without an answer the doubt stays, as the former incarnation may have adopted the keys (TestRefusalOfARestartedSuccessorIsNotProof, unchanged).

--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -97,13 +97,14 @@
 }
 
 // transfer sends the authority until the successor replies or ctx ends. False means that this
-// successor has refused and will never adopt.
+// successor has not adopted and never will: it refused, or the only call reached another
+// incarnation.
 func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer) (bool, error) {
-	for {
+	for inDoubt := false; ; inDoubt = true {
 		var reply TransferReply
 		err := c.callSuccessor(ctx, successor, MethodAdopt, transfer, &reply)
 		if err == nil {
-			return c.adopted(transfer, reply)
+			return c.adopted(transfer, reply, inDoubt)
 		}
 		if stop := c.options.Sleep(ctx, retryTransfer); stop != nil {
 			return false, fmt.Errorf("hand over idempotency keys to %s: %w", successor.Instance, errors.Join(stop, err))
@@ -111,13 +112,19 @@
 	}
 }
 
-func (c *Coordinator) adopted(transfer *Transfer, reply TransferReply) (bool, error) {
+// adopted evaluates the reply to a transfer. inDoubt is true if an earlier call may have reached
+// the successor.
+func (c *Coordinator) adopted(transfer *Transfer, reply TransferReply, inDoubt bool) (bool, error) {
 	if reply.By == transfer.Successor && reply.Fault == FaultNone {
 		return true, nil
 	}
 	if c.owner.Refused(transfer, reply) {
 		return false, nil
 	}
+	if !inDoubt {
+		c.owner.Unsent(transfer)
+		return false, nil
+	}
 	return false, &TransferError{Successor: transfer.Successor, Fault: reply.Fault}
 }
 
--- a/pkg/claim/replacement_test.go
+++ b/pkg/claim/replacement_test.go
@@ -17,7 +17,9 @@
 func (w *simulation) replace(instance string) {
 	p := w.processes[instance]
 	p.leaving = true
-	_, _ = p.coordinator.Handover(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, _ = p.coordinator.Handover(ctx)
 	p.dead = true
 	w.start(instance)
 }
@@ -99,6 +101,29 @@
 	}
 }
 
+// The successor is replaced between the records and the authority: the former incarnation has
+// not adopted the keys, as no call was in doubt.
+func TestSuccessorIsReplacedDuringAHandover(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("a1")
+	successor := w.processes["a1"].coordinator.candidates()[0].Instance
+	calls := 0
+	w.beforeCall = func(link string) {
+		if link != "a1>"+successor {
+			return
+		}
+		if calls++; calls == 2 {
+			w.beforeCall = nil
+			w.replace(successor)
+		}
+	}
+	w.replace("a1")
+	w.refreshAll()
+	_, got := w.begin("a1", key)
+	is.Equal(got, "granted")
+}
+
 // An instance does not wait for a successor if its neighbours leave too.
 func TestHandoverDoesNotWaitForLeavingNeighbours(t *testing.T) {
 	is := is.New(t)
--- a/pkg/claim/simulation_test.go
+++ b/pkg/claim/simulation_test.go
@@ -95,14 +95,14 @@
 	return p
 }
 
-// sleepOnce lets each handover try twice and then fail. The simulation's pause runs
+// sleepOnce lets each handover and search try twice and then fail. The simulation's pause runs
 // in between.
 func (p *process) sleepOnce() func(context.Context, time.Duration) error {
-	slept := 0
-	return func(context.Context, time.Duration) error {
+	slept := make(map[context.Context]int)
+	return func(ctx context.Context, _ time.Duration) error {
 		p.simulation.pause()
-		slept++
-		if slept%2 == 0 || p.dead {
+		slept[ctx]++
+		if slept[ctx]%2 == 0 || p.dead {
 			return context.DeadlineExceeded
 		}
 		return nil
