pkg/claim: a leaving instance asks neighbours that are not listed as live

What callers saw: unknown with idempotency-key-owner-lost, for good, for keys of an instance that left right after its neighbour had been replaced.

Cause: only instances listed as live were candidates, and a list that calls all neighbours leaving ended the search for a successor, though they may have been replaced since.

Why this works: the neighbour itself says which incarnation it is, in the reply to a part that carries nothing. It ends the search only by saying that it is the one that leaves.

--- a/pkg/claim/leave.go
+++ b/pkg/claim/leave.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
@@ -21,18 +20,33 @@
 // from copies, or with unknown.
 func (c *Coordinator) Handover(ctx context.Context) (Decider, error) {
 	for {
-		for _, candidate := range c.candidates() {
-			adopted, err := c.offer(ctx, &candidate)
-			if adopted || err != nil {
-				return candidate, err
-			}
+		successor, err := c.offerAny(ctx, c.candidates())
+		if successor != nil || err != nil {
+			return *successor, err
+		}
+		restarted, allLeaving := c.probeUnlisted(ctx)
+		successor, err = c.offerAny(ctx, restarted)
+		if successor != nil || err != nil {
+			return *successor, err
 		}
-		if !c.expectsPeers() || c.options.Sleep(ctx, retryTransfer) != nil {
+		if allLeaving || c.options.Sleep(ctx, retryTransfer) != nil {
 			return Decider{}, ErrNoSuccessor
 		}
 	}
 }
 
+// offerAny hands over to the first of the candidates that adopts, and returns it. It is not nil if
+// there is an error.
+func (c *Coordinator) offerAny(ctx context.Context, candidates []Decider) (*Decider, error) {
+	for _, candidate := range candidates {
+		adopted, err := c.offer(ctx, &candidate)
+		if adopted || err != nil {
+			return &candidate, err
+		}
+	}
+	return nil, nil
+}
+
 // offer hands over to one peer. If a later incarnation serves at its address, it becomes the
 // candidate. False means that the peer has not adopted and never will.
 func (c *Coordinator) offer(ctx context.Context, candidate *Decider) (bool, error) {
@@ -63,24 +77,39 @@
 const retryTransfer = 100 * time.Millisecond
 
 // candidates returns the live peers in rendezvous order for this origin.
-func (c *Coordinator) candidates() []Decider {
-	var live []Decider
+func (c *Coordinator) candidates() []Decider { return c.peers(board.InstanceLive) }
+
+// probeUnlisted returns the peers that are not listed as live, and at whose address a later
+// incarnation serves. allLeaving is true if there is no other peer but those that are leaving
+// themselves, which would wait for one another.
+func (c *Coordinator) probeUnlisted(ctx context.Context) (restarted []Decider, allLeaving bool) {
+	allLeaving = len(c.candidates()) == 0
+	for _, state := range []board.InstanceState{board.InstanceLeaving, board.InstanceSilent, board.InstanceLeft} {
+		for _, listed := range c.peers(state) {
+			var reply StageReply
+			// A part without an addressee is kept by none.
+			err := c.callSuccessor(ctx, listed, DefaultCallTimeout, MethodStage, &Part{From: c.options.Self}, &reply)
+			if err == nil && isLater(reply.By, listed.Origin) {
+				restarted = append(restarted, Decider{Origin: reply.By, Control: listed.Control})
+			}
+			allLeaving = allLeaving && err == nil && state == board.InstanceLeaving
+		}
+	}
+	return restarted, allLeaving
+}
+
+// peers returns the listed peers in a state, in rendezvous order for this origin.
+func (c *Coordinator) peers(state board.InstanceState) []Decider {
+	var peers []Decider
 	instances := c.knownInstances(c.options.Self.Domain)
 	for i := range instances {
 		instance := &instances[i]
-		if c.canQuery(instance) && instance.State == board.InstanceLive {
-			live = append(live, deciderOf(instance))
+		known := instance.Addresses.Control != "" && (state != board.InstanceLive || instance.Incarnation != 0)
+		if instance.Name != c.options.Self.Instance && instance.State == state && known {
+			peers = append(peers, deciderOf(instance))
 		}
 	}
-	return rendezvousOrder(c.options.Self.String(), live)
-}
-
-// expectsPeers reports whether an instance of the own domain may serve soon: one whose call
-// failed, or whose next incarnation is starting. One that is leaving first has to end.
-func (c *Coordinator) expectsPeers() bool {
-	return slices.ContainsFunc(c.knownInstances(c.options.Self.Domain), func(instance board.Instance) bool {
-		return instance.Name != c.options.Self.Instance && instance.State != board.InstanceLeaving
-	})
+	return rendezvousOrder(c.options.Self.String(), peers)
 }
 
 // stage sends the records and returns the incarnation that received them, which is zero if its
@@ -89,7 +118,7 @@
 	var reply StageReply
 	for i := range parts {
 		reply = StageReply{}
-		if err := c.callSuccessor(ctx, successor, MethodStage, &parts[i], &reply); err != nil {
+		if err := c.callSuccessor(ctx, successor, DefaultTransferTimeout, MethodStage, &parts[i], &reply); err != nil {
 			return Origin{}, err
 		}
 	}
@@ -102,7 +131,7 @@
 func (c *Coordinator) transfer(ctx context.Context, successor Decider, transfer *Transfer) (bool, error) {
 	for inDoubt := false; ; inDoubt = true {
 		var reply TransferReply
-		err := c.callSuccessor(ctx, successor, MethodAdopt, transfer, &reply)
+		err := c.callSuccessor(ctx, successor, DefaultTransferTimeout, MethodAdopt, transfer, &reply)
 		if err == nil {
 			return c.adopted(transfer, reply, inDoubt)
 		}
@@ -128,8 +157,8 @@
 	return false, &TransferError{Successor: transfer.Successor, Fault: reply.Fault}
 }
 
-func (c *Coordinator) callSuccessor(ctx context.Context, successor Decider, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, DefaultTransferTimeout)
+func (c *Coordinator) callSuccessor(ctx context.Context, successor Decider, timeout time.Duration, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.options.Peers.Call(ctx, successor.Control, method, args, reply)
 }
--- a/pkg/claim/replacement_test.go
+++ b/pkg/claim/replacement_test.go
@@ -124,6 +124,20 @@
 	is.Equal(got, "granted")
 }
 
+// A neighbour that is listed as leaving may have been replaced already.
+func TestNeighbourListedAsLeavingHasBeenReplaced(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("b2")
+	w.processes["b1"].leaving = true
+	w.processes["b2"].refresh()
+	w.replace("b1")
+	w.replace("b2")
+	w.refreshAll()
+	_, got := w.begin("b2", key)
+	is.Equal(got, "granted")
+}
+
 // An instance does not wait for a successor if its neighbours leave too.
 func TestHandoverDoesNotWaitForLeavingNeighbours(t *testing.T) {
 	is := is.New(t)
