pkg/claim: a search waits for a slow decider as long as a refused caller would

Cause: time, as the log says: two calls to the only decider, a live one, each ended by its 500 ms (asked=[kal-2@0+524ms: deadline exceeded, kal-2@546ms+480ms: deadline exceeded] known=[kal-2:live,heard=920ms]), and the search with them, while the caller had 29 s left.

Why this works: the search goes on for the 5 s after which the refusal asks the caller to come back, or until the caller's deadline, so that waiting is never later than a repeat. TestSlowDeciderIsAwaited: a decider slow for 4 s, owner-lost before, granted now. The copy of a complete answer is given at once, and a search on behalf of another domain ends before that domain's call does. Cost: claims on the keys of an owner that is cut off are held for 5 s; those that no one decides are refused as soon as before.

--- a/pkg/claim/replacement_test.go
+++ b/pkg/claim/replacement_test.go
@@ -6,10 +6,13 @@
 	"encoding/gob"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // replace lets an instance leave gracefully and starts its next incarnation. Other instances
@@ -149,6 +152,47 @@
 	is.True(errors.Is(err, ErrNoSuccessor))
 }
 
+// A search goes on until a slow decider answers, for as long as a refused caller would wait.
+func TestSlowDeciderIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newSimulation(1)
+		key := w.issued("b2")
+		asking := w.processes["b1"].coordinator
+		asking.options.Clock, asking.options.Sleep = clock.System{}, sleep
+		const slow = 4 * time.Second
+		began := time.Now()
+		w.beforeCall = func(string) {
+			if time.Since(began) < slow {
+				w.nextFaults["b1>b2"] = []fault{faultRequestLost}
+			}
+		}
+		_, got := w.begin("b1", key)
+		is.Equal(got, "granted")
+		is.True(time.Since(began) < searchWait)
+
+		w.beforeCall = nil
+		w.processes["b2"].frozen = true
+		began = time.Now()
+		_, got = w.begin("b1", w.issued("b2"))
+		is.Equal(got, "unknown idempotency-key-owner-lost")
+		is.True(time.Since(began) <= searchWait) // calls take no time here
+	})
+}
+
+// A complete copy is answered at once, though the decider does not answer.
+func TestCompleteCopyIsNotDelayed(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("b2")
+	grant, _ := w.begin("b1", key)
+	w.processes["b2"].frozen = true
+	grant.Finish(context.Background(), answered)
+	w.pause = func() { t.Error("waited") }
+	_, got := w.begin("b1", key)
+	is.Equal(got, "recorded "+string(answered.Body))
+}
+
 // The reply of an instance of an earlier version does not name its incarnation.
 func TestStageReplyOfAnEarlierVersion(t *testing.T) {
 	is := is.New(t)
--- a/pkg/claim/search.go
+++ b/pkg/claim/search.go
@@ -7,12 +7,14 @@
 )
 
 const (
-	// searchWait bounds the rounds after the first: a handover takes a call or two, and
-	// another heartbeat tells of a new incarnation.
-	searchWait = 500 * time.Millisecond
+	// searchWait bounds the rounds after the first. It is the time after which a refused caller
+	// would repeat, so that waiting is never later than a repeat.
+	searchWait = RetryOwnerLost
 	// The pause between two rounds doubles from searchPause to searchPauseMax.
 	searchPause    = 20 * time.Millisecond
-	searchPauseMax = 160 * time.Millisecond
+	searchPauseMax = 640 * time.Millisecond
+	// relaySearchTimeout bounds a search for another domain, whose call has to get the reply.
+	relaySearchTimeout = DefaultRelayTimeout - 300*time.Millisecond
 )
 
 // search queries other gateways about one claim, in rounds: a decider may be found in a
@@ -63,8 +65,13 @@
 	}
 }
 
+// mayBeDecided reports whether another round may find a decider and is needed: the copy of a
+// complete answer is as good as the decider's.
 func (s *search) mayBeDecided() bool {
-	return s.decided == nil && (s.unanswered || s.pending != nil)
+	if s.decided != nil || s.bestCopy != nil && s.bestCopy.State == StateComplete {
+		return false
+	}
+	return s.unanswered || s.pending != nil
 }
 
 // round queries each possible decider of the current lists once.
--- a/pkg/claim/service.go
+++ b/pkg/claim/service.go
@@ -67,7 +67,7 @@
 // relayBegin queries the own domain on behalf of a gateway of another. It never
 // withdraws, since the attempt's holder may be querying another relay concurrently.
 func (c *Coordinator) relayBegin(key Key, claim Claim, held *Record, successor *Decider) BeginReply {
-	ctx, cancel := context.WithTimeout(context.Background(), DefaultRelayTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), relaySearchTimeout)
 	defer cancel()
 	search := c.newSearch(key, claim, held)
 	search.run(ctx, successor)
--- a/pkg/claim/trail.go
+++ b/pkg/claim/trail.go
@@ -20,6 +20,9 @@
 	err       error
 }
 
+// maxTrail bounds the calls that are kept for a log line; later ones are left out.
+const maxTrail = 32
+
 // trail holds the calls of one search, in the order in which they ended.
 type trail struct {
 	began   time.Time
@@ -27,6 +30,9 @@
 }
 
 func (t *trail) add(q query, sent, ended time.Time) {
+	if len(t.queries) >= maxTrail {
+		return
+	}
 	q.sent, q.took = sent.Sub(t.began), ended.Sub(sent)
 	t.queries = append(t.queries, q)
 }
