pkg/claim: an instance whose call failed is asked again though no list names it

Cause: the owner's agent said goodbye before its gateway had ended, so that the list lost the instance; from then on the search asked nobody, while the owner decided again, and handed over.

Evidence: of that search, asked=[four calls to lar-2 up to 2.1 s] of 5.5 s, and known=[lar-1] alone; lar-2's agent stopped at 31.6, its gateway at 35.2.

Why this works: a possible decider whose call failed is asked in each round until it answers. Its name in the list of TestKeyOfAReplacedInstanceIsDecided: owner-lost before, granted now. That the agent leaves before its gateway stays as it is.

--- a/pkg/claim/replacement_test.go
+++ b/pkg/claim/replacement_test.go
@@ -81,6 +81,10 @@
 			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
 			w.replace("b2")
 		}},
+		{"the owner stalls while it leaves, and is no longer listed", "b1", func(w *simulation) {
+			w.nextFaults["b1>b2"] = []fault{faultRequestLost}
+			w.pause = func() { w.processes["b1"].members.Instances = w.processes["b1"].members.Instances[:1] }
+		}},
 		{"another domain asks, and one call is lost in the domain", "a1", func(w *simulation) {
 			w.replace("b2")
 			w.nextFaults["b2>b1"] = []fault{faultRequestLost}
--- a/pkg/claim/search.go
+++ b/pkg/claim/search.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,8 +28,11 @@
 	// queried holds the addresses queried in this round.
 	queried map[string]bool
 
-	mu       sync.Mutex
-	trail    trail
+	mu    sync.Mutex
+	trail trail
+	// silent holds, by address, the possible deciders whose last call failed. They are asked
+	// again though the lists no longer name them: an instance may leave the lists before it ends.
+	silent   map[string]Decider
 	bestCopy *Record
 	decided  *Decision
 	// decider is nil if this gateway decides.
@@ -42,7 +47,7 @@
 func (c *Coordinator) newSearch(key Key, claim Claim, copy *Record) *search {
 	return &search{
 		coordinator: c, key: key, claim: claim, bestCopy: copy,
-		trail: trail{began: c.options.Clock.Now()},
+		trail: trail{began: c.options.Clock.Now()}, silent: make(map[string]Decider),
 	}
 }
 
@@ -95,6 +100,7 @@
 		first = append([]Decider{*successor}, first...)
 		s.pending = successor
 	}
+	others = slices.AppendSeq(others, maps.Values(s.silent))
 	s.unanswered = !s.coordinator.replaced(s.key.Origin) || s.coordinator.mayMissNeighbours()
 	for _, decider := range first {
 		if s.followSuccessors(ctx, decider) {
@@ -163,8 +169,10 @@
 	s.trail.add(query{decider: decider, successor: reply.Decision.Successor, err: err}, sent, s.coordinator.options.Clock.Now())
 	if err != nil {
 		s.unanswered = true
+		s.silent[decider.Control] = decider
 		return nil
 	}
+	delete(s.silent, decider.Control)
 	s.offerCopyLocked(reply.Copy)
 	s.unanswered = s.unanswered || reply.Silent
 	if reply.Decision.Verdict == VerdictNotMine {
