pkg/claim: an attempt is withdrawn from every instance that may have granted it

Cause: a withdrawal went to the instances that were listed when the search ended.

Evidence: reason=idempotency-key-in-progress for every later attempt, after a refusal that came 5 s after the freeze; the list drops a gateway after 2 s. TestLostGrantOfAnUnlistedInstanceIsWithdrawn: in-progress before, granted now.

Why this works: the search keeps the instances whose call failed, and the withdrawal goes to each of them too.

--- a/pkg/claim/begin.go
+++ b/pkg/claim/begin.go
@@ -18,7 +18,7 @@
 	search := c.newSearch(key, claim, c.copies.Get(claim))
 	search.run(ctx, decision.Successor)
 	if search.decided == nil {
-		c.withdraw(ctx, key, claim)
+		search.withdraw(ctx)
 	}
 	return search.answer()
 }
@@ -74,14 +74,6 @@
 	return decision
 }
 
-// withdraw abandons an attempt wherever its Begin may have been granted and the
-// reply lost, so that the next attempt can get the key. Only the attempt's holder
-// may do so, and it must not begin that attempt again.
-func (c *Coordinator) withdraw(ctx context.Context, key Key, claim Claim) {
-	ctx = context.WithoutCancel(ctx)
-	c.options.Background(func() { c.finish(ctx, key, claim, notRun, nil) })
-}
-
 // answer returns the decision that a copy supports. It never grants.
 func (r *Record) answer(claim Claim) Decision {
 	if r.Fingerprint != claim.Fingerprint {
--- a/pkg/claim/coordinator_test.go
+++ b/pkg/claim/coordinator_test.go
@@ -196,6 +196,19 @@
 	is.Equal(got, "granted")
 }
 
+// A grant is withdrawn where the instance that gave it has left the list meanwhile.
+func TestLostGrantOfAnUnlistedInstanceIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	w := newSimulation(1)
+	key := w.issued("a1")
+	w.nextFaults["a2>a1"] = []fault{faultReplyLost, faultReplyLost}
+	w.pause = func() { w.processes["a2"].members.Instances[0].Incarnation = 0 }
+	_, got := w.begin("a2", key)
+	is.Equal(got, "unknown idempotency-key-owner-lost")
+	_, got = w.begin("a3", key)
+	is.Equal(got, "granted")
+}
+
 // A grant whose reply was lost is given again to the same attempt, and to no other.
 func TestLostGrantIsRepeated(t *testing.T) {
 	is := is.New(t)
--- a/pkg/claim/search.go
+++ b/pkg/claim/search.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// withdraw abandons the attempt wherever its Begin may have been granted and the
+// reply lost, so that the next attempt can get the key. Only the attempt's holder
+// may do so, and it must not begin that attempt again.
+func (s *search) withdraw(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	c, relay := s.coordinator, s.key.Domain != s.coordinator.options.Self.Domain
+	c.options.Background(func() {
+		c.finish(ctx, s.key, s.claim, notRun, nil)
+		for _, decider := range s.silent {
+			c.reportTo(ctx, decider, s.claim, notRun, relay)
+		}
+	})
+}
+
 // answer returns the decision after all replies. Only a decider grants; without
 // one the best answer is a copy, then unknown.
 func (s *search) answer() (Decision, *Decider) {
