--- a/pkg/edge/request_log.go
+++ b/pkg/edge/request_log.go
@@ -75,7 +75,9 @@
 			Int(event.KeyInFlight, best.InFlight).Int(event.KeyPrefill, best.Prefill).
 			Float64(event.KeyCost, best.Cost).Dur(event.KeyPredictedMS, best.TimeToFirstToken).Str(event.KeyPart, lastSharedSegment(j.attributes.Segments)).
 			Bool(event.KeyCopy, best.Source != nil).Int(event.KeyUsable, chosen.survey.Usable)
-		if chosen.peer != nil {
+		if chosen.peer == nil {
+			line.Str(event.KeySoftware, best.Upstream.Software)
+		} else {
 			line.Int64(event.KeyHeardMS, world.Now.Sub(chosen.peer.ReportedAt).Milliseconds())
 		}
 		if after != "" {
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -83,6 +83,7 @@
 	KeySends         = "sends"  // number of sends of the request
 	KeyService       = "service"
 	KeySlots         = "slots"        // total concurrency of the usable upstreams
+	KeySoftware      = "software"     // version of an upstream's software
 	KeyStatus        = "status"       // HTTP status
 	KeySteps         = "steps"        // number of lines about steps of failed or slow requests
 	KeyStoreAgeMS    = "store_age_ms" // time since the last answer of the store
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -19,6 +19,9 @@
 	// report it, and then each incarnation has a name of its own.
 	StartedAt int64
 	Service   string
+	// Software is the version of its software, not that of the weights that it serves; empty if it
+	// reports none. What two versions of a service write does not fit together in one stream.
+	Software string
 	// Address is an IP address and a port; another upstream may reuse it after this one has
 	// stopped.
 	Address string
