pkg/edge: a failing test of streams that go on while two software versions serve

Callers got streams with events of two software versions, when they took a stream up again and within one answer. The test reproduces both in virtual time: seven instances in three regions, engines of v1 and v2 side by side that write their version into each event, 40 streams begun at one instance whose callers leave after two events and come back naming the attempt that began them. It checks the stated rules: two streams of two versions at most, and at least half of the streams taken up go on, where somebody can know how they began.

--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -40,6 +40,7 @@
 	testNotRun   = "X-Test-Not-Run"
 	testProof    = "X-Test-Proof"
 	testAfter    = "Last-Event-Id"
+	testResumes  = "X-Test-Resumes"
 	testLimit    = "X-Test-Limit"
 	testLeaving  = "X-Test-Leaving"
 	testTokens   = "X-Test-Tokens"
--- a/pkg/edge/sim_engine_test.go
+++ b/pkg/edge/sim_engine_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,12 @@
 	starts   int
 	listener net.Listener
 	conns    map[net.Conn]struct{}
+	// software is the version of the software that the next process runs, and installed that of the
+	// present one. It is written into each event unless it is empty.
+	software, installed string
+	// breakAfter is the number of the event after which the engine breaks streams off, zero for
+	// none. No other engine breaks a stream that goes on after that event.
+	breakAfter int
 	// coldUntil is the end of the engine's cold time, and entryColdUntil the one that its entry
 	// in the store gives.
 	coldUntil, entryColdUntil time.Time
@@ -158,6 +165,7 @@
 	e.starts++
 	e.leaving, e.leavingReportedAt = false, nil
 	e.id = fmt.Sprintf("%s-start-%d", e.address, e.starts)
+	e.installed = e.software
 	e.listener, e.conns = listener, make(map[net.Conn]struct{})
 	id := e.id
 	e.mu.Unlock()
@@ -228,6 +236,7 @@
 		e.mu.Lock()
 		e.arrivals = append(e.arrivals, arrival{at: time.Now(), engine: id, from: conn.RemoteAddr().String(), id: request.Header.Get(testID), body: string(body)})
 		limit, fails := e.limit, e.failedShare > e.draws.Float64()
+		software := e.installed
 		e.mu.Unlock()
 		if request.URL.Path == testHealthPath {
 			fields := []string{testInstance + ": " + id, fmt.Sprintf("%s: %d", testColdMS, e.coldLeft().Milliseconds())}
@@ -247,13 +256,13 @@
 			writeResponse(conn, request, http.StatusInternalServerError, "Content-Length: 0\r\n", "")
 			continue
 		}
-		if !e.answer(conn, request, limit) {
+		if !e.answer(conn, request, software, limit) {
 			return
 		}
 	}
 }
 
-func (e *simEngine) answer(conn net.Conn, request *http.Request, limit string) bool {
+func (e *simEngine) answer(conn net.Conn, request *http.Request, software, limit string) bool {
 	var fields []string
 	if limit != "" {
 		fields = append(fields, testLimit+": "+limit)
@@ -263,9 +272,23 @@
 	}
 	writeResponse(conn, request, http.StatusOK, "Transfer-Encoding: chunked\r\n", "", fields...)
 	e.recordLimitReport(conn.RemoteAddr().String(), limit)
-	for i := range answerEvents {
+	// Events are numbered from 0; a stream that is resumed goes on after the event that is named.
+	first := 0
+	if after, err := strconv.Atoi(request.Header.Get(testAfter)); err == nil {
+		first = after + 1
+	}
+	e.mu.Lock()
+	data, breakAfter := "x", e.breakAfter
+	if software != "" {
+		data = software
+	}
+	e.mu.Unlock()
+	for i := first; i < answerEvents; i++ {
+		if breakAfter > 0 && i == breakAfter+1 {
+			return false
+		}
 		clock.Sleep(context.Background(), defaultGap)
-		event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event); err != nil {
 			return false
 		}
--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -267,7 +267,7 @@
 	for _, e := range s.engines {
 		if e.id != "" {
 			view.Upstreams = append(view.Upstreams, fleet.Upstream{
-				ID: e.id, Name: e.id, Service: testService, Address: e.address, Domain: e.region + "-a", Region: e.region, Slots: 16, ColdUntil: e.entryColdUntil,
+				ID: e.id, Name: e.id, Service: testService, Software: e.installed, Address: e.address, Domain: e.region + "-a", Region: e.region, Slots: 16, ColdUntil: e.entryColdUntil,
 			})
 		}
 	}
