Streams go on only at the software version that began them

Callers got streams whose first events one software version of a back end had written and the rest another one: when they took a stream up again, at any instance, and within one answer after a server broke off.

Cause: the choice of an upstream takes all upstreams of a service as alike. No upstream had a version, and an instance did not know which one began a stream.

Now the origin of a stream, its service and software version, is known before its first event is passed on (pkg/origin):

- The serving instance keeps it for as long as the caller may take the stream up, in a bounded table.
While the service has or lately had several versions, or the instance's list may be old, it also sends the record to two instances of its region and two outside, chosen by rendezvous hashing of the request's ID.
- A caller that takes a stream up is served from the own record, else by a proof: the service has had one version only for longer than a stream lasts, by a list that was up to date all the while.
Else up to ten instances are asked at once and the first record decides.
Nothing known: refused at once, as not run.
- The choice is restricted to that version, in this region and in others.
A forwarded request carries the origin, and an answer from another instance that does not confirm it is not passed on.
- A refusal for want of one version does not make a whole region count as overloaded.

The same cause in another place, a route with several services: it picked by the ID of the attempt, so that a second attempt could take the other service. The service is now part of the origin.

--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -13,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/origin"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
@@ -39,6 +40,8 @@
 	// answer was read.
 	status   int
 	complete bool
+	// began is the service and software version that write the stream, nil if they are not known.
+	began *origin.Origin
 	// regionOverloaded is true if another instance refused for lack of capacity.
 	regionOverloaded bool
 	// hopWithoutPath is true if another instance refused because it reaches no upstream.
@@ -58,8 +61,10 @@
 	fields := c.dialect.Outgoing(c.request.Header, c.send)
 	c.setOrganisation(fields)
 	fields.Del(header.Attempts)
+	fields.Del(header.StreamOrigin)
 	if c.peer {
 		fields.Set(header.Attempts, strconv.Itoa(c.attempts))
+		c.setStreamOrigin(fields)
 	}
 	answer, err := c.pool.Do(ctx, c.target, &exchange.Request{
 		Method:  c.request.Method,
@@ -113,7 +118,8 @@
 		c.recordState(c.to.survey.Best.Upstream, &reading, c.sent)
 	}
 	if reading.NotRun || c.refusedByPeer(answer) {
-		c.regionOverloaded = c.reportsOverload(answer)
+		// For want of one software version a region is not overloaded.
+		c.regionOverloaded = c.origin == nil && c.reportsOverload(answer)
 		c.hopWithoutPath = c.refusedByPeer(answer) && outcome.Reason(answer.Header.Get(header.Reason)) == outcome.ReasonUnreachable
 		c.adoptQuarantine(answer, reading.RetryAfter)
 		c.discardBody(answer)
@@ -125,6 +131,10 @@
 		return c.rejectAnswer("answer without the server's signature")
 	}
 	if c.route.Kind == httproute.Streaming && answer.Status == http.StatusOK {
+		c.began = c.streamOrigin(answer)
+		if c.origin != nil && (c.began == nil || *c.began != *c.origin) {
+			return c.rejectAnswer("the stream goes on at another software version")
+		}
 		return c.relayStream(ctx, answer)
 	}
 	if c.writer.started {
--- a/pkg/edge/dialect.go
+++ b/pkg/edge/dialect.go
@@ -23,6 +23,9 @@
 	// ResumeAfter is the ID of the event after which a stream resumes, empty to start at its
 	// beginning.
 	ResumeAfter string
+	// Resumes is the RequestID of the attempt that brought the first event of the stream which
+	// the caller takes up, empty if it takes none up.
+	Resumes string
 }
 
 // Send holds the header values that this instance sets on a request that it sends.
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/origin"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
 	"github.com/lilacweir/lilacweir/pkg/quota"
@@ -61,6 +62,9 @@
 	// Key is the store key of the instance's registration, and Value encodes the registration.
 	Key   string
 	Value func(fleet.Instance) ([]byte, error)
+	// ListCurrent reports whether the list of upstreams is up to date. If it is nil that is derived
+	// from Store and the reports of other instances.
+	ListCurrent func() bool
 	// QuarantineKey returns the store key of a quarantined request. If it is nil no quarantine is
 	// stored.
 	QuarantineKey func(quarantine.Fingerprint) string
@@ -114,6 +118,7 @@
 	upstreams        *exchange.Pool
 	peers            *exchange.Pool
 	gossip           *peer.Gossip
+	origins          *origin.Keeper
 	clients          *control.Clients
 	replicaClients   *control.Clients
 	registry         metrics.Registry
@@ -196,6 +201,12 @@
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Placed: e.recent.Learn, Usage: e.limiter, Evidence: e.mergeObservations, Limits: e.upstreamLimits, LearnLimits: e.mergeLimits, Departures: e.reportedDepartures, LearnDepartures: e.mergeDepartures, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.replicaClients, Clock: system, Log: e.log,
 	})
+	if options.ListCurrent == nil {
+		options.ListCurrent = e.gossip.ReplicaCurrent
+	}
+	e.origins = origin.New(origin.Options{
+		Self: e.self, Fleet: &e.board.Fleet, Live: e.liveInstances, Known: e.otherInstances, Current: options.ListCurrent, Client: e.clients, Clock: system, Log: e.log,
+	})
 	e.registerGauges(e.registry)
 	return e, nil
 }
@@ -222,6 +233,7 @@
 	}
 	group.Go(func() error { listeners.control.Serve(); return nil })
 	group.Go(func() error { e.gossip.Run(running); return nil })
+	group.Go(func() error { e.origins.Run(running); return nil })
 	group.Go(func() error { e.sweep(running); return nil })
 	group.Go(func() error { e.followFleet(running); return nil })
 	group.Go(func() error { e.watchStreams(running); return nil })
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -86,6 +86,9 @@
 	// A caller that does not read must not keep the answer in memory forever. A connection
 	// without deadlines (a test's recorder) has no slow reader.
 	_ = j.writer.control.SetWriteDeadline(j.deadline.Add(writeSlack))
+	if refusal := j.pinOrigin(ctx); refusal != nil {
+		return refusal
+	}
 	if !j.forwarded {
 		j.retries.RecordRequest(j.service.Name)
 	}
--- a/pkg/edge/harness_test.go
+++ b/pkg/edge/harness_test.go
@@ -56,7 +56,7 @@
 func (testDialect) Attributes(fields http.Header) (Attributes, error) {
 	ms, _ := strconv.Atoi(fields.Get(testDeadline))
 	tokens, _ := strconv.Atoi(fields.Get(testTokens))
-	return Attributes{RequestID: fields.Get(testID), Tokens: tokens, Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: fields.Get(testAfter)}, nil
+	return Attributes{RequestID: fields.Get(testID), Tokens: tokens, Deadline: time.Duration(ms) * time.Millisecond, ResumeAfter: fields.Get(testAfter), Resumes: fields.Get(testResumes)}, nil
 }
 
 func (testDialect) Outgoing(from http.Header, send Send) http.Header {
--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -217,6 +219,41 @@
 	return list
 }
 
+// liveInstances lists the other instances that answer and are not leaving.
+func (e *Edge) liveInstances() []fleet.Instance {
+	var live []fleet.Instance
+	peers, now := e.gossip.View().Load(), e.now()
+	if peers == nil {
+		return nil
+	}
+	for i := range peers.Others {
+		if known := &peers.Others[i]; known.Live(now) && !known.Leaving {
+			live = append(live, known.Instance)
+		}
+	}
+	return live
+}
+
+// otherInstances lists the other instances that are registered or answer, including those that
+// are leaving.
+func (e *Edge) otherInstances() []fleet.Instance {
+	byName := make(map[string]fleet.Instance)
+	if view := e.board.Fleet.Load(); view != nil {
+		for _, instance := range view.Instances {
+			byName[instance.Name] = instance
+		}
+	}
+	if peers, now := e.gossip.View().Load(), e.now(); peers != nil {
+		for i := range peers.Others {
+			if known := &peers.Others[i]; known.Live(now) {
+				byName[known.Instance.Name] = known.Instance
+			}
+		}
+	}
+	delete(byName, e.self.Name)
+	return slices.Collect(maps.Values(byName))
+}
+
 // Ready reports whether the instance accepts callers: it has a configuration and is not leaving.
 func (e *Edge) Ready() bool { return !e.Leaving() && e.board.Routes.Load() != nil }
 
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/origin"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
@@ -46,6 +47,9 @@
 	deadline  time.Time
 	writer    *writer
 
+	// origin is the service and software version that began the stream, nil if it has not begun
+	// or if that is not known.
+	origin *origin.Origin
 	// attemptsLeft is the number of further upstreams that may run the request.
 	attemptsLeft int
 	tried        []string
@@ -148,6 +152,8 @@
 	switch {
 	case context.Cause(ctx) != nil || !j.now().Before(j.deadline):
 		return j.deadlineExceeded()
+	case j.writer.started && j.origin == nil && j.route.Kind == httproute.Streaming:
+		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonOriginUnknown, 0, "it is not known which software version began the stream")
 	case j.runs > 0 && !j.route.Repeatable():
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
 	case j.attemptsLeft <= 0 || j.sends >= maxSends:
@@ -206,6 +212,27 @@
 
 func (j *job) next() (*target, *outcome.Refusal) {
 	world := j.snapshots()
+	query := j.query()
+	chosen := j.choose(world, query)
+	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
+		query.LastResort = true
+		chosen = j.choose(world, query)
+	}
+	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
+		return nil, j.noUpstreamRefusal(world, query, &chosen.survey)
+	}
+	// A request that was sent before is not refused for being late: its caller prefers a late
+	// answer to none.
+	sent := j.sends > 0 || query.Software != nil
+	if chosen.peer == nil && chosen.survey.Best.Late && !sent && j.overload.Refuses(query, world.Now) {
+		return nil, j.overloadRefusal(&chosen.survey)
+	}
+	j.logRouting(world, chosen)
+	return chosen, nil
+}
+
+// query returns the request as routing decisions see it.
+func (j *job) query() *steer.Request {
 	query := &steer.Request{
 		Route:        j.route,
 		Service:      j.service,
@@ -214,9 +241,16 @@
 		Contended:    j.overload.Contended(j.service.Name, j.route.Priority, j.now()),
 		Tried:        j.tried,
 	}
+	if j.origin != nil {
+		query.Software = &j.origin.Version
+	}
+	return query
+}
+
+// choose returns the target of the next attempt, an empty one if there is none.
+func (j *job) choose(world *steer.Snapshot, query *steer.Request) *target {
 	chosen := &target{}
-	permitted := j.route.PermittedIn(world.Region)
-	if permitted {
+	if j.route.PermittedIn(world.Region) {
 		chosen.survey = j.surveyRegion(world, query)
 	}
 	if !j.forwarded && j.hops < maxHops {
@@ -226,16 +260,7 @@
 		world.PathLost = j.withoutConnection
 		chosen.survey = j.surveyRegion(world, query)
 	}
-	if chosen.peer == nil && chosen.survey.Best.Upstream == nil {
-		return nil, j.noUpstreamRefusal(permitted, &chosen.survey)
-	}
-	// A request that was sent before is not refused for being late: its caller prefers a late
-	// answer to none.
-	if chosen.peer == nil && chosen.survey.Best.Late && j.sends == 0 && j.overload.Refuses(query, world.Now) {
-		return nil, j.overloadRefusal(&chosen.survey)
-	}
-	j.logRouting(world, chosen)
-	return chosen, nil
+	return chosen
 }
 
 // chooseHop returns the instance that gets the request, nil if it stays here. Neighbours serve what
@@ -277,10 +302,12 @@
 	return world.SurveyRegion(query)
 }
 
-func (j *job) noUpstreamRefusal(permitted bool, survey *steer.Survey) *outcome.Refusal {
+func (j *job) noUpstreamRefusal(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) *outcome.Refusal {
 	reason, detail := outcome.ReasonNoUpstream, "no upstream of the service can take the request now"
 	switch {
-	case !permitted:
+	case query.Software != nil && !world.HasVersion(query):
+		return j.originGoneRefusal()
+	case !j.route.PermittedIn(world.Region):
 		detail = "no instance in a permitted region can be reached"
 	case survey.Unreachable > 0:
 		reason, detail = outcome.ReasonUnreachable, "this instance reaches no upstream that can take the request, and no instance that does"
--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -64,7 +64,7 @@
 	if all.control, err = control.NewServer(control.NewNetworkOver(e.options.transport()), listen.Gossip); err != nil {
 		return nil, err
 	}
-	return all, e.gossip.Register(all.control)
+	return all, errors.Join(e.gossip.Register(all.control), e.origins.Register(all.control))
 }
 
 func (e *Edge) listen(address string, handler http.Handler) (*httpListener, error) {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/lilacweir/lilacweir/pkg/origin"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -26,6 +27,7 @@
 	labelReason  = "reason"
 	labelResult  = "result"
 	labelCall    = "call"
+	labelSource  = "source"
 
 	labelOrganisation = "organisation"
 )
@@ -73,6 +75,11 @@
 	c.series.Counter("cold.sent", label(labelTarget, upstream)).Inc(1)
 }
 
+// streamResumed counts a stream that its caller takes up, by how its origin is known.
+func (c *counters) streamResumed(source origin.Source) {
+	c.series.Counter("streams.resumed", label(labelSource, string(source))).Inc(1)
+}
+
 // StoreCall is one call to the platform's store.
 type StoreCall struct {
 	// Name is the kind of call. Result is "ok" or the kind of failure.
@@ -100,6 +107,7 @@
 		"store.era":             func() int64 { return int64(e.store.Epoch()) },
 		"configuration.version": e.configurationVersion,
 		"configuration.age_ms":  e.configurationAge,
+		"streams.origins":       func() int64 { return int64(e.origins.Size()) },
 		"peers.live":            func() int64 { return e.countPeers(true) },
 		"peers.silent":          func() int64 { return e.countPeers(false) },
 		"peers.oldest_ms":       e.oldestReportMS,
--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -20,6 +20,7 @@
 		Store:       position.Revision,
 		Era:         position.Era,
 		Held:        e.store.RetainedSum(),
+		Current:     e.store.Current(),
 		Upstreams:   e.loads(),
 		Placed:      e.recent.ToPublish(e.now()),
 		Used:        e.limiter.LocalUsage(),
--- a/pkg/edge/software_version_test.go
+++ b/pkg/edge/software_version_test.go
@@ -162,11 +162,15 @@
 // have gone on.
 func TestStreamsKeepTheirSoftwareVersion(t *testing.T) {
 	for _, way := range resumptions {
-		runSimulation(t, 1, versionedRoute, threeRegions, func(s *simulation) { s.checkResumption(way) })
+		t.Run(way.name, func(t *testing.T) {
+			runSimulation(t, 1, versionedRoute, threeRegions, func(s *simulation) { s.checkResumption(way) })
+		})
 	}
 	for _, broken := range []string{"v1", "v2"} {
-		limits := Limits{RetryRatio: 1, RetrySlack: 200}
-		runLimitedSimulation(t, 1, 0, limits, versionedRoute, threeRegions, func(s *simulation) { s.checkBrokenStreams(broken) })
+		t.Run("broken off by "+broken, func(t *testing.T) {
+			limits := Limits{RetryRatio: 1, RetrySlack: 200}
+			runLimitedSimulation(t, 1, 0, limits, versionedRoute, threeRegions, func(s *simulation) { s.checkBrokenStreams(broken) })
+		})
 	}
 }
 
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -62,7 +62,8 @@
 // relayEvents passes complete events on, and the head before the first of them.
 func (c *call) relayEvents(answer *exchange.Answer, events []byte) error {
 	if !c.writer.started {
-		if err := c.writer.writeHead(answer.Status, c.dialect.Answer(answer.Header), -1); err != nil {
+		c.recordOrigin()
+		if err := c.writer.writeHead(answer.Status, c.streamHead(answer), -1); err != nil {
 			return err
 		}
 	}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -114,6 +114,11 @@
 
 // Events of single requests.
 const (
+	// StreamOrigin records which software version began the stream that a caller takes up, and
+	// how that is known.
+	StreamOrigin Name = "stream-origin"
+	// OriginsNotSent means that an instance could not be sent records of streams (debug).
+	OriginsNotSent Name = "origins-not-sent"
 	// RequestRouted records the next target of a request and the inputs of the choice.
 	RequestRouted Name = "request-routed"
 	// AttemptRejected means that the upstream states that it did not run the request.
--- a/pkg/event/event_test.go
+++ b/pkg/event/event_test.go
@@ -46,7 +46,7 @@
 }
 
 // loggers are the packages of lilacweir-edge that log.
-var loggers = []string{"pkg/edge", "pkg/peer", "pkg/mirror", "pkg/logging", "platform", "platform/cmd/lilacweir-edge"}
+var loggers = []string{"pkg/edge", "pkg/origin", "pkg/peer", "pkg/mirror", "pkg/logging", "platform", "platform/cmd/lilacweir-edge"}
 
 // fieldMethods are the methods of a log event whose first argument is a key.
 var fieldMethods = map[string]bool{
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -35,6 +35,7 @@
 	KeyFailed        = "failed"    // number of lines about failures
 	KeyFailures      = "failures"  // number of consecutive failures
 	KeyEntries       = "entries"   // number of entries of the store
+	KeyFirst         = "first"     // ID of the attempt that began a stream
 	KeyFirstMS       = "first_ms"  // time to the first part of the answer
 	KeyForMS         = "for_ms"    // duration
 	KeyForwarded     = "forwarded" // whether another instance sent the request here
@@ -83,6 +84,8 @@
 	KeySends         = "sends"  // number of sends of the request
 	KeyService       = "service"
 	KeySlots         = "slots"        // total concurrency of the usable upstreams
+	KeyAsked         = "asked"        // number of instances that were asked
+	KeySource        = "source"       // how something is known
 	KeySoftware      = "software"     // version of an upstream's software
 	KeyStatus        = "status"       // HTTP status
 	KeySteps         = "steps"        // number of lines about steps of failed or slow requests
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -29,8 +29,10 @@
 	Region  string
 	// Slots is the number of requests that it processes concurrently.
 	Slots int
-	// Draining is true once it has announced that it leaves.
-	Draining bool
+	// Draining is true once it has announced that it leaves, and DrainingSince the time at which
+	// this process read so, zero if that was in its first view.
+	Draining      bool
+	DrainingSince time.Time
 	// ColdUntil is the end of its cold period, by this process's clock; zero if it is not cold.
 	ColdUntil time.Time
 	// EntryReadAt is the time at which its present entry in the platform's store was read, by this
@@ -62,6 +64,7 @@
 	// Instances holds the registered instances, sorted by name.
 	Instances []Instance
 	byService map[string][]*Upstream
+	software  map[string]software
 }
 
 // Instance is one registered instance of the gateway.
@@ -117,3 +120,13 @@
 
 // Usable reports whether an upstream may get new requests.
 func (v *View) Usable(u *Upstream) bool { return !u.Draining && !v.Evacuated[u.Domain] }
+
+// finishTime is the time for which an upstream that drains may get streams that no other one can
+// go on with. It ends well before the upstream may stop.
+const finishTime = time.Second
+
+// Finishes reports whether an upstream began to drain so recently that it may still get streams
+// that no other one can go on with.
+func (v *View) Finishes(u *Upstream, now time.Time) bool {
+	return u.Draining && !v.Evacuated[u.Domain] && !u.DrainingSince.IsZero() && now.Sub(u.DrainingSince) < finishTime
+}
--- a/pkg/fleet/history.go
+++ b/pkg/fleet/history.go
@@ -14,9 +14,11 @@
 // before the view is shared.
 func (v *View) InheritHistory(last *View, now time.Time) {
 	v.Readmitted = make(map[string]time.Time)
+	v.inheritSoftware(last, now)
 	if last == nil {
 		return
 	}
+	v.inheritDraining(last, now)
 	if now.Sub(last.HistoryLost) < returnedTTL {
 		v.HistoryLost = last.HistoryLost
 	}
@@ -37,6 +39,21 @@
 	}
 }
 
+// inheritDraining sets the times since which upstreams drain.
+func (v *View) inheritDraining(last *View, now time.Time) {
+	for i := range v.Upstreams {
+		upstream := &v.Upstreams[i]
+		previous := last.Find(upstream.ID)
+		switch {
+		case !upstream.Draining || previous == nil:
+		case previous.Draining:
+			upstream.DrainingSince = previous.DrainingSince
+		default:
+			upstream.DrainingSince = now
+		}
+	}
+}
+
 // UncertainSince returns the time since which it is unknown whether an upstream is cold; zero if
 // it is known. It is unknown since the store lacks the upstream's entry; since its domain
 // returned from an evacuation, which may leave upstreams cold, while its entry is older; since
--- /dev/null
+++ b/pkg/origin/exchange.go
@@ -0,0 +1,231 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+)
+
+// ServiceName is the net/rpc name of the service.
+const ServiceName = "Origin"
+
+// Methods of the service.
+const (
+	methodKeep = ServiceName + ".Keep"
+	methodFind = ServiceName + ".Find"
+)
+
+const (
+	// nearTimeout and farTimeout bound a call inside the region and to another one.
+	nearTimeout = 150 * time.Millisecond
+	farTimeout  = 400 * time.Millisecond
+	// findShare is the largest share of a caller's time that a search takes.
+	findShare = 0.25
+)
+
+// KeepArgs are records, as columns: the hash of the request's ID, the index of its origin, and the
+// milliseconds for which it is kept.
+type KeepArgs struct {
+	Origins  []Origin
+	Requests []uint64
+	Of       []uint16
+	LeftMS   []uint32
+}
+
+// KeepReply acknowledges records.
+type KeepReply struct{ Kept int }
+
+// FindArgs ask for the origin of a stream. Service is the one that its route leads to now, and
+// Patience the longest time for which its caller may have waited.
+type FindArgs struct {
+	Request  uint64
+	Service  string
+	Patience time.Duration
+}
+
+// FindReply holds a recorded or proved origin. It is neither if the origin is not known.
+type FindReply struct {
+	Recorded, Proved bool
+	Origin           Origin
+}
+
+// Service implements the methods that other instances call.
+type Service struct{ keeper *Keeper }
+
+// Register registers the service.
+func (k *Keeper) Register(server *control.Server) error {
+	return server.Register(ServiceName, &Service{keeper: k})
+}
+
+// Keep records the origins of streams that another instance has begun. Records that are not
+// complete are left out.
+func (s *Service) Keep(args KeepArgs, reply *KeepReply) error {
+	k, now := s.keeper, s.keeper.options.Clock.Now()
+	for n, id := range args.Requests {
+		if n >= len(args.Of) || n >= len(args.LeftMS) || int(args.Of[n]) >= len(args.Origins) {
+			break
+		}
+		k.records.add(id, args.Origins[args.Of[n]], now.Add(time.Duration(args.LeftMS[n])*time.Millisecond), now)
+		reply.Kept++
+	}
+	return nil
+}
+
+// Find returns what this instance knows of the origin of a stream.
+func (s *Service) Find(args FindArgs, reply *FindReply) error {
+	k := s.keeper
+	if reply.Origin, reply.Recorded = k.records.find(args.Request, k.options.Clock.Now()); reply.Recorded {
+		return nil
+	}
+	reply.Origin.Service = args.Service
+	reply.Origin.Version, reply.Proved = k.only(args.Service, args.Patience)
+	return nil
+}
+
+// send sends the records that other instances would miss. Others wait: they are sent if another
+// version appears while their streams may still be taken up.
+func (k *Keeper) send(ctx context.Context) {
+	batches := make(map[string]*batch)
+	others := []fleet.Instance(nil)
+	for _, record := range k.takePending() {
+		if others == nil {
+			others = k.options.Live()
+		}
+		for _, owner := range owners(record.id, k.options.Self.Region, others) {
+			if batches[owner.Name] == nil {
+				batches[owner.Name] = &batch{to: owner}
+			}
+			batches[owner.Name].add(record, k.options.Clock.Now())
+		}
+	}
+	var all errgroup.Group
+	for _, batch := range batches {
+		all.Go(func() error {
+			var reply KeepReply
+			if err := k.call(ctx, &batch.to, methodKeep, &batch.args, &reply); err != nil {
+				k.options.Log.Debug().Err(err).Str(event.KeyPeer, batch.to.Name).Msg(string(event.OriginsNotSent))
+			}
+			return nil
+		})
+	}
+	// Failures are logged, and the other copies are as good.
+	_ = all.Wait()
+}
+
+// takePending takes the pending records whose origin could not be told without them.
+func (k *Keeper) takePending() []pendingRecord {
+	now := k.options.Clock.Now()
+	k.mu.Lock()
+	pending := k.pending
+	k.pending = nil
+	k.mu.Unlock()
+	proved := make(map[string]bool)
+	var taken, kept []pendingRecord
+	for _, record := range pending {
+		service := record.origin.Service
+		if _, known := proved[service]; !known {
+			_, proved[service] = k.only(service, 0)
+		}
+		switch {
+		case !now.Before(record.expires):
+		case proved[service]:
+			kept = append(kept, record)
+		default:
+			taken = append(taken, record)
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pending = append(kept, k.pending...)
+	return taken
+}
+
+// batch is the records for one instance.
+type batch struct {
+	to   fleet.Instance
+	args KeepArgs
+}
+
+func (b *batch) add(record pendingRecord, now time.Time) {
+	at := -1
+	for n, origin := range b.args.Origins {
+		if origin == record.origin {
+			at = n
+		}
+	}
+	if at < 0 {
+		at = len(b.args.Origins)
+		b.args.Origins = append(b.args.Origins, record.origin)
+	}
+	b.args.Requests = append(b.args.Requests, record.id)
+	b.args.Of = append(b.args.Of, uint16(at))
+	b.args.LeftMS = append(b.args.LeftMS, uint32(record.expires.Sub(now).Milliseconds()))
+}
+
+func (k *Keeper) call(ctx context.Context, to *fleet.Instance, method string, args, reply any) error {
+	timeout := farTimeout
+	if to.Region == k.options.Self.Region {
+		timeout = nearTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return k.options.Client.Call(ctx, to.Gossip, method, args, reply)
+}
+
+// Find returns the origin of the stream that a request began. Service is the one that its route
+// leads to now, patience the longest time for which its caller may have waited, and left the time
+// within which it needs an answer. The first record decides; a proof does if nobody has a record.
+func (k *Keeper) Find(ctx context.Context, request, service string, patience, left time.Duration) Answer {
+	id := hash(request)
+	if origin, found := k.records.find(id, k.options.Clock.Now()); found {
+		return Answer{Origin: origin, Source: Recorded}
+	}
+	if version, proved := k.only(service, patience); proved {
+		return Answer{Origin: Origin{Service: service, Version: version}, Source: Proved}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(findShare*float64(left)))
+	defer cancel()
+	asked := candidates(id, k.options.Self.Region, k.options.Known())
+	replies := make(chan *FindReply, len(asked))
+	for i := range asked {
+		go func() {
+			reply := &FindReply{}
+			args := &FindArgs{Request: id, Service: service, Patience: patience}
+			if k.call(ctx, &asked[i], methodFind, args, reply) != nil {
+				reply = nil
+			}
+			replies <- reply
+		}()
+	}
+	return k.decide(request, replies, len(asked), left)
+}
+
+// decide waits for the first record, or for all replies.
+func (k *Keeper) decide(request string, replies <-chan *FindReply, asked int, left time.Duration) Answer {
+	answer := Answer{Source: Unknown, Asked: asked}
+	for range asked {
+		reply := <-replies
+		switch {
+		case reply == nil:
+			answer.Silent++
+		case reply.Recorded:
+			k.Learn(request, reply.Origin, left)
+			answer.Origin, answer.Source = reply.Origin, Told
+			return answer
+		case reply.Proved && answer.Source == Unknown:
+			answer.Origin, answer.Source = reply.Origin, Proved
+		case reply.Proved && answer.Origin != reply.Origin:
+			// Two proofs that contradict each other are none.
+			answer.Origin.Service = ""
+		}
+	}
+	if answer.Origin.Service == "" {
+		answer.Source = Unknown
+	}
+	return answer
+}
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -43,6 +43,8 @@
 	ReasonDeadline         Reason = "deadline-unreachable"
 	ReasonNoUpstream       Reason = "no-upstream"
 	ReasonUnreachable      Reason = "upstreams-unreachable"
+	ReasonOriginUnknown    Reason = "stream-origin-unknown"
+	ReasonOriginGone       Reason = "stream-origin-gone"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonUpstreamMismatch Reason = "upstream-mismatch"
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -64,6 +64,27 @@
 	return unpack(reply.Packed)
 }
 
+// currentReportAge is the age up to which a report tells whether a replica is current.
+const currentReportAge = 5 * roundInterval
+
+// ReplicaCurrent reports whether the replica of the store is current: this instance follows the
+// store, or the replica is as new as that of one of its domain which does.
+func (g *Gossip) ReplicaCurrent() bool {
+	store := g.options.Store
+	if store.Current() {
+		return true
+	}
+	now, position := g.options.Clock.Now(), store.Position()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, report := range g.reports {
+		if report.value.Current && now.Sub(report.at) <= currentReportAge && !position.Before(report.value.position()) {
+			return true
+		}
+	}
+	return false
+}
+
 // retainedSource returns a live instance that retains entries from before the store was last
 // restored which differ from those of this instance, and which was not asked for them yet. It
 // returns nil if there is none.
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -48,6 +48,8 @@
 	// none.
 	Store     int64
 	Era, Held uint64
+	// Current is true while the instance follows the store itself and has had an answer lately.
+	Current bool
 	// Upstreams is its load at each upstream.
 	Upstreams []Load
 	// Placed holds where it sent large prompt segments in the last seconds.
--- a/pkg/steer/remote.go
+++ b/pkg/steer/remote.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/peer"
 )
 
@@ -45,7 +44,7 @@
 	}
 	kept := regions[:0]
 	for i := range regions {
-		if len(regions[i].Peers) > 0 && w.measure(&regions[i], req.Service) {
+		if len(regions[i].Peers) > 0 && w.measure(&regions[i], req) {
 			kept = append(kept, regions[i])
 		}
 	}
@@ -96,14 +95,14 @@
 }
 
 // measure sets a region's load; false if no upstream there may get work.
-func (w *Snapshot) measure(remote *RemoteRegion, service *httproute.Service) bool {
-	for _, upstream := range w.Fleet.Service(service.Name) {
-		if upstream.Region == remote.Region && w.usable(upstream) && !upstream.Cold(w.Now) {
+func (w *Snapshot) measure(remote *RemoteRegion, req *Request) bool {
+	for _, upstream := range w.Fleet.Service(req.Service.Name) {
+		if upstream.Region == remote.Region && w.fits(req, upstream) && !upstream.Cold(w.Now) {
 			remote.Slots += upstream.Slots
 			remote.Upstreams++
 		}
 	}
-	load := w.Peers.Service(remote.Region, service.Name)
+	load := w.Peers.Service(remote.Region, req.Service.Name)
 	remote.InFlight, remote.Prefill = load.InFlight, load.Prefill
 	return remote.Upstreams > 0 && remote.Slots > 0
 }
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -35,6 +35,12 @@
 	Contended bool
 	// Tried names the upstreams and instances that must not be chosen again.
 	Tried []string
+	// Software is the only software version that may serve the request, since it began the stream
+	// that goes on; nil if any may.
+	Software *string
+	// LastResort is true if nothing else serves the request: it may then use upstreams that
+	// otherwise get none of its kind, see Snapshot.fits.
+	LastResort bool
 }
 
 // Local provides this instance's own load at an upstream.
@@ -163,6 +169,34 @@
 	return w.Fleet.Usable(u) && (w.Leaving == nil || !w.Leaving(u.ID))
 }
 
+// fits reports whether an upstream may serve the request by its software version and state. A
+// stream that goes on needs the version that began it, as a last resort at an upstream that has just
+// begun to leave. New streams avoid a version that is new to the service, unless there is no other:
+// not all instances know it yet.
+func (w *Snapshot) fits(req *Request, u *fleet.Upstream) bool {
+	if req.Software != nil {
+		return u.Software == *req.Software && (w.usable(u) || (req.LastResort && w.finishes(u)))
+	}
+	return w.usable(u) && (req.LastResort || req.Route.Kind != httproute.Streaming || w.Fleet.Settled(u, w.Now))
+}
+
+// finishes reports whether an upstream that leaves may still get streams that began at its version.
+// Once it has announced its leaving itself it may get nothing.
+func (w *Snapshot) finishes(u *fleet.Upstream) bool {
+	return w.Fleet.Finishes(u, w.Now) && (w.Leaving == nil || !w.Leaving(u.ID))
+}
+
+// HasVersion reports whether an upstream of any region can go on with the stream, now or once it
+// accepts requests again.
+func (w *Snapshot) HasVersion(req *Request) bool {
+	for _, upstream := range w.Fleet.Service(req.Service.Name) {
+		if upstream.Software == *req.Software && req.Route.PermittedIn(upstream.Region) && (w.usable(upstream) || w.finishes(upstream)) {
+			return true
+		}
+	}
+	return false
+}
+
 // SurveyRegion returns the state of the own region's upstreams.
 func (w *Snapshot) SurveyRegion(req *Request) Survey {
 	var survey Survey
@@ -174,7 +208,7 @@
 	_, age := w.Peers.RegionPeers(w.Now)
 	for i, upstream := range upstreams {
 		survey.Known++
-		if !w.usable(upstream) {
+		if !w.fits(req, upstream) {
 			continue
 		}
 		own := w.Local.Load(upstream.ID)
