--- a/pkg/edge/sim_network_test.go
+++ b/pkg/edge/sim_network_test.go
@@ -76,6 +76,13 @@
 	n.partitionedRegions[region] = partitioned
 }
 
+// isPartitioned reports whether a region is partitioned from the others.
+func (n *simNetwork) isPartitioned(region string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.partitionedRegions[region]
+}
+
 // setWithoutEngines starts or ends a partition between a process and all engines.
 func (n *simNetwork) setWithoutEngines(endpoint *endpoint, partition enginePartition) {
 	n.mu.Lock()
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -34,9 +34,8 @@
 	// expiryMargin is added to the time for which a caller waits, for the time that its next
 	// attempt takes to arrive.
 	expiryMargin = 2 * time.Second
-	// currentSlack is the time for which the list of upstreams may not be known to be up to date
-	// without its history counting as interrupted. With the time that a change takes to arrive
-	// it stays below fleet.SettleTime.
+	// currentSlack is the time for which the list of upstreams may be out of date without its
+	// history counting as interrupted: changes reach some instances before others.
 	currentSlack = time.Second
 	// maxPending bounds the records that wait to be sent.
 	maxPending = 1 << 14
@@ -123,7 +122,7 @@
 // waits.
 func (k *Keeper) only(service string, patience time.Duration) (version string, proved bool) {
 	view, now := k.options.Fleet.Load(), k.options.Clock.Now()
-	if view == nil {
+	if view == nil || !k.options.Current() {
 		return "", false
 	}
 	k.mu.Lock()
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -67,22 +67,26 @@
 // currentReportAge is the age up to which a report tells whether a replica is current.
 const currentReportAge = 5 * roundInterval
 
-// ReplicaCurrent reports whether the replica of the store is current: this instance follows the
-// store, or the replica is as new as that of one of its domain which does.
+// ReplicaCurrent reports whether the replica of the store is current, as far as can be known: no
+// other instance has reported a newer one, and this instance follows the store, or one of its
+// domain does.
 func (g *Gossip) ReplicaCurrent() bool {
-	store := g.options.Store
-	if store.Current() {
-		return true
-	}
-	now, position := g.options.Clock.Now(), store.Position()
+	follows, position := g.options.Store.Current(), g.options.Store.Position()
+	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, report := range g.reports {
-		if report.value.Current && now.Sub(report.at) <= currentReportAge && !position.Before(report.value.position()) {
-			return true
+		if now.Sub(report.at) <= SilentAfter && position.Before(report.value.position()) {
+			return false
+		}
+		follows = follows || (report.value.Current && now.Sub(report.at) <= currentReportAge)
+	}
+	for _, digest := range g.digests {
+		if now.Sub(digest.at) <= SilentAfter && position.Before(digest.value.position()) {
+			return false
 		}
 	}
-	return false
+	return follows
 }
 
 // retainedSource returns a live instance that retains entries from before the store was last
