--- a/pkg/edge/sim_engine_test.go
+++ b/pkg/edge/sim_engine_test.go
@@ -245,6 +245,11 @@
 			writeResponse(conn, request, http.StatusOK, "Content-Length: 0\r\n", "", fields...)
 			continue
 		}
+		if expected := request.Header.Get(testUpstream); software != "" && expected != id {
+			// Engines with versions check that they are the one that was chosen.
+			writeResponse(conn, request, http.StatusMisdirectedRequest, "Content-Length: 0\r\n", "", testNotRun+": 1")
+			continue
+		}
 		if strings.HasPrefix(string(body), poison) {
 			clock.Sleep(context.Background(), poisonRunTime)
 			e.crash(id, string(body))
