--- a/pkg/steer/sharing.go
+++ b/pkg/steer/sharing.go
@@ -117,9 +117,10 @@
 	}
 }
 
-// copied returns how many tokens the upstream should copy from the holder.
+// copied returns how many tokens the upstream should copy from the holder. What another software
+// version has cached need not fit.
 func (s *prefixLocation) copied(upstream *fleet.Upstream) int {
-	if !s.copies || s.holder == nil || s.holder == upstream || s.holders[upstream.ID] || s.tokens < minCopiedTokens {
+	if !s.copies || s.holder == nil || s.holder == upstream || s.holder.Software != upstream.Software || s.holders[upstream.ID] || s.tokens < minCopiedTokens {
 		return 0
 	}
 	return s.tokens
