pkg/peer: a test calls applyDigest under the lock that its callers hold

Cause, confirmed: the test called applyDigest without the lock while its own node's rounds run; the detector names that write and the read of HasUnreachableDomain in the round. Run alone, repeated up to 400 times, it failed within 10 s. The callers in the product, applyReply and Exchange, hold the lock; the other test that calls it on a mesh has stopped the rounds before. Nothing that callers or operators see was wrong.

The checks are as they were.

--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -431,7 +431,10 @@
 	view.Index()
 	m.nodes["north-a-0"].fleet.Store(view)
 	m.is.True(g.HasUnreachableDomain())
+	// The node's own rounds run beside the test.
+	g.mu.Lock()
 	g.applyDigest(Digest{Domain: "south-a", Region: "south"}, time.Now())
+	g.mu.Unlock()
 	m.is.True(!g.HasUnreachableDomain())
 }
 
