pkg/origin: one copy in the region and one outside in large deployments; their cost

Hypothesis: where a deployment has hundreds of instances, only a small share ends at once, so that one copy of a record in the region and one outside suffice, at half the calls. Up to 16 other instances, where most may end at once, it stays two and two.

--- a/pkg/origin/origin.go
+++ b/pkg/origin/origin.go
@@ -4,7 +4,7 @@
 // Each instance records the origins of the streams that it passes on, for as long as their callers
 // may take them up. While the origin could not be told without a record, because servers of several
 // versions serve or served lately or the instance's list of them may be old, it also sends its
-// records to some other instances, chosen by rendezvous hashing of the request's ID inside its
+// records to a few other instances, chosen by rendezvous hashing of the request's ID inside its
 // region and outside. An instance that has no record asks those that should have one.
 //
 // Guarantees: an origin is returned only if it was recorded, or if no other version of the service
--- a/pkg/origin/owners.go
+++ b/pkg/origin/owners.go
@@ -6,10 +6,12 @@
 )
 
 const (
-	// copiesInRegion and copiesOutside are the numbers of other instances that get a record. Those
-	// in the region are nearest and can be reached while it is cut off, the others survive it.
-	copiesInRegion = 2
-	copiesOutside  = 2
+	// smallDeployment is the number of other instances up to which a record gets copiesInSmall
+	// copies in the region and as many outside: most instances of a small deployment may end at
+	// once. A larger one has copiesInLarge, since each copy costs a call.
+	smallDeployment = 16
+	copiesInSmall   = 2
+	copiesInLarge   = 1
 	// askedInRegion and askedAnywhere are the numbers of instances that are asked: more than have a
 	// record, since lists of instances differ, and since the region in which a stream began is
 	// not known.
@@ -33,14 +35,19 @@
 }
 
 // owners returns the instances that get a record, of the others known to an instance of a region.
+// Those in the region can be reached while it is cut off, those outside survive it.
 func owners(id uint64, region string, others []fleet.Instance) []fleet.Instance {
+	copies := copiesInSmall
+	if len(others) > smallDeployment {
+		copies = copiesInLarge
+	}
 	inside, outside := 0, 0
 	var chosen []fleet.Instance
 	for _, instance := range ranked(id, others) {
 		switch {
-		case instance.Region == region && inside < copiesInRegion:
+		case instance.Region == region && inside < copies:
 			inside++
-		case instance.Region != region && outside < copiesOutside:
+		case instance.Region != region && outside < copies:
 			outside++
 		default:
 			continue
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxRecords bounds the records of an instance, each of about 100 bytes. At the target's rate an
-// instance begins 26 streams a second and receives four times as many records, for a minute.
+// maxRecords bounds the records of an instance, each of about 100 bytes. At the target an instance
+// begins 26 streams a second and receives twice as many records, for a minute.
 const maxRecords = 1 << 16
 
 type record struct {
