pkg/edge: the time for which a stream may be taken up is bounded

A caller that names a deadline of hours would have had its record held, and proofs of its service held back, for as long; ten minutes at most now.

--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -59,6 +59,10 @@
 	return j.origins.Find(ctx, first, service, j.patience(), j.deadline.Sub(j.now()))
 }
 
+// maxPatience bounds the time for which a stream may be taken up: records are held, and other
+// versions excluded, for that long.
+const maxPatience = 10 * time.Minute
+
 // patience returns the longest time for which the caller may wait for a stream, over all its
 // attempts.
 func (j *job) patience() time.Duration {
@@ -66,7 +70,7 @@
 	if known == 0 {
 		return maxRequestTime
 	}
-	return known
+	return min(known, maxPatience)
 }
 
 // useService makes the request use the service that began its stream, which a route with several
