--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -152,8 +152,6 @@
 	switch {
 	case context.Cause(ctx) != nil || !j.now().Before(j.deadline):
 		return j.deadlineExceeded()
-	case j.writer.started && j.origin == nil && j.route.Kind == httproute.Streaming:
-		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonOriginUnknown, 0, "it is not known which software version began the stream")
 	case j.runs > 0 && !j.route.Repeatable():
 		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonUpstreamFailed, 0, "the upstream broke off")
 	case j.attemptsLeft <= 0 || j.sends >= maxSends:
