pkg/origin: records wait for other instances, and no silent one holds them up

Callers could find a stream refused for want of its record in two cases, found by reading. An instance that had just started and knew no other one yet dropped its records unsent. And one instance that did not answer, such as a machine without power, held the next round of records to all others up for its timeout of 0.15 to 0.4 s, just while streams of lost machines are taken up.

Records wait until another instance is known; each batch is sent by itself. TestRecordsWaitForOtherInstances failed before (no record arrived), and TestInstanceThatDoesNotAnswerHoldsUpNoOther hung on the code before.

--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
@@ -87,15 +85,22 @@
 	return nil
 }
 
-// send sends the records that other instances would miss. Others wait: they are sent if another
-// version appears while their streams may still be taken up.
-func (k *Keeper) send(ctx context.Context) {
+// send starts to send the records that other instances would miss. Others wait: they are sent if
+// another version appears while their streams may still be taken up. An instance that does not
+// answer holds up no other.
+func (k *Keeper) send() {
+	taken := k.takePending()
+	if len(taken) == 0 {
+		return
+	}
+	others := k.options.Live()
+	if len(others) == 0 {
+		// They may not be known yet.
+		k.putBack(taken)
+		return
+	}
 	batches := make(map[string]*batch)
-	others := []fleet.Instance(nil)
-	for _, record := range k.takePending() {
-		if others == nil {
-			others = k.options.Live()
-		}
+	for _, record := range taken {
 		for _, owner := range owners(record.id, k.options.Self.Region, others) {
 			if batches[owner.Name] == nil {
 				batches[owner.Name] = &batch{to: owner}
@@ -103,18 +108,17 @@
 			batches[owner.Name].add(record, k.options.Clock.Now())
 		}
 	}
-	var all errgroup.Group
 	for _, batch := range batches {
-		all.Go(func() error {
-			var reply KeepReply
-			if err := k.call(ctx, &batch.to, methodKeep, &batch.args, &reply); err != nil {
-				k.options.Log.Debug().Err(err).Str(event.KeyPeer, batch.to.Name).Msg(string(event.OriginsNotSent))
-			}
-			return nil
-		})
+		k.sends.Go(func() { k.sendBatch(batch) })
+	}
+}
+
+// sendBatch sends records to one instance. A failure is not repaired: the other copies are as good.
+func (k *Keeper) sendBatch(batch *batch) {
+	var reply KeepReply
+	if err := k.call(context.Background(), &batch.to, methodKeep, &batch.args, &reply); err != nil {
+		k.options.Log.Debug().Err(err).Str(event.KeyPeer, batch.to.Name).Msg(string(event.OriginsNotSent))
 	}
-	// Failures are logged, and the other copies are as good.
-	_ = all.Wait()
 }
 
 // takePending takes the pending records whose origin could not be told without them.
@@ -139,10 +143,15 @@
 			taken = append(taken, record)
 		}
 	}
+	k.putBack(kept)
+	return taken
+}
+
+// putBack makes records pending again.
+func (k *Keeper) putBack(records []pendingRecord) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.pending = append(kept, k.pending...)
-	return taken
+	k.pending = append(records, k.pending...)
 }
 
 // batch is the records for one instance.
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -45,6 +45,8 @@
 type Keeper struct {
 	options Options
 	records *table
+	// sends are the calls that send records.
+	sends sync.WaitGroup
 
 	mu sync.Mutex
 	// pending holds the streams begun here whose records were not sent, oldest first.
@@ -93,14 +95,15 @@
 	k.records.add(hash(request), origin, now.Add(patience+expiryMargin), now)
 }
 
-// Run sends records to other instances until ctx ends.
+// Run sends records to other instances until ctx ends. What was not sent by then would be lost with
+// this process.
 func (k *Keeper) Run(ctx context.Context) {
 	for clock.Sleep(ctx, sendInterval) {
 		k.observeCurrent()
-		k.send(ctx)
+		k.send()
 	}
-	// What was not sent yet would be lost with this process.
-	k.send(context.Background())
+	k.send()
+	k.sends.Wait()
 }
 
 // observeCurrent records whether the list of upstreams is up to date.
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -92,7 +93,8 @@
 func (n *node) pass(length time.Duration) {
 	for end := n.now.Add(length); n.now.Before(end); n.now = n.now.Add(sendInterval) {
 		n.observeCurrent()
-		n.send(context.Background())
+		n.send()
+		n.sends.Wait()
 	}
 }
 
@@ -216,6 +218,60 @@
 	is.Equal(nodes[1].Size(), 1)
 }
 
+// TestRecordsWaitForOtherInstances guards against records that are lost since an instance begins
+// streams before it knows another one.
+func TestRecordsWaitForOtherInstances(t *testing.T) {
+	is := is.New(t)
+	nodes := newNodes(t, "north", "south")
+	nodes[0].list("v1", "v2")
+	others := nodes[0].others
+	nodes[0].others = nil
+	nodes[0].Begin("r", Origin{service, "v1"}, patience)
+	nodes[0].pass(time.Second)
+	nodes[0].others = others
+	nodes[0].pass(sendInterval)
+	is.Equal(nodes[1].Size(), 1)
+}
+
+// blockedTransport dials all addresses but one, to which no connection is made until it is released.
+type blockedTransport struct {
+	net.Dialer
+	net.ListenConfig
+	address  string
+	released chan struct{}
+}
+
+// Dial implements control.Transport.
+func (b *blockedTransport) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if address == b.address {
+		<-b.released
+		return nil, net.ErrClosed
+	}
+	return b.DialContext(ctx, network, address)
+}
+
+// TestInstanceThatDoesNotAnswerHoldsUpNoOther guards against records that are sent late, while
+// machines are lost and streams are taken up elsewhere.
+func TestInstanceThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
+	is := is.New(t)
+	nodes := newNodes(t, "north", "north")
+	blocked := &blockedTransport{address: "127.0.0.1:1", released: make(chan struct{})}
+	nodes[0].Keeper.options.Client = control.NewClients(control.NewNetworkOver(blocked))
+	nodes[0].others = append(nodes[0].others, fleet.Instance{Name: "silent", Region: "north", Gossip: blocked.address})
+	nodes[0].list("v1", "v2")
+	for i := range 20 {
+		nodes[0].Begin(fmt.Sprintf("r-%d", i), Origin{service, "v1"}, patience)
+		nodes[0].send()
+	}
+	// The bound only ends a failed test.
+	for end := time.Now().Add(10 * time.Second); nodes[1].Size() < 20 && time.Now().Before(end); {
+		clock.Sleep(t.Context(), time.Millisecond)
+	}
+	is.Equal(nodes[1].Size(), 20)
+	close(blocked.released)
+	nodes[0].sends.Wait()
+}
+
 // TestTwoOriginsOfOneIDAreNone guards against a stream that goes on at the version of another
 // attempt with the same ID.
 func TestTwoOriginsOfOneIDAreNone(t *testing.T) {
