pkg/origin: no last send of records once the clients are closed

The connections are closed when Run ends, so that the send after it never succeeded; a leaving instance sends its records every 0.1 s while it drains.

--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -95,14 +95,12 @@
 	k.records.add(hash(request), origin, now.Add(patience+expiryMargin), now)
 }
 
-// Run sends records to other instances until ctx ends. What was not sent by then would be lost with
-// this process.
+// Run sends records to other instances until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	for clock.Sleep(ctx, sendInterval) {
 		k.observeCurrent()
 		k.send()
 	}
-	k.send()
 	k.sends.Wait()
 }
 
