pkg/explain: why a stream could not be taken up

The command tells which attempt began the stream, which software version of which service that was and how that is known, how many instances were asked and did not answer, and which instances started or upstreams went in the ten seconds before.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -171,6 +171,8 @@
 	switch outcome.Reason(end.Get(event.KeyReason)) {
 	case outcome.ReasonNoUpstream, outcome.ReasonUnreachable:
 		return l.noUpstreamCauses(span)
+	case outcome.ReasonOriginUnknown, outcome.ReasonOriginGone:
+		return l.originCauses(span)
 	case outcome.ReasonUnknownRoute:
 		return l.noRouteCauses(span)
 	case outcome.ReasonNoConfiguration:
@@ -195,6 +197,26 @@
 	}
 }
 
+// originCauses explains why a stream could not be taken up: how its origin is known, and which
+// instances were lost or which of the service's upstreams went before.
+func (l *Log) originCauses(span *Span) []string {
+	all := []string{span.End.Get(event.KeyDetail)}
+	for _, step := range span.steps(event.StreamOrigin) {
+		all = append(all, "the request "+describeOrigin(step))
+	}
+	at := span.End.Time
+	for _, name := range []event.Name{event.Start, event.UpstreamGone} {
+		if n := len(l.between(name, at.Add(-originLookback), at)); n > 0 {
+			all = append(all, fmt.Sprintf("%d × %s in the %v before", n, name, originLookback))
+		}
+	}
+	return all
+}
+
+// originLookback is the time before a refusal in which the end of a stream's instance or of its
+// software version may explain it.
+const originLookback = 10 * time.Second
+
 // quarantineCauses lists the upstreams that crashed while running a quarantined request.
 func (l *Log) quarantineCauses(span *Span) []string {
 	content := span.End.Get(event.KeyContent)
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -151,6 +151,22 @@
 			[]string{line("08.000", "front-a", event.PathLost, "upstream=u-1"), failed("reason=upstreams-unreachable known=2 usable=2 unreachable=2 resting=0 cold=0 in_flight=0 slots=4")},
 			"of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 0 requests in work on 4 slots; to 2 of them front-a could make no connection (path-lost 2s before), and it found no instance that could",
 		},
+		"a stream of unknown origin": {
+			[]string{
+				line("09.000", "front-b", event.Start, ""),
+				line("09.999", "front-a", event.StreamOrigin, "request=r-1 source=unknown service= software= first=r-0 after=3 asked=6 silent=2"),
+				failed(`reason=stream-origin-unknown detail="it is not known which software version began the stream"`),
+			},
+			"it is not known which software version began the stream; the request takes up the stream of r-0 after event 3, begun by an unknown software version: of 6 instances asked 2 did not answer, the others have no record; 1 × start in the 10s before",
+		},
+		"a software version that is gone": {
+			[]string{
+				line("08.000", "front-a", event.UpstreamGone, "upstream=u-1"),
+				line("09.999", "front-a", event.StreamOrigin, "request=r-1 source=told service=llm software=v1 first=r-0 after=3 asked=6 silent=0"),
+				failed(`reason=stream-origin-gone detail="no upstream is left"`),
+			},
+			"no upstream is left; the request takes up the stream of r-0 after event 3, begun by software v1 of llm, told by another instance; 1 × upstream-gone in the 10s before",
+		},
 		"limits of upstreams": {
 			[]string{failed("reason=no-upstream known=2 usable=2 resting=0 cold=0 limited=2 in_flight=0 slots=4")},
 			"of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 0 requests in work on 4 slots; 2 of them name limits on their requests, of which the part of front-a was used",
--- a/pkg/explain/render.go
+++ b/pkg/explain/render.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/origin"
 )
 
 // Widths of the text, in characters.
@@ -119,6 +120,8 @@
 	switch step.Event {
 	case event.RequestRouted:
 		return describeRoute(step)
+	case event.StreamOrigin:
+		return describeOrigin(step)
 	case event.AttemptRejected:
 		return fmt.Sprintf("%s rejected it, status %d", step.Get(event.KeyTarget), step.Int(event.KeyStatus))
 	case event.AttemptFailed:
@@ -163,9 +166,29 @@
 	if after := step.Get(event.KeyAfter); after != "" {
 		text += ", goes on after event " + after
 	}
+	if software := step.Get(event.KeySoftware); software != "" {
+		text += ", software " + software
+	}
 	return text
 }
 
+// originSources describes how the origin of a stream is known.
+var originSources = map[origin.Source]string{
+	origin.Recorded:  "recorded here",
+	origin.Told:      "told by another instance",
+	origin.Proved:    "as the service has no other version",
+	origin.Forwarded: "as the forwarding instance says",
+}
+
+func describeOrigin(step *Line) string {
+	text := fmt.Sprintf("takes up the stream of %s after event %s, ", step.Get(event.KeyFirst), step.Get(event.KeyAfter))
+	known, found := originSources[origin.Source(step.Get(event.KeySource))]
+	if !found {
+		return text + fmt.Sprintf("begun by an unknown software version: of %d instances asked %d did not answer, the others have no record", step.Int(event.KeyAsked), step.Int(event.KeySilent))
+	}
+	return text + fmt.Sprintf("begun by software %s of %s, %s", step.Get(event.KeySoftware), step.Get(event.KeyService), known)
+}
+
 func describeFailure(step *Line) string {
 	text := fmt.Sprintf("%s, %s, status %d after %d ms: %s; %d sends, may have run %d times",
 		step.Get(event.KeyOutcome), step.Get(event.KeyReason), step.Int(event.KeyStatus), step.Int(event.KeyMS),
