pkg/origin: a search does not close connections; conflicting records decide nowhere

What callers would have seen: while several versions serve, each stream taken up at an instance without its record made that instance close its control connections to the others, as soon as one of them had answered: gossip and later searches had to connect anew, and the instances counted as lost for a second. Cause, found by reading: the calls ended with the search, and control.Clients drops the connection of a call that is cancelled. A timeout shorter than that of gossip did the same to busy instances.

Calls now run to their end, with gossip's timeouts; the search stops waiting by itself.

An ID with two origins is unknown wherever one of those asked knows of both (TestTwoOriginsOfOneIDAreNone, extended). An instance that has just started and knows nobody yet asks callers to come back.

--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -86,10 +86,10 @@
 }
 
 // originUnknownRefusal refuses a stream of unknown origin. A repeat helps only if an instance that
-// may know the origin did not answer.
+// may know the origin did not answer, or is not known yet.
 func (j *job) originUnknownRefusal(answer *origin.Answer) *outcome.Refusal {
 	retryAfter := time.Duration(0)
-	if answer.Silent > 0 {
+	if answer.Silent > 0 || j.starting() {
 		retryAfter = steer.RetryAfter(j.now(), j.deadline)
 	}
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOriginUnknown, retryAfter, "it is not known which software version began the stream")
--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/control"
@@ -19,11 +20,14 @@
 )
 
 const (
-	// nearTimeout and farTimeout bound a call inside the region and to another one.
-	nearTimeout = 150 * time.Millisecond
-	farTimeout  = 400 * time.Millisecond
-	// findShare is the largest share of a caller's time that a search takes.
-	findShare = 0.25
+	// nearTimeout and farTimeout bound a call inside the region and to another one. A call that
+	// times out costs its connection, which other calls use as well.
+	nearTimeout = 300 * time.Millisecond
+	farTimeout  = 600 * time.Millisecond
+	// searchTime is the longest time for which a search waits for replies, and searchShare the
+	// largest share of its caller's time.
+	searchTime  = 400 * time.Millisecond
+	searchShare = 0.25
 )
 
 // KeepArgs are records, as columns: the hash of the request's ID, the index of its origin, and the
@@ -46,10 +50,11 @@
 	Patience time.Duration
 }
 
-// FindReply holds a recorded or proved origin. It is neither if the origin is not known.
+// FindReply holds a recorded or proved origin. It is neither if the origin is not known, and
+// Conflicting if several were recorded.
 type FindReply struct {
-	Recorded, Proved bool
-	Origin           Origin
+	Recorded, Proved, Conflicting bool
+	Origin                        Origin
 }
 
 // Service implements the methods that other instances call.
@@ -76,8 +81,11 @@
 
 // Find returns what this instance knows of the origin of a stream.
 func (s *Service) Find(args FindArgs, reply *FindReply) error {
-	k := s.keeper
-	if reply.Origin, reply.Recorded = k.records.find(args.Request, k.options.Clock.Now()); reply.Recorded {
+	k, now := s.keeper, s.keeper.options.Clock.Now()
+	if reply.Origin, reply.Recorded = k.records.find(args.Request, now); reply.Recorded {
+		return nil
+	}
+	if reply.Conflicting = k.records.conflicts(args.Request, now); reply.Conflicting {
 		return nil
 	}
 	reply.Origin.Service = args.Service
@@ -116,7 +124,7 @@
 // sendBatch sends records to one instance. A failure is not repaired: the other copies are as good.
 func (k *Keeper) sendBatch(batch *batch) {
 	var reply KeepReply
-	if err := k.call(context.Background(), &batch.to, methodKeep, &batch.args, &reply); err != nil {
+	if err := k.call(&batch.to, methodKeep, &batch.args, &reply); err != nil {
 		k.options.Log.Debug().Err(err).Str(event.KeyPeer, batch.to.Name).Msg(string(event.OriginsNotSent))
 	}
 }
@@ -176,12 +184,14 @@
 	b.args.LeftMS = append(b.args.LeftMS, uint32(record.expires.Sub(now).Milliseconds()))
 }
 
-func (k *Keeper) call(ctx context.Context, to *fleet.Instance, method string, args, reply any) error {
+// call calls another instance. It does not end with the request that needs the reply, as a call
+// that is cancelled costs its connection.
+func (k *Keeper) call(to *fleet.Instance, method string, args, reply any) error {
 	timeout := farTimeout
 	if to.Region == k.options.Self.Region {
 		timeout = nearTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return k.options.Client.Call(ctx, to.Gossip, method, args, reply)
 }
@@ -190,51 +200,70 @@
 // leads to now, patience the longest time for which its caller may have waited, and left the time
 // within which it needs an answer. The first record decides; a proof does if nobody has a record.
 func (k *Keeper) Find(ctx context.Context, request, service string, patience, left time.Duration) Answer {
-	id := hash(request)
-	if origin, found := k.records.find(id, k.options.Clock.Now()); found {
+	id, now := hash(request), k.options.Clock.Now()
+	if origin, found := k.records.find(id, now); found {
 		return Answer{Origin: origin, Source: Recorded}
 	}
+	if k.records.conflicts(id, now) {
+		return Answer{Source: Unknown}
+	}
 	if version, proved := k.only(service, patience); proved {
 		return Answer{Origin: Origin{Service: service, Version: version}, Source: Proved}
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(findShare*float64(left)))
-	defer cancel()
 	asked := candidates(id, k.options.Self.Region, k.options.Known())
 	replies := make(chan *FindReply, len(asked))
 	for i := range asked {
 		go func() {
 			reply := &FindReply{}
 			args := &FindArgs{Request: id, Service: service, Patience: patience}
-			if k.call(ctx, &asked[i], methodFind, args, reply) != nil {
+			if k.call(&asked[i], methodFind, args, reply) != nil {
 				reply = nil
 			}
 			replies <- reply
 		}()
 	}
-	return k.decide(request, replies, len(asked), left)
+	ctx, cancel := context.WithTimeout(ctx, min(searchTime, time.Duration(searchShare*float64(left))))
+	defer cancel()
+	answer := decide(ctx, replies, len(asked))
+	if answer.Source == Told {
+		k.Learn(request, answer.Origin, left)
+	}
+	return answer
 }
 
 // decide waits for the first record, or for all replies.
-func (k *Keeper) decide(request string, replies <-chan *FindReply, asked int, left time.Duration) Answer {
+func decide(ctx context.Context, replies <-chan *FindReply, asked int) Answer {
 	answer := Answer{Source: Unknown, Asked: asked}
-	for range asked {
-		reply := <-replies
+	var proofs []Origin
+	for received := range asked {
+		var reply *FindReply
+		select {
+		case reply = <-replies:
+		case <-ctx.Done():
+			answer.Silent += asked - received
+			return answer.proved(proofs)
+		}
 		switch {
 		case reply == nil:
 			answer.Silent++
+		case reply.Conflicting:
+			return answer
 		case reply.Recorded:
-			k.Learn(request, reply.Origin, left)
 			answer.Origin, answer.Source = reply.Origin, Told
 			return answer
-		case reply.Proved && answer.Source == Unknown:
-			answer.Origin, answer.Source = reply.Origin, Proved
-		case reply.Proved && answer.Origin != reply.Origin:
-			// Two proofs that contradict each other are none.
-			answer.Origin.Service = ""
+		case reply.Proved:
+			proofs = append(proofs, reply.Origin)
 		}
 	}
-	if answer.Origin.Service == "" {
-		answer.Source = Unknown
+	return answer.proved(proofs)
+}
+
+// proved returns the answer by the proofs of other instances. Proofs that contradict each other are
+// none.
+func (a Answer) proved(proofs []Origin) Answer {
+	if len(proofs) == 0 || slices.ContainsFunc(proofs, func(o Origin) bool { return o != proofs[0] }) {
+		return a
 	}
-	return answer
+	a.Origin, a.Source = proofs[0], Proved
+	return a
 }
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -239,10 +240,12 @@
 	net.ListenConfig
 	address  string
 	released chan struct{}
+	dials    atomic.Int32
 }
 
 // Dial implements control.Transport.
 func (b *blockedTransport) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	b.dials.Add(1)
 	if address == b.address {
 		<-b.released
 		return nil, net.ErrClosed
@@ -250,6 +253,37 @@
 	return b.DialContext(ctx, network, address)
 }
 
+// slowService answers searches once it is released.
+type slowService struct{ released chan struct{} }
+
+func (s *slowService) Find(FindArgs, *FindReply) error {
+	<-s.released
+	return nil
+}
+
+// TestSearchKeepsConnections guards against connections, which carry all control messages, that are
+// closed since one instance has answered a search before the others.
+func TestSearchKeepsConnections(t *testing.T) {
+	is := is.New(t)
+	nodes := newNodes(t, "north", "north")
+	counted := &blockedTransport{}
+	network := control.NewNetworkOver(counted)
+	nodes[0].Keeper.options.Client = control.NewClients(network)
+	server, err := control.NewServer(network, "127.0.0.1:0")
+	is.NoErr(err)
+	defer server.Close()
+	slow := &slowService{released: make(chan struct{})}
+	is.NoErr(server.Register(ServiceName, slow))
+	go server.Serve()
+	other := fleet.Instance{Name: "slow", Region: "north", Gossip: server.Address()}
+	nodes[0].others = append(nodes[0].others, other)
+	nodes[1].Learn("r", Origin{service, "v1"}, patience)
+	is.Equal(nodes[0].find("r").Source, Told)
+	close(slow.released)
+	is.NoErr(nodes[0].call(&other, methodFind, FindArgs{}, &FindReply{}))
+	is.Equal(counted.dials.Load(), int32(2))
+}
+
 // TestInstanceThatDoesNotAnswerHoldsUpNoOther guards against records that are sent late, while
 // machines are lost and streams are taken up elsewhere.
 func TestInstanceThatDoesNotAnswerHoldsUpNoOther(t *testing.T) {
@@ -282,6 +316,15 @@
 	is.Equal(n.find("r").Source, Recorded)
 	n.Begin("r", Origin{service, "v2"}, patience)
 	is.Equal(n.find("r").Source, Unknown)
+	// Nor is the one that another instance knows.
+	nodes := newNodes(t, "north", "north", "north")
+	nodes[1].Learn("r", Origin{service, "v1"}, patience)
+	nodes[1].Learn("r", Origin{service, "v2"}, patience)
+	is.Equal(nodes[0].find("r").Source, Unknown)
+	nodes[0].Learn("r", Origin{service, "v1"}, patience)
+	nodes[0].Learn("r", Origin{service, "v2"}, patience)
+	nodes[2].Learn("r", Origin{service, "v1"}, patience)
+	is.Equal(nodes[0].find("r").Source, Unknown)
 }
 
 // TestRecordsExpireAndAreBounded guards against memory that grows with the time or the load.
--- a/pkg/origin/table.go
+++ b/pkg/origin/table.go
@@ -53,6 +53,14 @@
 	return known.origin, found && !known.conflicting && now.Before(known.expires)
 }
 
+// conflicts reports whether several origins were recorded for one ID.
+func (t *table) conflicts(id uint64, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.records[id]
+	return known.conflicting && now.Before(known.expires)
+}
+
 // size returns the number of records.
 func (t *table) size() int {
 	t.mu.Lock()
