pkg/fleet: a choice looks up whether versions are new only while one is

Each choice looked two strings up for each upstream of a service, at hundreds of engines as much again as the rest of a comparison. The view now says whether any version is new at all.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -65,6 +65,8 @@
 	Instances []Instance
 	byService map[string][]*Upstream
 	software  map[string]software
+	// introduces is true if a version was introduced within SettleTime.
+	introduces bool
 }
 
 // Instance is one registered instance of the gateway.
--- a/pkg/fleet/software.go
+++ b/pkg/fleet/software.go
@@ -29,6 +29,9 @@
 
 // Settled reports whether an upstream's software version is not new to its service.
 func (v *View) Settled(upstream *Upstream, now time.Time) bool {
+	if !v.introduces {
+		return true
+	}
 	at, introduced := v.software[upstream.Service].introduced[upstream.Software]
 	return !introduced || now.Sub(at) >= SettleTime
 }
@@ -41,7 +44,9 @@
 		maps.Copy(v.software, last.software)
 	}
 	for service, upstreams := range v.byService {
-		v.software[service] = v.software[service].next(upstreams, now)
+		known := v.software[service].next(upstreams, now)
+		v.introduces = v.introduces || len(known.introduced) > 0
+		v.software[service] = known
 	}
 }
 
