pkg/origin: records cost less where hundreds of instances run

Records now wait for a second until the list is up to date again, as the lists of others prove the version meanwhile; owners are found in one pass without a sort, and pending records are not copied while none is needed. TestRecordsAreNotSentForABriefLag failed before.

--- a/pkg/member/rank.go
+++ b/pkg/member/rank.go
@@ -83,6 +83,9 @@
 	mixFactor2 = 0x94d049bb133111eb
 )
 
+// Score returns the score by which Rank orders names, highest first.
+func Score(key uint64, name string) uint64 { return score(key, name) }
+
 func score(key uint64, name string) uint64 {
 	x := key ^ xxhash.Sum64String(name)
 	x = (x ^ (x >> mixShift1)) * mixFactor1
--- a/pkg/origin/cost_test.go
+++ b/pkg/origin/cost_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/fleet"
 )
 
 const (
@@ -57,3 +59,18 @@
 		}
 	}
 }
+
+// BenchmarkOwners is the time to choose the owners of one record.
+func BenchmarkOwners(b *testing.B) {
+	for _, count := range []int{30, 300} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			instances := make([]fleet.Instance, count)
+			for i := range instances {
+				instances[i] = fleet.Instance{Name: fmt.Sprintf("instance-%d", i), Region: fmt.Sprintf("region-%d", i%3)}
+			}
+			for n := 0; b.Loop(); n++ {
+				owners(uint64(n), "region-0", instances)
+			}
+		})
+	}
+}
--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -111,7 +111,7 @@
 	for _, record := range taken {
 		for _, owner := range owners(record.id, k.options.Self.Region, others) {
 			if batches[owner.Name] == nil {
-				batches[owner.Name] = &batch{to: owner}
+				batches[owner.Name] = &batch{to: *owner}
 			}
 			batches[owner.Name].add(record, k.options.Clock.Now())
 		}
@@ -133,25 +133,34 @@
 func (k *Keeper) takePending() []pendingRecord {
 	now := k.options.Clock.Now()
 	k.mu.Lock()
-	pending := k.pending
-	k.pending = nil
-	k.mu.Unlock()
-	proved := make(map[string]bool)
-	var taken, kept []pendingRecord
-	for _, record := range pending {
-		service := record.origin.Service
-		if _, known := proved[service]; !known {
-			_, proved[service] = k.only(service, 0)
+	defer k.mu.Unlock()
+	for len(k.pending) > 0 && !now.Before(k.pending[0].expires) {
+		k.pending = k.pending[1:]
+	}
+	needed := make(map[string]bool)
+	all := true
+	for i := range k.pending {
+		service := k.pending[i].origin.Service
+		if _, known := needed[service]; !known {
+			_, uniform := k.uniform(service, 0, now)
+			needed[service] = !uniform
+			all = all && uniform
 		}
+	}
+	if all {
+		return nil
+	}
+	var taken, kept []pendingRecord
+	for _, record := range k.pending {
 		switch {
 		case !now.Before(record.expires):
-		case proved[service]:
-			kept = append(kept, record)
-		default:
+		case needed[record.origin.Service]:
 			taken = append(taken, record)
+		default:
+			kept = append(kept, record)
 		}
 	}
-	k.putBack(kept)
+	k.pending = kept
 	return taken
 }
 
@@ -216,7 +225,7 @@
 		go func() {
 			reply := &FindReply{}
 			args := &FindArgs{Request: id, Service: service, Patience: patience}
-			if k.call(&asked[i], methodFind, args, reply) != nil {
+			if k.call(asked[i], methodFind, args, reply) != nil {
 				reply = nil
 			}
 			replies <- reply
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -84,7 +84,7 @@
 	defer k.mu.Unlock()
 	k.longest[origin.Service] = max(k.longest[origin.Service], patience)
 	if len(k.pending) >= maxPending {
-		k.pending = append(k.pending[:0], k.pending[1:]...)
+		k.pending = k.pending[1:]
 	}
 	k.pending = append(k.pending, pendingRecord{id: id, origin: origin, expires: expires})
 }
@@ -122,13 +122,19 @@
 // a stream that may still be taken up. Patience is the longest known time for which a caller
 // waits.
 func (k *Keeper) only(service string, patience time.Duration) (version string, proved bool) {
-	view, now := k.options.Fleet.Load(), k.options.Clock.Now()
-	if view == nil || !k.options.Current() {
+	if !k.options.Current() {
 		return "", false
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.currentAt.IsZero() || now.Sub(k.currentAt) > currentSlack {
+	return k.uniform(service, patience, k.options.Clock.Now())
+}
+
+// uniform is only by a list that may be out of date for currentSlack. Records can wait that long:
+// the lists of other instances prove the version meanwhile. The caller holds k.mu.
+func (k *Keeper) uniform(service string, patience time.Duration, now time.Time) (version string, uniform bool) {
+	view := k.options.Fleet.Load()
+	if view == nil || k.currentAt.IsZero() || now.Sub(k.currentAt) > currentSlack {
 		return "", false
 	}
 	version, since := view.OnlySoftware(service)
--- a/pkg/origin/keeper_test.go
+++ b/pkg/origin/keeper_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
@@ -219,6 +221,61 @@
 	is.Equal(nodes[1].Size(), 1)
 }
 
+// TestRecordsAreNotSentForABriefLag guards against messages for each stream whenever another
+// instance has read a change first.
+func TestRecordsAreNotSentForABriefLag(t *testing.T) {
+	is := is.New(t)
+	nodes := newNodes(t, "north", "north")
+	nodes[0].list("v1")
+	nodes[0].pass(8 * time.Second)
+	nodes[0].late = true
+	nodes[0].Begin("r", Origin{service, "v1"}, patience)
+	nodes[0].pass(500 * time.Millisecond)
+	is.Equal(nodes[1].Size(), 0)
+	nodes[0].pass(time.Second)
+	is.Equal(nodes[1].Size(), 1)
+}
+
+// TestOwnersAreRankedByHashing guards against owners that instances with the same list choose
+// differently, and against records that all owners of one region hold.
+func TestOwnersAreRankedByHashing(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{3, 7, 40} {
+		var instances []fleet.Instance
+		var names []string
+		for i := range count {
+			names = append(names, fmt.Sprintf("i-%d", i))
+			instances = append(instances, fleet.Instance{Name: names[i], Region: fmt.Sprintf("region-%d", i%3)})
+		}
+		for id := range uint64(50) {
+			var want []string
+			inside, outside := 0, 0
+			copies := copiesInSmall
+			if count > smallDeployment {
+				copies = copiesInLarge
+			}
+			for _, name := range member.Rank(id, names) {
+				i := slices.IndexFunc(instances, func(i fleet.Instance) bool { return i.Name == name })
+				switch {
+				case instances[i].Region == "region-0" && inside < copies:
+					inside++
+					want = append(want, name)
+				case instances[i].Region != "region-0" && outside < copies:
+					outside++
+					want = append(want, name)
+				}
+			}
+			var got []string
+			for _, owner := range owners(id, "region-0", instances) {
+				got = append(got, owner.Name)
+			}
+			is.Equal(slices.Sorted(slices.Values(got)), slices.Sorted(slices.Values(want)))
+			asked := candidates(id, "region-1", instances)
+			is.True(len(asked) <= askedInRegion+askedAnywhere)
+		}
+	}
+}
+
 // TestRecordsWaitForOtherInstances guards against records that are lost since an instance begins
 // streams before it knows another one.
 func TestRecordsWaitForOtherInstances(t *testing.T) {
