The property test of releases runs without the race detector

A whole run of scripts/test.sh on, beside other plays at a load above 20, was red: the detector itself ended in TestStreamsKeepTheirSoftwareVersionInReleases/3, SIGSEGV in SlotLock, a known fault of the detector in bubbles of virtual time (docs/incidents/2026-12-03-race-detector-ends.md); no check failed, no race was reported. The checks, bounds and seeds are as they were.

--- a/pkg/edge/software_random_test.go
+++ b/pkg/edge/software_random_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package edge
 
 import (
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,7 +13,7 @@
 events=$(mktemp)
 trap 'rm -f "$events"' EXIT
 status=0
-# Tests in which the race detector may crash run without it (pkg/edge/region_cut_test.go).
-go test -count=1 -json -run '(OfARegionThatIsCutOffMayTurnCold|RegionThatIsCutOffServesItsOwn|RestsInARegionThatIsCutOff|ManyInstancesAskAfterALostHistory)$' ./pkg/edge >"$events" || status=$?
+# Tests in which the race detector may crash run without it (pkg/edge/region_cut_test.go, software_random_test.go).
+go test -count=1 -json -run '(OfARegionThatIsCutOffMayTurnCold|RegionThatIsCutOffServesItsOwn|RestsInARegionThatIsCutOff|ManyInstancesAskAfterALostHistory|KeepTheirSoftwareVersionInReleases)$' ./pkg/edge >"$events" || status=$?
 go test -race -count=1 -timeout 20m -json ./... >>"$events" || status=$?
 go run ./internal/ci -status "$status" <"$events"
