--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -101,6 +101,7 @@
 		if first && j.service.Engine != nil {
 			now := j.now()
 			j.estimates.Observe(candidate, now.Sub(sent), now)
+			j.lateness.Observe(j.service, j.route, j.settings.Region, now.Sub(j.started), now)
 		}
 		first = false
 	}
@@ -114,7 +115,7 @@
 	j.tried = append(j.tried, to.name())
 	j.hops++
 	region := steer.RegionKey(to.peer.Instance.Region, &steer.Request{Service: j.service, Route: j.route})
-	flight, ok := j.tracker.Start(region, 0, 0)
+	trial, ok := j.startRegionTrial(region)
 	if !ok {
 		return notRun
 	}
@@ -125,14 +126,14 @@
 		pool:     j.peers,
 		target:   exchange.Target{ID: to.peer.Instance.Peers, Address: to.peer.Instance.Peers},
 		send:     Send{TimeLeft: j.deadline.Sub(j.now()), ResumeAfter: j.resumeAfter()},
-		onPart:   flight.FirstByte,
+		onPart:   trial.begun,
 		peer:     true,
 		attempts: granted,
 	}
 	ctx, leave := call.enter(ctx)
 	defer leave()
 	ended := call.do(ctx)
-	flight.Done(call.regionResult(ended))
+	trial.ended(call.regionResult(ended))
 	if refusal := call.hopRefusal; !refusal.until.IsZero() {
 		j.hopRefusals.record(to.name(), j.service.Name, j.now(), refusal)
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -128,6 +128,8 @@
 	recent           *steer.RecentPlacements
 	pace             *steer.CallTimes
 	estimates        *steer.Estimator
+	lateness         *steer.Lateness
+	acceptance       *limit.Acceptance
 	flow             *steer.Flow
 	upstreams        *exchange.Pool
 	peers            *exchange.Pool
@@ -210,6 +212,8 @@
 		recent:              steer.NewRecentPlacements(),
 		pace:                steer.NewCallTimes(),
 		estimates:           steer.NewEstimator(),
+		lateness:            steer.NewLateness(),
+		acceptance:          limit.NewAcceptance(),
 		flow:                steer.NewFlow(),
 		upstreams:           exchange.NewPool(transport.Dial, upstreamDial, system.Now),
 		peers:               exchange.NewPool(transport.Dial, peerDial, system.Now),
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -97,6 +97,8 @@
 	peer   *peer.Known
 	// world is the state by which it was chosen.
 	world *steer.Snapshot
+	// yielded is true if another region gets the request so that its slot is left to others.
+	yielded bool
 	// hedge is true if the attempt is made beside another one.
 	hedge bool
 	// sends counts the sends to upstreams in the attempt.
@@ -185,6 +187,9 @@
 // attempt makes one attempt and counts it.
 func (j *job) attempt(ctx context.Context, to *target) result {
 	j.logRouting(to)
+	if to.yielded {
+		j.counts.requestYielded(j.service.Name, to.peer.Instance.Region)
+	}
 	start, granted := j.now(), to.grantedAttempts(j)
 	j.attemptsLeft -= granted
 	var ended result
@@ -262,6 +267,8 @@
 		Recent:     j.recent,
 		CallTimes:  j.pace,
 		Estimates:  j.estimates,
+		Lateness:   j.lateness,
+		Acceptance: j.acceptance,
 		Flow:       j.flow,
 		Now:        now,
 		Random:     rand.Uint64(),
@@ -313,7 +320,7 @@
 		chosen.survey = j.surveyRegion(world, query)
 	}
 	if !j.forwarded && j.hops < maxHops {
-		chosen.peer = j.chooseHop(world, query, &chosen.survey)
+		chosen.peer, chosen.yielded = j.chooseHop(world, query, &chosen.survey)
 	}
 	if chosen.peer == nil && chosen.survey.Best.Upstream == nil && chosen.survey.Unreachable > 0 {
 		world.PathLost = j.withoutConnection
@@ -322,22 +329,23 @@
 	return chosen
 }
 
-// chooseHop returns the instance that gets the request, nil if it stays here. Neighbours serve what
+// chooseHop returns the instance that gets the request, nil if it stays here, and whether the request leaves
+// its slot to others. Neighbours serve what
 // this instance cannot for want of a path or of places; they are nearer than another region, and hold
 // what the region's engines have cached.
-func (j *job) chooseHop(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) *peer.Known {
+func (j *job) chooseHop(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) (chosen *peer.Known, yielded bool) {
 	withoutPlaces := survey.Crowded > 0 && (survey.Places == 0 || j.lineTooLong)
 	if survey.Best.Upstream == nil && (survey.Unreachable > 0 || withoutPlaces) {
 		if neighbours := j.withPlaces(world.Neighbours(query), j.service); len(neighbours) > 0 {
-			return j.choosePeer(neighbours, world.Random)
+			return j.choosePeer(neighbours, world.Random), false
 		}
 	}
 	if remote := world.Choose(query, *survey, world.Regions(query)); remote != nil {
 		if peers := j.withPlaces(remote.Peers, j.service); len(peers) > 0 {
-			return j.choosePeer(peers, world.Random)
+			return j.choosePeer(peers, world.Random), remote.Yielded
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // choosePeer draws one of the instances, preferring those with an idle
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -23,6 +23,7 @@
 const (
 	labelRoute   = "route"
 	labelService = "service"
+	labelRegion  = "region"
 	labelTarget  = "target"
 	labelDomain  = "domain"
 	labelOutcome = "outcome"
@@ -67,6 +68,11 @@
 	c.series.Latency("requests.first.ms", route).Add(j.writer.firstByteAt.Sub(j.started))
 }
 
+// requestYielded counts a request of a service that is sent to another region to leave its slot to others.
+func (c *counters) requestYielded(service, region string) {
+	c.series.Counter("route.yielded", label(labelService, service), label(labelRegion, region)).Inc(1)
+}
+
 // attemptEnded counts the end of an attempt at an upstream or another instance.
 func (c *counters) attemptEnded(to *target, ended result, took time.Duration) {
 	domain, name := label(labelDomain, to.domain()), label(labelTarget, to.name())
--- a/pkg/edge/request_log.go
+++ b/pkg/edge/request_log.go
@@ -81,6 +81,9 @@
 		} else {
 			line.Int64(event.KeyHeardMS, world.Now.Sub(chosen.peer.ReportedAt).Milliseconds())
 		}
+		if chosen.yielded {
+			line.Bool(event.KeyYielded, true)
+		}
 		if after != "" {
 			line.Str(event.KeyAfter, after)
 		}
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -114,4 +114,5 @@
 	KeyEndedBy = "ended_by"
 	KeyUsable  = "usable"  // number of upstreams that accept requests
 	KeyVersion = "version" // version of the configuration
+	KeyYielded = "yielded" // whether the request leaves its slot to requests that are bound to the region
 )
--- a/pkg/httproute/configuration.go
+++ b/pkg/httproute/configuration.go
@@ -62,6 +62,7 @@
 		return nil, fault
 	}
 	c.setUrgentTargets()
+	c.setDemands()
 	return c, nil
 }
 
--- a/pkg/httproute/route.go
+++ b/pkg/httproute/route.go
@@ -78,6 +78,9 @@
 	return permits(r.Homes, region) && permits(r.organisationHomes, region)
 }
 
+// Bound reports whether the route's requests may be processed in some regions only.
+func (r *Route) Bound() bool { return len(r.Homes) > 0 || len(r.organisationHomes) > 0 }
+
 // permits reports whether homes, all regions if empty, include a region.
 func permits(homes []string, region string) bool {
 	return len(homes) == 0 || slices.Contains(homes, region)
@@ -116,6 +119,8 @@
 	HealthPath string
 	// Engine describes model engines; nil for plain services.
 	Engine *Engine
+	// demands are the classes of the routes that lead to the service. Compile sets them.
+	demands []demand
 }
 
 // Engine holds the common properties of the upstreams of a service of model engines.
--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -37,13 +37,13 @@
 // tooLate reports whether an answer after this wait would miss the route's target or use
 // capacity that more urgent requests need. The mean prediction error counts in the caller's
 // favour: otherwise instances with late reports would refuse requests that are in time.
-func (w *waitTime) tooLate(req *Request, forecast *Forecast) bool {
+func (w *waitTime) tooLate(req *Request, contended bool, forecast *Forecast) bool {
 	target := inMilliseconds(req.Route.TargetLatency)
 	if target == 0 {
 		return false
 	}
 	bound := max(targetShare*target-w.own, minWaitShare*target)
-	if urgent := inMilliseconds(req.Route.UrgentTarget); req.Contended && urgent > 0 {
+	if urgent := inMilliseconds(req.Route.UrgentTarget); contended && urgent > 0 {
 		bound = min(bound, yieldShare*(targetShare*urgent-forecast.base))
 	}
 	return w.queued-forecast.meanError > bound
@@ -82,7 +82,7 @@
 	}
 	expected := waitTime{queued: ahead, own: own}
 	c.TimeToFirstToken = expected.total()
-	c.Late = expected.tooLate(req, forecast)
+	c.Late = expected.tooLate(req, req.contendedIn(w.Region), forecast)
 }
 
 // remoteWait returns how long a request would wait in another region.
@@ -103,7 +103,7 @@
 	for i := range regions {
 		remote := &regions[i]
 		there := w.remoteWait(req, remote, &forecast)
-		if there.tooLate(req, &forecast) || there.total()+milliseconds(forecast.meanError) > here.TimeToFirstToken {
+		if there.tooLate(req, req.contendedIn(remote.Region), &forecast) || there.total()+milliseconds(forecast.meanError) > here.TimeToFirstToken {
 			continue
 		}
 		if best == nil || w.remoteCost(req, remote) < w.remoteCost(req, best) {
--- a/pkg/steer/remote.go
+++ b/pkg/steer/remote.go
@@ -17,6 +17,9 @@
 	Upstreams, Slots int
 	// InFlight and Prefill are the work of all instances there.
 	InFlight, Prefill int
+	// Yielded is true if the request is sent there to leave its slot to requests that are bound to the own
+	// region.
+	Yielded bool
 	// excluded is true if the request may not be processed there, or the region refused
 	// such a request recently.
 	excluded bool
@@ -72,8 +75,18 @@
 		known.Reaches(req.Service.Name) && (w.HopRefused == nil || !w.HopRefused(known.Instance.Name, req.Service.Name))
 }
 
+// excluded reports whether a request is not sent to a region, since it is not permitted there or the region
+// has refused such requests lately. Requests that are bound to some regions still get the share that the
+// region accepts, as they have no other.
 func (w *Snapshot) excluded(req *Request, region string) bool {
-	return !req.Route.PermittedIn(region) || w.Local.Load(RegionKey(region, req)).Backoff > 0
+	if !req.Route.PermittedIn(region) {
+		return true
+	}
+	key := RegionKey(region, req)
+	if w.Acceptance != nil && req.Route.Bound() {
+		return w.fraction(key) >= w.Acceptance.Share(key, w.Now)
+	}
+	return w.Local.Load(key).Backoff > 0
 }
 
 func compareText(a, b string) int {
@@ -140,6 +153,9 @@
 	if here.Best.Upstream == nil {
 		return w.chooseWithout(&here, best, regions)
 	}
+	if remote := w.yield(req, &here, regions); remote != nil {
+		return remote
+	}
 	if here.Best.Late {
 		return w.timelyRegion(req, &here.Best, regions)
 	}
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -81,6 +81,11 @@
 	Recent    *RecentPlacements
 	CallTimes *CallTimes
 	Estimates *Estimator
+	// Lateness is the share of answers that begin late; nil if it is not measured.
+	Lateness *Lateness
+	// Acceptance is the share of forwarded requests that each region accepts, by RegionKey; nil if regions
+	// back off after each refusal.
+	Acceptance *limit.Acceptance
 	// Flow measures what this instance sends.
 	Flow   *Flow
 	Now    time.Time
