--- a/pkg/steer/flexible.go
+++ b/pkg/steer/flexible.go
@@ -1,6 +1,10 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/member"
+)
 
 // Some routes may be processed in few regions only, while others of the same service may run anywhere.
 // Once the slots of a region are nearly used up, each request there that could run elsewhere in time
@@ -28,8 +32,9 @@
 		return nil
 	}
 	load := float64(here.InFlight) / float64(here.Slots)
-	share := min(1, (load-yieldLoad)/yieldRange) * w.Lateness.ShareOfBound(req.Service.Name, req.Route.Priority, w.Now) / toleratedLate
-	if w.fraction("yield") >= share {
+	late := w.Lateness.ShareOfBound(req.Service.Name, req.Route.Priority, w.Now)
+	share := min(1, (load-yieldLoad)/yieldRange) * min(1, late/toleratedLate)
+	if w.yieldDraw(req) >= share {
 		return nil
 	}
 	inTime := time.Duration(targetShare * float64(req.Route.TargetLatency))
@@ -50,6 +55,16 @@
 	return remote
 }
 
+// yieldDraw returns a number from 0 to 1 that decides whether a request is part of a share. Requests with a
+// shared segment get that of the segment, which all instances agree on: the segments that leave are then
+// cached in one region, and those that stay in the other.
+func (w *Snapshot) yieldDraw(req *Request) float64 {
+	if shared := sharedSegment(req); shared != nil {
+		return float64(member.Key("yield", shared.ID)>>11) / (1 << 53)
+	}
+	return w.fraction("yield")
+}
+
 // contendedIn reports whether more urgent requests that find no capacity in time may be processed in a
 // region.
 func (r *Request) contendedIn(region string) bool {
--- a/pkg/steer/flexible_test.go
+++ b/pkg/steer/flexible_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -24,6 +25,19 @@
 	return config.Service("llm"), &config.Routes[0], &config.Routes[1]
 }
 
+// lateAnswers returns a Lateness after 50 answers of a route in north, some of them late.
+func lateAnswers(service *httproute.Service, route *httproute.Route, late int) *steer.Lateness {
+	l := steer.NewLateness()
+	for i := range 50 {
+		took := route.TargetLatency / 2
+		if i < late {
+			took = 2 * route.TargetLatency
+		}
+		l.Observe(service, route, "north", took, now)
+	}
+	return l
+}
+
 // TestFlexibleRequestsLeaveContestedRegions guards against flexible requests that hold slots of a region
 // that other requests may not leave, and against moves that help nobody.
 func TestFlexibleRequestsLeaveContestedRegions(t *testing.T) {
@@ -35,21 +49,25 @@
 		service  *httproute.Service
 		route    *httproute.Route
 		remote   steer.RemoteRegion
+		// late is how many of 50 answers of the bound route were late.
+		late     int
 		min, max int
 	}{
-		"half of the slots taken":           {2, service, long, idle, 0, 0},
-		"three quarters taken":              {3, service, long, idle, 950, 1000},
-		"queueing":                          {8, service, long, idle, 950, 1000},
-		"bound route":                       {8, service, short, idle, 0, 0},
-		"more urgent than the bound":        {8, sameService, urgent, idle, 0, 0},
-		"other region contested as well":    {8, service, long, remoteRegion("south", 1, 16, 0), 0, 0},
-		"other region as loaded":            {4, service, long, remoteRegion("east", 15, 16, 0), 0, 0},
-		"other region late":                 {4, service, long, remoteRegion("east", 4, 16, 400_000), 0, 0},
-		"other region evacuated or cut off": {8, service, long, steer.RemoteRegion{}, 0, 0},
+		"half of the slots taken":           {2, service, long, idle, 50, 0, 0},
+		"three quarters taken":              {3, service, long, idle, 10, 950, 1000},
+		"queueing":                          {8, service, long, idle, 10, 950, 1000},
+		"some bound answers late":           {8, service, long, idle, 1, 250, 450},
+		"bound answers in time":             {8, service, long, idle, 0, 0, 0},
+		"bound route":                       {8, service, short, idle, 10, 0, 0},
+		"more urgent than the bound":        {8, sameService, urgent, idle, 10, 0, 0},
+		"other region contested as well":    {8, service, long, remoteRegion("south", 1, 16, 0), 10, 0, 0},
+		"other region as loaded":            {4, service, long, remoteRegion("east", 15, 16, 0), 10, 0, 0},
+		"other region late":                 {4, service, long, remoteRegion("east", 4, 16, 400_000), 10, 0, 0},
+		"other region evacuated or cut off": {8, service, long, steer.RemoteRegion{}, 10, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newSnapshot(loads{"u0": limit.Load{InFlight: c.inFlight}}, upstream("u0", "llm", "north"))
-			w.Estimates = trainedEstimator(100, 0.02)
+			w.Estimates, w.Lateness = trainedEstimator(100, 0.02), lateAnswers(service, short, c.late)
 			var regions []steer.RemoteRegion
 			if c.remote.Region != "" {
 				regions = append(regions, c.remote)
@@ -72,9 +90,9 @@
 // TestHalfOfTheFlexibleRequestsLeaveOnTheRamp guards against instances that all start and stop forwarding
 // at the same load.
 func TestHalfOfTheFlexibleRequestsLeaveOnTheRamp(t *testing.T) {
-	service, _, long := contendedService(t, 2)
+	service, short, long := contendedService(t, 2)
 	w := newSnapshot(loads{"u0": {InFlight: 3}, "u1": {InFlight: 2}}, upstream("u0", "llm", "north"), upstream("u1", "llm", "north"))
-	w.Estimates = trainedEstimator(100, 0.02)
+	w.Estimates, w.Lateness = trainedEstimator(100, 0.02), lateAnswers(service, short, 10)
 	req := &steer.Request{Route: long, Service: service, PromptTokens: 2000, Segments: []steer.Segment{{ID: "own", Tokens: 2000}}}
 	went := 0
 	for random := range uint64(1000) {
@@ -86,6 +104,40 @@
 	is.New(t).True(went > 400 && went < 600)
 }
 
+// TestInstancesAgreeOnTheSegmentsThatLeave guards against segments that are read in both regions, as each
+// request with them is sent to one or the other at random.
+func TestInstancesAgreeOnTheSegmentsThatLeave(t *testing.T) {
+	service, short, long := contendedService(t, 2)
+	long.SharedPrompts = true
+	left := 0
+	for segment := range 200 {
+		went := 0
+		for random := range uint64(20) {
+			w := newSnapshot(loads{"u0": {InFlight: 3}, "u1": {InFlight: 2}}, upstream("u0", "llm", "north"), upstream("u1", "llm", "north"))
+			w.Estimates, w.Lateness, w.Random = trainedEstimator(100, 0.02), lateAnswers(service, short, 10), random*0x9e3779b97f4a7c15
+			req := &steer.Request{Route: long, Service: service, PromptTokens: 2000, Segments: []steer.Segment{{ID: fmt.Sprint(segment), Tokens: 1000}, {ID: "own", Tokens: 1000}}}
+			if steer.Yield(w, req, w.SurveyRegion(req), []steer.RemoteRegion{remoteRegion("east", 1, 16, 0)}) != nil {
+				went++
+			}
+		}
+		if went != 0 && went != 20 {
+			t.Fatalf("%d of 20 requests with one segment left", went)
+		}
+		left += went / 20
+	}
+	is.New(t).True(left > 70 && left < 130)
+}
+
+// TestLatenessForgets guards against an overload that is remembered after it has ended.
+func TestLatenessForgets(t *testing.T) {
+	is := is.New(t)
+	service, short, _ := contendedService(t, 2)
+	l := lateAnswers(service, short, 50)
+	is.True(l.ShareOfBound("llm", 2, now) > 0.8)
+	is.True(l.ShareOfBound("llm", 0, now) == 0)
+	is.True(l.ShareOfBound("llm", 2, now.Add(10*time.Second)) < 0.1)
+}
+
 // TestReservesHoldOnlyWhereUrgentRequestsMayRun guards against long requests that are refused in a region
 // for the sake of urgent ones that may not be processed there.
 func TestReservesHoldOnlyWhereUrgentRequestsMayRun(t *testing.T) {
