pkg/steer: shared segments are copied from other regions, and engines in time go first

And the cheapest engine was chosen also if it was predicted late and another one in time; the prediction took copied tokens for read ones. Change: prefixLocation.remote; a candidate in time goes before a late one; the predicted time counts copied tokens as the cost does.

--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -74,7 +74,7 @@
 // predict sets when the answer would begin at a candidate, and whether that is too late.
 func (w *Snapshot) predict(req *Request, c *Candidate, forecast *Forecast, holding time.Duration) {
 	factor := forecast.Factor(c.Upstream.ID)
-	own := factor * forecast.Reading(float64(c.Uncached))
+	own := factor * forecast.Reading(c.read)
 	ahead := factor * forecast.perToken * float64(c.Prefill)
 	if w.Room == nil {
 		// In a place of its own a request waits for no slot.
@@ -120,7 +120,11 @@
 	return region + "/" + req.Service.Name + "/" + strconv.Itoa(req.Route.Priority)
 }
 
-// better reports whether c is preferred over best, at random if they are equal.
+// better reports whether c is preferred over best: one that answers in time over one that does not, then
+// the cheaper one, at random if they are equal.
 func (w *Snapshot) better(c, best *Candidate) bool {
+	if c.Late != best.Late {
+		return best.Late
+	}
 	return c.Cost < best.Cost || (c.Cost == best.Cost && w.Random&1 == 0)
 }
--- a/pkg/steer/sharing.go
+++ b/pkg/steer/sharing.go
@@ -57,6 +57,9 @@
 	// copy from: one of the holders, else the upstream to which the segments are hashed.
 	holders map[string]bool
 	holder  *fleet.Upstream
+	// remote is an upstream of another region that caches them, to copy from if none of the own region is
+	// known to; nil if none is known.
+	remote *fleet.Upstream
 	// trust is the probability that the holder caches them.
 	trust float64
 	// copies is true if engines can copy from each other.
@@ -81,6 +84,7 @@
 	}
 	s.trust = 1
 	if s.holder == nil {
+		s.remote = w.remoteHolder(req, segment)
 		s.holder, s.trust = favourite, remoteAffinity
 		if !worthRoundTrip(s.tokens) || w.favouriteRegion(req, segment) == w.Region {
 			s.trust = affinity
@@ -92,6 +96,22 @@
 	return s
 }
 
+// remoteHolder returns an upstream of another region that caches a segment, nil if none is known. Requests
+// that are bound to some regions leave nothing in others that could be copied.
+func (w *Snapshot) remoteHolder(req *Request, segment *Segment) *fleet.Upstream {
+	if segment.Tokens < minPublishedTokens || req.Route.Bound() || req.Service.Engine == nil || !req.Service.Engine.Copies {
+		return nil
+	}
+	var found *fleet.Upstream
+	for _, name := range w.Recent.Holders(segment.ID, w.Now) {
+		upstream := w.Fleet.Find(name)
+		if upstream != nil && upstream.Region != w.Region && w.usable(upstream) && (found == nil || upstream.ID < found.ID) {
+			found = upstream
+		}
+	}
+	return found
+}
+
 // worthRoundTrip reports whether shared segments of that size are collected in one region,
 // since reading them costs more than the round trip. Smaller ones are collected in each
 // region.
@@ -117,13 +137,17 @@
 	}
 }
 
-// copied returns how many tokens the upstream should copy from the holder. What another software
-// version has cached need not fit.
-func (s *prefixLocation) copied(upstream *fleet.Upstream) int {
-	if !s.copies || s.holder == nil || s.holder == upstream || s.holder.Software != upstream.Software || s.holders[upstream.ID] || s.tokens < minCopiedTokens {
-		return 0
+// source returns the upstream from which another one should copy the shared segments; nil if none is worth
+// it. What another software version has cached need not fit.
+func (s *prefixLocation) source(upstream *fleet.Upstream) *fleet.Upstream {
+	source := s.holder
+	if s.remote != nil {
+		source = s.remote
+	}
+	if !s.copies || source == nil || source == upstream || source.Software != upstream.Software || s.holders[upstream.ID] || s.tokens < minCopiedTokens {
+		return nil
 	}
-	return s.tokens
+	return source
 }
 
 // minCopiedTokens is the least size in tokens that is worth copying: setting up a copy
--- a/pkg/steer/steer.go
+++ b/pkg/steer/steer.go
@@ -140,6 +140,8 @@
 	InFlight, Prefill int
 	// Uncached estimates the prompt tokens that the upstream would have to read.
 	Uncached int
+	// read is the prompt tokens that it would have to read, or copy in the time of so many.
+	read float64
 	// TimeToFirstToken is, for engines, the predicted time until the answer begins; Late is true if
 	// that is too late for the route's target.
 	TimeToFirstToken time.Duration
@@ -408,12 +410,12 @@
 	beyond := max(0, c.InFlight+1-c.Upstream.Slots)
 	c.Uncached = max(0, req.PromptTokens-shared.held(c.Upstream))
 	read := float64(c.Uncached)
-	if copied := shared.copied(c.Upstream); copied > 0 {
-		c.Source = shared.holder
-		if shared.known() {
-			read -= (1 - copyCost) * float64(copied)
-		}
+	// Copies from another region do not lower the cost: all engines of this one would look alike, and each
+	// would copy the segments.
+	if c.Source = shared.source(c.Upstream); c.Source != nil && shared.known() {
+		read -= (1 - copyCost) * float64(shared.tokens)
 	}
+	c.read = read
 	c.Cost = backlogWeight*float64(c.Prefill) + cachedWeight*read +
 		tokensPerRequest*float64(c.InFlight) + queuedPenalty*float64(beyond)
 }
