edge: say that permitted regions have no capacity, not that they cannot be reached

Cause: a request that may not run in the region of its instance was refused with "no instance in a permitted region can be reached" also if instances were reached and refused it for lack of capacity, or if the region backed off after such a refusal and none was asked. Its Retry-After was always the usual one (300 ms). explain named the retry budget as the cause of every refusal with reason overloaded. Change: such a request, and one that finds no upstream in its own region, is refused as overloaded with "the permitted regions have no capacity in time". Retry-After is the longest of the remaining backoff of the region that comes back first, what the last instance named, and the usual one, at most a third of the remaining time. The old text is left for regions without a live instance, or without one that could be connected to. Live instances without a usable upstream, and silent upstreams, have texts of their own. The log names the regions that back off (backing_off), and explain names them and the instances that refused. Such a refusal neither waits for a slot here nor counts as an overload of the own region.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -116,6 +116,7 @@
 	region := steer.RegionKey(to.peer.Instance.Region, &steer.Request{Service: j.service, Route: j.route})
 	flight, ok := j.tracker.Start(region, 0, 0)
 	if !ok {
+		j.regions.full = true
 		return notRun
 	}
 	j.recent.Sent(j.attributes.Segments, to.peer.Instance.Region, j.now())
@@ -133,6 +134,8 @@
 	defer leave()
 	ended := call.do(ctx)
 	flight.Done(call.regionResult(ended))
+	j.regions.reached = j.regions.reached || call.counted
+	j.regions.unreached = j.regions.unreached || !call.counted
 	if refusal := call.hopRefusal; !refusal.until.IsZero() {
 		j.hopRefusals.record(to.name(), j.service.Name, j.now(), refusal)
 	}
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -151,6 +151,7 @@
 	if reading.NotRun || c.refusedByPeer(answer) {
 		// For want of one software version a region is not overloaded.
 		c.regionOverloaded = c.origin == nil && c.reportsOverload(answer)
+		c.recordRegionAnswer(answer, reading.RetryAfter)
 		c.recordHopRefusal(answer, reading.RetryAfter)
 		c.recordUnresponsiveHop(answer)
 		c.adoptQuarantine(answer, reading.RetryAfter)
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -240,7 +240,11 @@
 }
 
 // surveyError gives, in logs, the reason why no upstream could accept a request.
-type surveyError struct{ survey steer.Survey }
+type surveyError struct {
+	survey steer.Survey
+	// backingOff names the permitted regions that back off after a refusal for lack of capacity.
+	backingOff []string
+}
 
 // Error implements error.
 func (e *surveyError) Error() string {
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -68,6 +68,8 @@
 	// roomless is true once another instance had no place for it, and roomlessWait is when one was expected.
 	roomless     bool
 	roomlessWait time.Duration
+	// regions is what the other instances that were asked answered.
+	regions regionAnswers
 	// waiter is the request's position among those that wait for a place, nil if it does not wait.
 	waiter *room.Waiter
 	// lineTooLong is true once the request could not wait for a place of this instance.
@@ -366,6 +368,7 @@
 
 func (j *job) noUpstreamRefusal(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) *outcome.Refusal {
 	reason, detail := outcome.ReasonNoUpstream, "no upstream of the service can take the request now"
+	regions, permittedHere := j.permittedRegions(world, query), j.route.PermittedIn(world.Region)
 	switch {
 	case query.Software != nil && !world.HasVersion(query):
 		return j.originGoneRefusal()
@@ -373,15 +376,24 @@
 		reason, detail = outcome.ReasonNoRoom, "the upstreams that could take the request have no room"
 	case survey.Unresponsive > 0:
 		reason, detail = outcome.ReasonUnresponsive, "the upstreams that could take the request are silent"
-	case !j.route.PermittedIn(world.Region):
+	case regions.full:
+		reason, detail = outcome.ReasonOverloaded, "the permitted regions have no capacity in time"
+	case !permittedHere && (!regions.live || (j.regions.unreached && !j.regions.reached)):
 		detail = "no instance in a permitted region can be reached"
+	case !permittedHere && regions.unresponsive:
+		reason, detail = outcome.ReasonUnresponsive, "the upstreams of the permitted regions are silent"
+	case !permittedHere:
+		detail = "no upstream in a permitted region can take the request now"
 	case survey.Unreachable > 0:
 		reason, detail = outcome.ReasonUnreachable, "this instance reaches no upstream that can take the request, and no instance that does"
 	case j.roomless:
 		reason, detail = outcome.ReasonNoRoom, "the upstreams of other instances that could take the request have no room"
 	}
-	retry := max(steer.RetryAfter(j.now(), j.deadline), survey.Wait(), j.roomlessWait)
+	retry := max(steer.RetryAfter(j.now(), j.deadline), survey.Wait(), regions.retryAfter(j))
+	if permittedHere {
+		retry = max(retry, j.roomlessWait)
+	}
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, reason, retry, detail)
-	refusal.Err = &surveyError{survey: *survey}
+	refusal.Err = &surveyError{survey: *survey, backingOff: regions.backingOff}
 	return refusal
 }
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -31,7 +32,9 @@
 // again, after a short wait. If not it sets the refusal's RetryAfter. Forwarded requests do not
 // wait here: another region may have capacity.
 func (j *job) awaitCapacity(ctx context.Context, refusal *outcome.Refusal) bool {
-	if refusal.Reason != outcome.ReasonOverloaded || j.sends > 0 {
+	var late *surveyError
+	if refusal.Reason != outcome.ReasonOverloaded || j.sends > 0 || !errors.As(refusal.Err, &late) || late.survey.Best.Upstream == nil {
+		// An overload of other regions takes no capacity from the requests that are served here.
 		return false
 	}
 	patience := time.Duration(capacityWaitShare * float64(j.route.TargetLatency))
--- a/pkg/edge/request_log.go
+++ b/pkg/edge/request_log.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -207,6 +208,9 @@
 		line.Int(event.KeyKnown, none.survey.Known).Int(event.KeyUsable, none.survey.Usable).
 			Int(event.KeyResting, none.survey.BackingOff).Int(event.KeyCold, none.survey.Cold).Int(event.KeyLimited, none.survey.Limited).Int(event.KeyUnreachable, none.survey.Unreachable).Int(event.KeyUnresponsive, none.survey.Unresponsive).Int(event.KeyCrowded, none.survey.Crowded).Int(event.KeyPlaces, none.survey.Places).Int(event.KeyInFlight, none.survey.InFlight).
 			Int(event.KeySlots, none.survey.Slots)
+		if len(none.backingOff) > 0 {
+			line.Str(event.KeyBackingOff, strings.Join(none.backingOff, ","))
+		}
 	})
 }
 
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -12,14 +12,15 @@
 
 // Keys of fields. Times whose keys end in "_ms" are in milliseconds.
 const (
-	KeyActive        = "active"  // requests in flight
-	KeyAfter         = "after"   // ID of the last stream event that the caller has
-	KeyAgeMS         = "age_ms"  // time since the process started
-	KeyAt            = "at"      // time of the event, on a line that was written later
-	KeyBegan         = "began"   // when an upstream started, Unix milliseconds by its clock
-	KeyBegun         = "begun"   // whether the caller already has a part of the answer
-	KeyBalance       = "balance" // remaining balance of an organisation, in units of its limit
-	KeyBrittle       = "brittle" // whether an upstream is known to crash when it rejects too many requests
+	KeyActive        = "active"      // requests in flight
+	KeyAfter         = "after"       // ID of the last stream event that the caller has
+	KeyAgeMS         = "age_ms"      // time since the process started
+	KeyAt            = "at"          // time of the event, on a line that was written later
+	KeyBegan         = "began"       // when an upstream started, Unix milliseconds by its clock
+	KeyBegun         = "begun"       // whether the caller already has a part of the answer
+	KeyBackingOff    = "backing_off" // regions that back off after a refusal for lack of capacity
+	KeyBalance       = "balance"     // remaining balance of an organisation, in units of its limit
+	KeyBrittle       = "brittle"     // whether an upstream is known to crash when it rejects too many requests
 	KeyBytes         = "bytes"
 	KeyCallers       = "callers"   // address that serves callers over HTTP
 	KeyCause         = "cause"     // the error that led to a refusal
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -198,6 +198,9 @@
 	case outcome.ReasonDraining:
 		return []string{span.Instance + " was leaving" + l.sinceEvent(span, event.Leaving)}
 	case outcome.ReasonOverloaded:
+		if end.Get(event.KeyKnown) != "" {
+			return l.capacityCauses(span)
+		}
 		return l.retryBudgetCauses(span)
 	case outcome.ReasonDeadline:
 		return []string{fmt.Sprintf("its time was over after %d ms and %d sends", end.Int(event.KeyMS), end.Int(event.KeySends))}
@@ -286,12 +289,10 @@
 // noUpstreamCauses explains why no upstream of the service accepted the request.
 func (l *Log) noUpstreamCauses(span *Span) []string {
 	end := span.End
-	known, usable, cold := end.Int(event.KeyKnown), end.Int(event.KeyUsable), end.Int(event.KeyCold)
-	if known == 0 {
+	if end.Int(event.KeyKnown) == 0 {
 		return append([]string{end.Get(event.KeyDetail)}, l.upstreamFailures(span)...)
 	}
-	all := []string{fmt.Sprintf("of %d upstreams in the region %d are in service: %d rest after a failure or rejection, %d are cold; %d requests in work on %d slots",
-		known, usable, end.Int(event.KeyResting), cold, end.Int(event.KeyInFlight), end.Int(event.KeySlots))}
+	all := []string{describeUpstreams(end)}
 	if unreachable := end.Int(event.KeyUnreachable); unreachable > 0 {
 		all = append(all, fmt.Sprintf("to %d of them %s could make no connection%s, and it found no instance that could", unreachable, span.Instance, l.sinceEvent(span, event.PathLost)))
 	}
@@ -311,6 +312,32 @@
 	return append(all, l.upstreamFailures(span)...)
 }
 
+// describeUpstreams describes the upstreams that the region had when a request was refused.
+func describeUpstreams(end *Line) string {
+	return fmt.Sprintf("of %d upstreams in the region %d are in service: %d rest after a failure or rejection, %d are cold; %d requests in work on %d slots",
+		end.Int(event.KeyKnown), end.Int(event.KeyUsable), end.Int(event.KeyResting), end.Int(event.KeyCold), end.Int(event.KeyInFlight), end.Int(event.KeySlots))
+}
+
+// capacityCauses explains which upstreams and instances had no capacity for a request in time.
+func (l *Log) capacityCauses(span *Span) []string {
+	end := span.End
+	all := []string{end.Get(event.KeyDetail)}
+	var asked []string
+	for _, step := range span.steps(event.AttemptRejected) {
+		asked = append(asked, step.Get(event.KeyTarget))
+	}
+	if len(asked) > 0 {
+		all = append(all, "asked, and turned away by "+strings.Join(asked, ", "))
+	}
+	if regions := end.Get(event.KeyBackingOff); regions != "" {
+		all = append(all, fmt.Sprintf("%s sent such requests to none of these regions for a while, since they had refused one for lack of capacity: %s", span.Instance, regions))
+	}
+	if end.Int(event.KeyKnown) > 0 {
+		all = append(all, describeUpstreams(end))
+	}
+	return all
+}
+
 // upstreamFailures counts the failures of upstreams at the instance shortly before the end.
 func (l *Log) upstreamFailures(span *Span) []string {
 	var all []string
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -226,6 +226,17 @@
 			},
 			"the retry budget is used up; 2 × attempt-failed at front-a in the 10s before",
 		},
+		"permitted regions without capacity": {
+			[]string{
+				line("09.500", "front-a", event.AttemptRejected, "request=r-1 target=south-1 send=0 status=503"),
+				failed(`reason=overloaded detail="the permitted regions have no capacity in time" known=0 backing_off=south,west`),
+			},
+			"the permitted regions have no capacity in time; asked, and turned away by south-1; front-a sent such requests to none of these regions for a while, since they had refused one for lack of capacity: south,west",
+		},
+		"engines without capacity": {
+			[]string{failed(`reason=overloaded detail="no upstream can begin the answer in time" known=2 usable=2 resting=0 cold=0 in_flight=30 slots=24`)},
+			"no upstream can begin the answer in time; of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 30 requests in work on 24 slots",
+		},
 		"killed with the request in work": {
 			[]string{line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1"), line("12.000", "front-a", event.Start, "")},
 			"front-a started anew 2s after: it ended with the request in work",
