--- a/pkg/steer/remote.go
+++ b/pkg/steer/remote.go
@@ -89,6 +89,17 @@
 	return w.Local.Load(key).Backoff > 0
 }
 
+// RegionRefuses reports whether a region has lately refused requests like this one, and how long it gets none
+// for that.
+func (w *Snapshot) RegionRefuses(req *Request, region string) (refuses bool, backoff time.Duration) {
+	key := RegionKey(region, req)
+	if w.Acceptance != nil && req.Route.Bound() {
+		return w.Acceptance.Share(key, w.Now) < 1, 0
+	}
+	backoff = w.Local.Load(key).Backoff
+	return backoff > 0, backoff
+}
+
 func compareText(a, b string) int {
 	switch {
 	case a < b:
