--- a/pkg/steer/steer_test.go
+++ b/pkg/steer/steer_test.go
@@ -130,6 +130,48 @@
 	is.Equal(best.Source.ID, holder)
 }
 
+// TestSegmentsAreCopiedFromOtherRegions guards against a segment that is read anew though an engine of
+// another region caches it, and against copies that may not or cannot be made.
+func TestSegmentsAreCopiedFromOtherRegions(t *testing.T) {
+	is := is.New(t)
+	source := func(change func(*steer.Snapshot, *steer.Request)) string {
+		w := newSnapshot(loads{}, upstream("u0", "llm", "north"), upstream("s0", "llm", "south"))
+		req := longRequest("p")
+		w.Recent.Add(req.Segments, "s0", now)
+		change(w, req)
+		best := w.SurveyRegion(req).Best
+		is.Equal(best.Upstream.ID, "u0")
+		if best.Source == nil {
+			return ""
+		}
+		return best.Source.ID
+	}
+	is.Equal(source(func(*steer.Snapshot, *steer.Request) {}), "s0")
+	is.Equal(source(func(w *steer.Snapshot, req *steer.Request) { w.Recent.Add(req.Segments, "u0", now) }), "")
+	is.Equal(source(func(w *steer.Snapshot, _ *steer.Request) { w.Fleet.Find("s0").Software = "v2" }), "")
+	is.Equal(source(func(w *steer.Snapshot, _ *steer.Request) { w.Fleet.Evacuated["south-a"] = true }), "")
+	is.Equal(source(func(_ *steer.Snapshot, req *steer.Request) {
+		bound := *req.Route
+		bound.Homes = []string{"north"}
+		req.Route = &bound
+	}), "")
+}
+
+// TestEngineInTimeGoesBeforeACheaperLateOne guards against long prompts that wait for the busy engine that
+// caches their segment while another one would answer in time.
+func TestEngineInTimeGoesBeforeACheaperLateOne(t *testing.T) {
+	is := is.New(t)
+	route := *prompt
+	route.TargetLatency = time.Second
+	req := longRequest("p")
+	req.Route = &route
+	w := newSnapshot(loads{"u0": {InFlight: 1, Prefill: 29_000}}, upstream("u0", "llm", "north"), upstream("u1", "llm", "north"))
+	w.Recent.Add(req.Segments, "u0", now)
+	is.Equal(w.SurveyRegion(req).Best.Upstream.ID, "u1")
+	req.Route = prompt
+	is.Equal(w.SurveyRegion(req).Best.Upstream.ID, "u0")
+}
+
 // TestUncachedSegmentGoesToItsHashedUpstream covers a busy upstream: it is only assumed to
 // cache the segment, so a copy from it must not count in favour of another upstream.
 func TestUncachedSegmentGoesToItsHashedUpstream(t *testing.T) {
