pkg/edge: organisations above their fair share are refused first

Cause: requests without capacity in time were refused, or served late, whoever sent them. Change: a request that is late, or that would wait while requests as urgent were late within the last second, is refused at once if its organisation is above its share, unless another region can begin the answer in time. It neither waits for capacity nor for a place of divided room. A refusal by another instance says so in a header, and does not make its region back off for other callers.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -32,6 +32,7 @@
 		place.Answered()
 		return notRun
 	}
+	j.recordShare(true)
 	if to.survey.Best.Uncached >= longPromptTokens {
 		j.gossip.RequestRound()
 	}
--- a/pkg/edge/call.go
+++ b/pkg/edge/call.go
@@ -153,6 +153,7 @@
 		c.regionOverloaded = c.origin == nil && c.reportsOverload(answer)
 		c.recordHopRefusal(answer, reading.RetryAfter)
 		c.recordUnresponsiveHop(answer)
+		c.recordShareRefusal(answer)
 		c.adoptQuarantine(answer, reading.RetryAfter)
 		c.discardBody(answer)
 		c.logRejection()
@@ -197,7 +198,8 @@
 func (c *call) reportsOverload(answer *exchange.Answer) bool {
 	switch outcome.Reason(answer.Header.Get(header.Reason)) {
 	case outcome.ReasonOverloaded, outcome.ReasonNoUpstream, outcome.ReasonUnresponsive:
-		return c.refusedByPeer(answer)
+		// An organisation above its fair share there says nothing about the others.
+		return c.refusedByPeer(answer) && answer.Header.Get(header.AboveShare) == ""
 	default:
 		return false
 	}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -28,6 +28,7 @@
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/fairshare"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 	"github.com/lilacweir/lilacweir/pkg/limit"
@@ -125,6 +126,7 @@
 	// quarantineWrites holds the requests with quarantine records to be written to the store.
 	quarantineWrites chan quarantineWrite
 	overload         *steer.Overload
+	shares           *fairshare.Shares
 	recent           *steer.RecentPlacements
 	pace             *steer.CallTimes
 	estimates        *steer.Estimator
@@ -207,6 +209,7 @@
 		crashProbes:         newCrashProbes(),
 		quarantineWrites:    make(chan quarantineWrite, maxPendingWrites),
 		overload:            steer.NewOverload(),
+		shares:              fairshare.New(),
 		recent:              steer.NewRecentPlacements(),
 		pace:                steer.NewCallTimes(),
 		estimates:           steer.NewEstimator(),
@@ -216,7 +219,7 @@
 		clients:             control.NewClients(network),
 		replicaClients:      control.NewClients(network),
 		registry:            options.Registry,
-		counts:              counters{series: options.Series},
+		counts:              counters{series: options.Series, organisations: &organisationLabels{}},
 	}
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Placed: e.recent.Learn, Usage: e.limiter, Evidence: e.mergeObservations, Limits: e.upstreamLimits, LearnLimits: e.mergeLimits, Departures: e.reportedDepartures, LearnDepartures: e.mergeDepartures, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.replicaClients, Clock: system, Log: e.log,
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -230,6 +230,9 @@
 	if j.forwarded {
 		fields.Set(header.Reason, string(refusal.Reason))
 		fields.Set(header.Attempts, strconv.Itoa(j.sends))
+		if j.yieldsShare(refusal) {
+			fields.Set(header.AboveShare, "1")
+		}
 		if refusal.Reason == outcome.ReasonQuarantined {
 			fields.Set(header.Quarantined, j.quarantinedAs.Key())
 		}
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -41,6 +41,10 @@
 	organisation *httproute.Organisation
 	keyDigest    httproute.KeyDigest
 	grant        quota.Grant
+	// shareCost is what the request takes of its service's capacity. shareRecorded is true once it is
+	// counted for its organisation's fair share.
+	shareCost     float64
+	shareRecorded bool
 	// content is the fingerprint of the request's content, nil until it is computed.
 	content *quarantine.Fingerprint
 	// segments are those of the prompt that other requests may share, nil until they are read.
@@ -282,10 +286,14 @@
 	// A request that was sent before is not refused for being late: its caller prefers a late
 	// answer to none.
 	sent := j.sends > 0 || query.Software != nil
-	if chosen.peer == nil && chosen.survey.Best.Late && !sent && j.overload.Refuses(query, world.Now) {
+	chosen.world = world
+	refused := chosen.peer == nil && chosen.survey.Best.Late && !sent && j.overload.Refuses(query, world.Now)
+	if refusal := j.applyShare(chosen, query, sent); refusal != nil {
+		return nil, refusal
+	}
+	if refused && chosen.peer == nil {
 		return nil, j.overloadRefusal(&chosen.survey)
 	}
-	chosen.world = world
 	return chosen, nil
 }
 
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -42,7 +42,10 @@
 const outcomeCallerGone outcome.Outcome = "caller-gone"
 
 // counters counts and times requests and attempts.
-type counters struct{ series *telemetry.Series }
+type counters struct {
+	series        *telemetry.Series
+	organisations *organisationLabels
+}
 
 func label(name, value string) telemetry.Label { return telemetry.Label{Name: name, Value: value} }
 
@@ -67,6 +70,11 @@
 	c.series.Latency("requests.first.ms", route).Add(j.writer.firstByteAt.Sub(j.started))
 }
 
+// yieldedShare counts a request that was refused because its organisation is above its fair share.
+func (c *counters) yieldedShare(organisation string) {
+	c.series.Counter("fairshare.refused", label(labelOrganisation, c.organisations.of(organisation))).Inc(1)
+}
+
 // attemptEnded counts the end of an attempt at an upstream or another instance.
 func (c *counters) attemptEnded(to *target, ended result, took time.Duration) {
 	domain, name := label(labelDomain, to.domain()), label(labelTarget, to.name())
--- a/pkg/edge/overload.go
+++ b/pkg/edge/overload.go
@@ -29,16 +29,24 @@
 
 // awaitCapacity reports whether a request that was refused for lack of capacity should be routed
 // again, after a short wait. If not it sets the refusal's RetryAfter. Forwarded requests do not
-// wait here: another region may have capacity.
+// wait here: another region may have capacity. Nor do those of organisations above their fair share.
 func (j *job) awaitCapacity(ctx context.Context, refusal *outcome.Refusal) bool {
 	if refusal.Reason != outcome.ReasonOverloaded || j.sends > 0 {
 		return false
 	}
+	yields := j.yieldsShare(refusal)
 	patience := time.Duration(capacityWaitShare * float64(j.route.TargetLatency))
-	if !j.forwarded && j.now().Sub(j.started) < patience && clock.Sleep(ctx, capacityPollInterval) {
+	if !j.forwarded && !yields && j.now().Sub(j.started) < patience && clock.Sleep(ctx, capacityPollInterval) {
 		return true
 	}
-	lasted := j.overload.RecordLate(j.service.Name, j.route.Priority, j.now())
+	j.recordShare(false)
+	var lasted time.Duration
+	if yields {
+		j.counts.yieldedShare(j.organisation.Name)
+		lasted = j.overload.Lasted(j.service.Name, j.now())
+	} else {
+		lasted = j.overload.RecordLate(j.service.Name, j.route.Priority, j.now())
+	}
 	refusal.RetryAfter = steer.OverloadRetryAfter(lasted, j.deadline.Sub(j.now()), rand.Float64())
 	return false
 }
--- a/pkg/edge/request_log.go
+++ b/pkg/edge/request_log.go
@@ -217,6 +217,10 @@
 		return
 	}
 	line.Str(event.KeyOrganisation, j.organisationName()).Uint64(event.KeyVersion, j.config.Version)
+	var above *shareError
+	if errors.As(refusal.Err, &above) {
+		line.Float64(event.KeyUsed, math.Round(above.standing.Used)).Float64(event.KeyShare, math.Round(above.standing.Share))
+	}
 	var over *quota.OverLimitError
 	if errors.As(refusal.Err, &over) {
 		line.Float64(event.KeyBalance, math.Round(over.Balance)).Float64(event.KeyDemand, math.Round(over.Demand)).
--- a/pkg/edge/room.go
+++ b/pkg/edge/room.go
@@ -204,6 +204,14 @@
 		j.leaveLine()
 		return false
 	}
+	if standing, above := j.aboveShareOfRoom(&none.survey); above && j.lineTooLong {
+		*refusal = *j.shareRefusal(standing, &none.survey)
+		return false
+	} else if above {
+		// A neighbour may have a free place.
+		j.lineTooLong = true
+		return true
+	}
 	expected := none.survey.PlaceWait
 	if left := j.roomDeadline(none.survey.PlaceWaitInTime).Sub(j.now()); none.survey.Places > 0 && expected <= left {
 		return j.awaitTurn(ctx, min(left, roomPollInterval))
@@ -213,6 +221,7 @@
 		j.lineTooLong = true
 		return true
 	}
+	j.recordShare(false)
 	lasted := j.overload.RecordLate(j.service.Name, j.route.Priority, j.now())
 	refusal.RetryAfter = steer.OverloadRetryAfter(max(expected, lasted), j.deadline.Sub(j.now()), rand.Float64())
 	return false
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -83,6 +83,7 @@
 	KeyRetries       = "retries"  // number of retries
 	KeyResting       = "resting"  // upstreams ejected or backing off
 	KeyRetryMS       = "retry_ms" // retry delay sent to the caller
+	KeyUsed          = "used"     // what was admitted lately of an organisation's requests
 	KeyRevision      = "revision" // revision of the store
 	KeyRoute         = "route"
 	KeyRoutes        = "routes" // number of routes
@@ -90,6 +91,7 @@
 	KeySend          = "send"   // number of this send, from 1
 	KeySends         = "sends"  // number of sends of the request
 	KeyService       = "service"
+	KeyShare         = "share"        // fair share of an organisation of what was admitted lately
 	KeySlots         = "slots"        // total concurrency of the usable upstreams
 	KeyAsked         = "asked"        // number of instances that were asked
 	KeySource        = "source"       // how something is known
--- a/pkg/header/header.go
+++ b/pkg/header/header.go
@@ -39,6 +39,9 @@
 	Attempts = "X-Lilacweir-Attempts"
 	// Reason is why the receiver of a forwarded request refused it.
 	Reason = "X-Lilacweir-Reason"
+	// AboveShare is set if the receiver refused a forwarded request because its organisation is above
+	// its fair share there.
+	AboveShare = "X-Lilacweir-Above-Share"
 	// Quarantined is the fingerprint of the request or prompt segment for which the receiver of a
 	// forwarded request refused it.
 	Quarantined = "X-Lilacweir-Quarantined"
--- a/pkg/httproute/organisation.go
+++ b/pkg/httproute/organisation.go
@@ -18,6 +18,8 @@
 	// Homes are the regions in which its requests may be processed; all regions if empty.
 	Homes []string
 	Limit UsageLimit
+	// Weight is its weight in the division of limited capacity; 1 if it is zero.
+	Weight float64
 }
 
 // UsageLimit bounds what an organisation may use, over all instances together.
--- a/pkg/steer/overload.go
+++ b/pkg/steer/overload.go
@@ -49,6 +49,17 @@
 	return now.Sub(e.began)
 }
 
+// Lasted returns how long the present episode has lasted, zero if there is none.
+func (o *Overload) Lasted(service string, now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	e := o.byService[service]
+	if e == nil || now.Sub(e.last) > episodeGap {
+		return 0
+	}
+	return now.Sub(e.began)
+}
+
 // Contended reports whether requests that are more urgent than rank recently found no
 // capacity.
 func (o *Overload) Contended(service string, rank int, now time.Time) bool {
