pkg/explain: why a request was refused for its organisation's fair share

Cause: the reason overloaded was explained by the retry budget alone. Change: a refusal with a share names the organisation, what it was given and its share, and the load. Measured: TestCausesFromTheInstanceLog/above_the_fair_share.

--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -198,6 +198,9 @@
 	case outcome.ReasonDraining:
 		return []string{span.Instance + " was leaving" + l.sinceEvent(span, event.Leaving)}
 	case outcome.ReasonOverloaded:
+		if end.Get(event.KeyShare) != "" {
+			return shareCauses(span)
+		}
 		return l.retryBudgetCauses(span)
 	case outcome.ReasonDeadline:
 		return []string{fmt.Sprintf("its time was over after %d ms and %d sends", end.Int(event.KeyMS), end.Int(event.KeySends))}
@@ -350,6 +353,17 @@
 	return all
 }
 
+// shareCauses explains a refusal for the fair share of the request's organisation.
+func shareCauses(span *Span) []string {
+	end := span.End
+	return []string{
+		end.Get(event.KeyDetail),
+		fmt.Sprintf("lately %s admitted work of %s of %s's requests of this priority, and its fair share beside the others was %s; they are refused first until that is level",
+			span.Instance, end.Get(event.KeyUsed), end.Get(event.KeyOrganisation), end.Get(event.KeyShare)),
+		fmt.Sprintf("%d requests in work on %d slots of the region", end.Int(event.KeyInFlight), end.Int(event.KeySlots)),
+	}
+}
+
 // retryWindow is the time over which the retry budget bounds retries.
 const retryWindow = 10 * time.Second
 
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -226,6 +226,10 @@
 			},
 			"the retry budget is used up; 2 × attempt-failed at front-a in the 10s before",
 		},
+		"above the fair share": {
+			[]string{failed(`reason=overloaded detail="above its share" organisation=mill used=900 share=310 in_flight=12 slots=8`)},
+			"above its share; lately front-a admitted work of 900 of mill's requests of this priority, and its fair share beside the others was 310; they are refused first until that is level; 12 requests in work on 8 slots of the region",
+		},
 		"killed with the request in work": {
 			[]string{line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1"), line("12.000", "front-a", event.Start, "")},
 			"front-a started anew 2s after: it ended with the request in work",
