pkg/quota: retry times reserve the refill for those who were told them

The former time was a random one, the same for each request, however many were told to come before. Change: the units of refused requests are reserved one after the other against the instance's part of the refill (its part of the demand, times the reachable share), less what other requests take of it while the demand of the last seconds is above the limit. What does not fit into a third of the caller's remaining time is told the longest time, 5 s, and reserves nothing. Who is admitted does not change; one time for each organisation is kept. The other tests of the package pass unchanged.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -115,10 +115,10 @@
 		return refusal
 	}
 	j.route = j.route.For(j.organisation)
+	j.setDeadline()
 	if refusal := j.charge(); refusal != nil {
 		return refusal
 	}
-	j.setDeadline()
 	j.attemptsLeft = max(1, j.route.MaxAttempts)
 	if j.forwarded {
 		j.attemptsLeft = min(j.attemptsLeft, grantedByPeer(j.request.Header))
--- a/pkg/edge/identity.go
+++ b/pkg/edge/identity.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	limit := &j.organisation.Limit
-	grant, err := j.limiter.Admit(j.organisation.Name, quota.Limit{Rate: limit.Rate, Burst: limit.Burst}, limit.Cost(j.attributes.Tokens))
+	grant, err := j.limiter.AdmitWithin(j.organisation.Name, quota.Limit{Rate: limit.Rate, Burst: limit.Burst}, limit.Cost(j.attributes.Tokens), j.deadline.Sub(j.now()))
 	var over *quota.OverLimitError
 	if errors.As(err, &over) {
 		refusal := outcome.Refuse(http.StatusTooManyRequests, outcome.ReasonCallerLimit, over.Wait, "the organisation has used its limit")
--- a/pkg/quota/limiter.go
+++ b/pkg/quota/limiter.go
@@ -43,6 +43,8 @@
 	// exchange, and what callers honour.
 	minRetryWait = 200 * time.Millisecond
 	maxRetryWait = 5 * time.Second
+	// honouredDivisor gives the part of their remaining time that callers are willing to wait for a retry.
+	honouredDivisor = 3
 	// partitionBurst bounds the balance of an instance that reaches few others, in multiples of
 	// the reachable share of the burst. The sides of a partition must not each spend a whole
 	// burst, but a region that is partitioned at its peak needs more than its share.
@@ -84,6 +86,8 @@
 	at      time.Time
 	demand  rate
 	refused int64
+	// promised is told to refused callers.
+	promised promises
 }
 
 // rate measures units a second with a time constant of demandTimeConstant.
@@ -151,8 +155,14 @@
 	return "organisation " + e.Caller + " is over its limit"
 }
 
-// Admit admits a request that costs the given units, or returns an *OverLimitError.
+// Admit admits a request that costs the given units, or returns an *OverLimitError. Its caller is
+// assumed to honour any retry time.
 func (l *Limiter) Admit(caller string, limit Limit, units int) (Grant, error) {
+	return l.AdmitWithin(caller, limit, units, maxRetryWait*honouredDivisor)
+}
+
+// AdmitWithin is Admit for a request whose caller has some time left.
+func (l *Limiter) AdmitWithin(caller string, limit Limit, units int, left time.Duration) (Grant, error) {
 	if limit.Rate <= 0 {
 		return Grant{}, nil
 	}
@@ -161,11 +171,12 @@
 	now := l.clock.Now()
 	b := l.balance(caller, limit, now)
 	b.demand.add(now, float64(units))
+	b.promised.ask(now, float64(units), 0)
 	own := l.own.of(caller, now)
 	own.add(int64(units), 0, now)
 	if chance := l.chance(b); chance < 1 && l.random() >= chance {
 		b.refused++
-		return Grant{}, l.refusal(caller, b, now)
+		return Grant{}, l.refusal(caller, b, float64(units), left, now)
 	}
 	own.add(0, int64(units), now)
 	b.charge(float64(units))
@@ -218,13 +229,19 @@
 	return 1 + b.units/allowedDebt
 }
 
-// refusal returns an error with the time until the balance is no longer negative if nothing is
-// admitted, spread randomly over the time that it takes to serve the demand.
-func (l *Limiter) refusal(caller string, b *balance, now time.Time) error {
-	demand, limit := b.demand.perSecond(now), b.limit.Rate*l.reachable
-	seconds := max(0, -b.units)/limit + l.random()*max(0, demand/limit-1)*demandTimeConstant.Seconds()
-	wait := min(maxRetryWait, max(minRetryWait, time.Duration(seconds*float64(time.Second))))
-	return &OverLimitError{Caller: caller, Balance: b.units, Demand: demand, Limit: b.limit.Rate, Reachable: l.reachable, Wait: wait}
+// refusal returns an error with the time until there is balance for the request, after those whose callers
+// were given a retry time before, spread over the time in which its own units come in. A request for which
+// that is longer than its caller waits is given the longest time and reserves nothing.
+func (l *Limiter) refusal(caller string, b *balance, units float64, left time.Duration, now time.Time) error {
+	limit := b.limit.Rate * l.reachable
+	covered := now.Add(seconds(max(0, -b.units) / limit))
+	wait, end := b.promised.next(now, covered, units*b.promised.excess(limit)/(limit*b.promised.share()), l.random())
+	if wait = max(minRetryWait, wait); wait <= min(maxRetryWait, left/honouredDivisor) {
+		b.promised.until = end
+	} else {
+		wait = maxRetryWait
+	}
+	return &OverLimitError{Caller: caller, Balance: b.units, Demand: b.demand.perSecond(now), Limit: b.limit.Rate, Reachable: l.reachable, Wait: wait}
 }
 
 // LocalUsage returns the usage that this instance has counted, to be reported to the others.
@@ -247,6 +264,7 @@
 		}
 		b.refill(now, l.reachable)
 		b.demand.add(now, float64(added.Asked))
+		b.promised.ask(now, 0, float64(added.Asked))
 		b.charge(float64(added.Used))
 	}
 }
