--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -115,10 +115,10 @@
 		return refusal
 	}
 	j.route = j.route.For(j.organisation)
+	j.setDeadline()
 	if refusal := j.charge(); refusal != nil {
 		return refusal
 	}
-	j.setDeadline()
 	j.attemptsLeft = max(1, j.route.MaxAttempts)
 	if j.forwarded {
 		j.attemptsLeft = min(j.attemptsLeft, grantedByPeer(j.request.Header))
@@ -230,6 +230,9 @@
 	if j.forwarded {
 		fields.Set(header.Reason, string(refusal.Reason))
 		fields.Set(header.Attempts, strconv.Itoa(j.sends))
+		if j.yieldsShare(refusal) {
+			fields.Set(header.AboveShare, "1")
+		}
 		if refusal.Reason == outcome.ReasonQuarantined {
 			fields.Set(header.Quarantined, j.quarantinedAs.Key())
 		}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -43,7 +43,10 @@
 const outcomeCallerGone outcome.Outcome = "caller-gone"
 
 // counters counts and times requests and attempts.
-type counters struct{ series *telemetry.Series }
+type counters struct {
+	series        *telemetry.Series
+	organisations *organisationLabels
+}
 
 func label(name, value string) telemetry.Label { return telemetry.Label{Name: name, Value: value} }
 
@@ -73,6 +76,11 @@
 	c.series.Counter("route.yielded", label(labelService, service), label(labelRegion, region)).Inc(1)
 }
 
+// yieldedShare counts a request that was refused because its organisation is above its fair share.
+func (c *counters) yieldedShare(organisation string) {
+	c.series.Counter("fairshare.refused", label(labelOrganisation, c.organisations.of(organisation))).Inc(1)
+}
+
 // attemptEnded counts the end of an attempt at an upstream or another instance.
 func (c *counters) attemptEnded(to *target, ended result, took time.Duration) {
 	domain, name := label(labelDomain, to.domain()), label(labelTarget, to.name())
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -237,6 +237,10 @@
 			[]string{failed(`reason=overloaded detail="no upstream can begin the answer in time" known=2 usable=2 resting=0 cold=0 in_flight=30 slots=24`)},
 			"no upstream can begin the answer in time; of 2 upstreams in the region 2 are in service: 0 rest after a failure or rejection, 0 are cold; 30 requests in work on 24 slots",
 		},
+		"above the fair share": {
+			[]string{failed(`reason=overloaded detail="above its share" organisation=mill used=900 share=310 in_flight=12 slots=8`)},
+			"above its share; lately front-a admitted work of 900 of mill's requests of this priority, and its fair share beside the others was 310; they are refused first until that is level; 12 requests in work on 8 slots of the region",
+		},
 		"killed with the request in work": {
 			[]string{line("10.000", "front-a", event.RequestRouted, "request=r-1 target=u-1 send=1"), line("12.000", "front-a", event.Start, "")},
 			"front-a started anew 2s after: it ended with the request in work",
