pkg/emulator: engines in several regions

Cause: the emulation of engines knew one region, so decisions between regions (Choose, yielding, the acceptance of regions) had no test in virtual time. KeepsFlexible takes the decision about flexible requests out. Arrivals have a random source of their own, so runs with and without the decision meet the same requests.

--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/fleet"
@@ -30,6 +31,10 @@
 	SharedTokens, OwnTokens, SharedPrefixes int
 	// AnswerTokens is the length of the answer.
 	AnswerTokens int
+	// Homes are the only regions that may process the requests; empty if any may.
+	Homes []string
+	// Load is the multiplier of the rate by region of the callers; nil means 1 in each.
+	Load map[string]float64
 }
 
 // Options describe a deployment and its load.
@@ -45,9 +50,19 @@
 	// Admits is false for the baseline without load shedding, which sends every request
 	// to the engine with the least cost.
 	Admits bool
+	// Regions are the regions of the deployment. Without them it has one, with Engines and Instances.
+	Regions []Region
+	// RemoteReportInterval is the time between the reports of a region to the others, RemoteReportAge
+	// their age when they are received.
+	RemoteReportInterval, RemoteReportAge time.Duration
+	// KeepsFlexible is true for the baseline without the decision that flexible requests leave before
+	// bound ones.
+	KeepsFlexible bool
+	// OnPlacement is called for each request sent to an engine or forwarded in vain, if not nil.
+	OnPlacement func(Placement)
 }
 
-// Result counts the requests of one kind by outcome.
+// Result counts the requests of one kind, and of one region of the callers, by outcome.
 type Result struct {
 	Requests, InTime, Late, Refused, Cancelled int
 }
@@ -55,9 +70,16 @@
 // request is a request of a caller.
 type request struct {
 	steer.Request
-	kind      *Kind
-	retried   bool
-	arrivedAt time.Time
+	kind    *Kind
+	result  *Result
+	from    *region
+	retried bool
+	// arrivedAt is when the caller first sent the request, startedAt when the instance that decides
+	// received it.
+	arrivedAt, startedAt time.Time
+	// hops counts the forwards to another region. hop is the present one, nil if there is none.
+	hops int
+	hop  *hop
 }
 
 func (r *request) prompt() int { return r.PromptTokens }
@@ -65,11 +87,14 @@
 
 // instance is an emulated instance.
 type instance struct {
-	tracker   *limit.Tracker
-	recent    *steer.RecentPlacements
-	estimates *steer.Estimator
-	overload  *steer.Overload
-	flow      *steer.Flow
+	region     *region
+	tracker    *limit.Tracker
+	recent     *steer.RecentPlacements
+	estimates  *steer.Estimator
+	overload   *steer.Overload
+	lateness   *steer.Lateness
+	acceptance *limit.Acceptance
+	flow       *steer.Flow
 	// peers is the work that the other instances reported.
 	peers *peer.View
 }
@@ -78,38 +103,54 @@
 type emulation struct {
 	timeline.Timeline
 	// requests is the number of requests generated.
-	requests  int
-	options   Options
-	random    *rand.Rand
-	engines   map[string]*engine
-	instances []*instance
-	view      *fleet.View
-	service   *httproute.Service
-	routes    map[string]*httproute.Route
-	results   map[string]*Result
+	requests int
+	options  Options
+	random   *rand.Rand
+	// arriving is the source of the arrivals, which do not depend on decisions if there are several regions.
+	arriving *rand.Rand
+	engines  map[string]*engine
+	regions  []*region
+	view     *fleet.View
+	service  *httproute.Service
+	routes   map[string]*httproute.Route
+	results  map[string]*Result
 }
 
-const (
-	serviceName = "llm"
-	region      = "north"
-)
+const serviceName = "llm"
 
-// Run emulates a deployment and returns the results by kind of request.
+// Run emulates a deployment and returns the results by kind of request. If Options.Regions are given, the keys
+// are the name of the kind, a slash and the region of the callers.
 func Run(o Options) map[string]*Result {
 	m := &emulation{
 		Timeline: timeline.New(), options: o, random: rand.New(rand.NewPCG(o.Seed, 1)),
 		engines: make(map[string]*engine), view: &fleet.View{},
-		service: &httproute.Service{Name: serviceName, Engine: &httproute.Engine{Slots: o.Model.Slots}},
-		routes:  make(map[string]*httproute.Route), results: make(map[string]*Result),
+		routes: make(map[string]*httproute.Route), results: make(map[string]*Result),
 	}
 	m.build()
 	end := m.Now().Add(o.Length)
+	reportsEnd := end
+	m.arriving = m.random
+	if len(o.Regions) > 0 {
+		m.arriving = rand.New(rand.NewPCG(o.Seed, 3))
+		// Refused callers retry after the last arrival.
+		reportsEnd = end.Add(2 * o.Length)
+	}
 	for i := range o.Kinds {
-		m.results[o.Kinds[i].Name] = &Result{}
-		m.arrivals(&o.Kinds[i], m.Now(), end)
+		for _, from := range m.regions {
+			result := &Result{}
+			m.results[o.Kinds[i].Name+from.suffix] = result
+			m.arrivals(&o.Kinds[i], from, result, m.Now(), end)
+		}
+	}
+	for _, r := range m.regions {
+		for i := range max(1, o.Instances) {
+			m.At(m.Now().Add(o.ReportInterval*time.Duration(i)/time.Duration(max(1, o.Instances))), func() { m.reportLoads(r, reportsEnd) })
+		}
 	}
-	for i := range m.instances {
-		m.At(m.Now().Add(o.ReportInterval*time.Duration(i)/time.Duration(o.Instances)), func() { m.reportLoads(end) })
+	if len(m.regions) > 1 {
+		// The first reports arrive at once, as instances know of each other before they serve.
+		m.reportRegions(0)
+		m.Every(o.RemoteReportInterval, reportsEnd, func() { m.reportRegions(o.RemoteReportAge) })
 	}
 	m.Run()
 	return m.results
@@ -117,78 +158,123 @@
 
 // build creates engines, instances and routes.
 func (m *emulation) build() {
-	for i := range m.options.Engines {
-		id := fmt.Sprintf("engine-%02d", i)
-		m.engines[id] = &engine{id: id, model: &m.options.Model, cache: newCache(m.options.Model.CacheTokens)}
-		m.view.Upstreams = append(m.view.Upstreams, fleet.Upstream{ID: id, Service: serviceName, Region: region, Domain: region, Slots: m.options.Model.Slots})
+	regions := m.options.Regions
+	if len(regions) == 0 {
+		regions = []Region{{Name: "north", Engines: m.options.Engines, Instances: m.options.Instances}}
 	}
-	m.view.Index()
-	for range m.options.Instances {
-		m.instances = append(m.instances, &instance{
-			tracker: limit.NewTracker(&m.Timeline, nil),
-			recent:  steer.NewRecentPlacements(), estimates: steer.NewEstimator(), overload: steer.NewOverload(),
-			flow: steer.NewFlow(), peers: peer.NewView(nil, nil, m.Now()),
-		})
-	}
-	topTarget := time.Duration(0)
-	for i := range m.options.Kinds {
-		kind := &m.options.Kinds[i]
-		m.routes[kind.Name] = &httproute.Route{
-			Name: kind.Name, Kind: httproute.Streaming, TargetLatency: kind.Target, Priority: kind.Rank, SharedPrompts: true,
+	for _, declared := range regions {
+		r := &region{Region: declared, remote: make(map[string]regionReport)}
+		if len(m.options.Regions) > 0 {
+			r.suffix = "/" + r.Name
 		}
-		if kind.Rank == 0 {
-			topTarget = kind.Target
+		m.regions = append(m.regions, r)
+		for range r.Engines {
+			id := fmt.Sprintf("engine-%02d", len(m.engines))
+			m.engines[id] = &engine{id: id, model: &m.options.Model, cache: newCache(m.options.Model.CacheTokens)}
+			r.engines = append(r.engines, id)
+			m.view.Upstreams = append(m.view.Upstreams, fleet.Upstream{ID: id, Service: serviceName, Region: r.Name, Domain: r.Name, Slots: m.options.Model.Slots})
+		}
+		for range r.Instances {
+			r.instances = append(r.instances, &instance{
+				region: r, tracker: limit.NewTracker(&m.Timeline, nil), lateness: steer.NewLateness(), acceptance: limit.NewAcceptance(),
+				recent: steer.NewRecentPlacements(), estimates: steer.NewEstimator(), overload: steer.NewOverload(),
+				flow: steer.NewFlow(), peers: peer.NewView(nil, nil, m.Now()),
+			})
 		}
 	}
-	for _, route := range m.routes {
-		if route.Priority > 0 {
-			route.UrgentTarget = topTarget
+	m.view.Index()
+	m.declareRoutes()
+}
+
+// declareRoutes compiles a route for each kind of request.
+func (m *emulation) declareRoutes() {
+	routes := make([]httproute.Route, len(m.options.Kinds))
+	for i, kind := range m.options.Kinds {
+		routes[i] = httproute.Route{
+			Name: kind.Name, Prefix: "/" + kind.Name + "/", Kind: httproute.Streaming, TargetLatency: kind.Target, Priority: kind.Rank,
+			Homes: kind.Homes, SharedPrompts: true, Backends: []httproute.Backend{{Service: serviceName, Weight: 1}},
 		}
 	}
+	services := []httproute.Service{{Name: serviceName, Engine: &httproute.Engine{Slots: m.options.Model.Slots}}}
+	config, err := httproute.Compile(1, httproute.Limits{}, routes, services)
+	if err != nil {
+		panic(err)
+	}
+	m.service = config.Service(serviceName)
+	for i := range config.Routes {
+		m.routes[config.Routes[i].Name] = &config.Routes[i]
+	}
 }
 
-// arrivals schedules the requests of a kind.
-func (m *emulation) arrivals(kind *Kind, from, end time.Time) {
+// arrivals schedules the requests of a kind from the callers of a region.
+func (m *emulation) arrivals(kind *Kind, from *region, result *Result, start, end time.Time) {
 	level := 1.0
 	if kind.LoadFactor != nil {
-		level = kind.LoadFactor(m.options.Length - end.Sub(from))
+		level = kind.LoadFactor(m.options.Length - end.Sub(start))
 	}
-	next := from.Add(time.Duration(m.random.ExpFloat64() / (kind.PerSecond * level) * float64(time.Second)))
+	if kind.Load != nil {
+		level *= kind.Load[from.Name]
+	}
+	next := start.Add(time.Duration(min(m.arriving.ExpFloat64()/(kind.PerSecond*level), m.options.Length.Seconds()+1) * float64(time.Second)))
 	if next.After(end) {
 		return
 	}
 	m.At(next, func() {
-		m.results[kind.Name].Requests++
-		m.arrive(m.newRequest(kind))
-		m.arrivals(kind, m.Now(), end)
+		r := m.newRequest(kind)
+		r.from, r.result = from, result
+		result.Requests++
+		m.arrive(r)
+		m.arrivals(kind, from, result, m.Now(), end)
 	})
 }
 
 // newRequest generates a request at random.
 func (m *emulation) newRequest(kind *Kind) *request {
-	own := max(1, int(float64(kind.OwnTokens)*(0.5+m.random.Float64())))
+	own := max(1, int(float64(kind.OwnTokens)*(0.5+m.arriving.Float64())))
 	m.requests++
 	r := &request{kind: kind, arrivedAt: m.Now()}
 	r.Route, r.Service = m.routes[kind.Name], m.service
 	r.PromptTokens = kind.SharedTokens + own
 	r.Segments = []steer.Segment{
-		{ID: fmt.Sprint(kind.Name, "-", m.random.IntN(max(1, kind.SharedPrefixes))), Tokens: kind.SharedTokens},
+		{ID: fmt.Sprint(kind.Name, "-", m.arriving.IntN(max(1, kind.SharedPrefixes))), Tokens: kind.SharedTokens},
 		{ID: fmt.Sprint("own-", m.requests), Tokens: own},
 	}
 	return r
 }
 
-// arrive routes or refuses a request at a random instance.
+// arrive hands a request to a random instance of its region.
 func (m *emulation) arrive(r *request) {
-	i := m.instances[m.random.IntN(len(m.instances))]
+	r.startedAt, r.hops = m.Now(), 0
+	m.decide(m.pickInstance(r.from), r)
+}
+
+func (m *emulation) pickInstance(r *region) *instance {
+	return r.instances[m.random.IntN(len(r.instances))]
+}
+
+// decide sends, forwards or refuses a request at an instance.
+func (m *emulation) decide(i *instance, r *request) {
 	snapshot := &steer.Snapshot{
-		Region: region, Fleet: m.view, Peers: i.peers, Local: i.tracker, Recent: i.recent, CallTimes: steer.NewCallTimes(),
-		Estimates: i.estimates, Flow: i.flow, Now: m.Now(), Random: m.random.Uint64(),
+		Region: i.region.Name, Fleet: m.view, Peers: i.peers, Local: i.tracker, Recent: i.recent, CallTimes: steer.NewCallTimes(),
+		Estimates: i.estimates, Acceptance: i.acceptance, Flow: i.flow, Now: m.Now(), Random: m.random.Uint64(),
 		Admits: func(*fleet.Upstream, *httproute.Service) bool { return true },
 	}
+	if !m.options.KeepsFlexible {
+		snapshot.Lateness = i.lateness
+	}
 	r.Contended = i.overload.Contended(serviceName, r.rank(), m.Now())
-	best := snapshot.SurveyRegion(&r.Request).Best
-	if m.options.Admits && best.Late && i.overload.Refuses(&r.Request, m.Now()) {
+	var survey steer.Survey
+	if r.Route.PermittedIn(i.region.Name) {
+		survey = snapshot.SurveyRegion(&r.Request)
+	}
+	if r.hop == nil && r.hops < maxHops {
+		if to := snapshot.Choose(&r.Request, survey, snapshot.Regions(&r.Request)); to != nil {
+			m.forward(i, r, to)
+			return
+		}
+	}
+	best := survey.Best
+	if best.Upstream == nil || m.options.Admits && best.Late && i.overload.Refuses(&r.Request, m.Now()) {
 		m.refuse(i, r)
 		return
 	}
@@ -197,8 +283,16 @@
 
 // refuse refuses a request, which its caller retries once.
 func (m *emulation) refuse(i *instance, r *request) {
+	if r.hop != nil {
+		m.returnHop(r, limit.Rejected)
+		return
+	}
+	if len(m.options.Regions) > 0 && m.Now().Sub(r.startedAt) < r.kind.Target/capacityWaitPart {
+		m.After(capacityPollInterval, func() { m.decide(i, r) })
+		return
+	}
 	if r.retried {
-		m.results[r.kind.Name].Refused++
+		r.result.Refused++
 		return
 	}
 	r.retried = true
@@ -213,13 +307,20 @@
 	i.flow.Add(serviceName, to.Uncached, m.Now())
 	engine := m.engines[to.Upstream.ID]
 	sent := m.Now()
-	started := &run{request: r, pendingTokens: r.kind.AnswerTokens}
+	started, hop := &run{request: r, pendingTokens: r.kind.AnswerTokens}, r.hop
 	started.onFirstToken = func(now time.Time) {
 		flight.FirstByte()
 		i.estimates.Observe(&to, now.Sub(sent), now)
-		m.recordFirstToken(r, now)
+		i.lateness.Observe(m.service, r.Route, i.region.Name, now.Sub(r.startedAt), now)
+		m.begin(r, now)
 	}
-	started.onEnd = func(time.Time) { flight.Done(limit.Succeeded) }
+	started.onEnd = func(time.Time) {
+		flight.Done(limit.Succeeded)
+		if hop != nil {
+			m.After(interRegionDelay, func() { hop.ended(limit.Succeeded) })
+		}
+	}
+	m.notePlacement(i.region, r, false)
 	m.At(sent.Add(r.kind.Patience), func() { m.cancel(started, flight) })
 	engine.accept(started)
 	m.run(engine)
@@ -228,9 +329,9 @@
 // recordFirstToken counts an answer as in time or late.
 func (m *emulation) recordFirstToken(r *request, now time.Time) {
 	if now.Sub(r.arrivedAt) <= r.kind.Target {
-		m.results[r.kind.Name].InTime++
+		r.result.InTime++
 	} else {
-		m.results[r.kind.Name].Late++
+		r.result.Late++
 	}
 }
 
@@ -241,7 +342,10 @@
 	}
 	r.cancelled = true
 	flight.Done(limit.Abandoned)
-	m.results[r.request.kind.Name].Cancelled++
+	r.request.result.Cancelled++
+	if hop := r.request.hop; hop != nil {
+		hop.ended(limit.Abandoned)
+	}
 }
 
 // run executes steps of an engine while it has work.
@@ -266,40 +370,49 @@
 	})
 }
 
-// reportLoads sends the requests in flight of every instance to all others, periodically.
-func (m *emulation) reportLoads(end time.Time) {
-	reports := make([][]peer.Load, len(m.instances))
-	for n, i := range m.instances {
-		reports[n] = m.loads(i)
+// reportLoads sends the requests in flight of every instance of a region to the others there, periodically.
+func (m *emulation) reportLoads(r *region, end time.Time) {
+	sums := m.loads(r)
+	reports := make([][]peer.Load, len(r.instances))
+	for n, i := range r.instances {
+		reports[n] = slices.Clone(sums)
+		for at := range reports[n] {
+			own := i.tracker.Load(reports[n][at].Name)
+			reports[n][at].InFlight -= own.InFlight
+			reports[n][at].Prefill -= own.Prefill
+		}
 	}
-	m.At(m.Now().Add(m.options.ReportDelay), func() { m.applyReports(reports) })
+	m.At(m.Now().Add(m.options.ReportDelay), func() { m.applyReports(r, reports) })
 	next := m.Now().Add(m.options.ReportInterval)
 	if next.Before(end) {
-		m.At(next, func() { m.reportLoads(end) })
+		m.At(next, func() { m.reportLoads(r, end) })
 	}
 }
 
-func (m *emulation) loads(i *instance) []peer.Load {
-	var loads []peer.Load
-	for n := range m.view.Upstreams {
-		id := m.view.Upstreams[n].ID
-		if own := i.tracker.Load(id); own.InFlight > 0 {
-			loads = append(loads, peer.Load{Name: id, InFlight: own.InFlight, Prefill: own.Prefill})
+// loads returns the work of all instances of a region at each of its engines.
+func (m *emulation) loads(r *region) []peer.Load {
+	loads := make([]peer.Load, len(r.engines))
+	for n, id := range r.engines {
+		loads[n].Name = id
+		for _, i := range r.instances {
+			own := i.tracker.Load(id)
+			loads[n].InFlight += own.InFlight
+			loads[n].Prefill += own.Prefill
 		}
 	}
 	return loads
 }
 
-// applyReports delivers to each instance the reports of the others.
-func (m *emulation) applyReports(reports [][]peer.Load) {
-	known := make([]peer.Known, len(m.instances)-1)
-	for n, i := range m.instances {
-		var peers []peer.Load
-		for other, loads := range reports {
-			if other != n {
-				peers = append(peers, loads...)
+// applyReports delivers to each instance of a region the reports of the others, and the last ones of other
+// regions.
+func (m *emulation) applyReports(r *region, reports [][]peer.Load) {
+	known := m.knownPeers(r)
+	for n, i := range r.instances {
+		i.peers = peer.NewView(known, reports[n], m.Now().Add(-m.options.ReportDelay))
+		for _, other := range m.regions {
+			if report, ok := r.remote[other.Name]; ok {
+				i.peers.AddService(other.Name, report.load)
 			}
 		}
-		i.peers = peer.NewView(known, peers, m.Now().Add(-m.options.ReportDelay))
 	}
 }
