pkg/emulator: test of a region with few engines left (fails)

Cause: callers of a region that has lost all but one of its engines are served far worse than those of a region that has lost all. timelyRegion excludes the other region while it is predicted late (one holding of 1 s is assumed there, and the round trip counts), so their requests wait or are refused for the one engine, while the other region serves its own callers. Change: a test by the same measure as for the region without engines.

--- a/pkg/emulator/regions_test.go
+++ b/pkg/emulator/regions_test.go
@@ -162,6 +162,10 @@
 // off from the only other region that they may use, although it accepts most of them.
 func TestCallersOfALostRegionAreServedAlike(t *testing.T) { checkLostRegion(t, 0) }
 
+// TestCallersOfARegionWithFewEnginesAreServedAlike guards against bound requests that are refused for the few
+// engines left in their region, although the other region that they may use accepts most requests.
+func TestCallersOfARegionWithFewEnginesAreServedAlike(t *testing.T) { checkLostRegion(t, 1) }
+
 // drawDeployment returns a deployment of random size, homes and loads. Each of the two kinds of request fills
 // half of the load, if any, of the slots in its homes.
 func drawDeployment(t *rapid.T, load float64) Options {
