edge: test what callers that do not read cost

Cause: nothing checked the memory that an instance holds for callers that do not read, whether others wait for them, and whether an answer that its upstream cuts off before it is read can look complete. Change: a test with eight such callers for each framing that is passed on as it arrives (streams and long answers, in chunks and with a length), in which the upstream closes or resets its connections in the end.

--- /dev/null
+++ b/pkg/edge/slow_caller_test.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// torrent is an upstream's answer of many parts, written as fast as it is read. Requests at other
+// paths than slowPath get a short answer.
+type torrent struct {
+	head, part string
+	written    atomic.Int64
+	mu         sync.Mutex
+	conns      []*net.TCPConn
+}
+
+const slowPath = "/r/slow"
+
+func (a *torrent) serve(conn net.Conn, request *http.Request) bool {
+	if request.RequestURI != slowPath {
+		return sendEvents(1, 1, true)(conn, request)
+	}
+	a.mu.Lock()
+	a.conns = append(a.conns, conn.(*net.TCPConn))
+	a.mu.Unlock()
+	_, err := io.WriteString(conn, strings.ReplaceAll(answerHead, "%s", request.Header.Get(testID))+a.head)
+	for err == nil {
+		_, err = io.WriteString(conn, a.part)
+		a.written.Add(int64(len(a.part)))
+	}
+	return false
+}
+
+// cutOff ends the answers, every second one with a reset.
+func (a *torrent) cutOff() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for n, conn := range a.conns {
+		if n%2 == 0 {
+			_ = conn.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// newTorrents returns answers of each framing that is read without a limit on its length.
+func newTorrents() map[string]*torrent {
+	events := strings.Repeat("id: 1\ndata: piece of a text\n\n", 200)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n", len(events), events)
+	return map[string]*torrent{
+		"stream":               {head: "Transfer-Encoding: chunked\r\n\r\n", part: chunked},
+		"chunks":               {head: "Transfer-Encoding: chunked\r\n\r\n", part: chunked},
+		"known length":         {head: "Content-Length: 1000000000\r\n\r\n", part: events},
+		"known length, stream": {head: "Content-Length: 1000000000\r\n\r\n", part: events},
+	}
+}
+
+// askSlowly sends a request whose answer the caller does not read yet.
+func (h *harness) askSlowly(id int, deadline time.Duration) net.Conn {
+	h.Helper()
+	conn, err := net.Dial("tcp", h.caller.Listener.Addr().String())
+	h.is.NoErr(err)
+	h.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\n%s: slow-%d\r\n%s: %d\r\n\r\n", slowPath, testID, id, testDeadline, deadline.Milliseconds())
+	h.is.NoErr(err)
+	return conn
+}
+
+// awaitStandstill waits until nothing of the answers is taken any more.
+func (h *harness) awaitStandstill(answers *torrent) {
+	h.Helper()
+	last, since := int64(-1), time.Now()
+	h.eventually("the answers stand still", func() bool {
+		if now := answers.written.Load(); now != last {
+			last, since = now, time.Now()
+		}
+		return last > 0 && time.Since(since) > 300*time.Millisecond
+	})
+}
+
+func heapInUse() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
+
+// TestSlowCallersTakeLittleMemory guards against an instance that holds what its callers do not read,
+// against other callers that wait for them, and against answers that look complete although their
+// upstream cut them off before they were read.
+func TestSlowCallersTakeLittleMemory(t *testing.T) {
+	const callers, mostEach = 8, 256 << 10
+	for name, answers := range newTorrents() {
+		t.Run(name, func(t *testing.T) {
+			route := safeRoute
+			if strings.Contains(name, "stream") {
+				route = streamRoute
+			}
+			h := newHarness(t, route, newUpstream(t, answers.serve))
+			h.is.NoErr(h.ask(http.MethodGet, "/r/", "").err)
+			before := heapInUse()
+			var conns []net.Conn
+			for id := range callers {
+				conns = append(conns, h.askSlowly(id, 9*time.Second))
+			}
+			h.awaitStandstill(answers)
+			each := (heapInUse() - before) / callers
+			t.Logf("%d bytes for each caller, %d written for each", each, answers.written.Load()/callers)
+			h.is.True(each < mostEach)
+			asked := time.Now()
+			h.is.Equal(h.ask(http.MethodGet, "/r/", "").status, http.StatusOK)
+			h.is.True(time.Since(asked) < time.Second)
+			answers.cutOff()
+			for _, conn := range conns {
+				answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				h.is.NoErr(err)
+				_, err = io.Copy(io.Discard, answer.Body)
+				h.is.True(err != nil) // it does not look complete
+			}
+		})
+	}
+}
