edge: an unframed answer whose upstream restarted before it was read is not complete

Cause: an answer without a length and chunks ends with its connection. Whether its upstream crashed is asked when the end is read, by a connection to it. If the caller held the answer up, the end is read long after the crash, when a new process may listen at the address: the answer then looked complete. Change: if the caller held the answer up, the upstream's start is compared first: by the list of upstreams, or by its own report. If it has started again, the answer is cut off. Measured: in TestUnreadAnswersOfAnEndedUpstreamAreCutOff both cases of a restart failed on the code before for a long answer (it looked complete); they passed for a stream, which was cut inside an event, and the cases of a crash without a restart passed. All pass now, and so do the tests about unframed answers, leaving upstreams and crashes (37 s).

--- a/pkg/edge/slow_caller_test.go
+++ b/pkg/edge/slow_caller_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -154,3 +155,46 @@
 		})
 	}
 }
+
+// TestUnreadAnswersOfAnEndedUpstreamAreCutOff guards against an answer that looks complete, as it has neither
+// a length nor chunks and its upstream crashed, and perhaps started again, before its caller read it.
+func TestUnreadAnswersOfAnEndedUpstreamAreCutOff(t *testing.T) {
+	restart := func(h *harness, address string) {
+		listener, err := net.Listen("tcp", address)
+		h.is.NoErr(err)
+		again := &upstream{listener: listener, script: startedAt(2000)}
+		h.Cleanup(func() { _ = listener.Close() })
+		go again.accept()
+	}
+	for name, happens := range map[string]func(h *harness, address string){
+		"crash":   func(*harness, string) {},
+		"restart": restart,
+		"restart that is known": func(h *harness, address string) {
+			restart(h, address)
+			view := *h.edge.board.Fleet.Load()
+			view.Upstreams = slices.Clone(view.Upstreams)
+			view.Upstreams[0].ID, view.Upstreams[0].StartedAt = "u-0@2000", 2000
+			view.Index()
+			h.edge.board.Fleet.Store(&view)
+		},
+	} {
+		for kind, route := range map[string]httproute.Route{"stream": streamRoute, "safe": safeRoute} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				answers := &torrent{head: "\r\n", part: strings.Repeat("id: 1\ndata: piece of a text\n\n", 200)}
+				u := newUpstream(t, answers.serve)
+				h := newHarness(t, route, u)
+				h.edge.board.Fleet.Load().Upstreams[0].StartedAt = 1000
+				conn := h.askSlowly(1, 9*time.Second)
+				h.awaitStandstill(answers)
+				h.is.NoErr(u.listener.Close())
+				h.is.NoErr(answers.conns[0].Close())
+				happens(h, u.listener.Addr().String())
+				answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				h.is.NoErr(err)
+				n, err := io.Copy(io.Discard, answer.Body)
+				h.is.True(err != nil)
+				h.is.True(n > 0)
+			})
+		}
+	}
+}
--- a/pkg/edge/unframed.go
+++ b/pkg/edge/unframed.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/exchange"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 )
 
@@ -30,6 +32,10 @@
 	c.counts.series.Counter("answers.unframed").Inc(1)
 	c.logUnframed()
 	c.await(func() { clock.Sleep(ctx, crashProbeDelay) })
+	if c.restartedUnread(ctx) {
+		c.counts.series.Counter("answers.cut").Inc(1)
+		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: errUpstreamEnded}
+	}
 	if c.pool.ShowsLife(c.target.ID) {
 		return nil
 	}
@@ -49,6 +55,27 @@
 	return nil
 }
 
+// restartedUnread reports whether an upstream has started again before its answer, which the caller held up,
+// was read to its end. Connections to its address then show only that the new process lives.
+func (c *call) restartedUnread(ctx context.Context) bool {
+	if c.writer.waited <= c.waitedBefore {
+		return false
+	}
+	upstream, view := c.to.survey.Best.Upstream, c.board.Fleet.Load()
+	if view.Find(upstream.ID) == nil {
+		return slices.ContainsFunc(view.Upstreams, func(u fleet.Upstream) bool { return u.Address == upstream.Address })
+	}
+	if upstream.StartedAt == 0 || c.tracker.RequestedBackoff(upstream.ID) > 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var began int64
+	var err error
+	c.await(func() { began, err = c.fetchStartTime(ctx, upstream) })
+	return err == nil && began > upstream.StartedAt
+}
+
 // isLeaving reports whether an upstream is leaving, by its entry in the store or by its own report.
 func (e *Edge) isLeaving(id string) bool {
 	upstream := e.board.Fleet.Load().Find(id)
