edge: one table for the refusals of permitted regions

Cause: the two tests of these refusals repeated their set-up, and were longer than the code that they check. Change: one test with a table; all cases stay, with the same checks.

--- a/pkg/edge/regions_test.go
+++ b/pkg/edge/regions_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"testing"
@@ -41,77 +40,68 @@
 	}
 }
 
-const (
-	detailFull      = "the permitted regions have no capacity in time"
-	detailUnreached = "no instance in a permitted region can be reached"
-)
-
-// TestFullRegionsAreNotCalledUnreachable guards against refusals that name a lost connection, and a
-// Retry-After that is too short, where the instances of the permitted regions were reached and had
-// no capacity.
-func TestFullRegionsAreNotCalledUnreachable(t *testing.T) {
-	for _, reason := range []outcome.Reason{outcome.ReasonOverloaded, outcome.ReasonNoUpstream, outcome.ReasonNoRoom} {
-		t.Run(string(reason), func(t *testing.T) {
-			full := newUpstream(t, refuseAs(reason, "0.7"))
-			h := newBoundHarness(t, full)
-			h.checkRefused(outcome.ReasonOverloaded, detailFull, 700*time.Millisecond, 700*time.Millisecond)
-			// Now nothing is asked: the region backs off, or the instance does.
-			h.checkRefused(outcome.ReasonOverloaded, detailFull, 300*time.Millisecond, 700*time.Millisecond)
-			h.is.Equal(full.arrivals.Load(), int32(1))
-			// Less urgent requests that are served here need not yield.
-			h.is.True(!h.edge.overload.Contended(testService, 1, time.Now()))
+// TestRefusalsNameTheStateOfThePermittedRegions guards against refusals that name a lost connection where the
+// instances of the permitted regions were reached and had no capacity, against the reverse, and against a
+// Retry-After at which the caller is refused again.
+func TestRefusalsNameTheStateOfThePermittedRegions(t *testing.T) {
+	const (
+		full      = "the permitted regions have no capacity in time"
+		unreached = "no instance in a permitted region can be reached"
+		unusable  = "no upstream in a permitted region can take the request now"
+		usual     = 300 * time.Millisecond
+		named     = 700 * time.Millisecond
+	)
+	closed := newUpstream(t, nil)
+	if err := closed.listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	refusing := func(reason outcome.Reason, retryAfter string) *upstream {
+		return newUpstream(t, refuseAs(reason, retryAfter))
+	}
+	for name, c := range map[string]struct {
+		instance    *upstream
+		change      func(*peer.Known)
+		reason      outcome.Reason
+		detail      string
+		least, most time.Duration
+		deadline    string
+	}{
+		"overloaded":          {refusing(outcome.ReasonOverloaded, "0.7"), nil, outcome.ReasonOverloaded, full, named, named, ""},
+		"no upstream":         {refusing(outcome.ReasonNoUpstream, "0.7"), nil, outcome.ReasonOverloaded, full, named, named, ""},
+		"no place":            {refusing(outcome.ReasonNoRoom, "0.7"), nil, outcome.ReasonOverloaded, full, named, named, ""},
+		"a third of the time": {refusing(outcome.ReasonOverloaded, "5"), nil, outcome.ReasonOverloaded, full, 100 * time.Millisecond, usual, "900"},
+		"silent upstreams":    {refusing(outcome.ReasonUnresponsive, "0.2"), nil, outcome.ReasonUnresponsive, "the upstreams of the permitted regions are silent", 100 * time.Millisecond, usual, "1000"},
+		"no live instance":    {closed, func(k *peer.Known) { k.ReportedAt = time.Time{} }, outcome.ReasonNoUpstream, unreached, usual, usual, ""},
+		"no connection":       {closed, nil, outcome.ReasonNoUpstream, unreached, usual, usual, ""},
+		"not ready":           {closed, func(k *peer.Known) { k.Ready = false }, outcome.ReasonNoUpstream, unusable, usual, usual, ""},
+		"reaches no upstream": {closed, func(k *peer.Known) { k.Unreachable = testService }, outcome.ReasonNoUpstream, unusable, usual, usual, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newBoundHarness(t, c.instance)
+			if known := h.edge.gossip.View().Load().Others[0]; c.change != nil {
+				c.change(&known)
+				h.edge.gossip.View().Store(peer.NewView([]peer.Known{known}, nil, time.Now()))
+			}
+			h.checkRefused(c.reason, c.detail, c.least, c.most, testDeadline, c.deadline)
+			if c.reason == outcome.ReasonOverloaded {
+				// Now nothing is asked: the region backs off, or the instance does.
+				h.checkRefused(c.reason, c.detail, min(c.least, usual), c.most, testDeadline, c.deadline)
+				h.is.Equal(c.instance.arrivals.Load(), int32(1))
+				// Less urgent requests that are served here need not yield.
+				h.is.True(!h.edge.overload.Contended(testService, 1, time.Now()))
+			}
 		})
 	}
-	t.Run("callers wait for a third of their time", func(t *testing.T) {
-		h := newBoundHarness(t, newUpstream(t, refuseAs(outcome.ReasonOverloaded, "5")))
-		h.checkRefused(outcome.ReasonOverloaded, detailFull, 100*time.Millisecond, 300*time.Millisecond, testDeadline, "900")
-	})
 	t.Run("the remaining backoff", func(t *testing.T) {
-		full := newUpstream(t, refuseAs(outcome.ReasonOverloaded, "0"))
-		h := newBoundHarness(t, full)
+		instance := refusing(outcome.ReasonOverloaded, "0")
+		h := newBoundHarness(t, instance)
 		h.eventually("the region backs off for longer than usual", func() bool {
 			h.askAt(h.caller.URL, http.MethodPost, "/r/", "x")
-			return full.arrivals.Load() == 4
+			return instance.arrivals.Load() == 4
 		})
-		h.checkRefused(outcome.ReasonOverloaded, detailFull, 600*time.Millisecond, 800*time.Millisecond)
+		h.checkRefused(outcome.ReasonOverloaded, full, 600*time.Millisecond, 800*time.Millisecond)
 	})
 	t.Run("no upstream in the own region", func(t *testing.T) {
-		h := newRemoteHarness(t, newUpstream(t, refuseAs(outcome.ReasonOverloaded, "0.7")))
-		h.checkRefused(outcome.ReasonOverloaded, detailFull, 700*time.Millisecond, 700*time.Millisecond)
-	})
-}
-
-// TestUnreachableRegionsAreNamedSo guards against a refusal that says that an instance cannot be
-// reached while one of a permitted region is live, and against another detail if none is.
-func TestUnreachableRegionsAreNamedSo(t *testing.T) {
-	const usual = 300 * time.Millisecond
-	t.Run("no live instance", func(t *testing.T) {
-		newBoundHarness(t).checkRefused(outcome.ReasonNoUpstream, detailUnreached, usual, usual)
-	})
-	t.Run("no connection", func(t *testing.T) {
-		closed := &upstream{}
-		var err error
-		closed.listener, err = net.Listen("tcp", "127.0.0.1:0")
-		if err != nil || closed.listener.Close() != nil {
-			t.Fatal(err)
-		}
-		newBoundHarness(t, closed).checkRefused(outcome.ReasonNoUpstream, detailUnreached, usual, usual)
-	})
-	for name, change := range map[string]func(*peer.Known){
-		"not ready":           func(k *peer.Known) { k.Ready = false },
-		"reaches no upstream": func(k *peer.Known) { k.Unreachable = testService },
-	} {
-		t.Run(name, func(t *testing.T) {
-			h := newBoundHarness(t, newUpstream(t, streamFrom()))
-			view := h.edge.gossip.View().Load()
-			known := view.Others[0]
-			change(&known)
-			h.edge.gossip.View().Store(peer.NewView([]peer.Known{known}, nil, time.Now()))
-			h.checkRefused(outcome.ReasonNoUpstream, "no upstream in a permitted region can take the request now", usual, usual)
-		})
-	}
-	t.Run("silent upstreams", func(t *testing.T) {
-		h := newBoundHarness(t, newUpstream(t, refuseAs(outcome.ReasonUnresponsive, "0.2")))
-		h.checkRefused(outcome.ReasonUnresponsive, "the upstreams of the permitted regions are silent", 100*time.Millisecond, usual, testDeadline, "1000")
+		newRemoteHarness(t, refusing(outcome.ReasonOverloaded, "0.7")).checkRefused(outcome.ReasonOverloaded, full, named, named)
 	})
 }
--- a/pkg/edge/slow_caller_test.go
+++ b/pkg/edge/slow_caller_test.go
@@ -17,9 +17,9 @@
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 )
 
-// torrent is an upstream's answer of many parts, written as fast as it is read. Requests at other
+// longAnswer is an upstream's answer of many parts, written as fast as it is read. Requests at other
 // paths than slowPath get a short answer.
-type torrent struct {
+type longAnswer struct {
 	head, part string
 	written    atomic.Int64
 	mu         sync.Mutex
@@ -28,7 +28,7 @@
 
 const slowPath = "/r/slow"
 
-func (a *torrent) serve(conn net.Conn, request *http.Request) bool {
+func (a *longAnswer) serve(conn net.Conn, request *http.Request) bool {
 	if request.RequestURI != slowPath {
 		return sendEvents(1, 1, true)(conn, request)
 	}
@@ -44,7 +44,7 @@
 }
 
 // cutOff ends the answers, every second one with a reset.
-func (a *torrent) cutOff() {
+func (a *longAnswer) cutOff() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for n, conn := range a.conns {
@@ -55,11 +55,11 @@
 	}
 }
 
-// newTorrents returns answers of each framing that is read without a limit on its length.
-func newTorrents() map[string]*torrent {
+// newLongAnswers returns answers of each framing that is read without a limit on its length.
+func newLongAnswers() map[string]*longAnswer {
 	events := strings.Repeat("id: 1\ndata: piece of a text\n\n", 200)
 	chunked := fmt.Sprintf("%x\r\n%s\r\n", len(events), events)
-	return map[string]*torrent{
+	return map[string]*longAnswer{
 		"stream":               {head: "Transfer-Encoding: chunked\r\n\r\n", part: chunked},
 		"chunks":               {head: "Transfer-Encoding: chunked\r\n\r\n", part: chunked},
 		"known length":         {head: "Content-Length: 1000000000\r\n\r\n", part: events},
@@ -78,11 +78,11 @@
 	return conn
 }
 
-// awaitStandstill waits until nothing of the answers is taken any more.
-func (h *harness) awaitStandstill(answers *torrent) {
+// awaitStalled waits until nothing of the answers is taken any more.
+func (h *harness) awaitStalled(answers *longAnswer) {
 	h.Helper()
 	last, since := int64(-1), time.Now()
-	h.eventually("the answers stand still", func() bool {
+	h.eventually("nothing more is read", func() bool {
 		if now := answers.written.Load(); now != last {
 			last, since = now, time.Now()
 		}
@@ -102,7 +102,7 @@
 // upstream cut them off before they were read.
 func TestSlowCallersTakeLittleMemory(t *testing.T) {
 	const callers, mostEach = 8, 256 << 10
-	for name, answers := range newTorrents() {
+	for name, answers := range newLongAnswers() {
 		t.Run(name, func(t *testing.T) {
 			route := safeRoute
 			if strings.Contains(name, "stream") {
@@ -115,7 +115,7 @@
 			for id := range callers {
 				conns = append(conns, h.askSlowly(id, 9*time.Second))
 			}
-			h.awaitStandstill(answers)
+			h.awaitStalled(answers)
 			each := (heapInUse() - before) / callers
 			t.Logf("%d bytes for each caller, %d written for each", each, answers.written.Load()/callers)
 			h.is.True(each < mostEach)
@@ -138,7 +138,7 @@
 func TestSlowCallersAreNoEvidenceAgainstUpstreams(t *testing.T) {
 	for name, engine := range map[string]*httproute.Engine{"engine": {Slots: 4}, "plain": nil} {
 		t.Run(name, func(t *testing.T) {
-			answers := newTorrents()["stream"]
+			answers := newLongAnswers()["stream"]
 			h := newHarness(t, streamRoute, newUpstream(t, answers.serve), newUpstream(t, answers.serve))
 			h.engine = engine
 			h.declare(2, streamRoute)
@@ -148,7 +148,7 @@
 			for id := range 12 {
 				h.askSlowly(id, 2*time.Second)
 			}
-			h.awaitStandstill(answers)
+			h.awaitStalled(answers)
 			h.eventually("the instance gives them up", func() bool { return h.edge.active.Load() == 0 })
 			h.is.True(!h.lines.Has("upstream-dark"))
 			h.is.True(!h.lines.Has("upstream-ejected"))
@@ -180,12 +180,12 @@
 	} {
 		for kind, route := range map[string]httproute.Route{"stream": streamRoute, "safe": safeRoute} {
 			t.Run(name+", "+kind, func(t *testing.T) {
-				answers := &torrent{head: "\r\n", part: strings.Repeat("id: 1\ndata: piece of a text\n\n", 200)}
+				answers := &longAnswer{head: "\r\n", part: strings.Repeat("id: 1\ndata: piece of a text\n\n", 200)}
 				u := newUpstream(t, answers.serve)
 				h := newHarness(t, route, u)
 				h.edge.board.Fleet.Load().Upstreams[0].StartedAt = 1000
 				conn := h.askSlowly(1, 9*time.Second)
-				h.awaitStandstill(answers)
+				h.awaitStalled(answers)
 				h.is.NoErr(u.listener.Close())
 				h.is.NoErr(answers.conns[0].Close())
 				happens(h, u.listener.Addr().String())
--- a/pkg/explain/cause.go
+++ b/pkg/explain/cause.go
@@ -327,7 +327,7 @@
 		asked = append(asked, step.Get(event.KeyTarget))
 	}
 	if len(asked) > 0 {
-		all = append(all, "asked, and turned away by "+strings.Join(asked, ", "))
+		all = append(all, "asked, and refused by "+strings.Join(asked, ", "))
 	}
 	if regions := end.Get(event.KeyBackingOff); regions != "" {
 		all = append(all, fmt.Sprintf("%s sent such requests to none of these regions for a while, since they had refused one for lack of capacity: %s", span.Instance, regions))
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -231,7 +231,7 @@
 				line("09.500", "front-a", event.AttemptRejected, "request=r-1 target=south-1 send=0 status=503"),
 				failed(`reason=overloaded detail="the permitted regions have no capacity in time" known=0 backing_off=south,west`),
 			},
-			"the permitted regions have no capacity in time; asked, and turned away by south-1; front-a sent such requests to none of these regions for a while, since they had refused one for lack of capacity: south,west",
+			"the permitted regions have no capacity in time; asked, and refused by south-1; front-a sent such requests to none of these regions for a while, since they had refused one for lack of capacity: south,west",
 		},
 		"engines without capacity": {
 			[]string{failed(`reason=overloaded detail="no upstream can begin the answer in time" known=2 usable=2 resting=0 cold=0 in_flight=30 slots=24`)},
