--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -85,18 +85,33 @@
 	c.Late = expected.tooLate(req, req.contendedIn(w.Region), forecast)
 }
 
+// meanHolding returns the mean time for which requests occupy a slot of the own region's engines; zero if it
+// is not known. It stands for those of other regions.
+func (w *Snapshot) meanHolding(service string) time.Duration {
+	total, known := time.Duration(0), time.Duration(0)
+	for _, upstream := range w.regional(service) {
+		if holding := w.Local.Load(upstream.ID).Holding; holding > 0 {
+			total += holding
+			known++
+		}
+	}
+	return total / max(1, known)
+}
+
 // remoteWait returns how long a request would wait in another region.
 func (w *Snapshot) remoteWait(req *Request, remote *RemoteRegion, forecast *Forecast) waitTime {
 	prefill := float64(remote.Prefill) / float64(remote.Upstreams)
 	uncached := float64(req.PromptTokens) - w.remoteCached(req, remote)
 	return waitTime{
-		queued: slotWait(remote.InFlight, remote.Slots, 0) + forecast.perToken*prefill,
+		queued: slotWait(remote.InFlight, remote.Slots, w.meanHolding(req.Service.Name)) + forecast.perToken*prefill,
 		own:    inMilliseconds(regionRoundTrip) + forecast.Reading(uncached),
 	}
 }
 
 // timelyRegion returns the cheapest region where the answer begins in time, and earlier
-// than here by more than the mean prediction error; nil if there is none.
+// than here by more than the mean prediction error; nil if there is none. A request that is bound to some
+// regions is sent where it is earlier even if it is late there too: what is left of a region's engines does
+// not decide whether its callers are served.
 func (w *Snapshot) timelyRegion(req *Request, here *Candidate, regions []RemoteRegion) *RemoteRegion {
 	var best *RemoteRegion
 	forecast := w.Estimates.Forecast(req.Service.Name, w.Now)
