--- a/pkg/quota/promises.go
+++ b/pkg/quota/promises.go
@@ -45,9 +45,7 @@
 
 // excess returns the factor by which requests that are not told to come back lengthen the time in which
 // reserved units come in: they are admitted as well, so the refill is divided by demand. Demand over the last
-// seconds counts, as a short burst has ended when the retries come. Of the retries at three times the limit
-// 0.302 were admitted (without the factor 0.267), and in a burst of two seconds all admitted tokens fell by
-// 1.0 % (with the factor of the last half second by 2.5 %).
+// seconds counts, as a short burst has ended when the retries come.
 func (p *promises) excess(limit float64) float64 {
 	return max(1, p.all/demandShareTimeConstant.Seconds()/limit)
 }
