pkg/limit: a region gets all requests again a second after its last refusal; silence is no refusal

Change: refusals for unresponsive upstreams do not count; the share is whole a second after the last refusal.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -117,7 +117,7 @@
 	j.tried = append(j.tried, to.name())
 	j.hops++
 	region := steer.RegionKey(to.peer.Instance.Region, &steer.Request{Service: j.service, Route: j.route})
-	trial, ok := j.startRegionTrial(region)
+	trial, ok := j.startRegionTrial(region, to.name())
 	if !ok {
 		j.regions.full = true
 		return notRun
--- a/pkg/limit/acceptance.go
+++ b/pkg/limit/acceptance.go
@@ -18,12 +18,15 @@
 // acceptance holds decaying counts of requests.
 type acceptance struct {
 	accepted, refused float64
-	at                time.Time
+	at, refusedAt     time.Time
 }
 
 const (
 	// acceptanceTimeConstant is the averaging time. An overload of a region changes within seconds.
 	acceptanceTimeConstant = time.Second
+	// refusalMemory is the time after its last refusal from which a destination gets all requests again.
+	// It was asked at least at minAcceptance meanwhile.
+	refusalMemory = time.Second
 	// minAcceptance is the share of requests that a destination still gets while it refuses all: enough
 	// to learn of its recovery within some tenths of a second.
 	minAcceptance = 0.1
@@ -46,6 +49,7 @@
 		known.accepted++
 	} else {
 		known.refused++
+		known.refusedAt = now
 	}
 }
 
@@ -61,7 +65,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	known := a.byKey[destination]
-	if known == nil {
+	if known == nil || now.Sub(known.refusedAt) > refusalMemory {
 		return 1
 	}
 	known.decay(now)
