--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -339,10 +339,9 @@
 	return chosen
 }
 
-// chooseHop returns the instance that gets the request, nil if it stays here, and whether the request leaves
-// its slot to others. Neighbours serve what
-// this instance cannot for want of a path or of places; they are nearer than another region, and hold
-// what the region's engines have cached.
+// chooseHop returns the instance that gets the request, nil if it stays here, and whether the request
+// leaves its slot to others. Neighbours serve what this instance cannot for want of a path or of places;
+// they are nearer than another region, and hold what the region's engines have cached.
 func (j *job) chooseHop(world *steer.Snapshot, query *steer.Request, survey *steer.Survey) (chosen *peer.Known, yielded bool) {
 	withoutPlaces := survey.Crowded > 0 && (survey.Places == 0 || j.lineTooLong)
 	if survey.Best.Upstream == nil && (survey.Unreachable > 0 || withoutPlaces) {
--- a/pkg/steer/admit.go
+++ b/pkg/steer/admit.go
@@ -109,9 +109,7 @@
 }
 
 // timelyRegion returns the cheapest region where the answer begins in time, and earlier
-// than here by more than the mean prediction error; nil if there is none. A request that is bound to some
-// regions is sent where it is earlier even if it is late there too: what is left of a region's engines does
-// not decide whether its callers are served.
+// than here by more than the mean prediction error; nil if there is none.
 func (w *Snapshot) timelyRegion(req *Request, here *Candidate, regions []RemoteRegion) *RemoteRegion {
 	var best *RemoteRegion
 	forecast := w.Estimates.Forecast(req.Service.Name, w.Now)
