--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -30,6 +30,8 @@
 	link                       *link
 	// work is the time that it works on a request.
 	work time.Duration
+	// quiet leaves its runs out of the record.
+	quiet bool
 	// arrived, if it is not nil, is called for each request that reaches the server for it.
 	arrived func(id string)
 
@@ -125,7 +127,7 @@
 	default:
 	}
 	err = s.transact(map[string]any{"puts": []put{{Key: s.key(), Value: entry}}})
-	s.record.add("server %s: report %d, %s: %s", s.id, sequence, state, outcome(err))
+	s.note("server %s: report %d, %s: %s", s.id, sequence, state, outcome(err))
 	return err
 }
 
@@ -192,7 +194,7 @@
 		s.record.add("server %s: request %s did not arrive whole", s.id, id)
 		return
 	}
-	s.record.add("server %s runs %s (%s, %d bytes)", s.id, id, r.URL.Path, len(body))
+	s.note("server %s runs %s (%s, %d bytes)", s.id, id, r.URL.Path, len(body))
 	s.mu.Lock()
 	s.runs[id]++
 	s.mu.Unlock()
@@ -206,10 +208,22 @@
 	s.finished[id]++
 	s.mu.Unlock()
 	w.Header().Set("X-Lilacweir-Server-Seal", "seal-"+s.id+"-"+id)
-	s.record.add("server %s answers %s", s.id, id)
+	s.note("server %s answers %s", s.id, id)
+	if s.service == modelService {
+		w.Header().Set("Content-Type", "text/event-stream")
+		fmt.Fprintf(w, "id: 1\ndata: answer\n\nid: 2\ndata: to %s\n\n", id)
+		return
+	}
 	fmt.Fprintf(w, "answer to %s\n", id)
 }
 
+// note records a step of a run.
+func (s *server) note(format string, args ...any) {
+	if !s.quiet {
+		s.record.add(format, args...)
+	}
+}
+
 // runs returns how often servers began to work on a request, and how often they ended that.
 func (d *deployment) runs(id string) (began, finished int) {
 	for _, s := range d.servers {
