--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -64,6 +64,7 @@
 	config    config
 	instances []*instance
 	servers   []*server
+	raw       []*rawServer
 	record    *record
 	closers   []func()
 }
--- a/review/harness/model.go
+++ b/review/harness/model.go
@@ -7,9 +7,8 @@
 // modelService is the service of the model servers.
 const modelService = "lilac-nurse"
 
-// addModels declares the model servers and the route of the app's questions, as on the sheet, and starts the servers
-// with the given time for each answer. Their clients record the runs.
-func (d *deployment) addModels(work time.Duration) error {
+// declareModels declares the model servers and the route of the app's questions, as on the sheet.
+func (d *deployment) declareModels() error {
 	d.config["version"] = 8
 	d.config["routes"] = append(d.config["routes"].([]any), map[string]any{
 		"name": "app-question", "hostname": "ficu95.example", "prefix": "/pule252/", "kind": "streaming", "timeout_ms": 4000,
@@ -23,7 +22,13 @@
 			"most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
 		},
 	})
-	if err := d.put(); err != nil {
+	return d.put()
+}
+
+// addModels declares the model servers and starts them with the given time for each answer. Their clients record the
+// runs.
+func (d *deployment) addModels(work time.Duration) error {
+	if err := d.declareModels(); err != nil {
 		return err
 	}
 	for n, zone := range zones {
