--- a/review/harness/idle.go
+++ b/review/harness/idle.go
@@ -30,6 +30,8 @@
 	// residents try at the end, for tryTime.
 	residents = 10
 	tryTime   = 8 * time.Second
+	// minTries is the least number of tries that the rule asks for.
+	minTries = 7
 )
 
 // limitDescriptors gives a process the machine's number of descriptors.
@@ -42,6 +44,18 @@
 	return nil
 }
 
+// hasDescriptors returns an error unless this process, which plays the residents, may have so many descriptors.
+func hasDescriptors(n uint64) error {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < n {
+		return fmt.Errorf("the clients may have %d descriptors, and need %d", limit.Cur, n)
+	}
+	return nil
+}
+
 // idleChannels has residents ask one question each, on a channel of their own that they keep. As the disruption, they
 // do not close it once it has been idle for idle_timeout_ms. With TROUBLE=0 they close it then.
 func idleChannels(d *deployment, trouble bool) (int, error) {
@@ -51,6 +65,9 @@
 	if err := d.addModels(20 * time.Millisecond); err != nil {
 		return failed, err
 	}
+	if err := hasDescriptors(2 * maxDescriptors); err != nil {
+		return failed, err
+	}
 	machine := d.instances[0]
 	if err := limitDescriptors(machine.command.Process.Pid); err != nil {
 		return failed, err
@@ -152,6 +169,9 @@
 	d.record.add("the directory of %s names %s: %v", d.instances[1].name, machine.name, d.directoryNames(d.instances[1], machine))
 	d.record.add("/readyz answered 200 %d times in %v, on the platform's kept channel", ready, tryTime)
 	d.record.add("%d residents tried %d new channels in %v, and %d were taken; RECOVER allows a ready machine no %v without one", residents, tried.Load(), tryTime, served.Load(), contactTime)
+	if tried.Load() < minTries {
+		return failed, fmt.Errorf("only %d channels could be tried", tried.Load())
+	}
 	if served.Load() == 0 && ready >= int(contactTime/time.Second) {
 		return broken, nil
 	}
