platform/clients, test/clients: crowds of clients that do not behave

What callers saw: in a trial by the users such clients ended a process, which ran out of memory; everybody else was then without it.

These entries do not count towards the list's cap, as the issue asks: one line a test.

--- a/internal/ci/known.go
+++ b/internal/ci/known.go
@@ -3,12 +3,17 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 )
 
 // maxKnown is the largest number of tests that may be known to fail.
 const maxKnown = 3
 
+// uncounted are the packages whose tests do not count towards maxKnown: a crowd of clients that finds a fault has a
+// line of its own.
+var uncounted = []string{"platform/clients:", "test/clients:"}
+
 // knownFields is the number of fields of a line: test, cause, issue.
 const knownFields = 3
 
@@ -43,6 +48,7 @@
 
 func parseKnown(file, text string) ([]knownTest, error) {
 	var known []knownTest
+	counted := 0
 	for index, line := range strings.Split(text, "\n") {
 		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
@@ -57,7 +63,10 @@
 			return nil, &KnownError{file, index + 1, "test, cause and issue must be given"}
 		}
 		known = append(known, entry)
-		if len(known) > maxKnown {
+		if !slices.ContainsFunc(uncounted, func(pkg string) bool { return strings.HasPrefix(entry.test, pkg) }) {
+			counted++
+		}
+		if counted > maxKnown {
 			return nil, &KnownError{file, index + 1, fmt.Sprintf("more than %d tests", maxKnown)}
 		}
 	}
