pkg/ingress, pkg/edge: what the connections of all clients hold is bounded

Cause: idle connections were kept for a constant of two minutes. The declared idle_timeout_ms and header_timeout_ms were decoded and read by no code.

pkg/ingress is the mechanism for all ports of a process (docs/design/clients.md). A port has a largest number of connections, from the process's descriptors and memory. A new one takes the place of one that has stalled, or waits for a request; requests that run are never cut off. The declared times are looked at each second by the configuration in force. A head takes memory by bytes and lines, as it arrives, of a bound that all heads share. This holds whatever clients send, since what is counted is what the process holds.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/lilacweir/lilacweir/pkg/fairshare"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/origin"
@@ -139,8 +140,11 @@
 	origins          *origin.Keeper
 	clients          *control.Clients
 	replicaClients   *control.Clients
-	registry         metrics.Registry
-	counts           counters
+	// guard bounds what clients hold of the process, at the ports.
+	guard    *ingress.Guard
+	ports    ports
+	registry metrics.Registry
+	counts   counters
 	// latestCounts holds the newest counts of the instances.
 	latestCounts atomic.Pointer[instanceCounts]
 	// mostInstances is the largest number of instances known lately.
@@ -234,6 +238,7 @@
 	e.origins = origin.New(origin.Options{
 		Self: e.self, Fleet: &e.board.Fleet, Live: e.liveInstances, Known: e.otherInstances, Current: options.ListCurrent, Client: e.clients, Clock: system, Log: e.log,
 	})
+	e.openPorts()
 	e.registerGauges(e.registry)
 	return e, nil
 }
@@ -320,12 +325,13 @@
 	return func() { <-ended }
 }
 
-// sweep closes connections that are no longer needed, and forgets upstreams that were leaving and
-// are removed.
+// sweep closes connections that are no longer needed or whose clients take too long, and forgets upstreams that
+// were leaving and are removed.
 func (e *Edge) sweep(ctx context.Context) {
 	for clock.Sleep(ctx, sweepEvery) {
 		e.upstreams.Sweep()
 		e.peers.Sweep()
+		e.guard.Sweep()
 		e.departures.Sweep(e.discovered)
 	}
 }
--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/logging"
 )
 
@@ -31,30 +31,32 @@
 	control *control.Server
 }
 
-// Bounds of callers' connections. The declared limits are enforced on each request as well.
 const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds a request's header in bytes. net/http allows 4 KiB more.
+	// maxHeader bounds a request's header in bytes, whatever is declared. net/http allows 4 KiB more.
 	maxHeader = 64 << 10
+	// maxEndpointHeader is that of an endpoint without upstreams.
+	maxEndpointHeader = 16 << 10
 )
 
 func (e *Edge) openListeners() (*listenerSet, error) {
 	listen := e.settings.Listen
-	handlers := []struct {
+	metrics := &http.Server{Handler: e.metricsHandler()}
+	LimitEndpoint(metrics)
+	servers := []struct {
 		address string
-		handler http.Handler
+		port    *ingress.Port
+		server  *http.Server
 	}{
-		{listen.Callers, http.HandlerFunc(e.serveCaller)},
-		{listen.Peers, http.HandlerFunc(e.servePeer)},
-		{listen.Metrics, e.metricsHandler()},
+		{listen.Callers, e.ports.callers, requestServer(e.serveCaller)},
+		{listen.Peers, e.ports.peers, requestServer(e.servePeer)},
+		{listen.Metrics, e.ports.metrics, metrics},
 	}
 	all := &listenerSet{}
-	for _, h := range handlers {
-		if h.address == "" {
+	for _, s := range servers {
+		if s.address == "" {
 			continue
 		}
-		opened, err := e.listen(h.address, h.handler)
+		opened, err := e.listen(s.address, s.port, s.server)
 		if err != nil {
 			return nil, err
 		}
@@ -67,17 +69,18 @@
 	return all, errors.Join(e.gossip.Register(all.control), e.origins.Register(all.control))
 }
 
-func (e *Edge) listen(address string, handler http.Handler) (*httpListener, error) {
+// requestServer returns the server of a handler of requests. The port limits the time for heads and between requests,
+// the handler that for bodies and answers.
+func requestServer(handler http.HandlerFunc) *http.Server {
+	return &http.Server{Handler: handler, MaxHeaderBytes: maxHeader, WriteTimeout: maxRequestTime + writeSlack}
+}
+
+func (e *Edge) listen(address string, port *ingress.Port, server *http.Server) (*httpListener, error) {
 	listener, err := e.options.transport().Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          logging.ServerErrors(e.log),
-	}
-	return &httpListener{listener: listener, server: server}, nil
+	server.ErrorLog = logging.ServerErrors(e.log)
+	port.Apply(server)
+	return &httpListener{listener: port.Over(listener), server: server}, nil
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -48,7 +48,13 @@
 // Limits bound what the instance and the deployment as a whole may do.
 type Limits struct {
 	// MemoryMB is the process's memory in MiB, zero if it is unbounded.
-	MemoryMB int `yaml:"memory_mb"`
+	MemoryMB int `yaml:"memory_mb" validate:"gte=0"`
+	// Descriptors is the number of descriptors that the process may open, zero for what the system grants.
+	Descriptors int `yaml:"descriptors" validate:"gte=0"`
+	// ClientMemoryMB bounds what all clients together hold of heads and bodies, in MiB, and
+	// ClientConnections the callers' open connections. Zero derives them from MemoryMB and Descriptors.
+	ClientMemoryMB    int `yaml:"client_memory_mb" validate:"gte=0"`
+	ClientConnections int `yaml:"client_connections" validate:"gte=0"`
 	// Grace is the longest time between SIGTERM and the end of the process.
 	Grace time.Duration `yaml:"grace"`
 	// RetryRatio and RetrySlack bound the retries that a service gets over RetryWindow and all
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -22,6 +22,9 @@
 	RequestsCutOff Name = "requests-cut-off"
 	// Stop means that the instance has shut down.
 	Stop Name = "stop"
+	// ClientClosed means that a client's connection was closed outside a request: it was too slow, or others
+	// needed what it held.
+	ClientClosed Name = "client-closed"
 	// LinesLeftOut counts lines dropped over budget or for a stalled reader.
 	LinesLeftOut Name = "lines-left-out"
 )
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -57,6 +57,7 @@
 	KeyLimit         = "limit"          // limit of an organisation, in units a second, or of an upstream, in requests
 	KeyLimited       = "limited"        // upstreams at their advertised limits for this instance
 	KeyLogLevel      = "log_level"      // minimum level of lines that are written
+	KeyLeftOut       = "left_out"       // lines like this one that were left out before it
 	KeyLeft          = "left"           // what remains of a budget
 	KeyLeftMS        = "left_ms"        // time left until the deadline
 	KeyMS            = "ms"             // time since the request arrived
@@ -76,6 +77,7 @@
 	KeyProblem       = "problem"
 	KeyPrompt        = "prompt"         // the request's prompt tokens
 	KeyReaderStalled = "reader_stalled" // number of lines dropped for a stalled reader
+	KeyPort          = "port"           // listener: callers, peers, directory, health, metrics, operators
 	KeyReason        = "reason"         // reason of a refusal
 	KeyRegion        = "region"
 	KeyRequest       = "request"  // the request's ID
