pkg/edge: what the bodies of all requests hold is bounded

What callers saw: many bodies of legal size at once, whole or stopped just short of the end, ended the process with all requests in it.

Cause: max_body_bytes bounds each body and nothing bounds them together: 46 of 4 MiB fill the machine of 184 MB that has descriptors for thousands. A body up to 64 KiB was allocated when it was announced.

Bodies take a sixth of the process's memory at most, by what has arrived. When it is used up, the body that has held the most bytes for the longest time without progress is given up (408, not run); if none has stalled the new request is refused at once (503 client-memory, not run), before its body is read if its length shows that it cannot be served. Both are true, as nothing is sent on before a body is whole. The memory is given back before a refusal is written, and when no attempt can follow.

--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"maps"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/steer"
 )
@@ -70,6 +70,7 @@
 			now:              e.now,
 		},
 	}
+	defer j.releaseBody()
 	refusal := j.serve()
 	j.finish(refusal)
 }
@@ -158,39 +159,34 @@
 
 // readBody reads the whole body, so that no part of a truncated request reaches an upstream.
 func (j *job) readBody() *outcome.Refusal {
-	limit := j.config.Limits.BodyBytes
-	body := io.Reader(j.request.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(j.writer.ResponseWriter, j.request.Body, int64(limit))
+	body, err := j.guard.ReadBody(j.writer.ResponseWriter, j.request, int64(j.config.Limits.BodyBytes), j.deadline)
+	if err != nil {
+		return j.bodyRefusal(err)
 	}
-	// A connection without deadlines (a test's recorder) has no slow sender.
-	_ = j.writer.control.SetReadDeadline(j.deadline)
-	data, err := readAll(body, j.request.ContentLength)
-	_ = j.writer.control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
+	j.received, j.body = body, body.Bytes
+	return nil
+}
+
+// bodyRefusal returns the refusal of a request whose body was not read whole.
+func (j *job) bodyRefusal(err error) *outcome.Refusal {
+	var tooLarge *ingress.TooLargeError
 	switch {
 	case errors.As(err, &tooLarge):
 		return outcome.Refuse(http.StatusRequestEntityTooLarge, outcome.ReasonTooLarge, 0, "the body is too large")
-	case err != nil:
-		refusal := outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, noConfigurationRetry, "the body did not arrive whole")
-		refusal.Err = err
-		return refusal
+	case errors.Is(err, ingress.ErrMemory):
+		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonClientMemory, steer.RetryAfter(j.now(), j.deadline), "requests hold all the memory that they may have here")
 	}
-	j.body = data
-	return nil
+	refusal := outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, noConfigurationRetry, "the body did not arrive whole")
+	refusal.Err = err
+	return refusal
 }
 
-// readAll reads a body of the given length, -1 if it is unknown.
-func readAll(body io.Reader, length int64) ([]byte, error) {
-	if length == 0 {
-		return nil, nil
-	}
-	if length < 0 || length > maxBuffered {
-		return io.ReadAll(body)
+// releaseBody gives the body up, once no attempt can follow.
+func (j *job) releaseBody() {
+	if j.received != nil {
+		j.body = nil
+		j.received.Release()
 	}
-	data := make([]byte, length)
-	_, err := io.ReadFull(body, data)
-	return data, err
 }
 
 // finish sends a refusal to the caller, and logs and counts the end of the request.
@@ -205,6 +201,8 @@
 		return
 	}
 	j.logRefusal(refusal, took)
+	// The caller may take its time for the refusal.
+	j.releaseBody()
 	j.refuse(refusal)
 }
 
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/httproute"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/origin"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/peer"
@@ -52,11 +53,13 @@
 	// quarantinedAs is what the request was refused for as quarantined: its own fingerprint, or
 	// that of a segment.
 	quarantinedAs quarantine.Fingerprint
-	body          []byte
-	forwarded     bool
-	started       time.Time
-	deadline      time.Time
-	writer        *writer
+	// received is the body, nil before it was read whole, and body its bytes.
+	received  *ingress.Body
+	body      []byte
+	forwarded bool
+	started   time.Time
+	deadline  time.Time
+	writer    *writer
 
 	// origin is the service and software version that began the stream, nil if it has not begun
 	// or if that is not known.
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -38,6 +38,7 @@
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonTooLarge         Reason = "too-large"
 	ReasonSlowCaller       Reason = "slow-caller"
+	ReasonClientMemory     Reason = "client-memory"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonCallerLimit      Reason = "caller-limit"
 	ReasonDeadline         Reason = "deadline-unreachable"
