pkg/edge: refusals do not wait for the rest of a body

Cause: readBody took the read deadline away before the refusal was written, and net/http reads the rest of a body, without a time limit, before it sends an answer. A client that reads nothing could hold the answer in the same way.

ingress.EndEarly: a short body that is there is read and its connection kept, for 20 ms at most; otherwise the answer says that the connection closes, which makes net/http send it at once, and the connection is drained for two seconds before it is closed, since bytes that arrive at a closed connection would reset it and the refusal be lost. Refusals must be taken in two seconds.

--- a/pkg/edge/clients.go
+++ b/pkg/edge/clients.go
@@ -99,6 +99,8 @@
 
 // Times in which callers and other clients must have taken an answer.
 const (
+	// refusalWriteTime is that for a refusal.
+	refusalWriteTime = 2 * time.Second
 	// endpointTime is that for a request at one of the endpoints without upstreams, and its answer.
 	endpointTime = 5 * time.Second
 )
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -222,6 +222,11 @@
 		j.deliver(j.upstreamFailure)
 		return
 	}
+	if j.received == nil {
+		ingress.EndEarly(j.writer.ResponseWriter, j.request)
+	}
+	// A connection without deadlines (a test's recorder) has no slow reader.
+	_ = j.writer.control.SetWriteDeadline(j.now().Add(refusalWriteTime))
 	fields := j.writer.Header()
 	maps.Copy(fields, j.dialect.Refusal(j.attributes.RequestID, refusal.RetryAfter))
 	fields.Set(header.Outcome, string(refusal.Outcome))
