pkg/edge: max_header_bytes is held against each request

A head above it gets 431. What counts are the target and the names and values of the fields, which is less than the bytes on the wire, so that no head within the limit is refused. A forwarding instance may add 4 KiB.

--- a/pkg/edge/clients.go
+++ b/pkg/edge/clients.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/ingress"
+	"github.com/lilacweir/lilacweir/pkg/outcome"
 )
 
 // Parts of the process that its clients may hold, as divisors of its memory.
@@ -97,6 +99,24 @@
 	return min(connections, ingress.ClientDescriptors(descriptors))
 }
 
+// forwardedFields is the size in bytes of the header fields that a forwarding instance may add.
+const forwardedFields = 4 << 10
+
+// checkHead refuses a request whose head exceeds the declared limit.
+func (j *job) checkHead() *outcome.Refusal {
+	limit := j.config.Limits.HeaderBytes
+	if limit == 0 {
+		return nil
+	}
+	if j.forwarded {
+		limit += forwardedFields
+	}
+	if len(j.request.RequestURI)+header.Size(j.request.Header) <= limit {
+		return nil
+	}
+	return outcome.Refuse(http.StatusRequestHeaderFieldsTooLarge, outcome.ReasonTooLarge, 0, "the head is too large")
+}
+
 // Times in which callers and other clients must have taken an answer.
 const (
 	// refusalWriteTime is that for a refusal.
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -108,6 +108,9 @@
 	if j.config == nil || j.board.Fleet.Load() == nil {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoConfiguration, j.startRetry(), "this instance has no configuration yet")
 	}
+	if refusal := j.checkHead(); refusal != nil {
+		return refusal
+	}
 	j.route = j.config.Match(j.request.Host, path(j.request.RequestURI))
 	if j.route == nil {
 		return outcome.Refuse(http.StatusNotFound, outcome.ReasonUnknownRoute, 0, "no route matches")
