pkg/api, pkg/gateway: the gateway bounds its clients by what they hold

What callers saw: 32 clients that announce large bodies and send nothing locked all others out for 30 s; connections that stay used up the descriptors; heads of short fields took 615 MB.

Cause: memory for bodies was taken for the announced length. At the largest number of connections new ones waited, idle or not. Heads up to 128 KiB were not counted.

The guard of pkg/ingress takes the place of the semaphore and of the two LimitListeners. gateway.client_memory (64 MiB) and gateway.max_connections are new. A refusal made before the body was read no longer waits for it here either.

--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
@@ -40,10 +41,11 @@
 // serveOperators starts the operators' HTTP server.
 func (a *Agent) serveOperators(ctx context.Context, group *errgroup.Group) error {
 	address := a.Settings.Agent.Operators
-	listener, err := a.Mesh.ListenPublic(address, a.Settings.Agent.OperatorsTLS, maxOperators)
+	listener, err := a.Mesh.ListenPublic(address, a.Settings.Agent.OperatorsTLS)
 	if err != nil {
 		return &ListenError{Address: address, Err: err}
 	}
+	listener = netutil.LimitListener(listener, maxOperators)
 	server := &http.Server{
 		Handler:           a.operatorRoutes(),
 		ReadHeaderTimeout: headerTimeout,
--- a/pkg/api/accept.go
+++ b/pkg/api/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"regexp"
@@ -15,6 +14,7 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/trace"
 )
@@ -139,49 +139,18 @@
 	return nil
 }
 
-// readBody reads the whole body within the limits. The body counts against the memory
-// for all bodies until release is called.
-func (s *Server) readBody(c echo.Context, request *dispatch.Request) (release func(), refusal *outcome.Refusal) {
-	incoming := c.Request()
-	size := incoming.ContentLength
-	if size > s.maxBody {
-		return nil, tooLarge()
-	}
-	if size < 0 {
-		size = s.maxBody
-	}
-	if !s.memory.TryAcquire(size) {
-		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, memoryRetry, "too many request bodies are in hand")
-	}
-	body, refusal := s.read(c, size)
-	if refusal != nil {
-		s.memory.Release(size)
-		return nil, refusal
-	}
-	used := int64(len(body))
-	s.memory.Release(size - used)
-	request.Body = body
-	return func() { s.memory.Release(used) }, nil
-}
-
-// read reads the body before a deadline. It clears the read deadline afterwards, since
-// the connection is then watched for a disconnect of the caller.
-func (s *Server) read(c echo.Context, size int64) ([]byte, *outcome.Refusal) {
-	if size == 0 {
-		return nil, nil
-	}
-	controller := http.NewResponseController(c.Response())
-	// Only test recorders lack deadlines, and they have no slow client.
-	_ = controller.SetReadDeadline(s.now().Add(bodyTimeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, s.maxBody))
-	var sizeError *http.MaxBytesError
+// readBody reads the whole body within the limits. It counts as held by the client until its Release.
+func (s *Server) readBody(c echo.Context) (*ingress.Body, *outcome.Refusal) {
+	body, err := s.guard.ReadBody(c.Response(), c.Request(), s.maxBody, s.now().Add(bodyTimeout))
+	var sizeError *ingress.TooLargeError
 	switch {
 	case err == nil:
 		return body, nil
 	case errors.As(err, &sizeError):
 		return nil, tooLarge()
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, ingress.ErrMemory):
+		return nil, outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonClientMemory, memoryRetry, "too many request bodies are in hand")
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, ingress.ErrStalled):
 		return nil, outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, 0, "the request's body came too slowly")
 	default:
 		return nil, badRequest("the request's body broke off")
--- a/pkg/api/api_test.go
+++ b/pkg/api/api_test.go
@@ -21,9 +21,11 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
+	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
 
 // fakeGateway is a Source and a Dispatcher that records the last dispatched request.
@@ -65,6 +67,7 @@
 	server := NewServer(Options{
 		Source: fake, Dispatcher: fake, Metrics: dispatch.NewMetrics(registry), Registry: registry,
 		MaxBody: testMaxBody, Now: time.Now, Domain: "here", Quota: quota.NewGate(clock.System{}),
+		Guard: ingress.New(ingress.Options{Memory: testMaxBody, Now: time.Now, Series: telemetry.NewSeries(registry, 10)}),
 	})
 	return server, fake
 }
--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -14,12 +14,12 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
 	"github.com/lilacweir/lilacweir/pkg/quota"
 	"github.com/lilacweir/lilacweir/pkg/relay"
@@ -38,8 +38,6 @@
 	// up to maxReadHeader; beyond, a plain status 431 and the connection is closed.
 	maxHeader     = 32 << 10
 	maxReadHeader = 128 << 10
-	// bodyMemory bounds the bodies of all active requests, in bytes.
-	bodyMemory = 256 << 20
 )
 
 // Dispatcher serves accepted requests.
@@ -79,7 +77,7 @@
 	metrics    *dispatch.Metrics
 	registry   metrics.Registry
 	maxBody    int64
-	memory     *semaphore.Weighted
+	guard      *ingress.Guard
 	now        func() time.Time
 	// domain is sent to callers as the failure domain that made a refusal.
 	domain string
@@ -100,8 +98,10 @@
 	Registry   metrics.Registry
 	// MaxBody bounds a request's body in bytes.
 	MaxBody int64
-	Now     func() time.Time
-	Domain  string
+	// Guard bounds what all clients together hold.
+	Guard  *ingress.Guard
+	Now    func() time.Time
+	Domain string
 }
 
 // NewServer returns a server with the given options.
@@ -113,7 +113,7 @@
 		metrics:    options.Metrics,
 		registry:   options.Registry,
 		maxBody:    options.MaxBody,
-		memory:     semaphore.NewWeighted(bodyMemory),
+		guard:      options.Guard,
 		now:        options.Now,
 		domain:     options.Domain,
 	}
@@ -186,11 +186,12 @@
 		if refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
-		release, refusal := s.readBody(c, request)
+		body, refusal := s.readBody(c)
 		if refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
-		defer release()
+		defer body.Release()
+		request.Body = body.Bytes
 		if refusal := decode(c, index, request); refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
@@ -243,9 +244,8 @@
 		refusal.Outcome = outcome.Unknown
 	}
 	s.metrics.Refuse(refusal.Reason)
-	if c.Request().ContentLength != 0 && request.Body == nil {
-		// The rest of the body is not read.
-		c.Response().Header().Set("Connection", "close")
+	if request.Body == nil {
+		ingress.EndEarly(c.Response(), c.Request())
 	}
 	c.Response().Header().Set(header.Domain, s.domain)
 	relay.NewSink(c.Response(), s.now).Refuse(refusal)
--- a/pkg/control/transport.go
+++ b/pkg/control/transport.go
@@ -12,8 +12,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/credential"
 	"github.com/lilacweir/lilacweir/pkg/settings"
@@ -136,31 +134,23 @@
 }
 
 // ListenPublic listens for callers or operators, who need no certificate, with TLS
-// if a pair is named. At most limit connections are open; further ones wait to be
-// accepted. The error may be a *credential.FileError.
-func (n *Network) ListenPublic(address string, pair settings.Pair, limit int) (net.Listener, error) {
+// if a pair is named. The caller bounds the connections. The error may be a
+// *credential.FileError.
+func (n *Network) ListenPublic(address string, pair settings.Pair) (net.Listener, error) {
 	if pair == (settings.Pair{}) {
-		return listenLimited(address, limit)
+		return net.Listen("tcp", address)
 	}
 	loaded, err := n.credentials.Pair(pair.Certificate, pair.Key)
 	if err != nil {
 		return nil, err
 	}
-	plain, err := listenLimited(address, limit)
+	plain, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	return tls.NewListener(plain, credential.ServerConfig(loaded, nil)), nil
 }
 
-func listenLimited(address string, limit int) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return netutil.LimitListener(listener, limit), nil
-}
-
 // Clients keeps one net/rpc connection for each address, for as long as the peer keeps it
 // open: the process at an address may have been replaced.
 type Clients struct {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,7 +21,6 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/admission"
@@ -32,6 +31,7 @@
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/dispatch"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/logging"
 	"github.com/lilacweir/lilacweir/pkg/platform"
@@ -72,6 +72,9 @@
 	marks    leavingMarks
 	suspects *suspects
 	client   *relay.Client
+	// guard bounds what clients hold, at the ports.
+	guard                    *ingress.Guard
+	callersPort, gatewayPort *ingress.Port
 
 	// running is cancelled by halt when the gateway stops.
 	running context.Context
@@ -123,6 +126,7 @@
 	g.running, g.halt = context.WithCancel(context.Background())
 	g.suspects = newSuspects(g.running, g.client.Probe)
 	g.claims = claim.New(g.claimOptions(keyValue))
+	g.openPorts()
 	g.registerGauges()
 	network.Credentials().Register(registry)
 	g.compile()
@@ -171,11 +175,14 @@
 	}
 	server := g.newServer()
 	callers, peers := server.Callers(), server.Peers()
+	g.callersPort.Apply(callers)
+	g.gatewayPort.Apply(peers)
 	callers.ErrorLog, peers.ErrorLog = logging.ServerErrors(g.log), logging.ServerErrors(g.log)
 	defer g.halt()
 	group, failed := errgroup.WithContext(g.running)
-	group.Go(func() error { return serve(callers, sockets.callers) })
-	group.Go(func() error { return serve(peers, sockets.peers) })
+	group.Go(func() error { return serve(callers, g.callersPort.Over(sockets.callers)) })
+	group.Go(func() error { return serve(peers, g.gatewayPort.Over(sockets.peers)) })
+	group.Go(func() error { g.guard.Run(failed); return nil })
 	group.Go(func() error { sockets.control.Serve(); return nil })
 	group.Go(func() error { g.compileLoop(failed); return nil })
 	group.Go(func() error { g.network.Credentials().Run(failed, g.log); return nil })
@@ -202,7 +209,7 @@
 
 func (g *Gateway) listen() (sockets listeners, err error) {
 	addresses := g.settings.Gateway
-	if sockets.callers, err = g.network.ListenPublic(addresses.Callers, addresses.CallersTLS, maxConnections); err != nil {
+	if sockets.callers, err = g.network.ListenPublic(addresses.Callers, addresses.CallersTLS); err != nil {
 		return sockets, fmt.Errorf("listen for callers: %w", err)
 	}
 	if sockets.peers, err = g.network.Listen(addresses.Peers); err != nil {
@@ -211,14 +218,9 @@
 	if sockets.control, err = control.NewServer(g.network, addresses.Control); err != nil {
 		return sockets, errors.Join(fmt.Errorf("listen for control: %w", err), sockets.close())
 	}
-	sockets.peers = netutil.LimitListener(sockets.peers, maxConnections)
 	return sockets, nil
 }
 
-// maxConnections bounds the open connections of callers, and of other gateways.
-// Further ones wait to be accepted; idle and slow ones are closed by timeouts.
-const maxConnections = 8192
-
 func (l listeners) close() error {
 	var failed error
 	for _, listener := range []net.Listener{l.callers, l.peers} {
@@ -244,6 +246,7 @@
 		Metrics:    g.metrics,
 		Registry:   g.registry,
 		MaxBody:    maxBody,
+		Guard:      g.guard,
 		Now:        g.clock.Now,
 		Domain:     g.settings.Domain,
 	})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -40,6 +40,12 @@
 	CallersTLS Pair `yaml:"callers_tls,omitempty"`
 	// MaxBody bounds a request's body in bytes; zero means DefaultMaxBody.
 	MaxBody int64 `yaml:"max_body,omitempty" validate:"gte=0"`
+	// ClientMemory bounds what all clients together hold of heads and bodies, in bytes; zero means
+	// DefaultClientMemory.
+	ClientMemory int64 `yaml:"client_memory,omitempty" validate:"gte=0"`
+	// MaxConnections bounds the open connections of callers; zero means DefaultMaxConnections, or
+	// fewer if the system grants the process few descriptors.
+	MaxConnections int `yaml:"max_connections,omitempty" validate:"gte=0"`
 	// Drain bounds a graceful shutdown; zero means DefaultDrain.
 	Drain time.Duration `yaml:"drain,omitempty" validate:"gte=0"`
 }
@@ -100,6 +106,10 @@
 const (
 	// DefaultMaxBody is 8 MiB, well above the size of a month of sleep logs.
 	DefaultMaxBody = 8 << 20
+	// DefaultClientMemory is 64 MiB, eight of the largest bodies.
+	DefaultClientMemory = 64 << 20
+	// DefaultMaxConnections is the largest number of connections of callers.
+	DefaultMaxConnections = 8192
 	// DefaultDrain is the time that running streams have to end at shutdown.
 	DefaultDrain = 10 * time.Minute
 )
