pkg/api, pkg/prefix: many small messages take no more memory than their body

What callers saw: six chat completions of legal size with 2.8 million empty messages each took 1,706 MB.

Cause: three bytes of a body become a message of 32 bytes in a list that is copied as it grows, and a hash and a count each for routing, which stay until the request ends.

Bodies with more than 4,096 braces are decoded one message at a time, and routing tells prompts apart by their first 4,096 messages. Others are decoded as before, at the same cost.

--- a/pkg/api/chat.go
+++ b/pkg/api/chat.go
@@ -17,22 +17,42 @@
 	"github.com/lilacweir/lilacweir/pkg/prefix"
 )
 
+// chatFields is the part of a chat completion beside its messages that routing needs.
+type chatFields struct {
+	Model               string `json:"model"`
+	MaxTokens           int    `json:"max_tokens"`
+	MaxCompletionTokens int    `json:"max_completion_tokens"`
+	Priority            string `json:"priority"`
+}
+
 // chatRequest is the part of a chat completion that routing needs.
 type chatRequest struct {
-	Model               string           `json:"model"`
-	Messages            []prefix.Message `json:"messages"`
-	MaxTokens           int              `json:"max_tokens"`
-	MaxCompletionTokens int              `json:"max_completion_tokens"`
-	Priority            string           `json:"priority"`
+	chatFields
+	Messages prefix.Prompt `json:"messages"`
+}
+
+// decodeChat decodes a chat completion. Few messages are decoded at once, which is faster; many one at a time, since
+// together they could take many times the memory of the body.
+func decodeChat(body []byte) (*chatRequest, error) {
+	if bytes.Count(body, []byte("{")) > prefix.MaxMessages {
+		decoded := new(chatRequest)
+		return decoded, json.Unmarshal(body, decoded)
+	}
+	var decoded struct {
+		chatFields
+		Messages []prefix.Message `json:"messages"`
+	}
+	err := json.Unmarshal(body, &decoded)
+	return &chatRequest{chatFields: decoded.chatFields, Messages: prefix.PromptOf(decoded.Messages)}, err
 }
 
 // chat decodes a chat completion. It is repeatable, since engines keep no state of it.
 func (s *Server) chat(_ echo.Context, index *Configuration, request *dispatch.Request) *outcome.Refusal {
-	var body chatRequest
-	if err := json.Unmarshal(request.Body, &body); err != nil {
+	body, err := decodeChat(request.Body)
+	if err != nil {
 		return badRequest("the body is not a chat completion: " + err.Error())
 	}
-	if len(body.Messages) == 0 {
+	if body.Messages.Messages == 0 {
 		return badRequest("the body holds no messages")
 	}
 	model, ok := index.Model(body.Model)
@@ -54,9 +74,9 @@
 	request.Serves = body.Model
 	request.Kind = config.KindEngine
 	request.Repeatable = true
-	request.Prefixes = prefix.Hashes(body.Messages)
-	request.PrefixTokens = prefix.TokensUpTo(body.Messages)
-	request.PromptTokens = prefix.Tokens(body.Messages)
+	request.Prefixes = body.Messages.Hashes
+	request.PrefixTokens = body.Messages.TokensUpTo
+	request.PromptTokens = body.Messages.Tokens()
 	return nil
 }
 
--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -195,6 +195,8 @@
 		if refusal := decode(c, index, request); refusal != nil {
 			return s.refuse(c, request, refusal)
 		}
+		// Decoding may have replaced the bytes.
+		body.Bytes = request.Body
 		pass, refusal := s.admit(request)
 		if refusal != nil {
 			return s.refuse(c, request, refusal)
--- a/pkg/prefix/prefix.go
+++ b/pkg/prefix/prefix.go
@@ -22,15 +22,19 @@
 	digest := xxhash.New()
 	hashes := make([]uint64, 0, len(messages))
 	for _, message := range messages {
-		_, _ = digest.WriteString(message.Role)
-		_, _ = digest.Write(separator)
-		_, _ = digest.WriteString(message.Content)
-		_, _ = digest.Write(separator)
+		message.writeTo(digest)
 		hashes = append(hashes, digest.Sum64())
 	}
 	return hashes
 }
 
+func (m *Message) writeTo(digest *xxhash.Digest) {
+	_, _ = digest.WriteString(m.Role)
+	_, _ = digest.Write(separator)
+	_, _ = digest.WriteString(m.Content)
+	_, _ = digest.Write(separator)
+}
+
 // Tokens estimates the length of a prompt in tokens, rounded up.
 func Tokens(messages []Message) int {
 	total := 0
