pkg/agent: the operators' port bounds what its clients hold

What operators saw: forty clients without a key that send declarations stopped short of the end, as an agent without a configuration reads them, took 349 to 514 MB; heads of short fields 485 MB.

Cause: each declaration may have 8 MiB, and 1,024 connections could send one. Answers that nobody read had no time limit.

One declaration of the largest size is read at a time; the others get 503 or lose their memory when they stall.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -21,6 +21,7 @@
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/order"
 	"github.com/lilacweir/lilacweir/pkg/platform"
@@ -73,6 +74,8 @@
 	clients *control.Clients
 	local   *control.Clients
 	http    *http.Client
+	// guard bounds what clients of the operators' server hold.
+	guard *ingress.Guard
 	// executor runs operators' commands.
 	executor *command.Executor
 	started  time.Time
@@ -119,6 +122,7 @@
 		exchange: newSignal(),
 		catchUp:  newSignal(),
 	}
+	a.guard = newGuard(&options)
 	a.calls.register(options.Registry)
 	registerBytes(options.Registry, options.Mesh.Meter(), options.Local.Meter())
 	options.Mesh.Credentials().Register(options.Registry)
--- a/pkg/agent/operators.go
+++ b/pkg/agent/operators.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 	"github.com/lilacweir/lilacweir/pkg/logging"
 	"github.com/lilacweir/lilacweir/pkg/telemetry"
 )
@@ -21,18 +21,21 @@
 // Bounds of the operators' HTTP server.
 const (
 	headerTimeout = 5 * time.Second
-	// requestTimeout bounds reading a request. There is no write timeout, as an
-	// answer may wait until a change is in force.
+	// requestTimeout bounds reading a request.
 	requestTimeout = 30 * time.Second
 	// maxHeader bounds a request's header in bytes. A header of up to maxRead is read
 	// and refused; beyond that, the server closes the connection with a plain status
 	// 431.
 	maxHeader = 16 << 10
 	maxRead   = 128 << 10
-	// maxOperators bounds the open connections of operators and of health and metrics
-	// clients. Slow ones are closed by timeouts; hundreds of them must not keep
-	// others out.
+	// writeTimeout bounds a request and its answer, which may wait until a change is in force.
+	writeTimeout = requestTimeout + command.InForceBound
+	// maxOperators bounds the open connections of operators and of health and metrics clients.
 	maxOperators = 1024
+	// operatorMemory bounds what they hold together, in bytes: one of the largest declarations.
+	operatorMemory = 2 * maxDeclaration
+	// maxClientMetrics bounds the labelled metrics about them.
+	maxClientMetrics = 64
 	// closeTimeout bounds requests in progress while stopping: the answer to a change
 	// waits for command.InForceBound.
 	closeTimeout = command.InForceBound + 2*time.Second
@@ -45,16 +48,20 @@
 	if err != nil {
 		return &ListenError{Address: address, Err: err}
 	}
-	listener = netutil.LimitListener(listener, maxOperators)
 	server := &http.Server{
 		Handler:           a.operatorRoutes(),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       requestTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       ingress.DefaultIdleTime,
 		MaxHeaderBytes:    maxRead,
 		ErrorLog:          logging.ServerErrors(a.Log),
 	}
+	port := a.guard.Port("operators", min(maxOperators, ingress.ClientDescriptors(ingress.Descriptors())))
+	port.Apply(server)
+	group.Go(func() error { a.guard.Run(ctx); return nil })
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(port.Over(listener))
 		if errors.Is(err, http.ErrServerClosed) {
 			return nil
 		}
@@ -72,6 +79,13 @@
 	return nil
 }
 
+// newGuard returns the guard of the operators' server.
+func newGuard(options *Options) *ingress.Guard {
+	return ingress.New(ingress.Options{
+		Memory: operatorMemory, Now: time.Now, Log: options.Log, Series: telemetry.NewSeries(options.Registry, maxClientMetrics),
+	})
+}
+
 func (a *Agent) operatorRoutes() http.Handler {
 	router := echo.New()
 	router.Use(limitHeader)
--- a/pkg/agent/operators_test.go
+++ b/pkg/agent/operators_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/header"
 )
@@ -95,7 +97,8 @@
 			is := is.New(t)
 			recorder := httptest.NewRecorder()
 			c := echo.New().NewContext(httptest.NewRequest(http.MethodPost, "/v1/command", test.body), recorder)
-			is.NoErr(new(Agent).serveCommand(c))
+			a := &Agent{guard: newGuard(&Options{Log: zerolog.Nop(), Registry: metrics.NewRegistry()})}
+			is.NoErr(a.serveCommand(c))
 			is.Equal(recorder.Code, test.want)
 			is.Equal(recorder.Header().Get(header.Verdict), "refused")
 		})
--- a/pkg/agent/serve_command.go
+++ b/pkg/agent/serve_command.go
@@ -2,10 +2,10 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"go.yaml.in/yaml/v3"
@@ -13,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/command"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/header"
+	"github.com/lilacweir/lilacweir/pkg/ingress"
 )
 
 // Bounds of operators' request bodies, in bytes.
@@ -27,10 +28,11 @@
 // as "id" and the revision that the operator saw as "seen"; "again=1" marks a
 // repetition with the same id.
 func (a *Agent) serveCommand(c echo.Context) error {
-	body, err := readLimited(c, maxLine)
+	body, err := a.readBody(c, maxLine)
 	if err != nil {
 		return rejectBody(c, err, "the line is too long")
 	}
+	defer body.Release()
 	operator, ok := a.operator(c, nil)
 	if !ok {
 		return reject(c, http.StatusUnauthorized, a.unauthenticated())
@@ -40,7 +42,7 @@
 		return reject(c, http.StatusBadRequest, "seen: expected a revision number")
 	}
 	reply := a.executor.ExecuteRequest(c.Request().Context(), command.Request{
-		Operator: operator, Line: strings.TrimSpace(string(body)), ID: c.QueryParam("id"), Seen: seen,
+		Operator: operator, Line: strings.TrimSpace(string(body.Bytes)), ID: c.QueryParam("id"), Seen: seen,
 		Repeated: c.QueryParam("again") == "1",
 	})
 	c.Response().Header().Set(header.Revision, strconv.FormatUint(uint64(a.keeper.Revision()), 10))
@@ -52,14 +54,15 @@
 // configuration is in force, the body of an unauthenticated request is not read.
 func (a *Agent) serveApply(c echo.Context) error {
 	if _, ok := a.operator(c, nil); !ok && a.board.Config.Load() != nil {
-		c.Response().Header().Set("Connection", "close")
+		ingress.EndEarly(c.Response(), c.Request())
 		return reject(c, http.StatusUnauthorized, a.unauthenticated())
 	}
-	body, err := readLimited(c, maxDeclaration)
+	body, err := a.readBody(c, maxDeclaration)
 	if err != nil {
 		return rejectBody(c, err, "the declaration is too large")
 	}
-	operator, ok := a.operator(c, body)
+	defer body.Release()
+	operator, ok := a.operator(c, body.Bytes)
 	if !ok {
 		return reject(c, http.StatusUnauthorized, a.unauthenticated())
 	}
@@ -68,7 +71,7 @@
 		return reject(c, http.StatusBadRequest, "seen: expected a revision number")
 	}
 	difference := a.executor.Apply(c.Request().Context(), command.ApplyRequest{
-		Operator: operator, File: fileName(c.QueryParam("file")), Data: body, Seen: seen,
+		Operator: operator, File: fileName(c.QueryParam("file")), Data: body.Bytes, Seen: seen,
 		First: c.QueryParam("seen") == "0",
 		ID:    c.QueryParam("id"), DryRun: c.QueryParam("dry") == "1", Force: c.QueryParam("force") == "1",
 	})
@@ -130,17 +133,22 @@
 	return name
 }
 
-// readLimited reads a body of at most limit bytes.
-func readLimited(c echo.Context, limit int64) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, limit))
+// readBody reads a body of at most limit bytes.
+func (a *Agent) readBody(c echo.Context, limit int64) (*ingress.Body, error) {
+	return a.guard.ReadBody(c.Response(), c.Request(), limit, time.Now().Add(requestTimeout))
 }
 
 // rejectBody answers a request with a body that was too large, too slow or
-// incomplete.
+// incomplete, or for which there was no memory.
 func rejectBody(c echo.Context, err error, tooLarge string) error {
-	var over *http.MaxBytesError
-	if errors.As(err, &over) {
+	ingress.EndEarly(c.Response(), c.Request())
+	var over *ingress.TooLargeError
+	switch {
+	case errors.As(err, &over):
 		return reject(c, http.StatusRequestEntityTooLarge, tooLarge)
+	case errors.Is(err, ingress.ErrMemory):
+		c.Response().Header().Set(header.RetryAfter, "1")
+		return reject(c, http.StatusServiceUnavailable, "too many declarations are being read")
 	}
 	return reject(c, http.StatusBadRequest, "the request's body broke off")
 }
