pkg/edge: only a new connection shows that an unframed answer is whole

Cause: an answer without a length counted as whole if an idle connection to its server had nothing to read. A connection that failed silently looks the same. A connection that could not be made in time counted for the server as well.

Such an answer is whole only if a new connection to its server can be made, in two tries, or if the server had said that it leaves and refuses connections. Any doubt ends as unknown, or as a retry where the request may run again. The price is a connection for each such answer, which the pool keeps in place of the used one.

--- a/pkg/edge/unframed.go
+++ b/pkg/edge/unframed.go
@@ -22,8 +22,12 @@
 // errUpstreamLeft means the same of an upstream that was leaving.
 var errUpstreamLeft = errors.New("the leaving upstream does not accept connections any more")
 
-// checkEnd returns an error if an answer that was read to its end was cut off by the end of the
-// upstream. A leaving upstream finishes its answers before it ends, as a rule: a stream that may be
+// endProbes is the number of connections that are tried to learn whether an upstream has ended: the first packet of
+// one may be lost.
+const endProbes = 2
+
+// checkEnd returns an error unless it is certain that an answer that was read to its end was not cut off by
+// the end of the upstream: a new connection to it must be made, since an idle one may have failed silently. A leaving upstream finishes its answers before it ends, as a rule: a stream that may be
 // resumed is continued elsewhere, and is complete if nothing follows.
 func (c *call) checkEnd(ctx context.Context, answer *exchange.Answer) error {
 	if c.peer || !answer.EndsWithConnection() || !answer.Complete() {
@@ -36,16 +40,18 @@
 		c.counts.series.Counter("answers.cut").Inc(1)
 		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: errUpstreamEnded}
 	}
-	if c.pool.ShowsLife(c.target.ID) {
-		return nil
-	}
 	// The connection replaces the one that the answer has used up.
 	var err error
-	c.await(func() { err = c.pool.Probe(ctx, c.target) })
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	for range endProbes {
+		c.await(func() { err = c.pool.Probe(ctx, c.target) })
+		if err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	if err == nil {
 		return nil
 	}
-	if !c.isLeaving(c.target.ID) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || !c.isLeaving(c.target.ID) {
 		c.counts.series.Counter("answers.cut").Inc(1)
 		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: fmt.Errorf("%w: %w", errUpstreamEnded, err)}
 	}
--- a/pkg/edge/unframed_test.go
+++ b/pkg/edge/unframed_test.go
@@ -7,10 +7,12 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 )
 
@@ -170,3 +172,32 @@
 		return sendEvents(after+1, last, true)(conn, request)
 	}
 }
+
+// TestSilentConnectionIsNoSignOfLife guards against an answer that its upstream's crash cut off and that looks
+// complete, since an idle connection to the upstream has failed silently.
+func TestSilentConnectionIsNoSignOfLife(t *testing.T) {
+	var u *upstream
+	both := make(chan struct{}, 2)
+	u = newUpstream(t, func(conn net.Conn, request *http.Request) bool {
+		if request.RequestURI != "/r/crash" {
+			// Two requests at a time leave two idle connections.
+			both <- struct{}{}
+			for len(both) < cap(both) {
+				clock.Sleep(t.Context(), time.Millisecond)
+			}
+			return respond(http.StatusOK, "whole")(conn, request)
+		}
+		_ = u.listener.Close()
+		writeResponse(conn, request, http.StatusOK, "", "half of an ans")
+		return false
+	})
+	h := newHarness(t, unsafeRoute, u)
+	var warm sync.WaitGroup
+	for range 2 {
+		warm.Go(func() { h.ask(http.MethodPost, "/r/", "x") })
+	}
+	warm.Wait()
+	h.is.True(h.edge.upstreams.Connected("u-0"))
+	got := h.ask(http.MethodPost, "/r/crash", "x")
+	h.is.Equal(got.status, http.StatusBadGateway)
+}
