pkg/api: a body's memory is given back before its refusal is written

What callers saw: the memory of a refused request stayed held while its caller took the refusal, up to 20 s.

Cause: it was given back when the handler returned, after the write. Found by reading, not by a test. The body is released, and its bytes are dropped, before the refusal of a request that cannot be decoded or is over a limit is written.

--- a/pkg/api/server.go
+++ b/pkg/api/server.go
@@ -192,13 +192,17 @@
 		}
 		defer body.Release()
 		request.Body = body.Bytes
-		if refusal := decode(c, index, request); refusal != nil {
-			return s.refuse(c, request, refusal)
-		}
+		refusal = decode(c, index, request)
 		// Decoding may have replaced the bytes.
 		body.Bytes = request.Body
-		pass, refusal := s.admit(request)
+		var pass *quota.Pass
+		if refusal == nil {
+			pass, refusal = s.admit(request)
+		}
 		if refusal != nil {
+			// The caller may take its time for the refusal.
+			request.Body = []byte{}
+			body.Release()
 			return s.refuse(c, request, refusal)
 		}
 		sink := relay.NewSink(c.Response().Writer, s.now) // echo's writer mistakes an interim response for the final one
