pkg/ingress: connections are kept after the refusal of a body up to 256 KiB

Below that net/http kept them before; a prompt of 17,000 tokens is above the 64 KiB that EndEarly read. Ordinary callers over a limit would have connected anew for each refusal. The wait for the body stays 20 ms. Found by reading.

--- a/pkg/ingress/early.go
+++ b/pkg/ingress/early.go
@@ -12,7 +12,7 @@
 	arrivalTime = 20 * time.Millisecond
 	// shortBody is the length in bytes of a body that is read to its end, so that its connection can be used
 	// again.
-	shortBody = 64 << 10
+	shortBody = 256 << 10
 	// lingerTime is the time for which a client may take an answer and stop sending before its connection is
 	// closed. Data that arrives at a closed connection resets it, and the answer could be lost.
 	lingerTime = 2 * time.Second
