pkg/ingress: refusals of bodies are counted and logged on every port

What operators saw: the gateway and the agent refused requests for their bodies without a line, and a head that lost its memory to others was not counted where another connection took it.

clients.refused and the event client-refused name the port, the reason and what clients hold; client-closed and client-refused share five lines a second, and a line says how many were left out before it.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -25,6 +25,9 @@
 	// ClientClosed means that a client's connection was closed outside a request: it was too slow, or others
 	// needed what it held.
 	ClientClosed Name = "client-closed"
+	// ClientRefused means that a request was refused since its body was not read whole: it was too slow or too
+	// large, or there was no memory for it.
+	ClientRefused Name = "client-refused"
 	// LinesLeftOut counts lines dropped over budget or for a stalled reader.
 	LinesLeftOut Name = "lines-left-out"
 )
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -49,10 +49,18 @@
 // that is announced. The error is a *TooLargeError, ErrMemory, ErrStalled or that of the connection; the rest of
 // the body has not been read then, and the answer must be prepared by EndEarly.
 func (g *Guard) ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
-	length := r.ContentLength
-	if length == 0 {
+	if r.ContentLength == 0 {
 		return &Body{}, nil
 	}
+	body, err := g.readBody(w, r, limit, deadline)
+	if err != nil {
+		g.recordRefused(connOf(r.Context()).portOrNil(), err, r.ContentLength)
+	}
+	return body, err
+}
+
+func (g *Guard) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*Body, error) {
+	length := r.ContentLength
 	if limit > 0 && length > limit {
 		return nil, &TooLargeError{Limit: limit}
 	}
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -53,6 +53,14 @@
 	return c
 }
 
+// portOrNil returns the port of a connection, nil if no Port accepted it.
+func (c *conn) portOrNil() *Port {
+	if c == nil {
+		return nil
+	}
+	return c.port
+}
+
 // Read implements net.Conn. A head takes memory of the clients as it arrives.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -98,14 +106,14 @@
 	if c.receipt == nil {
 		c.receipt = c.port.guard.memory.BeginHead(c.abandon)
 	}
-	if err := c.receipt.Grow(needed); err != nil {
-		c.port.guard.record(c.port, causeOf(err), c.head.cost)
-		return err
+	err := c.receipt.Grow(needed)
+	if errors.Is(err, ErrMemory) {
+		c.port.guard.recordClosed(c.port, causeMemory, c.head.cost)
 	}
-	if whole {
-		return c.receipt.Complete()
+	if err == nil && whole {
+		err = c.receipt.Complete()
 	}
-	return nil
+	return err
 }
 
 // Close implements net.Conn. After an early answer it gives the client time to take it.
@@ -148,10 +156,14 @@
 
 // releaseHead gives the memory of a head back. Only the connection's own goroutine calls it.
 func (c *conn) releaseHead() {
-	if c.receipt != nil {
-		c.receipt.Release()
-		c.receipt = nil
+	if c.receipt == nil {
+		return
+	}
+	if c.receipt.Ceased() {
+		c.port.guard.recordClosed(c.port, causeStalled, c.head.cost)
 	}
+	c.receipt.Release()
+	c.receipt = nil
 }
 
 // receive records that a body is read. It returns false if the connection was closed.
--- a/pkg/ingress/guard.go
+++ b/pkg/ingress/guard.go
@@ -111,7 +111,7 @@
 	g.series.Gauge("clients.memory_limit").Update(limit)
 }
 
-// cause is why a connection was closed.
+// cause is why a connection was closed, or a request refused.
 type cause string
 
 const (
@@ -122,34 +122,60 @@
 	causeFull cause = "connections"
 	// causeMadeRoom means that a new connection took its place.
 	causeMadeRoom cause = "made-room"
-	// causeMemory and causeStalled are ErrMemory and ErrStalled while a head arrives.
+	// causeMemory and causeStalled are ErrMemory and ErrStalled.
 	causeMemory  cause = "memory"
 	causeStalled cause = "stalled"
+	// causeTooLarge is a TooLargeError, and causeBroken a body that ended or was too slow.
+	causeTooLarge cause = "too-large"
+	causeBroken   cause = "broken"
 )
 
+// causeOf returns why a body was not read.
 func causeOf(err error) cause {
-	if errors.Is(err, ErrStalled) {
+	var tooLarge *TooLargeError
+	switch {
+	case errors.Is(err, ErrMemory):
+		return causeMemory
+	case errors.Is(err, ErrStalled):
 		return causeStalled
+	case errors.As(err, &tooLarge):
+		return causeTooLarge
+	default:
+		return causeBroken
 	}
-	return causeMemory
 }
 
-// record counts and logs a connection that was closed, with the memory that its head holds.
-func (g *Guard) record(p *Port, why cause, bytes int64) {
-	g.series.Counter("clients.closed", p.label(), telemetry.Label{Name: "reason", Value: string(why)}).Inc(1)
-	if why == causeIdle {
-		return
+// recordClosed counts and logs a connection that was closed outside a request that runs, with the cost of its head.
+func (g *Guard) recordClosed(p *Port, why cause, bytes int64) {
+	g.series.Counter("clients.closed", p.label(), reasonLabel(why)).Inc(1)
+	if why != causeIdle {
+		g.writeLine(event.ClientClosed, p, why, bytes)
 	}
+}
+
+// recordRefused counts and logs a request whose body was not read, with its announced length, -1 if unknown.
+func (g *Guard) recordRefused(p *Port, err error, bytes int64) {
+	why := causeOf(err)
+	g.series.Counter("clients.refused", p.label(), reasonLabel(why)).Inc(1)
+	g.writeLine(event.ClientRefused, p, why, bytes)
+}
+
+func reasonLabel(why cause) telemetry.Label {
+	return telemetry.Label{Name: "reason", Value: string(why)}
+}
+
+// writeLine logs what was recorded, within the budget of lines.
+func (g *Guard) writeLine(name event.Name, p *Port, why cause, bytes int64) {
 	write, leftOut := g.lines.take(g.now())
 	if !write {
 		return
 	}
 	used, limit := g.memory.Used()
-	g.log.Warn().Str(event.KeyPort, p.name).Str(event.KeyReason, string(why)).Int64(event.KeyBytes, bytes).
-		Int64(event.KeyUsed, used).Int64(event.KeyLimit, limit).Int64(event.KeyLeftOut, leftOut).Msg(string(event.ClientClosed))
+	g.log.Warn().Str(event.KeyPort, p.label().Value).Str(event.KeyReason, string(why)).Int64(event.KeyBytes, bytes).
+		Int64(event.KeyUsed, used).Int64(event.KeyLimit, limit).Int64(event.KeyLeftOut, leftOut).Msg(string(name))
 }
 
-// linesPerSecond bounds the log lines about connections that were closed.
+// linesPerSecond bounds the log lines about clients.
 const linesPerSecond = 5
 
 // lineBudget permits linesPerSecond lines and counts the others.
--- a/pkg/ingress/port.go
+++ b/pkg/ingress/port.go
@@ -92,7 +92,7 @@
 	full := len(p.conns) >= p.most
 	p.mu.Unlock()
 	if full && !p.makeRoom() {
-		p.guard.record(p, causeFull, 0)
+		p.guard.recordClosed(p, causeFull, 0)
 		_ = accepted.Close()
 		return nil
 	}
@@ -161,7 +161,7 @@
 func (p *Port) closeLocked(c *conn, why cause) {
 	c.phase = closed
 	delete(p.conns, c)
-	p.guard.record(p, why, 0)
+	p.guard.recordClosed(p, why, 0)
 	c.abandon()
 }
 
@@ -205,7 +205,14 @@
 	}
 }
 
-func (p *Port) label() telemetry.Label { return telemetry.Label{Name: "port", Value: p.name} }
+// label is the port's metric label; a nil Port stands for connections that no Port accepted.
+func (p *Port) label() telemetry.Label {
+	name := "none"
+	if p != nil {
+		name = p.name
+	}
+	return telemetry.Label{Name: "port", Value: name}
+}
 
 func (p *Port) size() int64 {
 	p.mu.Lock()
--- a/pkg/ingress/port_test.go
+++ b/pkg/ingress/port_test.go
@@ -27,7 +27,8 @@
 	guard   *Guard
 	address string
 	release chan struct{}
-	ended   func(reason string) int64
+	// ended and refused count connections that were closed, and requests that were refused.
+	ended, refused func(reason string) int64
 }
 
 func newSite(t *testing.T, connections int, limits Limits) *site {
@@ -37,9 +38,10 @@
 	s := &site{I: is.New(t), release: make(chan struct{})}
 	s.guard = New(Options{Memory: mb, MaxMemory: 2 * mb, Limits: func() Limits { return limits }, Now: time.Now, Log: zerolog.Nop(), Series: series})
 	port := s.guard.Port("test", connections)
-	s.ended = func(reason string) int64 {
-		return series.Counter("clients.closed", port.label(), telemetry.Label{Name: "reason", Value: reason}).Count()
+	counter := func(name string) func(reason string) int64 {
+		return func(reason string) int64 { return series.Counter(name, port.label(), reasonLabel(cause(reason))).Count() }
 	}
+	s.ended, s.refused = counter("clients.closed"), counter("clients.refused")
 	server := &http.Server{Handler: http.HandlerFunc(s.serve)}
 	port.Apply(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -213,6 +215,7 @@
 	}
 	s.send(conn, fmt.Sprintf("POST /read HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", mb/2+1))
 	s.Equal(s.answer(conn).StatusCode, http.StatusServiceUnavailable)
+	s.Equal(s.refused("too-large"), int64(1))
 	for used, _ := s.guard.memory.Used(); used != 0; used, _ = s.guard.memory.Used() {
 		clock.Sleep(t.Context(), time.Millisecond)
 	}
