pkg/exchange: an unframed answer that a reset cut off inside an upload is incomplete

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written.

Cause: the system reports the reset of a connection once, to the first call after it. Here that is the write of the upload. The read that follows gets what had arrived, and then the end of the data, as after an orderly close. The answer has no frame, so its end is where the data ends; the check of the upstream's life (checkEnd) finds it living, as it is.

Evidence: TestCutAnswersAreNotPassedOnAsComplete (platform/answers): two lilacweir-edge processes, servers that send raw bytes, uploads of 12 MiB against receive buffers of 64 KiB. On its case "without either, an upload of bytes" fails for each of the five kinds of request at both instances (10 successes with a part of the body in one run); with a length, in chunks, and with nothing left to upload the cut answers are handled already.

Result: passes, 5 of 5 runs.

Why it works: a failed write is remembered with the answer. If it failed, the end of an answer without a frame counts only if the write failed with EPIPE, which the system returns if the other side had ended its data before the reset: then the end is real. Framed answers need no such proof.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 )
 
@@ -92,6 +93,8 @@
 	reuse    bool
 	complete bool
 	closed   bool
+	// unsent is the error of writing the request, nil if all of it was written.
+	unsent error
 }
 
 // earlyAnswerWait bounds the wait for an answer after an incomplete write: a server that
@@ -150,6 +153,7 @@
 		stop:   stop,
 		framed: framed(response),
 		reuse:  complete && skipped == 0 && !response.Close && framed(response),
+		unsent: err,
 	}, nil
 }
 
@@ -158,15 +162,26 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// ErrReset means that the connection was reset before the end of an answer that ends with it.
+var ErrReset = errors.New("the connection was reset inside the answer")
+
 // Read reads the body. io.EOF means that the answer is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if !a.framed && wasReset(a.unsent) {
+			return n, ErrReset
+		}
 		a.complete = true
 	}
 	return n, err
 }
 
+// wasReset reports whether a failed write shows that the connection was reset before its other side had ended it. The
+// system reports a reset once: after the write a read finds the end of the data. A write fails with EPIPE if the other
+// side had ended its data before the reset.
+func wasReset(err error) bool { return err != nil && !errors.Is(err, syscall.EPIPE) }
+
 // Complete reports whether the body was read to its end.
 func (a *Answer) Complete() bool { return a.complete }
 
