pkg/exchange: an answer is read while a long request is still being written

What callers saw: a server that answered a long upload whole, before it had read the upload, and read on later or not at all, was answered for with 504 at the route's timeout, or with a broken answer where the answer was longer than the receive buffer and the server then closed. The answer was sound, and the request had run.

Cause: the answer was read only after the whole request was written, or the write had failed. A write blocks while the server does not read; what it sends beyond the receive buffer is lost if it then closes.

Evidence: TestSoundEarlyAnswersArePassedOn and TestServerReadsNoOtherBytesAfterAnEarlyAnswer (platform/answers), uploads of 12 MiB. On: "then left open without reading on" is 504 after 4 s for each framing, kind of request and instance; "then closed without reading on" and "then reset" break answers of 250 KB after about 126,000 bytes. Shorter answers that a reset follows were passed on already.

The rest is written by a goroutine of its own while the answer is read. A connection is used again only after the request was written whole. The end of an unframed answer ends the write, so that its error is known: none, a passed deadline or EPIPE mean that the server ended its data in order, any other that the connection was reset. Close waits until the body is not used any more.

--- a/pkg/exchange/bound.go
+++ b/pkg/exchange/bound.go
@@ -51,13 +51,11 @@
 	// began is when the first byte of the present head arrived, zero before it, and until the end of
 	// its time, zero while it arrived in one piece.
 	began, until time.Time
-	// usual is the read deadline apart from that, zero if there is none.
-	usual time.Time
 }
 
-// bound begins the bounds, with a read deadline, zero for none.
-func (c *boundedConn) bound(usual time.Time) {
-	c.bounded, c.left, c.usual = true, maxHeadBytes, usual
+// bound begins the bounds.
+func (c *boundedConn) bound() {
+	c.bounded, c.left = true, maxHeadBytes
 	c.nextHead()
 }
 
@@ -75,16 +73,12 @@
 
 // setUntil sets the end of the time for a head, zero for none, and the read deadline by it.
 func (c *boundedConn) setUntil(until time.Time) {
-	if c.until.IsZero() && until.IsZero() && c.usual.IsZero() {
+	if c.until.IsZero() && until.IsZero() {
 		return
 	}
 	c.until = until
-	deadline := c.usual
-	if !until.IsZero() && (deadline.IsZero() || until.Before(deadline)) {
-		deadline = until
-	}
 	// If this fails the exchange's context still ends the wait.
-	_ = c.SetReadDeadline(deadline)
+	_ = c.SetReadDeadline(until)
 }
 
 // Read implements net.Conn. The error is a *BoundError if a bound is exceeded.
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -2,8 +2,8 @@
 // and pools connections for later requests.
 //
 // Guarantees: a request is written once, to one connection, and never retried after a
-// byte of it was written; errors state whether any byte of it may have been sent. A
-// connection is reused only after a complete request and a complete, framed answer
+// byte of it was written; errors state whether any byte of it may have been sent. An answer is
+// read while a long request is still being written. A connection is reused only after a complete request and a complete, framed answer
 // without excess bytes. A cancelled exchange closes its connection at once.
 package exchange
 
@@ -16,7 +16,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 )
 
@@ -93,14 +92,10 @@
 	reuse    bool
 	complete bool
 	closed   bool
-	// unsent is the error of writing the request, nil if all of it was written.
-	unsent error
+	// sending is the writing of the request, which may go on.
+	sending *sending
 }
 
-// earlyAnswerWait bounds the wait for an answer after an incomplete write: a server that
-// refuses a long request early has sent its answer by then.
-const earlyAnswerWait = 50 * time.Millisecond
-
 // maxStale bounds the pooled connections that one request may discard because they
 // failed before a byte was written.
 const maxStale = 3
@@ -125,35 +120,33 @@
 // roundTrip sends the request on a connection and reads the answer's head.
 func (p *Pool) roundTrip(ctx context.Context, c *conn, target Target, request *Request) (*Answer, error) {
 	stop := context.AfterFunc(ctx, c.abort)
-	written, err := c.send(request)
+	written, rest, err := c.send(request)
 	if err != nil && written == 0 {
 		stop()
 		p.discard(c)
 		return nil, &Error{Stage: Unsent, Target: target, Err: errors.Join(err, ctx.Err())}
 	}
-	complete := err == nil
-	var usual time.Time
-	if !complete {
-		usual = time.Now().Add(earlyAnswerWait)
-	}
-	c.bounds.bound(usual)
+	sending := c.startSending(rest, err)
+	c.bounds.bound()
 	response, skipped, readErr := c.readHead(request)
 	if readErr != nil {
 		stop()
 		p.discard(c)
-		return nil, &Error{Stage: Sent, Target: target, Err: errors.Join(err, readErr, ctx.Err())}
+		<-sending.done
+		return nil, &Error{Stage: Sent, Target: target, Err: errors.Join(sending.err, readErr, ctx.Err())}
 	}
+	sending.gotHead()
 	return &Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
-		Length: response.ContentLength,
-		body:   response.Body,
-		conn:   c,
-		pool:   p,
-		stop:   stop,
-		framed: framed(response),
-		reuse:  complete && skipped == 0 && !response.Close && framed(response),
-		unsent: err,
+		Status:  response.StatusCode,
+		Header:  response.Header,
+		Length:  response.ContentLength,
+		body:    response.Body,
+		conn:    c,
+		pool:    p,
+		stop:    stop,
+		sending: sending,
+		framed:  framed(response),
+		reuse:   skipped == 0 && !response.Close && framed(response),
 	}, nil
 }
 
@@ -169,7 +162,7 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
-		if !a.framed && wasReset(a.unsent) {
+		if !a.framed && a.sending.wasReset() {
 			return n, ErrReset
 		}
 		a.complete = true
@@ -177,11 +170,6 @@
 	return n, err
 }
 
-// wasReset reports whether a failed write shows that the connection was reset before its other side had ended it. The
-// system reports a reset once: after the write a read finds the end of the data. A write fails with EPIPE if the other
-// side had ended its data before the reset.
-func wasReset(err error) bool { return err != nil && !errors.Is(err, syscall.EPIPE) }
-
 // Complete reports whether the body was read to its end.
 func (a *Answer) Complete() bool { return a.complete }
 
@@ -200,21 +188,23 @@
 func (a *Answer) DisableReuse() { a.reuse = false }
 
 // Close ends the exchange. It returns the connection to the pool if it is reusable, and
-// closes it otherwise.
+// closes it otherwise. The request's body is not used any more.
 func (a *Answer) Close() {
 	if a.closed {
 		return
 	}
 	a.closed = true
-	if !a.stop() || !a.complete || !a.reuse || a.conn.reader.Buffered() > 0 {
+	if !a.stop() || !a.complete || !a.reuse || !a.sending.complete() || a.conn.reader.Buffered() > 0 {
 		a.pool.discard(a.conn)
+		<-a.sending.done
 		return
 	}
 	a.pool.putIdle(a.conn, idleTimeoutOf(a.Header))
 }
 
-// send writes the request and returns the number of bytes written.
-func (c *conn) send(request *Request) (int, error) {
+// send writes the request up to inlineBody bytes of its body. It returns the number of bytes written, and the rest of
+// the body.
+func (c *conn) send(request *Request) (written int, rest []byte, err error) {
 	var head bytes.Buffer
 	head.Grow(headSize)
 	head.WriteString(request.Method)
@@ -229,12 +219,13 @@
 		head.WriteString("\r\n")
 	}
 	if err := request.Header.Write(&head); err != nil {
-		return 0, fmt.Errorf("encode header: %w", err)
+		return 0, nil, fmt.Errorf("encode header: %w", err)
 	}
 	head.WriteString("\r\n")
-	buffers := net.Buffers{head.Bytes(), request.Body}
+	first := request.Body[:min(len(request.Body), inlineBody)]
+	buffers := net.Buffers{head.Bytes(), first}
 	n, err := buffers.WriteTo(c.Conn)
-	return int(n), err
+	return int(n), request.Body[len(first):], err
 }
 
 // headSize is the initial buffer size for a request head, in bytes.
