pkg/exchange: a head whose field names hold blanks or control bytes is no answer

What callers saw: a server sent an answer in whose head the name of a field held a blank, or a line began with one. The caller got it as an answer: with that line passed on, as a part of the value before it (so of the server's signature), or, where the line was Content-Length or Transfer-Encoding, with a body that was not the server's: chunk sizes included, or all that came until the connection ended.

Cause: net/http accepts blanks in names of fields (under which the framing fields are not found) and folded lines. It also drops Transfer-Encoding from an answer of HTTP/1.0 and takes the chunks for the body. Control bytes in names, an empty name and a line without a colon are refused by it already.

Evidence: TestAnswersThatAreNoneAreNotPassedOn (platform/answers): each kind of request at an instance that sends to servers and at one that forwards; raw bytes at both ends.

TestUnusualAnswersArePassedOn shows that odd but proper heads still are.

Why it works: the bytes of each head that the connection yields pass a scanner (pkg/responsehead) before net/http parses them. It knows the places where names stand and what may stand there (RFC 9110, 5.6.2; 9112, 5). A response that is refused so is an attempt that may have run: it is repeated elsewhere where the route permits, else the outcome is unknown.

--- a/pkg/exchange/bound.go
+++ b/pkg/exchange/bound.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/responsehead"
 )
 
 // A faulty server may send bytes that are no answer, and send them without end. What precedes the body
@@ -48,6 +50,8 @@
 	// bounded is true while the bounds are in force, and left the number of bytes that may be read.
 	bounded bool
 	left    int64
+	// head checks the present head.
+	head responsehead.Scanner
 	// began is when the first byte of the present head arrived, zero before it, and until the end of
 	// its time, zero while it arrived in one piece.
 	began, until time.Time
@@ -56,18 +60,27 @@
 // bound begins the bounds.
 func (c *boundedConn) bound() {
 	c.bounded, c.left = true, maxHeadBytes
-	c.nextHead()
+	c.head.Begin()
+	c.endHeadTime()
+}
+
+// nextHead makes what is read next a head, after an answer that was skipped. It begins with the buffered bytes. The
+// error is a *responsehead.Error.
+func (c *boundedConn) nextHead(buffered []byte) error {
+	c.endHeadTime()
+	c.head.Begin()
+	return c.head.Scan(buffered)
 }
 
-// nextHead ends the time for a head: the next one has not begun.
-func (c *boundedConn) nextHead() {
+// endHeadTime ends the time for a head: the next one has not begun.
+func (c *boundedConn) endHeadTime() {
 	c.began = time.Time{}
 	c.setUntil(time.Time{})
 }
 
 // release ends the bounds.
 func (c *boundedConn) release() {
-	c.nextHead()
+	c.endHeadTime()
 	c.bounded = false
 }
 
@@ -81,7 +94,8 @@
 	_ = c.SetReadDeadline(until)
 }
 
-// Read implements net.Conn. The error is a *BoundError if a bound is exceeded.
+// Read implements net.Conn. The error is a *BoundError if a bound is exceeded, and a *responsehead.Error if a head is
+// malformed.
 func (c *boundedConn) Read(p []byte) (int, error) {
 	if !c.bounded {
 		return c.Conn.Read(p)
@@ -100,5 +114,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.until.IsZero() && !time.Now().Before(c.until) {
 		err = &BoundError{Time: headTime}
 	}
+	if malformed := c.head.Scan(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	return n, err
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -245,10 +245,10 @@
 
 // readHead reads the head of the request's final answer, and returns the number of skipped
 // answers to other requests: a server may send one late or twice. What it reads is bounded, see
-// BoundError.
+// BoundError, and must be a response of the protocol, see package responsehead.
 func (c *conn) readHead(request *Request) (response *http.Response, skipped int, err error) {
 	asked := &http.Request{Method: request.Method}
-	for interim := 0; ; c.bounds.nextHead() {
+	for interim := 0; ; {
 		response, err = http.ReadResponse(c.reader, asked)
 		if err != nil {
 			return nil, skipped, err
@@ -257,6 +257,7 @@
 			if interim++; interim > maxInterim {
 				return nil, skipped, &BoundError{Answers: maxInterim}
 			}
+			c.bounds.endHeadTime()
 			continue
 		}
 		if request.Matches == nil || request.Matches(response.StatusCode, response.Header) {
@@ -270,6 +271,11 @@
 		if _, err = io.Copy(io.Discard, response.Body); err != nil {
 			return nil, skipped, err
 		}
+		// Peek does not read more than is buffered.
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		if err = c.bounds.nextHead(buffered); err != nil {
+			return nil, skipped, err
+		}
 	}
 }
 
