pkg/exchange: an answer with a status outside 100 to 599, or 101, is no answer

What callers saw: a server in trouble sent a head with status 000, or 101, and went on with another one on the same connection: the first was skipped like an interim answer, and the caller got the second. Status 600 and above was passed on as it was.

Cause: net/http takes any three digits for a status, and whatever is below 200 was skipped as interim.

No request asks for another protocol, so that 101 is none (RFC 9110, 15). The attempt may have run, as with all malformed responses.

--- a/pkg/responsehead/scanner.go
+++ b/pkg/responsehead/scanner.go
@@ -1,5 +1,5 @@
 // Package responsehead checks the heads of HTTP/1.1 responses as they are read. net/http accepts heads that are none
-// in the protocol: names of fields with a blank, folded lines. A field that frames the body is not
+// in the protocol: a status below 100, names of fields with a blank, folded lines. A field that frames the body is not
 // found under such a name, so that the body is read wrongly, and other lines would be passed on.
 package responsehead
 
@@ -92,6 +92,9 @@
 
 func (s *Scanner) statusLine(c byte) {
 	if s.column == len(statusStart) {
+		if !IsStatus(s.status) {
+			s.require(false, fmt.Sprintf("status %03d", s.status))
+		}
 		s.require(c == ' ' || c == '\r' || c == '\n', "no status line")
 		s.at = inReason
 		s.text(c)
@@ -175,3 +178,9 @@
 	}
 	return false
 }
+
+// IsStatus reports whether a status is one of the protocol (RFC 9110, 15). No request asks for another protocol, so
+// that 101 is none.
+func IsStatus(status int) bool {
+	return status >= http.StatusContinue && status <= 599 && status != http.StatusSwitchingProtocols
+}
--- a/pkg/responsehead/scanner_test.go
+++ b/pkg/responsehead/scanner_test.go
@@ -41,6 +41,9 @@
 			if err != nil {
 				return
 			}
+			if !IsStatus(response.StatusCode) {
+				t.Fatalf("status %d was accepted", response.StatusCode)
+			}
 			for name := range response.Header {
 				if strings.ContainsFunc(name, func(r rune) bool { return r >= 0x7f || !isTokenByte(byte(r)) }) {
 					t.Fatalf("name %q was accepted", name)
@@ -57,11 +60,11 @@
 func TestMalformedHeads(t *testing.T) {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	for _, text := range []string{
-		"HTTP/1.1 20 \r\n", "HTTP/1.1 2000\r\n", "HTTP/1.1 200OK\r\n",
+		"HTTP/1.1 000 T\r\n", "HTTP/1.1 099 T\r\n", "HTTP/1.1 101 T\r\n", "HTTP/1.1 600 T\r\n", "HTTP/1.1 20 \r\n", "HTTP/1.1 2000\r\n", "HTTP/1.1 200OK\r\n",
 		"HTTP/2.0 200 OK\r\n", "http/1.1 200 OK\r\n", "HTTP/1.1  200 OK\r\n", "\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 O\x01K\r\n",
 		ok + "A : b\r\n", ok + "A\t: b\r\n", ok + "A B: c\r\n", ok + " A: b\r\n", ok + "A: b\r\n\tC\r\n", ok + "A\x00: b\r\n", ok + "\xe9: b\r\n",
 		ok + ": b\r\n", ok + "A\r\n", ok + "A: b\rc\r\n", ok + "A: \x00\r\n", ok + "A: \x7f\r\n", ok + "\rA: b\r\n",
-		"HTTP/1.1 102 P\r\n\r\n" + "HTTP/1.1 200 T\r\nA : b\r\n", "HTTP/1.0 200 OK\r\nA: b\r\ntransfer-Encoding: chunked\r\n",
+		"HTTP/1.1 102 P\r\n\r\n" + "HTTP/1.1 000 T\r\n", "HTTP/1.0 200 OK\r\nA: b\r\ntransfer-Encoding: chunked\r\n",
 	} {
 		var scanner Scanner
 		var malformed *Error
