pkg/relay: a malformed head is no answer, on the product's own data path too

What callers saw: with an upstream that sent status 000 the gateway's handler panicked: the caller's connection was closed without an answer, and calls to the service were refused for over 30 s afterwards. Status 101 and 600 to 999 reached the caller as they were. Names of fields with blanks, and folded lines, were accepted as by lilacweir-edge.

Why it works: the connections of a relay pass what they read through the scanner; a new request makes the next byte the first of a head.

--- a/pkg/relay/conn.go
+++ b/pkg/relay/conn.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"github.com/lilacweir/lilacweir/pkg/responsehead"
 )
 
 // errSealed means that the attempt was sealed before its first byte was written.
@@ -20,9 +22,9 @@
 )
 
 // trackedConn records whether a byte of the current attempt was passed to the kernel,
-// and can be sealed against the first one.
+// and can be sealed against the first one. It refuses malformed heads of answers.
 type trackedConn struct {
-	net.Conn
+	responsehead.Conn
 	state atomic.Int32
 }
 
@@ -44,7 +46,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return &trackedConn{Conn: responsehead.Conn{Conn: conn}}, nil
 	}
 }
 
@@ -66,6 +68,7 @@
 		return
 	}
 	conn.state.Store(connUntouched)
+	conn.Begin()
 	f.conn = conn
 }
 
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/lilacweir/lilacweir/pkg/engineapi"
 	"github.com/lilacweir/lilacweir/pkg/header"
 	"github.com/lilacweir/lilacweir/pkg/outcome"
+	"github.com/lilacweir/lilacweir/pkg/responsehead"
 )
 
 const testID = "req-1"
@@ -264,7 +265,7 @@
 	is := is.New(t)
 	near, far := net.Pipe()
 	defer far.Close()
-	conn := &trackedConn{Conn: near}
+	conn := &trackedConn{Conn: responsehead.Conn{Conn: near}}
 	var f connTracker
 	f.conn = conn
 	is.Equal(f.seal(), false)
