pkg/edge: an unframed answer that a reclaimed upstream cuts off is incomplete

Cause: an upstream that was known to leave, and refused connections when its unframed answer ended, was believed to have finished the answer. That holds for one that drains; one with remaining_ms in its entry is gone then, whatever it runs. One that had only said in an answer that it leaves, or whose entry was gone, was believed too, though nothing shows it.

Why it works: only an entry that says that the upstream drains, without a time at which it is removed, shows that it finishes its answers. Else the attempt may have run: it is repeated or resumed elsewhere where the route permits. It is no evidence of a crash, since the upstream was leaving.

--- a/pkg/edge/unframed.go
+++ b/pkg/edge/unframed.go
@@ -27,8 +27,9 @@
 const endProbes = 2
 
 // checkEnd returns an error unless it is certain that an answer that was read to its end was not cut off by
-// the end of the upstream: a new connection to it must be made, since an idle one may have failed silently. A leaving upstream finishes its answers before it ends, as a rule: a stream that may be
-// resumed is continued elsewhere, and is complete if nothing follows.
+// the end of the upstream: a new connection to it must be made, since an idle one may have failed silently. An upstream
+// that drains finishes its answers before it ends: a stream that may be resumed is continued elsewhere, and is complete
+// if nothing follows.
 func (c *call) checkEnd(ctx context.Context, answer *exchange.Answer) error {
 	if c.peer || !answer.EndsWithConnection() || !answer.Complete() {
 		return nil
@@ -55,7 +56,8 @@
 		c.counts.series.Counter("answers.cut").Inc(1)
 		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: fmt.Errorf("%w: %w", errUpstreamEnded, err)}
 	}
-	if c.route.Kind == httproute.Streaming && c.route.Resumable && c.writer.started {
+	continues := c.route.Kind == httproute.Streaming && c.route.Resumable && c.writer.started
+	if continues || !c.finishesAnswers(c.target.ID) {
 		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: errUpstreamLeft}
 	}
 	return nil
@@ -82,6 +84,13 @@
 	return err == nil && began > upstream.StartedAt
 }
 
+// finishesAnswers reports whether an upstream that leaves ends only after its answers. One that is reclaimed does not,
+// and of one without an entry it is not known.
+func (e *Edge) finishesAnswers(id string) bool {
+	upstream := e.board.Fleet.Load().Find(id)
+	return upstream != nil && upstream.Draining && !upstream.Reclaimed
+}
+
 // isLeaving reports whether an upstream is leaving, by its entry in the store or by its own report.
 func (e *Edge) isLeaving(id string) bool {
 	upstream := e.board.Fleet.Load().Find(id)
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -33,6 +33,8 @@
 	// this process read so, zero if that was in its first view.
 	Draining      bool
 	DrainingSince time.Time
+	// Reclaimed is true once it has announced that it ends at a given time, in the middle of its work.
+	Reclaimed bool
 	// ColdUntil is the end of its cold period, by this process's clock; zero if it is not cold.
 	ColdUntil time.Time
 	// EntryReadAt is the time at which its present entry in the platform's store was read, by this
