pkg/edge: after a start of all instances, streams from before are not proved to be of the new version

What callers saw (a report from another system; shown here): a release was under way, or its former servers had just left, when all instances were killed and came back.

Cause: an instance without a record of a stream takes its list of servers as a proof, once it has run for longer than the caller may have waited, and two seconds. A caller that comes back tells only what is left of its time. An instance that has just started has seen no other callers, so that it took what is left, or the route's timeout, for all of it: with 14 s in all, a route's timeout of 4 s and 5.4 s left, the proof held 7.5 s after the start. Instances that were asked had only the asker's time to go by. A caller that does not say how long it waits counted as one that waits for the timeout.

Why it works: until 20 streams of the route have begun at the instance, whose callers told all of their time, a minute is assumed; also for callers that do not tell it. Who is asked gets the longest time that the asker knows. A refusal as not run is the honest answer meanwhile. Nothing more is sent between instances.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -138,8 +138,10 @@
 	peers            *exchange.Pool
 	gossip           *peer.Gossip
 	origins          *origin.Keeper
-	clients          *control.Clients
-	replicaClients   *control.Clients
+	// beginnings shows on which routes it is known for how long callers wait.
+	beginnings     beginnings
+	clients        *control.Clients
+	replicaClients *control.Clients
 	// guard bounds what clients hold of the process, at the ports.
 	guard    *ingress.Guard
 	ports    ports
--- a/pkg/edge/origin.go
+++ b/pkg/edge/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -56,7 +57,7 @@
 	}
 	// A route with several services picks by the ID of the attempt.
 	service := j.route.Pick(hash(first))
-	return j.origins.Find(ctx, first, service, j.patience(), j.deadline.Sub(j.now()))
+	return j.origins.Find(ctx, first, service, j.formerPatience(), j.deadline.Sub(j.now()))
 }
 
 // maxPatience bounds the time for which a stream may be taken up: records are held, and other
@@ -67,12 +68,47 @@
 // attempts.
 func (j *job) patience() time.Duration {
 	known := max(j.attributes.Deadline, j.route.Timeout)
-	if known == 0 {
-		return maxRequestTime
+	if j.attributes.Deadline == 0 {
+		known = max(known, maxRequestTime)
 	}
 	return min(known, maxPatience)
 }
 
+// minBeginnings is the number of streams that must have begun on a route before the time for which its callers wait
+// counts as known.
+const minBeginnings = 20
+
+// beginnings counts the streams that have begun here, by route. It is safe for concurrent use.
+type beginnings struct {
+	mu      sync.Mutex
+	byRoute map[string]int
+}
+
+func (b *beginnings) add(route string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byRoute == nil {
+		b.byRoute = make(map[string]int)
+	}
+	b.byRoute[route]++
+}
+
+func (b *beginnings) suffice(route string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.byRoute[route] >= minBeginnings
+}
+
+// formerPatience returns the longest time for which the caller of a stream that is taken up may have waited since it
+// began. The caller tells only what is left. Other callers of the route told all of it when their streams began, but not
+// to an instance that has started since.
+func (j *job) formerPatience() time.Duration {
+	if j.beginnings.suffice(j.route.Name) {
+		return j.patience()
+	}
+	return max(j.patience(), maxRequestTime)
+}
+
 // useService makes the request use the service that began its stream, which a route with several
 // may not have picked for this attempt.
 func (j *job) useService(name string) *outcome.Refusal {
@@ -115,6 +151,7 @@
 		return
 	}
 	c.origins.Begin(c.attributes.RequestID, *c.began, c.patience())
+	c.beginnings.add(c.route.Name)
 }
 
 // streamOrigin returns the service and software version that write a stream, nil if an instance
--- a/pkg/origin/exchange.go
+++ b/pkg/origin/exchange.go
@@ -210,6 +210,7 @@
 // within which it needs an answer. The first record decides; a proof does if nobody has a record.
 func (k *Keeper) Find(ctx context.Context, request, service string, patience, left time.Duration) Answer {
 	id, now := hash(request), k.options.Clock.Now()
+	patience = k.longestPatience(service, patience)
 	if origin, found := k.records.find(id, now); found {
 		return Answer{Origin: origin, Source: Recorded}
 	}
--- a/pkg/origin/keeper.go
+++ b/pkg/origin/keeper.go
@@ -118,6 +118,14 @@
 	k.currentAt = now
 }
 
+// longestPatience returns the longest time for which a caller of a service has waited, or the given one if that is
+// longer.
+func (k *Keeper) longestPatience(service string, patience time.Duration) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return max(patience, k.longest[service])
+}
+
 // only returns the software version of all upstreams of a service, if no other one can have begun
 // a stream that may still be taken up. Patience is the longest known time for which a caller
 // waits.
