pkg/edge: what runs when the grace is almost over is answered, late bodies are refused unrun

Cause: a leaving instance accepts every request for half of its grace, and later ones that end in time. Requests that it has accepted and that still run at 0.97 of the grace had their connections closed. Whether a request can end in time was decided when its head had come: with a body whose last byte came late it was passed on at any time after.

Why it works: at 0.94 of the grace the contexts of running requests end, so that each attempt ends like at a deadline: with 502 if it may have run, else with 503 and a time after which another instance serves it. A stream that has begun is broken off visibly. Whether a request is accepted is decided again once its body is whole, and a body is not awaited beyond that time.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -93,6 +93,9 @@
 	self                        fleet.Instance
 	sequence                    atomic.Uint64
 	leaving                     atomic.Pointer[drainSchedule]
+	// graceOver ends when running requests are to end; endRequests ends it.
+	graceOver   context.Context
+	endRequests context.CancelFunc
 	// startedAt is the start time of the process.
 	startedAt time.Time
 	active    atomic.Int64
@@ -231,6 +234,7 @@
 		registry:            options.Registry,
 		counts:              counters{series: options.Series, organisations: &organisationLabels{}},
 	}
+	e.graceOver, e.endRequests = context.WithCancel(context.Background())
 	e.gossip = peer.New(peer.Options{
 		Self: e.self, Report: e.report, Placed: e.recent.Learn, Usage: e.limiter, Evidence: e.mergeObservations, Limits: e.upstreamLimits, LearnLimits: e.mergeLimits, Departures: e.reportedDepartures, LearnDepartures: e.mergeDepartures, Fleet: &e.board.Fleet, Store: e.store, Client: e.clients, Copies: e.replicaClients, Clock: system, Log: e.log,
 	})
--- a/pkg/edge/ending.go
+++ b/pkg/edge/ending.go
@@ -16,6 +16,8 @@
 	endedByDeadline ending = "deadline"
 	// endedByCaller: the caller disconnected.
 	endedByCaller ending = "caller"
+	// endedByInstance: this instance ends.
+	endedByInstance ending = "instance"
 )
 
 // endingOf returns who ended an attempt with the given context.
@@ -25,6 +27,8 @@
 		return endedByTarget
 	case errors.Is(cause, context.DeadlineExceeded):
 		return endedByDeadline
+	case errors.Is(cause, errGraceOver):
+		return endedByInstance
 	default:
 		return endedByCaller
 	}
--- a/pkg/edge/handler.go
+++ b/pkg/edge/handler.go
@@ -84,6 +84,8 @@
 	}
 	ctx, cancel := context.WithDeadline(j.request.Context(), j.deadline)
 	defer cancel()
+	ctx, release := j.untilGraceEnds(ctx)
+	defer release()
 	// A caller that does not read must not keep the answer in memory forever. A connection
 	// without deadlines (a test's recorder) has no slow reader.
 	_ = j.writer.control.SetWriteDeadline(j.deadline.Add(writeSlack))
@@ -128,11 +130,15 @@
 		j.attemptsLeft = min(j.attemptsLeft, grantedByPeer(j.request.Header))
 	}
 	if !j.leaving.Load().accepts(j.started, j.deadline) {
-		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, leavingRetry, "this instance leaves")
+		return leavingRefusal()
 	}
 	if refusal := j.readBody(); refusal != nil {
 		return refusal
 	}
+	// The end of a body may come late.
+	if !j.leaving.Load().accepts(j.now(), j.deadline) {
+		return leavingRefusal()
+	}
 	j.service = j.config.Service(j.route.Pick(hash(j.attributes.RequestID)))
 	if j.service == nil {
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonNoUpstream, noConfigurationRetry, "the route has no service")
@@ -143,6 +149,11 @@
 	return nil
 }
 
+// leavingRefusal refuses a request that may not end before the instance does.
+func leavingRefusal() *outcome.Refusal {
+	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonDraining, leavingRetry, "this instance leaves")
+}
+
 // maxRequestTime bounds every request, including those without a deadline of their caller or route.
 const maxRequestTime = time.Minute
 
@@ -162,7 +173,7 @@
 
 // readBody reads the whole body, so that no part of a truncated request reaches an upstream.
 func (j *job) readBody() *outcome.Refusal {
-	body, err := j.guard.ReadBody(j.writer.ResponseWriter, j.request, int64(j.config.Limits.BodyBytes), j.deadline)
+	body, err := j.guard.ReadBody(j.writer.ResponseWriter, j.request, int64(j.config.Limits.BodyBytes), j.leaving.Load().bodyDeadline(j.deadline))
 	if err != nil {
 		return j.bodyRefusal(err)
 	}
@@ -179,6 +190,9 @@
 	case errors.Is(err, ingress.ErrMemory):
 		return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonClientMemory, steer.RetryAfter(j.now(), j.deadline), "requests hold all the memory that they may have here")
 	}
+	if leaving := j.leaving.Load(); leaving != nil && !j.now().Before(leaving.answerBy) {
+		return leavingRefusal()
+	}
 	refusal := outcome.Refuse(http.StatusRequestTimeout, outcome.ReasonSlowCaller, noConfigurationRetry, "the body did not arrive whole")
 	refusal.Err = err
 	return refusal
--- a/pkg/edge/job.go
+++ b/pkg/edge/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -223,6 +224,8 @@
 // refusal.
 func (j *job) checkRetry(ctx context.Context) *outcome.Refusal {
 	switch {
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return j.graceOverRefusal()
 	case context.Cause(ctx) != nil || !j.now().Before(j.deadline):
 		return j.deadlineExceeded()
 	case j.runs > 0 && !j.route.Repeatable():
@@ -242,6 +245,14 @@
 	return outcome.Refuse(http.StatusServiceUnavailable, outcome.ReasonOverloaded, steer.RetryAfter(j.now(), j.deadline), detail)
 }
 
+// graceOverRefusal ends a request that still runs when the grace is almost over.
+func (j *job) graceOverRefusal() *outcome.Refusal {
+	if j.runs > 0 {
+		return outcome.MayHaveRun(http.StatusBadGateway, outcome.ReasonDraining, 0, "this instance ends")
+	}
+	return leavingRefusal()
+}
+
 func (j *job) deadlineExceeded() *outcome.Refusal {
 	if j.runs > 0 {
 		return outcome.MayHaveRun(http.StatusGatewayTimeout, outcome.ReasonDeadline, 0, "the time is over")
