pkg/gateway: calls that run for longer than a stop may take are answered, on the product's own data path too

What callers saw: nothing reported; found by looking at the other data path. A gateway that was stopped waited for running requests up to its bound (gateway.drain, ten minutes unless set), and then closed their connections without an answer.

Cause: nothing ended the attempts, and calls that may not be repeated are detached from their callers on purpose.

Evidence: TestLateRequestsAreAnsweredInAPlannedStop (test/answers): SIGTERM while one call runs and the last byte of another is still to come, upstreams that work for four seconds. With a bound of two seconds the second was "cut without an answer: status 0, unexpected EOF" before this commit. With a bound of a minute both were answered whole already, the late body too: requests count as running from their head on.

Why it works: at the bound the contexts of the attempts end, detached ones too, with a cause of their own; the gateway then waits up to two seconds for the answers to be written before it hands over its keys and closes.

--- a/pkg/dispatch/claim.go
+++ b/pkg/dispatch/claim.go
@@ -41,13 +41,17 @@
 
 // detach returns a context that does not end when the caller disconnects: a request
 // that may not be repeated runs to its end, so that a repeat finds an answer. The
-// deadline still applies.
+// deadline, and the end of this instance, still apply.
 func (r *run) detach(ctx context.Context) (context.Context, context.CancelFunc) {
-	detached := context.WithoutCancel(ctx)
+	detached, release := r.untilEnding(context.WithoutCancel(ctx))
 	if r.request.Deadline.IsZero() {
-		return detached, func() {}
+		return detached, release
+	}
+	limited, cancel := context.WithDeadline(detached, r.request.Deadline)
+	return limited, func() {
+		cancel()
+		release()
 	}
-	return context.WithDeadline(detached, r.request.Deadline)
 }
 
 // runGranted runs the request and records its result in every case.
--- a/pkg/dispatch/dispatch.go
+++ b/pkg/dispatch/dispatch.go
@@ -66,6 +66,22 @@
 	Now     func() time.Time
 	// Domain is the own failure domain.
 	Domain string
+	// Ending, unless nil, ends when running requests are to end.
+	Ending context.Context
+}
+
+// untilEnding returns a context that also ends with relay.ErrEnding when running requests are to end. The returned
+// function releases it.
+func (d *Dispatcher) untilEnding(ctx context.Context) (context.Context, context.CancelFunc) {
+	if d.Ending == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(d.Ending, func() { cancel(relay.ErrEnding) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // minTracedWait is the minimum queueing time that is traced.
@@ -107,6 +123,8 @@
 		defer cancel()
 		ctx = limited
 	}
+	ctx, release := d.untilEnding(ctx)
+	defer release()
 	refusal := r.serveClaimed(ctx)
 	r.end(refusal)
 	if refusal != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,6 +80,10 @@
 	running context.Context
 	halt    context.CancelFunc
 
+	// ending is cancelled by endRequests when running requests are to end.
+	ending      context.Context
+	endRequests context.CancelFunc
+
 	phase atomic.Int32
 	// leavingReported and successorReported are set once a reply to the agent has reported that the
 	// gateway is leaving, and its successor.
@@ -123,6 +127,7 @@
 		leavingReported:   newSignal(),
 		successorReported: newSignal(),
 	}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
 	g.running, g.halt = context.WithCancel(context.Background())
 	g.suspects = newSuspects(g.running, g.client.Probe)
 	g.claims = claim.New(g.claimOptions(keyValue))
@@ -262,6 +267,7 @@
 		Metrics: g.metrics,
 		Now:     g.clock.Now,
 		Domain:  g.settings.Domain,
+		Ending:  g.ending,
 	}
 }
 
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -20,7 +20,7 @@
 
 // leave takes the gateway out of service: it notifies the domain and callers while
 // requests are still accepted; then new requests are refused as not run, and
-// running ones end.
+// running ones end. Those that run for too long get their final answer.
 func (g *Gateway) leave(servers ...*http.Server) {
 	g.phase.Store(phaseLeaving)
 	g.log.Info().Msg("leaving")
@@ -28,6 +28,8 @@
 	g.phase.Store(phaseDraining)
 	g.log.Info().Int64("active", g.metrics.Active.Count()).Msg("draining")
 	g.awaitRequests()
+	g.endRequests()
+	g.awaitIdle(closeTimeout)
 	g.handOver()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
@@ -82,6 +84,11 @@
 	if bound == 0 {
 		bound = settings.DefaultDrain
 	}
+	g.awaitIdle(bound)
+}
+
+// awaitIdle waits until no request runs, up to a bound.
+func (g *Gateway) awaitIdle(bound time.Duration) {
 	deadline := time.NewTimer(bound)
 	defer deadline.Stop()
 	ticker := time.NewTicker(drainPoll)
--- a/pkg/relay/attempt.go
+++ b/pkg/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -45,6 +46,9 @@
 	}
 }
 
+// ErrEnding is the cancel cause of requests that still run when their instance ends.
+var ErrEnding = errors.New("the instance ends")
+
 // errIdle is the cancel cause of an attempt that reached its idle timeout.
 type errIdle struct{}
 
@@ -139,6 +143,10 @@
 	refusal := failure.Refusal
 	switch context.Cause(a.ctx) {
 	case nil:
+	case ErrEnding:
+		failure.CallerGone = true
+		refusal.Reason = outcome.ReasonDraining
+		refusal.Detail = "this instance ends"
 	case context.DeadlineExceeded:
 		failure.CallerGone = true
 		refusal.Reason = outcome.ReasonDeadline
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -48,7 +48,7 @@
 	// Refusal is the caller's refusal if there is no further attempt. Its Outcome
 	// states whether the request ran.
 	Refusal *outcome.Refusal
-	// CallerGone is true if the caller's side failed: there is no further attempt.
+	// CallerGone is true if the caller's side failed or this instance ends: there is no further attempt.
 	CallerGone bool
 	// Mismatched is true if an answer to another request was dropped.
 	Mismatched bool
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -96,6 +97,12 @@
 }
 
 func start(t *testing.T) *system {
+	t.Helper()
+	return startWith(t, 0)
+}
+
+// startWith is start with a bound on the gateway's shutdown, zero for the default.
+func startWith(t *testing.T, drain time.Duration) *system {
 	t.Helper()
 	programs, err := build()
 	if err != nil {
@@ -105,6 +112,9 @@
 	s.tool("lilacweir-standin", "plan", filepath.Join("..", "..", "deploy", "wellness", "topology.yaml"), "--net", fmt.Sprint(network), "--out", s.dir)
 	s.replaceUpstreams()
 	file := filepath.Join(s.dir, instance+".yaml")
+	if drain > 0 {
+		s.setDrain(file, drain)
+	}
 	node, err := settings.Load(file)
 	if err != nil {
 		t.Fatal(err)
@@ -122,6 +132,18 @@
 	return s
 }
 
+// setDrain adds a bound on the shutdown to a settings file.
+func (s *system) setDrain(file string, drain time.Duration) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		s.Fatal(err)
+	}
+	text = []byte(strings.Replace(string(text), "gateway:\n", fmt.Sprintf("gateway:\n  drain: %s\n", drain), 1))
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		s.Fatal(err)
+	}
+}
+
 // localUpstream is the address of an upstream of the instance's failure domain in the declaration.
 var localUpstream = regexp.MustCompile(fmt.Sprintf(`127\.%d\.101\.\d+:9000`, network))
 
@@ -310,10 +332,45 @@
 	return got
 }
 
+// TestLateRequestsAreAnsweredInAPlannedStop guards against requests that are taken before a gateway drains, and cut
+// without an answer: their last byte comes late, or they run for longer than it may take to stop.
+func TestLateRequestsAreAnsweredInAPlannedStop(t *testing.T) {
+	const lateBy, work = 3 * time.Second, time.Second
+	for name, drain := range map[string]time.Duration{"time for all": time.Minute, "less time than they take": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := startWith(t, drain)
+			s.script = func(c *call) {
+				contentType, body := c.whole()
+				clock.Sleep(t.Context(), work+lateBy)
+				c.answer(contentType, body)
+			}
+			got := make(chan *rawanswer.Reply)
+			for n, wait := range []time.Duration{0, lateBy} {
+				go func() {
+					head := fmt.Sprintf("%s%s: late-%d\r\nConnection: close\r\nContent-Length: 2\r\n\r\n", routes["once"], header.RequestID, n)
+					got <- s.exchangeLate(head+"u", "u", wait)
+				}()
+			}
+			clock.Sleep(t.Context(), arrivalTime)
+			_ = s.gateway.Process.Signal(syscall.SIGTERM)
+			for range 2 {
+				if reply := <-got; !reply.Whole {
+					t.Errorf("cut without an answer: %v", reply)
+				} else {
+					t.Logf("%.300v", reply)
+				}
+			}
+		})
+	}
+}
+
 // isComplete reports whether a stream has its end mark. Without it, it is told to be broken.
 func isComplete(stream string) bool { return strings.HasSuffix(stream, "data: [DONE]\n\n") }
 
-func (s *system) exchange(head, body string) *rawanswer.Reply {
+func (s *system) exchange(head, body string) *rawanswer.Reply { return s.exchangeLate(head, body, 0) }
+
+// exchangeLate sends a request whose second part comes after a time.
+func (s *system) exchangeLate(head, body string, wait time.Duration) *rawanswer.Reply {
 	conn, err := net.DialTimeout("tcp", s.callers, answerTimeout)
 	if err != nil {
 		return &rawanswer.Reply{Err: err}
@@ -324,7 +381,14 @@
 	}
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	sending.Go(func() { _, _ = io.WriteString(conn, head+body) })
+	sending.Go(func() {
+		if wait > 0 {
+			_, _ = io.WriteString(conn, head)
+			clock.Sleep(s.Context(), wait)
+			head = ""
+		}
+		_, _ = io.WriteString(conn, head+body)
+	})
 	return rawanswer.Read(conn)
 }
 
