--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -364,6 +365,13 @@
 	}
 }
 
+// ran returns how often the last request ran.
+func (s *system) ran() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs
+}
+
 // isComplete reports whether a stream has its end mark. Without it, it is told to be broken.
 func isComplete(stream string) bool { return strings.HasSuffix(stream, "data: [DONE]\n\n") }
 
@@ -451,25 +459,25 @@
 		"a chunk's extension": "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5;", "a body": "HTTP/1.1 200 OK\r\n%s\r\n",
 	} {
 		for kind := range routes {
-			var sent int64
+			var sent atomic.Int64
 			got := s.ask(kind, 0, func(c *call) {
 				contentType, _ := c.whole()
 				text := strings.ReplaceAll(first, "%s", c.fields(contentType))
-				for end := time.Now().Add(answerTimeout); time.Now().Before(end) && sent < memory; {
+				for end := time.Now().Add(answerTimeout); time.Now().Before(end) && sent.Load() < memory; {
 					n, err := io.WriteString(c.TCPConn, text)
-					sent += int64(n)
+					sent.Add(int64(n))
 					if err != nil {
 						return
 					}
 					text = endless
 				}
 			})
-			if got.Succeeded() && s.runs == 1 {
+			if got.Succeeded() && s.ran() == 1 {
 				t.Errorf("%s, %s: %v", name, kind, got)
 			}
 			s.checkMemory()
 			s.awaitServed(kind)
-			t.Logf("%s, %s: status %d after %d bytes", name, kind, got.Status, sent)
+			t.Logf("%s, %s: status %d after %d bytes", name, kind, got.Status, sent.Load())
 		}
 	}
 }
