--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -2,9 +2,10 @@
 // and pools connections for later requests.
 //
 // Guarantees: a request is written once, to one connection, and never retried after a
-// byte of it was written; errors state whether any byte of it may have been sent. An answer is
-// read while a long request is still being written. A connection is reused only after a complete request and a complete, framed answer
-// without excess bytes. A cancelled exchange closes its connection at once.
+// byte of it was written; errors state whether any byte of it may have been sent. An
+// answer is read while a long request is still being written. A connection is reused
+// only after a complete request and a complete, framed answer without excess bytes. A
+// cancelled exchange closes its connection at once.
 package exchange
 
 import (
