pkg/client: a success that is not known to be whole is not complete

The caller's library told "complete" of a call whose answer had neither a length nor chunks and was cut, and of one that is longer than the 64 MiB that it reads: the caller got the first part.

Cause: the body was read up to the limit, and its end taken for that of the answer.

Evidence: TestCutAnswersAreNotComplete (pkg/client), raw bytes. Before this commit "without either" and "longer than what is read" fail with outcome complete and no error; the other five cases pass.

Result: all seven pass under the race detector, and the tests of pkg/cli and pkg/load, which use the library.

Why it works: gateways frame all of their answers, so that a success without a frame proves nothing; a byte beyond the limit shows that there is more. The outcome is unknown then. Refusals tell their outcome in their head.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -169,8 +169,12 @@
 		return answer
 	}
 	defer func() { _ = response.Body.Close() }()
-	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	// One byte beyond the maximum shows that an answer is too long.
+	read, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	answer.Body = read
+	if err == nil && !isWhole(response, len(read)) {
+		err = ErrNotWhole
+	}
 	if err != nil {
 		answer.Outcome = outcome.Unknown
 		answer.Err = fmt.Errorf("read answer: %w", err)
@@ -180,6 +184,19 @@
 	return answer
 }
 
+// ErrNotWhole is returned if nothing shows that a success is whole: it has neither a length nor chunks, or it is longer
+// than what is read.
+var ErrNotWhole = errors.New("the answer is not known to be whole")
+
+// isWhole reports whether a body that was read to its end is known to be the whole one. Refusals tell their outcome in
+// their head.
+func isWhole(response *http.Response, length int) bool {
+	if response.StatusCode >= http.StatusBadRequest || response.Request.Method == http.MethodHead {
+		return true
+	}
+	return length <= maxAnswer && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
+}
+
 // classify sets the outcome of an answer that was read completely.
 func (a *Answer) classify() {
 	if a.Outcome == "" && a.Status < http.StatusBadRequest {
