pkg/edge: an instance's own entry is not that of a former process

What callers saw: upstreams that bear no rejection fell over when an instance was added; the streams that ran there broke. In the script: test/simulation:TestBrittleUpstreamsAmongFaults/2, "engines fell over 3 times, allowed 2".

Cause: an instance that starts has no part of the room of brittle upstreams until the others know it, unless a former process of it was registered when it read its first list. It reads the list and writes its entry at the same time, so the first list may hold its own entry, which it took for that of a former process. It then used its part while the instance that had held it before still had five requests there (trace: north-new-9 enters engine-north-0-2 1 ms after its start, with five of north-1 in work and five slots).

Fix: only an entry of another incarnation is one of a former process. If a restarted instance has overwritten its former entry by then, it waits as a new one does. The simulation gave each instance a list with its own entry; it now starts with the list of before, so that a restarted one finds its former entry.

Evidence: TestOwnEntryIsNoFormerProcess fails without the change.

What remains (the last failure): an instance that starts with no part of any upstream's room is not bounded until it has heard of the word, and is not told of it while all brittle upstreams of its region are down.

--- a/pkg/edge/room.go
+++ b/pkg/edge/room.go
@@ -135,9 +135,11 @@
 func (e *Edge) joined() bool { return e.replaces.Load() || !e.starting() }
 
 // noteReplaced records whether a former process of this instance was registered when this one read the
-// first list.
+// first list. That list may hold the entry of this process already.
 func (e *Edge) noteReplaced(view *fleet.View) {
-	e.replaces.Store(slices.ContainsFunc(view.Instances, func(i fleet.Instance) bool { return i.Name == e.self.Name }))
+	e.replaces.Store(slices.ContainsFunc(view.Instances, func(i fleet.Instance) bool {
+		return i.Name == e.self.Name && i.Incarnation != e.self.Incarnation
+	}))
 }
 
 // placesAt returns the function with which a decision asks for the places at an upstream of a service,
--- a/pkg/edge/start_test.go
+++ b/pkg/edge/start_test.go
@@ -53,3 +53,16 @@
 	h.is.Equal((<-replies).status, http.StatusServiceUnavailable)
 	h.is.True(time.Since(h.edge.startedAt) < startWindow)
 }
+
+// TestOwnEntryIsNoFormerProcess guards against an instance that is new, and whose entry is already in the first
+// list that it reads, taking itself for one that the others know: they may still use its part of the room of
+// upstreams.
+func TestOwnEntryIsNoFormerProcess(t *testing.T) {
+	h := newHarness(t, safeRoute)
+	entry := h.edge.self
+	h.edge.noteReplaced(&fleet.View{Instances: []fleet.Instance{entry}})
+	h.is.True(!h.edge.joined())
+	entry.Incarnation--
+	h.edge.noteReplaced(&fleet.View{Instances: []fleet.Instance{entry}})
+	h.is.True(h.edge.joined())
+}
--- a/test/simulation/deployment_test.go
+++ b/test/simulation/deployment_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,6 +42,8 @@
 	retrySlack = 200
 	// settleTime is the time for which a new deployment runs before a test begins.
 	settleTime = 3 * time.Second
+	// listTime is the time from an instance's start until its entry is in the list.
+	listTime = time.Millisecond
 	// domainsPerRegion is the number of failure domains among which a region's engines are divided.
 	domainsPerRegion = 2
 )
@@ -74,6 +77,9 @@
 	capacity *capacity
 	plain    bool
 
+	// listed is the list that the store holds, nil until all instances have started.
+	listed atomic.Pointer[fleet.View]
+
 	mu      sync.Mutex
 	version uint64
 	answers []answer
@@ -250,6 +256,10 @@
 		Log: zerolog.New(&d.lines), Registry: registry, Series: telemetry.NewSeries(registry, edge.MaxMetrics),
 	})
 	d.is.NoErr(err)
+	listed := d.listed.Load()
+	if listed != nil {
+		e.Board().Fleet.Store(listed)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	i.edge, i.stop, i.ended = e, stop, make(chan struct{})
 	go func() {
@@ -258,6 +268,10 @@
 		_ = e.Run(ctx)
 	}()
 	i.Incarnation = <-incarnation
+	if listed != nil {
+		// An instance reads the list before its own entry is in it.
+		clock.Sleep(d.Context(), listTime)
+	}
 }
 
 // configure gives all instances a new version of the configuration.
@@ -297,6 +311,7 @@
 		}
 	}
 	view.Index()
+	d.listed.Store(view)
 	for _, i := range d.instances {
 		if !i.down {
 			i.edge.Board().Fleet.Store(view)
