pkg/edge: an unframed answer of another instance is not whole

What callers would see: what answers at another instance's address (a process that is no instance, or a fault on the way) sends an answer with neither a length nor chunks and closes its connection after a part; the instance passes the part on as a complete answer. Not seen in service: instances mark the end of each body.

Cause: the check at the end of an unframed answer was for upstreams alone and took each one of an instance for whole.

Fix: such an answer counts as cut, as one does whose connection breaks. An answer to HEAD has no body that could be cut.

Evidence: TestUnframedAnswerOfAnotherInstanceIsNotWhole fails without the change for GET and POST, and passes with it; answers with a length and to HEAD are taken as before.

--- a/pkg/edge/unframed.go
+++ b/pkg/edge/unframed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"slices"
 	"syscall"
 
@@ -22,6 +23,9 @@
 // errUpstreamLeft means the same of an upstream that was leaving.
 var errUpstreamLeft = errors.New("the leaving upstream does not accept connections any more")
 
+// errUnframedPeer means that an answer of another instance ended with its connection.
+var errUnframedPeer = errors.New("the instance's answer has neither a length nor chunks")
+
 // endProbes is the number of connections that are tried to learn whether an upstream has ended: the first packet of
 // one may be lost.
 const endProbes = 2
@@ -29,11 +33,17 @@
 // checkEnd returns an error unless it is certain that an answer that was read to its end was not cut off by
 // the end of the upstream: a new connection to it must be made, since an idle one may have failed silently. An upstream
 // that drains finishes its answers before it ends: a stream that may be resumed is continued elsewhere, and is complete
-// if nothing follows.
+// if nothing follows. Another instance marks the end of each body.
 func (c *call) checkEnd(ctx context.Context, answer *exchange.Answer) error {
-	if c.peer || !answer.EndsWithConnection() || !answer.Complete() {
+	if !answer.EndsWithConnection() || !answer.Complete() {
 		return nil
 	}
+	if c.peer {
+		if c.request.Method == http.MethodHead {
+			return nil
+		}
+		return &exchange.Error{Stage: exchange.Sent, Target: c.target, Err: errUnframedPeer}
+	}
 	c.counts.series.Counter("answers.unframed").Inc(1)
 	c.logUnframed()
 	c.await(func() { clock.Sleep(ctx, crashProbeDelay) })
--- a/pkg/edge/unframed_test.go
+++ b/pkg/edge/unframed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/exchange"
 	"github.com/lilacweir/lilacweir/pkg/httproute"
 )
 
@@ -201,3 +203,43 @@
 	got := h.ask(http.MethodPost, "/r/crash", "x")
 	h.is.Equal(got.status, http.StatusBadGateway)
 }
+
+// TestUnframedAnswerOfAnotherInstanceIsNotWhole guards against passing on as whole an answer of another instance that
+// ended with its connection: instances mark the end of every body.
+func TestUnframedAnswerOfAnotherInstanceIsNotWhole(t *testing.T) {
+	unframed := func(conn net.Conn, request *http.Request) bool {
+		writeResponse(conn, request, http.StatusOK, "", "a part")
+		return false
+	}
+	headOnly := func(conn net.Conn, request *http.Request) bool {
+		writeResponse(conn, request, http.StatusOK, "", "")
+		return true
+	}
+	for name, of := range map[string]struct {
+		method string
+		script script
+		whole  bool
+	}{
+		"no framing":         {http.MethodPost, unframed, false},
+		"no framing, GET":    {http.MethodGet, unframed, false},
+		"length":             {http.MethodPost, respond(http.StatusOK, "whole"), true},
+		"head of no framing": {http.MethodHead, headOnly, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer := newUpstream(t, of.script)
+			h := newHarness(t, safeRoute)
+			request, err := http.NewRequest(of.method, "http://a.example/r/", nil)
+			h.is.NoErr(err)
+			target := exchange.Target{ID: "s-1", Address: peer.listener.Addr().String()}
+			c := &call{job: &job{Edge: h.edge, request: request}, pool: h.edge.peers, target: target, peer: true}
+			answer, err := c.pool.Do(t.Context(), target, &exchange.Request{
+				Method: of.method, URI: "/r/", Host: "a.example", Header: http.Header{}, Matches: func(int, http.Header) bool { return true },
+			})
+			h.is.NoErr(err)
+			defer answer.Close()
+			_, err = io.Copy(io.Discard, answer)
+			h.is.NoErr(err)
+			h.is.Equal(c.checkEnd(t.Context(), answer) == nil, of.whole)
+		})
+	}
+}
