--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -79,6 +79,7 @@
 	KeyReaderStalled = "reader_stalled" // number of lines dropped for a stalled reader
 	KeyPort          = "port"           // listener: callers, peers, directory, health, metrics, operators
 	KeyReason        = "reason"         // reason of a refusal
+	KeyReclaimed     = "reclaimed"      // whether an upstream ends at a given time, in the middle of its work
 	KeyRegion        = "region"
 	KeyRequest       = "request"  // the request's ID
 	KeyRequests      = "requests" // number of requests
