platform/answers, test/answers: answers in chunks without the whole mark of their end

Handled already, on both data paths: all data of an answer, and no, half or all but the last line of its last chunk, or a trailer that is cut off, is not passed on as complete; what may be repeated or resumed is. Nothing else was changed. Streams of the product's own data path mark their end in an event and are whole with it.

--- a/internal/rawanswer/rawanswer.go
+++ b/internal/rawanswer/rawanswer.go
@@ -27,6 +27,9 @@
 // chunkSize is the length in bytes of a chunk.
 const chunkSize = 1000
 
+// LastChunk marks the end of a body in chunks.
+const LastChunk = "0\r\n\r\n"
+
 // Encode returns the field that frames a body, and the first cut bytes of the body as they are sent.
 func (f Framing) Encode(body string, cut int) (field, sent string) {
 	switch f {
@@ -39,7 +42,7 @@
 			fmt.Fprintf(&out, "%x\r\n%s\r\n", len(part), part)
 		}
 		if cut == len(body) {
-			out.WriteString("0\r\n\r\n")
+			out.WriteString(LastChunk)
 		}
 		return "Transfer-Encoding: chunked\r\n", out.String()
 	default:
--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -449,6 +449,26 @@
 	}
 }
 
+// TestAnswersWithoutTheirEndMarkAreNotPassedOnAsComplete guards against taking an answer in chunks for whole of which all
+// data arrived, but not the whole mark of its end. Streams mark their end themselves.
+func TestAnswersWithoutTheirEndMarkAreNotPassedOnAsComplete(t *testing.T) {
+	s := start(t)
+	for _, mark := range []string{"", "0", "0\r\n", "0\r\nA: b\r\n"} {
+		for kind := range routes {
+			got := s.ask(kind, 0, func(c *call) {
+				_, _ = io.Copy(io.Discard, c.Body)
+				contentType, body := c.whole()
+				field, sent := rawanswer.InChunks.Encode(body, len(body))
+				_, _ = io.WriteString(c.TCPConn, "HTTP/1.1 200 OK\r\n"+c.fields(contentType)+field+"\r\n"+strings.TrimSuffix(sent, rawanswer.LastChunk)+mark)
+			})
+			if kind != "stream" && got.Succeeded() && s.ran() == 1 {
+				t.Errorf("%q, %s: %v", mark, kind, got)
+			}
+			s.awaitServed(kind)
+		}
+	}
+}
+
 // TestAnswersWithoutEndAreBounded guards against a gateway that holds all that an upstream sends in place of an answer.
 func TestAnswersWithoutEndAreBounded(t *testing.T) {
 	s := start(t)
