pkg/freshness, pkg/peer, pkg/edge: who follows the store, and how old what each instance knows is, show in logs and metrics

This changes no decision. Nothing told whether an instance took part in following the store, whether the store answered its other calls, or how old its knowledge was, so that three causes could not be told apart: a watch that hangs, a copy that is not taken over, an instance that leaves following to others. Now store-watching tells when and why an instance begins or ceases to follow, store_contact_age_ms whether the store answers any call, and store_known_age_ms how old the knowledge is, derived from the answers of the store or the ages that others report, all by monotonic clocks.

pkg/freshness is the one place that answers how old something is, from whom, and by which clock.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -128,6 +128,9 @@
 		"peers.dialed":          e.peers.Dialed,
 		"requests.active":       e.active.Load,
 		"store.age_ms":          func() int64 { return e.ageMS(e.store.LastAnswerAt()) },
+		"store.contact_age_ms":  e.contactAgeMS,
+		"store.known_age_ms":    func() int64 { return e.ageMS(e.gossip.Knowledge().AsOf) },
+		"store.followed":        e.followsStore,
 		"store.revision":        e.store.Revision,
 		"store.era":             func() int64 { return int64(e.store.Epoch()) },
 		"configuration.version": e.configurationVersion,
@@ -166,6 +169,24 @@
 	return e.now().Sub(t).Milliseconds()
 }
 
+// contactAgeMS returns the time in ms since the store's last answer to any call, -1 if it does not
+// answer this instance.
+func (e *Edge) contactAgeMS() int64 {
+	age, reaches := e.store.Contact()
+	if !reaches {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+// followsStore returns 1 while this instance follows the store itself.
+func (e *Edge) followsStore() int64 {
+	if e.store.Following() {
+		return 1
+	}
+	return 0
+}
+
 // configurationVersion returns the version of the configuration in force, zero if there is none.
 func (e *Edge) configurationVersion() int64 {
 	if config := e.board.Routes.Load(); config != nil {
--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/peer"
@@ -10,6 +11,10 @@
 // report returns the instance's report to the others.
 func (e *Edge) report() peer.Report {
 	position := e.store.Position()
+	contact, reaches := e.store.Contact()
+	if !reaches {
+		contact = 0
+	}
 	return peer.Report{
 		Name:        e.self.Name,
 		Incarnation: e.self.Incarnation,
@@ -21,6 +26,8 @@
 		Era:         position.Era,
 		Held:        e.store.RetainedSum(),
 		Current:     e.store.Current(),
+		Reaches:     reaches,
+		StoreAge:    contact.Truncate(time.Millisecond),
 		Upstreams:   e.loads(),
 		Placed:      e.recent.ToPublish(e.now()),
 		Used:        e.limiter.LocalUsage(),
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -51,6 +51,7 @@
 	KeyInstances     = "instances"
 	KeyKey           = "key"            // key in the store
 	KeyKnown         = "known"          // upstreams of the service in the region
+	KeyKnownAgeMS    = "known_age_ms"   // time since which the store may have confirmed more than is known
 	KeyKnownRevision = "known_revision" // revision of the local replica of the store
 	KeyLast          = "last"           // error of the last attempt
 	KeyLateness      = "lateness"       // ratio of the actual to the predicted time until answers begin
@@ -78,7 +79,8 @@
 	KeyPrompt        = "prompt"         // the request's prompt tokens
 	KeyReaderStalled = "reader_stalled" // number of lines dropped for a stalled reader
 	KeyPort          = "port"           // listener: callers, peers, directory, health, metrics, operators
-	KeyReason        = "reason"         // reason of a refusal
+	KeyReaches       = "reaches"        // whether the store answers this instance
+	KeyReason        = "reason"         // reason of a refusal, or for following the store
 	KeyReclaimed     = "reclaimed"      // whether an upstream ends at a given time, in the middle of its work
 	KeyRegion        = "region"
 	KeyRequest       = "request"  // the request's ID
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -18,6 +18,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -120,6 +121,7 @@
 	options  Options
 	snapshot board.Section[Snapshot]
 	epochs   board.Section[uint64]
+	contact  freshness.Contact
 
 	mu sync.Mutex
 	// lost is true while the store does not answer; recoveredAt is the time at which it last
@@ -174,6 +176,25 @@
 	return m.following && !m.lost && m.epoch == m.Position().Era && !m.answeredAt.IsZero() && m.options.Clock.Now().Sub(m.answeredAt) < currentWindow
 }
 
+// RecordCall records the end of any call of this process to the store; answered is false if the
+// store did not serve it.
+func (m *Mirror) RecordCall(answered bool) { m.contact.Record(answered, m.options.Clock.Now()) }
+
+// Contact returns the age of the store's last answer to any call of this process, and whether the
+// store still answers it.
+func (m *Mirror) Contact() (age time.Duration, reaches bool) {
+	now := m.options.Clock.Now()
+	age, _ = m.contact.Age(now)
+	return age, m.contact.Reaches(now)
+}
+
+// Following reports whether this process follows the store itself, answered or not.
+func (m *Mirror) Following() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.following
+}
+
 // LastCallFailed reports whether the store's last call failed.
 func (m *Mirror) LastCallFailed() bool {
 	m.mu.Lock()
--- a/pkg/mirror/position.go
+++ b/pkg/mirror/position.go
@@ -9,23 +9,12 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
-// Position is the position in the store up to which a replica has followed it. Revisions of two
-// epochs cannot be compared: a store restored from a backup reuses them.
-type Position struct {
-	Era      uint64
-	Revision int64
-}
-
-// Before reports whether p is older than other.
-func (p Position) Before(other Position) bool {
-	if p.Era != other.Era {
-		return p.Era < other.Era
-	}
-	return p.Revision < other.Revision
-}
+// Position is the position in the store up to which a replica has followed it.
+type Position = freshness.Position
 
 // positionOf returns the position of an entry's last write.
 func positionOf(entry *platform.Entry) Position {
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/quarantine"
@@ -104,6 +105,8 @@
 	digests map[string]*received[Digest]
 	// otherRegionAt is the time of the last digest from another region; zero if there was none.
 	otherRegionAt time.Time
+	// confirmed derives from the others' reports how old the local replica of the store is.
+	confirmed freshness.Tracker
 	// sums is the load of the other instances of the own region, as the hub reported it; nil
 	// until the first report.
 	sums *received[[]Load]
@@ -142,6 +145,8 @@
 	// copy failed.
 	followUntil atomic.Int64
 	copying     atomic.Bool
+	// watching is the reason for which this instance followed the store in the last round.
+	watching watchReason
 	// used sums the usage of limited callers in the own domain.
 	used *quota.Sums
 	// receivesAllReports is true while this instance receives reports directly from every
@@ -229,6 +234,7 @@
 			g.exchangeWithDomains(ctx, regions)
 		}
 		g.publish()
+		g.logWatching()
 		g.startCatchUp(ctx, &copies)
 	}
 }
--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -39,29 +39,6 @@
 	return g.ranked(jobHub, g.options.Self.Domain, g.registered())[0]
 }
 
-// Watches reports whether this instance should follow the store itself, because it is one of the
-// domain's watchers or receives reports from none of them.
-func (g *Gossip) Watches() bool {
-	if g.options.Clock.Now().UnixNano() < g.followUntil.Load() {
-		return true
-	}
-	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if name == g.options.Self.Name {
-			return true
-		}
-	}
-	now := g.options.Clock.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if report := g.reports[name]; report != nil && now.Sub(report.at) <= SilentAfter {
-			return false
-		}
-	}
-	return true
-}
-
 // usesHub reports whether the instances of the own domain exchange through a hub.
 func (g *Gossip) usesHub() bool { return len(g.domain()) >= smallDomain }
 
--- a/pkg/peer/roster.go
+++ b/pkg/peer/roster.go
@@ -37,7 +37,7 @@
 	for i := range marks {
 		mark := &marks[i]
 		flags := byte(0)
-		for bit, set := range [...]bool{mark.Leaving, mark.Ready, mark.Quiet} {
+		for bit, set := range [...]bool{mark.Leaving, mark.Ready, mark.Quiet, mark.Reaches} {
 			if set {
 				flags |= 1 << bit
 			}
@@ -55,6 +55,7 @@
 func (g *Gossip) roster(own *Report, now time.Time) Digest {
 	d := Digest{Domain: g.options.Self.Domain, Region: g.options.Self.Region, Store: own.Store, Era: own.Era, Held: own.Held}
 	d.Marks = append(make([]Mark, 0, 1+len(g.reports)), own.mark())
+	d.addContact(own, 0)
 	for _, report := range g.reports {
 		age := now.Sub(report.at)
 		if age > SilentAfter {
@@ -63,6 +64,7 @@
 		mark := report.value.mark()
 		mark.Quiet = age > quietAfter
 		d.Marks = append(d.Marks, mark)
+		d.addContact(&report.value, age)
 		if d.position().Before(report.value.position()) {
 			d.Store, d.Era = report.value.Store, report.value.Era
 		}
@@ -73,7 +75,14 @@
 }
 
 func (r *Report) mark() Mark {
-	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready, Unreachable: r.Unreachable}
+	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready, Unreachable: r.Unreachable, Reaches: r.Reaches}
+}
+
+// addContact adds what a report of the given age tells about the store's answers.
+func (d *Digest) addContact(report *Report, age time.Duration) {
+	if age += report.StoreAge; report.Current && (!d.Current || age < d.StoreAge) {
+		d.Current, d.StoreAge = true, age
+	}
 }
 
 // omitKnownMarks removes the marks if the receiver has them already.
@@ -105,6 +114,9 @@
 		g.ownRoster = *digest
 	}
 	at := now.Add(-rosterAge)
+	if digest.Current {
+		g.confirmed.Confirm(digest.Domain, digest.position(), at.Add(-digest.StoreAge))
+	}
 	for _, mark := range g.ownRoster.Marks {
 		if mark.Name != g.options.Self.Name {
 			g.applyMark(mark, at)
@@ -124,7 +136,7 @@
 			return
 		}
 		g.reports[mark.Name] = &received[Report]{value: Report{
-			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable,
+			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable, Reaches: mark.Reaches,
 		}, at: at}
 		g.options.Log.Info().Str(event.KeyPeer, mark.Name).Msg(string(event.PeerFound))
 		return
@@ -135,6 +147,6 @@
 	before.value.Leaving = before.value.Leaving || mark.Leaving
 	before.value.Ready = before.value.Ready || mark.Ready
 	if !mark.Quiet && at.After(before.at) {
-		before.at, before.value.Unreachable = at, mark.Unreachable
+		before.at, before.value.Unreachable, before.value.Reaches = at, mark.Unreachable, mark.Reaches
 	}
 }
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -48,8 +48,10 @@
 	// none.
 	Store     int64
 	Era, Held uint64
-	// Current is true while the instance follows the store itself and has had an answer lately.
-	Current bool
+	// Current is true while the instance follows the store itself and the store answers it. Reaches
+	// is true while the store answers any of its calls; StoreAge is then the age of the last answer.
+	Current, Reaches bool
+	StoreAge         time.Duration
 	// Upstreams is its load at each upstream.
 	Upstreams []Load
 	// Placed holds where it sent large prompt segments in the last seconds.
@@ -82,6 +84,8 @@
 	Leaving, Ready bool
 	// Unreachable is that of the instance's report.
 	Unreachable string
+	// Reaches is that of the instance's report.
+	Reaches bool
 	// Quiet is true if its domain's hub has received no report for some rounds.
 	Quiet bool
 }
@@ -100,6 +104,10 @@
 	// of the sending instance, see Report.
 	Store     int64
 	Era, Held uint64
+	// Current is true if an instance of the domain follows the store and the store answers it;
+	// StoreAge is then the age of the newest of these answers when the digest was made.
+	Current  bool
+	StoreAge time.Duration
 	// Upstreams sums their loads by upstream, only within the own region; Services by service.
 	Upstreams, Services []Load
 	// Placed holds where large prompt segments were sent in the last seconds.
