pkg/peer, pkg/mirror: an instance that the store answers follows it when its domain's watchers have lost it

Cause: whether an instance leaves the store to its domain's two watchers was decided by whether they report, not by whether they know. Watchers that had lost the store went on reporting, so that the third instance, which the store answered, did not follow it.

Of the tests of watch_test.go TestInstanceFollowsTheStoreWhenTheWatchersHaveLostIt and TestReplicaBehindItsWatchersIsStale failed before.

Each instance renews its registration at the store, so that it knows without a further call whether the store answers it; it reports that, and the age of the last answer. An instance whose knowledge, as far as others show it, is older than 2 s follows the store itself if the store answers it. What others show is a position and the age of the answer behind it, and counts once the local replica is there. Ranks delay further instances by 0.1 s each, up to 0.5 s, so that a few take over and not all; in an outage of the store no instance is added, since it answers none.

TestRunWaitsForARunningCopy takes the line of the failed copy for its sign, since Run writes another one before it; it is as strict as before.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -107,9 +107,6 @@
 	// idlePause is the interval at which an inactive Mirror checks whether it is active again.
 	// All but two instances of a domain are inactive, and each check wakes a process.
 	idlePause = 250 * time.Millisecond
-	// currentWindow is the time after an answer of the store for which the replica counts as
-	// current: a little more than a waiting call without changes.
-	currentWindow = watchWait + 200*time.Millisecond
 )
 
 // errRestored means that the store was restored from a backup, so that the answer of the present
@@ -152,6 +149,8 @@
 	pause time.Duration
 	// urgent receives the revision of each change below Options.UrgentPrefix.
 	urgent chan int64
+	// wake holds one value while an inactive Mirror should check whether it is active.
+	wake chan struct{}
 }
 
 // New returns an empty Mirror.
@@ -160,7 +159,7 @@
 		options.Order = noOrder{}
 	}
 	return &Mirror{
-		options: options, pause: minPause, urgent: make(chan int64, 1),
+		options: options, pause: minPause, urgent: make(chan int64, 1), wake: make(chan struct{}, 1),
 		expiring: make(map[string]time.Time), removed: make(map[string]removal), hidden: make(map[string]hidden),
 	}
 }
@@ -168,12 +167,12 @@
 // Snapshot returns the section that holds the newest snapshot.
 func (m *Mirror) Snapshot() *board.Section[Snapshot] { return &m.snapshot }
 
-// Current reports whether the store is followed and answered recently, so that a peer's snapshot
+// Current reports whether the store is followed and answers this process, so that a peer's snapshot
 // can be only marginally newer.
 func (m *Mirror) Current() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.following && !m.lost && m.epoch == m.Position().Era && !m.answeredAt.IsZero() && m.options.Clock.Now().Sub(m.answeredAt) < currentWindow
+	return m.following && !m.lost && m.epoch == m.Position().Era && !m.answeredAt.IsZero() && m.contact.Reaches(m.options.Clock.Now())
 }
 
 // RecordCall records the end of any call of this process to the store; answered is false if the
@@ -288,7 +287,7 @@
 	for ctx.Err() == nil {
 		if !m.active() {
 			m.sweep()
-			clock.Sleep(ctx, idlePause)
+			m.idle(ctx)
 			continue
 		}
 		err := m.follow(ctx)
@@ -313,8 +312,28 @@
 	}
 }
 
+// Wake makes an inactive Mirror check at once whether it is active. It never blocks.
+func (m *Mirror) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// idle waits for idlePause or for Wake.
+func (m *Mirror) idle(ctx context.Context) {
+	timer := time.NewTimer(idlePause)
+	defer timer.Stop()
+	select {
+	case <-m.wake:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // recordFailure records a failed call and returns the pause before the next.
 func (m *Mirror) recordFailure(err error, pause time.Duration) time.Duration {
+	m.RecordCall(false)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.lost {
@@ -330,6 +349,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.options.Clock.Now()
+	m.contact.Record(true, now)
 	first := m.answeredAt.IsZero()
 	m.answeredAt = now
 	if m.lost {
--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -10,6 +10,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/event"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
 
@@ -98,7 +99,7 @@
 
 // maintain renews the lease until it is lost, or revokes it when ctx ends.
 func (r *Registration) maintain(ctx context.Context, lease Lease) {
-	for clock.Sleep(ctx, r.TTL/renewalsPerTTL) {
+	for clock.Sleep(ctx, min(r.TTL/renewalsPerTTL, freshness.CallInterval)) {
 		if r.missing() {
 			r.Log.Warn().Str(event.KeyKey, r.Key).Msg(string(event.RegistrationTaken))
 			return
--- a/pkg/peer/gossip_test.go
+++ b/pkg/peer/gossip_test.go
@@ -19,6 +19,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/control"
+	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
@@ -504,13 +505,16 @@
 	is.Equal(n.since("n-1", false, now), []Placement{own})
 }
 
-// slowWriter is a log that takes a while to write a line.
+// slowWriter is a log that takes a while to write the line of a failed copy.
 type slowWriter struct {
 	started chan struct{}
 	written atomic.Bool
 }
 
 func (w *slowWriter) Write(line []byte) (int, error) {
+	if !bytes.Contains(line, []byte(event.CopyFailed)) {
+		return len(line), nil
+	}
 	close(w.started)
 	time.Sleep(50 * time.Millisecond)
 	w.written.Store(true)
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"slices"
+	"time"
+
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/freshness"
 )
@@ -14,6 +17,9 @@
 	watchAsWatcher watchReason = "watcher"
 	// watchUnheard: it receives reports from none of them.
 	watchUnheard watchReason = "watchers-unheard"
+	// watchStale: none of the others shows that the own knowledge is current, and the store answers
+	// this instance.
+	watchStale watchReason = "stale"
 	// watchAfterFailure: a copy from another instance failed.
 	watchAfterFailure watchReason = "copy-failed"
 )
@@ -26,20 +32,41 @@
 		return watchAfterFailure
 	}
 	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if name == g.options.Self.Name {
-			return watchAsWatcher
-		}
+	rank := slices.Index(ranked, g.options.Self.Name)
+	switch {
+	case rank < watchers:
+		return watchAsWatcher
+	case !g.hearsAny(ranked[:watchers]):
+		return watchUnheard
+	case g.isStale(rank - watchers):
+		return watchStale
+	default:
+		return ""
 	}
+}
+
+// hearsAny reports whether one of the named instances of the own domain has reported lately.
+func (g *Gossip) hearsAny(names []string) bool {
 	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, name := range ranked[:min(watchers, len(ranked))] {
-		if report := g.reports[name]; report != nil && now.Sub(report.at) <= SilentAfter {
-			return ""
-		}
-	}
-	return watchUnheard
+	return slices.ContainsFunc(names, func(name string) bool {
+		report := g.reports[name]
+		return report != nil && now.Sub(report.at) <= SilentAfter
+	})
+}
+
+// maxStandInDelay bounds the additional age of knowledge at which instances of a lower rank follow the
+// store in place of the watchers.
+const maxStandInDelay = 5 * roundInterval
+
+// isStale reports whether the store answers this instance and may have confirmed something that no other
+// instance has shown it, so that it should follow the store itself. before is the number of instances
+// that should do so first: the report of one that does is in time for the others.
+func (g *Gossip) isStale(before int) bool {
+	_, reaches := g.options.Store.Contact()
+	delay := min(maxStandInDelay, time.Duration(before)*roundInterval)
+	return reaches && !g.knowledgeOfOthers().Current(g.options.Clock.Now().Add(-delay))
 }
 
 // Knowledge returns up to which time this instance knows what the store has confirmed, and from
@@ -71,6 +98,9 @@
 		return
 	}
 	g.watching = reason
+	if reason != "" {
+		g.options.Store.Wake()
+	}
 	known, now := g.Knowledge(), g.options.Clock.Now()
 	age := int64(-1)
 	if !known.AsOf.IsZero() {
--- /dev/null
+++ b/pkg/peer/watch_test.go
@@ -0,0 +1,158 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
+	"github.com/lilacweir/lilacweir/pkg/platform"
+)
+
+// watchHarness is one instance of a failure domain whose other instances are given by their reports.
+type watchHarness struct {
+	*Gossip
+	is  *is.I
+	now time.Time
+	// ranked holds the names of the domain in the order in which they own its jobs.
+	ranked []string
+	// sequence numbers the reports.
+	sequence uint64
+}
+
+// newWatchHarness returns the instance of the given rank in a domain. Its replica is at revision 7.
+func newWatchHarness(t *testing.T, instances, rank int) *watchHarness {
+	t.Helper()
+	h := &watchHarness{is: is.New(t), now: time.Now()}
+	now := clock.Func(func() time.Time { return h.now })
+	names := make([]string, instances)
+	for i := range names {
+		names[i] = fmt.Sprintf("north-a-%d", i)
+	}
+	h.ranked = member.Rank(member.Key(jobHub, "north-a"), names)
+	view := &fleet.View{}
+	for _, name := range names {
+		view.Instances = append(view.Instances, fleet.Instance{Name: name, Domain: "north-a", Region: "north", Incarnation: 1})
+	}
+	self := fleet.Instance{Name: h.ranked[rank], Domain: "north-a", Region: "north", Incarnation: 1}
+	h.Gossip = New(Options{
+		Self: self, Report: func() Report { return Report{Name: self.Name, Incarnation: 1} },
+		Fleet: &board.Section[fleet.View]{}, Store: mirror.New(mirror.Options{Clock: now, Log: zerolog.Nop()}), Clock: now, Log: zerolog.Nop(),
+	})
+	h.options.Fleet.Store(view)
+	h.is.True(h.options.Store.Adopt(&mirror.Delta{Revision: 7, Keys: []string{"k"}, Changed: []platform.Entry{{Key: "k", ModRevision: 7}}}))
+	return h
+}
+
+// hear applies a report of the instance of a rank.
+func (h *watchHarness) hear(rank int, report Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	report.Name, report.Incarnation, report.Sequence = h.ranked[rank], 1, h.sequence
+	h.applyReport(report, h.now)
+}
+
+// pass lets a time pass in which the store answers this instance, and all others report as given by
+// report.
+func (h *watchHarness) pass(d time.Duration, report func(rank int) Report) {
+	for ; d > 0; d -= roundInterval {
+		h.now = h.now.Add(roundInterval)
+		h.options.Store.RecordCall(true)
+		for rank, name := range h.ranked {
+			if name != h.options.Self.Name {
+				h.hear(rank, report(rank))
+			}
+		}
+	}
+}
+
+// following, idle and cutOff are reports of instances that follow the store, that leave it to others, and
+// that the store does not answer.
+var (
+	following = Report{Store: 7, Reaches: true, Current: true}
+	idle      = Report{Store: 7, Reaches: true}
+	cutOff    = Report{Store: 7}
+)
+
+// healthy reports that the watchers follow the store.
+func healthy(rank int) Report {
+	if rank < watchers {
+		return following
+	}
+	return idle
+}
+
+// watchersCutOff reports that the watchers have lost the store.
+func watchersCutOff(rank int) Report {
+	if rank < watchers {
+		return cutOff
+	}
+	return idle
+}
+
+// TestInstanceFollowsTheStoreWhenTheWatchersHaveLostIt guards against an instance that leaves the store to
+// watchers which are alive and have lost it, so that evacuations and configurations do not reach it.
+func TestInstanceFollowsTheStoreWhenTheWatchersHaveLostIt(t *testing.T) {
+	for _, instances := range []int{3, 5, 50} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			h := newWatchHarness(t, instances, watchers)
+			h.pass(time.Second, healthy)
+			h.is.True(!h.Watches())
+			h.pass(2200*time.Millisecond, watchersCutOff)
+			h.is.True(h.Watches())
+			h.pass(200*time.Millisecond, healthy)
+			h.is.True(!h.Watches())
+		})
+	}
+}
+
+// TestFewInstancesFollowTheStoreInPlaceOfItsWatchers guards against all instances of a large domain that
+// follow the store at once when its watchers have lost it.
+func TestFewInstancesFollowTheStoreInPlaceOfItsWatchers(t *testing.T) {
+	h := newWatchHarness(t, 50, 30)
+	standIn := func(rank int) Report {
+		if rank < watchers || rank == watchers {
+			return following
+		}
+		return idle
+	}
+	h.pass(time.Second, healthy)
+	h.pass(2200*time.Millisecond, watchersCutOff)
+	h.pass(3*time.Second, standIn)
+	h.is.True(!h.Watches())
+}
+
+// TestStoreOutageAddsNoWatchers guards against instances that call a store which answers nobody.
+func TestStoreOutageAddsNoWatchers(t *testing.T) {
+	h := newWatchHarness(t, 5, watchers)
+	h.pass(time.Second, healthy)
+	for range 60 {
+		h.now = h.now.Add(roundInterval)
+		h.options.Store.RecordCall(false)
+		for rank, name := range h.ranked {
+			if name != h.options.Self.Name {
+				h.hear(rank, cutOff)
+			}
+		}
+		h.is.True(!h.Watches())
+	}
+}
+
+// TestReplicaBehindItsWatchersIsStale guards against an instance that takes watchers for current
+// which reach the store and whose replicas are ahead of its own.
+func TestReplicaBehindItsWatchersIsStale(t *testing.T) {
+	h := newWatchHarness(t, 3, watchers)
+	h.pass(time.Second, healthy)
+	ahead := following
+	ahead.Store = 9
+	h.pass(2200*time.Millisecond, func(int) Report { return ahead })
+	h.is.True(h.Watches())
+}
