pkg/peer: a hub that has lost the store gives way to an instance that has it

In a domain of six or more all instances hear of the others through one, the hub. If it was cut off from the store and from other domains, the whole domain heard of none of these: no instance forwarded requests, and copies of the store came from nowhere.

Cause: the hub was chosen by whether it answers, not by what it knows.

Evidence: TestHubThatHasLostTheStoreIsReplaced and TestHubOfAnotherDomainThatHasLostTheStoreIsNotAsked failed before.

Instances that report that the store does not answer them come last in the order of hubs and watchers, by the reports in the own domain and by the marks of digests for others. While most of a domain have lost the store it is taken to be away, and the order stays, so that an outage does not move the hub from one to the next.

--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -1,15 +1,19 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/fleet"
 	"github.com/lilacweir/lilacweir/pkg/member"
 )
 
-// ranked orders the instances of a domain that may be asked by rendezvous hashing of a job.
+// ranked orders the instances of a domain that may be asked: by rendezvous hashing of a job, and
+// those that have lost the store after the others, since they know less. While most have lost it
+// nobody knows more, and the order stays as it is.
 func (g *Gossip) ranked(job, domain string, instances []fleet.Instance) []string {
 	now := g.options.Clock.Now()
+	_, reaches := g.options.Store.Contact()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var names []string
@@ -18,10 +22,51 @@
 			names = append(names, instance.Name)
 		}
 	}
+	lost := g.withoutStore(domain, now)
 	if domain == g.options.Self.Domain {
 		names = append(names, g.options.Self.Name)
+		lost[g.options.Self.Name] = !reaches
 	}
-	return member.Rank(member.Key(job, domain), names)
+	ranked := member.Rank(member.Key(job, domain), names)
+	knowLess := 0
+	for _, name := range ranked {
+		if lost[name] {
+			knowLess++
+		}
+	}
+	if 2*knowLess <= len(ranked) {
+		slices.SortStableFunc(ranked, func(a, b string) int { return compareBools(lost[a], lost[b]) })
+	}
+	return ranked
+}
+
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// withoutStore returns the instances of a domain that report that the store does not answer them. The
+// caller holds g.mu.
+func (g *Gossip) withoutStore(domain string, now time.Time) map[string]bool {
+	lost := make(map[string]bool)
+	if digest := g.digests[domain]; digest != nil && now.Sub(digest.at) <= SilentAfter {
+		for i := range digest.value.Marks {
+			lost[digest.value.Marks[i].Name] = !digest.value.Marks[i].Reaches
+		}
+	}
+	if domain == g.options.Self.Domain {
+		for name, report := range g.reports {
+			lost[name] = !report.value.Reaches
+		}
+	}
+	return lost
 }
 
 // shouldAvoid reports whether an instance should not be asked because it did not answer, is
--- a/pkg/peer/watch_test.go
+++ b/pkg/peer/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,3 +157,61 @@
 	h.pass(2200*time.Millisecond, func(int) Report { return ahead })
 	h.is.True(h.Watches())
 }
+
+// TestHubThatHasLostTheStoreIsReplaced guards against a domain that hears of the others only through a hub
+// that is cut off from them.
+func TestHubThatHasLostTheStoreIsReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost []int
+		hub  int
+	}{
+		"the hub has lost the store":            {[]int{0}, 1},
+		"its successor too":                     {[]int{0, 1}, 2},
+		"another instance has lost the store":   {[]int{4}, 0},
+		"most have lost it, nobody knows more":  {[]int{0, 1, 2, 4, 5}, 0},
+		"all have lost it, the store is away":   {[]int{0, 1, 2, 3, 4, 5, 6, 7, 8}, 0},
+		"the hub has lost it, and half of them": {[]int{0, 1, 2, 5}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWatchHarness(t, 9, 3)
+			h.pass(time.Second, healthy)
+			for range 3 {
+				h.now = h.now.Add(roundInterval)
+				h.options.Store.RecordCall(!slices.Contains(c.lost, 3))
+				for rank, name := range h.ranked {
+					report := healthy(rank)
+					if slices.Contains(c.lost, rank) {
+						report = cutOff
+					}
+					if name != h.options.Self.Name {
+						h.hear(rank, report)
+					}
+				}
+			}
+			h.is.Equal(h.hub(), h.ranked[c.hub])
+		})
+	}
+}
+
+// TestHubOfAnotherDomainThatHasLostTheStoreIsNotAsked guards against digests of another domain from an instance
+// of it that knows less than the others there.
+func TestHubOfAnotherDomainThatHasLostTheStoreIsNotAsked(t *testing.T) {
+	h := newWatchHarness(t, 3, 0)
+	digest := Digest{Domain: "south-a", Region: "south", Store: 7}
+	var instances []fleet.Instance
+	for i := range 3 {
+		name := fmt.Sprintf("south-a-%d", i)
+		instances = append(instances, fleet.Instance{Name: name, Domain: "south-a", Region: "south"})
+		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1, Reaches: true})
+	}
+	first := h.Gossip.ranked(jobHub, "south-a", instances)[0]
+	for i := range digest.Marks {
+		digest.Marks[i].Reaches = digest.Marks[i].Name != first
+	}
+	h.mu.Lock()
+	h.applyDigest(digest, h.now)
+	h.mu.Unlock()
+	ranked := h.Gossip.ranked(jobHub, "south-a", instances)
+	h.is.True(ranked[0] != first)
+	h.is.Equal(ranked[2], first)
+}
