pkg/peer: a copy comes from the hub that reported it, and from another one after a failure

What callers see: nothing is on record; found by reading. A domain that has lost the store copies from another one. It asked the last instance of that domain in the list, which may be behind, and asked the same one again and again, also after it failed.

Cause: the position that a domain's hub reports was taken for that of each instance of the domain.

Evidence: TestNewerReplicaOfAnotherDomainIsCopiedFromItsHub failed before.

The time until which an instance follows the store after such a failure is a monotonic one.

--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,10 +48,21 @@
 	}
 }
 
-// copyFailed makes the instance follow the store itself for a while.
+// copyFailed makes the instance follow the store itself for a while, and ask another one for the
+// next copy.
 func (g *Gossip) copyFailed(from *fleet.Instance, err error) {
 	g.options.Log.Warn().Err(err).Str(event.KeyPeer, from.Name).Msg(string(event.CopyFailed))
-	g.followUntil.Store(g.options.Clock.Now().Add(followAfterFailure).UnixNano())
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.followUntil = now.Add(followAfterFailure)
+	g.noCopyUntil[from.Name] = now.Add(avoidDuration)
+}
+
+// givesNoCopy reports whether an instance is not asked for a copy now: it did not answer, or its
+// last copy failed. The caller holds g.mu.
+func (g *Gossip) givesNoCopy(name string, now time.Time) bool {
+	return now.Before(g.avoidedUntil[name]) || now.Before(g.noCopyUntil[name])
 }
 
 // copy fetches the changes in an instance's snapshot of the store since a position.
@@ -104,7 +116,7 @@
 			delete(g.requestedRetained, name)
 			continue
 		}
-		if advertised != held && g.requestedRetained[name] != advertised && !now.Before(g.avoidedUntil[name]) {
+		if advertised != held && g.requestedRetained[name] != advertised && !g.givesNoCopy(name, now) {
 			g.requestedRetained[name] = advertised
 			return &others[i]
 		}
@@ -132,33 +144,66 @@
 func (g *Gossip) newestSource(above mirror.Position) *fleet.Instance {
 	now := g.options.Clock.Now()
 	others := g.registered()
+	if best := g.newestInDomain(above, others, now); best != nil {
+		return best
+	}
+	if domain := g.newestDomain(above, now); domain != "" {
+		// The hub reported the position; another instance of the domain may be behind.
+		if hub := g.copySourceIn(domain, others, now); hub != nil {
+			return hub
+		}
+	}
+	return g.newestOffer(above, now)
+}
+
+// copySourceIn returns the first instance in the order of another domain's hubs that gives copies; nil
+// if there is none.
+func (g *Gossip) copySourceIn(domain string, others []fleet.Instance, now time.Time) *fleet.Instance {
+	ranked := g.ranked(jobHub, domain, others)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range ranked {
+		i := slices.IndexFunc(others, func(o fleet.Instance) bool { return o.Name == name })
+		if i >= 0 && !g.givesNoCopy(name, now) {
+			return &others[i]
+		}
+	}
+	return nil
+}
+
+// newestInDomain is newestSource for the own domain.
+func (g *Gossip) newestInDomain(above mirror.Position, others []fleet.Instance, now time.Time) (best *fleet.Instance) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var best *fleet.Instance
 	for i := range others {
 		report := g.reports[others[i].Name]
-		if report != nil && above.Before(report.value.position()) && now.Sub(report.at) <= SilentAfter && !now.Before(g.avoidedUntil[others[i].Name]) {
+		if report != nil && above.Before(report.value.position()) && now.Sub(report.at) <= SilentAfter && !g.givesNoCopy(others[i].Name, now) {
 			above, best = report.value.position(), &others[i]
 		}
 	}
-	if best != nil {
-		return best
-	}
+	return best
+}
+
+// newestDomain returns the other domain that reports the newest snapshot above a position; empty if
+// there is none.
+func (g *Gossip) newestDomain(above mirror.Position, now time.Time) (newest string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for domain, digest := range g.digests {
-		if !above.Before(digest.value.position()) || now.Sub(digest.at) > SilentAfter {
-			continue
-		}
-		for i := range others {
-			if others[i].Domain == domain && !now.Before(g.avoidedUntil[others[i].Name]) {
-				above, best = digest.value.position(), &others[i]
-			}
+		if above.Before(digest.value.position()) && now.Sub(digest.at) <= SilentAfter {
+			above, newest = digest.value.position(), domain
 		}
 	}
-	if best != nil {
-		return best
-	}
+	return newest
+}
+
+// newestOffer returns the instance that offered the newest snapshot above a position to this one
+// while it had none; nil if there is none.
+func (g *Gossip) newestOffer(above mirror.Position, now time.Time) (best *fleet.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, offered := range g.replicaOffers {
-		if offer := &offered.value; above.Before(offer.store) && now.Sub(offered.at) <= SilentAfter && !now.Before(g.avoidedUntil[offer.instance.Name]) {
+		if offer := &offered.value; above.Before(offer.store) && now.Sub(offered.at) <= SilentAfter && !g.givesNoCopy(offer.instance.Name, now) {
 			above, best = offer.store, &offer.instance
 		}
 	}
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -136,15 +136,17 @@
 	// avoidedUntil holds the instances that did not answer and the times until which they are
 	// not asked.
 	avoidedUntil map[string]time.Time
+	// noCopyUntil holds the instances of which a copy failed and the times until which they are not
+	// asked for another.
+	noCopyUntil map[string]time.Time
+	// followUntil is the time until which the store is followed because a copy failed.
+	followUntil time.Time
 	// urgent holds one value while an early round is requested.
 	urgent chan struct{}
 	// copies has connections of its own so that a large copy does not delay reports.
-	copies *control.Clients
-	packer packer
-	// followUntil is the Unix time in nanoseconds until which the store is followed because a
-	// copy failed.
-	followUntil atomic.Int64
-	copying     atomic.Bool
+	copies  *control.Clients
+	packer  packer
+	copying atomic.Bool
 	// watching is the reason for which this instance followed the store in the last round.
 	watching watchReason
 	// used sums the usage of limited callers in the own domain.
@@ -182,6 +184,7 @@
 		replicaOffers:     make(map[string]*received[replicaOffer]),
 		requestedRetained: make(map[string]uint64),
 		avoidedUntil:      make(map[string]time.Time),
+		noCopyUntil:       make(map[string]time.Time),
 		urgent:            make(chan struct{}, 1),
 		placementLog:      newPlacementLog(),
 		evidence:          newEvidence(),
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -28,14 +28,13 @@
 func (g *Gossip) Watches() bool { return g.watchReason() != "" }
 
 func (g *Gossip) watchReason() watchReason {
-	if g.options.Clock.Now().UnixNano() < g.followUntil.Load() {
-		return watchAfterFailure
-	}
 	ranked := g.ranked(jobHub, g.options.Self.Domain, g.registered())
 	rank := slices.Index(ranked, g.options.Self.Name)
 	switch {
 	case rank < watchers:
 		return watchAsWatcher
+	case g.hasCopyFailed():
+		return watchAfterFailure
 	case !g.hearsAny(ranked[:watchers]):
 		return watchUnheard
 	case g.isStale(rank - watchers):
@@ -45,6 +44,13 @@
 	}
 }
 
+// hasCopyFailed reports whether a copy from another instance failed lately.
+func (g *Gossip) hasCopyFailed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.options.Clock.Now().Before(g.followUntil)
+}
+
 // hearsAny reports whether one of the named instances of the own domain has reported lately.
 func (g *Gossip) hearsAny(names []string) bool {
 	now := g.options.Clock.Now()
--- a/pkg/peer/watch_test.go
+++ b/pkg/peer/watch_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -215,3 +216,27 @@
 	h.is.True(ranked[0] != first)
 	h.is.Equal(ranked[2], first)
 }
+
+// TestNewerReplicaOfAnotherDomainIsCopiedFromItsHub guards against copies from an instance of another domain that
+// is no newer than this one, while that domain reports a newer replica.
+func TestNewerReplicaOfAnotherDomainIsCopiedFromItsHub(t *testing.T) {
+	h := newWatchHarness(t, 1, 0)
+	view := &fleet.View{Instances: slices.Clone(h.options.Fleet.Load().Instances)}
+	digest := Digest{Domain: "south-a", Region: "south", Store: 9}
+	for i := range 3 {
+		name := fmt.Sprintf("south-a-%d", i)
+		view.Instances = append(view.Instances, fleet.Instance{Name: name, Domain: "south-a", Region: "south", Gossip: name})
+		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1, Reaches: i == 0})
+	}
+	digest.Marks[1].Reaches = true
+	h.options.Fleet.Store(view)
+	h.mu.Lock()
+	h.applyDigest(digest, h.now)
+	h.mu.Unlock()
+	hub := h.Gossip.ranked(jobHub, "south-a", view.Instances)[0]
+	h.is.Equal(h.newestSource(mirror.Position{Revision: 7}).Name, hub)
+	h.copyFailed(h.newestSource(mirror.Position{Revision: 7}), errNoCopy)
+	h.is.True(h.newestSource(mirror.Position{Revision: 7}).Name != hub)
+}
+
+var errNoCopy = errors.New("no copy")
