pkg/agent: stand-ins watch the key-value service when the watchers have lost it

What callers see: nothing is on record; a failure domain whose two watchers lose the key-value service, while others of its instances reach it, hears of changes through other domains only, and if it is cut off from these as well not at all.

Cause: the two watchers were chosen among the instances that are alive. Whether the service answers them was published, and not asked.

The first instances after those that report that the service does not answer them watch too; the watchers go on trying. From four unable instances on no further one tries: the service answers nobody, and calls would only load it.

--- a/pkg/agent/mesh_query.go
+++ b/pkg/agent/mesh_query.go
@@ -73,6 +73,19 @@
 	return false
 }
 
+// withoutPlatform returns the instances that try to watch the key-value service and get no answer.
+func (m *mesh) withoutPlatform(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, fact := range m.platform {
+		if fact.Watching && !fact.KeyValue && m.view.State(name, now) == board.InstanceLive {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // setPlatform records and publishes whether the key-value service answers here. It
 // reports whether that changed.
 func (m *mesh) setPlatform(fact control.PlatformFact) bool {
--- a/pkg/agent/platform.go
+++ b/pkg/agent/platform.go
@@ -52,8 +52,9 @@
 	if time.Since(a.started) < SettleTime {
 		return false
 	}
-	workers := a.mesh.workers(time.Now())
-	on := member.Owns(member.Key("watch", "head"), workers, a.Settings.Instance, spread.Watchers)
+	now := time.Now()
+	workers, lost := a.mesh.workers(now), a.mesh.withoutPlatform(now)
+	on := standsIn(member.Key("watch", "head"), workers, lost, a.Settings.Instance, spread.Watchers)
 	if !on && a.mesh.setPlatform(control.PlatformFact{}) {
 		a.beat.raise()
 	}
