pkg/agent: a stand-in fetches a digest that its owner cannot

What callers see: nothing is on record; one instance fetches the digest of a remote failure domain for all others of its own. If it alone is cut off from that domain, the domain counts as unreachable for all, and no request is forwarded there.

Cause: the owner was chosen among the instances that are alive. That it does not reach the domain was published and made the digest age, and changed nothing about who fetches.

Evidence: TestStandInFetchesADigestThatItsOwnerCannot failed before.

The next instance in the order fetches while the owner reports that it does not reach the domain, one at a time and two at most; the owner goes on trying, and its report does not undo that of a stand-in which reaches the domain.

--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -36,7 +36,8 @@
 	MaxHold = 10 * time.Second
 )
 
-// digestJobs returns the fetches that this instance owns. A fresh instance knows no
+// digestJobs returns the fetches that this instance owns, or does for owners that do not reach the
+// domain. A fresh instance knows no
 // peers yet; without SettleTime it would own all fetches, and receive the
 // configuration from every domain.
 func (a *Agent) digestJobs(workers []string) map[string]job {
@@ -47,7 +48,7 @@
 	domains := a.remoteDomains()
 	wait := max(DigestInterval, time.Duration(len(domains))*DigestPerDomain)
 	for _, domain := range domains {
-		if member.Owns(member.Key("digest", domain), workers, a.Settings.Instance, 1) {
+		if standsIn(member.Key("digest", domain), workers, a.mesh.cutOffFrom(domain), a.Settings.Instance, 1) {
 			wanted[domain] = func(ctx context.Context) { a.fetchLoop(ctx, domain, wait) }
 		}
 	}
--- a/pkg/agent/mesh.go
+++ b/pkg/agent/mesh.go
@@ -35,13 +35,15 @@
 	hints     map[string]hint
 	upstreams map[string]*upstreamEntry
 	digests   map[string]*digestEntry
-	marks     map[string]map[string]bool
-	list      *control.ListFact
-	platform  map[string]control.PlatformFact
-	stopping  bool
-	sequence  uint64
-	changed   func()
-	behind    func()
+	// cutOff holds, by remote domain, the instances that do not reach it, with their epochs.
+	cutOff   map[string]map[string]uint64
+	marks    map[string]map[string]bool
+	list     *control.ListFact
+	platform map[string]control.PlatformFact
+	stopping bool
+	sequence uint64
+	changed  func()
+	behind   func()
 }
 
 // link is the heartbeat state of one peer.
@@ -81,6 +83,7 @@
 		hints:     make(map[string]hint),
 		upstreams: make(map[string]*upstreamEntry),
 		digests:   make(map[string]*digestEntry),
+		cutOff:    make(map[string]map[string]uint64),
 		marks:     make(map[string]map[string]bool),
 		platform:  make(map[string]control.PlatformFact),
 		changed:   func() {},
--- a/pkg/agent/mesh_digest.go
+++ b/pkg/agent/mesh_digest.go
@@ -34,6 +34,11 @@
 
 // applyDigest applies a digest that a peer fetched and shares.
 func (m *mesh) applyDigest(from string, fact *control.DigestFact, now time.Time) bool {
+	m.setCutOff(fact.Digest.Domain, from, m.view.Epoch(from), !fact.Reachable)
+	if before := m.digests[fact.Digest.Domain]; !fact.Reachable && before != nil && before.reachable && before.from != from {
+		// A stand-in reaches the domain.
+		return true
+	}
 	m.digests[fact.Digest.Domain] = &digestEntry{from: from, reachable: fact.Reachable}
 	if !fact.Reachable {
 		return true
@@ -47,6 +52,7 @@
 func (m *mesh) setDigest(d board.DomainDigest, entriesSum uint64, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.setCutOff(d.Domain, m.self.Name, m.self.Epoch, false)
 	m.remote.Merge(restoreEmptyEntries(d, entriesSum), now)
 	current, _ := m.remote.Get(d.Domain)
 	before, ok := m.digests[d.Domain]
@@ -76,16 +82,18 @@
 	})
 }
 
-// setUnreachable publishes that a remote domain does not answer this instance,
-// which owns its fetch: from now on its digest ages.
+// setUnreachable publishes that a remote domain does not answer this instance, which fetches its
+// digest: unless a stand-in reaches it, the digest ages from now on.
 func (m *mesh) setUnreachable(domain string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	before, ok := m.digests[domain]
-	if ok && before.from == m.self.Name && !before.reachable {
+	if _, already := m.cutOff[domain][m.self.Name]; already {
 		return
 	}
-	m.digests[domain] = &digestEntry{from: m.self.Name}
+	m.setCutOff(domain, m.self.Name, m.self.Epoch, true)
+	if before := m.digests[domain]; before == nil || before.from == m.self.Name || !before.reachable {
+		m.digests[domain] = &digestEntry{from: m.self.Name}
+	}
 	m.own.remove("entries/" + domain)
 	m.own.set("digest/"+domain, func(f *control.Facts) {
 		f.Digests = append(f.Digests, control.DigestFact{Digest: board.DomainDigest{Domain: domain}})
@@ -93,11 +101,37 @@
 	m.changed()
 }
 
+// setCutOff records whether an instance reaches a remote domain. The caller holds m.mu.
+func (m *mesh) setCutOff(domain, instance string, epoch uint64, cutOff bool) {
+	if !cutOff {
+		delete(m.cutOff[domain], instance)
+		return
+	}
+	if m.cutOff[domain] == nil {
+		m.cutOff[domain] = make(map[string]uint64)
+	}
+	m.cutOff[domain][instance] = epoch
+}
+
+// cutOffFrom returns the instances that fetch a remote domain's digest and do not reach it.
+func (m *mesh) cutOffFrom(domain string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, epoch := range m.cutOff[domain] {
+		if epoch == m.view.Epoch(name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // withdrawDigest withdraws a digest when this instance no longer owns the domain's
 // fetch.
 func (m *mesh) withdrawDigest(domain string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.setCutOff(domain, m.self.Name, m.self.Epoch, false)
 	m.own.remove("entries/" + domain)
 	m.own.remove("digest/" + domain)
 }
--- a/pkg/agent/standin_test.go
+++ b/pkg/agent/standin_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/member"
+	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
 // TestStandInWatchesWhenTheWatchersHaveLostTheService guards against a domain that misses changes of the
@@ -63,3 +65,45 @@
 		})
 	}
 }
+
+// TestStandInFetchesADigestThatItsOwnerCannot guards against a failure domain that counts as unreachable for
+// all instances of another one, since the one instance that fetches its digest is cut off from it.
+func TestStandInFetchesADigestThatItsOwnerCannot(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	names := []string{"a-1", "a-2", "a-3"}
+	ranked := member.Rank(member.Key("digest", "b"), names)
+	newAgent := func(self string) *Agent {
+		a := settledAgent(t, now)
+		a.Settings.Instance, a.started = self, now.Add(-SettleTime)
+		a.Settings.Seeds = []settings.Seed{{Domain: "b", Mesh: "127.0.0.1:1"}}
+		a.mesh = newMesh(member.Identity{Name: self, Domain: "a", Epoch: 5}, now)
+		return a
+	}
+	owner, standIn, third := newAgent(ranked[0]), newAgent(ranked[1]), newAgent(ranked[2])
+	fetches := func(a *Agent) bool { return len(a.digestJobs(names)) == 1 }
+	exchange := func() {
+		now = now.Add(BeatInterval)
+		for _, pair := range [][2]*Agent{{owner, standIn}, {owner, third}, {standIn, third}} {
+			exchangeBeats(t, pair[0].mesh, pair[1].mesh, now)
+		}
+	}
+	exchange()
+	is.True(fetches(owner) && !fetches(standIn) && !fetches(third))
+	owner.mesh.setUnreachable("b")
+	exchange()
+	is.True(fetches(owner) && fetches(standIn) && !fetches(third))
+
+	remote := board.DomainDigest{Domain: "b", Sequence: 7, Nodes: 3}
+	standIn.mesh.setDigest(remote, noEntries, now)
+	exchange()
+	owner.mesh.setUnreachable("b") // it goes on failing
+	exchange()
+	_, _, domains := third.mesh.snapshot(now, nil)
+	is.Equal(domains.Remote[0].HeardAt, now) // the stand-in's beats confirm it
+	is.True(fetches(standIn) && !fetches(third))
+
+	owner.mesh.setDigest(remote, noEntries, now)
+	exchange()
+	is.True(fetches(owner) && !fetches(standIn))
+}
