--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -42,6 +42,9 @@
 	UpstreamGone       Name = "upstream-gone"
 	// EntryRejected means that an entry of the store cannot be decoded.
 	EntryRejected Name = "entry-rejected"
+	// EntryOverruled means that an entry was written after a newer state of it, or after the deletion
+	// of one, and is ignored for a while.
+	EntryOverruled Name = "entry-overruled"
 	// EntryLapsed means that an entry is missing after a store outage and is retained.
 	EntryLapsed Name = "entry-lapsed"
 	// EntryGone means that the retention of a lapsed entry is over.
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -16,7 +16,8 @@
 	// empty if the snapshot is no newer than the requested position.
 	Changed []platform.Entry
 	Keys    []string
-	// Held holds the entries that the snapshot retains from former epochs.
+	// Held holds the entries of which the store has only an older state, or that a restore of it
+	// deleted.
 	Held []platform.Entry
 	// Lapsed holds the keys that are missing in the store and still valid, Hidden the entries
 	// that are in the store and not valid yet.
@@ -29,10 +30,10 @@
 
 func (d *Delta) position() Position { return Position{Era: d.Era, Revision: d.Revision} }
 
-// Hidden is an entry that is ignored for some more time.
+// Hidden is an entry that is ignored for some more time, because of the state By if that has a key.
 type Hidden struct {
-	Entry platform.Entry
-	Left  time.Duration
+	Entry, By platform.Entry
+	Left      time.Duration
 }
 
 // Lapse is a key that stays valid for some more time.
@@ -51,15 +52,15 @@
 	for key, end := range s.Expiring {
 		delta.Lapsed = append(delta.Lapsed, Lapse{Key: key, Left: end.Sub(now)})
 	}
+	for _, retained := range s.hidden {
+		delta.Hidden = append(delta.Hidden, Hidden{Entry: retained.entry, By: retained.by, Left: retained.until.Sub(now)})
+	}
 	if !from.Before(s.Position()) {
-		if len(delta.Held) == 0 {
+		if len(delta.Held) == 0 && len(delta.Hidden) == 0 {
 			return Delta{}
 		}
 		return delta
 	}
-	for _, retained := range s.hidden {
-		delta.Hidden = append(delta.Hidden, Hidden{Entry: retained.entry, Left: retained.until.Sub(now)})
-	}
 	delta.Removals, delta.Gap = s.Removals, s.Gap
 	delta.Keys = make([]string, 0, len(s.Entries))
 	for key, entry := range s.Entries {
@@ -98,11 +99,14 @@
 	for _, lapse := range delta.Lapsed {
 		m.expiring[lapse.Key] = now.Add(min(lapse.Left, max(leaseGrace, m.options.Order.RetainFor(lapse.Key))))
 	}
+	hiddenBefore := m.hidden
 	m.hidden = make(map[string]hidden, len(delta.Hidden))
-	for _, expiryFromPeer := range delta.Hidden {
-		m.hidden[expiryFromPeer.Entry.Key] = hidden{entry: expiryFromPeer.Entry, until: now.Add(min(expiryFromPeer.Left, m.options.Order.SuppressFor(expiryFromPeer.Entry.Key)))}
+	for i := range delta.Hidden {
+		m.hide(&delta.Hidden[i], now)
 	}
 	if present != nil {
+		m.keepHidden(hiddenBefore, present, delta, entries)
+		m.overruleChanged(present, delta, entries, now)
 		m.recordMissing(present, entries, now)
 		m.carryOver(present, delta.position(), entries, now)
 	}
@@ -129,7 +133,10 @@
 		}
 		entry, known := present.Entries[key]
 		if !known {
-			return nil, false
+			suppressed, exists := present.hidden[key]
+			if entry = suppressed.entry; !exists || entry.Era != d.Era {
+				return nil, false
+			}
 		}
 		entries[key] = entry
 	}
@@ -154,6 +161,49 @@
 	}
 }
 
+// hide hides an entry as another instance does. The caller holds m.mu.
+func (m *Mirror) hide(received *Hidden, now time.Time) {
+	key := received.Entry.Key
+	longest := max(m.options.Order.SuppressFor(key), m.options.Order.OverruleFor(&received.Entry))
+	m.hidden[key] = hidden{entry: received.Entry, until: now.Add(min(received.Left, longest)), by: received.By}
+	if received.By.Key == key {
+		m.recordRemoved(received.By, now)
+	}
+}
+
+// keepHidden goes on hiding entries that a newer snapshot has and does not hide, as long as nothing was
+// written since. The caller holds m.mu.
+func (m *Mirror) keepHidden(before map[string]hidden, present *Snapshot, delta *Delta, entries map[string]platform.Entry) {
+	for key, suppressed := range before {
+		current, exists := entries[key]
+		_, received := m.hidden[key]
+		if !exists || received || suppressed.entry.Era != delta.Era || positionOf(&suppressed.entry).Before(positionOf(&current)) {
+			continue
+		}
+		m.restoreLatest(present.Entries, entries, key)
+		if _, missing := m.expiring[key]; missing {
+			// The store has deleted it since, and the other instance retains it.
+			if _, known := entries[key]; !known {
+				delete(m.expiring, key)
+			}
+			continue
+		}
+		m.hidden[key] = suppressed
+	}
+}
+
+// overruleChanged hides the changes of a delta that are older than the local state of their keys. The
+// caller holds m.mu.
+func (m *Mirror) overruleChanged(present *Snapshot, delta *Delta, entries map[string]platform.Entry, now time.Time) {
+	for i := range delta.Changed {
+		changed := &delta.Changed[i]
+		latest := m.latest(present.Entries, changed.Key, now)
+		if latest != nil && positionOf(latest).Before(positionOf(changed)) && m.overrule(changed, latest, now) {
+			m.restoreLatest(present.Entries, entries, changed.Key)
+		}
+	}
+}
+
 // removedSince reports whether an entry, or a later state of it, was deleted recently. The
 // caller holds m.mu.
 func (m *Mirror) removedSince(retained *platform.Entry) bool {
@@ -190,12 +240,40 @@
 		}
 		entries[retained.Key], changed = retained, true
 	}
+	changed = m.mergeHidden(delta, entries, now) || changed
 	if changed {
 		m.publish(present.Position(), entries, now)
 	}
 	return changed
 }
 
+// mergeHidden hides the entries of the present epoch that another instance hides, unless they were
+// written since, and reports whether there are any. The caller holds m.mu.
+func (m *Mirror) mergeHidden(delta *Delta, entries map[string]platform.Entry, now time.Time) (changed bool) {
+	held := make(map[string]bool, len(delta.Held))
+	for i := range delta.Held {
+		held[delta.Held[i].Key] = true
+	}
+	for i := range delta.Hidden {
+		late := &delta.Hidden[i]
+		key := late.Entry.Key
+		current, exists := entries[key]
+		_, already := m.hidden[key]
+		if already || late.Left <= 0 || !exists || m.options.Order.OverruleFor(&late.Entry) == 0 {
+			continue
+		}
+		switch atLate := positionOf(&current) == positionOf(&late.Entry); {
+		case atLate && !held[key]:
+			delete(entries, key)
+		case atLate || positionOf(&late.Entry).Before(positionOf(&current)):
+			continue
+		}
+		m.hide(late, now)
+		changed = true
+	}
+	return changed
+}
+
 // left returns the remaining validity of a key that is missing in the store; zero if it is not
 // missing or no longer valid.
 func (d *Delta) left(key string) time.Duration {
--- a/pkg/mirror/entries.go
+++ b/pkg/mirror/entries.go
@@ -40,8 +40,8 @@
 		_, listed := entries[key]
 		return listed
 	})
-	clear(m.hidden)
 	if present != nil {
+		m.overruleListed(present.Entries, entries, now)
 		if present.Epoch < position.Era {
 			m.beginEpoch(position, now)
 		}
@@ -51,6 +51,31 @@
 	m.publish(position, entries, now)
 }
 
+// overruleListed hides the entries of a listing that are older than the known ones, and drops the
+// entries that were hidden before. The caller holds m.mu.
+func (m *Mirror) overruleListed(known, entries map[string]platform.Entry, now time.Time) {
+	maps.DeleteFunc(m.hidden, func(key string, before hidden) bool {
+		listed, exists := entries[key]
+		return !exists || listed.Era != before.entry.Era || m.options.Order.OverruleFor(&before.entry) == 0
+	})
+	for key, listed := range entries {
+		latest := m.latest(known, key, now)
+		if latest != nil && positionOf(latest).Before(positionOf(&listed)) && m.overrule(&listed, latest, now) {
+			m.restoreLatest(known, entries, key)
+		}
+	}
+}
+
+// restoreLatest puts the known state of a key into entries in place of a hidden one. The caller holds
+// m.mu.
+func (m *Mirror) restoreLatest(known, entries map[string]platform.Entry, key string) {
+	if latest, exists := known[key]; exists {
+		entries[key] = latest
+	} else {
+		delete(entries, key)
+	}
+}
+
 // retainMissing retains the entries of the present epoch that are missing in a listing and that
 // their owners may be about to write again. The caller holds m.mu.
 func (m *Mirror) retainMissing(present *Snapshot, position Position, entries map[string]platform.Entry, now time.Time) {
@@ -103,14 +128,19 @@
 
 func (m *Mirror) change(entries map[string]platform.Entry, change platform.Change, now time.Time) {
 	before, known := entries[change.Key]
-	delete(m.hidden, change.Key)
 	if change.Removed {
+		delete(m.hidden, change.Key)
 		m.recordRemoval(change.Key, positionOf(&change.Entry))
 	}
 	if !change.Removed {
 		if known && before.Era != change.Era && m.options.Order.Older(&change.Entry, &before) {
+			delete(m.hidden, change.Key)
+			return
+		}
+		if m.overrule(&change.Entry, m.latest(entries, change.Key, now), now) {
 			return
 		}
+		delete(m.hidden, change.Key)
 		entries[change.Key] = change.Entry
 		delete(m.expiring, change.Key)
 		return
@@ -153,7 +183,7 @@
 		Epoch: position.Era, Revision: position.Revision, Entries: entries,
 		Expiring: maps.Clone(m.expiring), hidden: maps.Clone(m.hidden), Removals: m.removals, Gap: m.gap,
 	}
-	snapshot.RetainedSum = fingerprint(snapshot.retained())
+	snapshot.RetainedSum = snapshot.fingerprint()
 	m.snapshot.Store(snapshot)
 }
 
--- a/pkg/mirror/position.go
+++ b/pkg/mirror/position.go
@@ -32,14 +32,19 @@
 	// SuppressFor returns the time after a restore for which a deleted entry that the backup still
 	// contains is ignored. Zero means not at all.
 	SuppressFor(key string) time.Duration
+	// OverruleFor returns the time for which an older state of an entry's key is ignored that is
+	// written after the entry, or after its deletion: a write may be executed late. Zero means that
+	// the last write counts.
+	OverruleFor(entry *platform.Entry) time.Duration
 }
 
 // noOrder always uses the store's state.
 type noOrder struct{}
 
-func (noOrder) Older(_, _ *platform.Entry) bool  { return false }
-func (noOrder) RetainFor(string) time.Duration   { return 0 }
-func (noOrder) SuppressFor(string) time.Duration { return 0 }
+func (noOrder) Older(_, _ *platform.Entry) bool           { return false }
+func (noOrder) RetainFor(string) time.Duration            { return 0 }
+func (noOrder) SuppressFor(string) time.Duration          { return 0 }
+func (noOrder) OverruleFor(*platform.Entry) time.Duration { return 0 }
 
 // Deletions are remembered for removalTTL, longer than the age of a backup of the store;
 // maxRemovals bounds their number.
@@ -54,10 +59,13 @@
 	at    time.Time
 }
 
-// hidden is an entry that is in the store and counts as deleted until a time.
+// hidden is an entry that is in the store and does not count until a time: a newer state of its key
+// does, or its deletion.
 type hidden struct {
 	entry platform.Entry
 	until time.Time
+	// by is the newer state, present or deleted; without a key if it is not known.
+	by platform.Entry
 }
 
 // remove deletes an entry. The caller holds m.mu.
@@ -71,7 +79,7 @@
 // recordRemoved remembers a deleted entry in case the store is restored from a backup that
 // contains it. The caller holds m.mu.
 func (m *Mirror) recordRemoved(entry platform.Entry, now time.Time) {
-	if m.options.Order.SuppressFor(entry.Key) == 0 {
+	if m.options.Order.SuppressFor(entry.Key) == 0 && m.options.Order.OverruleFor(&entry) == 0 {
 		return
 	}
 	if len(m.removed) >= maxRemovals {
@@ -114,6 +122,42 @@
 	}
 }
 
+// overrule hides an entry of the store if it is older than the known state of its key, or than the
+// one that was deleted, and reports whether it does. Repeated writes do not extend the time. The
+// caller holds m.mu.
+func (m *Mirror) overrule(late *platform.Entry, known *platform.Entry, now time.Time) bool {
+	if known == nil || known.Era != late.Era || !m.options.Order.Older(late, known) {
+		return false
+	}
+	overruleFor := min(m.options.Order.OverruleFor(late), m.options.Order.OverruleFor(known))
+	if overruleFor == 0 {
+		return false
+	}
+	before, repeated := m.hidden[late.Key]
+	if !repeated {
+		before.until = now.Add(overruleFor)
+		m.options.Log.Warn().Str(event.KeyKey, late.Key).Int64(event.KeyRevision, late.ModRevision).
+			Int64(event.KeyKnownRevision, known.ModRevision).Int64(event.KeyForMS, overruleFor.Milliseconds()).Msg(string(event.EntryOverruled))
+	}
+	if !now.Before(before.until) {
+		return false
+	}
+	m.hidden[late.Key] = hidden{entry: *late, until: before.until, by: *known}
+	return true
+}
+
+// latest returns the newest known state of a key that is among entries or was deleted recently; nil
+// if there is none. The caller holds m.mu.
+func (m *Mirror) latest(entries map[string]platform.Entry, key string, now time.Time) *platform.Entry {
+	if entry, known := entries[key]; known {
+		return &entry
+	}
+	if removed, known := m.removed[key]; known && now.Sub(removed.at) <= removalTTL {
+		return &removed.entry
+	}
+	return nil
+}
+
 // isSuppressed reports whether an entry was deleted in a former epoch.
 func (m *Mirror) isSuppressed(listed *platform.Entry, now time.Time) bool {
 	removed, known := m.removed[listed.Key]
@@ -127,7 +171,8 @@
 // since. The caller holds m.mu.
 func (m *Mirror) unhideExpired(entries map[string]platform.Entry, now time.Time) {
 	for key, suppressed := range m.hidden {
-		_, written := entries[key]
+		current, exists := entries[key]
+		written := exists && (current.Era != suppressed.entry.Era || positionOf(&suppressed.entry).Before(positionOf(&current)))
 		if !written && !now.Before(suppressed.until) {
 			entries[key] = suppressed.entry
 		}
@@ -137,15 +182,12 @@
 	}
 }
 
-// retained returns the entries of former epochs, sorted by key. Since it was restored, the store
-// has received no writes of them, or only older states.
+// retained returns the entries of which the store holds only an older state, or that a restore of it
+// deleted, sorted by key.
 func (s *Snapshot) retained() []platform.Entry {
-	if s.Epoch == 0 {
-		return nil
-	}
 	var retained []platform.Entry
-	for _, entry := range s.Entries {
-		if entry.Era != s.Epoch {
+	for key, entry := range s.Entries {
+		if _, overrules := s.hidden[key]; overrules || entry.Era != s.Epoch {
 			retained = append(retained, entry)
 		}
 	}
@@ -153,9 +195,10 @@
 	return retained
 }
 
-// fingerprint is a hash of retained entries; zero if there are none.
-func fingerprint(retained []platform.Entry) uint64 {
-	if len(retained) == 0 {
+// fingerprint is a hash of the retained and the hidden entries; zero if there are none.
+func (s *Snapshot) fingerprint() uint64 {
+	retained := s.retained()
+	if len(retained) == 0 && len(s.hidden) == 0 {
 		return 0
 	}
 	sum := xxhash.New()
@@ -164,5 +207,9 @@
 		_, _ = sum.WriteString(retained[i].Key)
 		_, _ = sum.Write(retained[i].Value)
 	}
+	for _, key := range slices.Sorted(maps.Keys(s.hidden)) {
+		_, _ = sum.WriteString(key)
+		_, _ = sum.Write(s.hidden[key].entry.Value)
+	}
 	return sum.Sum64()
 }
--- a/pkg/mirror/restore_test.go
+++ b/pkg/mirror/restore_test.go
@@ -85,8 +85,9 @@
 func (numbered) Older(entry, than *platform.Entry) bool {
 	return number(entry.Value) < number(than.Value)
 }
-func (numbered) RetainFor(string) time.Duration   { return retainFor }
-func (numbered) SuppressFor(string) time.Duration { return suppressFor }
+func (numbered) RetainFor(string) time.Duration            { return retainFor }
+func (numbered) SuppressFor(string) time.Duration          { return suppressFor }
+func (numbered) OverruleFor(*platform.Entry) time.Duration { return 0 }
 
 func number(value []byte) int {
 	n, err := strconv.Atoi(string(value))
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -23,8 +23,8 @@
 }
 
 // catchUp fetches a peer's newer snapshot of the store if this instance does not follow the
-// store itself or cannot reach it. It also fetches the entries that a peer has retained from
-// before the store was last restored, which an instance that started since cannot know.
+// store itself or cannot reach it. It also fetches the entries of which a peer knows a newer state
+// than the store has, which an instance that started since cannot know.
 func (g *Gossip) catchUp(ctx context.Context) {
 	store := g.options.Store
 	since := store.Position()
@@ -32,7 +32,7 @@
 	if !store.Current() {
 		from = g.newestSource(since)
 	}
-	if from == nil && since.Era > 0 {
+	if from == nil {
 		from = g.retainedSource(store.RetainedSum())
 	}
 	if from == nil {
@@ -101,9 +101,9 @@
 	return follows
 }
 
-// retainedSource returns a live instance that retains entries from before the store was last
-// restored which differ from those of this instance, and which was not asked for them yet. It
-// returns nil if there is none.
+// retainedSource returns a live instance that retains entries, newer than the store's, which differ
+// from those of this instance, and which was not asked for them yet. It returns nil if there is
+// none.
 func (g *Gossip) retainedSource(held uint64) *fleet.Instance {
 	now := g.options.Clock.Now()
 	others := g.registered()
--- a/pkg/peer/restore_test.go
+++ b/pkg/peer/restore_test.go
@@ -15,8 +15,9 @@
 func (byValue) Older(entry, than *platform.Entry) bool {
 	return bytes.Compare(entry.Value, than.Value) < 0
 }
-func (byValue) RetainFor(string) time.Duration   { return 0 }
-func (byValue) SuppressFor(string) time.Duration { return 0 }
+func (byValue) RetainFor(string) time.Duration            { return 0 }
+func (byValue) SuppressFor(string) time.Duration          { return 0 }
+func (byValue) OverruleFor(*platform.Entry) time.Duration { return 0 }
 
 const restoredKey = "declared/config"
 
