pkg/mirror, pkg/peer, platform: an instance that starts knows which entries a late report has put back

An instance that started between a server's late report and the next one took the store's entry for the last word and used a server that drains, or that was gone, for up to a heartbeat. The same holds for one that lists the store again after it had lost it.

Cause: a listing tells what was written last, not what was reported last.

A listing is followed by a replay of the store's history of servers, through which the same comparison runs. Where the store has discarded it, which is usual once it is older than its time, another instance's whole replica is compared, recently deleted entries included; it may itself be behind.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -66,6 +66,12 @@
 	EntriesLeftOut Name = "entries-left-out"
 	// StoreHistoryGone means that changes were missed; all entries are read again.
 	StoreHistoryGone Name = "store-history-gone"
+	// StoreNotReplayed means that the store has discarded changes that would show whether entries are
+	// the last states of their keys; another instance is asked.
+	StoreNotReplayed Name = "store-not-replayed"
+	// IntroductionAwaited means that the instance serves no request before another one has told what the
+	// store's lost history would show, or a second has passed.
+	IntroductionAwaited Name = "introduction-awaited"
 	// StoreHistoryMissed means that entries created and deleted before a revision are unknown;
 	// upstreams are probed whether they are cold.
 	StoreHistoryMissed   Name = "store-history-missed"
--- a/pkg/mirror/delta.go
+++ b/pkg/mirror/delta.go
@@ -23,6 +23,8 @@
 	// that are in the store and not valid yet.
 	Lapsed []Lapse
 	Hidden []Hidden
+	// Deleted holds recently deleted entries, if the delta is of the whole snapshot.
+	Deleted []platform.Entry
 	// Removals and Gap are the snapshot's.
 	Removals map[string]Position
 	Gap      Position
@@ -62,6 +64,9 @@
 		return delta
 	}
 	delta.Removals, delta.Gap = s.Removals, s.Gap
+	if from == (Position{}) {
+		delta.Deleted = s.removed
+	}
 	delta.Keys = make([]string, 0, len(s.Entries))
 	for key, entry := range s.Entries {
 		delta.Keys = append(delta.Keys, key)
@@ -91,6 +96,7 @@
 	for key, removed := range delta.Removals {
 		m.recordRemoval(key, removed)
 	}
+	m.recordDeleted(delta, now)
 	m.mergeGap(present, delta)
 	if present != nil && present.Epoch < delta.Era {
 		m.beginEpoch(delta.position(), now)
@@ -161,6 +167,15 @@
 	}
 }
 
+// recordDeleted records the entries that another instance has recently seen deleted. The caller holds m.mu.
+func (m *Mirror) recordDeleted(delta *Delta, now time.Time) {
+	for _, deleted := range delta.Deleted {
+		if _, known := m.removed[deleted.Key]; !known {
+			m.recordRemoved(deleted, now)
+		}
+	}
+}
+
 // hide hides an entry as another instance does. The caller holds m.mu.
 func (m *Mirror) hide(received *Hidden, now time.Time) {
 	key := received.Entry.Key
--- a/pkg/mirror/entries.go
+++ b/pkg/mirror/entries.go
@@ -27,8 +27,9 @@
 	return end, !m.recoveredAt.IsZero() && now.Before(end)
 }
 
-// replace applies a complete listing.
-func (m *Mirror) replace(position Position, entries map[string]platform.Entry) {
+// replace applies a complete listing. known holds the entries that were known before, and what a replay
+// has shown of them.
+func (m *Mirror) replace(position Position, entries, known map[string]platform.Entry) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now, present := m.options.Clock.Now(), m.snapshot.Load()
@@ -40,8 +41,8 @@
 		_, listed := entries[key]
 		return listed
 	})
+	m.overruleListed(known, entries, now)
 	if present != nil {
-		m.overruleListed(present.Entries, entries, now)
 		if present.Epoch < position.Era {
 			m.beginEpoch(position, now)
 		}
@@ -182,6 +183,7 @@
 	snapshot := &Snapshot{
 		Epoch: position.Era, Revision: position.Revision, Entries: entries,
 		Expiring: maps.Clone(m.expiring), hidden: maps.Clone(m.hidden), Removals: m.removals, Gap: m.gap,
+		removed: m.recentlyRemoved(now),
 	}
 	snapshot.RetainedSum = snapshot.fingerprint()
 	m.snapshot.Store(snapshot)
--- a/pkg/mirror/history.go
+++ b/pkg/mirror/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"time"
 
 	"github.com/lilacweir/lilacweir/pkg/event"
@@ -16,6 +18,11 @@
 	// historyDepth is the number of revisions before its first listing that a replica reads.
 	// Others that copy from it are no further behind, unless they were partitioned.
 	historyDepth = 200
+	// replayDepth is that number for the prefixes in Options.Replayed: more revisions than hundreds of
+	// servers and instances write while a write may be late, and about as many bytes as a listing.
+	// shortReplayDepth is it where the store has discarded so much.
+	replayDepth      = 1000
+	shortReplayDepth = 50
 	// historyWait is the wait of a call for history, which the store either has or has not.
 	historyWait = time.Millisecond
 )
@@ -28,6 +35,113 @@
 	return m.gap
 }
 
+// replay returns the entries below Options.Replayed as they were known, with the changes since applied
+// in their order up to at least a position. Without the store's history it returns what was known, or what
+// is left of the history shows.
+func (m *Mirror) replay(ctx context.Context, to Position) map[string]platform.Entry {
+	known, from := make(map[string]platform.Entry), Position{Era: to.Era, Revision: max(1, to.Revision-replayDepth)}
+	if present := m.snapshot.Load(); present != nil {
+		known, from = maps.Clone(present.Entries), present.Position()
+	}
+	missed := from.Era != to.Era
+	if !missed && from.Before(to) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		for _, prefix := range m.options.Replayed {
+			err := m.replayPrefix(ctx, known, prefix, from.Revision, to.Era)
+			if errors.Is(err, platform.ErrCompacted) {
+				err = errors.Join(err, m.replayPrefix(ctx, known, prefix, to.Revision-shortReplayDepth, to.Era))
+			}
+			if err != nil {
+				m.options.Log.Info().Err(err).Str(event.KeyKey, prefix).Int64(event.KeyRevision, from.Revision).Msg(string(event.StoreNotReplayed))
+				missed = true
+			}
+		}
+	}
+	m.setUnreplayed(missed)
+	return known
+}
+
+// replayPrefix applies the changes of a prefix after a revision to entries.
+func (m *Mirror) replayPrefix(ctx context.Context, entries map[string]platform.Entry, prefix string, after int64, epoch uint64) error {
+	changes, err := m.options.Source.Changes(ctx, prefix, max(1, after), historyWait)
+	if err != nil {
+		return err
+	}
+	if m.observeAnswer(changes.Era) != epoch {
+		return errRestored
+	}
+	m.applyReplayed(entries, changes, epoch)
+	return nil
+}
+
+func (m *Mirror) setUnreplayed(unreplayed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unreplayed = unreplayed && len(m.options.Replayed) > 0
+}
+
+// Unreplayed reports whether entries may have been put back to an earlier state by a late write while the
+// store has discarded the changes that would show it. Another instance's snapshot shows it too: see
+// Introduce.
+func (m *Mirror) Unreplayed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.unreplayed
+}
+
+// Introduce overrules the entries that are older than those of another instance's whole snapshot, which may
+// itself be behind this one. The zero Delta stands for no other instance.
+func (m *Mirror) Introduce(delta *Delta) {
+	m.ObserveEpoch(delta.Era)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unreplayed = false
+	present, now := m.snapshot.Load(), m.options.Clock.Now()
+	if present == nil {
+		return
+	}
+	entries := maps.Clone(present.Entries)
+	if present.Epoch == delta.Era {
+		m.overruleOlder(present, delta, entries, now)
+	}
+	m.publish(present.Position(), entries, now)
+}
+
+// overruleOlder hides the entries that are older than those of a whole snapshot. The caller holds m.mu.
+func (m *Mirror) overruleOlder(present *Snapshot, delta *Delta, entries map[string]platform.Entry, now time.Time) {
+	known := make(map[string]platform.Entry, len(delta.Changed)+len(delta.Held))
+	for _, received := range [][]platform.Entry{delta.Changed, delta.Held} {
+		for _, entry := range received {
+			known[entry.Key] = entry
+		}
+	}
+	m.recordDeleted(delta, now)
+	for key, entry := range known {
+		if _, exists := present.Entries[key]; !exists && positionOf(&entry).Before(present.Position()) {
+			m.recordRemoved(entry, now)
+		}
+	}
+	for key, entry := range present.Entries {
+		latest := m.latest(known, key, now)
+		if latest != nil && positionOf(latest).Before(positionOf(&entry)) && m.overrule(&entry, latest, now) {
+			m.restoreLatest(known, entries, key)
+		}
+	}
+	m.mergeHidden(delta, entries, now)
+}
+
+// applyReplayed applies changes of an epoch to entries.
+func (m *Mirror) applyReplayed(entries map[string]platform.Entry, changes platform.Changes, epoch uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Clock.Now()
+	for _, change := range changes.Entries {
+		change.Era = epoch
+		m.change(entries, change, now)
+	}
+}
+
 // readHistory reads the changes between two positions.
 func (m *Mirror) readHistory(ctx context.Context, from, to Position) {
 	if len(m.options.TrackedRemovals) == 0 || !from.Before(to) {
--- a/pkg/mirror/internal_test.go
+++ b/pkg/mirror/internal_test.go
@@ -16,11 +16,11 @@
 func TestIgnoredListingChangesNothing(t *testing.T) {
 	is := is.New(t)
 	m := New(Options{Clock: clock.System{}, Log: zerolog.Nop()})
-	m.replace(Position{Era: 1, Revision: 50}, map[string]platform.Entry{})
+	m.replace(Position{Era: 1, Revision: 50}, map[string]platform.Entry{}, nil)
 	until := time.Now().Add(time.Minute)
 	m.hidden["a"] = hidden{entry: platform.Entry{Key: "a"}, until: until}
 	m.expiring["b"] = until
-	m.replace(Position{Era: 1, Revision: 40}, map[string]platform.Entry{"a": {Key: "a"}, "b": {Key: "b"}})
+	m.replace(Position{Era: 1, Revision: 40}, map[string]platform.Entry{"a": {Key: "a"}, "b": {Key: "b"}}, nil)
 	is.Equal(len(m.hidden), 1)
 	is.Equal(len(m.expiring), 1)
 }
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -34,6 +34,9 @@
 	Expiring map[string]time.Time
 	// hidden holds the entries that are in the store and not valid yet.
 	hidden map[string]hidden
+	// removed holds the entries that were deleted recently and of which earlier states may be written
+	// late.
+	removed []platform.Entry
 	// RetainedSum is the fingerprint of the retained entries; zero if there are none.
 	RetainedSum uint64
 	// Removals holds the position of the last deletion of each key below the prefixes with
@@ -66,6 +69,9 @@
 	// TrackedRemovals are the prefixes below it for which deletions are recorded, including
 	// those of entries that were written and deleted between two reads.
 	TrackedRemovals []string
+	// Replayed are the prefixes below it of which a listing does not tell enough, since a late write may
+	// have replaced a newer state: the changes since the replica's position are read as well.
+	Replayed []string
 	// UrgentPrefix is the prefix below it with changes that are read at once, however many
 	// others there are; empty for none.
 	UrgentPrefix string
@@ -143,6 +149,9 @@
 	// removals is Snapshot.Removals; it is replaced, not changed. gap is Snapshot.Gap.
 	removals map[string]Position
 	gap      Position
+	// unreplayed is true if the store had discarded changes before the last listing that a late write
+	// may have undone.
+	unreplayed bool
 	// interrupt cancels the call that waits for changes; nil if none waits.
 	interrupt context.CancelFunc
 	// pause follows the next call that returns changes. Only Run uses it.
@@ -411,7 +420,7 @@
 	if before == (Position{}) {
 		before = m.beginHistory(first)
 	}
-	m.replace(first, entries)
+	m.replace(first, entries, m.replay(ctx, first))
 	m.readHistory(ctx, before, first)
 	return first, nil
 }
--- a/pkg/mirror/position.go
+++ b/pkg/mirror/position.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// lateWriteTTL is the time after a deletion for which the deleted entry is told to instances that start:
+// longer than a write may be late.
+const lateWriteTTL = 20 * time.Second
+
+// recentlyRemoved returns the deleted entries that overrule late writes of their keys. The caller holds
+// m.mu.
+func (m *Mirror) recentlyRemoved(now time.Time) (recent []platform.Entry) {
+	for _, removed := range m.removed {
+		if now.Sub(removed.at) < lateWriteTTL && m.options.Order.OverruleFor(&removed.entry) > 0 {
+			recent = append(recent, removed.entry)
+		}
+	}
+	return recent
+}
+
 // beginEpoch records that the store was restored from a backup. The caller holds m.mu.
 func (m *Mirror) beginEpoch(position Position, now time.Time) {
 	m.recoveredAt = now
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -27,6 +27,9 @@
 // than the store has, which an instance that started since cannot know.
 func (g *Gossip) catchUp(ctx context.Context) {
 	store := g.options.Store
+	if store.Unreplayed() {
+		g.introduce(ctx)
+	}
 	since := store.Position()
 	var from *fleet.Instance
 	if !store.Current() {
@@ -48,6 +51,37 @@
 	}
 }
 
+// introduce compares this instance's snapshot with another one's whole snapshot: the store does not tell
+// what its entries were before.
+func (g *Gossip) introduce(ctx context.Context) {
+	from := g.introducer()
+	if from == nil {
+		if len(g.registered()) == 0 {
+			g.options.Store.Introduce(&mirror.Delta{})
+		}
+		return
+	}
+	whole, err := g.copy(ctx, from, mirror.Position{})
+	if err != nil {
+		g.copyFailed(from, err)
+		return
+	}
+	g.options.Store.Introduce(&whole)
+}
+
+// introducer returns a live instance with a snapshot, preferring the own domain; nil if none is known.
+func (g *Gossip) introducer() *fleet.Instance {
+	now := g.options.Clock.Now()
+	others := g.registered()
+	if near := g.newestInDomain(mirror.Position{}, others, now); near != nil {
+		return near
+	}
+	if domain := g.newestDomain(mirror.Position{}, now); domain != "" {
+		return g.copySourceIn(domain, others, now)
+	}
+	return nil
+}
+
 // copyFailed makes the instance follow the store itself for a while, and ask another one for the
 // next copy.
 func (g *Gossip) copyFailed(from *fleet.Instance, err error) {
--- a/pkg/peer/restore_test.go
+++ b/pkg/peer/restore_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
+	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
 // byValue orders entries by their values.
@@ -15,9 +22,32 @@
 func (byValue) Older(entry, than *platform.Entry) bool {
 	return bytes.Compare(entry.Value, than.Value) < 0
 }
-func (byValue) RetainFor(string) time.Duration            { return 0 }
-func (byValue) SuppressFor(string) time.Duration          { return 0 }
-func (byValue) OverruleFor(*platform.Entry) time.Duration { return 0 }
+func (byValue) RetainFor(string) time.Duration   { return 0 }
+func (byValue) SuppressFor(string) time.Duration { return 0 }
+func (byValue) OverruleFor(entry *platform.Entry) time.Duration {
+	if entry.Key == lateKey {
+		return time.Minute
+	}
+	return 0
+}
+
+// lateKey is a key of which earlier states may be written late.
+const lateKey = "servers/a"
+
+// compactedStore holds one entry, and has discarded its history.
+type compactedStore struct{ entry platform.Entry }
+
+func (s compactedStore) List(context.Context, string, string) (platform.Page, error) {
+	return platform.Page{Revision: s.entry.ModRevision, Entries: []platform.Entry{s.entry}}, nil
+}
+
+func (s compactedStore) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (platform.Changes, error) {
+	if after < s.entry.ModRevision {
+		return platform.Changes{}, &platform.Error{Service: "key-value", Call: "test", Err: platform.ErrCompacted}
+	}
+	clock.Sleep(ctx, wait)
+	return platform.Changes{Revision: s.entry.ModRevision}, ctx.Err()
+}
 
 const restoredKey = "declared/config"
 
@@ -69,3 +99,38 @@
 		})
 	}
 }
+
+// TestInstanceThatStartsIsIntroducedByAnother guards against an instance that starts after a late write and takes the
+// store's entry for the last state of its key, since the store has discarded its history. The other instances are
+// behind it: they know the newer state and have not read the late one yet.
+func TestInstanceThatStartsIsIntroducedByAnother(t *testing.T) {
+	for name, started := range map[string]string{"in their domain": "north-a", "in another region": "west-a"} {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t, 2, "north-a", "south-a")
+			snapshot := &mirror.Snapshot{Revision: 50, Entries: map[string]platform.Entry{lateKey: {Key: lateKey, Value: []byte("6: draining"), ModRevision: 50}}}
+			for _, n := range m.nodes {
+				delta := snapshot.Since(n.store.Position(), time.Now())
+				m.is.True(n.store.Adopt(&delta))
+			}
+			network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+			m.is.NoErr(err)
+			n := m.newNode(network, started+"-9", started)
+			n.store = mirror.New(mirror.Options{
+				Source:   compactedStore{platform.Entry{Key: lateKey, Value: []byte("5: ready"), ModRevision: 52}},
+				Replayed: []string{"servers/"}, Order: byValue{}, Clock: clock.System{}, Log: zerolog.Nop(),
+			})
+			n.gossip.options.Store = n.store
+			n.fleet.Store(m.nodes["north-a-0"].fleet.Load())
+			m.start(n)
+			ctx, stop := context.WithCancel(t.Context())
+			var following sync.WaitGroup
+			following.Go(func() { n.store.Run(ctx) })
+			defer following.Wait()
+			defer stop()
+			m.eventually("it has the newer state", func() bool {
+				copied := n.store.Snapshot().Load()
+				return copied != nil && string(copied.Entries[lateKey].Value) == "6: draining" && !n.store.Unreplayed()
+			})
+		})
+	}
+}
