pkg/limit: windows count by the monotonic clock

Cause: the step of a sliding window was computed from the time of day. When that jumped ahead, an instance forgot what it had sent in the last second, and granted its whole share of a cold server once more; when it jumped back, a window counted what was long past until the time came again. Retry budgets count in the same windows.

clock.Steps numbers spans of time from its first use on, by the difference of two readings, which Go takes from the monotonic clock. A step of the time of day is no part of it.

--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
 )
 
 // The limits in this file hold over several equal instances together. Each enforces its
@@ -154,14 +156,15 @@
 // window counts events over a sliding time in windowSteps steps. The window covers the
 // configured length and up to one step more.
 type window struct {
-	steps [windowSteps + 1]int
-	at    [windowSteps + 1]int64
+	numbers clock.Steps
+	steps   [windowSteps + 1]int
+	at      [windowSteps + 1]int64
 }
 
 const windowSteps = 20
 
 func (w *window) step(now time.Time, length time.Duration) int64 {
-	return now.UnixNano() / int64(length/windowSteps)
+	return w.numbers.At(now, length/windowSteps)
 }
 
 func (w *window) add(now time.Time, length time.Duration) {
--- a/pkg/limit/window_test.go
+++ b/pkg/limit/window_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/lilacweir/lilacweir/pkg/clock/clocktest"
 	"github.com/lilacweir/lilacweir/pkg/limit"
 )
 
@@ -215,3 +216,48 @@
 	is.True(spare > 0)
 	is.True(reserved > 0)
 }
+
+// TestColdSharesStayWithinTheTotalWhileClocksStep guards against an upstream that gets the whole of its cold
+// allowance once more from each instance whose time of day jumps ahead, or nothing from one whose jumps back.
+func TestColdSharesStayWithinTheTotalWhileClocksStep(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 5).Draw(t, "instances")
+		perSecond := rapid.Float64Range(1, 40).Draw(t, "per second")
+		share := max(1, int(perSecond)/instances)
+		clock := clocktest.NewClock()
+		offsets := make([]int, instances)
+		shares := make([]*limit.ColdShares, instances)
+		for i := range shares {
+			shares[i] = limit.NewColdShares(func() time.Time { return clocktest.Stepped(clock.Now(), offsets[i]) })
+		}
+		sent := make([][]time.Time, instances)
+		for range rapid.IntRange(1, 300).Draw(t, "tries") {
+			clock.Advance(time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * time.Millisecond)
+			i := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			if rapid.IntRange(0, 9).Draw(t, "steps") == 0 {
+				offsets[i] = rapid.IntRange(-5, 5).Draw(t, "offset")
+			}
+			if shares[i].Available("u", perSecond, instances) {
+				shares[i].RecordSent("u")
+				sent[i] = append(sent[i], clock.Now())
+			} else if n := len(sent[i]); perSecond >= float64(instances) && (n == 0 || clock.Now().Sub(sent[i][n-1]) > 2*limit.ColdWindow) {
+				t.Fatalf("instance %d may send nothing, %v after the last request", i, 2*limit.ColdWindow)
+			}
+		}
+		var all []time.Time
+		for _, times := range sent {
+			all = append(all, times...)
+		}
+		for _, from := range all {
+			within := 0
+			for _, at := range all {
+				if d := at.Sub(from); d >= 0 && d < time.Second {
+					within++
+				}
+			}
+			if float64(within) > max(perSecond, float64(share*instances)) {
+				t.Fatalf("%d requests in a second, %.1f allowed", within, perSecond)
+			}
+		}
+	})
+}
