pkg/limit: backoffs and ejections end by the monotonic clock

When the time of day jumps ahead, backoffs and ejections end at once, and upstreams that rejected or failed requests get them again; when it jumps back by an hour, these upstreams get nothing for an hour, as the probe that ends it waits for the time to come again.

Cause: the ends were kept as Unix nanoseconds.

Evidence: TestBackoffsAndEjectionsEndInTimeWhileClocksStep failed before, ahead and back.

--- a/pkg/limit/backoff.go
+++ b/pkg/limit/backoff.go
@@ -28,14 +28,13 @@
 // themselves. The zero value is not backing off.
 type backoff struct {
 	mu sync.Mutex
-	// until is in Unix nanoseconds; zero if not backing off.
-	until   atomic.Int64
-	probing atomic.Bool
-	// requested is the end of the backoff that the upstream requested; nil if it requested
-	// none. It is a monotonic time, so that wall clock jumps do not move it.
-	requested atomic.Pointer[time.Time]
-	since     time.Time
-	rejected  int
+	// until is the end of the backoff; nil if not backing off. requested is the end of that which
+	// the upstream requested; nil if it requested none. Both are monotonic times, which steps of the
+	// wall clock do not move.
+	until, requested atomic.Pointer[time.Time]
+	probing          atomic.Bool
+	since            time.Time
+	rejected         int
 }
 
 // remaining returns the time until the backoff ends; at least MinBackoff while the probe is
@@ -48,10 +47,10 @@
 // upstream requested.
 func (r *backoff) ownRemaining(now func() time.Time) time.Duration {
 	until := r.until.Load()
-	if until == 0 {
+	if until == nil {
 		return 0
 	}
-	if wait := time.Duration(until - now().UnixNano()); wait > 0 {
+	if wait := until.Sub(now()); wait > 0 {
 		return wait
 	}
 	if r.probing.Load() {
@@ -87,10 +86,10 @@
 		return false
 	}
 	until := r.until.Load()
-	if until == 0 {
+	if until == nil {
 		return true
 	}
-	return now().UnixNano() >= until && r.probing.CompareAndSwap(false, true)
+	return !now().Before(*until) && r.probing.CompareAndSwap(false, true)
 }
 
 // reject begins a backoff, or a longer one if the probe was rejected. Of requests that were
@@ -108,14 +107,15 @@
 	period := MinBackoff << min(r.rejected, maxDoublings)
 	r.rejected++
 	r.since = now
-	r.until.Store(now.Add(min(MaxBackoff, period)).UnixNano())
+	until := now.Add(min(MaxBackoff, period))
+	r.until.Store(&until)
 	r.probing.Store(false)
 }
 
 // end records the end of a request that was not rejected, or the beginning of its answer;
 // recovered is true if the upstream has started it.
 func (r *backoff) end(started time.Time, recovered bool) {
-	if r.until.Load() == 0 {
+	if r.until.Load() == nil {
 		return
 	}
 	r.mu.Lock()
@@ -125,7 +125,7 @@
 	}
 	if recovered {
 		r.rejected = 0
-		r.until.Store(0)
+		r.until.Store(nil)
 	}
 	r.probing.Store(false)
 }
@@ -133,5 +133,5 @@
 // stale reports whether a request began before the backoff, and is no evidence of the
 // upstream's present state.
 func (r *backoff) stale(started time.Time) bool {
-	return r.until.Load() != 0 && !started.After(r.since)
+	return r.until.Load() != nil && !started.After(r.since)
 }
--- a/pkg/limit/eject.go
+++ b/pkg/limit/eject.go
@@ -58,8 +58,8 @@
 
 // health is guarded by Ejector.mu, except for ejectedUntil and probing.
 type health struct {
-	// ejectedUntil is in Unix nanoseconds; zero if not ejected.
-	ejectedUntil atomic.Int64
+	// ejectedUntil is nil if not ejected.
+	ejectedUntil atomic.Pointer[time.Time]
 	probing      atomic.Bool
 	ejectedAt    time.Time
 	pool         string
@@ -102,19 +102,23 @@
 		return false
 	}
 	until := h.ejectedUntil.Load()
-	if until == 0 {
+	if until == nil {
 		return false
 	}
-	return e.clock.Now().UnixNano() < until || h.probing.Load()
+	return e.clock.Now().Before(*until) || h.probing.Load()
 }
 
 // begin claims the probe of an upstream whose time is over; false while ejected.
 func (e *Ejector) begin(upstream string) bool {
 	h := (*e.all.Load())[upstream]
-	if h == nil || h.ejectedUntil.Load() == 0 {
+	if h == nil {
+		return true
+	}
+	until := h.ejectedUntil.Load()
+	if until == nil {
 		return true
 	}
-	if e.clock.Now().UnixNano() < h.ejectedUntil.Load() {
+	if e.clock.Now().Before(*until) {
 		return false
 	}
 	return h.probing.CompareAndSwap(false, true)
@@ -129,7 +133,7 @@
 	if h == nil {
 		return
 	}
-	if h.ejectedUntil.Load() != 0 && !started.After(h.ejectedAt) {
+	if h.ejectedUntil.Load() != nil && !started.After(h.ejectedAt) {
 		return
 	}
 	switch result {
@@ -148,10 +152,10 @@
 
 // restore ends an ejection; false when there is none.
 func (h *health) restore() bool {
-	if h.ejectedUntil.Load() == 0 {
+	if h.ejectedUntil.Load() == nil {
 		return false
 	}
-	h.ejectedUntil.Store(0)
+	h.ejectedUntil.Store(nil)
 	h.samples = 0
 	h.lateness.reset()
 	h.ejections = max(0, h.ejections-1)
@@ -159,7 +163,7 @@
 }
 
 func (e *Ejector) evaluateFailures(upstream string, h *health) {
-	if h.ejectedUntil.Load() != 0 || h.failures >= failuresToEject {
+	if h.ejectedUntil.Load() != nil || h.failures >= failuresToEject {
 		e.eject(upstream, h)
 	}
 }
@@ -175,7 +179,7 @@
 	}
 	h.samples++
 	h.lateness.add(ratio)
-	if h.samples < outlierSamples || h.ejectedUntil.Load() != 0 {
+	if h.samples < outlierSamples || h.ejectedUntil.Load() != nil {
 		return
 	}
 	if median := e.medianLateness(h); median > 0 && h.lateness.value() > outlierRatio*median {
@@ -201,13 +205,14 @@
 
 // eject excludes h, unless too many of its pool are ejected.
 func (e *Ejector) eject(upstream string, h *health) {
-	if h.ejectedUntil.Load() == 0 && !e.mayEject(h.pool) {
+	if h.ejectedUntil.Load() == nil && !e.mayEject(h.pool) {
 		return
 	}
 	period := min(maxEjection, minEjection<<min(h.ejections, 4))
 	h.ejections++
 	h.ejectedAt = e.clock.Now()
-	h.ejectedUntil.Store(h.ejectedAt.Add(period).UnixNano())
+	until := h.ejectedAt.Add(period)
+	h.ejectedUntil.Store(&until)
 	e.notify(Ejection{Upstream: upstream, For: period, Failures: h.failures, Lateness: h.lateness.value()})
 }
 
@@ -218,7 +223,7 @@
 			continue
 		}
 		size++
-		if h.ejectedUntil.Load() != 0 {
+		if h.ejectedUntil.Load() != nil {
 			ejected++
 		}
 	}
--- a/pkg/limit/window_test.go
+++ b/pkg/limit/window_test.go
@@ -261,3 +261,35 @@
 		}
 	})
 }
+
+// TestBackoffsAndEjectionsEndInTimeWhileClocksStep guards against an upstream that is used too early since the
+// time of day has jumped ahead, or that gets nothing until a time that has jumped back comes again.
+func TestBackoffsAndEjectionsEndInTimeWhileClocksStep(t *testing.T) {
+	for name, seconds := range map[string]int{"ahead": 3600, "back": -3600} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := clocktest.NewClock()
+			ejector := limit.NewEjector(clock)
+			ejector.SetPool("llm", []string{"u", "v"})
+			tracker := limit.NewTracker(clock, ejector)
+			end := func(upstream string, result limit.Result) {
+				flight, ok := tracker.Start(upstream, 0, 0)
+				is.True(ok)
+				clock.Advance(time.Millisecond)
+				flight.Done(result)
+			}
+			end("u", limit.Rejected)
+			for range 3 {
+				end("v", limit.Failed)
+			}
+			is.True(tracker.Load("u").Backoff > 0 && ejector.Ejected("v"))
+			clock.Seconds = seconds
+			clock.Advance(limit.MinBackoff / 2)
+			is.True(tracker.Load("u").Backoff > 0 && ejector.Ejected("v"))
+			clock.Advance(limit.MinBackoff)
+			is.Equal(tracker.Load("u").Backoff, time.Duration(0))
+			clock.Advance(2 * time.Second)
+			is.True(!ejector.Ejected("v"))
+		})
+	}
+}
