pkg/quota: the parts of limits keep their windows while clocks step

An instance divides a caller's limit by the largest demand that others reported within a window. When the time of day jumps ahead the window forgets, so that two instances may hold the same part of a limit; when it jumps back a part that nobody uses is held until the time comes again.

Cause: slots of the window were numbered by the time of day.

Evidence: TestWindowsKeepTheirSpanWhileClocksStep failed before, ahead and back.

--- a/pkg/quota/window.go
+++ b/pkg/quota/window.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/lilacweir/lilacweir/pkg/clock"
+)
 
 // windowSlots is the number of slots in a window; one more is being filled.
 const windowSlots = 4
@@ -8,14 +12,15 @@
 // window tracks the extreme of a value over a span of time, of at least span and at most a slot
 // more. The zero value has only zeros.
 type window struct {
-	slots [windowSlots + 1]float64
-	slot  int64
-	last  float64
+	numbers clock.Steps
+	slots   [windowSlots + 1]float64
+	slot    int64
+	last    float64
 }
 
 // add records a value, which replaces the last one, and returns the extreme.
 func (w *window) add(now time.Time, span time.Duration, value float64, extreme func(a, b float64) float64) float64 {
-	slot := now.UnixNano() / int64(span/windowSlots)
+	slot := w.numbers.At(now, span/windowSlots)
 	for passed := min(slot-w.slot, windowSlots+1); passed > 0; passed-- {
 		w.slots[(slot-passed+1)%(windowSlots+1)] = w.last
 	}
