pkg/control, pkg/route: what agents tell their gateways keeps its age while clocks step

What callers see: nothing is on record. When the time of day of a machine jumps ahead, a gateway takes each report of an upstream, an instance or another domain for older by the jump: domains count as silent and are not forwarded to, and a mark of leaving is cleared by a report that was made before it. When it jumps back, a domain that has fallen silent counts as fresh until the time comes again.

The ledger of spills kept a time as Unix nanoseconds.

The agent sends each time as a difference to the moment of sending, and the gateway adds it to its own clock on arrival.

--- a/pkg/agent/exchange.go
+++ b/pkg/agent/exchange.go
@@ -86,6 +86,7 @@
 	ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 	defer cancel()
 	args, sections := a.exchangeArgs()
+	args.Depart(time.Now())
 	var reply control.ExchangeReply
 	err := a.local.Call(ctx, a.Settings.Gateway.Control, control.GatewayService+".Exchange", args, &reply)
 	if err != nil {
--- a/pkg/control/messages.go
+++ b/pkg/control/messages.go
@@ -7,6 +7,8 @@
 package control
 
 import (
+	"time"
+
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/config"
 )
@@ -28,6 +30,8 @@
 	Upstreams *board.Upstreams
 	Domains   *board.Domains
 	Platform  *board.PlatformHealth
+	// SentAt is the agent's time of day when it sent them; see Depart.
+	SentAt time.Time
 }
 
 // ExchangeReply is the gateway's state, from which a restarted agent recovers the
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -22,6 +22,7 @@
 
 // Exchange applies the agent's state and returns the gateway's.
 func (s *Service) Exchange(args control.ExchangeArgs, reply *control.ExchangeReply) error {
+	args.Arrive(s.gateway.clock.Now())
 	*reply = s.gateway.Exchange(args)
 	return nil
 }
--- a/pkg/route/ledger.go
+++ b/pkg/route/ledger.go
@@ -29,14 +29,19 @@
 	reportedAt time.Time // guarded by SpillState.mu
 	// current counts requests sent since the last report of the domain.
 	current     atomic.Int64
-	marginMetAt atomic.Int64
+	marginMetAt atomic.Pointer[time.Time]
 }
 
 func (l *ledger) send()                   { l.current.Add(1) }
 func (l *ledger) used() int               { return int(l.current.Load()) }
-func (l *ledger) marginMet(now time.Time) { l.marginMetAt.Store(now.UnixNano()) }
+func (l *ledger) marginMet(now time.Time) { l.marginMetAt.Store(&now) }
+
+// lastMarginMet returns the time of the last call of marginMet; zero if there was none.
 func (l *ledger) lastMarginMet() time.Time {
-	return time.Unix(0, l.marginMetAt.Load())
+	if at := l.marginMetAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // creditInterval is the minimum interval between two renewals of credit.
