pkg/agent, pkg/digest: digests keep their order while the clock steps back

When the time of day of an agent is set back, its domain's digests count as older ones elsewhere and are left out for up to 5 s, in which the domain's loads, members and configuration are not learned there. The time from which instances count as long silent was rebuilt from the same number, without its monotonic part.

Cause: digests were numbered by the time of day at which they were made.

Evidence: TestDigestsAreOrderedWhileTheClockStepsBack failed before (the number falls by an hour).

--- a/pkg/agent/bench_test.go
+++ b/pkg/agent/bench_test.go
@@ -218,7 +218,7 @@
 				now := time.Now()
 				for _, a := range remote {
 					benchDomain(a, a.keeper.Head(), 1+n%2*4)
-					d := a.ownDigest()
+					d := a.ownDigest(time.Now())
 					own.mesh.setDigest(d, digest.EntriesSum(d.Entries), now)
 				}
 				if err := own.sendBeat(context.Background(), peerOf(peer)); err != nil {
--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -211,7 +211,7 @@
 	gathered := args.Seen == 0
 	for timedOut := false; ; {
 		members, head, health := a.board.Members.Changed(), a.board.Config.Changed(), a.board.Platform.Changed()
-		own := a.ownDigest()
+		own := a.ownDigest(time.Now())
 		seen := digest.UrgentSum(&own)
 		urgent := seen != args.Seen || a.keeper.Revision() > args.Revision
 		if timedOut || (urgent && gathered) {
@@ -251,12 +251,14 @@
 	return nil
 }
 
-// ownDigest returns the own domain's current digest.
-func (a *Agent) ownDigest() board.DomainDigest {
+// ownDigest returns the own domain's current digest at a time.
+func (a *Agent) ownDigest(now time.Time) board.DomainDigest {
 	health := a.board.Platform.Load()
 	return digest.Build(digest.Input{
-		Domain: a.Settings.Domain, Region: a.Settings.Region,
-		Sequence:  uint64(time.Now().UnixNano()),
+		Domain: a.Settings.Domain, Region: a.Settings.Region, Now: now,
+		// Counted from this process's start by the monotonic clock, so that a step back of the time of
+		// day does not make new digests count as older ones.
+		Sequence:  uint64(a.started.Add(now.Sub(a.started)).UnixNano()),
 		Members:   a.board.Members.Load(),
 		Upstreams: a.board.Upstreams.Load(),
 		Head:      a.keeper.Head(),
--- a/pkg/agent/harness_test.go
+++ b/pkg/agent/harness_test.go
@@ -232,7 +232,7 @@
 // inForce counts the nodes of the whole system that have the revision in force, as
 // known to an agent.
 func inForce(a *Agent, revision config.Revision) int {
-	own := a.ownDigest()
+	own := a.ownDigest(time.Now())
 	total := atRevision(own.Revisions, revision)
 	if domains := a.board.Domains.Load(); domains != nil {
 		for i := range domains.Remote {
--- a/pkg/agent/reconcile_test.go
+++ b/pkg/agent/reconcile_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
+	"github.com/lilacweir/lilacweir/pkg/clock/clocktest"
 	"github.com/lilacweir/lilacweir/pkg/config"
 	"github.com/lilacweir/lilacweir/pkg/control"
 	"github.com/lilacweir/lilacweir/pkg/member"
@@ -99,3 +100,17 @@
 	a.started = a.started.Add(-SettleTime)
 	is.Equal(len(a.digestJobs([]string{"a-1"})), 1)
 }
+
+// TestDigestsAreOrderedWhileTheClockStepsBack guards against digests that other domains leave out as older ones,
+// since the time of day was set back.
+func TestDigestsAreOrderedWhileTheClockStepsBack(t *testing.T) {
+	is := is.New(t)
+	now := clocktest.NewClock()
+	a := settledAgent(t, now.Now())
+	a.started = now.Now()
+	before := a.ownDigest(now.Now())
+	now.Seconds = -3600
+	now.Advance(time.Second)
+	after := a.ownDigest(now.Now())
+	is.Equal(after.Sequence-before.Sequence, uint64(time.Second))
+}
--- a/pkg/board/board.go
+++ b/pkg/board/board.go
@@ -159,7 +159,8 @@
 type DomainDigest struct {
 	Domain string
 	Region string
-	// Sequence orders the digests of one domain (nanoseconds of the sender's clock).
+	// Sequence orders the digests of one domain (Unix nanoseconds of the sender's start, and the time
+	// since).
 	Sequence uint64
 	// HeardAt is the time at which this process's domain received it, by this
 	// process's clock.
--- a/pkg/digest/build.go
+++ b/pkg/digest/build.go
@@ -22,7 +22,9 @@
 // Input is the state from which a domain's digest is built.
 type Input struct {
 	Domain, Region string
-	// Sequence is the Unix time in nanoseconds of the builder's clock.
+	// Now is the time of the builder's clock. Sequence orders digests: the Unix time in nanoseconds of
+	// the builder's start, and the time since.
+	Now       time.Time
 	Sequence  uint64
 	Members   *board.Members
 	Upstreams *board.Upstreams
@@ -35,7 +37,7 @@
 	d := board.DomainDigest{Domain: in.Domain, Region: in.Region, Sequence: in.Sequence, Platform: in.Platform}
 	if in.Members != nil {
 		addMembers(&d, in.Members.Instances)
-		d.Demand = quota.DomainDemand(in.Members.Instances, time.Unix(0, int64(in.Sequence)))
+		d.Demand = quota.DomainDemand(in.Members.Instances, in.Now)
 	}
 	if in.Head != nil && in.Head.Declaration != nil {
 		d.Pools = pools(in)
--- a/pkg/load/decide/domain.go
+++ b/pkg/load/decide/domain.go
@@ -44,7 +44,7 @@
 // publishDigest sends the failure domain's digest to the others after linkDelay.
 func (fd *failureDomain) publishDigest(s *simulation) {
 	made := digest.Build(digest.Input{
-		Domain: fd.name, Region: fd.region, Sequence: uint64(s.Now().UnixNano()),
+		Domain: fd.name, Region: fd.region, Now: s.Now(), Sequence: uint64(s.Now().UnixNano()),
 		Members: fd.members(), Upstreams: fd.polled, Head: fd.gateways[0].head,
 	})
 	for i := range made.Pools {
