pkg/peer: an instance that restarts with an earlier clock is heard

What callers see: nothing is on record. An instance whose time of day was ahead when it started, and that restarts after it was set right, counts as unreachable for 30 s: it is in no roster, and the others divide limits and cold allowances without it, while it takes its own part.

Cause: incarnations are taken from the time of day, and a lower one counted as that of a former process for as long as the higher one was remembered.

Evidence: TestRestartedInstanceWithAnEarlierClockIsHeard failed before.

A lower incarnation is believed once the process with the higher one has been silent for 2.5 s; before that a message may be late.

--- a/pkg/peer/roster.go
+++ b/pkg/peer/roster.go
@@ -128,6 +128,9 @@
 // report, of leaving above all, may be newer. The caller holds g.mu.
 func (g *Gossip) applyMark(mark Mark, at time.Time) {
 	before := g.reports[mark.Name]
+	if before != nil && isRestartWithEarlierClock(before, mark.Incarnation, at) {
+		before = nil
+	}
 	if before != nil && before.value.Incarnation > mark.Incarnation {
 		return
 	}
--- a/pkg/peer/roster_test.go
+++ b/pkg/peer/roster_test.go
@@ -113,3 +113,22 @@
 		now = now.Add(roundInterval)
 	}
 }
+
+// TestRestartedInstanceWithAnEarlierClockIsHeard guards against an instance that counts as unreachable for half a
+// minute after a restart, since the time of day was ahead when its former process started.
+func TestRestartedInstanceWithAnEarlierClockIsHeard(t *testing.T) {
+	is := is.New(t)
+	g, now := newHub("north-a", "north"), time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.applyReport(Report{Name: "north-a-1", Incarnation: 9, Sequence: 70}, now)
+	g.applyReport(Report{Name: "north-a-1", Incarnation: 5, Sequence: 1}, now.Add(time.Second))
+	is.Equal(g.reports["north-a-1"].value.Incarnation, uint64(9)) // it may be late
+	g.applyReport(Report{Name: "north-a-1", Incarnation: 5, Sequence: 2}, now.Add(SilentAfter+time.Second))
+	is.Equal(g.reports["north-a-1"].value.Incarnation, uint64(5))
+	g.applyReport(Report{Name: "north-a-2", Incarnation: 9, Sequence: 70}, now)
+	g.applyMark(Mark{Name: "north-a-2", Incarnation: 5}, now.Add(time.Second))
+	is.Equal(g.reports["north-a-2"].value.Incarnation, uint64(9))
+	g.applyMark(Mark{Name: "north-a-2", Incarnation: 5}, now.Add(SilentAfter+time.Second))
+	is.Equal(g.reports["north-a-2"].value.Incarnation, uint64(5))
+}
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -325,7 +325,7 @@
 		return
 	}
 	before := g.reports[report.Name]
-	if before != nil && !report.newer(&before.value) {
+	if before != nil && !report.newer(&before.value) && !isRestartWithEarlierClock(before, report.Incarnation, at) {
 		return
 	}
 	if before == nil || before.value.mark() != report.mark() {
@@ -345,6 +345,13 @@
 	}
 }
 
+// isRestartWithEarlierClock reports whether an incarnation that is lower than the last known one is that of a new
+// start: the former process is silent, and the time of day, from which incarnations are taken, was ahead when it
+// started.
+func isRestartWithEarlierClock(before *received[Report], incarnation uint64, at time.Time) bool {
+	return incarnation < before.value.Incarnation && at.Sub(before.at) > SilentAfter
+}
+
 func (g *Gossip) applyDigest(digest Digest, now time.Time) {
 	if digest.Domain == g.options.Self.Domain || digest.Age > SilentAfter {
 		return
