pkg/mirror: an instance's own entry is written again when another writer has replaced it

What callers see: nothing is on record. An entry of another writer under an instance's key, with a higher incarnation or an address that is none, makes the other instances leave that instance out until it restarts, as its lease is valid and its key is there.

Cause: an instance looked whether its key is there, not whether the entry is its own.

Evidence: TestOverwrittenRegistrationIsRewritten failed before.

--- a/pkg/mirror/registration.go
+++ b/pkg/mirror/registration.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -114,8 +115,8 @@
 	}
 }
 
-// missing reports whether a replica that is newer than the entry lacks it or retains it from a
-// former epoch.
+// missing reports whether a replica that is newer than the entry lacks it, holds another one in its
+// place, or retains it from a former epoch.
 func (r *Registration) missing() bool {
 	if r.Replica == nil {
 		return false
@@ -125,7 +126,7 @@
 		return false
 	}
 	entry, present := snapshot.Entries[r.Key]
-	return !present || entry.Era != snapshot.Epoch
+	return !present || entry.Era != snapshot.Epoch || !bytes.Equal(entry.Value, r.Value)
 }
 
 func (r *Registration) renew(ctx context.Context, lease Lease) error {
