pkg/fleet, platform: a server at an instance's address is not used

What callers see: nothing is on record. An entry of another writer that names an address of an instance as that of a server: one request went round for 4.4 s, with 7,994 connections, and ended with 504; a few of them leave an instance without descriptors.

Cause: nothing compared the addresses of servers with those of instances.

--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -38,6 +38,11 @@
 	Metrics string `yaml:"metrics"`
 }
 
+// Addresses returns all addresses.
+func (l *Listen) Addresses() []string {
+	return []string{l.Callers, l.Health, l.Directory, l.Peers, l.Gossip, l.Metrics}
+}
+
 // Store is the platform's key-value store.
 type Store struct {
 	Address string `yaml:"address" validate:"required"`
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -65,8 +65,12 @@
 	HistoryLost time.Time
 	// Instances holds the registered instances, sorted by name.
 	Instances []Instance
+	// Own holds the addresses at which this process listens.
+	Own       []string
 	byService map[string][]*Upstream
-	software  map[string]software
+	// ofInstances holds the addresses of instances, this one included.
+	ofInstances map[string]bool
+	software    map[string]software
 	// introduces is true if a version was introduced within SettleTime.
 	introduces bool
 }
@@ -92,8 +96,22 @@
 		upstream := &v.Upstreams[i]
 		v.byService[upstream.Service] = append(v.byService[upstream.Service], upstream)
 	}
+	v.ofInstances = make(map[string]bool, len(v.Own)+3*len(v.Instances))
+	for _, address := range v.Own {
+		v.ofInstances[address] = true
+	}
+	for i := range v.Instances {
+		instance := &v.Instances[i]
+		for _, address := range []string{instance.Callers, instance.Peers, instance.Gossip} {
+			v.ofInstances[address] = true
+		}
+	}
 }
 
+// IsInstance reports whether an upstream's address is that of an instance: a request that is sent there
+// would come back.
+func (v *View) IsInstance(u *Upstream) bool { return v.ofInstances[u.Address] }
+
 // RegionOf returns the region of an upstream; empty when it is not known.
 func (v *View) RegionOf(id string) string {
 	if upstream := v.Find(id); upstream != nil {
@@ -123,7 +141,9 @@
 }
 
 // Usable reports whether an upstream may get new requests.
-func (v *View) Usable(u *Upstream) bool { return !u.Draining && !v.Evacuated[u.Domain] }
+func (v *View) Usable(u *Upstream) bool {
+	return !u.Draining && !v.Evacuated[u.Domain] && !v.IsInstance(u)
+}
 
 // finishTime is the time for which an upstream that drains may get streams that no other one can
 // go on with. It ends well before the upstream may stop.
