pkg/mirror, pkg/peer: a list of upstreams is current for less time than a new software version is avoided

A machine that was suspended took its list for up to date for as long, as its clock stood still too.

Cause: current meant that a call had been answered not long ago. It was not asked until which time the replica is complete, nor by a clock that runs while the machine does not.

A replica tells until which time it is complete: that of the last answer of the store to any call while changes are waited for, and of the last changes while they are gathered. Suspensions show as the difference of two clocks, and end all knowledge until it is confirmed again.

--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -11,9 +11,10 @@
 // report returns the instance's report to the others.
 func (e *Edge) report() peer.Report {
 	position := e.store.Position()
-	contact, reaches := e.store.Contact()
-	if !reaches {
-		contact = 0
+	_, reaches := e.store.Contact()
+	var storeAge time.Duration
+	if asOf := e.store.AsOf(); !asOf.IsZero() {
+		storeAge = e.now().Sub(asOf).Truncate(time.Millisecond)
 	}
 	return peer.Report{
 		Name:        e.self.Name,
@@ -27,7 +28,7 @@
 		Held:        e.store.RetainedSum(),
 		Current:     e.store.Current(),
 		Reaches:     reaches,
-		StoreAge:    contact.Truncate(time.Millisecond),
+		StoreAge:    storeAge,
 		Upstreams:   e.loads(),
 		Placed:      e.recent.ToPublish(e.now()),
 		Used:        e.limiter.LocalUsage(),
--- a/pkg/freshness/tracker.go
+++ b/pkg/freshness/tracker.go
@@ -72,4 +72,9 @@
 func (t *Tracker) Knowledge() Knowledge { return Knowledge{AsOf: t.reached.asOf, From: t.reached.from} }
 
 // Current reports whether the knowledge is at most MaxAge old.
-func (k Knowledge) Current(now time.Time) bool { return !k.AsOf.IsZero() && now.Sub(k.AsOf) <= MaxAge }
+func (k Knowledge) Current(now time.Time) bool { return k.Within(MaxAge, now) }
+
+// Within reports whether the knowledge is at most so old.
+func (k Knowledge) Within(age time.Duration, now time.Time) bool {
+	return !k.AsOf.IsZero() && now.Sub(k.AsOf) <= age
+}
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -132,9 +132,9 @@
 	lost        bool
 	recoveredAt time.Time
 	// answeredAt is the time of the store's last answer; following is true while changes are waited
-	// for or were just applied.
-	answeredAt time.Time
-	following  bool
+	// for or were just applied, and waiting while they are waited for.
+	answeredAt         time.Time
+	following, waiting bool
 	// epoch is the highest observed, observedAny reports whether any was.
 	epoch       uint64
 	observedAny bool
@@ -203,6 +203,23 @@
 	return m.following
 }
 
+// AsOf returns the time until which everything that the store confirmed is in the replica, by this
+// process's own calls: while changes are waited for, that of the last answer to any call. It is zero
+// unless the store is followed and answers.
+func (m *Mirror) AsOf() time.Time {
+	if !m.Current() {
+		return time.Time{}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.waiting {
+		return m.answeredAt
+	}
+	now := m.options.Clock.Now()
+	age, _ := m.contact.Age(now)
+	return now.Add(-age)
+}
+
 // LastCallFailed reports whether the store's last call failed.
 func (m *Mirror) LastCallFailed() bool {
 	m.mu.Lock()
@@ -440,6 +457,7 @@
 	}
 	defer m.endWait()
 	changes, err := m.options.Source.Changes(ctx, m.options.Prefix, after.Revision, min(watchWait, m.untilSweep()))
+	m.setWaiting(false)
 	if err == nil {
 		m.recordAnswer()
 		changes.Era = m.observeAnswer(changes.Era)
@@ -463,7 +481,7 @@
 func (m *Mirror) beginWait(after Position, interrupt context.CancelFunc) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.interrupt = interrupt
+	m.interrupt, m.waiting = interrupt, true
 	return after.Era == m.epoch
 }
 
@@ -473,6 +491,12 @@
 	m.interrupt = nil
 }
 
+func (m *Mirror) setWaiting(waiting bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting = waiting
+}
+
 // pauseAfterChanges waits after a call that returned changes, longer each time, unless an urgent
 // change has to be read.
 func (m *Mirror) pauseAfterChanges(ctx context.Context, changed bool) {
--- a/pkg/mirror/mirror_test.go
+++ b/pkg/mirror/mirror_test.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/clock"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
 )
@@ -399,3 +400,30 @@
 		is.Equal(string(m.Snapshot().Load().Entries["servers/a"].Value), "2")
 	})
 }
+
+// TestReplicaIsCompleteUntilTheTimeThatItTells guards against a replica that counts as current while it gathers changes
+// between two calls: other calls are answered meanwhile.
+func TestReplicaIsCompleteUntilTheTimeThatItTells(t *testing.T) {
+	// delivery is the time in which the store answers a waiting call.
+	const delivery = 15 * time.Millisecond
+	follow(t, func(is *is.I, s *store, m *mirror.Mirror) {
+		writtenAt := make(map[int64]time.Time)
+		claims := 0
+		for n := range 500 {
+			if n%100 < 60 && n%7 == 0 {
+				s.put("servers/a", fmt.Sprint(n))
+				writtenAt[s.revision] = time.Now()
+			}
+			time.Sleep(10 * time.Millisecond)
+			m.RecordCall(true)
+			asOf, next := m.AsOf(), m.Revision()+1
+			if written, missing := writtenAt[next]; missing && asOf.Sub(written) > delivery {
+				t.Fatalf("complete until %v after revision %d was written, which it lacks", asOf.Sub(written), next)
+			}
+			if time.Since(asOf) < freshness.CallInterval {
+				claims++
+			}
+		}
+		is.True(claims > 400)
+	})
+}
--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -8,6 +8,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
@@ -110,29 +111,39 @@
 	return unpack(reply.Packed)
 }
 
-// currentReportAge is the age up to which a report tells whether a replica is current.
-const currentReportAge = 5 * roundInterval
+const (
+	// currentReportAge is the age up to which a report tells whether a replica is current.
+	currentReportAge = 5 * roundInterval
+	// currentAge is the age up to which knowledge of the store counts as current: no stream begins at a
+	// new software version sooner.
+	currentAge = fleet.SettleTime - roundInterval
+)
 
 // ReplicaCurrent reports whether the replica of the store is current, as far as can be known: no
-// other instance has reported a newer one, and this instance follows the store, or one of its
-// domain does.
+// other instance has reported a newer one, and it is complete until currentAge ago at least, by an
+// answer of the store to this instance or to one of its domain.
 func (g *Gossip) ReplicaCurrent() bool {
-	follows, position := g.options.Store.Current(), g.options.Store.Position()
-	now := g.options.Clock.Now()
+	store := g.options.Store
+	own, position, now := freshness.Knowledge{AsOf: store.AsOf()}, store.Position(), g.options.Clock.Now()
+	current := own.Within(currentAge, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.suspension.Since(g.options.Suspended()) {
+		return false
+	}
 	for _, report := range g.reports {
-		if now.Sub(report.at) <= SilentAfter && position.Before(report.value.position()) {
+		age := now.Sub(report.at)
+		if age <= SilentAfter && position.Before(report.value.position()) {
 			return false
 		}
-		follows = follows || (report.value.Current && now.Sub(report.at) <= currentReportAge)
+		current = current || (report.value.Current && age <= currentReportAge && age+report.value.StoreAge <= currentAge)
 	}
 	for _, digest := range g.digests {
 		if now.Sub(digest.at) <= SilentAfter && position.Before(digest.value.position()) {
 			return false
 		}
 	}
-	return follows
+	return current
 }
 
 // retainedSource returns a live instance that retains entries, newer than the store's, which differ
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -46,7 +46,9 @@
 	// Copies transfers snapshots of the store, which may be large; Client makes all other calls.
 	Copies *control.Clients
 	Clock  clock.Clock
-	Log    zerolog.Logger
+	// Suspended returns for how long the machine has been suspended; clock.Suspended if it is nil.
+	Suspended func() time.Duration
+	Log       zerolog.Logger
 }
 
 // UsageListener receives the usage of limited callers that a source, an instance or a failure
@@ -107,6 +109,8 @@
 	otherRegionAt time.Time
 	// confirmed derives from the others' reports how old the local replica of the store is.
 	confirmed freshness.Tracker
+	// suspension detects that the machine was suspended since the last round.
+	suspension freshness.Suspension
 	// sums is the load of the other instances of the own region, as the hub reported it; nil
 	// until the first report.
 	sums *received[[]Load]
@@ -176,7 +180,11 @@
 
 // New returns a Gossip without knowledge of other instances.
 func New(options Options) *Gossip {
+	if options.Suspended == nil {
+		options.Suspended = clock.Suspended
+	}
 	return &Gossip{
+		suspension:        freshness.SuspensionFrom(options.Suspended()),
 		options:           options,
 		reports:           make(map[string]*received[Report]),
 		digests:           make(map[string]*received[Digest]),
@@ -217,7 +225,7 @@
 	hadPeers := false
 	var crossRegionDue time.Time
 	for ctx.Err() == nil {
-		now := g.options.Clock.Now()
+		now, suspended := g.options.Clock.Now(), g.options.Suspended()
 		early := now.Before(due)
 		first := !hadPeers && g.options.Fleet.Load() != nil
 		if early && !first && !g.waitUrgent(ctx, due.Sub(now)) {
@@ -236,12 +244,21 @@
 			}
 			g.exchangeWithDomains(ctx, regions)
 		}
+		g.markAwake(suspended)
 		g.publish()
 		g.logWatching()
 		g.startCatchUp(ctx, &copies)
 	}
 }
 
+// markAwake records that the others' reports were heard in a round that began at a time, given by
+// Options.Suspended.
+func (g *Gossip) markAwake(suspended time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.suspension.Mark(suspended)
+}
+
 // HasUnreachableDomain reports whether a registered domain has no current digest. Each round
 // checks it: an instance that starts in a region without the store learns the other instances
 // after its first rounds, and waiting up to 0.6 s more for the next cross-region round failed
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -48,8 +48,8 @@
 	// none.
 	Store     int64
 	Era, Held uint64
-	// Current is true while the instance follows the store itself and the store answers it. Reaches
-	// is true while the store answers any of its calls; StoreAge is then the age of the last answer.
+	// Current is true while the instance follows the store itself and the store answers it; its replica is
+	// then complete until StoreAge ago. Reaches is true while the store answers any of its calls.
 	Current, Reaches bool
 	StoreAge         time.Duration
 	// Upstreams is its load at each upstream.
@@ -104,8 +104,8 @@
 	// of the sending instance, see Report.
 	Store     int64
 	Era, Held uint64
-	// Current is true if an instance of the domain follows the store and the store answers it;
-	// StoreAge is then the age of the newest of these answers when the digest was made.
+	// Current is true if that of an instance of the domain is; StoreAge is then the least of theirs when
+	// the digest was made.
 	Current  bool
 	StoreAge time.Duration
 	// Upstreams sums their loads by upstream, only within the own region; Services by service.
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -79,10 +79,8 @@
 // whom it knows that: from the store itself, or from another instance or domain.
 func (g *Gossip) Knowledge() freshness.Knowledge {
 	others := g.knowledgeOfOthers()
-	if age, _ := g.options.Store.Contact(); g.options.Store.Current() {
-		if own := g.options.Clock.Now().Add(-age); own.After(others.AsOf) {
-			return freshness.Knowledge{AsOf: own, From: g.options.Self.Name}
-		}
+	if own := g.options.Store.AsOf(); own.After(others.AsOf) {
+		return freshness.Knowledge{AsOf: own, From: g.options.Self.Name}
 	}
 	return others
 }
@@ -92,6 +90,9 @@
 	position := g.options.Store.Position()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.suspension.Since(g.options.Suspended()) {
+		return freshness.Knowledge{}
+	}
 	g.confirmed.Reach(position)
 	return g.confirmed.Knowledge()
 }
