pkg/fleet: an instance that starts in a release avoids its new version for a while

What callers see: nothing is on record. New streams avoid a version that is new to its service for 1.5 s, so that all instances know it before a stream begins there. An instance that starts in that time finds both versions in its first view, takes none of them for new, and begins streams at the new one at once.

Cause: what was there at the start was taken for what had always been there.

At its first view an instance avoids all versions of a service but that of most of its upstreams, for the same 1.5 s, and as before only while others serve.

--- a/pkg/fleet/software.go
+++ b/pkg/fleet/software.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -52,10 +54,11 @@
 
 // next returns what is known once a service has the given upstreams.
 func (s software) next(upstreams []*Upstream, now time.Time) software {
-	known := software{versions: make(map[string]bool)}
+	known, count := software{versions: make(map[string]bool)}, make(map[string]int)
 	for _, upstream := range upstreams {
 		known.versions[upstream.Software] = true
 		known.only = upstream.Software
+		count[upstream.Software]++
 	}
 	switch {
 	case len(known.versions) > 1:
@@ -67,7 +70,13 @@
 	}
 	for version := range known.versions {
 		at, introduced := s.introduced[version]
-		if len(s.versions) > 0 && !s.versions[version] {
+		switch {
+		case len(s.versions) > 0:
+			if !s.versions[version] {
+				at, introduced = now, true
+			}
+		case len(known.versions) > 1 && version != mostCommon(count):
+			// A process that has just started does not know which version is new.
 			at, introduced = now, true
 		}
 		if introduced && now.Sub(at) < SettleTime {
@@ -79,3 +88,9 @@
 	}
 	return known
 }
+
+// mostCommon returns the version of most upstreams, of several the first by name.
+func mostCommon(count map[string]int) string {
+	versions := slices.Sorted(maps.Keys(count))
+	return slices.MaxFunc(versions, func(a, b string) int { return cmp.Compare(count[a], count[b]) })
+}
