--- a/test/answers/answers_test.go
+++ b/test/answers/answers_test.go
@@ -422,6 +422,44 @@
 	}
 }
 
+// headPlaces are places in the head of an answer, as the text before which it is cut off.
+var headPlaces = []string{"HTTP", "/1.1", " 200", "OK", "\r\nContent-Type", "-Type", "Connection", "close", "Content-Length", "Transfer-Encoding", "\r\n\r\n"}
+
+// TestHeadsThatAreCutOffAreNoAnswers guards against an upstream that stops in the middle of its answer's head and closes,
+// or resets, its connection: the caller gets a success with an empty or short body, framed as whole.
+func TestHeadsThatAreCutOffAreNoAnswers(t *testing.T) {
+	s := start(t)
+	for _, place := range headPlaces {
+		for _, reset := range []bool{false, true} {
+			for _, f := range []rawanswer.Framing{rawanswer.WithLength, rawanswer.InChunks} {
+				for kind := range routes {
+					got := s.ask(kind, 0, func(c *call) {
+						_, _ = io.Copy(io.Discard, c.Body)
+						contentType, body := c.whole()
+						field, _ := f.Encode(body, len(body))
+						head, _, _ := strings.Cut("HTTP/1.1 200 OK\r\n"+c.fields(contentType)+field+"\r\n", place)
+						_, _ = io.WriteString(c.TCPConn, strings.TrimSuffix(head, "\r\n\r\n"))
+						clock.Sleep(c.Context(), headTime)
+						if reset {
+							_ = c.SetLinger(0)
+						}
+						_ = c.TCPConn.Close()
+					})
+					if got.Succeeded() && s.ran() == 1 {
+						t.Errorf("before %q, %s, reset: %v, %s: %v", place, f, reset, kind, got)
+					}
+				}
+			}
+		}
+		for kind := range routes {
+			s.awaitServed(kind)
+		}
+	}
+}
+
+// headTime is the time that a part of a head takes to arrive, before its connection ends.
+const headTime = 5 * time.Millisecond
+
 // TestCutAnswersAreNotPassedOnAsComplete guards against a part of an answer that looks whole to its caller because its
 // upstream reset the connection, with all of the request read or while an upload was still being written.
 func TestCutAnswersAreNotPassedOnAsComplete(t *testing.T) {
