pkg/edge: steps of the time of day are logged

So that an operator can tell a step of the clock, or a suspension, from other causes of times that do not fit: clock-stepped with by how much.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -331,10 +331,22 @@
 	return func() { <-ended }
 }
 
+// minLoggedStep is the smallest step of the time of day that is logged: it is also adjusted gradually.
+const minLoggedStep = 250 * time.Millisecond
+
+// logClockStep logs by how much the time of day has stepped.
+func (e *Edge) logClockStep(by time.Duration) {
+	if by.Abs() >= minLoggedStep {
+		e.log.Warn().Int64(event.KeyByMS, by.Milliseconds()).Msg(string(event.ClockStepped))
+	}
+}
+
 // sweep closes connections that are no longer needed or whose clients take too long, and forgets upstreams that
 // were leaving and are removed.
 func (e *Edge) sweep(ctx context.Context) {
+	var steps clock.StepDetector
 	for clock.Sleep(ctx, sweepEvery) {
+		e.logClockStep(steps.Observe(e.now()))
 		e.upstreams.Sweep()
 		e.peers.Sweep()
 		e.guard.Sweep()
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -16,6 +16,9 @@
 	SettingsReloaded Name = "settings-reloaded"
 	// SettingsRejected means that the settings cannot be read; nothing changes.
 	SettingsRejected Name = "settings-rejected"
+	// ClockStepped means that the time of day has moved against the monotonic clock: it was set, or the
+	// machine was suspended. Times in lines before and after cannot be compared.
+	ClockStepped Name = "clock-stepped"
 	// Leaving means that the instance was signalled to shut down.
 	Leaving Name = "leaving"
 	// RequestsCutOff means that requests still ran at the end of the grace period.
