pkg/mirror: the first listing is known while it is replayed, and a call that waits has settled first

An instance that starts far from the store read its history before it took notice of the first listing, which cost two round trips more until it served; now the listing is known at once, so that another instance can tell the same meanwhile, and Unreplayed says that nobody may use it yet.

--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -90,6 +91,9 @@
 	// watchWait is the wait of one call for changes. It bounds the time until a stalled
 	// connection is noticed: keep-alive probes detect that no sooner.
 	watchWait = 3 * time.Second
+	// watchSettle is the time within which the store answers a call that need not wait, since it has
+	// changes already: a round trip between regions, and some processing.
+	watchSettle = 250 * time.Millisecond
 	// minPause follows changes, so that one call reads several that are close together. It
 	// doubles, up to maxPause, while each call returns some: while a deployment of hundreds
 	// starts or is replaced, its instances and servers write hundreds of entries, and a call for
@@ -132,9 +136,11 @@
 	lost        bool
 	recoveredAt time.Time
 	// answeredAt is the time of the store's last answer; following is true while changes are waited
-	// for or were just applied, and waiting while they are waited for.
-	answeredAt         time.Time
-	following, waiting bool
+	// for or were just applied. waitingSince is the time since which they are waited for; zero if they
+	// are not.
+	answeredAt   time.Time
+	following    bool
+	waitingSince time.Time
 	// epoch is the highest observed, observedAny reports whether any was.
 	epoch       uint64
 	observedAny bool
@@ -212,10 +218,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.waiting {
+	now := m.options.Clock.Now()
+	if m.waitingSince.IsZero() || now.Sub(m.waitingSince) < watchSettle {
 		return m.answeredAt
 	}
-	now := m.options.Clock.Now()
 	age, _ := m.contact.Age(now)
 	return now.Add(-age)
 }
@@ -435,9 +441,18 @@
 		}
 	}
 	if before == (Position{}) {
+		// Nobody uses the first listing before it is replayed, or another instance has told what that
+		// would show: Unreplayed tells.
 		before = m.beginHistory(first)
+		m.setUnreplayed(true)
+		m.replace(first, entries, nil)
+		from := Position{Era: first.Era, Revision: max(1, first.Revision-replayDepth)}
+		m.applyReplay(m.replay(ctx, make(map[string]platform.Entry), from, first))
+	} else {
+		known, complete := m.replay(ctx, maps.Clone(m.snapshot.Load().Entries), before, first)
+		m.setUnreplayed(!complete)
+		m.replace(first, entries, known)
 	}
-	m.replace(first, entries, m.replay(ctx, first))
 	m.readHistory(ctx, before, first)
 	return first, nil
 }
@@ -457,7 +472,7 @@
 	}
 	defer m.endWait()
 	changes, err := m.options.Source.Changes(ctx, m.options.Prefix, after.Revision, min(watchWait, m.untilSweep()))
-	m.setWaiting(false)
+	m.setWaitingSince(time.Time{})
 	if err == nil {
 		m.recordAnswer()
 		changes.Era = m.observeAnswer(changes.Era)
@@ -481,7 +496,7 @@
 func (m *Mirror) beginWait(after Position, interrupt context.CancelFunc) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.interrupt, m.waiting = interrupt, true
+	m.interrupt, m.waitingSince = interrupt, m.options.Clock.Now()
 	return after.Era == m.epoch
 }
 
@@ -491,10 +506,10 @@
 	m.interrupt = nil
 }
 
-func (m *Mirror) setWaiting(waiting bool) {
+func (m *Mirror) setWaitingSince(since time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.waiting = waiting
+	m.waitingSince = since
 }
 
 // pauseAfterChanges waits after a call that returned changes, longer each time, unless an urgent
