pkg/peer: an instance that starts waits for no other that starts too

Now a neighbour with a replica is asked before other domains are, and where none that answers has one there is nothing to wait for.

--- a/pkg/peer/copy.go
+++ b/pkg/peer/copy.go
@@ -12,13 +12,17 @@
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
-// startCatchUp runs catchUp in the background, one at a time. Its goroutine is added to running.
-func (g *Gossip) startCatchUp(ctx context.Context, running *sync.WaitGroup) {
+// startCatchUp runs catchUp in the background, one at a time. Its goroutine is added to running. asked is true if
+// those instances were asked that may tell more of the store's entries than it does.
+func (g *Gossip) startCatchUp(ctx context.Context, running *sync.WaitGroup, asked bool) {
 	if !g.copying.CompareAndSwap(false, true) {
 		return
 	}
 	running.Go(func() {
 		defer g.copying.Store(false)
+		if asked && g.options.Store.Unreplayed() {
+			g.introduce(ctx)
+		}
 		g.catchUp(ctx)
 	})
 }
@@ -28,9 +32,6 @@
 // than the store has, which an instance that started since cannot know.
 func (g *Gossip) catchUp(ctx context.Context) {
 	store := g.options.Store
-	if store.Unreplayed() {
-		g.introduce(ctx)
-	}
 	since := store.Position()
 	var from *fleet.Instance
 	if !store.Current() {
@@ -53,13 +54,11 @@
 }
 
 // introduce compares this instance's snapshot with another one's whole snapshot: the store does not tell
-// what its entries were before.
+// what its entries were before. If none that answers has one, there is nothing to wait for.
 func (g *Gossip) introduce(ctx context.Context) {
 	from := g.introducer()
 	if from == nil {
-		if len(g.registered()) == 0 {
-			g.options.Store.Introduce(&mirror.Delta{})
-		}
+		g.options.Store.Introduce(&mirror.Delta{})
 		return
 	}
 	whole, err := g.copy(ctx, from, mirror.Position{})
@@ -70,6 +69,11 @@
 	g.options.Store.Introduce(&whole)
 }
 
+// hasSourceNear reports whether another instance of the own domain has a snapshot.
+func (g *Gossip) hasSourceNear() bool {
+	return g.newestInDomain(mirror.Position{}, g.registered(), g.options.Clock.Now()) != nil
+}
+
 // introducer returns a live instance with a snapshot, preferring the own domain; nil if none is known.
 func (g *Gossip) introducer() *fleet.Instance {
 	now := g.options.Clock.Now()
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -227,7 +227,8 @@
 	for ctx.Err() == nil {
 		now, suspended := g.options.Clock.Now(), g.options.Suspended()
 		early := now.Before(due)
-		first := !hadPeers && g.options.Fleet.Load() != nil
+		knowsFleet := g.options.Fleet.Load() != nil
+		first := !hadPeers && knowsFleet
 		if early && !first && !g.waitUrgent(ctx, due.Sub(now)) {
 			continue
 		}
@@ -237,6 +238,9 @@
 		}
 		g.receivesAllReports.Store(!g.usesHub() || g.hub() == g.options.Self.Name)
 		g.exchangeWithinDomain(ctx)
+		if knowsFleet && g.options.Store.Unreplayed() && g.hasSourceNear() {
+			g.startCatchUp(ctx, &copies, true)
+		}
 		if regions := g.remoteRoundWanted.Swap(false) || g.HasUnreachableDomain(); (regions || !early) && g.hub() == g.options.Self.Name {
 			regions = regions || !now.Before(crossRegionDue)
 			if regions {
@@ -247,7 +251,7 @@
 		g.markAwake(suspended)
 		g.publish()
 		g.logWatching()
-		g.startCatchUp(ctx, &copies)
+		g.startCatchUp(ctx, &copies, knowsFleet)
 	}
 }
 
