pkg/agent: the tests of stand-ins build their agents by name

The script under the race detector showed a race in the test itself: it replaced the mesh of an agent that was offering its configuration. The checks are the same. The package comment of pkg/freshness reads as it should.

--- a/pkg/agent/standin_test.go
+++ b/pkg/agent/standin_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/control"
@@ -13,6 +15,19 @@
 	"github.com/lilacweir/lilacweir/pkg/settings"
 )
 
+// namedAgent returns an agent of the domain "a" that has settled, without peers and configuration.
+func namedAgent(t *testing.T, name string, now time.Time) *Agent {
+	t.Helper()
+	network, err := control.NewNetwork(settings.Security{PlaintextLoopback: true}, nil)
+	is.New(t).NoErr(err)
+	a := New(Options{
+		Settings: &settings.Instance{Instance: name, Domain: "a", Region: "r"},
+		Mesh:     network, Local: network, Log: zerolog.Nop(), Registry: metrics.NewRegistry(), Epoch: 5,
+	})
+	a.started = now.Add(-SettleTime)
+	return a
+}
+
 // TestStandInWatchesWhenTheWatchersHaveLostTheService guards against a domain that misses changes of the
 // configuration, since its two watchers are alive and have lost the key-value service.
 func TestStandInWatchesWhenTheWatchersHaveLostTheService(t *testing.T) {
@@ -39,9 +54,7 @@
 			now := time.Now()
 			var watching []int
 			for rank, self := range ranked {
-				a := settledAgent(t, now)
-				a.Settings.Instance, a.started = self, now.Add(-SettleTime)
-				a.mesh = newMesh(member.Identity{Name: self, Domain: "a", Epoch: 5}, now)
+				a := namedAgent(t, self, now)
 				for other, peer := range ranked {
 					var fact *control.PlatformFact
 					if other < len(c.facts) {
@@ -73,14 +86,10 @@
 	now := time.Now()
 	names := []string{"a-1", "a-2", "a-3"}
 	ranked := member.Rank(member.Key("digest", "b"), names)
-	newAgent := func(self string) *Agent {
-		a := settledAgent(t, now)
-		a.Settings.Instance, a.started = self, now.Add(-SettleTime)
+	owner, standIn, third := namedAgent(t, ranked[0], now), namedAgent(t, ranked[1], now), namedAgent(t, ranked[2], now)
+	for _, a := range []*Agent{owner, standIn, third} {
 		a.Settings.Seeds = []settings.Seed{{Domain: "b", Mesh: "127.0.0.1:1"}}
-		a.mesh = newMesh(member.Identity{Name: self, Domain: "a", Epoch: 5}, now)
-		return a
 	}
-	owner, standIn, third := newAgent(ranked[0]), newAgent(ranked[1]), newAgent(ranked[2])
 	fetches := func(a *Agent) bool { return len(a.digestJobs(names)) == 1 }
 	exchange := func() {
 		now = now.Add(BeatInterval)
--- a/pkg/freshness/freshness.go
+++ b/pkg/freshness/freshness.go
@@ -7,8 +7,8 @@
 // time, and the age grows here by this process's clock. The time of day is not used: it may step. The
 // monotonic clock stands still while the machine is suspended: what was known before counts as old then.
 //
-// A job that one instance does for others is chosen by what the instance knows, not by whether it
-// is alone alive: see Contact.Reaches.
+// An instance that does a job for others is chosen by what it knows, not by whether it is alive: see
+// Contact.Reaches.
 package freshness
 
 import (
