pkg/peer: a hub keeps its place in an outage of the store

What callers saw: more late answers while the store is away and for seconds after.

Watchers, which are the hubs, notice an outage at once, the others at their next call, up to 1.3 s later; the end likewise. In between the hub moved from one instance to the next, and a new hub knows no loads of its domain.

TestStoreOutageDoesNotMoveTheHub failed before.

An instance gives way once it hears that the store has answered others, and not itself, by more than 2 s, and for 1.3 s.

--- a/pkg/edge/report.go
+++ b/pkg/edge/report.go
@@ -11,7 +11,6 @@
 // report returns the instance's report to the others.
 func (e *Edge) report() peer.Report {
 	position := e.store.Position()
-	_, reaches := e.store.Contact()
 	var storeAge time.Duration
 	if asOf := e.store.AsOf(); !asOf.IsZero() {
 		storeAge = e.now().Sub(asOf).Truncate(time.Millisecond)
@@ -27,7 +26,6 @@
 		Era:         position.Era,
 		Held:        e.store.RetainedSum(),
 		Current:     e.store.Current(),
-		Reaches:     reaches,
 		StoreAge:    storeAge,
 		Upstreams:   e.loads(),
 		Placed:      e.recent.ToPublish(e.now()),
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -202,6 +202,12 @@
 	return age, m.contact.Reaches(now)
 }
 
+// LastAnswer returns the age of the store's last answer to any call of this process; ok is false if
+// there was none.
+func (m *Mirror) LastAnswer() (age time.Duration, ok bool) {
+	return m.contact.Age(m.options.Clock.Now())
+}
+
 // Following reports whether this process follows the store itself, answered or not.
 func (m *Mirror) Following() bool {
 	m.mu.Lock()
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -99,7 +99,7 @@
 // KB, too much to send to the hubs of all domains.
 func (g *Gossip) ask(instance *fleet.Instance, dict *dictionary) Ask {
 	ask := Ask{
-		Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.options.Report(),
+		Domain: g.options.Self.Domain, Region: g.options.Self.Region, Report: g.report(),
 		Sums: g.usesHub(), Rosters: g.rosters(), Dictionary: dict.fingerprint,
 	}
 	if instance.Domain != g.options.Self.Domain {
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -109,6 +109,8 @@
 	otherRegionAt time.Time
 	// confirmed derives from the others' reports how old the local replica of the store is.
 	confirmed freshness.Tracker
+	// lag detects that the store answers others and not this instance.
+	lag freshness.Lag
 	// suspension detects that the machine was suspended since the last round.
 	suspension freshness.Suspension
 	// sums is the load of the other instances of the own region, as the hub reported it; nil
--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -9,11 +9,10 @@
 )
 
 // ranked orders the instances of a domain that may be asked: by rendezvous hashing of a job, and
-// those that have lost the store after the others, since they know less. While most have lost it
-// nobody knows more, and the order stays as it is.
+// those that the store does not answer while it answers others come last, since they know less.
+// While most are such nobody knows more, and the order stays as it is.
 func (g *Gossip) ranked(job, domain string, instances []fleet.Instance) []string {
 	now := g.options.Clock.Now()
-	_, reaches := g.options.Store.Contact()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var names []string
@@ -25,7 +24,7 @@
 	lost := g.withoutStore(domain, now)
 	if domain == g.options.Self.Domain {
 		names = append(names, g.options.Self.Name)
-		lost[g.options.Self.Name] = !reaches
+		lost[g.options.Self.Name] = g.isBehind(now)
 	}
 	ranked := member.Rank(member.Key(job, domain), names)
 	knowLess := 0
@@ -52,8 +51,8 @@
 	}
 }
 
-// withoutStore returns the instances of a domain that report that the store does not answer them. The
-// caller holds g.mu.
+// withoutStore returns the instances of a domain that report that the store answers others and not
+// them. The caller holds g.mu.
 func (g *Gossip) withoutStore(domain string, now time.Time) map[string]bool {
 	lost := make(map[string]bool)
 	if digest := g.digests[domain]; digest != nil && now.Sub(digest.at) <= SilentAfter {
--- a/pkg/peer/roster.go
+++ b/pkg/peer/roster.go
@@ -115,7 +115,7 @@
 	}
 	at := now.Add(-rosterAge)
 	if digest.Current {
-		g.confirmed.Confirm(digest.Domain, digest.position(), at.Add(-digest.StoreAge))
+		g.confirm(digest.Domain, digest.position(), at.Add(-digest.StoreAge))
 	}
 	for _, mark := range g.ownRoster.Marks {
 		if mark.Name != g.options.Self.Name {
--- a/pkg/peer/service.go
+++ b/pkg/peer/service.go
@@ -337,7 +337,7 @@
 	g.handlePlacements(report.Placed, true, at)
 	g.reports[report.Name] = &received[Report]{value: report, at: at}
 	if report.Current {
-		g.confirmed.Confirm(report.Name, report.position(), at.Add(-report.StoreAge))
+		g.confirm(report.Name, report.position(), at.Add(-report.StoreAge))
 	}
 	g.used.Record(report.Name, report.Incarnation, report.Used, g.options.Clock.Now())
 	if g.receivesAllReports.Load() {
@@ -371,7 +371,7 @@
 	g.handlePlacements(digest.Placed, false, at)
 	g.digests[digest.Domain] = &received[Digest]{value: digest, at: at, receivedAt: now}
 	if digest.Current {
-		g.confirmed.Confirm(digest.Domain, digest.position(), at.Add(-digest.StoreAge))
+		g.confirm(digest.Domain, digest.position(), at.Add(-digest.StoreAge))
 	}
 	g.recordUsage(domainSource(digest.Domain), digest.Counter, digest.Used)
 }
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -49,7 +49,8 @@
 	Store     int64
 	Era, Held uint64
 	// Current is true while the instance follows the store itself and the store answers it; its replica is
-	// then complete until StoreAge ago. Reaches is true while the store answers any of its calls.
+	// then complete until StoreAge ago. Reaches is false while the store answers others and not this
+	// instance, as freshness.Lag tells; an outage of the store leaves it true.
 	Current, Reaches bool
 	StoreAge         time.Duration
 	// Upstreams is its load at each upstream.
--- a/pkg/peer/totals.go
+++ b/pkg/peer/totals.go
@@ -32,7 +32,7 @@
 	if held != nil && now.Sub(held.at) < totalsTTL {
 		return held.own
 	}
-	return g.options.Report()
+	return g.report()
 }
 
 // total sums the region's load, unless that was done recently. The caller holds g.mu.
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -6,6 +6,7 @@
 
 	"github.com/lilacweir/lilacweir/pkg/event"
 	"github.com/lilacweir/lilacweir/pkg/freshness"
+	"github.com/lilacweir/lilacweir/pkg/mirror"
 )
 
 // watchReason is the reason for which an instance follows the store itself; empty if it leaves
@@ -97,6 +98,32 @@
 	return g.confirmed.Knowledge()
 }
 
+// confirm records that the replica of another instance contained at a position what the store had
+// confirmed until asOf. The caller holds g.mu.
+func (g *Gossip) confirm(from string, position mirror.Position, asOf time.Time) {
+	g.confirmed.Confirm(from, position, asOf)
+	g.lag.Hear(asOf)
+}
+
+// isBehind reports whether the store answers others and not this instance. The caller holds g.mu.
+func (g *Gossip) isBehind(now time.Time) bool {
+	var answered time.Time
+	if age, ok := g.options.Store.LastAnswer(); ok {
+		answered = now.Add(-age)
+	}
+	return g.lag.Behind(answered, now)
+}
+
+// report returns the own report.
+func (g *Gossip) report() Report {
+	report := g.options.Report()
+	now := g.options.Clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	report.Reaches = !g.isBehind(now)
+	return report
+}
+
 // logWatching logs when this instance begins or ceases to follow the store, with the age of what
 // it knows. Only Run calls it.
 func (g *Gossip) logWatching() {
--- a/pkg/peer/watch_test.go
+++ b/pkg/peer/watch_test.go
@@ -13,6 +13,7 @@
 	"github.com/lilacweir/lilacweir/pkg/board"
 	"github.com/lilacweir/lilacweir/pkg/clock"
 	"github.com/lilacweir/lilacweir/pkg/fleet"
+	"github.com/lilacweir/lilacweir/pkg/freshness"
 	"github.com/lilacweir/lilacweir/pkg/member"
 	"github.com/lilacweir/lilacweir/pkg/mirror"
 	"github.com/lilacweir/lilacweir/pkg/platform"
@@ -194,6 +195,58 @@
 	}
 }
 
+// TestStoreOutageDoesNotMoveTheHub guards against a hub that gives way in an outage of the store, since it notices
+// the outage before the others and its end after them: its successor knows no loads.
+func TestStoreOutageDoesNotMoveTheHub(t *testing.T) {
+	const begin, end = 3 * time.Second, 8 * time.Second
+	h := newWatchHarness(t, 9, 0)
+	start := h.now
+	// answeredAt returns the time of the store's last answer to an instance, which calls it every
+	// freshness.CallInterval.
+	answeredAt := func(rank int) time.Duration {
+		elapsed := h.now.Sub(start)
+		phase := time.Duration(9-rank) * freshness.CallInterval / 10
+		called := (elapsed-phase)/freshness.CallInterval*freshness.CallInterval + phase
+		for called >= begin && called < end {
+			called -= freshness.CallInterval
+		}
+		return called
+	}
+	for range 120 {
+		h.now = h.now.Add(roundInterval)
+		if h.now.Sub(start)-answeredAt(0) < roundInterval {
+			h.options.Store.RecordCall(true)
+		} else if out := h.now.Sub(start); out >= begin && out < end {
+			h.options.Store.RecordCall(false)
+		}
+		for rank := 1; rank < len(h.ranked); rank++ {
+			age := h.now.Sub(start) - answeredAt(rank)
+			h.hear(rank, Report{Store: 7, Reaches: true, Current: age <= freshness.MaxAge, StoreAge: age})
+		}
+		h.is.Equal(h.hub(), h.options.Self.Name)
+		h.is.True(h.report().Reaches)
+	}
+}
+
+// TestHubThatTheStoreDoesNotAnswerGivesWay guards against a hub that keeps its place though the store answers the
+// others and not it.
+func TestHubThatTheStoreDoesNotAnswerGivesWay(t *testing.T) {
+	h := newWatchHarness(t, 9, 0)
+	h.pass(time.Second, healthy)
+	for range 40 {
+		h.now = h.now.Add(roundInterval)
+		h.options.Store.RecordCall(false)
+		for rank := 1; rank < len(h.ranked); rank++ {
+			h.hear(rank, healthy(rank))
+		}
+		h.report()
+	}
+	h.is.Equal(h.hub(), h.ranked[1])
+	h.is.True(!h.report().Reaches)
+	h.pass(roundInterval, healthy)
+	h.is.Equal(h.hub(), h.ranked[0])
+}
+
 // TestHubOfAnotherDomainThatHasLostTheStoreIsNotAsked guards against digests of another domain from an instance
 // of it that knows less than the others there.
 func TestHubOfAnotherDomainThatHasLostTheStoreIsNotAsked(t *testing.T) {
