--- a/pkg/agent/domains.go
+++ b/pkg/agent/domains.go
@@ -37,9 +37,8 @@
 )
 
 // digestJobs returns the fetches that this instance owns, or does for owners that do not reach the
-// domain. A fresh instance knows no
-// peers yet; without SettleTime it would own all fetches, and receive the
-// configuration from every domain.
+// domain. A fresh instance knows no peers yet; without SettleTime it would own all fetches, and
+// receive the configuration from every domain.
 func (a *Agent) digestJobs(workers []string) map[string]job {
 	wanted := make(map[string]job)
 	if time.Since(a.started) < SettleTime {
