--- a/pkg/freshness/freshness.go
+++ b/pkg/freshness/freshness.go
@@ -8,7 +8,7 @@
 // monotonic clock stands still while the machine is suspended: what was known before counts as old then.
 //
 // An instance that does a job for others is chosen by what it knows, not by whether it is alive: see
-// Contact.Reaches.
+// Lag.
 package freshness
 
 import (
