platform: an instance serves its first request by the servers as replayed

An instance that starts could send requests for some milliseconds to a server that drains, if the store's entry of it is a late report.

--- a/pkg/mirror/entries.go
+++ b/pkg/mirror/entries.go
@@ -183,7 +183,7 @@
 	snapshot := &Snapshot{
 		Epoch: position.Era, Revision: position.Revision, Entries: entries,
 		Expiring: maps.Clone(m.expiring), hidden: maps.Clone(m.hidden), Removals: m.removals, Gap: m.gap,
-		removed: m.recentlyRemoved(now),
+		removed: m.recentlyRemoved(now), Unreplayed: m.unreplayed,
 	}
 	snapshot.RetainedSum = snapshot.fingerprint()
 	m.snapshot.Store(snapshot)
--- a/pkg/mirror/mirror.go
+++ b/pkg/mirror/mirror.go
@@ -46,6 +46,9 @@
 	// Gap is the position up to which the history of those prefixes is unknown: earlier writes
 	// that were deleted again are in neither Entries nor Removals.
 	Gap Position
+	// Unreplayed is Mirror.Unreplayed at the time of the snapshot: what is decided by both must not
+	// see the entries of one time and the state of another.
+	Unreplayed bool
 }
 
 // Position returns the position up to which the replica has followed the store.
