pkg/peer: what instances report of the store has a name of its own, and a line in the log

Found on reading the change. Reaches stood for two things: in reports that the store answers others and this instance too, in Contact and in the log that its last call was answered. An instance that gives way as a hub left no line that tells it from one that does not. Nothing that callers see changes.

Reports and marks say Behind, as freshness.Lag does; store-watching has behind, and comes where that changes. The tests of watchers say Behind where they said that the store was not reached; TestStoreOutageAddsNoWatchers plays the outage with either report.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -59,7 +59,8 @@
 	StoreReached  Name = "store-reached"
 	StoreLost     Name = "store-lost"
 	StoreRegained Name = "store-regained"
-	// StoreWatching means that the instance begins or ceases to follow the store itself, and why.
+	// StoreWatching means that the instance begins or ceases to follow the store itself, and why, or that
+	// it begins or ceases to be behind.
 	StoreWatching Name = "store-watching"
 	// StoreFollowed means that the local replica begins to follow a restored store.
 	StoreFollowed Name = "store-followed"
--- a/pkg/event/keys.go
+++ b/pkg/event/keys.go
@@ -21,6 +21,7 @@
 	KeyBackingOff    = "backing_off" // regions that back off after a refusal for lack of capacity
 	KeyBalance       = "balance"     // remaining balance of an organisation, in units of its limit
 	KeyBrittle       = "brittle"     // whether an upstream is known to crash when it rejects too many requests
+	KeyBehind        = "behind"      // whether the store answers others and not this instance
 	KeyByMS          = "by_ms"       // by how much the time of day has moved
 	KeyBytes         = "bytes"
 	KeyCallers       = "callers"   // address that serves callers over HTTP
--- a/pkg/peer/gossip.go
+++ b/pkg/peer/gossip.go
@@ -155,6 +155,8 @@
 	copying atomic.Bool
 	// watching is the reason for which this instance followed the store in the last round.
 	watching watchReason
+	// wasBehind is true if it was behind then.
+	wasBehind bool
 	// used sums the usage of limited callers in the own domain.
 	used *quota.Sums
 	// receivesAllReports is true while this instance receives reports directly from every
--- a/pkg/peer/hub.go
+++ b/pkg/peer/hub.go
@@ -21,20 +21,20 @@
 			names = append(names, instance.Name)
 		}
 	}
-	lost := g.withoutStore(domain, now)
+	behind := g.behind(domain, now)
 	if domain == g.options.Self.Domain {
 		names = append(names, g.options.Self.Name)
-		lost[g.options.Self.Name] = g.isBehind(now)
+		behind[g.options.Self.Name] = g.isBehind(now)
 	}
 	ranked := member.Rank(member.Key(job, domain), names)
 	knowLess := 0
 	for _, name := range ranked {
-		if lost[name] {
+		if behind[name] {
 			knowLess++
 		}
 	}
 	if 2*knowLess <= len(ranked) {
-		slices.SortStableFunc(ranked, func(a, b string) int { return compareBools(lost[a], lost[b]) })
+		slices.SortStableFunc(ranked, func(a, b string) int { return compareBools(behind[a], behind[b]) })
 	}
 	return ranked
 }
@@ -51,21 +51,21 @@
 	}
 }
 
-// withoutStore returns the instances of a domain that report that the store answers others and not
-// them. The caller holds g.mu.
-func (g *Gossip) withoutStore(domain string, now time.Time) map[string]bool {
-	lost := make(map[string]bool)
+// behind returns the instances of a domain that report that the store answers others and not them. The
+// caller holds g.mu.
+func (g *Gossip) behind(domain string, now time.Time) map[string]bool {
+	behind := make(map[string]bool)
 	if digest := g.digests[domain]; digest != nil && now.Sub(digest.at) <= SilentAfter {
 		for i := range digest.value.Marks {
-			lost[digest.value.Marks[i].Name] = !digest.value.Marks[i].Reaches
+			behind[digest.value.Marks[i].Name] = digest.value.Marks[i].Behind
 		}
 	}
 	if domain == g.options.Self.Domain {
 		for name, report := range g.reports {
-			lost[name] = !report.value.Reaches
+			behind[name] = report.value.Behind
 		}
 	}
-	return lost
+	return behind
 }
 
 // shouldAvoid reports whether an instance should not be asked because it did not answer, is
--- a/pkg/peer/roster.go
+++ b/pkg/peer/roster.go
@@ -37,7 +37,7 @@
 	for i := range marks {
 		mark := &marks[i]
 		flags := byte(0)
-		for bit, set := range [...]bool{mark.Leaving, mark.Ready, mark.Quiet, mark.Reaches} {
+		for bit, set := range [...]bool{mark.Leaving, mark.Ready, mark.Quiet, mark.Behind} {
 			if set {
 				flags |= 1 << bit
 			}
@@ -75,7 +75,7 @@
 }
 
 func (r *Report) mark() Mark {
-	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready, Unreachable: r.Unreachable, Reaches: r.Reaches}
+	return Mark{Name: r.Name, Incarnation: r.Incarnation, Leaving: r.Leaving, Ready: r.Ready, Unreachable: r.Unreachable, Behind: r.Behind}
 }
 
 // addContact adds what a report of the given age tells about the store's answers.
@@ -139,7 +139,7 @@
 			return
 		}
 		g.reports[mark.Name] = &received[Report]{value: Report{
-			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable, Reaches: mark.Reaches,
+			Name: mark.Name, Incarnation: mark.Incarnation, Leaving: mark.Leaving, Ready: mark.Ready, Unreachable: mark.Unreachable, Behind: mark.Behind,
 		}, at: at}
 		g.options.Log.Info().Str(event.KeyPeer, mark.Name).Msg(string(event.PeerFound))
 		return
@@ -150,6 +150,6 @@
 	before.value.Leaving = before.value.Leaving || mark.Leaving
 	before.value.Ready = before.value.Ready || mark.Ready
 	if !mark.Quiet && at.After(before.at) {
-		before.at, before.value.Unreachable, before.value.Reaches = at, mark.Unreachable, mark.Reaches
+		before.at, before.value.Unreachable, before.value.Behind = at, mark.Unreachable, mark.Behind
 	}
 }
--- a/pkg/peer/state.go
+++ b/pkg/peer/state.go
@@ -49,10 +49,10 @@
 	Store     int64
 	Era, Held uint64
 	// Current is true while the instance follows the store itself and the store answers it; its replica is
-	// then complete until StoreAge ago. Reaches is false while the store answers others and not this
-	// instance, as freshness.Lag tells; an outage of the store leaves it true.
-	Current, Reaches bool
-	StoreAge         time.Duration
+	// then complete until StoreAge ago. Behind is true while the store answers others and not this
+	// instance, see freshness.Lag.
+	Current, Behind bool
+	StoreAge        time.Duration
 	// Upstreams is its load at each upstream.
 	Upstreams []Load
 	// Placed holds where it sent large prompt segments in the last seconds.
@@ -85,8 +85,8 @@
 	Leaving, Ready bool
 	// Unreachable is that of the instance's report.
 	Unreachable string
-	// Reaches is that of the instance's report.
-	Reaches bool
+	// Behind is that of the instance's report.
+	Behind bool
 	// Quiet is true if its domain's hub has received no report for some rounds.
 	Quiet bool
 }
--- a/pkg/peer/watch.go
+++ b/pkg/peer/watch.go
@@ -120,27 +120,30 @@
 	now := g.options.Clock.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	report.Reaches = !g.isBehind(now)
+	report.Behind = g.isBehind(now)
 	return report
 }
 
-// logWatching logs when this instance begins or ceases to follow the store, with the age of what
-// it knows. Only Run calls it.
+// logWatching logs when this instance begins or ceases to follow the store, or to be behind, with the
+// age of what it knows. Only Run calls it.
 func (g *Gossip) logWatching() {
-	reason := g.watchReason()
-	if reason == g.watching {
+	reason, now := g.watchReason(), g.options.Clock.Now()
+	g.mu.Lock()
+	behind := g.isBehind(now)
+	g.mu.Unlock()
+	if reason == g.watching && behind == g.wasBehind {
 		return
 	}
-	g.watching = reason
+	g.watching, g.wasBehind = reason, behind
 	if reason != "" {
 		g.options.Store.Wake()
 	}
-	known, now := g.Knowledge(), g.options.Clock.Now()
+	known := g.Knowledge()
 	age := int64(-1)
 	if !known.AsOf.IsZero() {
 		age = now.Sub(known.AsOf).Milliseconds()
 	}
 	_, reaches := g.options.Store.Contact()
 	g.options.Log.Info().Str(event.KeyReason, string(reason)).Int64(event.KeyKnownAgeMS, age).Str(event.KeySource, known.From).
-		Bool(event.KeyReaches, reaches).Msg(string(event.StoreWatching))
+		Bool(event.KeyReaches, reaches).Bool(event.KeyBehind, behind).Msg(string(event.StoreWatching))
 }
--- a/pkg/peer/watch_test.go
+++ b/pkg/peer/watch_test.go
@@ -80,9 +80,9 @@
 // following, idle and cutOff are reports of instances that follow the store, that leave it to others, and
 // that the store does not answer.
 var (
-	following = Report{Store: 7, Reaches: true, Current: true}
-	idle      = Report{Store: 7, Reaches: true}
-	cutOff    = Report{Store: 7}
+	following = Report{Store: 7, Current: true}
+	idle      = Report{Store: 7}
+	cutOff    = Report{Store: 7, Behind: true}
 )
 
 // healthy reports that the watchers follow the store.
@@ -135,17 +135,19 @@
 
 // TestStoreOutageAddsNoWatchers guards against instances that call a store which answers nobody.
 func TestStoreOutageAddsNoWatchers(t *testing.T) {
-	h := newWatchHarness(t, 5, watchers)
-	h.pass(time.Second, healthy)
-	for range 60 {
-		h.now = h.now.Add(roundInterval)
-		h.options.Store.RecordCall(false)
-		for rank, name := range h.ranked {
-			if name != h.options.Self.Name {
-				h.hear(rank, cutOff)
+	for _, report := range []Report{cutOff, idle} {
+		h := newWatchHarness(t, 5, watchers)
+		h.pass(time.Second, healthy)
+		for range 60 {
+			h.now = h.now.Add(roundInterval)
+			h.options.Store.RecordCall(false)
+			for rank, name := range h.ranked {
+				if name != h.options.Self.Name {
+					h.hear(rank, report)
+				}
 			}
+			h.is.True(!h.Watches())
 		}
-		h.is.True(!h.Watches())
 	}
 }
 
@@ -221,10 +223,10 @@
 		}
 		for rank := 1; rank < len(h.ranked); rank++ {
 			age := h.now.Sub(start) - answeredAt(rank)
-			h.hear(rank, Report{Store: 7, Reaches: true, Current: age <= freshness.MaxAge, StoreAge: age})
+			h.hear(rank, Report{Store: 7, Current: age <= freshness.MaxAge, StoreAge: age})
 		}
 		h.is.Equal(h.hub(), h.options.Self.Name)
-		h.is.True(h.report().Reaches)
+		h.is.True(!h.report().Behind)
 	}
 }
 
@@ -242,7 +244,7 @@
 		h.report()
 	}
 	h.is.Equal(h.hub(), h.ranked[1])
-	h.is.True(!h.report().Reaches)
+	h.is.True(h.report().Behind)
 	h.pass(roundInterval, healthy)
 	h.is.Equal(h.hub(), h.ranked[0])
 }
@@ -256,11 +258,11 @@
 	for i := range 3 {
 		name := fmt.Sprintf("south-a-%d", i)
 		instances = append(instances, fleet.Instance{Name: name, Domain: "south-a", Region: "south"})
-		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1, Reaches: true})
+		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1})
 	}
 	first := h.Gossip.ranked(jobHub, "south-a", instances)[0]
 	for i := range digest.Marks {
-		digest.Marks[i].Reaches = digest.Marks[i].Name != first
+		digest.Marks[i].Behind = digest.Marks[i].Name == first
 	}
 	h.mu.Lock()
 	h.applyDigest(digest, h.now)
@@ -279,9 +281,9 @@
 	for i := range 3 {
 		name := fmt.Sprintf("south-a-%d", i)
 		view.Instances = append(view.Instances, fleet.Instance{Name: name, Domain: "south-a", Region: "south", Gossip: name})
-		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1, Reaches: i == 0})
+		digest.Marks = append(digest.Marks, Mark{Name: name, Incarnation: 1, Behind: i != 0})
 	}
-	digest.Marks[1].Reaches = true
+	digest.Marks[1].Behind = false
 	h.options.Fleet.Store(view)
 	h.mu.Lock()
 	h.applyDigest(digest, h.now)
